Decide a key only by claims that may be the first, and read a new log whole

A home whose log was replaced read the new one from its old offset and missed its first claim. And after the log forgot a key's winning claim, a home that started afresh took a later, losing claim of the same key, still kept, for the first.

Change: a replaced log is read from its start; a claim is entered only if its key is younger than what the fold has seen in full.

Ruled out: doubled deliveries (the model has the owner's guard against them) and ticket epochs (no bad schedule used tickets).

Conclusion: the rule "first by offset wins" needs "and nothing before it can have been forgotten" beside it.

--- a/bench/policy/Arrivals.h
+++ b/bench/policy/Arrivals.h
@@ -2,12 +2,14 @@
 
 #include "Core/Random.h"
 #include "Scenario.h"
-#include "VirtualLoop.h"
+#include "support/VirtualLoop.h"
 
 #include <functional>
 
 namespace robinrun::bench {
 
+using support::VirtualLoop;
+
 /// \brief Sends the offered load of a scenario as Poisson arrivals, the same for every policy of a seed.
 class Arrivals {
 public:
--- a/bench/policy/OracleRun.h
+++ b/bench/policy/OracleRun.h
@@ -5,7 +5,7 @@
 #include "Queueing/Admission.h"
 #include "Scenario.h"
 #include "Tally.h"
-#include "VirtualLoop.h"
+#include "support/VirtualLoop.h"
 
 #include <unordered_map>
 #include <vector>
--- a/bench/policy/PolicyRun.h
+++ b/bench/policy/PolicyRun.h
@@ -8,7 +8,7 @@
 #include "Routing/ServiceRouter.h"
 #include "Scenario.h"
 #include "Tally.h"
-#include "VirtualLoop.h"
+#include "support/VirtualLoop.h"
 
 #include <map>
 #include <memory>
--- a/src/Once/ClaimFold.cpp
+++ b/src/Once/ClaimFold.cpp
@@ -46,8 +46,9 @@
     const bool isReplaced = m_hasRead && (page.logId != m_logId || page.end < m_next);
     if (isReplaced) {
         // Claims that only the lost part held are gone: no key made before now can be decided.
+        // The new log is read from its start; this page may begin in the middle of it.
         m_completeSinceMs = wallMs;
-        m_next = page.from;
+        m_next = 0;
     } else if (!m_hasRead || page.from > m_next) {
         m_completeSinceMs = std::max(m_completeSinceMs, page.keptSinceMs);
         m_next = page.from;
@@ -60,6 +61,8 @@
 {
     follow(page, wallMs);
     std::vector<std::string> ids;
+    if (page.from > m_next)
+        return ids;
     std::uint64_t offset = page.from;
     for (const auto& record : page.records) {
         if (offset++ < m_next)
@@ -68,14 +71,19 @@
         auto batch = ClaimBatch::parse(record);
         if (!batch)
             continue;
-        for (const auto& it : batch->claims)
-            enter(it);
+        for (const auto& it : batch->claims) {
+            // Before a key as old as this an earlier claim may have been forgotten: this one proves nothing.
+            if (mayBeFirst(it.bornMs))
+                enter(it);
+        }
         ids.push_back(std::move(batch->id));
     }
     forgetOld(wallMs);
     return ids;
 }
 
+bool ClaimFold::mayBeFirst(std::int64_t bornMs) const { return bornMs >= m_completeSinceMs + skewMs(); }
+
 void ClaimFold::enter(const Claim& claim)
 {
     m_winners.try_emplace(claim.key, Winner { claim.ticket, claim.bornMs });
@@ -89,7 +97,7 @@
     if (it != m_winners.end() && !isTooOld)
         return { ClaimStatus::Kind::Won, it->second.ticket };
     // A key from the future would outlive the memory of its claim by as much as it is ahead.
-    if (isTooOld || isFromFuture || !m_hasRead || bornMs < m_completeSinceMs + skewMs())
+    if (isTooOld || isFromFuture || !m_hasRead || !mayBeFirst(bornMs))
         return { ClaimStatus::Kind::TooOld, {} };
     return { ClaimStatus::Kind::Free, {} };
 }
--- a/src/Once/ClaimFold.h
+++ b/src/Once/ClaimFold.h
@@ -80,6 +80,7 @@
 
 private:
     void follow(const LogPage& page, std::int64_t wallMs);
+    bool mayBeFirst(std::int64_t bornMs) const;
     void forgetOld(std::int64_t wallMs);
     std::int64_t lifetimeMs() const;
     std::int64_t skewMs() const;
--- a/bench/policy/VirtualLoop.h
+++ b/test/support/VirtualLoop.h
@@ -7,7 +7,7 @@
 #include <queue>
 #include <vector>
 
-namespace robinrun::bench {
+namespace robinrun::support {
 
 /// \brief Runs events in the order of virtual time; events of the same time in the order they were added.
 class VirtualLoop {
@@ -48,4 +48,4 @@
     std::priority_queue<Event> m_events;
 };
 
-} // namespace robinrun::bench
+} // namespace robinrun::support
