--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -13,7 +13,8 @@
 
 namespace robinrun {
 
-/// \brief All that a node is told by its settings file. Each field's meaning, unit and default: docs/OPERATING.md.
+/// \brief All that a node is told by its settings file. Each field's meaning, unit and default:
+/// docs/OPERATING.md.
 struct NodeSettings {
     std::string name; ///< of the host, as on the platform's list
     std::string dataHall;
@@ -74,7 +75,8 @@
 
     Duration drainTimeout {};
 
-    /// \brief Reads and checks \a file whole. The error side holds every error, in the order of the file's sections.
+    /// \brief Reads and checks \a file whole. The error side holds every error, in the order of the file's
+    /// sections.
     static Result<NodeSettings, std::vector<SettingsError>> load(const std::string& file);
 };
 
--- a/src/Settings/YamlReader.cpp
+++ b/src/Settings/YamlReader.cpp
@@ -114,7 +114,8 @@
 std::uint64_t YamlReader::count(
     const std::string& field, std::uint64_t min, std::uint64_t max, std::uint64_t standard)
 {
-    const double x = number(field, static_cast<double>(min), static_cast<double>(max), static_cast<double>(standard));
+    const double x
+        = number(field, static_cast<double>(min), static_cast<double>(max), static_cast<double>(standard));
     if (x != std::floor(x)) {
         fail(field, "a whole number is expected");
         return standard;
@@ -149,18 +150,22 @@
     std::string names;
     for (const auto& it : units)
         names += (names.empty() ? "" : ", ") + std::string(it.name);
-    fail(field, "a number with a unit is expected (" + names + "), as in 30" + std::string(units.front().name));
+    fail(field,
+        "a number with a unit is expected (" + names + "), as in 30" + std::string(units.front().name));
     return std::nullopt;
 }
 
 Duration YamlReader::duration(const std::string& field, Duration min, Duration max, Duration standard)
 {
-    static const std::vector<Unit> units { { "s", 1 }, { "ms", 1e-3 }, { "us", 1e-6 }, { "min", 60 }, { "h", 3600 } };
+    static const std::vector<Unit> units { { "s", 1 }, { "ms", 1e-3 }, { "us", 1e-6 }, { "min", 60 },
+        { "h", 3600 } };
     const auto seconds = withUnit(field, units);
     if (!seconds)
         return standard;
     if (*seconds < toSeconds(min) || *seconds > toSeconds(max)) {
-        fail(field, "must be from " + std::to_string(toSeconds(min)) + "s to " + std::to_string(toSeconds(max)) + "s");
+        fail(field,
+            "must be from " + std::to_string(toSeconds(min)) + "s to " + std::to_string(toSeconds(max))
+                + "s");
         return standard;
     }
     return fromSeconds(*seconds);
@@ -169,7 +174,8 @@
 std::uint64_t YamlReader::bytes(
     const std::string& field, std::uint64_t min, std::uint64_t max, std::uint64_t standard)
 {
-    static const std::vector<Unit> units { { "KiB", 1024 }, { "B", 1 }, { "MiB", 1048576 }, { "GiB", 1073741824 } };
+    static const std::vector<Unit> units { { "KiB", 1024 }, { "B", 1 }, { "MiB", 1048576 },
+        { "GiB", 1073741824 } };
     const auto n = withUnit(field, units);
     if (!n)
         return standard;
@@ -211,7 +217,8 @@
         if (it.IsScalar() && isAddress(it.Scalar()))
             out.push_back(it.Scalar());
         else
-            m_errors->push_back({ m_file, it.Mark().line + 1, pathOf(field), "an IPv4 address and port is expected" });
+            m_errors->push_back(
+                { m_file, it.Mark().line + 1, pathOf(field), "an IPv4 address and port is expected" });
     }
     return out;
 }
--- a/src/Settings/YamlReader.h
+++ b/src/Settings/YamlReader.h
@@ -38,20 +38,21 @@
     std::string text(const std::string& field, std::optional<std::string> standard = std::nullopt);
     /// \brief `ip:port` of an IPv4 address.
     std::string address(const std::string& field, std::optional<std::string> standard = std::nullopt);
-    std::uint64_t count(const std::string& field, std::uint64_t min, std::uint64_t max, std::uint64_t standard);
+    std::uint64_t count(
+        const std::string& field, std::uint64_t min, std::uint64_t max, std::uint64_t standard);
     double number(const std::string& field, double min, double max, double standard);
     bool flag(const std::string& field, bool standard);
     /// \brief A number with a unit: us, ms, s, min, h.
     Duration duration(const std::string& field, Duration min, Duration max, Duration standard);
     /// \brief A number with a unit: B, KiB, MiB, GiB.
-    std::uint64_t bytes(const std::string& field, std::uint64_t min, std::uint64_t max, std::uint64_t standard);
+    std::uint64_t bytes(
+        const std::string& field, std::uint64_t min, std::uint64_t max, std::uint64_t standard);
     std::map<std::string, std::string> textMap(const std::string& field);
     std::vector<std::string> addresses(const std::string& field);
     /// \brief The maps of a list, each a section of its own.
     std::vector<YamlReader> sections(const std::string& field);
 
-    template <class E>
-    E choice(const std::string& field, E standard)
+    template <class E> E choice(const std::string& field, E standard)
     {
         const auto name = text(field, std::string(nameOf(standard)));
         const auto found = parseEnum<E>(name);
@@ -69,10 +70,10 @@
     const std::vector<SettingsError>& errors() const { return *m_errors; }
 
 private:
-    YamlReader(YAML::Node node, std::string file, std::string path, std::shared_ptr<std::vector<SettingsError>> errors);
+    YamlReader(YAML::Node node, std::string file, std::string path,
+        std::shared_ptr<std::vector<SettingsError>> errors);
 
-    template <class E>
-    static std::string namesOf()
+    template <class E> static std::string namesOf()
     {
         std::string all;
         for (const auto& it : EnumNames<E>::names)
--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -8,11 +8,11 @@
 namespace robinrun {
 namespace {
 
-/// A link whose peer is gone without a word is noticed after this long, and tried anew as often.
-constexpr int heartbeatMs = 5000;
-constexpr int heartbeatTimeoutMs = 10000;
-constexpr int reconnectMs = 50;
-constexpr int reconnectMaxMs = 2000;
+    /// A link whose peer is gone without a word is noticed after this long, and tried anew as often.
+    constexpr int heartbeatMs = 5000;
+    constexpr int heartbeatTimeoutMs = 10000;
+    constexpr int reconnectMs = 50;
+    constexpr int reconnectMaxMs = 2000;
 
 } // namespace
 
@@ -46,7 +46,8 @@
 {
     m_context->set(zmq::ctxopt::max_sockets, 16000);
     m_drainEvent = event_new(
-        base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->drainDirty(); }, this);
+        base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->drainDirty(); },
+        this);
 }
 
 PeerSocket::~PeerSocket()
@@ -70,7 +71,8 @@
         router.set(zmq::sockopt::router_handover, true);
         router.set(zmq::sockopt::router_mandatory, true);
         router.bind("tcp://" + peers->m_options.bindAddress);
-        const auto onReadable = [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->drainRouter(); };
+        const auto onReadable
+            = [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->drainRouter(); };
         peers->m_routerEvent
             = event_new(base, router.get(zmq::sockopt::fd), EV_READ | EV_PERSIST, onReadable, peers.get());
         event_add(peers->m_routerEvent, nullptr);
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -16,7 +16,7 @@
 class context_t;
 class socket_t;
 class message_t;
-}
+} // namespace zmq
 
 namespace robinrun {
 
@@ -26,12 +26,13 @@
     std::uint64_t bytes = 0;
 };
 
-/// \brief Messages between nodes over ZeroMQ: one ROUTER that listens, one DEALER for each peer that is talked to.
+/// \brief Messages between nodes over ZeroMQ: one ROUTER that listens, one DEALER for each peer that is
+/// talked to.
 ///
-/// ZeroMQ stores nothing for peers that aren't there: sockets are immediate, don't linger and have bounded queues, so
-/// that a send which can't go out now fails at once. Its descriptors are edge-triggered; each is drained to the end
-/// whenever it fires and after every send. Links idle for `idleTimeout` are closed.
-/// Cost: a link is about 60 KB on each side, mostly in ZeroMQ.
+/// ZeroMQ stores nothing for peers that aren't there: sockets are immediate, don't linger and have bounded
+/// queues, so that a send which can't go out now fails at once. Its descriptors are edge-triggered; each is
+/// drained to the end whenever it fires and after every send. Links idle for `idleTimeout` are closed. Cost:
+/// a link is about 60 KB on each side, mostly in ZeroMQ.
 class PeerSocket {
 public:
     /// \brief Where an answer goes: back along the link the message came by, or to a link of our own.
@@ -52,7 +53,8 @@
         Duration idleTimeout = 120s;
     };
 
-    static Result<std::unique_ptr<PeerSocket>, std::string> bind(event_base* base, Options options, Handler handler);
+    static Result<std::unique_ptr<PeerSocket>, std::string> bind(
+        event_base* base, Options options, Handler handler);
     ~PeerSocket();
     PeerSocket(const PeerSocket&) = delete;
     PeerSocket& operator=(const PeerSocket&) = delete;
--- a/src/Wire/SeenCalls.h
+++ b/src/Wire/SeenCalls.h
@@ -10,9 +10,9 @@
 
 /// \brief Refuses a call that is delivered twice or far out of order, by sender incarnation and call number.
 ///
-/// Each sender numbers its calls to this owner from 1 on; the last `window` numbers are remembered, older ones are
-/// refused unseen. A sender that was silent for `forgetAfter` is dropped: by then its calls are past any deadline.
-/// Cost: O(1); about 600 bytes a sender.
+/// Each sender numbers its calls to this owner from 1 on; the last `window` numbers are remembered, older
+/// ones are refused unseen. A sender that was silent for `forgetAfter` is dropped: by then its calls are past
+/// any deadline. Cost: O(1); about 600 bytes a sender.
 class SeenCalls {
 public:
     static constexpr std::uint64_t window = 4096;
--- /dev/null
+++ b/test/AdmissionTest.cpp
@@ -0,0 +1,161 @@
+#include "Core/Random.h"
+#include "Queueing/Admission.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+#include <set>
+
+using namespace robinrun;
+
+namespace {
+
+Admission::Options options(std::uint32_t slots)
+{
+    Admission::Options out;
+    out.slots = slots;
+    out.queueLimit = 20;
+    return out;
+}
+
+Offer offer(std::uint64_t id, std::uint32_t group, Instant deadline)
+{
+    Offer out;
+    out.id = id;
+    out.group = group;
+    out.deadline = deadline;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("Slots are never exceeded, each call has one end, and what ran is never refused", "[admission]")
+{
+    rc::prop("over random offers, ends, cancels, drains and probes", [](std::uint64_t seed) {
+        Random random(seed);
+        const auto slots = static_cast<std::uint32_t>(1 + random.below(8));
+        Admission admission(options(slots));
+        std::set<std::uint64_t> running;
+        std::set<std::uint64_t> waiting;
+        std::set<std::uint64_t> over;
+        Instant now {};
+        bool isProbing = false;
+        const auto act = [&](const Dispatch& dispatch) {
+            for (const auto& it : dispatch.refused) {
+                RC_ASSERT(!running.contains(it.id));
+                RC_ASSERT(over.insert(it.id).second);
+                waiting.erase(it.id);
+                RC_ASSERT(it.retryAfter > 0us);
+            }
+            for (const auto id : dispatch.run) {
+                RC_ASSERT(!over.contains(id));
+                RC_ASSERT(running.insert(id).second);
+                waiting.erase(id);
+            }
+            RC_ASSERT(running.size() + isProbing <= slots);
+        };
+        for (std::uint64_t id = 1; id <= 400; ++id) {
+            now += Duration(static_cast<std::int64_t>(random.exponential(2000)));
+            const auto dice = random.unit();
+            if (dice < 0.6) {
+                const auto group = static_cast<std::uint32_t>(random.below(3));
+                waiting.insert(id);
+                act(admission.offer(offer(id, group, now + Duration(std::int64_t(random.below(200000)))), now));
+            } else if (dice < 0.9 && !running.empty()) {
+                const auto done = *running.begin();
+                running.erase(done);
+                over.insert(done);
+                act(admission.finished(done, now));
+            } else if (dice < 0.93 && !waiting.empty()) {
+                const auto id2 = *waiting.begin();
+                RC_ASSERT(admission.cancelWaiting(id2));
+                waiting.erase(id2);
+                over.insert(id2);
+            } else if (dice < 0.95) {
+                act(admission.setLeaving(!admission.isLeaving(), now));
+                RC_ASSERT(!admission.isLeaving() || waiting.empty());
+            } else if (!isProbing && admission.inUse() < slots) {
+                admission.holdSlot();
+                isProbing = true;
+            } else if (isProbing) {
+                isProbing = false;
+                act(admission.releaseSlot(now));
+            }
+            RC_ASSERT(admission.inUse() == running.size() + isProbing);
+            // Work-conserving: nothing waits beside a free slot.
+            RC_ASSERT(admission.inUse() >= slots || admission.load(now).waiting == 0);
+        }
+    });
+}
+
+TEST_CASE("A call that can't end in time is refused before it waits", "[admission]")
+{
+    Admission admission(options(1));
+    const Instant now {};
+    REQUIRE(admission.offer(offer(1, 1, now + 1s), now).run.size() == 1);
+    REQUIRE(admission.offer(offer(2, 1, now + 1s), now).refused.empty());
+    const auto late = admission.offer(offer(3, 1, now + 15ms), now);
+    REQUIRE(late.refused.at(0).reason == Reason::WouldMissDeadline);
+    const auto past = admission.offer(offer(4, 1, now), now);
+    REQUIRE(past.refused.at(0).reason == Reason::DeadlinePassed);
+    const auto next = admission.finished(1, now + 999ms);
+    REQUIRE(next.run.empty());
+    REQUIRE(next.refused.at(0).id == 2);
+}
+
+TEST_CASE("Queues are bounded in time: a call that would wait too long is refused at once", "[admission]")
+{
+    Admission admission(options(2));
+    const Instant now {};
+    std::size_t refused = 0;
+    for (std::uint64_t id = 1; id <= 40; ++id)
+        refused += admission.offer(offer(id, 1, now + 10s), now).refused.size();
+    // 2 run; 10 ms each over 2 slots, at most 100 ms of waiting.
+    REQUIRE(admission.load(now).waiting <= 20);
+    REQUIRE(refused >= 18);
+}
+
+TEST_CASE("A leaving owner moves waiting work on as not run, and can be undone", "[admission]")
+{
+    Admission admission(options(1));
+    const Instant now {};
+    admission.offer(offer(1, 1, now + 1s), now);
+    admission.offer(offer(2, 1, now + 1s), now);
+    const auto moved = admission.setLeaving(true, now);
+    REQUIRE(moved.refused.at(0).id == 2);
+    REQUIRE(moved.refused.at(0).reason == Reason::Leaving);
+    REQUIRE(admission.offer(offer(3, 1, now + 1s), now).refused.at(0).reason == Reason::Leaving);
+    REQUIRE_FALSE(admission.isIdle());
+    REQUIRE(admission.finished(1, now + 5ms).run.empty());
+    REQUIRE(admission.isIdle());
+    admission.setLeaving(false, now);
+    REQUIRE(admission.offer(offer(4, 1, now + 1s), now).run.size() == 1);
+}
+
+TEST_CASE("A queue that stands is moved, a burst is left alone", "[admission]")
+{
+    SojournControl control;
+    const SojournControl::Options bounds { 30ms, 200ms };
+    Instant now {};
+    int refused = 0;
+    for (int i = 0; i < 50; ++i, now += 3ms)
+        refused += control.shouldRefuse(bounds, 60ms, false, now);
+    REQUIRE(refused == 0);
+    for (int i = 0; i < 1000; ++i, now += 3ms)
+        refused += control.shouldRefuse(bounds, 60ms, false, now);
+    REQUIRE(refused > 20);
+    REQUIRE_FALSE(control.shouldRefuse(bounds, 10ms, false, now));
+    REQUIRE_FALSE(control.shouldRefuse(bounds, 60ms, true, now));
+}
+
+TEST_CASE("A slow-down shows in running calls before any of them ends", "[admission]")
+{
+    ServiceEstimate estimate(10ms);
+    Instant now {};
+    for (std::uint64_t id = 0; id < 4; ++id)
+        estimate.started(id, now);
+    REQUIRE(estimate.overall(now + 5ms) == 10ms);
+    REQUIRE(estimate.overall(now + 50ms) == 50ms);
+    REQUIRE(estimate.ended(0, 7, now + 50ms) == 50ms);
+    REQUIRE(estimate.of(7) == 50ms);
+    REQUIRE(estimate.of(8) > 10ms);
+}
--- /dev/null
+++ b/test/ConfigTest.cpp
@@ -0,0 +1,211 @@
+#include "Config/ConfigFollower.h"
+#include "Config/Validator.h"
+#include "Core/Random.h"
+#include "Node/JsonText.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace robinrun;
+
+namespace {
+
+proto::Resource service(const std::string& name, std::uint32_t deadline = 1000)
+{
+    proto::Resource out;
+    out.set_name(name);
+    out.mutable_service()->set_deadline_ms(deadline);
+    out.mutable_service()->set_queue_limit(10);
+    return out;
+}
+
+std::string put(const std::string& id, const std::string& name, std::uint64_t base, std::uint32_t deadline = 1000)
+{
+    proto::ChangeRecord out;
+    out.set_id(id);
+    out.set_base_version(base);
+    *out.mutable_put() = service(name, deadline);
+    return out.SerializeAsString();
+}
+
+std::string remove(const std::string& id, const std::string& name, std::uint64_t base)
+{
+    proto::ChangeRecord out;
+    out.set_id(id);
+    out.set_base_version(base);
+    out.set_remove(name);
+    return out.SerializeAsString();
+}
+
+LogPage page(std::uint64_t from, std::vector<std::string> records, std::uint64_t first = 0, std::string id = "log")
+{
+    const auto end = from + records.size();
+    return { std::move(id), from, first, end, 0, std::move(records) };
+}
+
+/// \brief Broken on purpose: takes any base version.
+class CarelessState : public ConfigState {
+protected:
+    std::string refusalOf(const proto::ChangeRecord&) const override { return ""; }
+};
+
+/// \brief Two writers race on one resource. \returns how many were accepted.
+int raceWinners(ConfigState& state)
+{
+    const auto base = state.apply(put("first", "services/a", 0)).version();
+    int winners = 0;
+    for (const auto* id : { "x", "y", "z" })
+        winners += state.apply(put(id, "services/a", base)).accepted();
+    return winners;
+}
+
+} // namespace
+
+TEST_CASE("Of racing writers exactly one wins", "[config]")
+{
+    ConfigState sound;
+    REQUIRE(raceWinners(sound) == 1);
+    REQUIRE(sound.fateOf("x")->accepted());
+    REQUIRE(sound.fateOf("y")->version() == sound.find("services/a")->version());
+    CarelessState careless;
+    REQUIRE(raceWinners(careless) != 1);
+}
+
+TEST_CASE("Any way of cutting the same records into pages, peers and snapshots gives the same state", "[config]")
+{
+    rc::prop("over random changes and cuts", [](std::uint64_t seed) {
+        Random random(seed);
+        std::vector<std::string> records;
+        ConfigState straight;
+        for (int i = 0; i < 60; ++i) {
+            const auto name = "services/s" + std::to_string(random.below(4));
+            const auto* present = straight.find(name);
+            const auto base = random.chance(0.7) ? (present ? present->version() : 0) : random.below(30);
+            const auto id = "c" + std::to_string(i);
+            const auto record = random.chance(0.2) ? remove(id, name, base) : put(id, name, base, 1000 + i);
+            records.push_back(record);
+            straight.apply(record);
+        }
+        ConfigFollower source;
+        source.takePage(page(0, records));
+        ConfigFollower follower;
+        std::uint64_t last = 0;
+        while (follower.nextOffset() < records.size()) {
+            const auto next = follower.nextOffset();
+            const auto from = random.chance(0.3) ? random.below(next + 1) : next;
+            const auto to = std::min<std::size_t>(records.size(), from + 1 + random.below(10));
+            if (random.chance(0.5)) {
+                auto cut = page(from, { records.begin() + long(from), records.begin() + long(to) });
+                cut.end = records.size();
+                follower.takePage(cut);
+            } else {
+                auto fromPeer = source.recordsFrom(from);
+                while (fromPeer.records_size() > 5)
+                    fromPeer.mutable_records()->RemoveLast();
+                follower.takeRecords(fromPeer);
+            }
+            RC_ASSERT(follower.nextOffset() >= last);
+            last = follower.nextOffset();
+        }
+        RC_ASSERT(follower.state().digest() == straight.digest());
+        ConfigState restored;
+        restored.restore(straight.snapshot());
+        RC_ASSERT(restored.digest() == straight.digest());
+        RC_ASSERT(!restored.restore(source.state().snapshot()));
+    });
+}
+
+TEST_CASE("A log that comes back shorter or as another one is reported, not followed", "[config]")
+{
+    ConfigFollower follower;
+    follower.takePage(page(0, { put("1", "services/a", 0), put("2", "services/b", 0) }));
+    const auto digest = follower.state().digest();
+    follower.takePage(page(0, { put("9", "services/z", 0) }));
+    REQUIRE(follower.standing() == LogStanding::Shorter);
+    auto other = page(0, { put("7", "services/x", 0), put("8", "services/y", 0), put("9", "services/z", 0) });
+    other.logId = "another";
+    follower.takePage(other);
+    REQUIRE(follower.standing() == LogStanding::Shorter);
+    REQUIRE(follower.state().digest() == digest);
+    proto::Records foreign;
+    foreign.set_log_id("another");
+    REQUIRE(follower.takeRecords(foreign) == ConfigFollower::Progress::None);
+}
+
+TEST_CASE("After the log forgot, a fresh follower starts from a snapshot and loses nothing", "[config]")
+{
+    ConfigFollower writer;
+    std::vector<std::string> records;
+    for (int i = 0; i < 10; ++i)
+        records.push_back(put("c" + std::to_string(i), "services/s" + std::to_string(i), 0));
+    writer.takePage(page(0, records));
+    proto::ChangeRecord snapshot;
+    snapshot.set_id("snapshot");
+    *snapshot.mutable_snapshot() = writer.state().snapshot();
+    records.push_back(put("between", "services/between", 0)); // appended while the snapshot was on its way
+    records.push_back(snapshot.SerializeAsString());
+    records.push_back(put("after", "services/after", 0));
+    writer.takePage(page(0, records));
+    ConfigFollower late;
+    const std::size_t first = 9;
+    REQUIRE(late.takePage(page(first, { records.begin() + 9, records.begin() + 11 }, first))
+        == ConfigFollower::Progress::None);
+    REQUIRE(late.standing() == LogStanding::Gap);
+    REQUIRE(late.readFrom() == 11);
+    late.takePage(page(11, { records.begin() + 11, records.end() }, first));
+    REQUIRE(late.standing() == LogStanding::Followed);
+    REQUIRE(late.nextOffset() == records.size());
+    REQUIRE(late.state().digest() == writer.state().digest());
+}
+
+TEST_CASE("A snapshot is due well before what is needed is forgotten", "[config]")
+{
+    ConfigFollower follower;
+    std::vector<std::string> records;
+    for (int i = 0; i < 100; ++i)
+        records.push_back(put("c" + std::to_string(i), "services/s", 0));
+    follower.takePage(page(0, records));
+    REQUIRE_FALSE(follower.needsSnapshot());
+    auto trimmed = page(100, {}, 20);
+    follower.takePage(trimmed);
+    REQUIRE(follower.needsSnapshot());
+}
+
+TEST_CASE("A resource is checked whole, by field", "[config]")
+{
+    REQUIRE(validate(service("services/a")).empty());
+    proto::Resource bad;
+    bad.set_name("services/Bad Name");
+    auto& it = *bad.mutable_service();
+    it.set_retry_fraction(2);
+    it.add_classes()->set_path_prefix("x");
+    std::string all;
+    for (const auto& error : validate(bad))
+        all += error.text() + "\n";
+    for (const auto* field : { "name:", "service.deadline_ms:", "service.retry_fraction:", "service.queue_limit:",
+             "service.classes[0].name:", "service.classes[0].path_prefix:" })
+        REQUIRE(all.find(field) != std::string::npos);
+    REQUIRE(isAddress("127.0.0.1:80"));
+    for (const auto* address : { "", "localhost:80", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:70000", "1.2.3:4" })
+        REQUIRE_FALSE(isAddress(address));
+}
+
+TEST_CASE("YAML and JSON read into the schema, patches replace what they name", "[config]")
+{
+    proto::Resource resource;
+    REQUIRE(fromText("name: services/a\nservice:\n  deadline_ms: 5\n  classes:\n  - {name: x, path_prefix: /x}\n", resource)
+                .empty());
+    REQUIRE(resource.service().classes(0).name() == "x");
+    REQUIRE(mergePatch("{\"service\": {\"classes\": [], \"hedge\": true}}", resource).empty());
+    REQUIRE(resource.service().classes_size() == 0);
+    REQUIRE(resource.service().hedge());
+    REQUIRE(resource.service().deadline_ms() == 5);
+    REQUIRE(mergePatch("service: {hedge: false}", resource).empty());
+    REQUIRE_FALSE(resource.service().hedge());
+    proto::Resource again;
+    REQUIRE(fromText(toJson(resource), again).empty());
+    REQUIRE(again.SerializeAsString() == resource.SerializeAsString());
+    REQUIRE_FALSE(fromText("name: services/a\nservic: {}\n", again).empty());
+    REQUIRE_FALSE(fromText("[1, 2]", again).empty());
+    REQUIRE_FALSE(fromText("{", again).empty());
+}
--- /dev/null
+++ b/test/ProbeBudgetTest.cpp
@@ -0,0 +1,47 @@
+#include "Core/Random.h"
+#include "Probing/ProbeBudget.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace robinrun;
+
+TEST_CASE("Probes never exceed their rate or their share of slots, over any restarts", "[probing]")
+{
+    rc::prop("over random times, holds, queues and restarts", [](std::uint64_t seed) {
+        Random random(seed);
+        ProbeBudget::Options options { 0.1 + random.unit() * 20, 0.001 + random.unit() * 0.02, 12 };
+        Instant now {};
+        ProbeBudget budget(options, now);
+        double started = 0;
+        double heldSeconds = 0;
+        double longest = 0;
+        for (int i = 0; i < 3000; ++i) {
+            now += Duration(static_cast<std::int64_t>(random.exponential(10000)));
+            if (random.chance(0.01))
+                budget = ProbeBudget(options, now); // the node restarts
+            const auto waiting = static_cast<std::uint32_t>(random.below(3));
+            if (!budget.tryStart(waiting, now))
+                continue;
+            RC_ASSERT(waiting == 0U);
+            const double held = random.exponential(0.01);
+            budget.ended(fromSeconds(held), now);
+            ++started;
+            heldSeconds += held;
+            longest = std::max(longest, held);
+            const double elapsed = toSeconds(now - Instant {});
+            RC_ASSERT(started <= elapsed * options.probesPerSecond + 1 + 1e-6);
+            // Each restart may forget the debt of one probe; all others are paid for in time.
+            RC_ASSERT(heldSeconds <= elapsed * options.slotShare * options.slots + 31 * longest);
+        }
+    });
+}
+
+TEST_CASE("Under pressure no probe starts", "[probing]")
+{
+    ProbeBudget budget({ 10, 1, 12 }, {});
+    REQUIRE_FALSE(budget.tryStart(0, {}));
+    REQUIRE_FALSE(budget.tryStart(1, Instant(1s)));
+    REQUIRE(budget.tryStart(0, Instant(1s)));
+    REQUIRE_FALSE(budget.tryStart(0, Instant(1050ms)));
+}
--- /dev/null
+++ b/test/RoutingTest.cpp
@@ -0,0 +1,236 @@
+#include "Routing/Ejection.h"
+#include "Routing/RetryBudget.h"
+#include "Routing/ServiceRouter.h"
+#include "Routing/Subset.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck/catch.h>
+#include <set>
+
+using namespace robinrun;
+
+namespace {
+
+constexpr std::uint32_t group = 1;
+
+std::vector<RouteTarget> targets(int n)
+{
+    std::vector<RouteTarget> out;
+    for (int i = 0; i < n; ++i)
+        out.push_back({ "u" + std::to_string(i), 12, 1ms });
+    return out;
+}
+
+Report report(std::uint32_t inUse, Duration service, Instant heard, double errors = 0)
+{
+    Report out;
+    out.load = { 12, inUse, 0, service };
+    out.errorShare = errors;
+    out.heard = heard;
+    return out;
+}
+
+/// \brief Sends \a n calls together and gives them up again. \returns how many went to each.
+std::map<std::string, int> spread(ServiceRouter& router, int n, Instant now, Random& random)
+{
+    std::map<std::string, int> counts;
+    for (int i = 0; i < n; ++i) {
+        const auto name = *router.pick({}, group, now, random);
+        router.sent(name, group);
+        ++counts[name];
+    }
+    for (const auto& [name, sent] : counts) {
+        for (int i = 0; i < sent; ++i)
+            router.abandoned(name, group);
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("Own calls in flight spread an ingress's calls evenly", "[routing]")
+{
+    ServiceRouter router({});
+    Random random(1);
+    router.setUpstreams(targets(4), {});
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 40; ++i) {
+        const auto name = *router.pick({}, group, {}, random);
+        router.sent(name, group);
+        ++counts[name];
+    }
+    for (const auto& [name, n] : counts)
+        REQUIRE(n == 10);
+}
+
+TEST_CASE("Ingresses with the same good news don't all follow it", "[routing]")
+{
+    // Four idle-looking upstreams, twenty ingresses, two calls each: no upstream may get more than its slots.
+    std::map<std::string, int> counts;
+    for (int ingress = 0; ingress < 20; ++ingress) {
+        ServiceRouter router({});
+        Random random(static_cast<std::uint64_t>(ingress));
+        router.setUpstreams(targets(4), {});
+        for (int i = 0; i < 4; ++i) {
+            router.sent("u" + std::to_string(i), group);
+            router.answered("u" + std::to_string(i), group, report(i == 0 ? 5 : 6, 10ms, {}), 10ms, false, {});
+        }
+        for (int i = 0; i < 2; ++i) {
+            const auto name = *router.pick({}, group, Instant(20ms), random);
+            router.sent(name, group);
+            ++counts[name];
+        }
+    }
+    for (const auto& [name, n] : counts)
+        REQUIRE(n <= 24);
+}
+
+TEST_CASE("A slow upstream is left alone, and old news of it counts less and less", "[routing]")
+{
+    ServiceRouter router({});
+    Random random(1);
+    router.setUpstreams(targets(4), {});
+    for (int i = 0; i < 4; ++i) {
+        const auto name = "u" + std::to_string(i);
+        router.sent(name, group);
+        router.answered(name, group, report(3, i == 0 ? 100ms : 10ms, {}), 10ms, false, {});
+    }
+    REQUIRE(spread(router, 12, Instant(1ms), random)["u0"] == 0);
+    REQUIRE(spread(router, 12, Instant(60s), random)["u0"] == 3);
+}
+
+TEST_CASE("A fast error is not a fast server: it is ejected, for longer each time", "[routing]")
+{
+    ServiceRouter router({});
+    Random random(1);
+    router.setUpstreams(targets(4), {});
+    Instant now {};
+    for (int i = 0; i < 10; ++i) {
+        router.sent("u0", group);
+        router.answered("u0", group, report(0, 1ms, now, 1), 0ms, true, now);
+    }
+    REQUIRE(spread(router, 100, now + 30ms, random)["u0"] == 0);
+    REQUIRE(router.ejection().isEjected(0, now + 30ms));
+    REQUIRE_FALSE(router.ejection().isEjected(0, now + 1100ms));
+}
+
+TEST_CASE("No more than half are ejected, and when most look bad all are tried", "[routing]")
+{
+    rc::prop("cap and panic hold for any pattern of errors", [](const std::vector<bool>& bad) {
+        RC_PRE(!bad.empty());
+        std::vector<UpstreamView> views;
+        for (std::size_t i = 0; i < bad.size(); ++i) {
+            views.emplace_back("u" + std::to_string(i), 12, 1ms);
+            for (int k = 0; k < 5; ++k)
+                views.back().answered(group, report(0, 1ms, {}, bad[i]), bad[i], {});
+        }
+        Ejection ejection({});
+        ejection.update(views, {});
+        RC_ASSERT(ejection.ejectedCount({}) <= bad.size() / 2);
+        std::vector<std::size_t> out;
+        ejection.candidates(views, {}, {}, out);
+        RC_ASSERT(2 * out.size() >= bad.size());
+    });
+}
+
+TEST_CASE("A lost upstream gets one call at a time until it answers", "[routing]")
+{
+    ServiceRouter router({});
+    Random random(1);
+    router.setUpstreams(targets(2), {});
+    Instant now {};
+    router.sent("u0", group);
+    router.lost("u0", group, now);
+    REQUIRE(spread(router, 50, now + 500ms, random)["u0"] == 0);
+    now += 1100ms;
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 50; ++i) {
+        const auto name = *router.pick({}, group, now, random);
+        router.sent(name, group);
+        ++counts[name];
+    }
+    REQUIRE(counts["u0"] == 1);
+    router.answered("u0", group, report(0, 10ms, now), 10ms, false, now);
+    REQUIRE(spread(router, 50, now + 10s, random)["u0"] > 0);
+}
+
+TEST_CASE("A leaving upstream gets nothing, until it stays after all or a while has passed", "[routing]")
+{
+    ServiceRouter router({});
+    Random random(1);
+    router.setUpstreams(targets(2), {});
+    router.setLeaving("u0", true, {});
+    REQUIRE(spread(router, 50, Instant(1s), random)["u0"] == 0);
+    router.setLeaving("u0", false, Instant(1s));
+    REQUIRE(spread(router, 50, Instant(10s), random)["u0"] > 0);
+    router.setLeaving("u0", true, Instant(10s));
+    REQUIRE(spread(router, 50, Instant(16s), random)["u0"] > 0);
+}
+
+TEST_CASE("What a group used elsewhere is told once, to the owner it is sent to", "[routing]")
+{
+    ServiceRouter router({});
+    router.setUpstreams(targets(2), {});
+    REQUIRE(router.sent("u0", group) == 0us);
+    router.answered("u0", group, report(0, 10ms, {}), 10ms, false, {});
+    REQUIRE(router.sent("u1", group) == 0us); // the first call to it has no earlier one
+    router.answered("u1", group, report(0, 10ms, {}), 7ms, false, {});
+    REQUIRE(router.sent("u0", group) == 7ms);
+    REQUIRE(router.sent("u0", group) == 0us);
+    REQUIRE(router.sent("u1", group) == 0us);
+}
+
+TEST_CASE("Retries stay within the burst and a fraction of first attempts", "[routing]")
+{
+    rc::prop("in any order", [](const std::vector<bool>& isRetry) {
+        RetryBudget budget(0.1, 3);
+        double first = 0;
+        double retries = 0;
+        for (const bool it : isRetry) {
+            if (it) {
+                retries += budget.trySpend();
+            } else {
+                budget.firstAttempt();
+                ++first;
+            }
+            RC_ASSERT(retries <= 3 + 0.1 * first + 1e-9);
+        }
+    });
+}
+
+TEST_CASE("Subsets are even, and change little when upstreams or ingresses come and go", "[routing]")
+{
+    constexpr std::size_t size = 20;
+    const auto names = [](const std::string& prefix, int n) {
+        std::vector<std::string> out;
+        for (int i = 0; i < n; ++i)
+            out.push_back(prefix + std::to_string(i));
+        return out;
+    };
+    const auto upstreams = names("u", 100);
+    const auto ingresses = names("n", 700);
+    std::map<std::size_t, int> load;
+    for (const auto& it : ingresses) {
+        for (const auto i : chooseSubset(upstreams, ingresses, it, size))
+            ++load[i];
+    }
+    for (const auto& [i, n] : load)
+        REQUIRE(std::abs(n - 140) <= 2);
+    REQUIRE(load.size() == 100);
+
+    auto fewer = upstreams;
+    fewer.erase(fewer.begin() + 50);
+    auto more = ingresses;
+    more.push_back("another");
+    double changes = 0;
+    for (const auto& it : ingresses) {
+        std::set<std::string> before;
+        for (const auto i : chooseSubset(upstreams, ingresses, it, size))
+            before.insert(upstreams[i]);
+        for (const auto i : chooseSubset(fewer, more, it, size))
+            changes += !before.contains(fewer[i]);
+    }
+    REQUIRE(changes / 700 <= 1.5);
+    REQUIRE(chooseSubset(names("u", 3), ingresses, "n1", size).size() == 3);
+}
--- a/test/standin/standin-backend.cpp
+++ b/test/standin/standin-backend.cpp
@@ -1,5 +1,5 @@
-/// \file Stand-in for a backend server: slots, service times, cold start, drain, fail-fast, slow-down, and load and
-/// health endpoints that lag or lie. It judges the system: it counts what ran, and what ran twice.
+/// \file Stand-in for a backend server: slots, service times, cold start, drain, fail-fast, slow-down, and
+/// load and health endpoints that lag or lie. It judges the system: it counts what ran, and what ran twice.
 ///
 /// Usage: standin-backend ip:port slots mean_ms sigma [cold_seconds]. Faults: POST /control?field=value.
 
@@ -142,8 +142,9 @@
         const auto n = length ? static_cast<std::size_t>(std::atoi(std::string(*length).c_str())) : 0;
         if (body.size() < n)
             body.append(n - body.size(), 'x');
-        exchange.reply({ ok, { { "Nonce", std::string(nonce) }, { "Backend-Held-Us", std::to_string(held.count()) } },
-            std::move(body) });
+        exchange.reply(
+            { ok, { { "Nonce", std::string(nonce) }, { "Backend-Held-Us", std::to_string(held.count()) } },
+                std::move(body) });
     }
 
     struct Job {
@@ -180,8 +181,8 @@
         std::cerr << "usage: standin-backend ip:port slots mean_ms sigma [cold_seconds]\n";
         return 2;
     }
-    Options options { argv[1], static_cast<std::uint32_t>(std::atoi(argv[2])), std::atof(argv[3]), std::atof(argv[4]),
-        argc > 5 ? std::atof(argv[5]) : 0 };
+    Options options { argv[1], static_cast<std::uint32_t>(std::atoi(argv[2])), std::atof(argv[3]),
+        std::atof(argv[4]), argc > 5 ? std::atof(argv[5]) : 0 };
     std::signal(SIGPIPE, SIG_IGN);
     auto* base = event_base_new();
     Backend backend(base, options);
--- a/test/standin/standin-platform.cpp
+++ b/test/standin/standin-platform.cpp
@@ -1,4 +1,5 @@
-/// \file Stand-in for the users' platform: an append-only log and a host list, with the faults of the real ones.
+/// \file Stand-in for the users' platform: an append-only log and a host list, with the faults of the real
+/// ones.
 ///
 /// The protocol is docs/PLATFORM.md. Faults are set by POST /control?field=value, see `applyControl`.
 
@@ -117,7 +118,8 @@
         m_faults.hostLagMs = number(exchange, "host_lag_ms", m_faults.hostLagMs);
         m_faults.keepRecords = static_cast<std::size_t>(
             number(exchange, "keep_records", static_cast<std::int64_t>(m_faults.keepRecords)));
-        m_faults.appendsPerSecond = static_cast<int>(number(exchange, "appends_per_s", m_faults.appendsPerSecond));
+        m_faults.appendsPerSecond
+            = static_cast<int>(number(exchange, "appends_per_s", m_faults.appendsPerSecond));
         if (number(exchange, "replace_log", 0)) {
             m_streams.clear();
             m_createdMs = wallClockMs();
@@ -180,7 +182,9 @@
             return hang(std::move(exchange));
         }
         auto shared = std::make_shared<std::unique_ptr<HttpExchange>>(std::move(exchange));
-        later([shared, offset] { (*shared)->reply({ created, { { "Offset", std::to_string(offset) } }, "" }); });
+        later([shared, offset] {
+            (*shared)->reply({ created, { { "Offset", std::to_string(offset) } }, "" });
+        });
     }
 
     void later(std::function<void()> f)
@@ -221,7 +225,8 @@
                                           : stream.records.front().atMs;
         read.exchange->reply({ ok,
             { { "Log-Id", m_logId }, { "From-Offset", std::to_string(from) },
-                { "First-Offset", std::to_string(stream.first) }, { "End-Offset", std::to_string(stream.end()) },
+                { "First-Offset", std::to_string(stream.first) },
+                { "End-Offset", std::to_string(stream.end()) },
                 { "Kept-Since-Ms", std::to_string(keptSince) } },
             frameRecords(records) });
     }
@@ -260,7 +265,8 @@
                 body += host.line + " " + host.state + "\n";
         }
         exchange.reply({ ok,
-            { { "Version", std::to_string(m_hostsVersion) }, { "Whole", since == 0 ? "true" : "false" } }, body });
+            { { "Version", std::to_string(m_hostsVersion) }, { "Whole", since == 0 ? "true" : "false" } },
+            body });
     }
 
     void tick()
--- /dev/null
+++ b/test/support/ControlModel.cpp
@@ -0,0 +1,238 @@
+#include "ControlModel.h"
+
+namespace robinrun::support {
+namespace {
+
+constexpr Duration tickEvery = 100ms;
+constexpr const char* stream = "config";
+
+proto::Resource exampleService(const std::string& name, std::uint32_t deadline)
+{
+    proto::Resource out;
+    out.set_name(name);
+    out.mutable_service()->set_deadline_ms(deadline);
+    out.mutable_service()->set_queue_limit(100);
+    return out;
+}
+
+Charts loadCharts()
+{
+    return Charts::load(CHARTS_FOLDER).value();
+}
+
+} // namespace
+
+/// \brief The shared log as one life of a node sees it: callbacks end with the life.
+class ControlModel::LifeLog : public AppendLog {
+public:
+    LifeLog(FakeLog& log, std::shared_ptr<bool> life, std::uint64_t& reads)
+        : m_log(&log)
+        , m_life(std::move(life))
+        , m_reads(&reads)
+    {
+    }
+    void append(const std::string& name, std::string record, Appended done) override
+    {
+        m_log->append(name, std::move(record), [life = m_life, done](Result<std::uint64_t, PlatformError> offset) {
+            if (*life)
+                done(std::move(offset));
+        });
+    }
+    void read(const std::string& name, std::uint64_t from, std::size_t limit, Duration wait, Read done) override
+    {
+        ++*m_reads;
+        m_log->read(name, from, limit, wait, [life = m_life, done](Result<LogPage, PlatformError> page) {
+            if (*life)
+                done(std::move(page));
+        });
+    }
+
+private:
+    FakeLog* m_log;
+    std::shared_ptr<bool> m_life;
+    std::uint64_t* m_reads;
+};
+
+/// \brief The platform's host list, as it was a while ago.
+class ControlModel::LifeHosts : public HostList {
+public:
+    LifeHosts(ControlModel& model, std::shared_ptr<bool> life)
+        : m_model(&model)
+        , m_life(std::move(life))
+    {
+    }
+    void fetch(std::uint64_t version, Done done) override
+    {
+        m_model->m_loop.after(5ms, [this, version, life = m_life, done = std::move(done)] {
+            if (!*life)
+                return;
+            auto page = m_model->hostPage();
+            if (page.version <= version)
+                page.hosts.clear();
+            done(std::move(page));
+        });
+    }
+
+private:
+    ControlModel* m_model;
+    std::shared_ptr<bool> m_life;
+};
+
+ControlModel::ControlModel(std::uint64_t seed, Options options)
+    : m_options(options)
+    , m_random(seed)
+    , m_log(m_loop, seed + 1, options.logFaults)
+    , m_cutUntil(static_cast<std::size_t>(options.regions))
+{
+    const int halls = options.regions * options.hallsPerRegion;
+    for (int i = 0; i < halls * options.nodesPerHall; ++i) {
+        Node node;
+        node.name = "n" + std::to_string(i);
+        node.address = "10.0.0.1:" + std::to_string(i + 1);
+        node.region = i % options.regions;
+        m_byAddress[node.address] = m_nodes.size();
+        const auto hall = "hall-" + std::to_string(i % halls);
+        m_listed[node.name] = { node.name, node.address, hall, "region-" + std::to_string(node.region), false };
+        m_nodes.push_back(std::move(node));
+    }
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        start(i);
+}
+
+HostPage ControlModel::hostPage() const
+{
+    HostPage page { m_hostsVersion, true, {}, {} };
+    for (const auto& it : m_listed)
+        page.hosts.push_back(it.second);
+    return page;
+}
+
+void ControlModel::start(std::size_t index)
+{
+    auto& node = m_nodes[index];
+    node.life = std::make_shared<bool>(true);
+    node.applied = 0;
+    node.appliedAt.clear();
+    static const auto charts = loadCharts();
+    node.context = std::make_unique<NodeContext>(NodeContext { {}, charts, nullptr, ++m_lastIncarnation, {}, {},
+        Random(m_lastIncarnation), [this] { return m_loop.now(); }, [this] { return m_log.wallMs(); } });
+    auto& settings = node.context->settings;
+    settings.name = node.name;
+    settings.dataHall = m_listed[node.name].dataHall;
+    settings.region = m_listed[node.name].region;
+    settings.listen.peers = node.address;
+    settings.control.readers = 2;
+    settings.control.fanOut = 4;
+    settings.control.digestEvery = 2s;
+    node.log = std::make_unique<LifeLog>(m_log, node.life, m_logReads);
+    node.hosts = std::make_unique<LifeHosts>(*this, node.life);
+    node.plane = std::make_unique<ControlPlane>(
+        *node.context, *node.log, *node.hosts,
+        [this, index](const std::string& address, proto::PeerMessage& message, Instant) {
+            return send(index, address, message);
+        },
+        m_loop.now());
+    node.plane->onChanged([this, index] { changed(index); });
+    const auto life = node.life;
+    m_loop.after(fromSeconds(m_random.unit() * toSeconds(tickEvery)), [this, index, life] {
+        if (*life)
+            tick(index);
+    });
+}
+
+void ControlModel::stop(std::size_t index)
+{
+    auto& node = m_nodes[index];
+    *node.life = false;
+    node.plane.reset();
+}
+
+void ControlModel::tick(std::size_t index)
+{
+    auto& node = m_nodes[index];
+    const auto next = std::max(m_loop.now() + tickEvery, node.pausedUntil);
+    m_loop.at(next, [this, index, life = node.life] {
+        if (*life)
+            tick(index);
+    });
+    node.plane->tick(m_loop.now());
+}
+
+void ControlModel::changed(std::size_t index)
+{
+    auto& node = m_nodes[index];
+    const auto applied = node.plane->follower().nextOffset();
+    m_backwardSteps += applied < node.applied;
+    node.applied = applied;
+    node.appliedAt.emplace(applied, m_loop.now());
+}
+
+bool ControlModel::send(std::size_t from, const std::string& address, const proto::PeerMessage& message)
+{
+    const auto it = m_byAddress.find(address);
+    if (it == m_byAddress.end() || !isLive(it->second))
+        return false;
+    const auto& sender = m_nodes[from];
+    const auto& target = m_nodes[it->second];
+    const bool isCut = sender.region != target.region
+        && (m_loop.now() < m_cutUntil[sender.region] || m_loop.now() < m_cutUntil[target.region]);
+    ++m_messages;
+    m_bytes += message.ByteSizeLong();
+    if (isCut || m_random.chance(m_options.loss))
+        return true; // it is gone, and nobody knows
+    const PeerSocket::Sender who { sender.name, sender.address, sender.context->incarnation, "" };
+    const auto arrival = m_loop.now() + fromSeconds(m_random.exponential(sender.region == target.region ? 0.001 : 0.03));
+    m_loop.at(arrival, [this, to = it->second, who, message] { deliver(to, who, message); });
+    return true;
+}
+
+void ControlModel::deliver(std::size_t to, const PeerSocket::Sender& sender, const proto::PeerMessage& message)
+{
+    auto& node = m_nodes[to];
+    if (!node.plane)
+        return;
+    if (m_loop.now() < node.pausedUntil) {
+        m_loop.at(node.pausedUntil, [this, to, sender, message] { deliver(to, sender, message); });
+        return;
+    }
+    auto copy = message;
+    node.plane->take(sender, copy, m_loop.now());
+}
+
+void ControlModel::cutRegion(int region, Instant end) { m_cutUntil[static_cast<std::size_t>(region)] = end; }
+
+std::string ControlModel::write(std::size_t index, const std::string& name, std::uint64_t base)
+{
+    proto::ChangeRecord change;
+    change.set_id(m_nodes[index].name + "-" + std::to_string(++m_lastWrite));
+    change.set_who("operator-" + std::to_string(index));
+    change.set_base_version(base);
+    *change.mutable_put() = exampleService(name, static_cast<std::uint32_t>(1000 + m_lastWrite));
+    m_log.append(stream, change.SerializeAsString(), [](const Result<std::uint64_t, PlatformError>&) {});
+    return change.id();
+}
+
+bool ControlModel::isSettled()
+{
+    const auto end = m_log.page(stream, UINT64_MAX, 0).end;
+    std::optional<std::uint64_t> digest;
+    for (const auto& it : m_nodes) {
+        if (!it.plane)
+            continue;
+        const auto& state = it.plane->follower().state();
+        if (state.nextOffset() != end || (digest && *digest != state.digest()))
+            return false;
+        digest = state.digest();
+    }
+    return true;
+}
+
+std::optional<Instant> ControlModel::appliedAt(std::size_t index, std::uint64_t offset) const
+{
+    const auto it = m_nodes[index].appliedAt.upper_bound(offset);
+    if (it == m_nodes[index].appliedAt.end())
+        return std::nullopt;
+    return it->second;
+}
+
+} // namespace robinrun::support
--- /dev/null
+++ b/test/support/ControlModel.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "FakeLog.h"
+#include "Node/ControlPlane.h"
+#include "VirtualLoop.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace robinrun::support {
+
+/// \brief Many control planes in virtual time over one fake log, one lagging host list and a fake network.
+///
+/// The nodes' own code runs; only the log, the list and the links are fakes. The same seed gives the same run.
+class ControlModel {
+public:
+    struct Options {
+        int regions = 2;
+        int hallsPerRegion = 2;
+        int nodesPerHall = 6;
+        FakeLog::Faults logFaults {};
+        double loss = 0.02; ///< of messages between nodes
+        Duration hostLag = 3s;
+    };
+
+    ControlModel(std::uint64_t seed, Options options);
+
+    VirtualLoop& loop() { return m_loop; }
+    FakeLog& log() { return m_log; }
+    Random& random() { return m_random; }
+    std::size_t size() const { return m_nodes.size(); }
+
+    void run(Duration length) { m_loop.run(m_loop.now() + length); }
+
+    /// \brief Appends a change written through node \a index. \returns its id.
+    std::string write(std::size_t index, const std::string& name, std::uint64_t base);
+
+    void stop(std::size_t index);
+    void start(std::size_t index);
+    /// \brief The node neither reads nor sends until \a end; what was sent to it comes late.
+    void pause(std::size_t index, Instant end) { m_nodes[index].pausedUntil = end; }
+    /// \brief Cuts a region's links to the others until \a end.
+    void cutRegion(int region, Instant end);
+
+    bool isLive(std::size_t index) const { return m_nodes[index].plane != nullptr; }
+    const ControlPlane& plane(std::size_t index) const { return *m_nodes[index].plane; }
+    ControlPlane& plane(std::size_t index) { return *m_nodes[index].plane; }
+
+    /// \returns whether all live nodes have the same state, up to the end of the log.
+    bool isSettled();
+
+    int backwardSteps() const { return m_backwardSteps; }
+    std::uint64_t messages() const { return m_messages; }
+    std::uint64_t bytes() const { return m_bytes; }
+    std::uint64_t logReads() const { return m_logReads; }
+
+    /// \returns the time from the append of each offset until node \a index applied it; nothing where it has not.
+    std::optional<Instant> appliedAt(std::size_t index, std::uint64_t offset) const;
+
+private:
+    class LifeLog;
+    class LifeHosts;
+    struct Node {
+        std::string name;
+        std::string address;
+        int region = 0;
+        std::unique_ptr<NodeContext> context;
+        std::unique_ptr<AppendLog> log;
+        std::unique_ptr<HostList> hosts;
+        std::unique_ptr<ControlPlane> plane;
+        std::shared_ptr<bool> life;
+        Instant pausedUntil {};
+        std::uint64_t applied = 0;
+        std::map<std::uint64_t, Instant> appliedAt; ///< next offset: first time
+    };
+
+    bool send(std::size_t from, const std::string& address, const proto::PeerMessage& message);
+    void deliver(std::size_t to, const PeerSocket::Sender& sender, const proto::PeerMessage& message);
+    void tick(std::size_t index);
+    void changed(std::size_t index);
+    HostPage hostPage() const;
+
+    Options m_options;
+    VirtualLoop m_loop;
+    Random m_random;
+    FakeLog m_log;
+    std::vector<Node> m_nodes;
+    std::map<std::string, std::size_t> m_byAddress;
+    std::vector<Instant> m_cutUntil;
+    std::map<std::string, HostEntry> m_listed;
+    std::uint64_t m_hostsVersion = 1;
+    std::uint64_t m_lastIncarnation = 0;
+    std::uint64_t m_lastWrite = 0;
+    int m_backwardSteps = 0;
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_bytes = 0;
+    std::uint64_t m_logReads = 0;
+};
+
+} // namespace robinrun::support
--- a/test/support/FakeLog.h
+++ b/test/support/FakeLog.h
@@ -84,7 +84,8 @@
             });
             return;
         }
-        m_loop->after(delay(), [this, stream, from, limit, done = std::move(done)] { done(page(stream, from, limit)); });
+        m_loop->after(delay(),
+            [this, stream, from, limit, done = std::move(done)] { done(page(stream, from, limit)); });
     }
 
     LogPage page(const std::string& stream, std::uint64_t from, std::size_t limit)
@@ -111,11 +112,16 @@
         std::int64_t keptSinceMs = 0;
     };
 
-    Duration delay() { return Duration(1 + static_cast<std::int64_t>(m_random.unit() * double(m_faults.slowest.count()))); }
+    Duration delay()
+    {
+        return Duration(1 + static_cast<std::int64_t>(m_random.unit() * double(m_faults.slowest.count())));
+    }
 
     void fail(PlatformErrorKind kind, Duration when, Appended done)
     {
-        m_loop->after(when, [kind, done = std::move(done)] { done(failure(PlatformError { kind, "fault" })); });
+        m_loop->after(when, [kind, done = std::move(done)] {
+            done(failure(PlatformError { kind, "fault" }));
+        });
     }
 
     VirtualLoop* m_loop;
--- a/test/support/OnceModel.cpp
+++ b/test/support/OnceModel.cpp
@@ -5,23 +5,23 @@
 namespace robinrun::support {
 namespace {
 
-constexpr int keys = 4;
-constexpr int owners = 3;
-constexpr int homes = 2;
-constexpr Duration length = 4s;
-constexpr Duration patience = 800ms; ///< an ingress answers its caller within this
-constexpr Duration tickEvery = 5ms;
-constexpr const char* stream = "claims";
+    constexpr int keys = 4;
+    constexpr int owners = 3;
+    constexpr int homes = 2;
+    constexpr Duration length = 4s;
+    constexpr Duration patience = 800ms; ///< an ingress answers its caller within this
+    constexpr Duration tickEvery = 5ms;
+    constexpr const char* stream = "claims";
 
-FakeLog::Faults faultsOf(Random& random)
-{
-    FakeLog::Faults faults;
-    faults.loseReply = random.unit() * 0.3;
-    faults.delayEffect = random.unit() * 0.2;
-    faults.swallow = random.unit() * 0.2;
-    faults.refuse = random.unit() * 0.2;
-    return faults;
-}
+    FakeLog::Faults faultsOf(Random& random)
+    {
+        FakeLog::Faults faults;
+        faults.loseReply = random.unit() * 0.3;
+        faults.delayEffect = random.unit() * 0.2;
+        faults.swallow = random.unit() * 0.2;
+        faults.refuse = random.unit() * 0.2;
+        return faults;
+    }
 
 } // namespace
 
@@ -53,7 +53,10 @@
     schedule();
 }
 
-Duration OnceModel::networkDelay() { return fromSeconds(m_random.exponential(0.01)); }
+Duration OnceModel::networkDelay()
+{
+    return fromSeconds(m_random.exponential(0.01));
+}
 
 void OnceModel::network(const std::function<void()>& f)
 {
@@ -80,7 +83,8 @@
     for (std::size_t i = 0; i < m_homes.size(); ++i) {
         m_loop.at(Instant(tickEvery), [this, i] { tickHome(i); });
         if (m_random.chance(0.5))
-            m_loop.at(anyTime(), [this, i] { m_homes[i].pausedUntil = m_loop.now() + fromSeconds(m_random.unit() * 2); });
+            m_loop.at(anyTime(),
+                [this, i] { m_homes[i].pausedUntil = m_loop.now() + fromSeconds(m_random.unit() * 2); });
         if (m_random.chance(0.3))
             m_loop.at(anyTime(), [this, i] { restart(m_homes[i]); });
     }
@@ -115,7 +119,10 @@
     home.isReading = false;
 }
 
-Hash128 OnceModel::hashOf(int key) const { return { 1, static_cast<std::uint64_t>(key) }; }
+Hash128 OnceModel::hashOf(int key) const
+{
+    return { 1, static_cast<std::uint64_t>(key) };
+}
 
 OnceModel::Owner* OnceModel::ownerOf(const Ticket& ticket)
 {
@@ -129,9 +136,8 @@
     const int attempt = static_cast<int>(m_attempts.size());
     m_attempts.push_back({});
     m_attempts[attempt].key = key;
-    m_loop.after(patience, [this, attempt] {
-        tell(attempt, m_attempts[attempt].isOut ? proto::UNKNOWN : proto::NOT_RUN);
-    });
+    m_loop.after(patience,
+        [this, attempt] { tell(attempt, m_attempts[attempt].isOut ? proto::UNKNOWN : proto::NOT_RUN); });
     if (m_keys[key].usesTicket && m_keys[key].ticket)
         return sendCall(attempt, *m_keys[key].ticket);
     auto& owner = m_owners[m_random.below(m_owners.size())];
@@ -166,7 +172,8 @@
                 if (decision.kind == ClaimDecision::Kind::Won)
                     sendCall(attempt, decision.winner);
                 else
-                    tell(attempt, decision.kind == ClaimDecision::Kind::TooOld ? proto::UNKNOWN : proto::NOT_RUN);
+                    tell(attempt,
+                        decision.kind == ClaimDecision::Kind::TooOld ? proto::UNKNOWN : proto::NOT_RUN);
             });
         });
     });
@@ -244,8 +251,8 @@
     case TicketStep::Refuse:
         return answerAttempt(attempt, begin.isNotRun ? proto::NOT_RUN : proto::UNKNOWN, key);
     case TicketStep::Replay:
-        return answerAttempt(
-            attempt, begin.record->isKnown ? proto::ANSWERED : proto::UNKNOWN, std::atoi(begin.record->body.c_str()));
+        return answerAttempt(attempt, begin.record->isKnown ? proto::ANSWERED : proto::UNKNOWN,
+            std::atoi(begin.record->body.c_str()));
     case TicketStep::Join:
         owner.waiting[begin.firstId].push_back(attempt);
         return;
--- a/test/support/OnceModel.h
+++ b/test/support/OnceModel.h
@@ -30,16 +30,19 @@
     bool isGood() const { return !keysRunTwice && !falseNotRun && !foreignAnswers; }
 };
 
-/// \brief The at-most-once parts under one random schedule: real tables, folds and batchers; fake network and log.
+/// \brief The at-most-once parts under one random schedule: real tables, folds and batchers; fake network and
+/// log.
 ///
-/// Several callers repeat their keyed or ticketed calls through several ingresses; messages are delayed, lost,
-/// doubled and reordered; homes are paused, doubled and restarted; owners restart; the log has outages, loses replies,
-/// takes appends late and forgets. The same seed gives the same schedule.
+/// Several callers repeat their keyed or ticketed calls through several ingresses; messages are delayed,
+/// lost, doubled and reordered; homes are paused, doubled and restarted; owners restart; the log has outages,
+/// loses replies, takes appends late and forgets. The same seed gives the same schedule.
 class OnceModel {
 public:
     /// \brief Makes the parts; a test may hand in broken ones to see that the verdict catches them.
     struct Parts {
-        std::function<std::unique_ptr<TicketTable>(std::string upstream, std::uint64_t incarnation, Instant now)> table;
+        std::function<std::unique_ptr<TicketTable>(
+            std::string upstream, std::uint64_t incarnation, Instant now)>
+            table;
         std::function<std::unique_ptr<ClaimFold>()> fold;
     };
     static Parts soundParts();
--- a/tools/robinrun-load.cpp
+++ b/tools/robinrun-load.cpp
@@ -39,8 +39,9 @@
 
 int main(int argc, char** argv)
 {
-    static const option options[] = { { "spec", required_argument, nullptr, 's' }, { "json", no_argument, nullptr, 'j' },
-        { "help", no_argument, nullptr, 'h' }, { "version", no_argument, nullptr, 'V' }, { nullptr, 0, nullptr, 0 } };
+    static const option options[] = { { "spec", required_argument, nullptr, 's' },
+        { "json", no_argument, nullptr, 'j' }, { "help", no_argument, nullptr, 'h' },
+        { "version", no_argument, nullptr, 'V' }, { nullptr, 0, nullptr, 0 } };
     std::string file;
     bool isJson = false;
     int c = 0;
--- a/tools/robinrun-node.cpp
+++ b/tools/robinrun-node.cpp
@@ -65,7 +65,8 @@
         }
     }
     if (line.settings.empty() || optind < argc) {
-        std::cerr << (optind < argc ? "unexpected argument: " + std::string(argv[optind]) : "--settings is missing")
+        std::cerr << (optind < argc ? "unexpected argument: " + std::string(argv[optind])
+                                    : "--settings is missing")
                   << "\n"
                   << usage;
         line.exitStatus = badUsage;
@@ -73,17 +74,19 @@
     return line;
 }
 
-void onStopSignal(evutil_socket_t, short, void* node) { static_cast<Node*>(node)->stop(); }
+void onStopSignal(evutil_socket_t, short, void* node)
+{
+    static_cast<Node*>(node)->stop();
+}
 
 int run(NodeSettings settings, Charts charts)
 {
     startLog(settings.log.level, settings.log.format, settings.name);
     const std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(), &event_base_free);
     // Two starts of one node never fall into the same microsecond.
-    const auto incarnation
-        = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-                                         .count());
+    const auto incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::system_clock::now().time_since_epoch())
+                                                            .count());
     auto node = Node::start(base.get(), std::move(settings), std::move(charts), incarnation);
     if (!node) {
         log(LogLevel::Error, "start-failed", { { "error", node.error() } });
--- a/tools/robinrunctl.cpp
+++ b/tools/robinrunctl.cpp
@@ -99,10 +99,11 @@
 
 void printTable(const YAML::Node& items)
 {
-    std::cout << std::left << std::setw(34) << "NAME" << std::setw(10) << "VERSION" << "WHAT\n";
+    std::cout << std::left << std::setw(34) << "NAME" << std::setw(10) << "VERSION"
+              << "WHAT\n";
     for (const auto& it : items)
-        std::cout << std::setw(34) << it["name"].as<std::string>() << std::setw(10) << it["version"].as<std::string>()
-                  << summaryOf(it) << "\n";
+        std::cout << std::setw(34) << it["name"].as<std::string>() << std::setw(10)
+                  << it["version"].as<std::string>() << summaryOf(it) << "\n";
 }
 
 void print(const std::string& json, const Options& options)
@@ -187,7 +188,8 @@
 }
 
 /// \returns the resource as it is now; nothing if there is none.
-std::optional<proto::Resource> present(OperatorClient& client, const std::string& name, const Options& options, bool& isBad)
+std::optional<proto::Resource> present(
+    OperatorClient& client, const std::string& name, const Options& options, bool& isBad)
 {
     const auto reply = client.ask("GET", "/v1/" + name);
     if (reply.has_value() && reply.value().status == notFound)
@@ -223,7 +225,9 @@
     const auto reply = show(client.ask("PUT", path, toJson(body), version), options);
     if (!reply)
         return EXIT_FAILURE;
-    const char* did = options.isDryRun ? " would change" : reply->status == accepted ? " undecided yet" : " applied";
+    const char* did = options.isDryRun ? " would change"
+        : reply->status == accepted    ? " undecided yet"
+                                       : " applied";
     std::cout << wanted.name() << did << " " << reply->body;
     return EXIT_SUCCESS;
 }
@@ -265,16 +269,20 @@
         return EXIT_SUCCESS;
     }
     const auto node = YAML::Load(reply->body);
-    std::cout << "node " << node["node"] << " " << node["state"] << ", applied " << node["applied"] << ", log "
-              << node["log"] << (node["proven_newest"].as<bool>() ? "" : " (not proven to be the newest)") << "\n"
+    std::cout << "node " << node["node"] << " " << node["state"] << ", applied " << node["applied"]
+              << ", log " << node["log"]
+              << (node["proven_newest"].as<bool>() ? "" : " (not proven to be the newest)") << "\n"
               << "in force at " << node["nodes"] << " of " << node["hosts_listed"] << " listed hosts, from "
               << node["min_applied"] << " to " << node["max_applied"] << "\n";
-    std::cout << std::left << std::setw(10) << "VERSION" << std::setw(12) << "IN FORCE" << "CHANGE\n";
+    std::cout << std::left << std::setw(10) << "VERSION" << std::setw(12) << "IN FORCE"
+              << "CHANGE\n";
     for (const auto& it : node["changes"])
         std::cout << std::setw(10) << it["version"].as<std::string>() << std::setw(12)
-                  << (it["in_force"].as<std::string>() + "/" + it["of"].as<std::string>()) << it["id"] << "\n";
+                  << (it["in_force"].as<std::string>() + "/" + it["of"].as<std::string>()) << it["id"]
+                  << "\n";
     for (const auto& it : node["behind"])
-        std::cout << "behind: " << it["node"] << " applied " << it["applied"] << " for " << it["since_ms"] << " ms\n";
+        std::cout << "behind: " << it["node"] << " applied " << it["applied"] << " for " << it["since_ms"]
+                  << " ms\n";
     return EXIT_SUCCESS;
 }
 
