--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -270,6 +270,11 @@
 
 void Owner::ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now)
 {
+    // First of all: a drain told with this answer must stop the call that would get its slot.
+    if (result.has_value()) {
+        if (const auto state = findHeader(result.value().headers, stateHeader))
+            setSign(LeavingSign::BackendServer, *state == "draining", now);
+    }
     auto& record = m_calls.at(id);
     const auto next = m_admission.finished(id, now);
     proto::Answer answer;
@@ -279,8 +284,6 @@
     if (result.has_value()) {
         auto& reply = result.value();
         isFailure = reply.status >= firstServerError;
-        if (const auto state = findHeader(reply.headers, stateHeader))
-            setSign(LeavingSign::BackendServer, *state == "draining", now);
         answer.set_outcome(proto::ANSWERED);
         answer.set_status(static_cast<std::uint32_t>(reply.status));
         for (const auto& [name, value] : reply.headers) {
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -2,6 +2,7 @@
 #include "Http/HttpServer.h"
 #include "Node/Timer.h"
 #include "Platform/HttpPlatform.h"
+#include "support/Loopback.h"
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
@@ -11,26 +12,13 @@
 #include <unistd.h>
 
 using namespace robinrun;
+using support::freeAddress;
 
 namespace {
 
-/// \returns a loopback address on which nothing listens right now.
-std::string freeAddress()
-{
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    socklen_t n = sizeof(address);
-    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
-    close(fd);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 /// \brief A loop with a server on it that keeps the exchanges it is handed.
 struct Fixture {
-    std::unique_ptr<event_base, decltype(&event_base_free)> base { event_base_new(), &event_base_free };
+    LoopPtr base = makeLoop();
     std::string address = freeAddress();
     std::vector<std::unique_ptr<HttpExchange>> held;
     bool answersAtOnce = true;
@@ -57,13 +45,7 @@
     }
 
     /// \brief Runs the loop until \a isDone, but no longer than a few seconds.
-    template <class F> void runUntil(F isDone)
-    {
-        auto limit = Timer::once(base.get(), 5s, [this] { event_base_loopbreak(base.get()); });
-        while (!isDone() && !event_base_got_break(base.get()))
-            event_base_loop(base.get(), EVLOOP_ONCE);
-        REQUIRE(isDone());
-    }
+    template <class F> void runUntil(F isDone) { REQUIRE(support::runUntil(base.get(), isDone)); }
 
     HttpPool::Options pool(std::size_t connections = 2) const
     {
--- a/test/e2e.sh
+++ b/test/e2e.sh
@@ -22,7 +22,15 @@
 ingress() { awk -v n="$1" '$1 == "host" && ++i == n { split($3, a, ":"); print a[1] ":" a[2] - 200 }' "$folder/processes"; }
 call() { curl -s -i --max-time 10 -H "Robinrun-Credential: secret-practice-a" "$@"; }
 
-# The operators' pages.
+# The operators' pages: every command of theirs, as it stands.
+awk '/^```sh$/ { on = 1; next } /^```$/ { on = 0 } on' docs/OPERATING.md >"$folder/pages.sh"
+build="$PWD/build"
+pages="$(cd "$folder" && PATH="$build:$PATH" bash -eu pages.sh 2>&1)" || fail "a command of docs/OPERATING.md: $pages"
+expect "the pages" "refused: services/decks has moved on" "$pages"
+expect "the pages' watch" "services/decks by demo accepted" "$pages"
+expect "the pages' end" "services/decks deleted" "$pages"
+
+# More of the operators' command line.
 expect "get" "services/lodgement" "$(ctl get services)"
 expect "get as JSON" '"retry_fraction"' "$(ctl -o json get services/refunds)"
 expect "get as YAML" "queue_limit: 256" "$(ctl -o yaml get services/refunds)"
