--- a/bench/decisions/decisions-main.cpp
+++ b/bench/decisions/decisions-main.cpp
@@ -26,6 +26,7 @@
     ServiceRouter router({});
     Random random(1);
     std::vector<RouteTarget> targets;
+    targets.reserve(static_cast<std::size_t>(state.range(0)));
     for (int i = 0; i < state.range(0); ++i)
         targets.push_back({ "upstream-" + std::to_string(i), 12, 1ms });
     Instant now {};
--- a/src/Load/LoadRun.cpp
+++ b/src/Load/LoadRun.cpp
@@ -30,6 +30,11 @@
         return values[static_cast<std::size_t>(at)];
     }
 
+    double quantileMs(const LoadTally& tally, double q)
+    {
+        return static_cast<double>(quantile(tally.latencyUs, q)) / 1000;
+    }
+
     std::int64_t numberOf(const HttpReply& reply, std::string_view name)
     {
         const auto text = findHeader(reply.headers, name);
@@ -296,30 +301,36 @@
     return !isWrong && m_ranTwice == 0;
 }
 
-void LoadRun::print(std::ostream& out, bool isJson) const
+void LoadRun::printHeader(std::ostream& out)
+{
+    out << std::left << std::setw(22) << "group" << std::setw(16) << "class" << std::right << std::setw(9)
+        << "answered" << std::setw(8) << "failed" << std::setw(9) << "not-run" << std::setw(9) << "unknown"
+        << std::setw(7) << "wrong" << std::setw(9) << "no-reply" << std::setw(10) << "p50_ms" << std::setw(10)
+        << "p99_ms" << std::setw(10) << "p99.9_ms" << '\n';
+}
+
+void LoadRun::printRow(std::ostream& out, const Key& key, const LoadTally& tally)
+{
+    out << std::left << std::setw(22) << key.first << std::setw(16) << key.second << std::right
+        << std::setw(9) << tally.answered << std::setw(8) << tally.failed << std::setw(9) << tally.notRun
+        << std::setw(9) << tally.unknown << std::setw(7) << tally.wrong << std::setw(9) << tally.noReply
+        << std::fixed << std::setprecision(2) << std::setw(10) << quantileMs(tally, 0.5) << std::setw(10)
+        << quantileMs(tally, 0.99) << std::setw(10) << quantileMs(tally, 0.999) << '\n';
+}
+
+void LoadRun::printJson(std::ostream& out, const Key& key, const LoadTally& tally)
+{
+    out << "{\"load\":\"class\",\"group\":\"" << key.first << "\",\"class\":\"" << key.second
+        << "\",\"answered\":" << tally.answered << ",\"failed\":" << tally.failed
+        << ",\"not_run\":" << tally.notRun << ",\"unknown\":" << tally.unknown << ",\"wrong\":" << tally.wrong
+        << ",\"no_reply\":" << tally.noReply << ",\"p50_ms\":" << quantileMs(tally, 0.5)
+        << ",\"p99_ms\":" << quantileMs(tally, 0.99) << ",\"p999_ms\":" << quantileMs(tally, 0.999) << "}\n";
+}
+
+LoadTally LoadRun::total() const
 {
     LoadTally sum;
-    if (!isJson) {
-        out << std::left << std::setw(22) << "group" << std::setw(16) << "class" << std::right << std::setw(9)
-            << "answered" << std::setw(8) << "failed" << std::setw(9) << "not-run" << std::setw(9)
-            << "unknown" << std::setw(7) << "wrong" << std::setw(9) << "no-reply" << std::setw(10) << "p50_ms"
-            << std::setw(10) << "p99_ms" << std::setw(10) << "p99.9_ms" << '\n';
-    }
     for (const auto& [key, it] : m_tallies) {
-        const auto ms = [&](double q) { return static_cast<double>(quantile(it.latencyUs, q)) / 1000; };
-        if (isJson) {
-            out << "{\"load\":\"class\",\"group\":\"" << key.first << "\",\"class\":\"" << key.second
-                << "\",\"answered\":" << it.answered << ",\"failed\":" << it.failed
-                << ",\"not_run\":" << it.notRun << ",\"unknown\":" << it.unknown << ",\"wrong\":" << it.wrong
-                << ",\"no_reply\":" << it.noReply << ",\"p50_ms\":" << ms(0.5) << ",\"p99_ms\":" << ms(0.99)
-                << ",\"p999_ms\":" << ms(0.999) << "}\n";
-        } else {
-            out << std::left << std::setw(22) << key.first << std::setw(16) << key.second << std::right
-                << std::setw(9) << it.answered << std::setw(8) << it.failed << std::setw(9) << it.notRun
-                << std::setw(9) << it.unknown << std::setw(7) << it.wrong << std::setw(9) << it.noReply
-                << std::fixed << std::setprecision(2) << std::setw(10) << ms(0.5) << std::setw(10) << ms(0.99)
-                << std::setw(10) << ms(0.999) << '\n';
-        }
         sum.answered += it.answered;
         sum.failed += it.failed;
         sum.notRun += it.notRun;
@@ -328,6 +339,16 @@
         sum.noReply += it.noReply;
         sum.addedUs.insert(sum.addedUs.end(), it.addedUs.begin(), it.addedUs.end());
     }
+    return sum;
+}
+
+void LoadRun::print(std::ostream& out, bool isJson) const
+{
+    if (!isJson)
+        printHeader(out);
+    for (const auto& [key, it] : m_tallies)
+        isJson ? printJson(out, key, it) : printRow(out, key, it);
+    const auto sum = total();
     const auto added = [&](double q) {
         return std::max<std::int64_t>(0, quantile(sum.addedUs, q) - quantile(m_directTally.addedUs, q));
     };
--- a/src/Load/LoadRun.h
+++ b/src/Load/LoadRun.h
@@ -72,6 +72,10 @@
     void heardFrom(std::size_t ingress);
     void finishWhenQuiet(Instant now);
     void askCounts();
+    static void printHeader(std::ostream& out);
+    static void printRow(std::ostream& out, const Key& key, const LoadTally& tally);
+    static void printJson(std::ostream& out, const Key& key, const LoadTally& tally);
+    LoadTally total() const;
 
     event_base* m_base;
     LoadSpec m_spec;
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -329,7 +329,8 @@
     record.set_who(m_context->settings.name);
     record.set_written_at_ms(m_context->wallClock());
     *record.mutable_snapshot() = m_follower.state().snapshot();
-    m_log->append(configStream, record.SerializeAsString(), [](Result<std::uint64_t, PlatformError>) {});
+    m_log->append(
+        configStream, record.SerializeAsString(), [](const Result<std::uint64_t, PlatformError>&) {});
     m_context->metrics.count("robinrun_snapshots_total");
 }
 
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -31,6 +31,8 @@
     Ingress(
         NodeContext& context, Owner& owner, ClaimService& claims, const Membership& members, SendToPeer send);
     ~Ingress();
+    Ingress(const Ingress&) = delete;
+    Ingress& operator=(const Ingress&) = delete;
 
     /// \brief A caller's request, whole.
     void take(std::unique_ptr<HttpExchange> exchange, Instant now);
--- a/src/Node/JsonText.cpp
+++ b/src/Node/JsonText.cpp
@@ -98,7 +98,7 @@
         if (!node.IsMap())
             return "a map (JSON object) is expected";
         const std::unique_ptr<pb::Message> named(message.New());
-        const auto fault = parseJson(toJsonText(node), *named);
+        auto fault = parseJson(toJsonText(node), *named);
         if (!fault.empty())
             return fault;
         clearNamed(node, message);
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -27,6 +27,8 @@
     static Result<std::unique_ptr<Node>, std::string> start(
         event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation);
     ~Node();
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
 
     /// \brief Stops in order: announces leaving, refuses new work, ends what is in flight, then ends the
     /// loop.
--- a/src/Node/OperatorApi.cpp
+++ b/src/Node/OperatorApi.cpp
@@ -249,17 +249,18 @@
         fate.set_reason("version is " + std::to_string(version) + ", not " + std::to_string(*base));
         return answerFate(fate, name, *exchange);
     }
-    append(std::move(change), std::move(exchange), now);
+    append(change, std::move(exchange), now);
 }
 
-void OperatorApi::append(proto::ChangeRecord change, std::unique_ptr<HttpExchange> exchange, Instant now)
+void OperatorApi::append(
+    const proto::ChangeRecord& change, std::unique_ptr<HttpExchange> exchange, Instant now)
 {
-    const auto id = change.id();
+    const auto& id = change.id();
     m_writes.push_back({ id, targetOf(change), std::move(exchange), now, false, false });
     log(LogLevel::Info, "change-written",
         { { "id", id }, { "who", change.who() }, { "resource", targetOf(change) } });
     m_log->append("config", change.SerializeAsString(),
-        [this, id](const Result<std::uint64_t, PlatformError>& offset) { appended(id, offset); });
+        [this, id = id](const Result<std::uint64_t, PlatformError>& offset) { appended(id, offset); });
 }
 
 void OperatorApi::appended(const std::string& id, const Result<std::uint64_t, PlatformError>& offset)
--- a/src/Node/OperatorApi.h
+++ b/src/Node/OperatorApi.h
@@ -69,7 +69,7 @@
     std::optional<std::uint64_t> baseVersion(const Request& request, HttpExchange& exchange) const;
     bool buildChange(const Request& request, const std::string& name, HttpExchange& exchange,
         proto::ChangeRecord& change) const;
-    void append(proto::ChangeRecord change, std::unique_ptr<HttpExchange> exchange, Instant now);
+    void append(const proto::ChangeRecord& change, std::unique_ptr<HttpExchange> exchange, Instant now);
     void appended(const std::string& id, const Result<std::uint64_t, PlatformError>& offset);
     void answerFate(const proto::Fate& fate, const std::string& name, HttpExchange& exchange) const;
     void answerUndecided(const Write& write, bool isLogOut) const;
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -39,6 +39,8 @@
 
     Owner(NodeContext& context, Instant now);
     ~Owner();
+    Owner(const Owner&) = delete;
+    Owner& operator=(const Owner&) = delete;
 
     void onAnnounce(Announce announce) { m_announce = std::move(announce); }
 
--- a/src/Node/Timer.h
+++ b/src/Node/Timer.h
@@ -41,6 +41,10 @@
     struct State {
         event* raw = nullptr;
         std::function<void()> f;
+
+        State() = default;
+        State(const State&) = delete;
+        State& operator=(const State&) = delete;
         ~State()
         {
             if (raw)
--- a/src/Once/ClaimBatcher.cpp
+++ b/src/Once/ClaimBatcher.cpp
@@ -4,7 +4,7 @@
 
 namespace robinrun {
 
-ClaimBatcher::ClaimBatcher(Options options, std::uint64_t incarnation, std::string stream)
+ClaimBatcher::ClaimBatcher(Options options, std::uint64_t incarnation, const std::string& stream)
     : m_options(options)
     , m_prefix(stream + "/" + std::to_string(incarnation) + "/")
 {
--- a/src/Once/ClaimBatcher.h
+++ b/src/Once/ClaimBatcher.h
@@ -38,7 +38,7 @@
         Duration decideWithin = 2s; ///< then it is given up as undecided
     };
 
-    ClaimBatcher(Options options, std::uint64_t incarnation, std::string stream);
+    ClaimBatcher(Options options, std::uint64_t incarnation, const std::string& stream);
 
     /// \brief A claim to decide. \param request number by which decisions() names it.
     void request(std::uint64_t request, const Claim& claim, Instant now);
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -156,7 +156,7 @@
     out.run.push_back(call.id);
 }
 
-void Admission::refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now)
+void Admission::refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now) const
 {
     const auto wait = expectedWait(call.group, call.priority, now);
     out.refused.push_back({ call.id, reason, std::max(wait, minRetryAfter) });
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -103,7 +103,7 @@
 
     void fill(Dispatch& out, Instant now);
     void start(const QueuedCall& call, Dispatch& out, Instant now);
-    void refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now);
+    void refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now) const;
     bool hasStood(const QueuedCall& call, Instant now);
 
     Options m_options;
--- a/src/Routing/Subset.cpp
+++ b/src/Routing/Subset.cpp
@@ -36,7 +36,7 @@
 std::vector<std::size_t> chooseSubset(const std::vector<std::string>& upstreams,
     const std::vector<std::string>& ingresses, const std::string& self, std::size_t size)
 {
-    const auto order = orderByHash(upstreams);
+    auto order = orderByHash(upstreams);
     if (order.size() <= size)
         return order;
     const double place = placeOf(ingresses, self) * static_cast<double>(order.size());
--- a/src/Settings/YamlReader.cpp
+++ b/src/Settings/YamlReader.cpp
@@ -15,9 +15,9 @@
     return s + message;
 }
 
-YamlReader::YamlReader(
-    YAML::Node node, std::string file, std::string path, std::shared_ptr<std::vector<SettingsError>> errors)
-    : m_node(std::move(node))
+YamlReader::YamlReader(const YAML::Node& node, std::string file, std::string path,
+    std::shared_ptr<std::vector<SettingsError>> errors)
+    : m_node(node)
     , m_file(std::move(file))
     , m_path(std::move(path))
     , m_errors(std::move(errors))
@@ -71,7 +71,7 @@
     return { node, m_file, pathOf(field), m_errors };
 }
 
-std::string YamlReader::text(const std::string& field, std::optional<std::string> standard)
+std::string YamlReader::text(const std::string& field, const std::optional<std::string>& standard)
 {
     const auto node = get(field);
     if (!node.IsDefined()) {
@@ -86,9 +86,9 @@
     return node.Scalar();
 }
 
-std::string YamlReader::address(const std::string& field, std::optional<std::string> standard)
+std::string YamlReader::address(const std::string& field, const std::optional<std::string>& standard)
 {
-    const auto s = text(field, standard);
+    auto s = text(field, standard);
     if (!s.empty() && !isAddress(s))
         fail(field, "'" + s + "' is not an IPv4 address and port");
     return s;
--- a/src/Settings/YamlReader.h
+++ b/src/Settings/YamlReader.h
@@ -35,9 +35,9 @@
     /// \brief A map inside this one; missing: an empty map.
     YamlReader section(const std::string& field);
 
-    std::string text(const std::string& field, std::optional<std::string> standard = std::nullopt);
+    std::string text(const std::string& field, const std::optional<std::string>& standard = std::nullopt);
     /// \brief `ip:port` of an IPv4 address.
-    std::string address(const std::string& field, std::optional<std::string> standard = std::nullopt);
+    std::string address(const std::string& field, const std::optional<std::string>& standard = std::nullopt);
     std::uint64_t count(
         const std::string& field, std::uint64_t min, std::uint64_t max, std::uint64_t standard);
     double number(const std::string& field, double min, double max, double standard);
@@ -70,7 +70,7 @@
     const std::vector<SettingsError>& errors() const { return *m_errors; }
 
 private:
-    YamlReader(YAML::Node node, std::string file, std::string path,
+    YamlReader(const YAML::Node& node, std::string file, std::string path,
         std::shared_ptr<std::vector<SettingsError>> errors);
 
     template <class E> static std::string namesOf()
--- a/test/AdmissionTest.cpp
+++ b/test/AdmissionTest.cpp
@@ -105,7 +105,9 @@
 
 TEST_CASE("Queues are bounded in time: a call that would wait too long is refused at once", "[admission]")
 {
-    Admission admission(options(2));
+    auto wide = options(2);
+    wide.queueLimit = 1000; // so that only the bound in time can refuse
+    Admission admission(wide);
     const Instant now {};
     std::size_t refused = 0;
     for (std::uint64_t id = 1; id <= 40; ++id)
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -71,7 +71,8 @@
     std::deque<proto::PeerMessage> sent;
 
     explicit Fixture(const std::string& ownUpstream = "")
-        : context { {}, Charts::load(charts).value(), base.get(), 77, {}, {}, Random(1), monotonicNow, wallClockMs }
+        : context { {}, Charts::load(charts).value(), base.get(), 77, {}, {}, Random(1), monotonicNow,
+            wallClockMs }
     {
         auto& settings = context.settings;
         settings.name = "self";
@@ -110,9 +111,10 @@
     IngressFixture()
     {
         ingress.configure(monotonicNow());
-        server = std::move(HttpServer::listen(base.get(), { address, 1000, 10000, 10s }, [this](auto exchange) {
-            ingress.take(std::move(exchange), monotonicNow());
-        }).value());
+        server
+            = std::move(HttpServer::listen(base.get(), { address, 1000, 10000, 10s }, [this](auto exchange) {
+                  ingress.take(std::move(exchange), monotonicNow());
+              }).value());
         HttpPool::Options options;
         options.address = address;
         caller = std::make_unique<HttpPool>(base.get(), options);
@@ -123,7 +125,8 @@
     {
         reply.reset();
         headers.emplace_back("Robinrun-Credential", secret);
-        caller->send({ "GET", path, std::move(headers), {} }, 9s, [this](auto result) { reply = result.value(); });
+        caller->send(
+            { "GET", path, std::move(headers), {} }, 9s, [this](auto result) { reply = result.value(); });
         return nextCall();
     }
 
@@ -136,7 +139,8 @@
         return out;
     }
 
-    static proto::Answer answerTo(const proto::Call& call, proto::Outcome outcome, const std::string& body = "")
+    static proto::Answer answerTo(
+        const proto::Call& call, proto::Outcome outcome, const std::string& body = "")
     {
         proto::Answer out;
         out.set_number(call.number());
@@ -150,7 +154,10 @@
         return out;
     }
 
-    void give(const std::string& node, proto::Answer answer) { ingress.takeAnswer(node, answer, monotonicNow()); }
+    void give(const std::string& node, proto::Answer answer)
+    {
+        ingress.takeAnswer(node, answer, monotonicNow());
+    }
 
     std::string outcome()
     {
@@ -159,7 +166,10 @@
     }
 };
 
-std::string hostOf(const proto::Call& call) { return "host-" + call.upstream(); }
+std::string hostOf(const proto::Call& call)
+{
+    return "host-" + call.upstream();
+}
 
 } // namespace
 
@@ -276,10 +286,11 @@
         : Fixture("u1")
         , owner(context, monotonicNow())
     {
-        server = std::move(HttpServer::listen(base.get(), { backend, 1000, 10000, 10s }, [this](auto exchange) {
-            exchange->onHangUp([this] { ++hungUp; });
-            running.push_back(std::move(exchange));
-        }).value());
+        server
+            = std::move(HttpServer::listen(base.get(), { backend, 1000, 10000, 10s }, [this](auto exchange) {
+                  exchange->onHangUp([this] { ++hungUp; });
+                  running.push_back(std::move(exchange));
+              }).value());
         owner.configure(monotonicNow());
     }
 
@@ -298,8 +309,9 @@
 
     void take(const proto::Call& it, std::uint64_t sender = 1)
     {
-        owner.take(it, { "ingress", "10.0.0.9:1", sender }, [this](proto::Answer answer) { answers.push_back(answer); },
-            monotonicNow());
+        owner.take(
+            it, { "ingress", "10.0.0.9:1", sender },
+            [this](proto::Answer answer) { answers.push_back(answer); }, monotonicNow());
     }
 
     void waitRunning(std::size_t n)
@@ -352,7 +364,8 @@
     late.set_owner_incarnation(77);
     late.set_owner_deadline_us(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count()) - 1);
     f.take(late);
-    const Reason expected[] = { Reason::WrongOwner, Reason::WrongIncarnation, Reason::Damaged, Reason::DeadlinePassed };
+    const Reason expected[]
+        = { Reason::WrongOwner, Reason::WrongIncarnation, Reason::Damaged, Reason::DeadlinePassed };
     REQUIRE(f.answers.size() == 4);
     for (std::size_t i = 0; i < 4; ++i) {
         REQUIRE(f.reason(i) == expected[i]);
--- a/test/standin/standin-backend.cpp
+++ b/test/standin/standin-backend.cpp
@@ -75,7 +75,7 @@
         exchange.reply({ ok, {}, "set\n" });
     }
 
-    void counts(HttpExchange& exchange)
+    void counts(HttpExchange& exchange) const
     {
         exchange.reply({ ok, { { "Content-Type", "application/json" } },
             "{\"ran\":" + std::to_string(m_ran) + ",\"ran_twice\":" + std::to_string(m_ranTwice)
--- a/test/support/Loopback.h
+++ b/test/support/Loopback.h
@@ -26,8 +26,7 @@
 }
 
 /// \brief Runs \a base until \a isDone, but no longer than some seconds. \returns whether it is done.
-template <class F>
-bool runUntil(event_base* base, F isDone)
+template <class F> bool runUntil(event_base* base, F isDone)
 {
     bool isOver = false;
     const auto limit = Timer::once(base, 10s, [&] { isOver = true; });
