--- a/bench/decisions/decisions-main.cpp
+++ b/bench/decisions/decisions-main.cpp
@@ -1,5 +1,6 @@
 /// \file The cost of a decision, and how it grows with upstreams and groups (Google Benchmark).
 
+#include "Control/Spread.h"
 #include "Core/Random.h"
 #include "Node/Directory.h"
 #include "Once/TicketTable.h"
@@ -133,6 +134,35 @@
 }
 BENCHMARK(rebuildDirectory)->Arg(150)->Arg(1500)->Arg(7200)->Unit(benchmark::kMicrosecond);
 
+/// One tick of the control plane's decisions in a hall of n hosts, at ten ticks a second.
+void spreadTick(benchmark::State& state)
+{
+    Membership members({});
+    HostPage page { 1, true, {}, {} };
+    for (int i = 0; i < state.range(0); ++i)
+        page.hosts.push_back({ "host-" + std::to_string(i), "10.0.0.1:1", "hall", "region", false });
+    members.take(page);
+    Instant now {};
+    Spread spread({}, page.hosts.front(), 1, now);
+    for (auto _ : state) {
+        now += 100ms;
+        benchmark::DoNotOptimize(spread.tick(members, 1, true, now));
+        benchmark::DoNotOptimize(Trees(members, spread.self(), spread.hallRanks(), 8).parent(now));
+    }
+}
+BENCHMARK(spreadTick)->Arg(25)->Arg(100)->Arg(400)->Unit(benchmark::kMicrosecond);
+
+/// The first homes of a claim stream among n hosts (found once a second and stream).
+void findHomes(benchmark::State& state)
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < state.range(0); ++i)
+        names.push_back("host-" + std::to_string(i));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(firstByHash(names, "claims-1", 3));
+}
+BENCHMARK(findHomes)->Arg(100)->Arg(1000)->Arg(7200)->Unit(benchmark::kMicrosecond);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/src/Control/Spread.cpp
+++ b/src/Control/Spread.cpp
@@ -13,6 +13,7 @@
 Spread::Spread(Options options, HostEntry self, std::uint64_t seed, Instant now)
     : m_options(options)
     , m_self(std::move(self))
+    , m_hallRanks(m_self.name, m_self.dataHall)
     , m_random(seed)
     , m_ownReads(options.ownReadsPerSecond, 1, 1, now)
     , m_lastHeard(now)
@@ -26,9 +27,9 @@
     return fromSeconds(toSeconds(d) * (0.5 + m_random.unit()));
 }
 
-bool Spread::isReader(const Membership& members, Instant now) const
+bool Spread::isReader(const Membership& members, Instant now)
 {
-    const auto ranks = Trees(members, m_self, m_options.fanOut).hallRanks(now);
+    const auto& ranks = m_hallRanks.get(members, now);
     const auto n = std::min(m_options.readers, ranks.size());
     const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(n);
     return std::find(ranks.begin(), end, m_self.name) != end;
@@ -87,7 +88,7 @@
         return out;
     const auto start = std::min(from, passed);
     passed = nextOffset;
-    const auto ranks = Trees(members, m_self, m_options.fanOut).hallRanks(now);
+    const auto& ranks = m_hallRanks.get(members, now);
     for (auto& it : treeChildren(ranks, tree, m_self.name, m_options.fanOut))
         out.push_back({ std::move(it), tree, std::max(start, std::uint64_t { 0 }) });
     return out;
--- a/src/Control/Spread.h
+++ b/src/Control/Spread.h
@@ -63,8 +63,9 @@
     /// its own.
     void heard(Instant now) { m_lastHeard = now; }
 
-    bool isReader(const Membership& members, Instant now) const;
+    bool isReader(const Membership& members, Instant now);
     const HostEntry& self() const { return m_self; }
+    HallRanks& hallRanks() { return m_hallRanks; }
 
 private:
     std::string randomPeer(const Membership& members, Instant now);
@@ -72,6 +73,7 @@
 
     Options m_options;
     HostEntry m_self;
+    HallRanks m_hallRanks;
     Random m_random;
     TokenBucket m_ownReads;
     Instant m_lastHeard;
--- a/src/Control/Tree.cpp
+++ b/src/Control/Tree.cpp
@@ -10,6 +10,7 @@
 
     constexpr std::string_view hallSalt = "hall";
     constexpr std::string_view rootSalt = "root";
+    constexpr Duration ranksLife = 500ms;
 
     std::size_t placeOf(const std::vector<std::string>& names, const std::string& name)
     {
@@ -34,6 +35,26 @@
     return names;
 }
 
+std::vector<std::string> firstByHash(
+    const std::vector<std::string>& names, std::string_view salt, std::size_t n)
+{
+    const auto seed = hash64(salt);
+    std::vector<std::pair<std::uint64_t, const std::string*>> keyed;
+    keyed.reserve(names.size());
+    for (const auto& it : names)
+        keyed.emplace_back(hash64(it, seed), &it);
+    const auto count = std::min(n, keyed.size());
+    const auto end = keyed.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(keyed.begin(), end, keyed.end(), [](const auto& a, const auto& b) {
+        return std::pair(a.first, *a.second) < std::pair(b.first, *b.second);
+    });
+    std::vector<std::string> first;
+    first.reserve(count);
+    for (auto it = keyed.begin(); it != end; ++it)
+        first.push_back(*it->second);
+    return first;
+}
+
 std::vector<std::string> treeChildren(const std::vector<std::string>& ranked, const std::string& root,
     const std::string& self, std::size_t fanOut)
 {
@@ -52,18 +73,23 @@
     return children;
 }
 
-std::vector<std::string> Trees::hallRanks(Instant now) const
+const std::vector<std::string>& HallRanks::get(const Membership& members, Instant now)
 {
-    auto names = m_members->liveIn(m_self->dataHall, now);
-    if (std::find(names.begin(), names.end(), m_self->name) == names.end())
-        names.push_back(m_self->name);
-    return rankByHash(std::move(names), hallSalt);
+    if (now < m_validUntil && m_version == members.version() && !m_ranks.empty())
+        return m_ranks;
+    auto names = members.liveIn(m_hall, now);
+    if (std::find(names.begin(), names.end(), m_self) == names.end())
+        names.push_back(m_self);
+    m_ranks = rankByHash(std::move(names), hallSalt);
+    m_version = members.version();
+    m_validUntil = now + ranksLife;
+    return m_ranks;
 }
 
 std::string Trees::hallRoot(const std::string& hall, Instant now) const
 {
-    const auto ranks = rankByHash(m_members->liveIn(hall, now), hallSalt);
-    return ranks.empty() ? std::string() : ranks.front();
+    auto first = firstByHash(m_members->liveIn(hall, now), hallSalt, 1);
+    return first.empty() ? std::string() : std::move(first.front());
 }
 
 std::string Trees::regionRoot(const std::string& region, Instant now) const
@@ -78,7 +104,7 @@
 
 std::string Trees::parent(Instant now) const
 {
-    const auto ranks = hallRanks(now);
+    const auto& ranks = m_hallRanks->get(*m_members, now);
     const auto place = placeOf(ranks, m_self->name);
     if (place > 0)
         return ranks[(place - 1) / m_fanOut];
--- a/src/Control/Tree.h
+++ b/src/Control/Tree.h
@@ -13,11 +13,36 @@
 /// take a role, the next one takes over without any message, and each role falls on another host. O(n log n).
 std::vector<std::string> rankByHash(std::vector<std::string> names, std::string_view salt);
 
+/// \returns the first \a n of \a names by that order. O(names).
+std::vector<std::string> firstByHash(
+    const std::vector<std::string>& names, std::string_view salt, std::size_t n);
+
 /// \returns the children of \a self in the tree over \a ranked that starts at \a root. A root that isn't
 /// ranked comes first; a self that isn't ranked has no children.
 std::vector<std::string> treeChildren(const std::vector<std::string>& ranked, const std::string& root,
     const std::string& self, std::size_t fanOut);
 
+/// \brief The live hosts of one data hall by rank, this node included; made anew at most twice a second, as
+/// each making is O(n log n) and ticks, messages and counts ask for it.
+class HallRanks {
+public:
+    /// \param self name of this node; \a hall its data hall.
+    HallRanks(std::string self, std::string hall)
+        : m_self(std::move(self))
+        , m_hall(std::move(hall))
+    {
+    }
+
+    const std::vector<std::string>& get(const Membership& members, Instant now);
+
+private:
+    std::string m_self;
+    std::string m_hall;
+    std::vector<std::string> m_ranks;
+    std::uint64_t m_version = 0;
+    Instant m_validUntil {};
+};
+
 /// \brief Places in the trees that carry control traffic, computed by each node from its own view of the
 /// members.
 ///
@@ -25,16 +50,14 @@
 /// in.
 class Trees {
 public:
-    Trees(const Membership& members, const HostEntry& self, std::size_t fanOut)
+    Trees(const Membership& members, const HostEntry& self, HallRanks& hallRanks, std::size_t fanOut)
         : m_members(&members)
         , m_self(&self)
+        , m_hallRanks(&hallRanks)
         , m_fanOut(fanOut)
     {
     }
 
-    /// \returns the live hosts of this node's data hall by rank, itself included.
-    std::vector<std::string> hallRanks(Instant now) const;
-
     /// \returns where this node's counts go: up the hall's tree, then to the region's first hall, then to the
     /// first region. Empty at the top.
     std::string parent(Instant now) const;
@@ -45,6 +68,7 @@
 
     const Membership* m_members;
     const HostEntry* m_self;
+    HallRanks* m_hallRanks;
     std::size_t m_fanOut;
 };
 
--- /dev/null
+++ b/src/Node/CallReply.cpp
@@ -0,0 +1,68 @@
+#include "Node/CallReply.h"
+
+#include "Node/CallHeaders.h"
+
+#include <algorithm>
+
+namespace robinrun::replies {
+namespace {
+
+    constexpr int created = 201;
+    constexpr int unprocessable = 422;
+    constexpr int badGateway = 502;
+    constexpr int unavailable = 503;
+    constexpr int gatewayTimeout = 504;
+    constexpr std::uint32_t leastRetryMs = 20;
+
+    std::pair<std::string, std::string> field(std::string_view name, std::string_view value)
+    {
+        return { std::string(name), std::string(value) };
+    }
+
+} // namespace
+
+HttpReply answered(proto::Answer& answer)
+{
+    HttpReply reply;
+    reply.status = static_cast<int>(answer.status());
+    for (const auto& it : answer.headers())
+        reply.headers.emplace_back(it.name(), it.value());
+    reply.headers.push_back(field(headers::outcome, "answered"));
+    reply.headers.push_back(field(headers::queuedUs, std::to_string(answer.queued_us())));
+    reply.body = std::move(*answer.mutable_body());
+    return reply;
+}
+
+HttpReply ticket(const Ticket& ticket)
+{
+    const auto text = ticket.text();
+    return { created, { field(headers::ticket, text), { "Content-Type", "application/json" } },
+        "{\"ticket\":\"" + text + "\"}\n" };
+}
+
+HttpReply notRun(Reason reason, std::uint32_t retryAfterMs, bool advisesTicket)
+{
+    const auto ms = std::max(retryAfterMs, leastRetryMs);
+    const auto seconds = (ms + 999) / 1000;
+    HttpReply reply { reason == Reason::TicketMismatch ? unprocessable : unavailable,
+        { field(headers::outcome, "not-run"), field(headers::reason, nameOf(reason)),
+            { "Retry-After", std::to_string(seconds) }, field(headers::retryAfterMs, std::to_string(ms)) },
+        "the call was not run: " + std::string(nameOf(reason)) + "\n" };
+    if (advisesTicket)
+        reply.headers.push_back(field(headers::advice, "take-ticket"));
+    return reply;
+}
+
+HttpReply unknown(Reason reason)
+{
+    return { reason == Reason::Damaged ? badGateway : gatewayTimeout,
+        { field(headers::outcome, "unknown"), field(headers::reason, nameOf(reason)) },
+        "the outcome of the call is unknown: " + std::string(nameOf(reason)) + "\n" };
+}
+
+HttpReply rejected(int status, const std::string& message)
+{
+    return { status, { field(headers::outcome, "not-run") }, message + "\n" };
+}
+
+} // namespace robinrun::replies
--- /dev/null
+++ b/src/Node/CallRequest.cpp
@@ -0,0 +1,155 @@
+#include "Node/CallRequest.h"
+
+#include "Node/CallHeaders.h"
+#include "Once/KeyAge.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace robinrun {
+namespace {
+
+    constexpr int badRequest = 400;
+    constexpr int unauthorized = 401;
+    constexpr int notFound = 404;
+
+    /// Attempts over all levels of a call, unless the caller says less.
+    constexpr std::uint32_t defaultAttempts = 3;
+    constexpr std::int64_t maxAttempts = 8;
+    constexpr std::int64_t maxDeadlineMs = 600000;
+    constexpr std::string_view ticketTarget = "/tickets";
+
+    std::optional<std::int64_t> parseNumber(std::string_view text)
+    {
+        std::int64_t n = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+        if (ec != std::errc() || end != text.data() + text.size() || n < 0)
+            return std::nullopt;
+        return n;
+    }
+
+    std::string_view firstLabel(std::string_view host)
+    {
+        return host.substr(0, host.find_first_of(".:"));
+    }
+
+    /// \brief Reads one request field by field; each step returns what is wrong, or "".
+    class Parser {
+    public:
+        Parser(const HttpRequest& request, Directory& directory)
+            : m_request(request)
+            , m_directory(directory)
+        {
+        }
+
+        Result<CallRequest, CallRequestError> parse()
+        {
+            if (!readGroup())
+                return fault(unauthorized, "the header Robinrun-Credential names no known calling group");
+            if (!readService())
+                return fault(notFound, "no service is named by the host or the first part of the path");
+            for (const auto step : { &Parser::readDeadline, &Parser::readAttempts, &Parser::readOnce }) {
+                auto message = (this->*step)();
+                if (!message.empty())
+                    return fault(badRequest, std::move(message));
+            }
+            return std::move(m_out);
+        }
+
+    private:
+        Result<CallRequest, CallRequestError> fault(int status, std::string message) const
+        {
+            return failure(
+                CallRequestError { status, std::move(message), m_out.group.empty() ? "none" : m_out.group });
+        }
+
+        bool readGroup()
+        {
+            const auto credential = findHeader(m_request.headers, headers::credential);
+            const auto* group
+                = credential ? m_directory.groupByCredential(std::string(*credential)) : nullptr;
+            if (!group)
+                return false;
+            m_out.group = group->id;
+            m_out.groupNumber = group->number;
+            return true;
+        }
+
+        bool readService()
+        {
+            m_out.target = m_request.target;
+            const auto host = findHeader(m_request.headers, "Host");
+            const auto* service = host ? m_directory.service(firstLabel(*host)) : nullptr;
+            if (!service && m_out.target.starts_with('/')) {
+                const auto end = m_out.target.find_first_of("/?", 1);
+                service = m_directory.service(std::string_view(m_out.target).substr(1, end - 1));
+                if (service)
+                    m_out.target = end == std::string::npos ? "/" : m_out.target.substr(end);
+            }
+            if (!service)
+                return false;
+            m_out.service = service->id;
+            m_out.callClass = service->classOf(m_out.target);
+            return true;
+        }
+
+        std::string readDeadline()
+        {
+            m_out.allowed = m_out.callClass.deadline;
+            const auto text = findHeader(m_request.headers, headers::deadline);
+            if (!text)
+                return "";
+            const auto ms = parseNumber(*text);
+            if (!ms || *ms > maxDeadlineMs)
+                return "header Robinrun-Deadline-Ms: a number up to 600000 is expected";
+            m_out.allowed = std::min(m_out.allowed, Duration(*ms * 1000));
+            return "";
+        }
+
+        std::string readAttempts()
+        {
+            m_out.attempts = defaultAttempts;
+            const auto text = findHeader(m_request.headers, headers::attempts);
+            if (!text)
+                return "";
+            const auto n = parseNumber(*text);
+            if (!n || *n < 1 || *n > maxAttempts)
+                return "header Robinrun-Attempts-Left: a number from 1 to 8 is expected";
+            m_out.attempts = static_cast<std::uint32_t>(*n);
+            return "";
+        }
+
+        std::string readOnce()
+        {
+            m_out.wantsTicket = m_request.method == "POST" && m_out.target == ticketTarget;
+            const auto ticket = findHeader(m_request.headers, headers::ticket);
+            const auto key = findHeader(m_request.headers, headers::key);
+            if (ticket && key)
+                return "Robinrun-Ticket and Idempotency-Key can't both be given";
+            if (ticket) {
+                auto parsed = Ticket::parse(*ticket);
+                if (!parsed)
+                    return "header Robinrun-Ticket: " + parsed.error();
+                m_out.ticket = std::move(parsed.value());
+            }
+            if (key && !keyBornMs(*key))
+                return "header Idempotency-Key: a UUID of version 7 or <seconds since 1970>:<text> is "
+                       "expected";
+            if (key)
+                m_out.key = std::string(*key);
+            return "";
+        }
+
+        const HttpRequest& m_request;
+        Directory& m_directory;
+        CallRequest m_out;
+    };
+
+} // namespace
+
+Result<CallRequest, CallRequestError> CallRequest::parse(const HttpRequest& request, Directory& directory)
+{
+    return Parser(request, directory).parse();
+}
+
+} // namespace robinrun
--- a/src/Node/ClaimService.cpp
+++ b/src/Node/ClaimService.cpp
@@ -13,6 +13,7 @@
     constexpr Duration readWait = 1s;
     constexpr Duration readRetry = 200ms;
     constexpr Duration homeLife = 60s;
+    constexpr Duration homeNamesLife = 1s;
     constexpr Duration connectRetry = 3ms;
     constexpr double appendBurst = 5;
 
@@ -36,17 +37,21 @@
 {
 }
 
-std::string ClaimService::homeOf(std::uint32_t partition, std::size_t rank, Instant now) const
+std::string ClaimService::homeOf(std::uint32_t partition, std::size_t rank, Instant now)
 {
-    std::vector<std::string> live;
-    for (const auto& it : m_members->names()) {
-        if (m_members->isLive(it, now))
-            live.push_back(it);
+    auto& it = m_homeNames[partition];
+    if (now >= it.validUntil || it.names.empty()) {
+        std::vector<std::string> live;
+        for (auto& name : m_members->names()) {
+            if (m_members->isLive(name, now))
+                live.push_back(std::move(name));
+        }
+        it.names = firstByHash(live, claimStream(partition), maxHomes);
+        it.validUntil = now + homeNamesLife;
     }
-    if (live.empty())
+    if (it.names.empty())
         return m_context->settings.name;
-    const auto ranks = rankByHash(std::move(live), claimStream(partition));
-    return ranks[rank % ranks.size()];
+    return it.names[rank % it.names.size()];
 }
 
 void ClaimService::claim(const Claim& claim, Decided decided, Instant now)
--- a/src/Node/ClaimService.h
+++ b/src/Node/ClaimService.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace robinrun {
 
@@ -77,7 +78,7 @@
     };
 
     void ask(std::uint64_t number, Asked& asked, Instant now);
-    std::string homeOf(std::uint32_t partition, std::size_t rank, Instant now) const;
+    std::string homeOf(std::uint32_t partition, std::size_t rank, Instant now);
     void decideHere(std::uint32_t partition, const Claim& claim, Decided decided, Instant now);
     Home& home(std::uint32_t partition);
     void read(std::uint32_t partition, Home& home, Instant now);
@@ -95,6 +96,12 @@
     std::uint64_t m_appends = 0;
     std::unordered_map<std::uint64_t, Asked> m_asked;
     std::map<std::uint32_t, Home> m_homes;
+    /// The first homes of a stream; finding them is O(hosts), so they are kept for a moment.
+    struct HomeNames {
+        std::vector<std::string> names;
+        Instant validUntil {};
+    };
+    std::map<std::uint32_t, HomeNames> m_homeNames;
 };
 
 /// \returns the name of a claim stream.
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -279,7 +279,9 @@
         return;
     m_nextReport = now + reportUnchanged;
     m_lastReported = m_follower.nextOffset();
-    const auto parent = Trees(m_members, m_spread.self(), m_context->settings.control.fanOut).parent(now);
+    const auto parent
+        = Trees(m_members, m_spread.self(), m_spread.hallRanks(), m_context->settings.control.fanOut)
+              .parent(now);
     if (parent != m_lastParent && !m_lastParent.empty()) {
         // Counted at the new place only: the former parent forgets this subtree.
         proto::PeerMessage retraction;
@@ -296,7 +298,9 @@
 
 void ControlPlane::countInForce(Counted done, Instant now)
 {
-    const auto parent = Trees(m_members, m_spread.self(), m_context->settings.control.fanOut).parent(now);
+    const auto parent
+        = Trees(m_members, m_spread.self(), m_spread.hallRanks(), m_context->settings.control.fanOut)
+              .parent(now);
     proto::PeerMessage message;
     const auto number = ++m_lastCount;
     message.mutable_in_force_request()->set_number(number);
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -48,7 +48,7 @@
     const ConfigFollower& follower() const { return m_follower; }
     const Membership& members() const { return m_members; }
     Membership& members() { return m_members; }
-    bool isReader(Instant now) const { return m_spread.isReader(m_members, now); }
+    bool isReader(Instant now) { return m_spread.isReader(m_members, now); }
     Duration sinceAdvance(Instant now) const { return now - m_lastAdvance; }
 
 private:
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -2,68 +2,23 @@
 
 #include "Core/Hash.h"
 #include "Core/Log.h"
+#include "Node/CallHeaders.h"
+#include "Node/CallReply.h"
 #include "Once/KeyAge.h"
 #include "Routing/Subset.h"
 #include "Wire/TicketCodec.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace robinrun {
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusCreated = 201;
-    constexpr int badRequest = 400;
-    constexpr int unauthorized = 401;
-    constexpr int notFound = 404;
-    constexpr int unprocessable = 422;
-    constexpr int badGateway = 502;
     constexpr int unavailable = 503;
-    constexpr int gatewayTimeout = 504;
     constexpr int firstServerError = 500;
-
-    /// Attempts over all levels of a call, unless the caller says less.
-    constexpr std::uint32_t defaultAttempts = 3;
-    constexpr std::uint32_t maxAttempts = 8;
-    constexpr std::int64_t maxDeadlineMs = 600000;
     constexpr std::uint32_t drainingRetryMs = 100;
-    constexpr std::uint32_t leastRetryMs = 20;
     constexpr double permille = 1000;
     constexpr Duration connectRetry = 2ms;
 
-    constexpr std::string_view credentialHeader = "Robinrun-Credential";
-    constexpr std::string_view deadlineHeader = "Robinrun-Deadline-Ms";
-    constexpr std::string_view attemptsHeader = "Robinrun-Attempts-Left";
-    constexpr std::string_view ticketHeader = "Robinrun-Ticket";
-    constexpr std::string_view keyHeader = "Idempotency-Key";
-    constexpr std::string_view outcomeHeader = "Robinrun-Outcome";
-    constexpr std::string_view reasonHeader = "Robinrun-Reason";
-    constexpr std::string_view adviceHeader = "Robinrun-Advice";
-    constexpr std::string_view ticketTarget = "/tickets";
-
-    /// \returns whether a header is for this system and not passed on to the backend server.
-    bool isOwnHeader(std::string_view name)
-    {
-        return equalIgnoringCase(name, credentialHeader) || equalIgnoringCase(name, deadlineHeader)
-            || equalIgnoringCase(name, attemptsHeader) || equalIgnoringCase(name, ticketHeader)
-            || equalIgnoringCase(name, "Robinrun-Group");
-    }
-
-    std::optional<std::int64_t> parseNumber(std::string_view text)
-    {
-        std::int64_t n = 0;
-        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-        if (ec != std::errc() || end != text.data() + text.size() || n < 0)
-            return std::nullopt;
-        return n;
-    }
-
-    std::string_view firstLabel(std::string_view host)
-    {
-        return host.substr(0, host.find_first_of(".:"));
-    }
-
     Reason reasonOf(const proto::Answer& answer)
     {
         return answer.reason() < countOf<Reason>() ? static_cast<Reason>(answer.reason()) : Reason::None;
@@ -134,126 +89,42 @@
     return it == info->upstreams.end() ? nullptr : &*it;
 }
 
-void Ingress::reject(HttpExchange& exchange, int status, const std::string& message, std::string_view group)
+void Ingress::reject(HttpExchange& exchange, const CallRequestError& error)
 {
     CallSample sample;
-    sample.group = group;
+    sample.group = error.group;
     sample.callClass = "none";
     sample.outcome = CallOutcome::Rejected;
     m_context->metrics.call(sample);
-    exchange.reply({ status, { { std::string(outcomeHeader), "not-run" } }, message + "\n" });
-}
-
-bool Ingress::readRequest(Call& call, Instant now)
-{
-    const auto& request = call.exchange->request();
-    const auto credential = findHeader(request.headers, credentialHeader);
-    const auto* group
-        = credential ? m_context->directory.groupByCredential(std::string(*credential)) : nullptr;
-    if (!group) {
-        reject(*call.exchange, unauthorized, "the header Robinrun-Credential names no known calling group");
-        return false;
-    }
-    call.group = group->id;
-    call.groupNumber = group->number;
-    call.target = request.target;
-    const auto host = findHeader(request.headers, "Host");
-    const auto* service = host ? m_context->directory.service(firstLabel(*host)) : nullptr;
-    if (!service && call.target.starts_with('/')) {
-        const auto end = call.target.find_first_of("/?", 1);
-        service = m_context->directory.service(std::string_view(call.target).substr(1, end - 1));
-        if (service)
-            call.target = end == std::string::npos ? "/" : call.target.substr(end);
-    }
-    if (!service) {
-        reject(*call.exchange, notFound, "no service is named by the host or the first part of the path",
-            group->id);
-        return false;
-    }
-    call.service = service->id;
-    call.callClass = service->classOf(call.target);
-    auto allowed = call.callClass.deadline;
-    if (const auto text = findHeader(request.headers, deadlineHeader)) {
-        const auto ms = parseNumber(*text);
-        if (!ms || *ms > maxDeadlineMs) {
-            reject(*call.exchange, badRequest,
-                "header Robinrun-Deadline-Ms: a number up to 600000 is expected", group->id);
-            return false;
-        }
-        allowed = std::min(allowed, Duration(*ms * 1000));
-    }
-    call.deadline = now + allowed;
-    call.attemptsLeft = defaultAttempts;
-    if (const auto text = findHeader(request.headers, attemptsHeader)) {
-        const auto n = parseNumber(*text);
-        if (!n || *n < 1 || *n > maxAttempts) {
-            reject(*call.exchange, badRequest,
-                "header Robinrun-Attempts-Left: a number from 1 to 8 is expected", group->id);
-            return false;
-        }
-        call.attemptsLeft = static_cast<std::uint32_t>(*n);
-    }
-    return readOnce(call);
-}
-
-bool Ingress::readOnce(Call& call)
-{
-    const auto& request = call.exchange->request();
-    call.wantsTicket = request.method == "POST" && call.target == ticketTarget;
-    const auto ticket = findHeader(request.headers, ticketHeader);
-    const auto key = findHeader(request.headers, keyHeader);
-    if (ticket && key) {
-        reject(*call.exchange, badRequest, "Robinrun-Ticket and Idempotency-Key can't both be given",
-            call.group);
-        return false;
-    }
-    if (ticket) {
-        auto parsed = Ticket::parse(*ticket);
-        if (!parsed) {
-            reject(*call.exchange, badRequest, "header Robinrun-Ticket: " + parsed.error(), call.group);
-            return false;
-        }
-        call.ticket = std::move(parsed.value());
-    }
-    if (key) {
-        if (!keyBornMs(*key)) {
-            reject(*call.exchange, badRequest,
-                "header Idempotency-Key: a UUID of version 7 or <seconds since 1970>:<text> is expected",
-                call.group);
-            return false;
-        }
-        call.key = std::string(*key);
-    }
-    return true;
+    exchange.reply(replies::rejected(error.status, error.message));
 }
 
 void Ingress::take(std::unique_ptr<HttpExchange> exchange, Instant now)
 {
     if (m_calls.size() >= m_context->settings.limits.calls)
-        return reject(*exchange, unavailable, "this node has too many calls in progress");
-    Call call;
+        return reject(*exchange, { unavailable, "this node has too many calls in progress" });
+    auto request = CallRequest::parse(exchange->request(), m_context->directory);
+    if (!request)
+        return reject(*exchange, request.error());
+    const auto id = ++m_lastCall;
+    auto& call = m_calls[id];
+    call.request = std::move(request.value());
     call.exchange = std::move(exchange);
-    call.arrived = now;
     call.state = m_context->charts.call.initial();
-    if (!readRequest(call, now))
-        return;
-    const auto id = ++m_lastCall;
-    const auto left = call.deadline - now;
+    call.arrived = now;
+    call.deadline = now + call.request.allowed;
+    call.attemptsLeft = call.request.attempts;
+    call.ticket = call.request.ticket;
     call.exchange->onHangUp([this, id] { hungUp(id); });
-    call.deadlineTimer = Timer::once(m_context->base, left, [this, id] { deadlineReached(id); });
-    auto& kept = m_calls.emplace(id, std::move(call)).first->second;
+    call.deadlineTimer
+        = Timer::once(m_context->base, call.request.allowed, [this, id] { deadlineReached(id); });
     if (m_isDraining) {
-        kept.retryAfterMs = drainingRetryMs;
-        return finishNotRun(id, kept, Reason::Leaving, now);
-    }
-    m_routers.at(kept.service)->firstAttempt(kept.groupNumber);
-    if (kept.key) {
-        kept.isMinting = true;
-        step(kept, CallEvent::NeedsClaim);
-        return proceed(id, now);
+        call.retryAfterMs = drainingRetryMs;
+        return finishNotRun(id, call, Reason::Leaving, now);
     }
-    kept.isMinting = kept.wantsTicket;
-    step(kept, CallEvent::NeedsNoClaim);
+    m_routers.at(call.request.service)->firstAttempt(call.request.groupNumber);
+    call.isMinting = call.request.key || call.request.wantsTicket;
+    step(call, call.request.key ? CallEvent::NeedsClaim : CallEvent::NeedsNoClaim);
     proceed(id, now);
 }
 
@@ -266,10 +137,10 @@
 void Ingress::proceed(CallId id, Instant now)
 {
     auto& call = m_calls.at(id);
-    auto& router = *m_routers.at(call.service);
+    auto& router = *m_routers.at(call.request.service);
     if (call.ticket && !call.isMinting) {
         // A ticket is good at one owner only.
-        if (!upstreamOf(call.service, call.ticket->upstream))
+        if (!upstreamOf(call.request.service, call.ticket->upstream))
             return finishUnknown(id, call, Reason::TicketUnknown, now);
         const auto result = sendTo(id, call, call.ticket->upstream, now);
         if (result == SendResult::Connecting)
@@ -283,7 +154,7 @@
     while (true) {
         auto excluded = call.tried;
         excluded.insert(excluded.end(), connecting.begin(), connecting.end());
-        const auto upstream = router.pick(excluded, call.groupNumber, now, m_context->random);
+        const auto upstream = router.pick(excluded, call.request.groupNumber, now, m_context->random);
         if (!upstream)
             break;
         const auto result = sendTo(id, call, *upstream, now);
@@ -294,8 +165,8 @@
             continue;
         }
         // The message could not go out, so it costs no attempt.
-        router.sent(*upstream, call.groupNumber);
-        router.lost(*upstream, call.groupNumber, now);
+        router.sent(*upstream, call.request.groupNumber);
+        router.lost(*upstream, call.request.groupNumber, now);
         call.tried.push_back(*upstream);
     }
     if (!connecting.empty())
@@ -317,9 +188,9 @@
     out.set_upstream(upstream.id);
     const auto left = std::max<std::int64_t>((call.deadline - now).count(), 0);
     out.set_remaining_us(static_cast<std::uint32_t>(std::min<std::int64_t>(left, UINT32_MAX)));
-    out.set_group(call.group);
-    out.set_service(call.service);
-    out.set_call_class(call.callClass.name);
+    out.set_group(call.request.group);
+    out.set_service(call.request.service);
+    out.set_call_class(call.request.callClass.name);
     out.set_attempts_left(call.attemptsLeft);
     out.set_elsewhere_us(static_cast<std::uint32_t>(std::min<std::int64_t>(elsewhere.count(), UINT32_MAX)));
     const auto clock = m_ownerClocks.find(upstream.id);
@@ -334,9 +205,9 @@
         return out;
     }
     out.set_method(request.method);
-    out.set_target(call.target);
+    out.set_target(call.request.target);
     for (const auto& [name, value] : request.headers) {
-        if (isHopByHop(name) || isOwnHeader(name))
+        if (isHopByHop(name) || headers::isForUs(name))
             continue;
         auto& header = *out.add_headers();
         header.set_name(name);
@@ -351,12 +222,12 @@
 
 SendResult Ingress::sendTo(CallId id, Call& call, const std::string& upstream, Instant now)
 {
-    const auto* info = upstreamOf(call.service, upstream);
+    const auto* info = upstreamOf(call.request.service, upstream);
     if (!info)
         return SendResult::Unreachable;
-    auto& router = *m_routers.at(call.service);
+    auto& router = *m_routers.at(call.request.service);
     const auto number = ++m_lastNumber;
-    const auto elsewhere = router.sent(upstream, call.groupNumber);
+    const auto elsewhere = router.sent(upstream, call.request.groupNumber);
     proto::PeerMessage message;
     *message.mutable_call() = envelope(call, *info, elsewhere, now);
     message.mutable_call()->set_number(number);
@@ -383,7 +254,7 @@
             = Timer::once(m_context->base, patience, [this, id, number] { attemptTimedOut(id, number); });
         return result;
     }
-    router.abandoned(upstream, call.groupNumber);
+    router.abandoned(upstream, call.request.groupNumber);
     call.out.pop_back();
     call.tried.pop_back();
     m_callByNumber.erase(number);
@@ -393,7 +264,7 @@
 
 void Ingress::learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
 {
-    auto& router = *m_routers.at(call.service);
+    auto& router = *m_routers.at(call.request.service);
     m_ownerClocks[attempt.upstream] = { answer.incarnation(), answer.owner_now_us(), now };
     const auto& load = answer.load();
     Report report;
@@ -406,7 +277,7 @@
         || (answer.outcome() == proto::ANSWERED && answer.status() >= firstServerError)
         || reasonOf(answer) == Reason::BackendUnreachable;
     const Duration held(answer.held_us());
-    router.answered(attempt.upstream, call.groupNumber, report, held, isFailure, now);
+    router.answered(attempt.upstream, call.request.groupNumber, report, held, isFailure, now);
     const bool isLeaving = load.state() == static_cast<std::uint32_t>(UpstreamState::Leaving);
     router.setLeaving(attempt.upstream, isLeaving, now);
     if (answer.outcome() == proto::ANSWERED) {
@@ -439,13 +310,13 @@
         return refused(id, call, attempt, answer, now);
     if (call.isMinting)
         return ticketMinted(id, call, decode(answer.ticket()), now);
-    const bool isRepeatable = call.callClass.isRepeatable && !call.ticket;
+    const bool isRepeatable = call.request.callClass.isRepeatable && !call.ticket;
     if (answer.outcome() == proto::ANSWERED && isWhole(answer)) {
         const bool isGood = answer.status() < firstServerError;
         const bool mayReplace
             = !isGood && isRepeatable && now < call.deadline && (!call.out.empty() || mayTryAgain(call));
         if (!mayReplace) {
-            m_routers.at(call.service)->measuredLatency(now - call.arrived);
+            m_routers.at(call.request.service)->measuredLatency(now - call.arrived);
             step(call, CallEvent::Answered);
             return finishAnswered(id, call, answer, now);
         }
@@ -478,7 +349,8 @@
 
 bool Ingress::mayTryAgain(Call& call)
 {
-    if (call.attemptsLeft <= 1 || !m_routers.at(call.service)->trySpendRetry(call.groupNumber))
+    if (call.attemptsLeft <= 1
+        || !m_routers.at(call.request.service)->trySpendRetry(call.request.groupNumber))
         return false;
     --call.attemptsLeft;
     m_context->metrics.count("robinrun_retries_total");
@@ -507,10 +379,10 @@
 void Ingress::ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now)
 {
     call.ticket = ticket;
-    if (call.wantsTicket)
+    if (call.request.wantsTicket)
         return finishTicket(id, call, now);
-    const auto key = hash128(call.group + '\n' + call.service + '\n' + *call.key);
-    const Claim claim { key, *keyBornMs(*call.key), ticket };
+    const auto key = hash128(call.request.group + '\n' + call.request.service + '\n' + *call.request.key);
+    const Claim claim { key, *keyBornMs(*call.request.key), ticket };
     m_claims->claim(
         claim, [this, id](const ClaimDecision& decision) { claimDecided(id, decision); }, now);
 }
@@ -557,14 +429,14 @@
         call.out.begin(), call.out.end(), [&](const auto& attempt) { return attempt.number == number; });
     if (it == call.out.end())
         return;
-    auto& router = *m_routers.at(call.service);
+    auto& router = *m_routers.at(call.request.service);
     router.attemptTimedOut(it->upstream, now);
     const bool mayHedge
-        = call.callClass.isRepeatable && !call.isMinting && !call.ticket && call.attemptsLeft > 1;
+        = call.request.callClass.isRepeatable && !call.isMinting && !call.ticket && call.attemptsLeft > 1;
     if (!mayHedge || now >= call.deadline)
         return;
     // The late attempt stays out; the first whole answer is taken.
-    const auto upstream = router.pick(call.tried, call.groupNumber, now, m_context->random);
+    const auto upstream = router.pick(call.tried, call.request.groupNumber, now, m_context->random);
     if (upstream && mayTryAgain(call))
         sendTo(id, call, *upstream, now);
 }
@@ -580,18 +452,18 @@
 
 void Ingress::giveUpAttempts(Call& call, Instant now, bool isLost)
 {
-    auto& router = *m_routers.at(call.service);
+    auto& router = *m_routers.at(call.request.service);
     for (const auto& it : std::exchange(call.out, {})) {
         m_callByNumber.erase(it.number);
         if (isLost)
-            router.lost(it.upstream, call.groupNumber, now);
+            router.lost(it.upstream, call.request.groupNumber, now);
         else
-            router.abandoned(it.upstream, call.groupNumber);
+            router.abandoned(it.upstream, call.request.groupNumber);
         if (it.upstream == m_owner->upstream()) {
             m_owner->cancel(m_context->incarnation, it.number, now);
             continue;
         }
-        const auto* info = upstreamOf(call.service, it.upstream);
+        const auto* info = upstreamOf(call.request.service, it.upstream);
         proto::PeerMessage message;
         message.mutable_cancel()->set_number(it.number);
         if (info)
@@ -601,24 +473,13 @@
 
 void Ingress::finishAnswered(CallId id, Call& call, proto::Answer& answer, Instant now)
 {
-    HttpReply reply;
-    reply.status = static_cast<int>(answer.status());
-    for (const auto& it : answer.headers())
-        reply.headers.emplace_back(it.name(), it.value());
-    reply.headers.emplace_back(std::string(outcomeHeader), "answered");
-    reply.headers.emplace_back("Robinrun-Queued-Us", std::to_string(answer.queued_us()));
-    reply.body = std::move(*answer.mutable_body());
-    finish(id, call, std::move(reply), CallOutcome::Answered, Reason::None, now, &answer);
+    finish(id, call, replies::answered(answer), CallOutcome::Answered, Reason::None, now, &answer);
 }
 
 void Ingress::finishTicket(CallId id, Call& call, Instant now)
 {
-    const auto text = call.ticket->text();
     step(call, CallEvent::Answered);
-    HttpReply reply { statusCreated,
-        { { std::string(ticketHeader), text }, { "Content-Type", "application/json" } },
-        "{\"ticket\":\"" + text + "\"}\n" };
-    finish(id, call, std::move(reply), CallOutcome::Answered, Reason::None, now);
+    finish(id, call, replies::ticket(*call.ticket), CallOutcome::Answered, Reason::None, now);
 }
 
 void Ingress::finishNotRun(CallId id, Call& call, Reason reason, Instant now)
@@ -628,19 +489,11 @@
     if (call.wasLost)
         return finishUnknown(id, call, reason, now);
     step(call, CallEvent::GivenUp);
-    call.retryAfterMs = std::max(call.retryAfterMs, leastRetryMs);
-    const int status = reason == Reason::TicketMismatch ? unprocessable : unavailable;
-    const auto seconds = std::max<std::uint32_t>(1, (call.retryAfterMs + 999) / 1000);
-    HttpReply reply { status,
-        { { std::string(outcomeHeader), "not-run" },
-            { std::string(reasonHeader), std::string(nameOf(reason)) },
-            { "Retry-After", std::to_string(seconds) },
-            { "Robinrun-Retry-After-Ms", std::to_string(call.retryAfterMs) } },
-        "the call was not run: " + std::string(nameOf(reason)) + "\n" };
-    const auto* service = m_context->directory.service(call.service);
-    if (reason == Reason::ClaimUndecided && service && service->config.ticket_in_outage())
-        reply.headers.emplace_back(std::string(adviceHeader), "take-ticket");
-    finish(id, call, std::move(reply), CallOutcome::NotRun, reason, now);
+    const auto* service = m_context->directory.service(call.request.service);
+    const bool advisesTicket
+        = reason == Reason::ClaimUndecided && service && service->config.ticket_in_outage();
+    const auto reply = replies::notRun(reason, call.retryAfterMs, advisesTicket);
+    finish(id, call, reply, CallOutcome::NotRun, reason, now);
 }
 
 void Ingress::finishUnknown(CallId id, Call& call, Reason reason, Instant now)
@@ -648,12 +501,7 @@
     if (finishWithFailure(id, call, now))
         return;
     step(call, CallEvent::Lost);
-    const int status = reason == Reason::Damaged ? badGateway : gatewayTimeout;
-    HttpReply reply { status,
-        { { std::string(outcomeHeader), "unknown" },
-            { std::string(reasonHeader), std::string(nameOf(reason)) } },
-        "the outcome of the call is unknown: " + std::string(nameOf(reason)) + "\n" };
-    finish(id, call, std::move(reply), CallOutcome::Unknown, reason, now);
+    finish(id, call, replies::unknown(reason), CallOutcome::Unknown, reason, now);
 }
 
 void Ingress::finish(CallId id, Call& call, HttpReply reply, CallOutcome outcome, Reason reason, Instant now,
@@ -661,8 +509,8 @@
 {
     giveUpAttempts(call, now, false);
     CallSample sample;
-    sample.group = call.group;
-    sample.callClass = call.callClass.name;
+    sample.group = call.request.group;
+    sample.callClass = call.request.callClass.name;
     sample.outcome = outcome;
     sample.reason = reason;
     sample.total = now - call.arrived;
@@ -673,8 +521,9 @@
     m_context->metrics.call(sample);
     if (m_context->settings.log.access) {
         log(LogLevel::Info, "call",
-            { { "group", call.group }, { "service", call.service }, { "class", call.callClass.name },
-                { "outcome", nameOf(outcome) }, { "reason", nameOf(reason) }, { "status", reply.status },
+            { { "group", call.request.group }, { "service", call.request.service },
+                { "class", call.request.callClass.name }, { "outcome", nameOf(outcome) },
+                { "reason", nameOf(reason) }, { "status", reply.status },
                 { "total_us", std::int64_t { sample.total.count() } },
                 { "queued_us", std::int64_t { sample.queued.count() } },
                 { "held_us", std::int64_t { sample.held.count() } } });
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -3,6 +3,7 @@
 #include "Chart/Charts.h"
 #include "Control/Membership.h"
 #include "Http/HttpServer.h"
+#include "Node/CallRequest.h"
 #include "Node/ClaimService.h"
 #include "Node/NodeContext.h"
 #include "Node/Owner.h"
@@ -67,11 +68,7 @@
     struct Call {
         std::unique_ptr<HttpExchange> exchange;
         CallState state {};
-        std::string service;
-        std::string group;
-        std::uint32_t groupNumber = 0;
-        ClassInfo callClass;
-        std::string target;
+        CallRequest request;
         Instant arrived {};
         Instant deadline {};
         std::uint32_t attemptsLeft = 0;
@@ -83,19 +80,14 @@
         std::unique_ptr<proto::Answer>
             failedAnswer; ///< an error of a backend server, kept while others are tried
         std::optional<Ticket> ticket;
-        std::optional<std::string> key; ///< caller's idempotency key
         bool isMinting = false; ///< the attempt asks for a ticket only
-        bool wantsTicket = false; ///< the caller asked for the ticket itself
         Timer deadlineTimer;
         Timer attemptTimer;
         Timer connectTimer;
     };
     using CallId = std::uint64_t;
 
-    void reject(
-        HttpExchange& exchange, int status, const std::string& message, std::string_view group = "none");
-    bool readRequest(Call& call, Instant now);
-    bool readOnce(Call& call);
+    void reject(HttpExchange& exchange, const CallRequestError& error);
     void proceed(CallId id, Instant now);
     SendResult sendTo(CallId id, Call& call, const std::string& upstream, Instant now);
     void tryAgainSoon(CallId id, Call& call);
--- a/src/Node/OperatorApi.cpp
+++ b/src/Node/OperatorApi.cpp
@@ -4,10 +4,10 @@
 #include "Core/Hash.h"
 #include "Core/Log.h"
 #include "Node/JsonText.h"
+#include "Node/OperatorJson.h"
 
 #include <algorithm>
 #include <charconv>
-#include <sstream>
 
 namespace robinrun {
 namespace {
@@ -25,7 +25,6 @@
 
     constexpr Duration watchWait = 25s;
     constexpr std::size_t maxWatches = 1000;
-    constexpr int recentChanges = 20;
     constexpr std::string_view bearer = "Bearer ";
     const std::array<std::string, 3> kinds { "services", "upstreams", "groups" };
 
@@ -360,18 +359,7 @@
                 + " are no longer held here; list, then watch from 'applied'"));
         return true;
     }
-    std::string body;
-    for (const auto& it : records.records()) {
-        proto::ChangeRecord change;
-        if (!change.ParseFromString(it.payload()) || change.has_snapshot())
-            continue;
-        const auto fate = follower.state().fateOf(change.id());
-        const bool isAccepted = fate && fate->accepted() && fate->version() == it.offset() + 1;
-        body += (body.empty() ? "" : ",\n") + std::string("{\"offset\":") + std::to_string(it.offset())
-            + ",\"name\":\"" + targetOf(change) + "\",\"who\":\"" + escapeJson(change.who())
-            + "\",\"accepted\":" + (isAccepted ? "true" : "false")
-            + ",\"removed\":" + (change.has_put() ? "false" : "true") + "}";
-    }
+    const auto body = changesJson(records, follower.state());
     const auto next = std::to_string(std::max(watch.from, follower.nextOffset()));
     watch.exchange->reply(jsonReply(ok, "{\"next\":" + next + ",\"changes\":[" + body + "]}\n"));
     return true;
@@ -382,57 +370,12 @@
     auto shared = std::make_shared<std::unique_ptr<HttpExchange>>(std::move(exchange));
     m_control->countInForce(
         [this, shared](const proto::InForce& total) {
-            (*shared)->reply(jsonReply(ok, statusJson(total, monotonicNow())));
+            (*shared)->reply(
+                jsonReply(ok, statusJson(*m_context, *m_control, m_facts(), total, m_context->clock())));
         },
         now);
 }
 
-std::string OperatorApi::statusJson(const proto::InForce& total, Instant now) const
-{
-    const auto& follower = m_control->follower();
-    const auto facts = m_facts();
-    std::ostringstream out;
-    out << "{\"node\":\"" << m_context->settings.name << "\",\"incarnation\":\"" << m_context->incarnation
-        << "\",\"state\":\"" << nameOf(facts.state) << "\",\"upstream\":\"" << m_context->settings.upstream
-        << "\",\"upstream_state\":\"" << facts.upstreamState << "\",\"slots\":" << facts.load.slots
-        << ",\"in_use\":" << facts.load.inUse << ",\"waiting\":" << facts.load.waiting
-        << ",\"applied\":" << follower.nextOffset() << ",\"log\":\"" << nameOf(follower.standing())
-        << "\",\"log_id\":\"" << escapeJson(follower.logId()) << "\",\"known_end\":" << follower.knownEnd()
-        << ",\"proven_newest\":"
-        << (follower.standing() == LogStanding::Followed && follower.knownEnd() <= follower.nextOffset()
-                   ? "true"
-                   : "false")
-        << ",\"reader\":" << (m_control->isReader(now) ? "true" : "false") << ",\"digest\":\""
-        << follower.state().digest() << "\",\n\"nodes\":" << total.nodes()
-        << ",\"hosts_listed\":" << m_control->members().size()
-        << ",\"min_applied\":" << total.min_next_offset() << ",\"max_applied\":" << total.max_next_offset()
-        << ",\n\"changes\":[";
-    const auto& fates = follower.state().fates();
-    const auto first = fates.size() > recentChanges ? fates.size() - recentChanges : 0;
-    bool isFirst = true;
-    for (auto i = first; i < fates.size(); ++i) {
-        if (!fates[i].accepted())
-            continue;
-        std::uint32_t nodes = 0;
-        for (const auto& it : total.counts()) {
-            if (it.next_offset() >= fates[i].version())
-                nodes += it.nodes();
-        }
-        out << (isFirst ? "" : ",") << "\n {\"id\":\"" << escapeJson(fates[i].id())
-            << "\",\"version\":" << fates[i].version() << ",\"in_force\":" << nodes
-            << ",\"of\":" << total.nodes() << "}";
-        isFirst = false;
-    }
-    out << "],\n\"behind\":[";
-    for (int i = 0; i < total.laggards_size(); ++i) {
-        const auto& it = total.laggards(i);
-        out << (i ? "," : "") << "\n {\"node\":\"" << escapeJson(it.node())
-            << "\",\"applied\":" << it.next_offset() << ",\"since_ms\":" << it.since_ms() << "}";
-    }
-    out << "]}\n";
-    return out.str();
-}
-
 void OperatorApi::health(HttpExchange& exchange) const
 {
     const auto facts = m_facts();
--- a/src/Node/OperatorApi.h
+++ b/src/Node/OperatorApi.h
@@ -3,6 +3,7 @@
 #include "Http/HttpServer.h"
 #include "Node/ControlPlane.h"
 #include "Node/NodeContext.h"
+#include "Node/OperatorJson.h"
 #include "Node/Timer.h"
 
 #include <deque>
@@ -14,14 +15,6 @@
 
 namespace robinrun {
 
-/// \brief What the operator port shows of this node beside the configuration.
-struct NodeFacts {
-    NodeState state {};
-    std::string upstreamState;
-    LoadReport load;
-    std::size_t callsInProgress = 0;
-};
-
 /// \brief The operators' HTTP API under /v1/, and /metrics and /health.
 ///
 /// A write is an append; it is answered once this node has read its own record back and so knows its fate.
@@ -77,7 +70,6 @@
     void watch(const Request& request, std::unique_ptr<HttpExchange> exchange, Instant now);
     bool answerWatch(const Watch& watch, bool isLast) const;
     void status(std::unique_ptr<HttpExchange> exchange, Instant now);
-    std::string statusJson(const proto::InForce& total, Instant now) const;
     void health(HttpExchange& exchange) const;
 
     NodeContext* m_context;
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Hash.h"
 #include "Core/Log.h"
+#include "Node/CallHeaders.h"
 #include "Wire/TicketCodec.h"
 
 #include <algorithm>
@@ -15,13 +16,6 @@
     constexpr int firstServerError = 500;
     constexpr double permille = 1000;
 
-    /// Headers by which deadlines and attempts are passed down to a backend server's own calls.
-    constexpr const char* deadlineHeader = "Robinrun-Deadline-Ms";
-    constexpr const char* attemptsHeader = "Robinrun-Attempts-Left";
-    /// Header by which a backend server may say with any answer that it drains.
-    constexpr const char* stateHeader = "Backend-State";
-    constexpr const char* groupHeader = "Robinrun-Group";
-
     Hash128 fingerprintOf(const proto::Call& call)
     {
         return hash128(call.group() + '\n' + call.method() + '\n' + call.target() + '\n' + call.body());
@@ -252,9 +246,9 @@
     for (const auto& it : record.call.headers())
         request.headers.emplace_back(it.name(), it.value());
     const auto left = std::max<std::int64_t>((record.deadline - now).count() / 1000, 1);
-    request.headers.emplace_back(deadlineHeader, std::to_string(left));
-    request.headers.emplace_back(attemptsHeader, std::to_string(record.call.attempts_left()));
-    request.headers.emplace_back(groupHeader, record.call.group());
+    request.headers.emplace_back(headers::deadline, std::to_string(left));
+    request.headers.emplace_back(headers::attempts, std::to_string(record.call.attempts_left()));
+    request.headers.emplace_back(headers::group, record.call.group());
     request.body = record.call.body();
     return request;
 }
@@ -272,7 +266,7 @@
 {
     // First of all: a drain told with this answer must stop the call that would get its slot.
     if (result.has_value()) {
-        if (const auto state = findHeader(result.value().headers, stateHeader))
+        if (const auto state = findHeader(result.value().headers, headers::backendState))
             setSign(LeavingSign::BackendServer, *state == "draining", now);
     }
     auto& record = m_calls.at(id);
--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -1,5 +1,7 @@
 #include "Node/Prober.h"
 
+#include "Node/CallHeaders.h"
+
 namespace robinrun {
 namespace {
 
@@ -21,7 +23,7 @@
             ProbeNews news;
             news.isReachable = reply.has_value();
             if (reply.has_value())
-                news.isDraining = findHeader(reply.value().headers, "Backend-State") == "draining"
+                news.isDraining = findHeader(reply.value().headers, headers::backendState) == "draining"
                     || (reply.value().status != ok
                         && reply.value().body.find("draining") != std::string::npos);
             done(news, end - now);
--- /dev/null
+++ b/test/IngressTest.cpp
@@ -0,0 +1,188 @@
+#include "Node/Ingress.h"
+#include "Core/Hash.h"
+#include "Http/HttpPool.h"
+#include "Http/HttpServer.h"
+#include "support/NodeFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace robinrun;
+using support::freeAddress;
+using support::NodeFixture;
+using support::runUntil;
+
+namespace {
+
+/// \brief An ingress with a caller in front of it and the test as its peers.
+struct IngressFixture : NodeFixture {
+    Owner owner { context, monotonicNow() };
+    ClaimService claims { context, log, members, sender(), monotonicNow() };
+    Ingress ingress { context, owner, claims, members, sender() };
+    std::string address = freeAddress();
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<HttpPool> caller;
+    std::optional<HttpReply> reply;
+
+    IngressFixture()
+    {
+        ingress.configure(monotonicNow());
+        server
+            = std::move(HttpServer::listen(base.get(), { address, 1000, 10000, 10s }, [this](auto exchange) {
+                  ingress.take(std::move(exchange), monotonicNow());
+              }).value());
+        HttpPool::Options options;
+        options.address = address;
+        caller = std::make_unique<HttpPool>(base.get(), options);
+    }
+
+    /// \brief Sends a request and waits for the call that the ingress makes of it.
+    proto::Call call(const std::string& path, HttpHeaders headers = {})
+    {
+        reply.reset();
+        headers.emplace_back("Robinrun-Credential", support::secret);
+        caller->send(
+            { "GET", path, std::move(headers), {} }, 9s, [this](auto result) { reply = result.value(); });
+        return nextCall();
+    }
+
+    proto::Call nextCall()
+    {
+        REQUIRE(runUntil(base.get(), [&] { return (!sent.empty() && sent.front().has_call()) || reply; }));
+        REQUIRE(!sent.empty());
+        const auto out = sent.front().call();
+        sent.pop_front();
+        return out;
+    }
+
+    static proto::Answer answerTo(
+        const proto::Call& call, proto::Outcome outcome, const std::string& body = "")
+    {
+        proto::Answer out;
+        out.set_number(call.number());
+        out.set_caller_incarnation(77);
+        out.set_incarnation(5);
+        out.set_outcome(outcome);
+        out.set_status(outcome == proto::ANSWERED ? 200 : 0);
+        out.set_body(body);
+        out.set_body_length(body.size());
+        out.set_body_hash(hash64(body));
+        return out;
+    }
+
+    void give(const std::string& node, proto::Answer answer)
+    {
+        ingress.takeAnswer(node, answer, monotonicNow());
+    }
+
+    std::string outcome()
+    {
+        REQUIRE(runUntil(base.get(), [&] { return reply.has_value(); }));
+        return std::string(findHeader(reply->headers, "Robinrun-Outcome").value_or("none"));
+    }
+};
+
+std::string hostOf(const proto::Call& call)
+{
+    return "host-" + call.upstream();
+}
+
+} // namespace
+
+TEST_CASE("An answer counts only whole, from the node that was asked, for this incarnation", "[node]")
+{
+    IngressFixture f;
+    const auto call = f.call("/s/x");
+    f.give("host-other", IngressFixture::answerTo(call, proto::ANSWERED, "foreign"));
+    auto former = IngressFixture::answerTo(call, proto::ANSWERED, "former");
+    former.set_caller_incarnation(76);
+    f.give(hostOf(call), former);
+    auto stranger = IngressFixture::answerTo(call, proto::ANSWERED, "stranger");
+    stranger.set_number(call.number() + 1000);
+    f.give(hostOf(call), stranger);
+    f.give(hostOf(call), IngressFixture::answerTo(call, proto::ANSWERED, "mine"));
+    f.give(hostOf(call), IngressFixture::answerTo(call, proto::ANSWERED, "again"));
+    REQUIRE(f.outcome() == "answered");
+    REQUIRE(f.reply->body == "mine");
+}
+
+TEST_CASE("A shortened or damaged answer is an error, never passed on", "[node]")
+{
+    for (const bool isShort : { true, false }) {
+        IngressFixture f;
+        const auto call = f.call("/s/buy");
+        auto answer = IngressFixture::answerTo(call, proto::ANSWERED, "whole answer");
+        answer.set_body(isShort ? "whole" : "whole Answer");
+        f.give(hostOf(call), answer);
+        REQUIRE(f.outcome() == "unknown");
+        REQUIRE(f.reply->status == 502);
+    }
+}
+
+TEST_CASE("A refusal goes elsewhere, a repeated one ends as not run with a time to come back", "[node]")
+{
+    IngressFixture f;
+    const auto first = f.call("/s/x");
+    auto refusal = IngressFixture::answerTo(first, proto::NOT_RUN);
+    refusal.set_reason(static_cast<std::uint32_t>(Reason::QueueFull));
+    refusal.set_retry_after_ms(1500);
+    f.give(hostOf(first), refusal);
+    const auto second = f.nextCall();
+    REQUIRE(second.upstream() != first.upstream());
+    REQUIRE(second.attempts_left() == first.attempts_left() - 1);
+    refusal.set_number(second.number());
+    f.give(hostOf(second), refusal);
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.reply->status == 503);
+    REQUIRE(findHeader(f.reply->headers, "Retry-After") == "2");
+}
+
+TEST_CASE("After a lost attempt nothing is called not run", "[node]")
+{
+    IngressFixture f;
+    const auto first = f.call("/s/x");
+    f.give(hostOf(first), IngressFixture::answerTo(first, proto::UNKNOWN));
+    const auto second = f.nextCall(); // it may be repeated
+    auto refusal = IngressFixture::answerTo(second, proto::NOT_RUN);
+    refusal.set_reason(static_cast<std::uint32_t>(Reason::QueueFull));
+    f.give(hostOf(second), refusal);
+    REQUIRE(f.outcome() == "unknown");
+}
+
+TEST_CASE("A call that must not repeat gets no second dispatch once its outcome is unknown", "[node]")
+{
+    IngressFixture f;
+    const auto call = f.call("/s/buy/1");
+    f.give(hostOf(call), IngressFixture::answerTo(call, proto::UNKNOWN));
+    REQUIRE(f.outcome() == "unknown");
+    REQUIRE(f.reply->status == 504);
+    REQUIRE(f.sent.empty());
+}
+
+TEST_CASE("When all fail, the caller gets the backend server's own answer", "[node]")
+{
+    IngressFixture f;
+    const auto first = f.call("/s/x");
+    auto failing = IngressFixture::answerTo(first, proto::ANSWERED, "sorry");
+    failing.set_status(500);
+    f.give(hostOf(first), failing);
+    const auto second = f.nextCall();
+    auto refusal = IngressFixture::answerTo(second, proto::NOT_RUN);
+    refusal.set_reason(static_cast<std::uint32_t>(Reason::QueueFull));
+    f.give(hostOf(second), refusal);
+    REQUIRE(f.outcome() == "answered");
+    REQUIRE(f.reply->status == 500);
+    REQUIRE(f.reply->body == "sorry");
+}
+
+TEST_CASE("A caller that hangs up takes its call back; a deadline ends it", "[node]")
+{
+    IngressFixture f;
+    const auto call = f.call("/s/x");
+    f.caller.reset();
+    REQUIRE(runUntil(f.base.get(), [&] { return !f.sent.empty(); }));
+    REQUIRE(f.sent.front().cancel().number() == call.number());
+    REQUIRE(f.ingress.inProgress() == 0);
+    IngressFixture g;
+    g.call("/s/x", { { "Robinrun-Deadline-Ms", "50" } });
+    REQUIRE(g.outcome() == "unknown");
+}
--- /dev/null
+++ b/test/OwnerTest.cpp
@@ -0,0 +1,198 @@
+#include "Node/Owner.h"
+#include "Core/Hash.h"
+#include "Http/HttpPool.h"
+#include "Http/HttpServer.h"
+#include "support/NodeFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace robinrun;
+using support::freeAddress;
+using support::NodeFixture;
+using support::runUntil;
+
+namespace {
+
+/// \brief An owner with a backend server behind it that answers when the test says so.
+struct OwnerFixture : NodeFixture {
+    Owner owner;
+    std::unique_ptr<HttpServer> server;
+    std::vector<std::unique_ptr<HttpExchange>> running;
+    std::vector<proto::Answer> answers;
+    int hungUp = 0;
+
+    OwnerFixture()
+        : NodeFixture("u1")
+        , owner(context, monotonicNow())
+    {
+        server
+            = std::move(HttpServer::listen(base.get(), { backend, 1000, 10000, 10s }, [this](auto exchange) {
+                  exchange->onHangUp([this] { ++hungUp; });
+                  running.push_back(std::move(exchange));
+              }).value());
+        owner.configure(monotonicNow());
+    }
+
+    proto::Call call(std::uint64_t number, const std::string& target = "/x") const
+    {
+        proto::Call out;
+        out.set_number(number);
+        out.set_upstream("u1");
+        out.set_remaining_us(3000000);
+        out.set_group("g");
+        out.set_method("GET");
+        out.set_target(target);
+        out.set_body_hash(hash64(""));
+        return out;
+    }
+
+    void take(const proto::Call& it, std::uint64_t sender = 1)
+    {
+        owner.take(
+            it, { "ingress", "10.0.0.9:1", sender },
+            [this](proto::Answer answer) { answers.push_back(answer); }, monotonicNow());
+    }
+
+    void waitRunning(std::size_t n)
+    {
+        REQUIRE(runUntil(base.get(), [&] { return running.size() == n; }));
+    }
+    void waitAnswers(std::size_t n)
+    {
+        REQUIRE(runUntil(base.get(), [&] { return answers.size() == n; }));
+    }
+    Reason reason(std::size_t i) const { return static_cast<Reason>(answers.at(i).reason()); }
+};
+
+} // namespace
+
+TEST_CASE("An owner runs as many as it has slots, and answers each with the load", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.take(f.call(2));
+    f.waitRunning(1);
+    f.running[0]->reply({ 200, { { "Connection", "keep-alive" }, { "X", "y" } }, "one" });
+    f.waitAnswers(1);
+    REQUIRE(f.answers[0].body() == "one");
+    REQUIRE(f.answers[0].number() == 1);
+    REQUIRE(f.answers[0].load().yours() == 1);
+    f.waitRunning(2);
+    f.running[1]->reply({ 200, {}, "two" });
+    f.waitAnswers(2);
+    REQUIRE(f.owner.isIdle());
+}
+
+TEST_CASE("Doubled, misdirected, damaged, former and late calls are refused before they run", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.waitRunning(1);
+    f.take(f.call(1)); // doubled: silence, the first is answered under the same number
+    REQUIRE(f.answers.empty());
+    auto other = f.call(2);
+    other.set_upstream("u2");
+    f.take(other);
+    auto former = f.call(3);
+    former.set_owner_incarnation(76);
+    f.take(former);
+    auto damaged = f.call(4);
+    damaged.set_body("x");
+    f.take(damaged);
+    auto late = f.call(5);
+    late.set_owner_incarnation(77);
+    late.set_owner_deadline_us(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count()) - 1);
+    f.take(late);
+    const Reason expected[]
+        = { Reason::WrongOwner, Reason::WrongIncarnation, Reason::Damaged, Reason::DeadlinePassed };
+    REQUIRE(f.answers.size() == 4);
+    for (std::size_t i = 0; i < 4; ++i) {
+        REQUIRE(f.reason(i) == expected[i]);
+        REQUIRE(f.answers[i].outcome() == proto::NOT_RUN);
+    }
+    REQUIRE(f.running.size() == 1);
+}
+
+TEST_CASE("A backend server that isn't there ran nothing; one that breaks off may have", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.waitRunning(1);
+    f.server.reset(); // ends the connection, and listens no more
+    f.waitAnswers(1);
+    REQUIRE(f.answers[0].outcome() == proto::UNKNOWN);
+    f.take(f.call(2));
+    f.waitAnswers(2);
+    REQUIRE(f.answers[1].outcome() == proto::NOT_RUN);
+    REQUIRE(f.reason(1) == Reason::BackendUnreachable);
+}
+
+TEST_CASE("Repeats of a ticket share one run, each with the whole answer", "[node]")
+{
+    OwnerFixture f;
+    auto mint = f.call(1);
+    mint.set_mint_ticket(true);
+    f.take(mint);
+    const auto ticket = f.answers.at(0).ticket();
+    for (std::uint64_t number = 2; number <= 4; ++number) {
+        auto call = f.call(number, "/buy/1");
+        *call.mutable_ticket() = ticket;
+        f.take(call, number);
+    }
+    f.waitRunning(1);
+    f.running[0]->reply({ 200, {}, "bought" });
+    f.waitAnswers(4);
+    auto again = f.call(5, "/buy/1");
+    *again.mutable_ticket() = ticket;
+    f.take(again);
+    f.waitAnswers(5);
+    for (std::size_t i = 1; i < 5; ++i) {
+        REQUIRE(f.answers[i].body() == "bought");
+        REQUIRE(f.answers[i].number() == i + 1);
+    }
+    REQUIRE(f.running.size() == 1);
+}
+
+TEST_CASE("Cancelled calls free their place; what must not repeat is not cut off", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.take(f.call(2));
+    f.waitRunning(1);
+    f.owner.cancel(1, 2, monotonicNow());
+    REQUIRE(f.reason(0) == Reason::Cancelled);
+    REQUIRE(f.answers[0].outcome() == proto::NOT_RUN);
+    f.owner.cancel(1, 1, monotonicNow());
+    REQUIRE(f.answers[1].outcome() == proto::UNKNOWN);
+    REQUIRE(f.owner.isIdle());
+    REQUIRE(runUntil(f.base.get(), [&] { return f.hungUp == 1; }));
+    f.take(f.call(3, "/buy/1"));
+    f.waitRunning(2);
+    f.owner.cancel(1, 3, monotonicNow());
+    REQUIRE(f.answers.size() == 2);
+    f.running[1]->reply({ 200, {}, "bought" });
+    f.waitAnswers(3);
+}
+
+TEST_CASE("A drain told by an answer moves waiting calls on, ends what runs, and is undone", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.waitRunning(1);
+    f.take(f.call(2));
+    f.running[0]->reply({ 200, { { "Backend-State", "draining" } }, "last" });
+    f.waitAnswers(2);
+    // The slot that comes free is not given to the call that waited.
+    REQUIRE(f.running.size() == 1);
+    REQUIRE(f.owner.lifeState() != LifeState::Active);
+    f.take(f.call(3));
+    f.waitAnswers(3);
+    REQUIRE(f.reason(2) == Reason::Leaving);
+    REQUIRE(f.answers[2].outcome() == proto::NOT_RUN);
+    REQUIRE(f.answers[2].load().state() == static_cast<std::uint32_t>(UpstreamState::Leaving));
+    f.owner.tick(monotonicNow());
+    REQUIRE(f.owner.lifeState() == LifeState::Drained);
+    f.owner.setSign(LeavingSign::BackendServer, false, monotonicNow());
+    f.take(f.call(4));
+    f.waitRunning(2);
+}
--- /dev/null
+++ b/test/fuzz/FuzzEnvelope.cpp
@@ -0,0 +1,38 @@
+/// \file Fuzzes what peers and the log may send: envelopes, records, claims, framed pages, tickets.
+
+#include "Config/ConfigFollower.h"
+#include "Node/JsonText.h"
+#include "Once/ClaimFold.h"
+#include "Once/KeyAge.h"
+#include "Platform/HttpPlatform.h"
+#include "peer.pb.h"
+
+#include <cstdint>
+#include <string>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t n)
+{
+    using namespace robinrun;
+    const std::string text(reinterpret_cast<const char*>(data), n);
+    proto::PeerMessage message;
+    if (message.ParseFromString(text) && message.has_records()) {
+        ConfigFollower follower;
+        follower.takeRecords(message.records());
+        (void)follower.recordsFrom(0);
+    }
+    ConfigState state;
+    state.apply(text);
+    (void)state.digest();
+    const LogPage page { "log", 0, 0, 1, 0, { text } };
+    ClaimFold fold({});
+    (void)fold.take(page, 1700000000000);
+    ConfigFollower follower;
+    follower.takePage(page);
+    (void)unframeRecords(text);
+    (void)Ticket::parse(text);
+    (void)keyBornMs(text);
+    proto::Resource resource;
+    (void)fromText(text, resource);
+    (void)mergePatch(text, resource);
+    return 0;
+}
