Budgets, retry fractions and addresses that change are in force at once

Cause: reading the owner as a newcomer would: a changed probe budget or retry fraction was never taken up, and a changed backend address dropped the pool with the calls that ran on it, whose slots were then held for ever.

--- a/bench/policy/PolicyRun.cpp
+++ b/bench/policy/PolicyRun.cpp
@@ -11,10 +11,11 @@
     constexpr Duration drainRejects = 2s;
     constexpr double errorSampleWeight = 0.05;
 
-    ServiceRouter::Options routerOptions(ChoiceKind kind)
+    ServiceRouter::Options routerOptions(ChoiceKind kind, bool hedges)
     {
         ServiceRouter::Options options;
         options.kind = kind;
+        options.hedges = hedges;
         if (kind != ChoiceKind::ExpectedDelay) {
             // Baselines choose by their own rule alone.
             options.ejection.errorShare = 2;
@@ -54,8 +55,8 @@
     }
     for (std::uint32_t i = 0; i < deployment.ingresses; ++i) {
         const auto hall = i % deployment.halls;
-        m_ingresses.push_back(std::make_unique<Ingress>(
-            Ingress { hall, ServiceRouter(routerOptions(kind)), Random(seed * 10 + i), false }));
+        m_ingresses.push_back(std::make_unique<Ingress>(Ingress {
+            hall, ServiceRouter(routerOptions(kind, deployment.hedges)), Random(seed * 10 + i), false }));
         std::vector<RouteTarget> targets;
         for (const auto& it : m_upstreams)
             targets.push_back({ it->name, deployment.slots, 2 * oneWay(hall, it->hall) });
--- a/bench/policy/Scenario.h
+++ b/bench/policy/Scenario.h
@@ -24,6 +24,7 @@
     double probesPerSecond; ///< default budget per upstream
     double probeSlotShare;
     Duration probeCost; ///< slot time of one probe
+    bool hedges = true;
 
     /// \returns calls/s that all slots can serve.
     double capacity() const { return upstreams * slots / toSeconds(meanService); }
--- a/bench/policy/policy-main.cpp
+++ b/bench/policy/policy-main.cpp
@@ -25,6 +25,7 @@
     std::optional<ChoiceKind> policy;
     double probesPerSecond = -1;
     std::uint64_t seed = usualSeed;
+    bool hedges = true;
 };
 
 struct Figures {
@@ -104,6 +105,7 @@
     for (auto deployment : { riga, auckland }) {
         if (!options.deployment.empty() && options.deployment != deployment.name)
             continue;
+        deployment.hedges = options.hedges;
         if (options.probesPerSecond >= 0)
             deployment.probesPerSecond = options.probesPerSecond;
         for (std::size_t s = 0; s < countOf<ScenarioKind>(); ++s) {
@@ -128,11 +130,11 @@
     static const option longOptions[] = { { "deployment", required_argument, nullptr, 'd' },
         { "scenario", required_argument, nullptr, 's' }, { "policy", required_argument, nullptr, 'p' },
         { "probes", required_argument, nullptr, 'r' }, { "seed", required_argument, nullptr, 'e' },
-        { nullptr, 0, nullptr, 0 } };
+        { "no-hedges", no_argument, nullptr, 'n' }, { nullptr, 0, nullptr, 0 } };
     Options options;
     int c = 0;
     bool isGood = true;
-    while ((c = getopt_long(argc, argv, "d:s:p:r:e:", longOptions, nullptr)) != -1) {
+    while ((c = getopt_long(argc, argv, "d:s:p:r:e:n", longOptions, nullptr)) != -1) {
         switch (c) {
         case 'd':
             options.deployment = optarg;
@@ -148,6 +150,9 @@
         case 'r':
             options.probesPerSecond = std::atof(optarg);
             break;
+        case 'n':
+            options.hedges = false;
+            break;
         case 'e':
             options.seed = std::strtoull(optarg, nullptr, 10);
             break;
@@ -157,7 +162,7 @@
     }
     if (!isGood) {
         std::cerr << "usage: bench-policy [--deployment riga|auckland] [--scenario NAME] [--policy NAME] "
-                     "[--probes N] [--seed N]\n";
+                     "[--probes N] [--seed N] [--no-hedges]\n";
         return 2;
     }
     runAll(options);
--- a/src/Http/HttpPool.h
+++ b/src/Http/HttpPool.h
@@ -44,6 +44,7 @@
     void cancel(std::uint64_t number);
 
     std::size_t connections() const { return m_connections; }
+    bool isIdle() const { return m_exchanges.empty() && m_queue.empty(); }
 
 private:
     struct Connection;
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -61,6 +61,7 @@
             options.retryFraction = info.config.retry_fraction();
             router = std::make_unique<ServiceRouter>(options);
         }
+        router->setRetryFraction(info.config.retry_fraction());
         std::vector<std::string> names;
         for (const auto& it : info.upstreams)
             names.push_back(it.id);
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -35,6 +35,7 @@
           { 60s, 10, context.settings.limits.ticketMemory }, now)
     , m_seen(forgetSenders)
     , m_leaving(context.charts.upstream)
+    , m_prober({ 0, 0, 1 }, now)
     , m_errors(errorSampleWeight)
 {
 }
@@ -49,8 +50,11 @@
 void Owner::configure(Instant now)
 {
     const auto* info = m_context->directory.upstream(upstream());
-    if (!info)
+    if (!info) {
+        // Taken out of the configuration: as good as the operator's word, once it was there.
+        setSign(LeavingSign::Operator, m_pool != nullptr, now);
         return;
+    }
     m_serviceId = info->config.service();
     const auto& serviceInfo = *service();
     const auto slots = info->config.slots();
@@ -63,14 +67,13 @@
         HttpPool::Options options;
         options.address = m_backendAddress;
         options.maxConnections = info->config.connections();
-        m_prober.reset();
+        // Calls that run at the former address end there.
+        if (m_pool)
+            m_formerPools.push_back(std::move(m_pool));
         m_pool = std::make_unique<HttpPool>(m_context->base, options);
     }
-    if (!m_prober) {
-        const ProbeBudget::Options options { serviceInfo.config.probes_per_s(),
-            serviceInfo.config.probe_slot_share(), slots };
-        m_prober = std::make_unique<Prober>(*m_pool, options, now);
-    }
+    m_prober.setOptions(
+        { serviceInfo.config.probes_per_s(), serviceInfo.config.probe_slot_share(), slots }, now);
     setSign(LeavingSign::Operator, info->config.leaving(), now);
 }
 
@@ -104,16 +107,18 @@
     }
     m_seen.forgetSilent(now);
     std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
-    if (!m_prober)
+    std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
+    if (!m_pool)
         return;
     const auto load = m_admission.load(now);
     const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
-    const bool isStarted = m_prober->tryProbe(freeSlots, load.waiting, now, [this](ProbeNews news, Duration) {
-        const auto end = monotonicNow();
-        act(m_admission.releaseSlot(end), end);
-        if (news.isReachable)
-            setSign(LeavingSign::BackendServer, news.isDraining, end);
-    });
+    const bool isStarted
+        = m_prober.tryProbe(*m_pool, freeSlots, load.waiting, now, [this](ProbeNews news, Duration) {
+              const auto end = monotonicNow();
+              act(m_admission.releaseSlot(end), end);
+              if (news.isReachable)
+                  setSign(LeavingSign::BackendServer, news.isDraining, end);
+          });
     if (!isStarted)
         return;
     m_admission.holdSlot();
@@ -258,6 +263,7 @@
     auto& record = m_calls.at(id);
     record.isRunning = true;
     record.started = now;
+    record.pool = m_pool.get();
     record.request = m_pool->send(requestOf(record, now), record.deadline - now,
         [this, id](Result<HttpReply, HttpError> result) { ended(id, std::move(result), monotonicNow()); });
 }
@@ -396,7 +402,7 @@
         return refuse({ id, Reason::Cancelled, {} }, now);
     if (!record.isRepeatable)
         return; // what must not be repeated is not cut off either
-    m_pool->cancel(record.request);
+    record.pool->cancel(record.request);
     const auto next = m_admission.finished(id, now);
     proto::Answer answer;
     answer.set_outcome(proto::UNKNOWN);
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -62,7 +62,6 @@
     bool isIdle() const { return m_admission.isIdle(); }
     LifeState lifeState() const { return m_leaving.state(); }
     LoadReport load(Instant now) const { return m_admission.load(now); }
-    const Prober* prober() const { return m_prober.get(); }
     const std::string& upstream() const { return m_context->settings.upstream; }
 
 private:
@@ -78,7 +77,8 @@
         Instant deadline {};
         bool isRunning = false;
         bool isRepeatable = true;
-        std::uint64_t request = 0; ///< number at the HTTP pool while running
+        HttpPool* pool = nullptr; ///< while running
+        std::uint64_t request = 0; ///< its number there
     };
 
     Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
@@ -103,9 +103,10 @@
     TicketTable m_tickets;
     SeenCalls m_seen;
     Leaving m_leaving;
+    Prober m_prober; ///< declared before the pools, whose callbacks refer to it
+    std::vector<std::unique_ptr<HttpPool>> m_formerPools;
     std::unique_ptr<HttpPool> m_pool;
     std::string m_backendAddress;
-    std::unique_ptr<Prober> m_prober;
     Announce m_announce;
     std::string m_serviceId;
     std::uint64_t m_lastId = 0;
--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -10,12 +10,12 @@
 
 } // namespace
 
-bool Prober::tryProbe(std::uint32_t freeSlots, std::uint32_t waiting, Instant now, Done done)
+bool Prober::tryProbe(HttpPool& pool, std::uint32_t freeSlots, std::uint32_t waiting, Instant now, Done done)
 {
     if (m_isOut || !freeSlots || !m_budget.tryStart(waiting, now))
         return false;
     m_isOut = true;
-    m_pool->send({ "GET", "/health", {}, {} }, probeTimeout,
+    pool.send({ "GET", "/health", {}, {} }, probeTimeout,
         [this, now, done = std::move(done)](Result<HttpReply, HttpError> reply) {
             m_isOut = false;
             const auto end = monotonicNow();
--- a/src/Node/Prober.h
+++ b/src/Node/Prober.h
@@ -19,20 +19,21 @@
 public:
     using Done = std::function<void(ProbeNews, Duration held)>;
 
-    Prober(HttpPool& pool, ProbeBudget::Options options, Instant now)
-        : m_pool(&pool)
-        , m_budget(options, now)
+    Prober(ProbeBudget::Options options, Instant now)
+        : m_budget(options, now)
     {
     }
 
-    /// \brief Starts a probe if the budget allows. \returns whether it did; then \a done runs once.
-    /// \param freeSlots slots that nothing holds; a probe takes one, as the backend server counts it.
-    bool tryProbe(std::uint32_t freeSlots, std::uint32_t waiting, Instant now, Done done);
+    void setOptions(ProbeBudget::Options options, Instant now) { m_budget.setOptions(options, now); }
+
+    /// \brief Starts a probe over \a pool if the budget allows. \returns whether it did; then \a done runs
+    /// once. The prober must outlive the pool. \param freeSlots slots that nothing holds; a probe takes one,
+    /// as the backend server counts it.
+    bool tryProbe(HttpPool& pool, std::uint32_t freeSlots, std::uint32_t waiting, Instant now, Done done);
 
     const ProbeBudget& budget() const { return m_budget; }
 
 private:
-    HttpPool* m_pool;
     ProbeBudget m_budget;
     bool m_isOut = false;
 };
--- a/src/Probing/ProbeBudget.h
+++ b/src/Probing/ProbeBudget.h
@@ -22,6 +22,9 @@
 
     ProbeBudget(Options options, Instant now);
 
+    /// \brief Changes the budget from \a now on; what was spent stays spent.
+    void setOptions(Options options, Instant now);
+
     /// \returns whether a probe may start; if so it is counted. \param waiting calls that wait for a slot.
     bool tryStart(std::uint32_t waiting, Instant now);
 
@@ -31,7 +34,6 @@
     std::uint64_t started() const { return m_started; }
 
 private:
-    Options m_options;
     TokenBucket m_rate;
     TokenBucket m_slotTime; ///< seconds of slot time; goes below zero by at most one probe
     std::uint64_t m_started = 0;
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -52,6 +52,14 @@
         m_ejection = Ejection(m_options.ejection);
 }
 
+void ServiceRouter::setRetryFraction(double fraction)
+{
+    if (fraction == m_options.retryFraction)
+        return;
+    m_options.retryFraction = fraction;
+    m_budgets.clear();
+}
+
 void ServiceRouter::endPauses(Instant now)
 {
     for (auto& [name, pause] : m_pauses) {
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -47,7 +47,8 @@
     /// \brief Sets the upstreams; those known by name keep what is known of them, new ones start slowly.
     void setUpstreams(const std::vector<RouteTarget>& targets, Instant now);
 
-    void setRetryFraction(double fraction) { m_options.retryFraction = fraction; }
+    /// \brief Changes the budget of retries; groups start anew with it if it is another one.
+    void setRetryFraction(double fraction);
 
     /// \brief Chooses an upstream for a call. \param excluded names already tried.
     /// \returns its name, or nothing if none is left.
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -196,3 +196,29 @@
     f.take(f.call(4));
     f.waitRunning(2);
 }
+
+TEST_CASE("A changed backend address takes new calls, and what runs ends at the former one", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.waitRunning(1);
+    const auto moved = freeAddress();
+    std::vector<std::unique_ptr<HttpExchange>> runningThere;
+    const auto other
+        = std::move(HttpServer::listen(f.base.get(), { moved, 1000, 10000, 10s }, [&](auto exchange) {
+              runningThere.push_back(std::move(exchange));
+          }).value());
+    f.context.directory.rebuild(support::exampleConfig(moved));
+    f.owner.configure(monotonicNow());
+    f.running[0]->reply({ 200, {}, "from the former address" });
+    f.waitAnswers(1);
+    REQUIRE(f.answers[0].body() == "from the former address");
+    f.take(f.call(2));
+    REQUIRE(runUntil(f.base.get(), [&] { return runningThere.size() == 1; }));
+    runningThere[0]->reply({ 200, {}, "from the new one" });
+    f.waitAnswers(2);
+    f.owner.tick(monotonicNow());
+    f.context.directory.rebuild(ConfigState {});
+    f.owner.configure(monotonicNow());
+    REQUIRE(f.owner.lifeState() == LifeState::Draining);
+}
--- a/test/ProbeBudgetTest.cpp
+++ b/test/ProbeBudgetTest.cpp
@@ -37,6 +37,18 @@
     });
 }
 
+TEST_CASE("A changed budget is in force at once, and forgets nothing", "[probing]")
+{
+    ProbeBudget budget({ 0, 1, 12 }, {});
+    REQUIRE_FALSE(budget.tryStart(0, Instant(10s)));
+    budget.setOptions({ 1, 0.001, 12 }, Instant(10s));
+    REQUIRE_FALSE(budget.tryStart(0, Instant(10s)));
+    REQUIRE(budget.tryStart(0, Instant(11s)));
+    budget.ended(120ms, Instant(11s));
+    REQUIRE_FALSE(budget.tryStart(0, Instant(20s))); // 12 ms of slot time a second: the debt lasts 10 s
+    REQUIRE(budget.tryStart(0, Instant(21100ms)));
+}
+
 TEST_CASE("Under pressure no probe starts", "[probing]")
 {
     ProbeBudget budget({ 10, 1, 12 }, {});
