--- a/bench/lib.py
+++ b/bench/lib.py
@@ -10,7 +10,7 @@
 import urllib.request
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-BUILD = os.path.join(ROOT, "build")
+BUILD = os.environ.get("ROBINRUN_BUILD", os.path.join(ROOT, "build"))
 TOKEN = "bench-operator"
 TICK = os.sysconf("SC_CLK_TCK")
 
