A ticket whose owner can't be reached is unknown, not 'not run'

Cause: reading the outcomes from the caller's side: a repeat with a ticket whose owner had died was told 'not run', though an earlier request with that ticket may have run there. A caller would buy again.

Measured: the new case is 'not-run' before, 'unknown' after; 81 cases pass.

--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -146,8 +146,9 @@
         const auto result = sendTo(id, call, call.ticket->upstream, now);
         if (result == SendResult::Connecting)
             return tryAgainSoon(id, call);
+        // An earlier request with this ticket may have run there, so "not run" would mislead.
         if (result == SendResult::Unreachable)
-            finishNotRun(id, call, Reason::OwnerLost, now);
+            finishUnknown(id, call, Reason::OwnerLost, now);
         return;
     }
     // Links that don't stand yet are passed over while another one does.
@@ -415,8 +416,9 @@
     auto& call = m_calls.at(id);
     const auto now = monotonicNow();
     const bool isOut = !call.out.empty() && !call.isMinting;
+    const bool mayHaveRunEarlier = call.ticket && !call.isMinting;
     giveUpAttempts(call, now, true);
-    if (isOut || call.wasLost)
+    if (isOut || call.wasLost || mayHaveRunEarlier)
         return finishUnknown(id, call, Reason::DeadlinePassed, now);
     const bool isClaiming = call.state == CallState::Claiming;
     finishNotRun(id, call, isClaiming ? Reason::ClaimUndecided : Reason::DeadlinePassed, now);
--- a/test/IngressTest.cpp
+++ b/test/IngressTest.cpp
@@ -186,3 +186,18 @@
     g.call("/s/x", { { "Robinrun-Deadline-Ms", "50" } });
     REQUIRE(g.outcome() == "unknown");
 }
+
+TEST_CASE("A ticket whose owner is gone is unknown: an earlier request may have run it", "[node]")
+{
+    IngressFixture f;
+    f.isReachable = false;
+    const Ticket ticket { "u1", 5, 0, { 1, 2 } };
+    f.reply.reset();
+    f.caller->send({ "POST", "/s/buy", { { "Robinrun-Credential", support::secret }, { "Robinrun-Ticket", ticket.text() } }, "x" },
+        9s, [&](auto result) { f.reply = result.value(); });
+    REQUIRE(f.outcome() == "unknown");
+    f.reply.reset();
+    f.caller->send({ "GET", "/s/x", { { "Robinrun-Credential", support::secret } }, "" }, 9s,
+        [&](auto result) { f.reply = result.value(); });
+    REQUIRE(f.outcome() == "not-run");
+}
--- a/test/support/NodeFixture.h
+++ b/test/support/NodeFixture.h
@@ -67,6 +67,7 @@
     VirtualLoop unusedLoop;
     FakeLog log { unusedLoop, 1, {} };
     std::deque<proto::PeerMessage> sent;
+    bool isReachable = true; ///< whether messages to peers go out
 
     explicit NodeFixture(const std::string& ownUpstream = "")
         : context { {}, Charts::load(charts).value(), base.get(), 77, {}, {}, Random(1), monotonicNow,
@@ -90,6 +91,8 @@
     SendToPeer sender()
     {
         return [this](const std::string&, proto::PeerMessage& message, Instant) {
+            if (!isReachable)
+                return SendResult::Unreachable;
             sent.push_back(message);
             return SendResult::Sent;
         };
