--- a/bench/state/state-main.cpp
+++ b/bench/state/state-main.cpp
@@ -19,10 +19,14 @@
 
 namespace {
 
-double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
 
 /// \brief Measures what \a make leaves on the heap for each size, and prints the slope.
-void measure(const char* what, const std::vector<int>& sizes, const std::function<std::shared_ptr<void>(int)>& make)
+void measure(
+    const char* what, const std::vector<int>& sizes, const std::function<std::shared_ptr<void>(int)>& make)
 {
     std::vector<double> bytes;
     double sumX = 0;
@@ -121,12 +125,14 @@
         return fold;
     });
     measure("used ticket with a 500-byte answer", sizes, [](int n) {
-        auto table = std::make_shared<TicketTable>("u", 1, TicketTable::Options { 60s, 10, 1ULL << 34U }, Instant {});
+        auto table = std::make_shared<TicketTable>(
+            "u", 1, TicketTable::Options { 60s, 10, 1ULL << 34U }, Instant {});
         Random random(1);
         for (int i = 0; i < n; ++i) {
             const auto ticket = table->mint(random, {});
             table->begin(ticket, {}, 1, {});
-            table->ended(ticket.nonce, { true, 200, { { "Content-Type", "text/plain" } }, std::string(500, 'x') });
+            table->ended(
+                ticket.nonce, { true, 200, { { "Content-Type", "text/plain" } }, std::string(500, 'x') });
         }
         return table;
     });
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpServer.h"
 
 #include "Http/HttpRaw.h"
+#include "Http/HttpStatus.h"
 
 #include <charconv>
 #include <event2/buffer.h>
@@ -13,7 +14,7 @@
 namespace {
 
     constexpr std::uint16_t allMethods = 0x1ff; // evhttp's nine methods
-    constexpr int internalError = 500;
+    using namespace httpStatus;
 
     /// How much of a pipelined next request is read while one is answered.
     constexpr std::size_t pipelinedBytes = 64U << 10U;
--- a/src/Load/LoadRun.cpp
+++ b/src/Load/LoadRun.cpp
@@ -1,5 +1,7 @@
 #include "Load/LoadRun.h"
 
+#include "Http/HttpStatus.h"
+
 #include <algorithm>
 #include <cstdlib>
 #include <iomanip>
@@ -8,8 +10,7 @@
 namespace robinrun {
 namespace {
 
-    constexpr int ok = 200;
-    constexpr int firstServerError = 500;
+    using namespace httpStatus;
     constexpr Duration tickLength = 500us;
     constexpr Duration clientTimeout = 15s;
     constexpr Duration lastWait = 12s;
--- a/src/Node/CallReply.cpp
+++ b/src/Node/CallReply.cpp
@@ -1,5 +1,6 @@
 #include "Node/CallReply.h"
 
+#include "Http/HttpStatus.h"
 #include "Node/CallHeaders.h"
 
 #include <algorithm>
@@ -7,11 +8,7 @@
 namespace robinrun::replies {
 namespace {
 
-    constexpr int created = 201;
-    constexpr int unprocessable = 422;
-    constexpr int badGateway = 502;
-    constexpr int unavailable = 503;
-    constexpr int gatewayTimeout = 504;
+    using namespace httpStatus;
     constexpr std::uint32_t leastRetryMs = 20;
 
     std::pair<std::string, std::string> field(std::string_view name, std::string_view value)
--- a/src/Node/CallRequest.cpp
+++ b/src/Node/CallRequest.cpp
@@ -1,5 +1,6 @@
 #include "Node/CallRequest.h"
 
+#include "Http/HttpStatus.h"
 #include "Node/CallHeaders.h"
 #include "Once/KeyAge.h"
 
@@ -9,9 +10,7 @@
 namespace robinrun {
 namespace {
 
-    constexpr int badRequest = 400;
-    constexpr int unauthorized = 401;
-    constexpr int notFound = 404;
+    using namespace httpStatus;
 
     /// Attempts over all levels of a call, unless the caller says less.
     constexpr std::uint32_t defaultAttempts = 3;
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Hash.h"
 #include "Core/Log.h"
+#include "Http/HttpStatus.h"
 #include "Node/CallHeaders.h"
 #include "Node/CallReply.h"
 #include "Once/KeyAge.h"
@@ -13,8 +14,7 @@
 namespace robinrun {
 namespace {
 
-    constexpr int unavailable = 503;
-    constexpr int firstServerError = 500;
+    using namespace httpStatus;
     constexpr std::uint32_t drainingRetryMs = 100;
     constexpr double permille = 1000;
     constexpr Duration connectRetry = 2ms;
--- a/src/Node/OperatorApi.cpp
+++ b/src/Node/OperatorApi.cpp
@@ -3,6 +3,7 @@
 #include "Config/Validator.h"
 #include "Core/Hash.h"
 #include "Core/Log.h"
+#include "Http/HttpStatus.h"
 #include "Node/JsonText.h"
 #include "Node/OperatorJson.h"
 
@@ -12,16 +13,7 @@
 namespace robinrun {
 namespace {
 
-    constexpr int ok = 200;
-    constexpr int accepted = 202;
-    constexpr int badRequest = 400;
-    constexpr int unauthorized = 401;
-    constexpr int notFound = 404;
-    constexpr int badMethod = 405;
-    constexpr int gone = 410;
-    constexpr int preconditionFailed = 412;
-    constexpr int preconditionRequired = 428;
-    constexpr int unavailable = 503;
+    using namespace httpStatus;
 
     constexpr Duration watchWait = 25s;
     constexpr std::size_t maxWatches = 1000;
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Hash.h"
 #include "Core/Log.h"
+#include "Http/HttpStatus.h"
 #include "Node/CallHeaders.h"
 #include "Wire/TicketCodec.h"
 
@@ -13,7 +14,7 @@
     constexpr Duration forgetSenders = 120s;
     constexpr Duration ingressMemory = 30s;
     constexpr double errorSampleWeight = 0.05;
-    constexpr int firstServerError = 500;
+    using namespace httpStatus;
     constexpr double permille = 1000;
 
     Hash128 fingerprintOf(const proto::Call& call)
--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -1,12 +1,13 @@
 #include "Node/Prober.h"
 
+#include "Http/HttpStatus.h"
 #include "Node/CallHeaders.h"
 
 namespace robinrun {
 namespace {
 
     constexpr Duration probeTimeout = 1s;
-    constexpr int ok = 200;
+    using namespace httpStatus;
 
 } // namespace
 
--- a/src/Platform/HttpPlatform.cpp
+++ b/src/Platform/HttpPlatform.cpp
@@ -1,5 +1,7 @@
 #include "Platform/HttpPlatform.h"
 
+#include "Http/HttpStatus.h"
+
 #include <charconv>
 #include <sstream>
 
@@ -8,8 +10,7 @@
 
     constexpr std::size_t connections = 8;
     constexpr std::size_t frameHeader = 4;
-    constexpr int ok = 200;
-    constexpr int created = 201;
+    using namespace httpStatus;
 
     PlatformError translate(HttpError error)
     {
--- a/test/IngressTest.cpp
+++ b/test/IngressTest.cpp
@@ -193,7 +193,9 @@
     f.isReachable = false;
     const Ticket ticket { "u1", 5, 0, { 1, 2 } };
     f.reply.reset();
-    f.caller->send({ "POST", "/s/buy", { { "Robinrun-Credential", support::secret }, { "Robinrun-Ticket", ticket.text() } }, "x" },
+    f.caller->send(
+        { "POST", "/s/buy",
+            { { "Robinrun-Credential", support::secret }, { "Robinrun-Ticket", ticket.text() } }, "x" },
         9s, [&](auto result) { f.reply = result.value(); });
     REQUIRE(f.outcome() == "unknown");
     f.reply.reset();
--- a/test/standin/standin-backend.cpp
+++ b/test/standin/standin-backend.cpp
@@ -7,6 +7,7 @@
 #include "Core/Random.h"
 #include "Core/Time.h"
 #include "Http/HttpServer.h"
+#include "Http/HttpStatus.h"
 #include "Node/Timer.h"
 
 #include <csignal>
@@ -20,9 +21,7 @@
 
 using namespace robinrun;
 
-constexpr int ok = 200;
-constexpr int internalError = 500;
-constexpr int unavailable = 503;
+using namespace httpStatus;
 
 /// A cold server takes this many times as long at first, and less and less until it is warm.
 constexpr double coldFactor = 4;
--- a/test/standin/standin-platform.cpp
+++ b/test/standin/standin-platform.cpp
@@ -7,6 +7,7 @@
 #include "Core/Random.h"
 #include "Core/Time.h"
 #include "Http/HttpServer.h"
+#include "Http/HttpStatus.h"
 #include "Node/Timer.h"
 #include "Platform/HttpPlatform.h"
 
@@ -23,11 +24,7 @@
 
 using namespace robinrun;
 
-constexpr int ok = 200;
-constexpr int created = 201;
-constexpr int notFound = 404;
-constexpr int tooMany = 429;
-constexpr int unavailable = 503;
+using namespace httpStatus;
 
 /// The log has been there for long when the stand-in starts; only a replaced one is new.
 constexpr std::int64_t dayMs = 86400000;
--- a/tools/robinrunctl.cpp
+++ b/tools/robinrunctl.cpp
@@ -2,6 +2,7 @@
 
 #include "Client/OperatorClient.h"
 #include "Config/Validator.h"
+#include "Http/HttpStatus.h"
 #include "Node/JsonText.h"
 #include "resources.pb.h"
 
@@ -21,10 +22,7 @@
 using namespace robinrun;
 
 constexpr int badUsage = 2;
-constexpr int ok = 200;
-constexpr int accepted = 202;
-constexpr int notFound = 404;
-constexpr int firstError = 400;
+using namespace httpStatus;
 
 constexpr const char* usage = R"(usage: robinrunctl [options] COMMAND
 
