Take back a try to silence the shell about a killed node

Cause: the demo's shell reports the node that the demo kills.

Change: none stays; disowning it in the subshell of the events does not reach the shell that started it.

Measured: the message is the same with and without.

Conclusion: taken back; the line is true.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -59,10 +59,7 @@
 nth_name() { awk -v n="$1" '$1 == "backend" && ++i == n { print $2 }' "$deployment/processes"; }
 nth_backend() { awk -v n="$1" '$1 == "backend" && ++i == n { print $3 }' "$deployment/processes"; }
 signal_node() { kill "-$2" "${node_pid[$1]}"; }
-kill_node() { # NAME; the shell is not to report it
-  disown "${node_pid[$1]}" 2>/dev/null || true
-  kill -KILL "${node_pid[$1]}"
-}
+kill_node() { kill -KILL "${node_pid[$1]}"; }
 
 stop_deployment() {
   local pid
