Restarted nodes make themselves known; nothing deferred outlives its pool

The leak checker found what HttpPool had deferred when the loop ended.

Change: for 3 s after its start a node sends its offset to those above it in the readers' trees; deferred work belongs to the pool and ends with it.

--- a/src/Control/Spread.cpp
+++ b/src/Control/Spread.cpp
@@ -19,6 +19,8 @@
     , m_lastHeard(now)
     , m_nextDigest(now)
     , m_nextHosts(now)
+    , m_started(now)
+    , m_nextHello(now)
 {
 }
 
@@ -66,6 +68,7 @@
         if (!peer.empty())
             step.digests.push_back(std::move(peer));
     }
+    sayHello(members, step, now);
     if (now >= m_nextHosts) {
         m_nextHosts = now + jittered(isReading ? m_options.hostsEvery : m_options.hostsEveryOthers);
         step.fetchHosts = true;
@@ -73,6 +76,20 @@
     return step;
 }
 
+void Spread::sayHello(const Membership& members, SpreadStep& step, Instant now)
+{
+    if (now - m_started > m_options.helloFor || now < m_nextHello || !members.size())
+        return;
+    m_nextHello = now + m_options.helloEvery;
+    // Whoever could not reach the former incarnation still passes this node over; hearing from it ends that.
+    const auto& ranks = m_hallRanks.get(members, now);
+    for (std::size_t i = 0; i < std::min(m_options.readers, ranks.size()); ++i) {
+        auto parent = treeParent(ranks, ranks[i], m_self.name, m_options.fanOut);
+        if (!parent.empty())
+            step.digests.push_back(std::move(parent));
+    }
+}
+
 std::vector<PassOn> Spread::advanced(const Membership& members, const std::string& root, std::uint64_t from,
     std::uint64_t nextOffset, Instant now)
 {
--- a/src/Control/Spread.h
+++ b/src/Control/Spread.h
@@ -43,6 +43,9 @@
         Duration digestEvery = 2s;
         Duration digestAtStart = 300ms; ///< while this node has no configuration at all
         double digestAbroad = 0.1; ///< share of digests to another data hall
+        Duration helloFor
+            = 3s; ///< after its start a node makes itself known to those above it in the readers' trees
+        Duration helloEvery = 500ms;
         Duration quietLimit = 8s; ///< silence after which a node reads the log itself
         double ownReadsPerSecond = 0.1; ///< budget of those reads
         Duration hostsEvery = 2s; ///< readers' interval between fetches of the host list
@@ -70,6 +73,7 @@
 private:
     std::string randomPeer(const Membership& members, Instant now);
     Duration jittered(Duration d);
+    void sayHello(const Membership& members, SpreadStep& step, Instant now);
 
     Options m_options;
     HostEntry m_self;
@@ -79,6 +83,8 @@
     Instant m_lastHeard;
     Instant m_nextDigest;
     Instant m_nextHosts;
+    Instant m_started;
+    Instant m_nextHello;
     std::unordered_map<std::string, std::uint64_t>
         m_passedOn; ///< by root: offset up to which records were passed
 };
--- a/src/Control/Tree.cpp
+++ b/src/Control/Tree.cpp
@@ -17,6 +17,18 @@
         return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
     }
 
+    /// \returns the tree's nodes from the top, each level from left to right: the root, then the others by
+    /// rank.
+    std::vector<std::string> treeOrder(const std::vector<std::string>& ranked, const std::string& root)
+    {
+        std::vector<std::string> order { root };
+        for (const auto& it : ranked) {
+            if (it != root)
+                order.push_back(it);
+        }
+        return order;
+    }
+
 } // namespace
 
 std::vector<std::string> rankByHash(std::vector<std::string> names, std::string_view salt)
@@ -58,11 +70,7 @@
 std::vector<std::string> treeChildren(const std::vector<std::string>& ranked, const std::string& root,
     const std::string& self, std::size_t fanOut)
 {
-    std::vector<std::string> order { root };
-    for (const auto& it : ranked) {
-        if (it != root)
-            order.push_back(it);
-    }
+    const auto order = treeOrder(ranked, root);
     std::vector<std::string> children;
     const auto place = placeOf(order, self);
     if (place == order.size())
@@ -73,6 +81,16 @@
     return children;
 }
 
+std::string treeParent(const std::vector<std::string>& ranked, const std::string& root,
+    const std::string& self, std::size_t fanOut)
+{
+    const auto order = treeOrder(ranked, root);
+    const auto place = placeOf(order, self);
+    if (place == 0 || place == order.size())
+        return {};
+    return order[(place - 1) / fanOut];
+}
+
 const std::vector<std::string>& HallRanks::get(const Membership& members, Instant now)
 {
     if (now < m_validUntil && m_version == members.version() && !m_ranks.empty())
--- a/src/Control/Tree.h
+++ b/src/Control/Tree.h
@@ -22,6 +22,10 @@
 std::vector<std::string> treeChildren(const std::vector<std::string>& ranked, const std::string& root,
     const std::string& self, std::size_t fanOut);
 
+/// \returns who passes records on to \a self in that tree; "" for the root and for who isn't in it.
+std::string treeParent(const std::vector<std::string>& ranked, const std::string& root,
+    const std::string& self, std::size_t fanOut);
+
 /// \brief The live hosts of one data hall by rank, this node included; made anew at most twice a second, as
 /// each making is O(n log n) and ticks, messages and counts ask for it.
 class HallRanks {
--- a/src/Http/HttpPool.cpp
+++ b/src/Http/HttpPool.cpp
@@ -17,18 +17,6 @@
         return { micros / 1000000, micros % 1000000 };
     }
 
-    /// \brief Runs \a f on the next turn of the loop.
-    void runLater(event_base* base, std::function<void()> f)
-    {
-        static constexpr timeval atOnce { 0, 0 };
-        auto* boxed = new std::function<void()>(std::move(f));
-        const auto run = [](evutil_socket_t, short, void* arg) {
-            const std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()>*>(arg));
-            (*owned)();
-        };
-        event_base_once(base, -1, EV_TIMEOUT, run, boxed, &atOnce);
-    }
-
     HttpErrorKind kindOf(evhttp_request_error error)
     {
         switch (error) {
@@ -113,6 +101,24 @@
     , m_options(std::move(options))
 {
     require(splitAddress(m_options.address, m_ip, m_port), "HttpPool: address is ip:port");
+    m_deferEvent = event_new(
+        base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<HttpPool*>(self)->runDeferred(); },
+        this);
+}
+
+void HttpPool::defer(std::function<void()> f)
+{
+    m_deferred.push_back(std::move(f));
+    event_active(m_deferEvent, EV_TIMEOUT, 0);
+}
+
+void HttpPool::runDeferred()
+{
+    const auto isAlive = m_isAlive;
+    for (const auto& it : std::exchange(m_deferred, {})) {
+        if (*isAlive)
+            it();
+    }
 }
 
 HttpPool::~HttpPool()
@@ -122,6 +128,7 @@
         exchange->done = nullptr;
     while (!m_exchanges.empty())
         cancel(m_exchanges.begin()->first);
+    event_free(m_deferEvent);
 }
 
 std::uint64_t HttpPool::send(const HttpRequest& request, Duration timeout, Done done)
@@ -194,10 +201,7 @@
 
 void HttpPool::later(Done done, HttpError error)
 {
-    runLater(m_base, [done = std::move(done), error, isAlive = m_isAlive] {
-        if (*isAlive)
-            done(failure(error));
-    });
+    defer([done = std::move(done), error] { done(failure(error)); });
 }
 
 void HttpPool::finish(Exchange* exchange, Result<HttpReply, HttpError> result, bool isReusable)
@@ -214,8 +218,7 @@
     } else {
         --m_connections;
         // evhttp is still inside this connection: it is freed on the next turn.
-        runLater(
-            m_base, [held = std::make_shared<std::unique_ptr<Connection>>(std::move(owned->connection))] {});
+        defer([held = std::make_shared<std::unique_ptr<Connection>>(std::move(owned->connection))] {});
     }
     const auto done = std::move(owned->done);
     // A callback may destroy the pool.
@@ -256,7 +259,7 @@
     evhttp_cancel_request(owned->raw);
     // Freed on the next turn, as evhttp may be inside it; the exchange outlives any callback of the
     // cancellation.
-    runLater(m_base, [held = std::make_shared<std::unique_ptr<Exchange>>(std::move(owned))] {});
+    defer([held = std::make_shared<std::unique_ptr<Exchange>>(std::move(owned))] {});
     if (*m_isAlive)
         startQueued();
 }
--- a/src/Http/HttpPool.h
+++ b/src/Http/HttpPool.h
@@ -61,6 +61,9 @@
     void finish(Exchange* exchange, Result<HttpReply, HttpError> result, bool isReusable);
     void later(Done done, HttpError error);
     void startQueued();
+    /// \brief Runs \a f soon, outside of any callback of evhttp; never after the pool is gone.
+    void defer(std::function<void()> f);
+    void runDeferred();
 
     event_base* m_base;
     Options m_options;
@@ -71,6 +74,8 @@
     std::vector<std::unique_ptr<Connection>> m_idle;
     std::list<Queued> m_queue;
     std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+    event* m_deferEvent = nullptr;
+    std::vector<std::function<void()>> m_deferred;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/test/ControlTest.cpp
+++ b/test/ControlTest.cpp
@@ -150,6 +150,25 @@
     REQUIRE(total.max_next_offset() == 2);
 }
 
+TEST_CASE("A restarted node is passed new records again within a second or two", "[control]")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        ControlModel model(seed, {});
+        model.run(5s);
+        const std::size_t victim = seed % model.size();
+        model.stop(victim);
+        // Its parents find out that it is gone while they pass something on.
+        model.write((victim + 1) % model.size(), "services/a", 0);
+        model.run(3s);
+        model.start(victim);
+        model.run(1s);
+        model.write((victim + 1) % model.size(), "services/b", 0);
+        model.run(1500ms);
+        INFO("seed " << seed);
+        REQUIRE(model.plane(victim).follower().nextOffset() == 2);
+    }
+}
+
 TEST_CASE("A wrong suspicion heals by itself", "[control]")
 {
     Membership members({});
@@ -203,6 +222,7 @@
             const auto self = open.back();
             open.pop_back();
             for (const auto& it : treeChildren(ranked, root, self, 8)) {
+                REQUIRE(treeParent(ranked, root, it, 8) == self);
                 REQUIRE(reached.insert(it).second);
                 open.push_back(it);
             }
