--- a/bench/state/state-main.cpp
+++ b/bench/state/state-main.cpp
@@ -97,6 +97,9 @@
 {
     const std::vector<int> sizes { 3000, 6000, 12000 };
     measure("resource in the folded configuration", sizes, configOf);
+    for (const int n : sizes)
+        std::cout << "{\"bench\":\"state\",\"resources\":" << n << ",\"snapshot_bytes_each\":"
+                  << static_cast<double>(configOf(n)->snapshot().ByteSizeLong()) / n << "}\n";
     measure("upstream in the directory", sizes, [](int n) {
         const auto config = configOf(n);
         auto directory = std::make_shared<Directory>();
