--- a/bench/decisions/decisions-main.cpp
+++ b/bench/decisions/decisions-main.cpp
@@ -156,6 +156,7 @@
 void findHomes(benchmark::State& state)
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(state.range(0)));
     for (int i = 0; i < state.range(0); ++i)
         names.push_back("host-" + std::to_string(i));
     for (auto _ : state)
--- a/bench/state/state-main.cpp
+++ b/bench/state/state-main.cpp
@@ -93,9 +93,12 @@
 
 } // namespace
 
-int main()
+namespace {
+
+const std::vector<int> sizes { 3000, 6000, 12000 };
+
+void measureControl()
 {
-    const std::vector<int> sizes { 3000, 6000, 12000 };
     measure("resource in the folded configuration", sizes, configOf);
     for (const int n : sizes)
         std::cout << "{\"bench\":\"state\",\"resources\":" << n << ",\"snapshot_bytes_each\":"
@@ -115,6 +118,10 @@
         members->take(page);
         return members;
     });
+}
+
+void measureOnce()
+{
     measure("claim of a key", sizes, [](int n) {
         auto fold = std::make_shared<ClaimFold>(ClaimFold::Options {});
         Random random(1);
@@ -139,6 +146,10 @@
         }
         return table;
     });
+}
+
+void measureCalls()
+{
     measure("upstream of a service in use at an ingress", { 300, 600, 1200 }, [](int n) {
         auto router = std::make_shared<ServiceRouter>(ServiceRouter::Options {});
         std::vector<RouteTarget> targets;
@@ -159,3 +170,12 @@
         return seen;
     });
 }
+
+} // namespace
+
+int main()
+{
+    measureControl();
+    measureOnce();
+    measureCalls();
+}
--- a/test/fuzz/FuzzEnvelope.cpp
+++ b/test/fuzz/FuzzEnvelope.cpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer asks for this name
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t n)
 {
     using namespace robinrun;
--- a/test/fuzz/FuzzHttp.cpp
+++ b/test/fuzz/FuzzHttp.cpp
@@ -39,12 +39,13 @@
     at.sin_family = AF_INET;
     at.sin_port = htons(port);
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at));
+    (void)connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at));
     return fd;
 }
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer asks for this name
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t n)
 {
     static Server server;
--- a/test/fuzz/FuzzSettings.cpp
+++ b/test/fuzz/FuzzSettings.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <unistd.h>
 
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer asks for this name
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t n)
 {
     static const auto path = "/tmp/robinrun-fuzz-" + std::to_string(getpid()) + ".yaml";
--- a/test/support/Loopback.h
+++ b/test/support/Loopback.h
@@ -18,7 +18,7 @@
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    (void)bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     socklen_t n = sizeof(address);
     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
     close(fd);
