--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -22,6 +22,36 @@
     /// again.
     constexpr double snapshotSpreadSeconds = 20;
 
+    /// Bytes of a message beside its body: sender, incarnation, framing.
+    constexpr double envelopeBytes = 60;
+    constexpr double budgetBurstSeconds = 10;
+
+    double budgetBurst(const NodeSettings& settings)
+    {
+        return settings.control.bytesPerSecond * budgetBurstSeconds;
+    }
+
+    /// \brief Counts the time of a scope as time spent on control.
+    class TimeSpent {
+    public:
+        explicit TimeSpent(NodeContext& context)
+            : m_context(&context)
+            , m_start(context.clock())
+        {
+        }
+        ~TimeSpent()
+        {
+            m_context->metrics.count(
+                "robinrun_control_seconds_total", toSeconds(m_context->clock() - m_start));
+        }
+        TimeSpent(const TimeSpent&) = delete;
+        TimeSpent& operator=(const TimeSpent&) = delete;
+
+    private:
+        NodeContext* m_context;
+        Instant m_start;
+    };
+
     HostEntry selfOf(const NodeSettings& settings)
     {
         return { settings.name, settings.listen.peers, settings.dataHall, settings.region, false };
@@ -47,18 +77,34 @@
     , m_members(Membership::Options {})
     , m_spread(spreadOptions(context.settings), selfOf(context.settings), context.incarnation, now)
     , m_inForce(reportLife)
+    , m_budget(context.settings.control.bytesPerSecond, budgetBurst(context.settings),
+          budgetBurst(context.settings), now)
     , m_lastAdvance(now)
     , m_nextReport(now)
     , m_nextSnapshot(now)
 {
 }
 
+SendResult ControlPlane::post(const std::string& address, proto::PeerMessage& message, Instant now)
+{
+    const auto bytes = static_cast<double>(message.ByteSizeLong()) + envelopeBytes;
+    const bool isNeeded = message.has_records() || message.has_pull() || message.has_in_force_reply();
+    if (isNeeded) {
+        // Configuration goes out on credit; the rest waits until that is paid, but not for ever.
+        m_budget.takeAnyway(std::min(bytes, budgetBurst(m_context->settings)), now);
+    } else if (!m_budget.tryTake(bytes, now)) {
+        m_context->metrics.count("robinrun_control_held_back_total");
+        return SendResult::Connecting;
+    }
+    return m_send(address, message, now);
+}
+
 bool ControlPlane::sendToNode(const std::string& name, proto::PeerMessage& message, Instant now)
 {
     const auto* host = m_members.find(name);
     if (!host)
         return false;
-    const auto result = m_send(host->peerAddress, message, now);
+    const auto result = post(host->peerAddress, message, now);
     if (result == SendResult::Unreachable)
         m_members.suspect(name, now);
     return result == SendResult::Sent;
@@ -93,6 +139,7 @@
 
 void ControlPlane::takePage(const LogPage& page, Instant now)
 {
+    const TimeSpent timeSpent(*m_context);
     double bytes = pageOverhead;
     for (const auto& it : page.records)
         bytes += static_cast<double>(it.size());
@@ -150,7 +197,7 @@
 {
     proto::PeerMessage message;
     message.mutable_pull()->set_next_offset(m_follower.nextOffset());
-    m_send(address, message, now);
+    post(address, message, now);
 }
 
 void ControlPlane::takeDigest(const PeerSocket::Sender& sender, const proto::Digest& digest, Instant now)
@@ -168,11 +215,12 @@
         return;
     proto::PeerMessage message;
     *message.mutable_records() = m_follower.recordsFrom(digest.next_offset());
-    m_send(sender.address, message, now);
+    post(sender.address, message, now);
 }
 
 bool ControlPlane::take(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now)
 {
+    const TimeSpent timeSpent(*m_context);
     m_members.heardFrom(sender.node);
     switch (message.body_case()) {
     case proto::PeerMessage::kRecords:
@@ -184,7 +232,7 @@
     case proto::PeerMessage::kPull: {
         proto::PeerMessage out;
         *out.mutable_records() = m_follower.recordsFrom(message.pull().next_offset());
-        m_send(sender.address, out, now);
+        post(sender.address, out, now);
         return true;
     }
     case proto::PeerMessage::kInForce:
@@ -197,7 +245,7 @@
                 proto::PeerMessage out;
                 out.mutable_in_force_reply()->set_number(number);
                 *out.mutable_in_force_reply()->mutable_total() = total;
-                m_send(address, out, m_context->clock());
+                post(address, out, m_context->clock());
             },
             now);
         return true;
@@ -247,7 +295,7 @@
     }
     for (const auto& it : page->gone)
         out.add_gone(it);
-    m_send(address, message, now);
+    post(address, message, now);
 }
 
 void ControlPlane::takeHosts(const proto::HostChanges& changes)
@@ -340,6 +388,7 @@
 
 void ControlPlane::tick(Instant now)
 {
+    const TimeSpent timeSpent(*m_context);
     const auto step = m_spread.tick(m_members, m_follower.nextOffset(), m_isLogAnswering, now);
     const bool isBehindGap = m_follower.standing() == LogStanding::Gap;
     if (step.readLog || m_readWanted || isBehindGap)
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "Control/InForceTree.h"
 #include "Control/Membership.h"
 #include "Control/Spread.h"
+#include "Core/TokenBucket.h"
 #include "Node/NodeContext.h"
 #include "Node/PeerLinks.h"
 #include "Platform/AppendLog.h"
@@ -66,6 +67,8 @@
     void appendSnapshot(Instant now);
     void expireCounts(Instant now);
     proto::InForce ownSum(Instant now);
+    /// \brief Sends inside the budget of control traffic.
+    SendResult post(const std::string& address, proto::PeerMessage& message, Instant now);
     bool sendToNode(const std::string& name, proto::PeerMessage& message, Instant now);
 
     NodeContext* m_context;
@@ -77,6 +80,7 @@
     Spread m_spread;
     ConfigFollower m_follower;
     InForceTree m_inForce;
+    TokenBucket m_budget; ///< bytes
     bool m_isReading = false;
     bool m_isLogAnswering = false;
     bool m_readWanted = false;
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -66,6 +66,7 @@
         out.control.readers = reader.count("readers", 1, 10, 2);
         out.control.fanOut = reader.count("fan_out", 2, 64, 8);
         out.control.digestEvery = reader.duration("digest_every", 100ms, 60s, 2s);
+        out.control.bytesPerSecond = reader.number("bytes_per_second", 100, 1e9, 7000);
         out.control.writeWait = reader.duration("write_wait", 10ms, 60s, 3s);
         reader.finish();
     }
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -70,6 +70,7 @@
         std::uint64_t readers = 0; ///< per data hall
         std::uint64_t fanOut = 0;
         Duration digestEvery {};
+        double bytesPerSecond = 0; ///< budget of control traffic sent
         Duration writeWait {}; ///< how long the API waits for the fate of a change
     } control;
 
--- a/test/ControlTest.cpp
+++ b/test/ControlTest.cpp
@@ -169,6 +169,20 @@
     }
 }
 
+TEST_CASE("Control traffic stays inside its budget, and changes still get through", "[control]")
+{
+    ControlModel::Options options;
+    options.bytesPerSecond = 100; // less than the digests and counts would take
+    ControlModel model(4, options);
+    model.run(60s);
+    model.write(0, "services/a", 0);
+    model.run(60s);
+    REQUIRE(model.isSettled());
+    constexpr double configurationOnCredit = 3000;
+    for (const auto& [node, bytes] : model.bytesByNode())
+        REQUIRE(double(bytes) <= 100 * (120 + 10) + configurationOnCredit);
+}
+
 TEST_CASE("A wrong suspicion heals by itself", "[control]")
 {
     Membership members({});
--- a/test/support/ControlModel.cpp
+++ b/test/support/ControlModel.cpp
@@ -127,6 +127,7 @@
     settings.control.readers = 2;
     settings.control.fanOut = 4;
     settings.control.digestEvery = 2s;
+    settings.control.bytesPerSecond = m_options.bytesPerSecond;
     node.log = std::make_unique<LifeLog>(m_log, node.life, m_logReads);
     node.hosts = std::make_unique<LifeHosts>(*this, node.life);
     node.plane = std::make_unique<ControlPlane>(
@@ -181,6 +182,7 @@
         && (m_loop.now() < m_cutUntil[sender.region] || m_loop.now() < m_cutUntil[target.region]);
     ++m_messages;
     m_bytes += message.ByteSizeLong();
+    m_bytesByNode[from] += message.ByteSizeLong();
     if (isCut || m_random.chance(m_options.loss))
         return SendResult::Sent; // it is gone, and nobody knows
     const PeerSocket::Sender who { sender.name, sender.address, sender.context->incarnation, "" };
--- a/test/support/ControlModel.h
+++ b/test/support/ControlModel.h
@@ -23,7 +23,7 @@
         int nodesPerHall = 6;
         FakeLog::Faults logFaults {};
         double loss = 0.02; ///< of messages between nodes
-        Duration hostLag = 3s;
+        double bytesPerSecond = 7000; ///< budget of a node's control traffic
     };
 
     ControlModel(std::uint64_t seed, Options options);
@@ -55,6 +55,8 @@
     int backwardSteps() const { return m_backwardSteps; }
     std::uint64_t messages() const { return m_messages; }
     std::uint64_t bytes() const { return m_bytes; }
+    /// \returns what each node has sent.
+    const std::map<std::size_t, std::uint64_t>& bytesByNode() const { return m_bytesByNode; }
     std::uint64_t logReads() const { return m_logReads; }
 
     /// \returns the time from the append of each offset until node \a index applied it; nothing where it has
@@ -98,6 +100,7 @@
     int m_backwardSteps = 0;
     std::uint64_t m_messages = 0;
     std::uint64_t m_bytes = 0;
+    std::map<std::size_t, std::uint64_t> m_bytesByNode;
     std::uint64_t m_logReads = 0;
 };
 
