Trees keep the places of suspected hosts, and reach past them

Cause: a scripted break showed that the test for restarted nodes passed without the code it was for; made strict (60 nodes in a hall) it failed with the code as well. Each node left suspected hosts out of its own tree, so nodes with different suspicions had different trees and missed some.

Change: trees are made of all listed hosts; a suspected child is tried all the same and those below it are served in its place. The budget's test has a budget low enough to bind.

--- a/src/Control/Membership.cpp
+++ b/src/Control/Membership.cpp
@@ -65,18 +65,25 @@
     return it == m_hosts.end() ? nullptr : &it->second;
 }
 
-std::vector<std::string> Membership::liveIn(const std::string& hall, Instant now) const
+std::vector<std::string> Membership::listedIn(const std::string& hall) const
 {
-    std::vector<std::string> live;
+    std::vector<std::string> listed;
     for (const auto& [region, halls] : m_hallHosts) {
         const auto found = halls.find(hall);
         if (found == halls.end())
             continue;
         for (const auto& it : found->second) {
-            if (isLive(it, now))
-                live.push_back(it);
+            if (!m_hosts.at(it).isLeaving)
+                listed.push_back(it);
         }
     }
+    return listed;
+}
+
+std::vector<std::string> Membership::liveIn(const std::string& hall, Instant now) const
+{
+    auto live = listedIn(hall);
+    std::erase_if(live, [&](const auto& it) { return isSuspected(it, now); });
     return live;
 }
 
--- a/src/Control/Membership.h
+++ b/src/Control/Membership.h
@@ -41,6 +41,10 @@
     bool isSuspected(const std::string& name, Instant now) const;
     const HostEntry* find(const std::string& name) const;
 
+    /// \returns names of the hosts of a data hall that are listed and not leaving, suspected or not, in a
+    /// fixed order.
+    std::vector<std::string> listedIn(const std::string& hall) const;
+
     /// \returns names of the live hosts of a data hall, in a fixed order.
     std::vector<std::string> liveIn(const std::string& hall, Instant now) const;
 
--- a/src/Control/Spread.cpp
+++ b/src/Control/Spread.cpp
@@ -19,8 +19,6 @@
     , m_lastHeard(now)
     , m_nextDigest(now)
     , m_nextHosts(now)
-    , m_started(now)
-    , m_nextHello(now)
 {
 }
 
@@ -31,10 +29,15 @@
 
 bool Spread::isReader(const Membership& members, Instant now)
 {
-    const auto& ranks = m_hallRanks.get(members, now);
-    const auto n = std::min(m_options.readers, ranks.size());
-    const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(n);
-    return std::find(ranks.begin(), end, m_self.name) != end;
+    std::size_t live = 0;
+    for (const auto& it : m_hallRanks.get(members, now)) {
+        if (it == m_self.name)
+            return true;
+        live += !members.isSuspected(it, now);
+        if (live == m_options.readers)
+            return false;
+    }
+    return false;
 }
 
 std::string Spread::randomPeer(const Membership& members, Instant now)
@@ -68,7 +71,6 @@
         if (!peer.empty())
             step.digests.push_back(std::move(peer));
     }
-    sayHello(members, step, now);
     if (now >= m_nextHosts) {
         m_nextHosts = now + jittered(isReading ? m_options.hostsEvery : m_options.hostsEveryOthers);
         step.fetchHosts = true;
@@ -76,17 +78,15 @@
     return step;
 }
 
-void Spread::sayHello(const Membership& members, SpreadStep& step, Instant now)
+void Spread::passTo(const Membership& members, const std::string& node, const PassOn& what,
+    std::vector<PassOn>& out, Instant now)
 {
-    if (now - m_started > m_options.helloFor || now < m_nextHello || !members.size())
-        return;
-    m_nextHello = now + m_options.helloEvery;
-    // Whoever could not reach the former incarnation still passes this node over; hearing from it ends that.
     const auto& ranks = m_hallRanks.get(members, now);
-    for (std::size_t i = 0; i < std::min(m_options.readers, ranks.size()); ++i) {
-        auto parent = treeParent(ranks, ranks[i], m_self.name, m_options.fanOut);
-        if (!parent.empty())
-            step.digests.push_back(std::move(parent));
+    for (const auto& it : treeChildren(ranks, what.root, node, m_options.fanOut)) {
+        // A suspected child may be back and is tried all the same; those below it are served in its place.
+        out.push_back({ it, what.root, what.from });
+        if (members.isSuspected(it, now))
+            passTo(members, it, what, out, now);
     }
 }
 
@@ -105,9 +105,7 @@
         return out;
     const auto start = std::min(from, passed);
     passed = nextOffset;
-    const auto& ranks = m_hallRanks.get(members, now);
-    for (auto& it : treeChildren(ranks, tree, m_self.name, m_options.fanOut))
-        out.push_back({ std::move(it), tree, std::max(start, std::uint64_t { 0 }) });
+    passTo(members, m_self.name, { {}, tree, start }, out, now);
     return out;
 }
 
--- a/src/Control/Spread.h
+++ b/src/Control/Spread.h
@@ -73,7 +73,8 @@
 private:
     std::string randomPeer(const Membership& members, Instant now);
     Duration jittered(Duration d);
-    void sayHello(const Membership& members, SpreadStep& step, Instant now);
+    void passTo(const Membership& members, const std::string& node, const PassOn& what,
+        std::vector<PassOn>& out, Instant now);
 
     Options m_options;
     HostEntry m_self;
@@ -83,8 +84,6 @@
     Instant m_lastHeard;
     Instant m_nextDigest;
     Instant m_nextHosts;
-    Instant m_started;
-    Instant m_nextHello;
     std::unordered_map<std::string, std::uint64_t>
         m_passedOn; ///< by root: offset up to which records were passed
 };
--- a/src/Control/Tree.cpp
+++ b/src/Control/Tree.cpp
@@ -81,21 +81,11 @@
     return children;
 }
 
-std::string treeParent(const std::vector<std::string>& ranked, const std::string& root,
-    const std::string& self, std::size_t fanOut)
-{
-    const auto order = treeOrder(ranked, root);
-    const auto place = placeOf(order, self);
-    if (place == 0 || place == order.size())
-        return {};
-    return order[(place - 1) / fanOut];
-}
-
 const std::vector<std::string>& HallRanks::get(const Membership& members, Instant now)
 {
     if (now < m_validUntil && m_version == members.version() && !m_ranks.empty())
         return m_ranks;
-    auto names = members.liveIn(m_hall, now);
+    auto names = members.listedIn(m_hall);
     if (std::find(names.begin(), names.end(), m_self) == names.end())
         names.push_back(m_self);
     m_ranks = rankByHash(std::move(names), hallSalt);
@@ -123,9 +113,19 @@
 std::string Trees::parent(Instant now) const
 {
     const auto& ranks = m_hallRanks->get(*m_members, now);
-    const auto place = placeOf(ranks, m_self->name);
-    if (place > 0)
-        return ranks[(place - 1) / m_fanOut];
+    auto place = placeOf(ranks, m_self->name);
+    // The nearest of those above it that is there.
+    while (place > 0) {
+        place = (place - 1) / m_fanOut;
+        if (!m_members->isSuspected(ranks[place], now))
+            return ranks[place];
+    }
+    auto root = hallRoot(m_self->dataHall, now);
+    return root.empty() || root == m_self->name ? aboveHall(now) : root;
+}
+
+std::string Trees::aboveHall(Instant now) const
+{
     auto ofRegion = regionRoot(m_self->region, now);
     if (!ofRegion.empty() && ofRegion != m_self->name)
         return ofRegion;
--- a/src/Control/Tree.h
+++ b/src/Control/Tree.h
@@ -22,10 +22,6 @@
 std::vector<std::string> treeChildren(const std::vector<std::string>& ranked, const std::string& root,
     const std::string& self, std::size_t fanOut);
 
-/// \returns who passes records on to \a self in that tree; "" for the root and for who isn't in it.
-std::string treeParent(const std::vector<std::string>& ranked, const std::string& root,
-    const std::string& self, std::size_t fanOut);
-
 /// \brief The live hosts of one data hall by rank, this node included; made anew at most twice a second, as
 /// each making is O(n log n) and ticks, messages and counts ask for it.
 class HallRanks {
@@ -69,6 +65,7 @@
 private:
     std::string hallRoot(const std::string& hall, Instant now) const;
     std::string regionRoot(const std::string& region, Instant now) const;
+    std::string aboveHall(Instant now) const;
 
     const Membership* m_members;
     const HostEntry* m_self;
--- a/test/ControlTest.cpp
+++ b/test/ControlTest.cpp
@@ -153,7 +153,11 @@
 TEST_CASE("A restarted node is passed new records again within a second or two", "[control]")
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        ControlModel model(seed, {});
+        ControlModel::Options options;
+        options.regions = 1;
+        options.hallsPerRegion = 1;
+        options.nodesPerHall = 60; // so that random digests alone rarely reach its parents
+        ControlModel model(seed, options);
         model.run(5s);
         const std::size_t victim = seed % model.size();
         model.stop(victim);
@@ -172,15 +176,15 @@
 TEST_CASE("Control traffic stays inside its budget, and changes still get through", "[control]")
 {
     ControlModel::Options options;
-    options.bytesPerSecond = 100; // less than the digests and counts would take
+    options.bytesPerSecond = 10; // less than the digests and counts would take
     ControlModel model(4, options);
     model.run(60s);
     model.write(0, "services/a", 0);
     model.run(60s);
     REQUIRE(model.isSettled());
-    constexpr double configurationOnCredit = 3000;
+    constexpr double configurationOnCredit = 2000;
     for (const auto& [node, bytes] : model.bytesByNode())
-        REQUIRE(double(bytes) <= 100 * (120 + 10) + configurationOnCredit);
+        REQUIRE(double(bytes) <= options.bytesPerSecond * (120 + 10) + configurationOnCredit);
 }
 
 TEST_CASE("A wrong suspicion heals by itself", "[control]")
@@ -236,7 +240,6 @@
             const auto self = open.back();
             open.pop_back();
             for (const auto& it : treeChildren(ranked, root, self, 8)) {
-                REQUIRE(treeParent(ranked, root, it, 8) == self);
                 REQUIRE(reached.insert(it).second);
                 open.push_back(it);
             }
