--- a/src/Node/ClaimService.cpp
+++ b/src/Node/ClaimService.cpp
@@ -2,7 +2,7 @@
 
 #include "Control/Tree.h"
 #include "Core/Log.h"
-#include "Wire/TicketCodec.h"
+#include "Wire/ClaimCodec.h"
 
 #include <vector>
 
@@ -84,10 +84,7 @@
         auto& request = *message.mutable_claim_request();
         request.set_number(number);
         request.set_partition(asked.partition);
-        request.mutable_claim()->set_key_high(asked.claim.key.high);
-        request.mutable_claim()->set_key_low(asked.claim.key.low);
-        request.mutable_claim()->set_born_ms(asked.claim.bornMs);
-        encode(asked.claim.ticket, *request.mutable_claim()->mutable_ticket());
+        encode(asked.claim, *request.mutable_claim());
         const auto result = host ? m_send(host->peerAddress, message, now) : SendResult::Unreachable;
         if (result == SendResult::Sent)
             return;
@@ -113,8 +110,7 @@
 
 void ClaimService::takeRequest(const proto::ClaimRequest& request, Answer answer, Instant now)
 {
-    const Claim claim { { request.claim().key_high(), request.claim().key_low() }, request.claim().born_ms(),
-        decode(request.claim().ticket()) };
+    const Claim claim = decode(request.claim());
     const auto partition = request.partition();
     if (partition >= m_context->settings.claims.partitions)
         return;
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -79,7 +79,6 @@
     , m_inForce(reportLife)
     , m_budget(context.settings.control.bytesPerSecond, budgetBurst(context.settings),
           budgetBurst(context.settings), now)
-    , m_lastAdvance(now)
     , m_nextReport(now)
     , m_nextSnapshot(now)
 {
@@ -161,7 +160,6 @@
 
 void ControlPlane::advanced(const std::string& root, std::uint64_t from, Instant now)
 {
-    m_lastAdvance = now;
     for (const auto& it : m_spread.advanced(m_members, root, from, m_follower.nextOffset(), now))
         sendRecords(it.peer, it.root, it.from, now);
     if (m_changed)
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -50,7 +50,6 @@
     const Membership& members() const { return m_members; }
     Membership& members() { return m_members; }
     bool isReader(Instant now) { return m_spread.isReader(m_members, now); }
-    Duration sinceAdvance(Instant now) const { return now - m_lastAdvance; }
 
 private:
     void readLog(Instant now);
@@ -85,7 +84,6 @@
     bool m_isLogAnswering = false;
     bool m_readWanted = false;
     Instant m_readAgainAt {};
-    Instant m_lastAdvance;
     std::optional<Instant> m_behindSince;
     Instant m_nextReport;
     std::uint64_t m_lastReported = 0;
--- a/src/Node/OperatorApi.cpp
+++ b/src/Node/OperatorApi.cpp
@@ -163,7 +163,7 @@
     exchange.reply(reply);
 }
 
-std::optional<std::uint64_t> OperatorApi::baseVersion(const Request&, HttpExchange& exchange) const
+std::optional<std::uint64_t> OperatorApi::baseVersion(HttpExchange& exchange) const
 {
     const auto& headers = exchange.request().headers;
     if (findHeader(headers, "If-None-Match") == "*")
@@ -218,7 +218,7 @@
 
 void OperatorApi::write(const Request& request, std::unique_ptr<HttpExchange> exchange, Instant now)
 {
-    const auto base = baseVersion(request, *exchange);
+    const auto base = baseVersion(*exchange);
     if (!base)
         return;
     const auto name = request.path[0] + "/" + request.path[1];
--- a/src/Node/OperatorApi.h
+++ b/src/Node/OperatorApi.h
@@ -59,7 +59,7 @@
     void list(const std::string& kind, HttpExchange& exchange) const;
     void get(const std::string& name, HttpExchange& exchange) const;
     void write(const Request& request, std::unique_ptr<HttpExchange> exchange, Instant now);
-    std::optional<std::uint64_t> baseVersion(const Request& request, HttpExchange& exchange) const;
+    std::optional<std::uint64_t> baseVersion(HttpExchange& exchange) const;
     bool buildChange(const Request& request, const std::string& name, HttpExchange& exchange,
         proto::ChangeRecord& change) const;
     void append(const proto::ChangeRecord& change, std::unique_ptr<HttpExchange> exchange, Instant now);
--- a/src/Once/ClaimFold.cpp
+++ b/src/Once/ClaimFold.cpp
@@ -1,6 +1,6 @@
 #include "Once/ClaimFold.h"
 
-#include "Wire/TicketCodec.h"
+#include "Wire/ClaimCodec.h"
 
 #include <algorithm>
 
@@ -20,13 +20,8 @@
 {
     proto::ClaimBatch out;
     out.set_id(id);
-    for (const auto& it : claims) {
-        auto& claim = *out.add_claims();
-        claim.set_key_high(it.key.high);
-        claim.set_key_low(it.key.low);
-        claim.set_born_ms(it.bornMs);
-        encode(it.ticket, *claim.mutable_ticket());
-    }
+    for (const auto& it : claims)
+        encode(it, *out.add_claims());
     return out.SerializeAsString();
 }
 
@@ -37,7 +32,7 @@
         return std::nullopt;
     ClaimBatch batch { in.id(), {} };
     for (const auto& it : in.claims())
-        batch.claims.push_back({ { it.key_high(), it.key_low() }, it.born_ms(), decode(it.ticket()) });
+        batch.claims.push_back(decode(it));
     return batch;
 }
 
