--- /dev/null
+++ b/src/Control/Membership.cpp
@@ -0,0 +1,106 @@
+#include "Control/Membership.h"
+
+namespace robinrun {
+
+bool Membership::take(const HostPage& page)
+{
+    if (page.version <= m_version)
+        return false;
+    if (page.isWhole)
+        m_hosts.clear();
+    for (const auto& it : page.hosts)
+        m_hosts[it.name] = it;
+    for (const auto& it : page.gone)
+        m_hosts.erase(it);
+    m_version = page.version;
+    index();
+    return true;
+}
+
+void Membership::index()
+{
+    m_hallHosts.clear();
+    for (const auto& [name, host] : m_hosts)
+        m_hallHosts[host.region][host.dataHall].push_back(name);
+}
+
+void Membership::suspect(const std::string& name, Instant now)
+{
+    m_suspectedUntil[name] = now + m_options.suspicion;
+}
+
+void Membership::heardFrom(const std::string& name) { m_suspectedUntil.erase(name); }
+
+bool Membership::isSuspected(const std::string& name, Instant now) const
+{
+    const auto it = m_suspectedUntil.find(name);
+    return it != m_suspectedUntil.end() && now < it->second;
+}
+
+bool Membership::isLive(const std::string& name, Instant now) const
+{
+    const auto* host = find(name);
+    return host && !host->isLeaving && !isSuspected(name, now);
+}
+
+const HostEntry* Membership::find(const std::string& name) const
+{
+    const auto it = m_hosts.find(name);
+    return it == m_hosts.end() ? nullptr : &it->second;
+}
+
+std::vector<std::string> Membership::liveIn(const std::string& hall, Instant now) const
+{
+    std::vector<std::string> live;
+    for (const auto& [region, halls] : m_hallHosts) {
+        const auto found = halls.find(hall);
+        if (found == halls.end())
+            continue;
+        for (const auto& it : found->second) {
+            if (isLive(it, now))
+                live.push_back(it);
+        }
+    }
+    return live;
+}
+
+std::vector<std::string> Membership::halls(const std::string& region) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, halls] : m_hallHosts) {
+        if (!region.empty() && name != region)
+            continue;
+        for (const auto& it : halls)
+            names.push_back(it.first);
+    }
+    return names;
+}
+
+std::vector<std::string> Membership::regions() const
+{
+    std::vector<std::string> names;
+    for (const auto& it : m_hallHosts)
+        names.push_back(it.first);
+    return names;
+}
+
+std::vector<std::string> Membership::names() const
+{
+    std::vector<std::string> names;
+    names.reserve(m_hosts.size());
+    for (const auto& it : m_hosts)
+        names.push_back(it.first);
+    return names;
+}
+
+std::optional<HostPage> Membership::pageSince(std::uint64_t version) const
+{
+    if (version >= m_version)
+        return std::nullopt;
+    HostPage page { m_version, true, {}, {} };
+    for (const auto& it : m_hosts)
+        page.hosts.push_back(it.second);
+    return page;
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Core/Hash.cpp
@@ -0,0 +1,43 @@
+#include "Core/Hash.h"
+
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <stdexcept>
+#include <xxhash.h>
+
+namespace robinrun {
+
+std::uint64_t hash64(std::string_view data, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(data.data(), data.size(), seed);
+}
+
+Hash128 hash128(std::string_view data)
+{
+    const auto h = XXH3_128bits(data.data(), data.size());
+    return { h.high64, h.low64 };
+}
+
+std::string sha256Hex(std::string_view data)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned n = 0;
+    if (EVP_Digest(data.data(), data.size(), digest.data(), &n, EVP_sha256(), nullptr) != 1)
+        throw std::runtime_error("sha256 failed");
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string hex;
+    hex.reserve(2 * n);
+    for (unsigned i = 0; i < n; ++i) {
+        hex += digits[digest[i] >> 4U];
+        hex += digits[digest[i] & 15U];
+    }
+    return hex;
+}
+
+bool equalInConstantTime(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/ControlPlane.cpp
@@ -0,0 +1,337 @@
+#include "Node/ControlPlane.h"
+
+#include "Core/Hash.h"
+#include "Core/Log.h"
+
+#include <algorithm>
+
+namespace robinrun {
+namespace {
+
+constexpr const char* configStream = "config";
+constexpr std::size_t pageRecords = 500;
+constexpr Duration longWait = 5s;
+constexpr Duration readRetry = 300ms;
+constexpr Duration reportLife = 12s;
+constexpr Duration reportChanged = 500ms;
+constexpr Duration reportUnchanged = 4s;
+constexpr Duration countPatience = 1s;
+/// Snapshots by several nodes at once are harmless, but each is long: they wait a random time and look again.
+constexpr double snapshotSpreadSeconds = 20;
+
+HostEntry selfOf(const NodeSettings& settings)
+{
+    return { settings.name, settings.listen.peers, settings.dataHall, settings.region, false };
+}
+
+Spread::Options spreadOptions(const NodeSettings& settings)
+{
+    Spread::Options options;
+    options.readers = settings.control.readers;
+    options.fanOut = settings.control.fanOut;
+    options.digestEvery = settings.control.digestEvery;
+    return options;
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(NodeContext& context, AppendLog& log, HostList& hosts, SendToPeer send, Instant now)
+    : m_context(&context)
+    , m_log(&log)
+    , m_hosts(&hosts)
+    , m_send(std::move(send))
+    , m_members(Membership::Options {})
+    , m_spread(spreadOptions(context.settings), selfOf(context.settings), context.incarnation, now)
+    , m_inForce(reportLife)
+    , m_lastAdvance(now)
+    , m_nextReport(now)
+    , m_nextSnapshot(now)
+{
+}
+
+bool ControlPlane::sendToNode(const std::string& name, proto::PeerMessage& message, Instant now)
+{
+    const auto* host = m_members.find(name);
+    if (!host)
+        return false;
+    if (m_send(host->peerAddress, message, now))
+        return true;
+    m_members.suspect(name, now);
+    return false;
+}
+
+void ControlPlane::readSoon(Instant now)
+{
+    m_readWanted = true;
+    readLog(now);
+}
+
+void ControlPlane::readLog(Instant now)
+{
+    if (m_isReading || now < m_readAgainAt)
+        return;
+    m_isReading = true;
+    m_readWanted = false;
+    m_log->read(configStream, m_follower.readFrom(), pageRecords, longWait, [this](Result<LogPage, PlatformError> page) {
+        const auto end = monotonicNow();
+        m_isReading = false;
+        m_isLogAnswering = page.has_value();
+        if (!page) {
+            m_follower.logFailed();
+            m_readAgainAt = end + readRetry;
+            return;
+        }
+        takePage(page.value(), end);
+    });
+}
+
+void ControlPlane::takePage(const LogPage& page, Instant now)
+{
+    const auto before = m_follower.standing();
+    const auto from = m_follower.nextOffset();
+    const auto progress = m_follower.takePage(page);
+    m_spread.heard(now);
+    if (m_follower.standing() != before)
+        log(LogLevel::Info, "log-standing", { { "standing", nameOf(m_follower.standing()) } });
+    if (progress == ConfigFollower::Progress::Advanced)
+        advanced("", from, now);
+    if (m_follower.standing() == LogStanding::Shorter)
+        m_readAgainAt = now + readRetry;
+    const bool hasMore = !page.records.empty() && page.from + page.records.size() < page.end;
+    if (hasMore || m_readWanted || isReader(now))
+        readLog(now);
+}
+
+void ControlPlane::advanced(const std::string& root, std::uint64_t from, Instant now)
+{
+    m_lastAdvance = now;
+    for (const auto& it : m_spread.advanced(m_members, root, from, m_follower.nextOffset(), now))
+        sendRecords(it.peer, it.root, it.from, now);
+    if (m_changed)
+        m_changed();
+}
+
+void ControlPlane::sendRecords(const std::string& peer, const std::string& root, std::uint64_t from, Instant now)
+{
+    proto::PeerMessage message;
+    *message.mutable_records() = m_follower.recordsFrom(from);
+    message.mutable_records()->set_root(root);
+    sendToNode(peer, message, now);
+}
+
+void ControlPlane::takeRecords(const PeerSocket::Sender& sender, const proto::Records& records, Instant now)
+{
+    const auto from = m_follower.nextOffset();
+    const auto progress = m_follower.takeRecords(records);
+    if (progress == ConfigFollower::Progress::NeedsEarlier)
+        pull(sender.address, now);
+    m_spread.heard(now);
+    const auto first = records.records_size() ? records.records(0).offset() : from;
+    if (progress == ConfigFollower::Progress::Advanced)
+        advanced(records.root(), std::min(first, from), now);
+    else if (!records.root().empty())
+        for (const auto& it : m_spread.advanced(m_members, records.root(), first, m_follower.nextOffset(), now))
+            sendRecords(it.peer, it.root, it.from, now);
+}
+
+void ControlPlane::pull(const std::string& address, Instant now)
+{
+    proto::PeerMessage message;
+    message.mutable_pull()->set_next_offset(m_follower.nextOffset());
+    m_send(address, message, now);
+}
+
+void ControlPlane::takeDigest(const PeerSocket::Sender& sender, const proto::Digest& digest, Instant now)
+{
+    if (digest.hosts_version() < m_members.version())
+        sendHosts(sender.address, digest.hosts_version(), now);
+    if (!digest.log_id().empty() && !m_follower.logId().empty() && digest.log_id() != m_follower.logId()) {
+        log(LogLevel::Warning, "peer-follows-other-log", { { "peer", sender.node } });
+        return;
+    }
+    if (digest.next_offset() > m_follower.nextOffset())
+        return pull(sender.address, now);
+    m_spread.heard(now);
+    if (digest.next_offset() == m_follower.nextOffset())
+        return;
+    proto::PeerMessage message;
+    *message.mutable_records() = m_follower.recordsFrom(digest.next_offset());
+    m_send(sender.address, message, now);
+}
+
+bool ControlPlane::take(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now)
+{
+    m_members.heardFrom(sender.node);
+    switch (message.body_case()) {
+    case proto::PeerMessage::kRecords:
+        takeRecords(sender, message.records(), now);
+        return true;
+    case proto::PeerMessage::kDigest:
+        takeDigest(sender, message.digest(), now);
+        return true;
+    case proto::PeerMessage::kPull: {
+        proto::PeerMessage out;
+        *out.mutable_records() = m_follower.recordsFrom(message.pull().next_offset());
+        m_send(sender.address, out, now);
+        return true;
+    }
+    case proto::PeerMessage::kInForce:
+        m_inForce.take(sender.node, message.in_force(), now);
+        return true;
+    case proto::PeerMessage::kInForceRequest: {
+        const auto number = message.in_force_request().number();
+        countInForce(
+            [this, number, address = sender.address](const proto::InForce& total) {
+                proto::PeerMessage out;
+                out.mutable_in_force_reply()->set_number(number);
+                *out.mutable_in_force_reply()->mutable_total() = total;
+                m_send(address, out, monotonicNow());
+            },
+            now);
+        return true;
+    }
+    case proto::PeerMessage::kInForceReply: {
+        const auto it = std::find_if(m_counts.begin(), m_counts.end(),
+            [&](const auto& count) { return count.number == message.in_force_reply().number(); });
+        if (it != m_counts.end()) {
+            const auto done = std::move(it->done);
+            m_counts.erase(it);
+            done(message.in_force_reply().total());
+        }
+        return true;
+    }
+    case proto::PeerMessage::kHostChanges:
+        takeHosts(message.host_changes());
+        return true;
+    default:
+        return false;
+    }
+}
+
+void ControlPlane::fetchHosts(Instant)
+{
+    m_hosts->fetch(m_members.version(), [this](Result<HostPage, PlatformError> page) {
+        if (page.has_value() && m_members.take(page.value()) && m_changed)
+            m_changed();
+    });
+}
+
+void ControlPlane::sendHosts(const std::string& address, std::uint64_t since, Instant now)
+{
+    const auto page = m_members.pageSince(since);
+    if (!page)
+        return;
+    proto::PeerMessage message;
+    auto& out = *message.mutable_host_changes();
+    out.set_version(page->version);
+    out.set_whole(page->isWhole);
+    for (const auto& it : page->hosts) {
+        auto& host = *out.add_hosts();
+        host.set_name(it.name);
+        host.set_peer_address(it.peerAddress);
+        host.set_data_hall(it.dataHall);
+        host.set_region(it.region);
+        host.set_leaving(it.isLeaving);
+    }
+    for (const auto& it : page->gone)
+        out.add_gone(it);
+    m_send(address, message, now);
+}
+
+void ControlPlane::takeHosts(const proto::HostChanges& changes)
+{
+    HostPage page { changes.version(), changes.whole(), {}, {} };
+    for (const auto& it : changes.hosts())
+        page.hosts.push_back({ it.name(), it.peer_address(), it.data_hall(), it.region(), it.leaving() });
+    for (const auto& it : changes.gone())
+        page.gone.push_back(it);
+    if (m_members.take(page) && m_changed)
+        m_changed();
+}
+
+proto::InForce ControlPlane::ownSum(Instant now)
+{
+    const bool isBehind = m_follower.knownEnd() > m_follower.nextOffset();
+    if (!isBehind)
+        m_behindSince.reset();
+    else if (!m_behindSince)
+        m_behindSince = now;
+    const auto behindFor = m_behindSince ? std::max(now - *m_behindSince, Duration(1)) : Duration::zero();
+    return m_inForce.sum(m_context->settings.name, m_follower.nextOffset(), behindFor, now);
+}
+
+void ControlPlane::reportUp(Instant now)
+{
+    const bool isChanged = m_lastReported != m_follower.nextOffset();
+    if (now < m_nextReport && !(isChanged && now >= m_nextReport - reportUnchanged + reportChanged))
+        return;
+    m_nextReport = now + reportUnchanged;
+    m_lastReported = m_follower.nextOffset();
+    const auto parent = Trees(m_members, m_spread.self(), m_context->settings.control.fanOut).parent(now);
+    if (parent.empty())
+        return;
+    proto::PeerMessage message;
+    *message.mutable_in_force() = ownSum(now);
+    sendToNode(parent, message, now);
+}
+
+void ControlPlane::countInForce(Counted done, Instant now)
+{
+    const auto parent = Trees(m_members, m_spread.self(), m_context->settings.control.fanOut).parent(now);
+    proto::PeerMessage message;
+    const auto number = ++m_lastCount;
+    message.mutable_in_force_request()->set_number(number);
+    if (parent.empty() || !sendToNode(parent, message, now))
+        return done(ownSum(now));
+    m_counts.push_back({ number, std::move(done), now });
+}
+
+void ControlPlane::expireCounts(Instant now)
+{
+    while (!m_counts.empty() && now - m_counts.front().since > countPatience) {
+        const auto done = std::move(m_counts.front().done);
+        m_counts.pop_front();
+        done(ownSum(now));
+    }
+}
+
+void ControlPlane::appendSnapshot(Instant now)
+{
+    if (!m_follower.needsSnapshot()) {
+        m_nextSnapshot = now + fromSeconds(m_context->random.unit() * snapshotSpreadSeconds);
+        return;
+    }
+    if (now < m_nextSnapshot || !isReader(now))
+        return;
+    m_nextSnapshot = now + fromSeconds(snapshotSpreadSeconds);
+    proto::ChangeRecord record;
+    record.set_id(m_context->settings.name + "/snapshot/" + std::to_string(m_context->incarnation) + "/"
+        + std::to_string(++m_snapshots));
+    record.set_who(m_context->settings.name);
+    record.set_written_at_ms(wallClockMs());
+    *record.mutable_snapshot() = m_follower.state().snapshot();
+    m_log->append(configStream, record.SerializeAsString(), [](Result<std::uint64_t, PlatformError>) {});
+    m_context->metrics.count("robinrun_snapshots_total");
+}
+
+void ControlPlane::tick(Instant now)
+{
+    const auto step = m_spread.tick(m_members, m_follower.nextOffset(), m_isLogAnswering, now);
+    const bool isBehindGap = m_follower.standing() == LogStanding::Gap;
+    if (step.readLog || m_readWanted || isBehindGap)
+        readLog(now);
+    if (step.fetchHosts || !m_members.version())
+        fetchHosts(now);
+    for (const auto& it : step.digests) {
+        proto::PeerMessage message;
+        message.mutable_digest()->set_next_offset(m_follower.nextOffset());
+        message.mutable_digest()->set_log_id(m_follower.logId());
+        message.mutable_digest()->set_hosts_version(m_members.version());
+        sendToNode(it, message, now);
+    }
+    reportUp(now);
+    expireCounts(now);
+    appendSnapshot(now);
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/ControlPlane.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Config/ConfigFollower.h"
+#include "Control/InForceTree.h"
+#include "Control/Membership.h"
+#include "Control/Spread.h"
+#include "Node/NodeContext.h"
+#include "Node/PeerLinks.h"
+#include "Platform/AppendLog.h"
+#include "Platform/HostList.h"
+#include "Wire/PeerSocket.h"
+#include "peer.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief Keeps this node's configuration and host list up to date, passes both on, and counts what is in force.
+class ControlPlane {
+public:
+    using Changed = std::function<void()>;
+    using Counted = std::function<void(const proto::InForce&)>;
+
+    ControlPlane(NodeContext& context, AppendLog& log, HostList& hosts, SendToPeer send, Instant now);
+
+    /// \brief Runs \a f after the configuration or the members have changed, at most once a turn of the loop.
+    void onChanged(Changed f) { m_changed = std::move(f); }
+
+    /// \brief A control message came. \returns false if it is none.
+    bool take(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now);
+
+    /// \brief Timed work, a few times a second.
+    void tick(Instant now);
+
+    /// \brief Reads the log as soon as possible, to learn the fate of a change written through this node.
+    void readSoon(Instant now);
+
+    /// \brief Asks the top of the counting tree for the sum over all nodes. \a done runs once, with this subtree's sum
+    /// if the top doesn't answer within a second.
+    void countInForce(Counted done, Instant now);
+
+    const ConfigFollower& follower() const { return m_follower; }
+    const Membership& members() const { return m_members; }
+    Membership& members() { return m_members; }
+    bool isReader(Instant now) const { return m_spread.isReader(m_members, now); }
+    Duration sinceAdvance(Instant now) const { return now - m_lastAdvance; }
+
+private:
+    void readLog(Instant now);
+    void takePage(const LogPage& page, Instant now);
+    void advanced(const std::string& root, std::uint64_t from, Instant now);
+    void sendRecords(const std::string& peer, const std::string& root, std::uint64_t from, Instant now);
+    void takeRecords(const PeerSocket::Sender& sender, const proto::Records& records, Instant now);
+    void takeDigest(const PeerSocket::Sender& sender, const proto::Digest& digest, Instant now);
+    void pull(const std::string& address, Instant now);
+    void fetchHosts(Instant now);
+    void sendHosts(const std::string& address, std::uint64_t since, Instant now);
+    void takeHosts(const proto::HostChanges& changes);
+    void reportUp(Instant now);
+    void appendSnapshot(Instant now);
+    void expireCounts(Instant now);
+    proto::InForce ownSum(Instant now);
+    bool sendToNode(const std::string& name, proto::PeerMessage& message, Instant now);
+
+    NodeContext* m_context;
+    AppendLog* m_log;
+    HostList* m_hosts;
+    SendToPeer m_send;
+    Changed m_changed;
+    Membership m_members;
+    Spread m_spread;
+    ConfigFollower m_follower;
+    InForceTree m_inForce;
+    bool m_isReading = false;
+    bool m_isLogAnswering = false;
+    bool m_readWanted = false;
+    Instant m_readAgainAt {};
+    Instant m_lastAdvance;
+    std::optional<Instant> m_behindSince;
+    Instant m_nextReport;
+    std::uint64_t m_lastReported = 0;
+    Instant m_nextSnapshot;
+    std::uint64_t m_snapshots = 0;
+    struct Count {
+        std::uint64_t number;
+        Counted done;
+        Instant since;
+    };
+    std::deque<Count> m_counts;
+    std::uint64_t m_lastCount = 0;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/Directory.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "Config/ConfigState.h"
+#include "Core/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief Numbers names once and for all, so that decisions carry small numbers.
+class Interner {
+public:
+    /// \returns the number of \a name, from 0 in the order of first use.
+    std::uint32_t operator()(std::string_view name)
+    {
+        return m_ids.try_emplace(std::string(name), static_cast<std::uint32_t>(m_ids.size())).first->second;
+    }
+
+private:
+    std::unordered_map<std::string, std::uint32_t> m_ids;
+};
+
+/// \brief A class of calls, ready to look up.
+struct ClassInfo {
+    std::string name;
+    std::string pathPrefix;
+    std::uint32_t priority = 0;
+    bool isRepeatable = true;
+    Duration deadline {};
+};
+
+struct UpstreamInfo {
+    std::string id;
+    proto::Upstream config;
+};
+
+struct ServiceInfo {
+    std::string id;
+    proto::Service config;
+    std::vector<ClassInfo> classes; ///< longest prefix first; the last one matches all
+    std::vector<UpstreamInfo> upstreams;
+
+    const ClassInfo& classOf(std::string_view path) const;
+};
+
+struct GroupInfo {
+    std::string id;
+    std::uint32_t number = 0;
+    std::map<std::string, double> weights; ///< by service
+
+    /// \returns the group's share of \a service; 1 where none is set.
+    double weightIn(const std::string& service) const;
+};
+
+/// \brief The configuration as calls need it: built anew from the folded state when that changes.
+/// Cost: building O(resources); look-ups O(1), the first of a credential one SHA-256.
+class Directory {
+public:
+    void rebuild(const ConfigState& state);
+
+    const ServiceInfo* service(std::string_view id) const;
+    const GroupInfo* groupByCredential(const std::string& credential);
+    const UpstreamInfo* upstream(const std::string& id) const;
+
+    const std::map<std::string, ServiceInfo, std::less<>>& services() const { return m_services; }
+    const std::vector<GroupInfo>& groups() const { return m_groups; }
+
+    /// \returns the number of a group by name, known or not.
+    std::uint32_t groupNumber(std::string_view id) { return m_numbers(id); }
+
+private:
+    /// Credentials remembered with their group, right or wrong ones; all are dropped beyond this.
+    static constexpr std::size_t rememberedCredentials = 10000;
+
+    void addService(const std::string& id, const proto::Service& config);
+    void addGroup(const std::string& id, const proto::Group& config);
+
+    Interner m_numbers;
+    std::map<std::string, ServiceInfo, std::less<>> m_services;
+    std::vector<GroupInfo> m_groups;
+    std::unordered_map<std::string, std::size_t> m_groupByHash;
+    std::unordered_map<std::string, const GroupInfo*> m_groupByCredential;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/Ingress.cpp
@@ -0,0 +1,620 @@
+#include "Node/Ingress.h"
+
+#include "Core/Hash.h"
+#include "Core/Log.h"
+#include "Once/KeyAge.h"
+#include "Routing/Subset.h"
+#include "Wire/TicketCodec.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace robinrun {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusCreated = 201;
+constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
+constexpr int notFound = 404;
+constexpr int unprocessable = 422;
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+constexpr int firstServerError = 500;
+
+/// Attempts over all levels of a call, unless the caller says less.
+constexpr std::uint32_t defaultAttempts = 3;
+constexpr std::uint32_t maxAttempts = 8;
+constexpr std::int64_t maxDeadlineMs = 600000;
+constexpr std::uint32_t drainingRetryMs = 100;
+constexpr double permille = 1000;
+
+constexpr std::string_view credentialHeader = "Robinrun-Credential";
+constexpr std::string_view deadlineHeader = "Robinrun-Deadline-Ms";
+constexpr std::string_view attemptsHeader = "Robinrun-Attempts-Left";
+constexpr std::string_view ticketHeader = "Robinrun-Ticket";
+constexpr std::string_view keyHeader = "Idempotency-Key";
+constexpr std::string_view outcomeHeader = "Robinrun-Outcome";
+constexpr std::string_view reasonHeader = "Robinrun-Reason";
+constexpr std::string_view adviceHeader = "Robinrun-Advice";
+constexpr std::string_view ticketTarget = "/tickets";
+
+/// \returns whether a header is for this system and not passed on to the backend server.
+bool isOwnHeader(std::string_view name)
+{
+    return equalIgnoringCase(name, credentialHeader) || equalIgnoringCase(name, deadlineHeader)
+        || equalIgnoringCase(name, attemptsHeader) || equalIgnoringCase(name, ticketHeader)
+        || equalIgnoringCase(name, "Robinrun-Group");
+}
+
+std::optional<std::int64_t> parseNumber(std::string_view text)
+{
+    std::int64_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc() || end != text.data() + text.size() || n < 0)
+        return std::nullopt;
+    return n;
+}
+
+std::string_view firstLabel(std::string_view host) { return host.substr(0, host.find_first_of(".:")); }
+
+Reason reasonOf(const proto::Answer& answer)
+{
+    return answer.reason() < countOf<Reason>() ? static_cast<Reason>(answer.reason()) : Reason::None;
+}
+
+bool isWhole(const proto::Answer& answer)
+{
+    return answer.body().size() == answer.body_length() && hash64(answer.body()) == answer.body_hash();
+}
+
+/// \returns whether a refusal says that this owner is no place for the call, whatever it asks for.
+bool isAboutOwner(Reason reason) { return reason == Reason::Leaving || reason == Reason::WrongOwner; }
+
+} // namespace
+
+Ingress::Ingress(
+    NodeContext& context, Owner& owner, ClaimService& claims, const Membership& members, SendToPeer send)
+    : m_context(&context)
+    , m_owner(&owner)
+    , m_claims(&claims)
+    , m_members(&members)
+    , m_send(std::move(send))
+{
+}
+
+Ingress::~Ingress() = default;
+
+void Ingress::configure(Instant now)
+{
+    const auto& settings = m_context->settings;
+    auto hosts = m_members->names();
+    for (const auto& [id, info] : m_context->directory.services()) {
+        auto& router = m_routers[id];
+        if (!router) {
+            ServiceRouter::Options options;
+            options.kind = settings.choice.kind;
+            options.retryFraction = info.config.retry_fraction();
+            router = std::make_unique<ServiceRouter>(options);
+        }
+        std::vector<std::string> names;
+        for (const auto& it : info.upstreams)
+            names.push_back(it.id);
+        std::vector<RouteTarget> targets;
+        for (const auto i : chooseSubset(names, hosts, settings.name, settings.choice.subset)) {
+            const auto& config = info.upstreams[i].config;
+            Duration roundTrip = config.region() == settings.region ? settings.choice.hallRoundTrip
+                                                                    : settings.choice.regionRoundTrip;
+            if (config.data_hall() == settings.dataHall)
+                roundTrip = Duration::zero();
+            if (!config.leaving())
+                targets.push_back({ info.upstreams[i].id, config.slots(), roundTrip });
+        }
+        router->setUpstreams(targets, now);
+    }
+    // Routers of removed services stay: calls in progress still end through them.
+}
+
+const UpstreamInfo* Ingress::upstreamOf(const std::string& service, const std::string& id) const
+{
+    const auto* info = m_context->directory.service(service);
+    if (!info)
+        return nullptr;
+    const auto it = std::find_if(
+        info->upstreams.begin(), info->upstreams.end(), [&](const auto& upstream) { return upstream.id == id; });
+    return it == info->upstreams.end() ? nullptr : &*it;
+}
+
+void Ingress::reject(HttpExchange& exchange, int status, const std::string& message, std::string_view group)
+{
+    CallSample sample;
+    sample.group = group;
+    sample.callClass = "none";
+    sample.outcome = CallOutcome::Rejected;
+    m_context->metrics.call(sample);
+    exchange.reply({ status, { { std::string(outcomeHeader), "not-run" } }, message + "\n" });
+}
+
+bool Ingress::readRequest(Call& call, Instant now)
+{
+    const auto& request = call.exchange->request();
+    const auto credential = findHeader(request.headers, credentialHeader);
+    const auto* group = credential ? m_context->directory.groupByCredential(std::string(*credential)) : nullptr;
+    if (!group) {
+        reject(*call.exchange, unauthorized, "the header Robinrun-Credential names no known calling group");
+        return false;
+    }
+    call.group = group->id;
+    call.groupNumber = group->number;
+    call.target = request.target;
+    const auto host = findHeader(request.headers, "Host");
+    const auto* service = host ? m_context->directory.service(firstLabel(*host)) : nullptr;
+    if (!service && call.target.starts_with('/')) {
+        const auto end = call.target.find_first_of("/?", 1);
+        service = m_context->directory.service(std::string_view(call.target).substr(1, end - 1));
+        if (service)
+            call.target = end == std::string::npos ? "/" : call.target.substr(end);
+    }
+    if (!service) {
+        reject(*call.exchange, notFound, "no service is named by the host or the first part of the path", group->id);
+        return false;
+    }
+    call.service = service->id;
+    call.callClass = service->classOf(call.target);
+    auto allowed = call.callClass.deadline;
+    if (const auto text = findHeader(request.headers, deadlineHeader)) {
+        const auto ms = parseNumber(*text);
+        if (!ms || *ms > maxDeadlineMs) {
+            reject(*call.exchange, badRequest, "header Robinrun-Deadline-Ms: a number up to 600000 is expected", group->id);
+            return false;
+        }
+        allowed = std::min(allowed, Duration(*ms * 1000));
+    }
+    call.deadline = now + allowed;
+    call.attemptsLeft = defaultAttempts;
+    if (const auto text = findHeader(request.headers, attemptsHeader)) {
+        const auto n = parseNumber(*text);
+        if (!n || *n < 1 || *n > maxAttempts) {
+            reject(*call.exchange, badRequest, "header Robinrun-Attempts-Left: a number from 1 to 8 is expected", group->id);
+            return false;
+        }
+        call.attemptsLeft = static_cast<std::uint32_t>(*n);
+    }
+    return readOnce(call);
+}
+
+bool Ingress::readOnce(Call& call)
+{
+    const auto& request = call.exchange->request();
+    call.wantsTicket = request.method == "POST" && call.target == ticketTarget;
+    const auto ticket = findHeader(request.headers, ticketHeader);
+    const auto key = findHeader(request.headers, keyHeader);
+    if (ticket && key) {
+        reject(*call.exchange, badRequest, "Robinrun-Ticket and Idempotency-Key can't both be given", call.group);
+        return false;
+    }
+    if (ticket) {
+        auto parsed = Ticket::parse(*ticket);
+        if (!parsed) {
+            reject(*call.exchange, badRequest, "header Robinrun-Ticket: " + parsed.error(), call.group);
+            return false;
+        }
+        call.ticket = std::move(parsed.value());
+    }
+    if (key) {
+        if (!keyBornMs(*key)) {
+            reject(*call.exchange, badRequest,
+                "header Idempotency-Key: a UUID of version 7 or <seconds since 1970>:<text> is expected", call.group);
+            return false;
+        }
+        call.key = std::string(*key);
+    }
+    return true;
+}
+
+void Ingress::take(std::unique_ptr<HttpExchange> exchange, Instant now)
+{
+    if (m_calls.size() >= m_context->settings.limits.calls)
+        return reject(*exchange, unavailable, "this node has too many calls in progress");
+    Call call;
+    call.exchange = std::move(exchange);
+    call.arrived = now;
+    call.state = m_context->charts.call.initial();
+    if (!readRequest(call, now))
+        return;
+    const auto id = ++m_lastCall;
+    const auto left = call.deadline - now;
+    call.exchange->onHangUp([this, id] { hungUp(id); });
+    call.deadlineTimer = Timer::once(m_context->base, left, [this, id] { deadlineReached(id); });
+    auto& kept = m_calls.emplace(id, std::move(call)).first->second;
+    if (m_isDraining) {
+        kept.retryAfterMs = drainingRetryMs;
+        return finishNotRun(id, kept, Reason::Leaving, now);
+    }
+    m_routers.at(kept.service)->firstAttempt(kept.groupNumber);
+    if (kept.key) {
+        kept.isMinting = true;
+        step(kept, CallEvent::NeedsClaim);
+        return proceed(id, now);
+    }
+    kept.isMinting = kept.wantsTicket;
+    step(kept, CallEvent::NeedsNoClaim);
+    proceed(id, now);
+}
+
+void Ingress::step(Call& call, CallEvent event)
+{
+    if (const auto next = m_context->charts.call.next(call.state, event))
+        call.state = *next;
+}
+
+void Ingress::proceed(CallId id, Instant now)
+{
+    auto& call = m_calls.at(id);
+    auto& router = *m_routers.at(call.service);
+    if (call.ticket && !call.isMinting) {
+        // A ticket is good at one owner only.
+        const bool isKnown = upstreamOf(call.service, call.ticket->upstream);
+        if (!isKnown)
+            return finishUnknown(id, call, Reason::TicketUnknown, now);
+        if (sendTo(id, call, call.ticket->upstream, now))
+            return;
+        return finishNotRun(id, call, Reason::OwnerLost, now);
+    }
+    while (true) {
+        const auto upstream = router.pick(call.tried, now, m_context->random);
+        if (!upstream)
+            return finishNotRun(
+                id, call, call.lastReason == Reason::None ? Reason::NoUpstream : call.lastReason, now);
+        if (sendTo(id, call, *upstream, now))
+            return;
+        // The message could not go out, so it costs no attempt.
+        router.sent(*upstream, call.groupNumber);
+        router.lost(*upstream, now);
+        call.tried.push_back(*upstream);
+    }
+}
+
+proto::Call Ingress::envelope(
+    const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const
+{
+    const auto& request = call.exchange->request();
+    proto::Call out;
+    out.set_upstream(upstream.id);
+    const auto left = std::max<std::int64_t>((call.deadline - now).count(), 0);
+    out.set_remaining_us(static_cast<std::uint32_t>(std::min<std::int64_t>(left, UINT32_MAX)));
+    out.set_group(call.group);
+    out.set_service(call.service);
+    out.set_call_class(call.callClass.name);
+    out.set_attempts_left(call.attemptsLeft);
+    out.set_elsewhere_us(static_cast<std::uint32_t>(std::min<std::int64_t>(elsewhere.count(), UINT32_MAX)));
+    const auto clock = m_ownerClocks.find(upstream.id);
+    if (clock != m_ownerClocks.end()) {
+        out.set_owner_incarnation(clock->second.incarnation);
+        const auto since = (now - clock->second.heard).count();
+        out.set_owner_deadline_us(clock->second.ownerUs + static_cast<std::uint64_t>(since + left));
+    }
+    if (call.isMinting) {
+        out.set_mint_ticket(true);
+        out.set_body_hash(hash64(""));
+        return out;
+    }
+    out.set_method(request.method);
+    out.set_target(call.target);
+    for (const auto& [name, value] : request.headers) {
+        if (isHopByHop(name) || isOwnHeader(name))
+            continue;
+        auto& header = *out.add_headers();
+        header.set_name(name);
+        header.set_value(value);
+    }
+    out.set_body(request.body);
+    out.set_body_hash(hash64(request.body));
+    if (call.ticket)
+        encode(*call.ticket, *out.mutable_ticket());
+    return out;
+}
+
+bool Ingress::sendTo(CallId id, Call& call, const std::string& upstream, Instant now)
+{
+    const auto* info = upstreamOf(call.service, upstream);
+    if (!info)
+        return false;
+    auto& router = *m_routers.at(call.service);
+    const auto number = ++m_lastNumber;
+    const auto elsewhere = router.sent(upstream, call.groupNumber);
+    proto::PeerMessage message;
+    *message.mutable_call() = envelope(call, *info, elsewhere, now);
+    message.mutable_call()->set_number(number);
+    const bool isOwn = upstream == m_owner->upstream();
+    // The owner may answer inside take(): the attempt must stand before that.
+    call.out.push_back({ number, upstream, info->config.host(), message.call().owner_incarnation(), now });
+    call.tried.push_back(upstream);
+    m_callByNumber[number] = id;
+    step(call, CallEvent::Sent);
+    if (isOwn) {
+        const Owner::Sender self { m_context->settings.name, m_context->settings.listen.peers, m_context->incarnation };
+        const auto& node = m_context->settings.name;
+        m_owner->take(
+            message.call(), self, [this, node](proto::Answer& answer) { takeAnswer(node, answer, monotonicNow()); },
+            now);
+        return true;
+    }
+    if (m_send(info->config.node_address(), message, now)) {
+        if (call.callClass.isRepeatable && !call.isMinting && !call.ticket)
+            call.attemptTimer = Timer::once(
+                m_context->base, m_context->settings.choice.attemptTimeout, [this, id] { attemptTimedOut(id); });
+        return true;
+    }
+    router.abandoned(upstream);
+    call.out.pop_back();
+    call.tried.pop_back();
+    m_callByNumber.erase(number);
+    step(call, CallEvent::Refused);
+    return false;
+}
+
+void Ingress::learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
+{
+    auto& router = *m_routers.at(call.service);
+    m_ownerClocks[attempt.upstream] = { answer.incarnation(), answer.owner_now_us(), now };
+    const auto& load = answer.load();
+    Report report;
+    report.load = { load.slots(), load.in_use(), load.waiting(), Duration(load.service_us()) };
+    report.yours = load.yours();
+    report.errorShare = load.error_permille() / permille;
+    report.heard = now;
+    const bool isFailure = answer.outcome() == proto::UNKNOWN
+        || (answer.outcome() == proto::ANSWERED && answer.status() >= firstServerError)
+        || reasonOf(answer) == Reason::BackendUnreachable;
+    const Duration held(answer.held_us());
+    router.answered(attempt.upstream, call.groupNumber, report, held, isFailure, now);
+    const bool isLeaving = load.state() == static_cast<std::uint32_t>(UpstreamState::Leaving);
+    router.setLeaving(attempt.upstream, isLeaving, now);
+    if (answer.outcome() == proto::ANSWERED) {
+        const auto network = (now - attempt.sent) - held - Duration(answer.queued_us());
+        router.measuredRoundTrip(attempt.upstream, std::max(network, Duration::zero()));
+    }
+}
+
+void Ingress::takeAnswer(const std::string& node, proto::Answer& answer, Instant now)
+{
+    const auto found = m_callByNumber.find(answer.number());
+    if (found == m_callByNumber.end())
+        return; // given up before; nobody waits for it
+    const auto id = found->second;
+    auto& call = m_calls.at(id);
+    const auto it = std::find_if(
+        call.out.begin(), call.out.end(), [&](const auto& attempt) { return attempt.number == answer.number(); });
+    // An answer counts only from the node that was asked, for this incarnation of this node.
+    const bool isForeign = it->node != node || answer.caller_incarnation() != m_context->incarnation;
+    if (isForeign) {
+        log(LogLevel::Error, "answer-foreign", { { "from", node }, { "number", answer.number() } });
+        m_context->metrics.count("robinrun_foreign_answers_total");
+        return;
+    }
+    const Attempt attempt = *it;
+    call.out.erase(it);
+    m_callByNumber.erase(found);
+    learn(call, attempt, answer, now);
+    if (answer.outcome() == proto::NOT_RUN)
+        return refused(id, call, attempt, answer, now);
+    if (call.isMinting)
+        return ticketMinted(id, call, decode(answer.ticket()), now);
+    if (answer.outcome() == proto::ANSWERED && isWhole(answer)) {
+        step(call, CallEvent::Answered);
+        return finishAnswered(id, call, answer, now);
+    }
+    const auto reason = answer.outcome() == proto::ANSWERED ? Reason::Damaged : reasonOf(answer);
+    const bool isRepeatable = call.callClass.isRepeatable && !call.ticket;
+    call.wasLost = true;
+    call.lastReason = reason;
+    if (isRepeatable && now < call.deadline && mayTryAgain(call)) {
+        step(call, CallEvent::Refused);
+        return proceed(id, now);
+    }
+    if (call.out.empty())
+        finishUnknown(id, call, reason, now);
+}
+
+bool Ingress::mayTryAgain(Call& call)
+{
+    if (call.attemptsLeft <= 1 || !m_routers.at(call.service)->trySpendRetry(call.groupNumber))
+        return false;
+    --call.attemptsLeft;
+    m_context->metrics.count("robinrun_retries_total");
+    return true;
+}
+
+void Ingress::refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
+{
+    call.lastReason = reasonOf(answer);
+    call.retryAfterMs = answer.retry_after_ms();
+    if (!call.out.empty())
+        return; // another attempt is still out
+    step(call, CallEvent::Refused);
+    if (call.ticket && !call.isMinting)
+        return finishNotRun(id, call, call.lastReason, now);
+    // An owner that restarted is as good as before under its new incarnation.
+    if (call.lastReason == Reason::WrongIncarnation)
+        std::erase(call.tried, attempt.upstream);
+    // Moving on from an owner that is leaving is no overload: it costs no retry.
+    const bool isFree = isAboutOwner(call.lastReason) || call.lastReason == Reason::WrongIncarnation;
+    if (call.lastReason == Reason::DeadlinePassed || now >= call.deadline || (!isFree && !mayTryAgain(call)))
+        return finishNotRun(id, call, call.lastReason, now);
+    proceed(id, now);
+}
+
+void Ingress::ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now)
+{
+    call.ticket = ticket;
+    if (call.wantsTicket)
+        return finishTicket(id, call, now);
+    const auto key = hash128(call.group + '\n' + call.service + '\n' + *call.key);
+    const Claim claim { key, *keyBornMs(*call.key), ticket };
+    m_claims->claim(
+        claim, [this, id](const ClaimDecision& decision) { claimDecided(id, decision); }, now);
+}
+
+void Ingress::claimDecided(CallId id, const ClaimDecision& decision)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    auto& call = it->second;
+    const auto now = monotonicNow();
+    call.isMinting = false;
+    call.tried.clear();
+    switch (decision.kind) {
+    case ClaimDecision::Kind::Won:
+        step(call, CallEvent::ClaimDecided);
+        call.ticket = decision.winner;
+        return proceed(id, now);
+    case ClaimDecision::Kind::TooOld:
+        return finishUnknown(id, call, Reason::KeyTooOld, now);
+    case ClaimDecision::Kind::Undecided:
+        step(call, CallEvent::ClaimUndecided);
+        return finishNotRun(id, call, Reason::ClaimUndecided, now);
+    }
+}
+
+void Ingress::deadlineReached(CallId id)
+{
+    auto& call = m_calls.at(id);
+    const auto now = monotonicNow();
+    const bool isOut = !call.out.empty() && !call.isMinting;
+    giveUpAttempts(call, now, true);
+    if (isOut || call.wasLost)
+        return finishUnknown(id, call, Reason::DeadlinePassed, now);
+    finishNotRun(id, call, Reason::DeadlinePassed, now);
+}
+
+void Ingress::attemptTimedOut(CallId id)
+{
+    auto& call = m_calls.at(id);
+    const auto now = monotonicNow();
+    if (call.out.empty() || now >= call.deadline || !mayTryAgain(call))
+        return;
+    // The slow attempt stays out; the first whole answer is taken.
+    const auto upstream = m_routers.at(call.service)->pick(call.tried, now, m_context->random);
+    if (upstream)
+        sendTo(id, call, *upstream, now);
+}
+
+void Ingress::hungUp(CallId id)
+{
+    auto& call = m_calls.at(id);
+    const auto now = monotonicNow();
+    giveUpAttempts(call, now, false);
+    step(call, CallEvent::HungUp);
+    finish(id, call, {}, CallOutcome::HungUp, Reason::Cancelled, now);
+}
+
+void Ingress::giveUpAttempts(Call& call, Instant now, bool isLost)
+{
+    auto& router = *m_routers.at(call.service);
+    for (const auto& it : std::exchange(call.out, {})) {
+        m_callByNumber.erase(it.number);
+        if (isLost)
+            router.lost(it.upstream, now);
+        else
+            router.abandoned(it.upstream);
+        if (it.upstream == m_owner->upstream()) {
+            m_owner->cancel(m_context->incarnation, it.number, now);
+            continue;
+        }
+        const auto* info = upstreamOf(call.service, it.upstream);
+        proto::PeerMessage message;
+        message.mutable_cancel()->set_number(it.number);
+        if (info)
+            m_send(info->config.node_address(), message, now);
+    }
+}
+
+void Ingress::finishAnswered(CallId id, Call& call, proto::Answer& answer, Instant now)
+{
+    HttpReply reply;
+    reply.status = static_cast<int>(answer.status());
+    for (const auto& it : answer.headers())
+        reply.headers.emplace_back(it.name(), it.value());
+    reply.headers.emplace_back(std::string(outcomeHeader), "answered");
+    reply.headers.emplace_back("Robinrun-Queued-Us", std::to_string(answer.queued_us()));
+    reply.body = std::move(*answer.mutable_body());
+    finish(id, call, std::move(reply), CallOutcome::Answered, Reason::None, now, &answer);
+}
+
+void Ingress::finishTicket(CallId id, Call& call, Instant now)
+{
+    const auto text = call.ticket->text();
+    step(call, CallEvent::Answered);
+    HttpReply reply { statusCreated,
+        { { std::string(ticketHeader), text }, { "Content-Type", "application/json" } },
+        "{\"ticket\":\"" + text + "\"}\n" };
+    finish(id, call, std::move(reply), CallOutcome::Answered, Reason::None, now);
+}
+
+void Ingress::finishNotRun(CallId id, Call& call, Reason reason, Instant now)
+{
+    if (call.wasLost)
+        return finishUnknown(id, call, reason, now);
+    step(call, CallEvent::GivenUp);
+    const int status = reason == Reason::TicketMismatch ? unprocessable : unavailable;
+    const auto seconds = std::max<std::uint32_t>(1, (call.retryAfterMs + 999) / 1000);
+    HttpReply reply { status,
+        { { std::string(outcomeHeader), "not-run" }, { std::string(reasonHeader), std::string(nameOf(reason)) },
+            { "Retry-After", std::to_string(seconds) },
+            { "Robinrun-Retry-After-Ms", std::to_string(call.retryAfterMs) } },
+        "the call was not run: " + std::string(nameOf(reason)) + "\n" };
+    const auto* service = m_context->directory.service(call.service);
+    if (reason == Reason::ClaimUndecided && service && service->config.ticket_in_outage())
+        reply.headers.emplace_back(std::string(adviceHeader), "take-ticket");
+    finish(id, call, std::move(reply), CallOutcome::NotRun, reason, now);
+}
+
+void Ingress::finishUnknown(CallId id, Call& call, Reason reason, Instant now)
+{
+    step(call, CallEvent::Lost);
+    const int status = reason == Reason::Damaged ? badGateway : gatewayTimeout;
+    HttpReply reply { status,
+        { { std::string(outcomeHeader), "unknown" }, { std::string(reasonHeader), std::string(nameOf(reason)) } },
+        "the outcome of the call is unknown: " + std::string(nameOf(reason)) + "\n" };
+    finish(id, call, std::move(reply), CallOutcome::Unknown, reason, now);
+}
+
+void Ingress::finish(CallId id, Call& call, HttpReply reply, CallOutcome outcome, Reason reason, Instant now,
+    const proto::Answer* answer)
+{
+    giveUpAttempts(call, now, false);
+    CallSample sample;
+    sample.group = call.group;
+    sample.callClass = call.callClass.name;
+    sample.outcome = outcome;
+    sample.reason = reason;
+    sample.total = now - call.arrived;
+    if (answer) {
+        sample.queued = Duration(answer->queued_us());
+        sample.held = Duration(answer->held_us());
+    }
+    m_context->metrics.call(sample);
+    if (m_context->settings.log.access) {
+        log(LogLevel::Info, "call",
+            { { "group", call.group }, { "service", call.service }, { "class", call.callClass.name },
+                { "outcome", nameOf(outcome) }, { "reason", nameOf(reason) }, { "status", reply.status },
+                { "total_us", std::int64_t { sample.total.count() } },
+                { "queued_us", std::int64_t { sample.queued.count() } },
+                { "held_us", std::int64_t { sample.held.count() } } });
+    }
+    const auto exchange = std::move(call.exchange);
+    m_calls.erase(id);
+    if (outcome != CallOutcome::HungUp)
+        exchange->reply(reply);
+}
+
+void Ingress::takeLeaving(const proto::Leaving& leaving, Instant now)
+{
+    for (auto& [service, router] : m_routers)
+        router->setLeaving(leaving.upstream(), !leaving.undone(), now);
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/Ingress.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "Chart/Charts.h"
+#include "Control/Membership.h"
+#include "Http/HttpServer.h"
+#include "Node/ClaimService.h"
+#include "Node/NodeContext.h"
+#include "Node/Owner.h"
+#include "Node/PeerLinks.h"
+#include "Node/Timer.h"
+#include "Routing/ServiceRouter.h"
+#include "peer.pb.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief Takes calls from callers, chooses upstreams and answers, each caller with the answer to its own call.
+///
+/// A call's life is the state chart `call`. "Not run" is said only while no attempt is out that may have been handed
+/// over: each attempt ends by its owner's answer or is lost, and a lost one makes the outcome unknown unless the call
+/// may be repeated.
+class Ingress {
+public:
+    Ingress(NodeContext& context, Owner& owner, ClaimService& claims, const Membership& members, SendToPeer send);
+    ~Ingress();
+
+    /// \brief A caller's request, whole.
+    void take(std::unique_ptr<HttpExchange> exchange, Instant now);
+
+    /// \brief An owner's answer, from the node called \a node.
+    void takeAnswer(const std::string& node, proto::Answer& answer, Instant now);
+
+    /// \brief An owner says that its upstream leaves or stays.
+    void takeLeaving(const proto::Leaving& leaving, Instant now);
+
+    /// \brief The configuration or the members have changed.
+    void configure(Instant now);
+
+    /// \brief While draining, new calls are refused as not run.
+    void setDraining(bool isDraining) { m_isDraining = isDraining; }
+
+    std::size_t inProgress() const { return m_calls.size(); }
+    const std::unordered_map<std::string, std::unique_ptr<ServiceRouter>>& routers() const { return m_routers; }
+
+private:
+    /// One message to one owner.
+    struct Attempt {
+        std::uint64_t number = 0;
+        std::string upstream;
+        std::string node; ///< the host whose answer counts
+        std::uint64_t ownerIncarnation = 0;
+        Instant sent {};
+    };
+    struct Call {
+        std::unique_ptr<HttpExchange> exchange;
+        CallState state {};
+        std::string service;
+        std::string group;
+        std::uint32_t groupNumber = 0;
+        ClassInfo callClass;
+        std::string target;
+        Instant arrived {};
+        Instant deadline {};
+        std::uint32_t attemptsLeft = 0;
+        std::vector<std::string> tried;
+        std::vector<Attempt> out;
+        bool wasLost = false; ///< an attempt was lost: the outcome may be unknown
+        Reason lastReason = Reason::None;
+        std::uint32_t retryAfterMs = 0;
+        std::optional<Ticket> ticket;
+        std::optional<std::string> key; ///< caller's idempotency key
+        bool isMinting = false; ///< the attempt asks for a ticket only
+        bool wantsTicket = false; ///< the caller asked for the ticket itself
+        Timer deadlineTimer;
+        Timer attemptTimer;
+    };
+    using CallId = std::uint64_t;
+
+    void reject(HttpExchange& exchange, int status, const std::string& message, std::string_view group = "none");
+    bool readRequest(Call& call, Instant now);
+    bool readOnce(Call& call);
+    void proceed(CallId id, Instant now);
+    bool sendTo(CallId id, Call& call, const std::string& upstream, Instant now);
+    proto::Call envelope(const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
+    bool mayTryAgain(Call& call);
+    void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
+    void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
+    void claimDecided(CallId id, const ClaimDecision& decision);
+    void deadlineReached(CallId id);
+    void attemptTimedOut(CallId id);
+    void hungUp(CallId id);
+    void step(Call& call, CallEvent event);
+    void finishAnswered(CallId id, Call& call, proto::Answer& answer, Instant now);
+    void finishTicket(CallId id, Call& call, Instant now);
+    void finishNotRun(CallId id, Call& call, Reason reason, Instant now);
+    void finishUnknown(CallId id, Call& call, Reason reason, Instant now);
+    void finish(CallId id, Call& call, HttpReply reply, CallOutcome outcome, Reason reason, Instant now,
+        const proto::Answer* answer = nullptr);
+    void giveUpAttempts(Call& call, Instant now, bool isLost);
+    void learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
+    const UpstreamInfo* upstreamOf(const std::string& service, const std::string& id) const;
+
+    NodeContext* m_context;
+    Owner* m_owner;
+    ClaimService* m_claims;
+    const Membership* m_members;
+    SendToPeer m_send;
+    bool m_isDraining = false;
+    CallId m_lastCall = 0;
+    std::uint64_t m_lastNumber = 0;
+    std::unordered_map<CallId, Call> m_calls;
+    std::unordered_map<std::uint64_t, CallId> m_callByNumber;
+    std::unordered_map<std::string, std::unique_ptr<ServiceRouter>> m_routers;
+    /// What the last answer of an owner told of its clock, to pass deadlines that a late delivery can't outlive.
+    struct OwnerClock {
+        std::uint64_t incarnation = 0;
+        std::uint64_t ownerUs = 0;
+        Instant heard {};
+    };
+    std::unordered_map<std::string, OwnerClock> m_ownerClocks;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/Node.cpp
@@ -0,0 +1,238 @@
+#include "Node/Node.h"
+
+#include "Core/Log.h"
+#include "Platform/HttpPlatform.h"
+
+namespace robinrun {
+namespace {
+
+constexpr Duration fastTick = 2ms;
+constexpr Duration slowTick = 100ms;
+/// Changes to the configuration that come together are applied together.
+constexpr Duration changeDelay = 5ms;
+/// Callers' connections stay open this long after the last call of a drain, for those who send one more.
+constexpr Duration lingering = 300ms;
+
+Owner::Sender senderOf(const PeerSocket::Sender& sender) { return { sender.node, sender.address, sender.incarnation }; }
+
+} // namespace
+
+Node::Node(event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation)
+    : m_context { std::move(settings), std::move(charts), base, incarnation, {}, {}, Random(incarnation) }
+    , m_state(m_context.charts.node.initial())
+{
+}
+
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>, std::string> Node::start(
+    event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation)
+{
+    std::unique_ptr<Node> node(new Node(base, std::move(settings), std::move(charts), incarnation));
+    auto bound = node->bind();
+    if (!bound)
+        return failure(bound.error());
+    return node;
+}
+
+SendToPeer Node::sender()
+{
+    return [this](const std::string& address, proto::PeerMessage& message, Instant now) {
+        return m_peers->send(address, message, now);
+    };
+}
+
+Result<void, std::string> Node::bind()
+{
+    const auto now = monotonicNow();
+    auto* base = m_context.base;
+    const auto& settings = m_context.settings;
+    PeerSocket::Options peerOptions;
+    peerOptions.bindAddress = settings.listen.peers;
+    peerOptions.node = settings.name;
+    peerOptions.incarnation = m_context.incarnation;
+    auto peers = PeerSocket::bind(base, peerOptions,
+        [this](const PeerSocket::Sender& from, proto::PeerMessage& message) { takeMessage(from, message); });
+    if (!peers)
+        return failure(peers.error());
+    m_peers = std::move(peers.value());
+    m_log = std::make_unique<HttpAppendLog>(base, settings.platform.log, settings.platform.timeout);
+    m_hosts = std::make_unique<HttpHostList>(base, settings.platform.hosts, settings.platform.timeout);
+    m_control = std::make_unique<ControlPlane>(m_context, *m_log, *m_hosts, sender(), now);
+    m_owner = std::make_unique<Owner>(m_context, now);
+    m_claims = std::make_unique<ClaimService>(m_context, *m_log, m_control->members(), sender(), now);
+    m_ingress = std::make_unique<Ingress>(m_context, *m_owner, *m_claims, m_control->members(), sender());
+    m_api = std::make_unique<OperatorApi>(m_context, *m_control, *m_log, [this] { return facts(); });
+    m_control->onChanged([this] { configurationChanged(); });
+    m_owner->onAnnounce([this](const std::string& address, bool isLeaving) {
+        proto::PeerMessage message;
+        message.mutable_leaving()->set_upstream(m_owner->upstream());
+        message.mutable_leaving()->set_incarnation(m_context.incarnation);
+        message.mutable_leaving()->set_undone(!isLeaving);
+        m_peers->send(address, message, monotonicNow());
+    });
+
+    HttpServer::Options callers { settings.listen.callers, settings.limits.body, settings.limits.headers, 60s };
+    auto server = HttpServer::listen(base, callers, [this](std::unique_ptr<HttpExchange> exchange) {
+        m_ingress->take(std::move(exchange), monotonicNow());
+    });
+    if (!server)
+        return failure(server.error());
+    m_callers = std::move(server.value());
+    HttpServer::Options operators { settings.listen.operators, settings.limits.body, settings.limits.headers, 60s };
+    server = HttpServer::listen(base, operators, [this](std::unique_ptr<HttpExchange> exchange) {
+        m_api->take(std::move(exchange), monotonicNow());
+    });
+    if (!server)
+        return failure(server.error());
+    m_operators = std::move(server.value());
+    m_fast = Timer::repeating(base, fastTick, [this] { tickFast(); });
+    m_slow = Timer::repeating(base, slowTick, [this] { tickSlow(); });
+    addGauges();
+    tickSlow();
+    return boost::outcome_v2::success();
+}
+
+void Node::addGauges()
+{
+    auto& metrics = m_context.metrics;
+    metrics.gauge("robinrun_applied_offset", [this] { return double(m_control->follower().nextOffset()); });
+    metrics.gauge("robinrun_calls_in_progress", [this] { return double(m_ingress->inProgress()); });
+    metrics.gauge("robinrun_slots_in_use", [this] { return double(m_owner->load(monotonicNow()).inUse); });
+    metrics.gauge("robinrun_calls_waiting", [this] { return double(m_owner->load(monotonicNow()).waiting); });
+    metrics.gauge("robinrun_peer_links", [this] { return double(m_peers->links()); });
+    metrics.gauge("robinrun_claim_appends_total", [this] { return double(m_claims->appends()); });
+    const auto* kinds = proto::PeerMessage::descriptor()->FindOneofByName("body");
+    for (int i = 0; i < kinds->field_count(); ++i) {
+        const int number = kinds->field(i)->number();
+        const auto label = "{kind=\"" + kinds->field(i)->name() + "\"}";
+        const auto read = [number](const auto& table, auto member) {
+            const auto it = table.find(number);
+            return it == table.end() ? 0.0 : double(it->second.*member);
+        };
+        metrics.gauge("robinrun_peer_sent_bytes" + label,
+            [this, read] { return read(m_peers->sentByKind(), &Traffic::bytes); });
+        metrics.gauge("robinrun_peer_sent_messages" + label,
+            [this, read] { return read(m_peers->sentByKind(), &Traffic::messages); });
+        metrics.gauge("robinrun_peer_received_bytes" + label,
+            [this, read] { return read(m_peers->receivedByKind(), &Traffic::bytes); });
+    }
+}
+
+NodeFacts Node::facts() const
+{
+    return { m_state, std::string(nameOf(m_owner->lifeState())), m_owner->load(monotonicNow()),
+        m_ingress->inProgress() };
+}
+
+void Node::takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
+{
+    const auto now = monotonicNow();
+    switch (message.body_case()) {
+    case proto::PeerMessage::kCall:
+        return takeCall(sender, message.call(), now);
+    case proto::PeerMessage::kAnswer:
+        return m_ingress->takeAnswer(sender.node, *message.mutable_answer(), now);
+    case proto::PeerMessage::kCancel:
+        return m_owner->cancel(sender.incarnation, message.cancel().number(), now);
+    case proto::PeerMessage::kClaimRequest:
+        return takeClaim(sender, message.claim_request(), now);
+    case proto::PeerMessage::kClaimReply:
+        return m_claims->takeReply(message.claim_reply());
+    case proto::PeerMessage::kLeaving:
+        return m_ingress->takeLeaving(message.leaving(), now);
+    default:
+        m_control->take(sender, message, now);
+    }
+}
+
+void Node::takeCall(const PeerSocket::Sender& sender, const proto::Call& call, Instant now)
+{
+    m_owner->take(
+        call, senderOf(sender),
+        [this, sender](proto::Answer& answer) {
+            proto::PeerMessage message;
+            message.mutable_answer()->Swap(&answer);
+            m_peers->answer(sender, message, monotonicNow());
+            message.mutable_answer()->Swap(&answer);
+        },
+        now);
+}
+
+void Node::takeClaim(const PeerSocket::Sender& sender, const proto::ClaimRequest& request, Instant now)
+{
+    m_claims->takeRequest(
+        request,
+        [this, sender](proto::ClaimReply& reply) {
+            proto::PeerMessage message;
+            message.mutable_claim_reply()->Swap(&reply);
+            m_peers->answer(sender, message, monotonicNow());
+        },
+        now);
+}
+
+void Node::configurationChanged()
+{
+    if (m_isChangePending)
+        return;
+    m_isChangePending = true;
+    m_changes = Timer::once(m_context.base, changeDelay, [this] { applyChanges(); });
+}
+
+void Node::applyChanges()
+{
+    m_isChangePending = false;
+    const auto now = monotonicNow();
+    m_context.directory.rebuild(m_control->follower().state());
+    m_owner->configure(now);
+    m_ingress->configure(now);
+    const auto* host = m_control->members().find(m_context.settings.name);
+    m_owner->setSign(LeavingSign::HostList, host && host->isLeaving, now);
+    m_api->changed(now);
+    if (m_control->follower().nextOffset() > 0)
+        step(NodeEvent::Configured);
+}
+
+void Node::tickFast()
+{
+    if (m_claims->isBusy())
+        m_claims->tick(monotonicNow());
+}
+
+void Node::tickSlow()
+{
+    const auto now = monotonicNow();
+    m_control->tick(now);
+    m_owner->tick(now);
+    m_api->tick(now);
+    m_peers->closeIdle(now);
+    if (m_ingress->inProgress() || !m_owner->isIdle())
+        m_lastCallAnswered = now;
+    if (m_state == NodeState::Draining && now - m_lastCallAnswered > lingering)
+        step(NodeEvent::Drained);
+}
+
+void Node::step(NodeEvent event)
+{
+    const auto next = m_context.charts.node.next(m_state, event);
+    if (!next)
+        return;
+    m_state = *next;
+    log(LogLevel::Info, "node-state", { { "state", nameOf(m_state) } });
+    const auto now = monotonicNow();
+    if (m_state == NodeState::Draining) {
+        m_lastCallAnswered = now;
+        m_ingress->setDraining(true);
+        m_owner->setSign(LeavingSign::NodeStop, true, now);
+        m_callers->stopAccepting();
+        m_callers->setClosing(true);
+        m_drainLimit = Timer::once(
+            m_context.base, m_context.settings.drainTimeout, [this] { this->step(NodeEvent::DrainTimeout); });
+    }
+    if (m_state == NodeState::Stopped)
+        event_base_loopexit(m_context.base, nullptr);
+}
+
+void Node::stop() { step(NodeEvent::StopAsked); }
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/NodeContext.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Chart/Charts.h"
+#include "Core/Random.h"
+#include "Core/Time.h"
+#include "Node/Directory.h"
+#include "Node/Metrics.h"
+#include "Settings/NodeSettings.h"
+
+#include <cstdint>
+#include <event2/event.h>
+
+namespace robinrun {
+
+/// \brief What the parts of one node share. They run on one loop, on one thread.
+struct NodeContext {
+    NodeSettings settings;
+    Charts charts;
+    event_base* base = nullptr;
+    std::uint64_t incarnation = 0; ///< differs from every earlier start of this node
+    Directory directory;
+    Metrics metrics;
+    Random random { 0 };
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/Owner.cpp
@@ -0,0 +1,395 @@
+#include "Node/Owner.h"
+
+#include "Core/Hash.h"
+#include "Core/Log.h"
+#include "Wire/TicketCodec.h"
+
+#include <algorithm>
+
+namespace robinrun {
+namespace {
+
+constexpr Duration forgetSenders = 120s;
+constexpr Duration ingressMemory = 30s;
+constexpr double errorSampleWeight = 0.05;
+constexpr int firstServerError = 500;
+constexpr double permille = 1000;
+
+/// Headers by which deadlines and attempts are passed down to a backend server's own calls.
+constexpr const char* deadlineHeader = "Robinrun-Deadline-Ms";
+constexpr const char* attemptsHeader = "Robinrun-Attempts-Left";
+constexpr const char* groupHeader = "Robinrun-Group";
+
+Hash128 fingerprintOf(const proto::Call& call)
+{
+    return hash128(call.group() + '\n' + call.method() + '\n' + call.target() + '\n' + call.body());
+}
+
+bool isOnceTicket(const proto::Call& call) { return call.has_ticket(); }
+
+} // namespace
+
+Owner::Owner(NodeContext& context, Instant now)
+    : m_context(&context)
+    , m_admission(Admission::Options {})
+    , m_tickets(context.settings.upstream, context.incarnation,
+          { 60s, 10, context.settings.limits.ticketMemory }, now)
+    , m_seen(forgetSenders)
+    , m_leaving(context.charts.upstream)
+    , m_errors(errorSampleWeight)
+{
+}
+
+Owner::~Owner() = default;
+
+const ServiceInfo* Owner::service() const { return m_context->directory.service(m_serviceId); }
+
+void Owner::configure(Instant now)
+{
+    const auto* info = m_context->directory.upstream(upstream());
+    if (!info)
+        return;
+    m_serviceId = info->config.service();
+    const auto& serviceInfo = *service();
+    const auto slots = info->config.slots();
+    m_admission.setSlots(slots);
+    m_admission.setQueueLimit(serviceInfo.config.queue_limit());
+    for (const auto& it : m_context->directory.groups())
+        m_admission.setWeight(it.number, it.weightIn(m_serviceId));
+    if (m_backendAddress != info->config.address()) {
+        m_backendAddress = info->config.address();
+        HttpPool::Options options;
+        options.address = m_backendAddress;
+        options.maxConnections = info->config.connections();
+        m_prober.reset();
+        m_pool = std::make_unique<HttpPool>(m_context->base, options);
+    }
+    if (!m_prober) {
+        const ProbeBudget::Options options { serviceInfo.config.probes_per_s(), serviceInfo.config.probe_slot_share(),
+            slots };
+        m_prober = std::make_unique<Prober>(*m_pool, options, now);
+    }
+    setSign(LeavingSign::Operator, info->config.leaving(), now);
+}
+
+void Owner::setSign(LeavingSign sign, bool isSet, Instant now)
+{
+    if (m_leaving.hasSign(sign) == isSet)
+        return;
+    log(LogLevel::Info, "upstream-sign",
+        { { "upstream", upstream() }, { "sign", nameOf(sign) }, { "set", isSet } });
+    if (const auto state = m_leaving.set(sign, isSet))
+        lifeChanged(*state, now);
+}
+
+void Owner::lifeChanged(LifeState state, Instant now)
+{
+    log(LogLevel::Info, "upstream-life", { { "upstream", upstream() }, { "state", nameOf(state) } });
+    if (state == LifeState::Drained)
+        return;
+    act(m_admission.setLeaving(m_leaving.isLeaving(), now), now);
+    for (const auto& [node, ingress] : m_ingresses) {
+        if (m_announce)
+            m_announce(ingress.address, m_leaving.isLeaving());
+    }
+}
+
+void Owner::tick(Instant now)
+{
+    if (m_leaving.isLeaving() && m_admission.isIdle()) {
+        if (const auto state = m_leaving.idle())
+            lifeChanged(*state, now);
+    }
+    m_seen.forgetSilent(now);
+    std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
+    if (!m_prober)
+        return;
+    const auto load = m_admission.load(now);
+    const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
+    const bool isStarted = m_prober->tryProbe(freeSlots, load.waiting, now, [this](ProbeNews news, Duration) {
+        const auto end = monotonicNow();
+        act(m_admission.releaseSlot(end), end);
+        if (news.isReachable)
+            setSign(LeavingSign::BackendServer, news.isDraining, end);
+    });
+    if (!isStarted)
+        return;
+    m_admission.holdSlot();
+    m_context->metrics.count("robinrun_probes_total");
+}
+
+Reason Owner::faultOf(const proto::Call& call, const Sender& sender, Instant now)
+{
+    if (call.upstream() != upstream() || !m_pool)
+        return Reason::WrongOwner;
+    if (call.owner_incarnation() && call.owner_incarnation() != m_context->incarnation)
+        return Reason::WrongIncarnation;
+    if (!m_seen.isNew(sender.incarnation, call.number(), now))
+        return Reason::Duplicate;
+    if (hash64(call.body()) != call.body_hash())
+        return Reason::Damaged;
+    const Instant deadline { Duration(static_cast<std::int64_t>(call.owner_deadline_us())) };
+    if (call.owner_deadline_us() && now >= deadline)
+        return Reason::DeadlinePassed;
+    return Reason::None;
+}
+
+void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
+{
+    m_ingresses[sender.node] = { sender.address, now };
+    const auto fault = faultOf(call, sender, now);
+    if (fault == Reason::Duplicate) {
+        // The first delivery is answered under the same number; an answer to the double could overtake it.
+        log(LogLevel::Warning, "call-doubled", { { "from", sender.node }, { "number", call.number() } });
+        return;
+    }
+    if (fault != Reason::None)
+        return refuseAtOnce(call, sender, reply, fault, true, now);
+    if (call.mint_ticket())
+        return mint(call, sender, reply, now);
+    if (isOnceTicket(call))
+        return takeTicket(call, sender, std::move(reply), now);
+    admit(call, sender, std::move(reply), now);
+}
+
+void Owner::mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now)
+{
+    if (m_leaving.isLeaving())
+        return refuseAtOnce(call, sender, reply, Reason::Leaving, true, now);
+    proto::Answer answer;
+    answer.set_number(call.number());
+    encode(m_tickets.mint(m_context->random, now), *answer.mutable_ticket());
+    fillNews(answer, sender, now);
+    reply(answer);
+}
+
+void Owner::takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
+{
+    const auto begin = m_tickets.begin(decode(call.ticket()), fingerprintOf(call), m_lastId + 1, now);
+    switch (begin.step) {
+    case TicketStep::Run:
+        return admit(call, sender, std::move(reply), now);
+    case TicketStep::Refuse:
+        return refuseAtOnce(call, sender, reply, begin.reason, begin.isNotRun, now);
+    case TicketStep::Join: {
+        auto& record = m_calls.at(begin.firstId);
+        record.replies.emplace_back(sender, std::move(reply));
+        record.numbers.push_back(call.number());
+        return;
+    }
+    case TicketStep::Replay:
+        break;
+    }
+    proto::Answer answer;
+    answer.set_number(call.number());
+    answer.set_outcome(begin.record->isKnown ? proto::ANSWERED : proto::UNKNOWN);
+    answer.set_reason(static_cast<std::uint32_t>(begin.record->isKnown ? Reason::None : Reason::BackendFailed));
+    answer.set_status(static_cast<std::uint32_t>(begin.record->status));
+    for (const auto& [name, value] : begin.record->headers) {
+        auto& header = *answer.add_headers();
+        header.set_name(name);
+        header.set_value(value);
+    }
+    answer.set_body(begin.record->body);
+    answer.set_body_length(begin.record->body.size());
+    answer.set_body_hash(hash64(begin.record->body));
+    fillNews(answer, sender, now);
+    reply(answer);
+}
+
+void Owner::admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
+{
+    const auto id = ++m_lastId;
+    const auto* serviceInfo = service();
+    const auto& callClass = serviceInfo->classOf(call.target());
+    CallRecord record;
+    record.call = call;
+    record.sender = sender;
+    record.replies.emplace_back(sender, std::move(reply));
+    record.numbers.push_back(call.number());
+    record.arrived = now;
+    record.deadline = now + Duration(call.remaining_us());
+    if (call.owner_deadline_us())
+        record.deadline
+            = std::min(record.deadline, Instant(Duration(static_cast<std::int64_t>(call.owner_deadline_us()))));
+    record.isRepeatable = callClass.isRepeatable && !isOnceTicket(call);
+    const auto deadline = record.deadline;
+    m_calls.emplace(id, std::move(record));
+    m_idByKey[{ sender.incarnation, call.number() }] = id;
+    ++m_bySender[sender.incarnation];
+    Offer offer;
+    offer.id = id;
+    offer.group = m_context->directory.groupNumber(call.group());
+    offer.callClass = m_classNumbers(callClass.name);
+    offer.priority = callClass.priority;
+    offer.deadline = deadline;
+    offer.elsewhere = Duration(call.elsewhere_us());
+    act(m_admission.offer(offer, now), now);
+}
+
+void Owner::act(const Dispatch& dispatch, Instant now)
+{
+    for (const auto& it : dispatch.refused)
+        refuse(it, now);
+    for (const auto id : dispatch.run)
+        run(id, now);
+}
+
+HttpRequest Owner::requestOf(const CallRecord& record, Instant now) const
+{
+    HttpRequest request;
+    request.method = record.call.method();
+    request.target = record.call.target();
+    for (const auto& it : record.call.headers())
+        request.headers.emplace_back(it.name(), it.value());
+    const auto left = std::max<std::int64_t>((record.deadline - now).count() / 1000, 1);
+    request.headers.emplace_back(deadlineHeader, std::to_string(left));
+    request.headers.emplace_back(attemptsHeader, std::to_string(record.call.attempts_left()));
+    request.headers.emplace_back(groupHeader, record.call.group());
+    request.body = record.call.body();
+    return request;
+}
+
+void Owner::run(std::uint64_t id, Instant now)
+{
+    auto& record = m_calls.at(id);
+    record.isRunning = true;
+    record.started = now;
+    record.request = m_pool->send(requestOf(record, now), record.deadline - now,
+        [this, id](Result<HttpReply, HttpError> result) { ended(id, std::move(result), monotonicNow()); });
+}
+
+void Owner::ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now)
+{
+    auto& record = m_calls.at(id);
+    const auto next = m_admission.finished(id, now);
+    proto::Answer answer;
+    answer.set_queued_us(static_cast<std::uint32_t>((record.started - record.arrived).count()));
+    answer.set_held_us(static_cast<std::uint32_t>((now - record.started).count()));
+    bool isFailure = true;
+    if (result.has_value()) {
+        auto& reply = result.value();
+        isFailure = reply.status >= firstServerError;
+        answer.set_outcome(proto::ANSWERED);
+        answer.set_status(static_cast<std::uint32_t>(reply.status));
+        for (const auto& [name, value] : reply.headers) {
+            if (isHopByHop(name))
+                continue;
+            auto& header = *answer.add_headers();
+            header.set_name(name);
+            header.set_value(value);
+        }
+        answer.set_body_length(reply.body.size());
+        answer.set_body_hash(hash64(reply.body));
+        answer.set_body(std::move(reply.body));
+    } else if (result.error().kind == HttpErrorKind::NotConnected || result.error().kind == HttpErrorKind::BadRequest) {
+        answer.set_outcome(proto::NOT_RUN);
+        answer.set_reason(static_cast<std::uint32_t>(Reason::BackendUnreachable));
+    } else {
+        answer.set_outcome(proto::UNKNOWN);
+        answer.set_reason(static_cast<std::uint32_t>(Reason::BackendFailed));
+    }
+    m_errors.add(isFailure ? 1 : 0);
+    recordTicket(record, answer);
+    answerAll(record, answer, now);
+    act(next, now);
+}
+
+void Owner::recordTicket(const CallRecord& record, const proto::Answer& answer)
+{
+    if (!isOnceTicket(record.call))
+        return;
+    const auto nonce = decode(record.call.ticket()).nonce;
+    if (answer.outcome() == proto::NOT_RUN)
+        return m_tickets.notRun(nonce);
+    RecordedAnswer recorded;
+    recorded.isKnown = answer.outcome() == proto::ANSWERED;
+    recorded.status = static_cast<int>(answer.status());
+    recorded.body = answer.body();
+    for (const auto& it : answer.headers())
+        recorded.headers.emplace_back(it.name(), it.value());
+    m_tickets.ended(nonce, std::move(recorded));
+}
+
+void Owner::refuse(const Refusal& refusal, Instant now)
+{
+    auto& record = m_calls.at(refusal.id);
+    proto::Answer answer;
+    answer.set_outcome(proto::NOT_RUN);
+    answer.set_reason(static_cast<std::uint32_t>(refusal.reason));
+    answer.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(refusal.retryAfter)));
+    answer.set_queued_us(static_cast<std::uint32_t>((now - record.arrived).count()));
+    recordTicket(record, answer);
+    answerAll(record, answer, now);
+}
+
+void Owner::answerAll(CallRecord& record, proto::Answer& answer, Instant now)
+{
+    const auto key = CallKey { record.sender.incarnation, record.call.number() };
+    const auto replies = std::move(record.replies);
+    const auto numbers = std::move(record.numbers);
+    const auto id = m_idByKey.find(key);
+    auto& bySender = m_bySender[record.sender.incarnation];
+    bySender -= bySender ? 1 : 0;
+    if (!bySender)
+        m_bySender.erase(record.sender.incarnation);
+    m_calls.erase(id->second);
+    m_idByKey.erase(id);
+    for (std::size_t i = 0; i < replies.size(); ++i) {
+        answer.set_number(numbers[i]);
+        fillNews(answer, replies[i].first, now);
+        replies[i].second(answer);
+    }
+}
+
+void Owner::fillNews(proto::Answer& answer, const Sender& sender, Instant now)
+{
+    const auto load = m_admission.load(now);
+    auto& out = *answer.mutable_load();
+    out.set_slots(load.slots);
+    out.set_in_use(load.inUse);
+    out.set_waiting(load.waiting);
+    out.set_service_us(static_cast<std::uint32_t>(load.service.count()));
+    out.set_state(static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
+    const auto it = m_bySender.find(sender.incarnation);
+    out.set_yours(it == m_bySender.end() ? 0 : it->second);
+    out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
+    answer.set_incarnation(m_context->incarnation);
+    answer.set_caller_incarnation(sender.incarnation);
+    answer.set_owner_now_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+}
+
+void Owner::refuseAtOnce(
+    const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason, bool isNotRun, Instant now)
+{
+    proto::Answer answer;
+    answer.set_number(call.number());
+    answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
+    answer.set_reason(static_cast<std::uint32_t>(reason));
+    fillNews(answer, sender, now);
+    reply(answer);
+}
+
+void Owner::cancel(std::uint64_t senderIncarnation, std::uint64_t number, Instant now)
+{
+    const auto found = m_idByKey.find({ senderIncarnation, number });
+    if (found == m_idByKey.end())
+        return;
+    const auto id = found->second;
+    auto& record = m_calls.at(id);
+    if (record.replies.size() > 1)
+        return; // others wait for the same ticket
+    if (m_admission.cancelWaiting(id))
+        return refuse({ id, Reason::Cancelled, {} }, now);
+    if (!record.isRepeatable)
+        return; // what must not be repeated is not cut off either
+    m_pool->cancel(record.request);
+    const auto next = m_admission.finished(id, now);
+    proto::Answer answer;
+    answer.set_outcome(proto::UNKNOWN);
+    answer.set_reason(static_cast<std::uint32_t>(Reason::Cancelled));
+    answerAll(record, answer, now);
+    act(next, now);
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/Owner.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "Chart/Leaving.h"
+#include "Http/HttpPool.h"
+#include "Node/NodeContext.h"
+#include "Node/Prober.h"
+#include "Node/Timer.h"
+#include "Once/TicketTable.h"
+#include "Queueing/Admission.h"
+#include "Wire/SeenCalls.h"
+#include "peer.pb.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief Admits calls to the backend server beside this node, and alone does so.
+///
+/// Every call gets exactly one answer: answered, not run (given up before it was handed over) or unknown (handed over,
+/// and no whole reply came). What it holds is in memory only; after a restart nothing of it is left, and calls meant
+/// for the former incarnation are refused.
+class Owner {
+public:
+    /// \brief Who sent a call; answers, cancels and doubles are matched by it.
+    struct Sender {
+        std::string node;
+        std::string address;
+        std::uint64_t incarnation = 0;
+    };
+    using Reply = std::function<void(proto::Answer&)>;
+    /// \brief Tells an ingress that the upstream is leaving or stays.
+    using Announce = std::function<void(const std::string& address, bool isLeaving)>;
+
+    Owner(NodeContext& context, Instant now);
+    ~Owner();
+
+    void onAnnounce(Announce announce) { m_announce = std::move(announce); }
+
+    /// \brief A call came. \a reply runs once, perhaps at once.
+    void take(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+
+    /// \brief The caller gave a call up: frees its place, and its slot if it may be cut off.
+    void cancel(std::uint64_t senderIncarnation, std::uint64_t number, Instant now);
+
+    /// \brief The configuration has changed.
+    void configure(Instant now);
+
+    /// \brief Sets or clears a sign of leaving.
+    void setSign(LeavingSign sign, bool isSet, Instant now);
+
+    /// \brief Timed work: probes, the end of a drain, forgetting.
+    void tick(Instant now);
+
+    bool isIdle() const { return m_admission.isIdle(); }
+    LifeState lifeState() const { return m_leaving.state(); }
+    LoadReport load(Instant now) const { return m_admission.load(now); }
+    const Prober* prober() const { return m_prober.get(); }
+    const std::string& upstream() const { return m_context->settings.upstream; }
+
+private:
+    using CallKey = std::pair<std::uint64_t, std::uint64_t>; ///< sender's incarnation, its number of the call
+
+    struct CallRecord {
+        proto::Call call;
+        Sender sender;
+        std::vector<std::pair<Sender, Reply>> replies; ///< more than one where a ticket was repeated
+        std::vector<std::uint64_t> numbers; ///< the call number each reply answers
+        Instant arrived {};
+        Instant started {};
+        Instant deadline {};
+        bool isRunning = false;
+        bool isRepeatable = true;
+        std::uint64_t request = 0; ///< number at the HTTP pool while running
+    };
+
+    Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
+    void mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now);
+    void takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+    void admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+    void act(const Dispatch& dispatch, Instant now);
+    void run(std::uint64_t id, Instant now);
+    void ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now);
+    void refuse(const Refusal& refusal, Instant now);
+    void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason, bool isNotRun,
+        Instant now);
+    void answerAll(CallRecord& record, proto::Answer& answer, Instant now);
+    void fillNews(proto::Answer& answer, const Sender& sender, Instant now);
+    void recordTicket(const CallRecord& record, const proto::Answer& answer);
+    void lifeChanged(LifeState state, Instant now);
+    const ServiceInfo* service() const;
+    HttpRequest requestOf(const CallRecord& record, Instant now) const;
+
+    NodeContext* m_context;
+    Admission m_admission;
+    TicketTable m_tickets;
+    SeenCalls m_seen;
+    Leaving m_leaving;
+    std::unique_ptr<HttpPool> m_pool;
+    std::string m_backendAddress;
+    std::unique_ptr<Prober> m_prober;
+    Announce m_announce;
+    std::string m_serviceId;
+    std::uint64_t m_lastId = 0;
+    std::unordered_map<std::uint64_t, CallRecord> m_calls;
+    std::map<CallKey, std::uint64_t> m_idByKey;
+    std::unordered_map<std::uint64_t, std::uint32_t> m_bySender; ///< calls in hand, by sender's incarnation
+    struct Ingress {
+        std::string address;
+        Instant lastCall {};
+    };
+    std::unordered_map<std::string, Ingress> m_ingresses; ///< by node; told when this upstream leaves
+    Ewma m_errors;
+    Interner m_classNumbers;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/Prober.cpp
@@ -0,0 +1,31 @@
+#include "Node/Prober.h"
+
+namespace robinrun {
+namespace {
+
+constexpr Duration probeTimeout = 1s;
+constexpr int ok = 200;
+
+} // namespace
+
+bool Prober::tryProbe(std::uint32_t freeSlots, std::uint32_t waiting, Instant now, Done done)
+{
+    if (m_isOut || !freeSlots || !m_budget.tryStart(waiting, now))
+        return false;
+    m_isOut = true;
+    m_pool->send({ "GET", "/health", {}, {} }, probeTimeout,
+        [this, now, done = std::move(done)](Result<HttpReply, HttpError> reply) {
+            m_isOut = false;
+            const auto end = monotonicNow();
+            m_budget.ended(end - now, end);
+            ProbeNews news;
+            news.isReachable = reply.has_value();
+            if (reply.has_value())
+                news.isDraining = findHeader(reply.value().headers, "Backend-State") == "draining"
+                    || (reply.value().status != ok && reply.value().body.find("draining") != std::string::npos);
+            done(news, end - now);
+        });
+    return true;
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Once/Ticket.cpp
@@ -0,0 +1,66 @@
+#include "Once/Ticket.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <optional>
+#include <vector>
+
+namespace robinrun {
+namespace {
+
+constexpr std::size_t partCount = 5;
+
+std::string hex(std::uint64_t n)
+{
+    std::array<char, 17> buf {};
+    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(n));
+    return buf.data();
+}
+
+std::optional<std::uint64_t> parseHex(std::string_view s)
+{
+    std::uint64_t n = 0;
+    const auto [end, ec] = std::from_chars(s.data(), s.data() + s.size(), n, 16);
+    if (s.empty() || ec != std::errc() || end != s.data() + s.size())
+        return std::nullopt;
+    return n;
+}
+
+/// \brief Splits off the last four parts; an upstream's name may hold dots itself.
+std::vector<std::string_view> splitFromEnd(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    while (parts.size() + 1 < partCount) {
+        const auto dot = text.rfind('.');
+        if (dot == std::string_view::npos)
+            break;
+        parts.push_back(text.substr(dot + 1));
+        text = text.substr(0, dot);
+    }
+    parts.push_back(text);
+    return parts;
+}
+
+} // namespace
+
+std::string Ticket::text() const
+{
+    return upstream + '.' + hex(incarnation) + '.' + hex(epoch) + '.' + hex(nonce.high) + '.' + hex(nonce.low);
+}
+
+Result<Ticket, std::string> Ticket::parse(std::string_view text)
+{
+    const auto parts = splitFromEnd(text);
+    if (parts.size() != partCount || parts[4].empty())
+        return failure(std::string("a ticket has the form <upstream>.<incarnation>.<epoch>.<nonce>.<nonce>"));
+    const auto low = parseHex(parts[0]);
+    const auto high = parseHex(parts[1]);
+    const auto epoch = parseHex(parts[2]);
+    const auto incarnation = parseHex(parts[3]);
+    if (!low || !high || !epoch || !incarnation)
+        return failure(std::string("the numbers of a ticket are hexadecimal"));
+    return Ticket { std::string(parts[4]), *incarnation, *epoch, { *high, *low } };
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Queueing/Admission.cpp
@@ -0,0 +1,149 @@
+#include "Queueing/Admission.h"
+
+#include "Core/Check.h"
+
+#include <algorithm>
+
+namespace robinrun {
+namespace {
+
+/// A refused caller is asked to stay away at least this long: shorter repeats only add load.
+constexpr Duration minRetryAfter = 20ms;
+
+} // namespace
+
+Admission::Admission(Options options)
+    : m_options(options)
+    , m_queue(options.queueLimit, options.maxElsewhere)
+    , m_service(options.initialService)
+{
+}
+
+SojournControl& Admission::sojournOf(std::uint32_t group)
+{
+    return m_sojourn.try_emplace(group, m_options.sojourn).first->second;
+}
+
+Duration Admission::expectedWait(std::uint32_t group, std::uint32_t priority, Instant now) const
+{
+    if (inUse() < m_options.slots && m_queue.isEmpty())
+        return Duration::zero();
+    const double share = m_queue.shareOf(group);
+    const double ahead = toSeconds(m_queue.costAhead(group, priority));
+    const double slots = std::max<double>(m_options.slots, 1);
+    // The next slot comes free after about one slot time over the number of slots.
+    const double firstFree = toSeconds(m_service.overall(now)) / slots;
+    return fromSeconds(firstFree + ahead / (slots * share));
+}
+
+Dispatch Admission::offer(const Offer& offer, Instant now)
+{
+    require(!m_waiting.contains(offer.id) && !m_running.contains(offer.id), "Admission::offer: id is new");
+    Dispatch out;
+    const auto cost = m_service.of(offer.callClass);
+    const QueuedCall call { offer.id, offer.group, offer.priority, now, offer.deadline, cost, offer.elsewhere };
+    if (m_isLeaving) {
+        refuse(call, Reason::Leaving, out, now);
+        return out;
+    }
+    if (now + expectedWait(offer.group, offer.priority, now) + cost > offer.deadline) {
+        refuse(call, now >= offer.deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline, out, now);
+        return out;
+    }
+    m_waiting.emplace(offer.id, Waiting { offer.group, offer.callClass });
+    const auto evicted = m_queue.push(call);
+    if (evicted) {
+        m_waiting.erase(evicted->id);
+        refuse(*evicted, evicted->id == offer.id ? Reason::QueueFull : Reason::OverShare, out, now);
+    }
+    fill(out, now);
+    return out;
+}
+
+Dispatch Admission::finished(std::uint64_t id, Instant now)
+{
+    const auto it = m_running.find(id);
+    require(it != m_running.end(), "Admission::finished: the call was running");
+    const auto held = m_service.ended(id, it->second.callClass, now);
+    m_queue.settle(it->second.group, it->second.expected, held);
+    m_running.erase(it);
+    Dispatch out;
+    fill(out, now);
+    return out;
+}
+
+bool Admission::cancelWaiting(std::uint64_t id)
+{
+    const auto it = m_waiting.find(id);
+    if (it == m_waiting.end())
+        return false;
+    m_queue.cancel(it->second.group, id);
+    m_waiting.erase(it);
+    return true;
+}
+
+Dispatch Admission::setLeaving(bool isLeaving, Instant now)
+{
+    Dispatch out;
+    m_isLeaving = isLeaving;
+    if (!isLeaving)
+        return out;
+    for (const auto& call : m_queue.clear())
+        refuse(call, Reason::Leaving, out, now);
+    m_waiting.clear();
+    return out;
+}
+
+Dispatch Admission::releaseSlot(Instant now)
+{
+    require(m_heldSlots > 0, "Admission::releaseSlot: a slot is held");
+    --m_heldSlots;
+    Dispatch out;
+    fill(out, now);
+    return out;
+}
+
+LoadReport Admission::load(Instant now) const
+{
+    return { m_options.slots, inUse(), static_cast<std::uint32_t>(m_queue.size()), m_service.overall(now) };
+}
+
+void Admission::fill(Dispatch& out, Instant now)
+{
+    while (inUse() < m_options.slots) {
+        const auto call = m_queue.pop();
+        if (!call)
+            return;
+        const auto waiting = m_waiting.find(call->id);
+        const auto sojourn = now - call->arrived;
+        const bool isLast = m_queue.sizeOf(call->group) == 0;
+        if (now + call->expectedCost > call->deadline) {
+            m_queue.settle(call->group, call->expectedCost, Duration::zero());
+            m_waiting.erase(waiting);
+            refuse(*call, now >= call->deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline, out, now);
+        } else if (sojournOf(call->group).shouldRefuse(sojourn, isLast, now)) {
+            m_queue.settle(call->group, call->expectedCost, Duration::zero());
+            m_waiting.erase(waiting);
+            refuse(*call, Reason::StoodTooLong, out, now);
+        } else {
+            start(*call, out, now);
+        }
+    }
+}
+
+void Admission::start(const QueuedCall& call, Dispatch& out, Instant now)
+{
+    const auto waiting = m_waiting.find(call.id);
+    m_running.emplace(call.id, Running { call.group, waiting->second.callClass, call.expectedCost });
+    m_waiting.erase(waiting);
+    m_service.started(call.id, now);
+    out.run.push_back(call.id);
+}
+
+void Admission::refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now)
+{
+    const auto wait = expectedWait(call.group, call.priority, now);
+    out.refused.push_back({ call.id, reason, std::max(wait, minRetryAfter) });
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Queueing/Admission.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "Queueing/FairQueue.h"
+#include "Queueing/Refusal.h"
+#include "Queueing/ServiceEstimate.h"
+#include "Queueing/SojournControl.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief A call offered to the owner of an upstream.
+struct Offer {
+    std::uint64_t id = 0;
+    std::uint32_t group = 0;
+    std::uint32_t callClass = 0;
+    std::uint32_t priority = 0;
+    Instant deadline {};
+    Duration elsewhere {};
+};
+
+/// \brief What to do after a step: calls to hand to the backend server, and calls given up as not run.
+struct Dispatch {
+    std::vector<std::uint64_t> run;
+    std::vector<Refusal> refused;
+};
+
+/// \brief The state of an upstream at a moment, exact at its owner.
+struct LoadReport {
+    std::uint32_t slots = 0;
+    std::uint32_t inUse = 0;
+    std::uint32_t waiting = 0;
+    Duration service {};
+};
+
+/// \brief Decides at the owner which calls run on the backend server, which wait and which are refused.
+///
+/// Only the owner admits work to its upstream, so slots in use are counted, never guessed. A refusal comes from
+/// the queue alone: a call in `run` has been handed over and is never refused afterwards.
+///
+/// Cost: offer and finished O(log groups + refused); memory about 150 bytes a waiting call.
+class Admission {
+public:
+    struct Options {
+        std::uint32_t slots = 12;
+        std::size_t queueLimit = 256;
+        Duration initialService = 10ms;
+        SojournControl::Options sojourn {};
+        Duration maxElsewhere = 100ms;
+    };
+
+    explicit Admission(Options options);
+
+    void setWeight(std::uint32_t group, double weight) { m_queue.setWeight(group, weight); }
+
+    /// \brief Changes the slots; fewer than in use means that none starts until enough have ended.
+    void setSlots(std::uint32_t slots) { m_options.slots = slots; }
+
+    /// \brief Changes how many calls may wait; those that wait beyond it stay.
+    void setQueueLimit(std::size_t limit) { m_queue.setLimit(limit); }
+
+    /// \brief Takes in a call. A leaving owner refuses it; so does one that can't finish it in time.
+    Dispatch offer(const Offer& offer, Instant now);
+
+    /// \brief A call that ran has ended (answered, failed or been cancelled at the backend server).
+    Dispatch finished(std::uint64_t id, Instant now);
+
+    /// \brief Gives up a waiting call for its caller. \returns false when it isn't waiting (it may be running).
+    bool cancelWaiting(std::uint64_t id);
+
+    /// \brief While leaving, nothing is taken in and all that waits is refused, to go elsewhere.
+    Dispatch setLeaving(bool isLeaving, Instant now);
+
+    bool isLeaving() const { return m_isLeaving; }
+    bool isIdle() const { return m_running.empty() && m_queue.isEmpty(); }
+
+    /// \brief A slot taken by something else than a call (a probe): counts as in use.
+    void holdSlot() { ++m_heldSlots; }
+    Dispatch releaseSlot(Instant now);
+
+    LoadReport load(Instant now) const;
+    std::uint32_t inUse() const { return static_cast<std::uint32_t>(m_running.size()) + m_heldSlots; }
+
+    /// \returns how long a call of the group is likely to wait if it came now.
+    Duration expectedWait(std::uint32_t group, std::uint32_t priority, Instant now) const;
+
+private:
+    struct Running {
+        std::uint32_t group;
+        std::uint32_t callClass;
+        Duration expected;
+    };
+
+    void fill(Dispatch& out, Instant now);
+    void start(const QueuedCall& call, Dispatch& out, Instant now);
+    void refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now);
+    SojournControl& sojournOf(std::uint32_t group);
+
+    Options m_options;
+    FairQueue m_queue;
+    ServiceEstimate m_service;
+    std::unordered_map<std::uint32_t, SojournControl> m_sojourn;
+    std::unordered_map<std::uint64_t, Running> m_running;
+    struct Waiting {
+        std::uint32_t group;
+        std::uint32_t callClass;
+    };
+    std::unordered_map<std::uint64_t, Waiting> m_waiting;
+    std::uint32_t m_heldSlots = 0;
+    bool m_isLeaving = false;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Queueing/FairQueue.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "Core/Time.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief One call that waits at its owner.
+struct QueuedCall {
+    std::uint64_t id = 0;
+    std::uint32_t group = 0;
+    std::uint32_t priority = 0; ///< class priority inside the group, 0 first
+    Instant arrived {};
+    Instant deadline {};
+    Duration expectedCost {}; ///< slot time it is likely to hold
+    Duration elsewhere {}; ///< slot time its group got on the service's other upstreams since its last call here
+};
+
+/// \brief Weighted fair queue over calling groups, in slot time.
+///
+/// Start-time fair queueing: each group has a virtual start tag that grows by cost / weight as its calls are
+/// taken; the backlogged group with the lowest tag is served next. An idle group is lifted to the virtual time
+/// when it returns, so it neither saves up credit nor pays for what others were lent. The cost is what a call
+/// is expected to hold and is corrected by settle() when it ends.
+///
+/// Slot time that the group got on other upstreams is charged here too (distributed start-time fair queueing,
+/// Wang and Merchant, FAST 2007), so that shares hold over a whole service when calls are skewed to one of
+/// its upstreams. That charge is bounded, so that old use can't shut a group out.
+///
+/// Cost: push, pop and settle are O(log groups); cancel is O(calls of the group).
+class FairQueue {
+public:
+    /// Classes beyond the last priority share it.
+    static constexpr std::size_t priorityCount = 4;
+
+    /// \param limit of waiting calls over all groups; above 0.
+    /// \param maxElsewhere bound of one call's charge for use elsewhere.
+    FairQueue(std::size_t limit, Duration maxElsewhere);
+
+    /// \brief Sets the share of \a group; the default is 1. \a weight must be above 0.
+    void setWeight(std::uint32_t group, double weight);
+
+    /// \brief Changes the limit; \a limit must be above 0.
+    void setLimit(std::size_t limit);
+
+    /// \brief Adds a call. When the queue is full, the newest call of the group that waits most for its share
+    /// gives way. \returns the call that gave way: perhaps \a call itself.
+    std::optional<QueuedCall> push(const QueuedCall& call);
+
+    /// \brief Takes the next call by fair share, and inside its group by priority, then age.
+    std::optional<QueuedCall> pop();
+
+    /// \brief Corrects the charge of a taken call once it is known what it held.
+    void settle(std::uint32_t group, Duration expected, Duration actual);
+
+    /// \brief Removes a waiting call. \returns it, if it was waiting.
+    std::optional<QueuedCall> cancel(std::uint32_t group, std::uint64_t id);
+
+    /// \brief Removes and returns all waiting calls.
+    std::vector<QueuedCall> clear();
+
+    std::size_t size() const { return m_size; }
+    bool isEmpty() const { return !m_size; }
+    std::size_t sizeOf(std::uint32_t group) const;
+
+    /// \returns the expected slot time of the group's waiting calls that would run before a new one of \a priority.
+    Duration costAhead(std::uint32_t group, std::uint32_t priority) const;
+
+    /// \returns the part of the slots, in (0, 1], that \a group gets while all that wait now go on waiting.
+    double shareOf(std::uint32_t group) const;
+
+private:
+    struct Flow {
+        double weight = 1;
+        double tag = 0;
+        std::size_t waiting = 0;
+        std::array<std::deque<QueuedCall>, priorityCount> calls;
+        std::array<Duration, priorityCount> cost {};
+    };
+    using Key = std::pair<double, std::uint32_t>;
+
+    static std::size_t level(std::uint32_t priority);
+    void charge(std::uint32_t group, Flow& flow, double slotSeconds);
+    QueuedCall take(std::uint32_t group, Flow& flow, std::size_t priority, std::size_t index);
+    QueuedCall evict();
+
+    std::size_t m_limit;
+    Duration m_maxElsewhere;
+    std::size_t m_size = 0;
+    double m_virtualTime = 0;
+    double m_backloggedWeight = 0;
+    std::unordered_map<std::uint32_t, Flow> m_flows;
+    std::set<Key> m_backlogged;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Queueing/Refusal.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Core/EnumNames.h"
+#include "Core/Time.h"
+
+#include <cstdint>
+
+namespace robinrun {
+
+/// \brief Why a call was not run, or why its outcome is not known.
+///
+/// The order is part of the wire format: append only.
+enum class Reason {
+    None,
+    QueueFull,
+    OverShare,
+    WouldMissDeadline,
+    DeadlinePassed,
+    StoodTooLong,
+    Leaving,
+    Cancelled,
+    WrongOwner,
+    WrongIncarnation,
+    Duplicate,
+    BackendUnreachable,
+    NoUpstream,
+    AttemptsSpent,
+    ClaimUndecided,
+    KeyTooOld,
+    TicketUnknown,
+    TicketMismatch,
+    OwnerLost,
+    BackendFailed,
+    Damaged,
+    TooManyTickets,
+};
+
+template <>
+struct EnumNames<Reason> {
+    static constexpr std::array<std::string_view, 22> names { "none", "queue-full", "over-share",
+        "would-miss-deadline", "deadline-passed", "stood-too-long", "leaving", "cancelled", "wrong-owner",
+        "wrong-incarnation", "duplicate", "backend-unreachable", "no-upstream", "attempts-spent",
+        "claim-undecided", "key-too-old", "ticket-unknown", "ticket-mismatch", "owner-lost", "backend-failed",
+        "damaged", "too-many-tickets" };
+};
+
+/// \brief A waiting call that the owner gives up on, before it was handed to the backend server.
+struct Refusal {
+    std::uint64_t id = 0;
+    Reason reason = Reason::None;
+    Duration retryAfter {}; ///< when asking again makes sense
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Queueing/ServiceEstimate.cpp
@@ -0,0 +1,60 @@
+#include "Queueing/ServiceEstimate.h"
+
+#include "Core/Check.h"
+
+#include <algorithm>
+
+namespace robinrun {
+namespace {
+
+constexpr double sampleWeight = 0.05;
+
+/// Running calls are, on average, half way through: their mean elapsed time is about half the slot time when
+/// all is steady, and more when calls vary in length. Beyond this multiple of the mean they mean slowness.
+constexpr double elapsedOfSteady = 1.0;
+
+} // namespace
+
+ServiceEstimate::ServiceEstimate(Duration initial)
+    : m_overall(sampleWeight, toSeconds(initial))
+{
+}
+
+void ServiceEstimate::started(std::uint64_t id, Instant now)
+{
+    if (m_started.empty()) {
+        m_origin = now;
+        m_startedSumSeconds = 0;
+    }
+    m_started.emplace(id, now);
+    m_startedSumSeconds += toSeconds(now - m_origin);
+}
+
+Duration ServiceEstimate::ended(std::uint64_t id, std::uint32_t callClass, Instant now)
+{
+    const auto it = m_started.find(id);
+    require(it != m_started.end(), "ServiceEstimate::ended: the call was started");
+    const Duration held = now - it->second;
+    m_startedSumSeconds -= toSeconds(it->second - m_origin);
+    m_started.erase(it);
+    m_overall.add(toSeconds(held));
+    m_byClass.try_emplace(callClass, sampleWeight).first->second.add(toSeconds(held));
+    return held;
+}
+
+Duration ServiceEstimate::of(std::uint32_t callClass) const
+{
+    const auto it = m_byClass.find(callClass);
+    return fromSeconds(it == m_byClass.end() ? m_overall.value() : it->second.value());
+}
+
+Duration ServiceEstimate::overall(Instant now) const
+{
+    if (m_started.empty())
+        return fromSeconds(m_overall.value());
+    const auto n = static_cast<double>(m_started.size());
+    const double elapsed = toSeconds(now - m_origin) - m_startedSumSeconds / n;
+    return fromSeconds(std::max(m_overall.value(), elapsed / elapsedOfSteady));
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Queueing/ServiceEstimate.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Core/Ewma.h"
+#include "Core/Time.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+
+namespace robinrun {
+
+/// \brief How long calls hold a slot, now: from calls that ended and from those still running.
+///
+/// The mean of ended calls lags a sudden slow-down by a whole slow call. Running calls tell sooner: when the
+/// oldest of them have run far longer than the mean, the estimate follows their elapsed time.
+/// Cost: start and end O(log running); reading O(1).
+class ServiceEstimate {
+public:
+    /// \param initial estimate before any call has ended.
+    explicit ServiceEstimate(Duration initial);
+
+    void started(std::uint64_t id, Instant now);
+
+    /// \returns how long the call held its slot.
+    Duration ended(std::uint64_t id, std::uint32_t callClass, Instant now);
+
+    /// \returns expected slot time of a new call of \a callClass.
+    Duration of(std::uint32_t callClass) const;
+
+    /// \returns the mean slot time over all classes, raised by calls that run long. \param now the present.
+    Duration overall(Instant now) const;
+
+    std::size_t running() const { return m_started.size(); }
+
+private:
+    Ewma m_overall;
+    std::unordered_map<std::uint32_t, Ewma> m_byClass;
+    std::unordered_map<std::uint64_t, Instant> m_started;
+    double m_startedSumSeconds = 0;
+    Instant m_origin {};
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Queueing/SojournControl.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Core/Time.h"
+
+namespace robinrun {
+
+/// \brief Keeps one queue from standing: controlled delay (CoDel, RFC 8289), in time spent waiting.
+///
+/// A queue that drains now and then is a burst and is left alone; one whose calls have all waited longer than
+/// `target` for a whole `interval` stands, and calls at its head are refused at a growing rate until it moves.
+/// Cost: O(1) a call.
+class SojournControl {
+public:
+    struct Options {
+        Duration target = 50ms;
+        Duration interval = 500ms;
+    };
+
+    explicit SojournControl(Options options)
+        : m_options(options)
+    {
+    }
+
+    /// \brief Judges the call at the head as it is taken.
+    /// \param sojourn how long it has waited.
+    /// \param isLast whether no other call waits behind it: the last one is never refused.
+    /// \returns whether to refuse it.
+    bool shouldRefuse(Duration sojourn, bool isLast, Instant now);
+
+private:
+    bool stands(Duration sojourn, bool isLast, Instant now);
+    Instant after(Instant start) const;
+
+    Options m_options;
+    Instant m_firstAbove {};
+    bool m_isAbove = false;
+    bool m_isRefusing = false;
+    Instant m_nextRefusal {};
+    unsigned m_count = 0;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Routing/Choice.cpp
@@ -0,0 +1,169 @@
+#include "Routing/Choice.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace robinrun {
+namespace {
+
+/// How many reports the hot/cold ranking samples, and the load quantile above which one is hot.
+constexpr std::size_t hotColdSample = 3;
+constexpr double hotQuantile = 0.75;
+
+double reportedLoad(const UpstreamView& view)
+{
+    if (!view.report())
+        return view.inFlight();
+    return view.report()->load.inUse + view.report()->load.waiting;
+}
+
+double reportedService(const UpstreamView& view)
+{
+    return view.report() ? toSeconds(view.report()->load.service) : 0;
+}
+
+/// \returns the candidate with the least score; ties go to one of them at random.
+template <class Score>
+std::size_t leastBy(std::span<const std::size_t> candidates, Random& random, Score score)
+{
+    double least = std::numeric_limits<double>::infinity();
+    std::size_t best = candidates.front();
+    std::size_t ties = 0;
+    for (const auto it : candidates) {
+        const double s = score(it);
+        if (s < least) {
+            least = s;
+            best = it;
+            ties = 1;
+        } else if (s == least && random.below(++ties) == 0) {
+            best = it;
+        }
+    }
+    return best;
+}
+
+/// \brief Draws up to \a n different candidates into \a out.
+void sampleInto(std::vector<std::size_t>& out, std::span<const std::size_t> candidates, std::size_t n, Random& random)
+{
+    out.assign(candidates.begin(), candidates.end());
+    if (out.size() <= n)
+        return;
+    for (std::size_t i = 0; i < n; ++i)
+        std::swap(out[i], out[i + random.below(out.size() - i)]);
+    out.resize(n);
+}
+
+} // namespace
+
+std::size_t RandomChoice::operator()(const ChoiceInput& in, Random& random)
+{
+    return in.candidates[random.below(in.candidates.size())];
+}
+
+std::size_t RoundRobinChoice::operator()(const ChoiceInput& in, Random&)
+{
+    return in.candidates[next++ % in.candidates.size()];
+}
+
+std::size_t LeastInFlightChoice::operator()(const ChoiceInput& in, Random& random)
+{
+    return leastBy(in.candidates, random, [&](std::size_t i) { return double(in.views[i].inFlight()); });
+}
+
+std::size_t PowerOfTwoChoice::operator()(const ChoiceInput& in, Random& random)
+{
+    std::vector<std::size_t> two;
+    sampleInto(two, in.candidates, 2, random);
+    return leastBy(two, random, [&](std::size_t i) { return reportedLoad(in.views[i]); });
+}
+
+std::size_t HotColdChoice::operator()(const ChoiceInput& in, Random& random)
+{
+    std::vector<double> loads;
+    loads.reserve(in.candidates.size());
+    for (const auto it : in.candidates)
+        loads.push_back(reportedLoad(in.views[it]));
+    const auto rank = static_cast<std::ptrdiff_t>(hotQuantile * static_cast<double>(loads.size() - 1));
+    std::nth_element(loads.begin(), loads.begin() + rank, loads.end());
+    const double threshold = loads[static_cast<std::size_t>(rank)];
+    std::vector<std::size_t> sampled;
+    sampleInto(sampled, in.candidates, hotColdSample, random);
+    std::vector<std::size_t> cold;
+    std::copy_if(sampled.begin(), sampled.end(), std::back_inserter(cold),
+        [&](std::size_t i) { return reportedLoad(in.views[i]) < threshold; });
+    if (cold.empty())
+        return leastBy(sampled, random, [&](std::size_t i) { return reportedLoad(in.views[i]); });
+    return leastBy(cold, random, [&](std::size_t i) { return reportedService(in.views[i]); });
+}
+
+ExpectedDelayChoice::Means ExpectedDelayChoice::meansOf(const ChoiceInput& in) const
+{
+    Means means;
+    double heard = 0;
+    for (const auto it : in.candidates) {
+        const auto& view = in.views[it];
+        if (!view.report())
+            continue;
+        ++heard;
+        means.othersPerSlot += view.othersReported() / std::max(1U, view.slots());
+        means.serviceSeconds += reportedService(view);
+    }
+    if (heard > 0) {
+        means.othersPerSlot /= heard;
+        means.serviceSeconds /= heard;
+    }
+    return means;
+}
+
+double ExpectedDelayChoice::delay(const UpstreamView& view, const Means& means, Instant now) const
+{
+    const double slots = std::max(1U, view.slots());
+    double others = means.othersPerSlot * slots;
+    double service = means.serviceSeconds;
+    if (view.report()) {
+        const auto age = now - view.report()->heard;
+        others += (view.othersReported() - others) * freshness(age, options.newsMemory);
+        service += (reportedService(view) - service) * freshness(age, options.speedMemory);
+    }
+    const double usable = slots * view.warmth(options.warmUp, now);
+    const double load = view.inFlight() + others;
+    const double wait = service * std::max(0.0, load + 1 - usable) / usable;
+    const double crowding = options.loadSlope * service * load / usable;
+    const double failures = std::min(view.errorShare(now), 0.95);
+    return (toSeconds(view.roundTrip()) + wait + crowding + service) / (1 - failures);
+}
+
+std::size_t ExpectedDelayChoice::operator()(const ChoiceInput& in, Random& random)
+{
+    const auto means = meansOf(in);
+    sampleInto(m_sampled, in.candidates, options.sample, random);
+    return leastBy(m_sampled, random, [&](std::size_t i) { return delay(in.views[i], means, in.now); });
+}
+
+Choice makeChoice(ChoiceKind kind)
+{
+    switch (kind) {
+    case ChoiceKind::Random:
+        return RandomChoice {};
+    case ChoiceKind::RoundRobin:
+        return RoundRobinChoice {};
+    case ChoiceKind::LeastInFlight:
+        return LeastInFlightChoice {};
+    case ChoiceKind::PowerOfTwo:
+        return PowerOfTwoChoice {};
+    case ChoiceKind::HotCold:
+        return HotColdChoice {};
+    case ChoiceKind::ExpectedDelay:
+        break;
+    }
+    return ExpectedDelayChoice {};
+}
+
+std::optional<std::size_t> choose(Choice& choice, const ChoiceInput& in, Random& random)
+{
+    if (in.candidates.empty())
+        return std::nullopt;
+    return std::visit([&](auto& it) { return it(in, random); }, choice);
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Routing/Choice.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "Core/EnumNames.h"
+#include "Core/Random.h"
+#include "Core/Time.h"
+#include "Routing/UpstreamView.h"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief The ways to choose an upstream. All but the last are kept as baselines to measure against.
+enum class ChoiceKind {
+    Random,
+    RoundRobin,
+    LeastInFlight,
+    PowerOfTwo,
+    HotCold,
+    ExpectedDelay,
+};
+
+template <>
+struct EnumNames<ChoiceKind> {
+    static constexpr std::array<std::string_view, 6> names { "random", "round-robin", "least-in-flight",
+        "power-of-two", "hot-cold", "robinrun" };
+};
+
+/// \brief Candidates of one decision: indexes into `views` that may be chosen.
+struct ChoiceInput {
+    std::span<const UpstreamView> views;
+    std::span<const std::size_t> candidates;
+    Instant now {};
+};
+
+/// \brief Uniform choice, blind to load.
+struct RandomChoice {
+    std::size_t operator()(const ChoiceInput& in, Random& random);
+};
+
+/// \brief Each candidate in turn, blind to load.
+struct RoundRobinChoice {
+    std::size_t next = 0;
+    std::size_t operator()(const ChoiceInput& in, Random& random);
+};
+
+/// \brief Least own calls in flight; ties at random.
+struct LeastInFlightChoice {
+    std::size_t operator()(const ChoiceInput& in, Random& random);
+};
+
+/// \brief The less loaded of two random candidates, by the last report as it stands.
+struct PowerOfTwoChoice {
+    std::size_t operator()(const ChoiceInput& in, Random& random);
+};
+
+/// \brief Probing with hot/cold ranking: of a few sampled reports those above a load quantile are hot; among the
+/// cold ones the least latency wins, and if all are hot the least load.
+struct HotColdChoice {
+    std::size_t operator()(const ChoiceInput& in, Random& random);
+};
+
+/// \brief robinrun's own: the least expected delay, from own calls (exact) and others' (stale, by age).
+///
+/// Expected delay = round trip + wait for a slot + slot time. Others' calls are taken from the owner's last
+/// report and decay towards the mean over the candidates as the report ages, so old news of an idle or a busy
+/// upstream counts less and less. Ingresses sample candidates, so that they don't all follow the same news.
+/// Cost: O(candidates); about 15 ns each.
+/// \sa docs/DESIGN-choice.md
+struct ExpectedDelayChoice {
+    struct Options {
+        Duration newsMemory = 60ms; ///< time constant for others' calls
+        Duration speedMemory = 2s; ///< time constant for the slot time
+        Duration warmUp = 5s; ///< length of the slow start
+        std::size_t sample = 3; ///< candidates compared
+        double loadSlope = 0.3; ///< part of a slot time that a full set of slots counts for below saturation
+    };
+    Options options {};
+    std::size_t operator()(const ChoiceInput& in, Random& random);
+
+private:
+    struct Means {
+        double othersPerSlot = 0;
+        double serviceSeconds = 0;
+    };
+    Means meansOf(const ChoiceInput& in) const;
+    double delay(const UpstreamView& view, const Means& means, Instant now) const;
+    std::vector<std::size_t> m_sampled;
+};
+
+/// \brief A way to choose, with its state.
+using Choice = std::variant<RandomChoice, RoundRobinChoice, LeastInFlightChoice, PowerOfTwoChoice, HotColdChoice,
+    ExpectedDelayChoice>;
+
+/// \returns the choice of \a kind with its defaults.
+Choice makeChoice(ChoiceKind kind);
+
+/// \brief Chooses among the candidates. \returns an index into the views; nothing if there are no candidates.
+std::optional<std::size_t> choose(Choice& choice, const ChoiceInput& in, Random& random);
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Routing/Ejection.cpp
@@ -0,0 +1,80 @@
+#include "Routing/Ejection.h"
+
+#include <algorithm>
+
+namespace robinrun {
+namespace {
+
+constexpr unsigned maxDoublings = 5;
+
+bool contains(std::span<const std::size_t> set, std::size_t i)
+{
+    return std::find(set.begin(), set.end(), i) != set.end();
+}
+
+} // namespace
+
+bool Ejection::isEjected(std::size_t index, Instant now) const
+{
+    return index < m_entries.size() && m_entries[index].until && now < *m_entries[index].until;
+}
+
+std::size_t Ejection::ejectedCount(Instant now) const
+{
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < m_entries.size(); ++i)
+        n += isEjected(i, now);
+    return n;
+}
+
+std::vector<std::size_t> Ejection::update(std::span<const UpstreamView> views, Instant now)
+{
+    m_entries.resize(views.size());
+    std::vector<std::size_t> back;
+    const auto cap = static_cast<std::size_t>(m_options.maxShare * static_cast<double>(views.size()));
+    auto out = ejectedCount(now);
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        auto& entry = m_entries[i];
+        if (isEjected(i, now))
+            continue;
+        if (entry.until) {
+            entry.until.reset();
+            back.push_back(i);
+            continue;
+        }
+        const double errors = views[i].errorShare(now);
+        if (errors > m_options.errorShare && out < cap) {
+            const auto length = m_options.first * (1U << std::min(entry.times, maxDoublings));
+            entry.until = now + std::min(length, m_options.longest);
+            ++entry.times;
+            ++out;
+        } else if (errors < m_options.errorShare / 10) {
+            entry.times = 0;
+        }
+    }
+    return back;
+}
+
+void Ejection::candidates(std::span<const UpstreamView> views, std::span<const std::size_t> excluded, Instant now,
+    std::vector<std::size_t>& out) const
+{
+    out.clear();
+    std::size_t active = 0;
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        if (views[i].state() != UpstreamState::Active)
+            continue;
+        ++active;
+        if (!isEjected(i, now) && !contains(excluded, i))
+            out.push_back(i);
+    }
+    const bool isPanic = static_cast<double>(out.size() + excluded.size()) < m_options.panicShare * double(active);
+    if (!isPanic && !out.empty())
+        return;
+    out.clear();
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        if (views[i].state() == UpstreamState::Active && !contains(excluded, i))
+            out.push_back(i);
+    }
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Routing/ServiceRouter.cpp
@@ -0,0 +1,157 @@
+#include "Routing/ServiceRouter.h"
+
+#include <algorithm>
+
+namespace robinrun {
+namespace {
+
+/// How often errors are judged and pauses ended; decisions between use the last judgement.
+constexpr Duration judgementEvery = 20ms;
+constexpr int maxPauseDoublings = 4;
+
+} // namespace
+
+ServiceRouter::ServiceRouter(Options options)
+    : m_options(options)
+    , m_choice(makeChoice(options.kind))
+    , m_ejection(options.ejection)
+{
+}
+
+UpstreamView* ServiceRouter::viewOf(const std::string& name)
+{
+    const auto it = m_index.find(name);
+    return it == m_index.end() ? nullptr : &m_views[it->second];
+}
+
+RetryBudget& ServiceRouter::budgetOf(std::uint32_t group)
+{
+    return m_budgets.try_emplace(group, m_options.retryFraction, m_options.retryBurst).first->second;
+}
+
+void ServiceRouter::setUpstreams(const std::vector<RouteTarget>& targets, Instant now)
+{
+    const bool isFirst = m_views.empty();
+    std::vector<UpstreamView> views;
+    std::unordered_map<std::string, std::size_t> index;
+    for (const auto& it : targets) {
+        index[it.name] = views.size();
+        if (auto* known = viewOf(it.name)) {
+            known->setSlots(it.slots);
+            views.push_back(std::move(*known));
+            continue;
+        }
+        views.emplace_back(it.name, it.slots, it.roundTrip);
+        if (!isFirst)
+            views.back().restartWarmUp(now);
+    }
+    const bool isSameOrder = index == m_index;
+    m_views = std::move(views);
+    m_index = std::move(index);
+    if (!isSameOrder)
+        m_ejection = Ejection(m_options.ejection);
+}
+
+void ServiceRouter::endPauses(Instant now)
+{
+    for (auto& [name, pause] : m_pauses) {
+        auto* view = viewOf(name);
+        if (view && view->state() != UpstreamState::Active && now >= pause.until)
+            view->setState(UpstreamState::Active, now);
+    }
+}
+
+void ServiceRouter::pause(UpstreamView& view, UpstreamState state, Duration length, Instant now)
+{
+    auto& it = m_pauses[view.name()];
+    it.length = length;
+    it.until = now + length;
+    view.setState(state, now);
+}
+
+std::optional<std::string> ServiceRouter::pick(std::span<const std::string> excluded, Instant now, Random& random)
+{
+    if (now >= m_nextJudgement) {
+        m_nextJudgement = now + judgementEvery;
+        endPauses(now);
+        for (const auto i : m_ejection.update(m_views, now))
+            m_views[i].restartWarmUp(now);
+    }
+    m_excluded.clear();
+    for (const auto& it : excluded) {
+        const auto found = m_index.find(it);
+        if (found != m_index.end())
+            m_excluded.push_back(found->second);
+    }
+    m_ejection.candidates(m_views, m_excluded, now, m_candidates);
+    const auto chosen = choose(m_choice, { m_views, m_candidates, now }, random);
+    if (!chosen)
+        return std::nullopt;
+    return m_views[*chosen].name();
+}
+
+Duration ServiceRouter::sent(const std::string& upstream, std::uint32_t group)
+{
+    auto* view = viewOf(upstream);
+    if (!view)
+        return Duration::zero();
+    view->sent();
+    auto& use = m_use[group];
+    const Duration others = use.total - use.own[upstream];
+    const auto [it, isFirst] = use.othersAtLastSend.try_emplace(upstream, others);
+    const Duration elsewhere = isFirst ? Duration::zero() : others - it->second;
+    it->second = others;
+    return elsewhere;
+}
+
+void ServiceRouter::answered(const std::string& upstream, std::uint32_t group, const Report& report, Duration held,
+    bool isFailure, Instant now)
+{
+    auto& use = m_use[group];
+    use.total += held;
+    use.own[upstream] += held;
+    auto* view = viewOf(upstream);
+    if (!view)
+        return;
+    view->answered(report, isFailure, now);
+    m_pauses.erase(upstream);
+}
+
+void ServiceRouter::lost(const std::string& upstream, Instant now)
+{
+    auto* view = viewOf(upstream);
+    if (!view)
+        return;
+    view->gotNoAnswer(now);
+    const auto last = m_pauses[upstream].length;
+    const auto longest = m_options.lostFor * (1 << maxPauseDoublings);
+    const auto length = last > Duration::zero() && now < m_pauses[upstream].until + last
+        ? (now < m_pauses[upstream].until ? last : std::min(2 * last, longest))
+        : m_options.lostFor;
+    pause(*view, UpstreamState::Lost, length, now);
+}
+
+void ServiceRouter::abandoned(const std::string& upstream)
+{
+    if (auto* view = viewOf(upstream))
+        view->abandoned();
+}
+
+void ServiceRouter::setLeaving(const std::string& upstream, bool isLeaving, Instant now)
+{
+    auto* view = viewOf(upstream);
+    if (!view || (!isLeaving && view->state() != UpstreamState::Leaving))
+        return;
+    if (isLeaving)
+        pause(*view, UpstreamState::Leaving, m_options.leavingMemory, now);
+    else
+        view->setState(UpstreamState::Active, now);
+}
+
+void ServiceRouter::measuredRoundTrip(const std::string& upstream, Duration roundTrip)
+{
+    if (auto* view = viewOf(upstream))
+        view->measuredRoundTrip(roundTrip);
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Routing/ServiceRouter.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Core/Random.h"
+#include "Core/Time.h"
+#include "Routing/Choice.h"
+#include "Routing/Ejection.h"
+#include "Routing/RetryBudget.h"
+#include "Routing/UpstreamView.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief An upstream as the configuration names it to an ingress.
+struct RouteTarget {
+    std::string name;
+    std::uint32_t slots = 0;
+    Duration roundTrip {}; ///< guess until it is measured
+};
+
+/// \brief All that one ingress decides about the calls of one service: where to, whether again.
+///
+/// The node and the policy bench run this same class. No I/O; the present time is an argument.
+/// Cost: pick O(upstreams of the subset); the rest O(1).
+class ServiceRouter {
+public:
+    struct Options {
+        ChoiceKind kind = ChoiceKind::ExpectedDelay;
+        Ejection::Options ejection {};
+        double retryFraction = 0.1;
+        double retryBurst = 10;
+        Duration lostFor = 1s; ///< how long an upstream whose node doesn't answer is left out at first
+        Duration leavingMemory = 5s; ///< after which a leaving upstream is asked again, in case it stayed
+    };
+
+    explicit ServiceRouter(Options options);
+
+    /// \brief Sets the upstreams; those known by name keep what is known of them, new ones start slowly.
+    void setUpstreams(const std::vector<RouteTarget>& targets, Instant now);
+
+    void setRetryFraction(double fraction) { m_options.retryFraction = fraction; }
+
+    /// \brief Chooses an upstream for a call. \param excluded names already tried.
+    /// \returns its name, or nothing if none is left.
+    std::optional<std::string> pick(std::span<const std::string> excluded, Instant now, Random& random);
+
+    /// \brief Counts the first attempt of a call, which earns its group a part of a retry.
+    void firstAttempt(std::uint32_t group) { budgetOf(group).firstAttempt(); }
+
+    /// \returns whether the group may send one more attempt; if so it is spent.
+    bool trySpendRetry(std::uint32_t group) { return budgetOf(group).trySpend(); }
+
+    /// \brief An attempt goes out. \returns the slot time the group got on the other upstreams since its last call
+    /// to this one: the owner charges it to the group's share.
+    Duration sent(const std::string& upstream, std::uint32_t group);
+
+    /// \brief An answer came. \param held slot time of the call; zero if it was refused.
+    void answered(const std::string& upstream, std::uint32_t group, const Report& report, Duration held,
+        bool isFailure, Instant now);
+
+    /// \brief No answer came, or the message could not go out.
+    void lost(const std::string& upstream, Instant now);
+
+    /// \brief An attempt was given up by this side.
+    void abandoned(const std::string& upstream);
+
+    /// \brief The owner says whether its upstream is leaving.
+    void setLeaving(const std::string& upstream, bool isLeaving, Instant now);
+
+    /// \brief A round trip was measured: total time less queueing and service.
+    void measuredRoundTrip(const std::string& upstream, Duration roundTrip);
+
+    std::span<const UpstreamView> views() const { return m_views; }
+    const Ejection& ejection() const { return m_ejection; }
+
+private:
+    struct Pause {
+        Instant until {};
+        Duration length {};
+    };
+    /// What a group used, for charging use elsewhere.
+    struct Use {
+        Duration total {};
+        std::unordered_map<std::string, Duration> own;
+        std::unordered_map<std::string, Duration> othersAtLastSend;
+    };
+
+    UpstreamView* viewOf(const std::string& name);
+    RetryBudget& budgetOf(std::uint32_t group);
+    void endPauses(Instant now);
+    void pause(UpstreamView& view, UpstreamState state, Duration length, Instant now);
+
+    Options m_options;
+    Choice m_choice;
+    Ejection m_ejection;
+    std::vector<UpstreamView> m_views;
+    std::unordered_map<std::string, std::size_t> m_index;
+    std::unordered_map<std::string, Pause> m_pauses;
+    std::unordered_map<std::uint32_t, RetryBudget> m_budgets;
+    std::unordered_map<std::uint32_t, Use> m_use;
+    std::vector<std::size_t> m_candidates;
+    std::vector<std::size_t> m_excluded;
+    Instant m_nextJudgement {};
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Routing/UpstreamView.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Core/EnumNames.h"
+#include "Core/Ewma.h"
+#include "Core/Time.h"
+#include "Queueing/Admission.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace robinrun {
+
+/// \brief Whether an ingress may send new calls to an upstream. Part of the wire format: append only.
+enum class UpstreamState {
+    Active,
+    Leaving, ///< drains: nothing new
+    Lost, ///< its node doesn't answer
+};
+
+template <>
+struct EnumNames<UpstreamState> {
+    static constexpr std::array<std::string_view, 3> names { "active", "leaving", "lost" };
+};
+
+/// \brief What an owner said about its upstream, and when it was heard.
+struct Report {
+    LoadReport load;
+    std::uint32_t yours = 0; ///< of the calls in use or waiting, those of the ingress itself
+    double errorShare = 0; ///< recent share of failed answers, over all callers
+    Instant heard {};
+};
+
+/// \brief All an ingress knows of one upstream: its own calls exactly, all else as old as the last answer.
+///
+/// Cost: O(1) a call; about 250 bytes.
+class UpstreamView {
+public:
+    /// \param roundTrip network time to the upstream's node and back.
+    UpstreamView(std::string name, std::uint32_t slots, Duration roundTrip);
+
+    /// \brief A call was sent.
+    void sent() { ++m_inFlight; }
+
+    /// \brief An answer came, with the owner's news; \a isFailure for answers that failed at the backend server.
+    void answered(const Report& report, bool isFailure, Instant now);
+
+    /// \brief No answer came in time, or the node is gone.
+    void gotNoAnswer(Instant now);
+
+    /// \brief This side gave an attempt up; nothing is learnt from it.
+    void abandoned() { m_inFlight -= m_inFlight ? 1 : 0; }
+
+    /// \brief A round trip was measured; it replaces the guess bit by bit.
+    void measuredRoundTrip(Duration roundTrip) { m_roundTrip += (roundTrip - m_roundTrip) / 8; }
+
+    /// \brief News without a call (an announcement).
+    void heard(const Report& report) { m_report = report; }
+
+    void setState(UpstreamState state, Instant now);
+    void setSlots(std::uint32_t slots) { m_slots = slots; }
+
+    /// \brief Starts the slow start: the upstream is cold from \a now on.
+    void restartWarmUp(Instant now) { m_coldSince = now; }
+
+    const std::string& name() const { return m_name; }
+    std::uint32_t slots() const { return m_slots; }
+    Duration roundTrip() const { return m_roundTrip; }
+    std::uint32_t inFlight() const { return m_inFlight; }
+    UpstreamState state() const { return m_state; }
+    const std::optional<Report>& report() const { return m_report; }
+
+    /// \returns calls of other ingresses that the owner last reported.
+    double othersReported() const;
+
+    /// \returns the larger of the own and the reported share of failures, old news counting less.
+    double errorShare(Instant now) const;
+
+    /// \returns the part of its slots, in (0, 1], to count on while it warms up over \a warmUp.
+    double warmth(Duration warmUp, Instant now) const;
+
+private:
+    std::string m_name;
+    std::uint32_t m_slots;
+    Duration m_roundTrip;
+    std::uint32_t m_inFlight = 0;
+    UpstreamState m_state = UpstreamState::Active;
+    std::optional<Report> m_report;
+    Ewma m_errors;
+    Instant m_lastError {};
+    std::optional<Instant> m_coldSince;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Wire/PeerSocket.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Core/Result.h"
+#include "Core/Time.h"
+#include "peer.pb.h"
+
+#include <cstdint>
+#include <event2/event.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace zmq {
+class context_t;
+class socket_t;
+class message_t;
+}
+
+namespace robinrun {
+
+/// \brief Bytes and messages by purpose, for the budgets of control traffic.
+struct Traffic {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
+/// \brief Messages between nodes over ZeroMQ: one ROUTER that listens, one DEALER for each peer that is talked to.
+///
+/// ZeroMQ stores nothing for peers that aren't there: sockets are immediate, don't linger and have bounded queues, so
+/// that a send which can't go out now fails at once. Its descriptors are edge-triggered; each is drained to the end
+/// whenever it fires and after every send. Links idle for `idleTimeout` are closed.
+/// Cost: a link is about 60 KB on each side, mostly in ZeroMQ.
+class PeerSocket {
+public:
+    /// \brief Where an answer goes: back along the link the message came by, or to a link of our own.
+    struct Sender {
+        std::string node;
+        std::string address;
+        std::uint64_t incarnation = 0;
+        std::string route; ///< ZeroMQ's name of the incoming link; "" if it came as an answer on our own link
+    };
+    using Handler = std::function<void(const Sender&, proto::PeerMessage&)>;
+
+    struct Options {
+        std::string bindAddress; ///< ip:port
+        std::string node;
+        std::uint64_t incarnation = 0;
+        int highWaterMark = 5000; ///< messages queued to one peer
+        std::int64_t maxMessage = 80LL << 20; ///< bytes
+        Duration idleTimeout = 120s;
+    };
+
+    static Result<std::unique_ptr<PeerSocket>, std::string> bind(event_base* base, Options options, Handler handler);
+    ~PeerSocket();
+    PeerSocket(const PeerSocket&) = delete;
+    PeerSocket& operator=(const PeerSocket&) = delete;
+
+    /// \brief Sends to the node at \a address. \returns false if it can't go out now; then it never will.
+    bool send(const std::string& address, proto::PeerMessage& message, Instant now);
+
+    /// \brief Answers along the link that a message came by. \returns false if the link is gone.
+    bool answer(const Sender& to, proto::PeerMessage& message, Instant now);
+
+    /// \brief Closes links that were idle; to be called now and then.
+    void closeIdle(Instant now);
+
+    std::size_t links() const { return m_links.size(); }
+
+    /// \returns what was sent and received so far, by kind of message (the number of its field).
+    const std::unordered_map<int, Traffic>& sentByKind() const { return m_sent; }
+    const std::unordered_map<int, Traffic>& receivedByKind() const { return m_received; }
+
+private:
+    struct Link;
+    PeerSocket(event_base* base, Options options, Handler handler);
+    Link& linkTo(const std::string& address, Instant now);
+    bool sendTo(zmq::socket_t& socket, proto::PeerMessage& message, Link* link);
+    void drainDirty();
+    void drainRouter();
+    void drainLink(Link& link);
+    void deliver(const std::string& route, const zmq::message_t& payload);
+    void drainSoon(Link* link);
+
+    event_base* m_base;
+    Options m_options;
+    Handler m_handler;
+    std::unique_ptr<zmq::context_t> m_context;
+    std::unique_ptr<zmq::socket_t> m_router;
+    event* m_routerEvent = nullptr;
+    event* m_drainEvent = nullptr;
+    std::unordered_map<std::string, std::unique_ptr<Link>> m_links;
+    std::vector<Link*> m_dirty; ///< links sent on since they were last drained
+    std::unordered_map<int, Traffic> m_sent;
+    std::unordered_map<int, Traffic> m_received;
+};
+
+} // namespace robinrun
