--- a/src/Load/LoadRun.cpp
+++ b/src/Load/LoadRun.cpp
@@ -14,6 +14,9 @@
 constexpr Duration clientTimeout = 15s;
 constexpr Duration lastWait = 12s;
 constexpr Duration sendAgainAfter = 150ms;
+/// An ingress that has calls of ours and answers none for this long is left alone for a while.
+constexpr Duration silenceLimit = 150ms;
+constexpr Duration leaveAlone = 1s;
 constexpr int maxSends = 40;
 constexpr std::size_t connectionsPerIngress = 2000;
 constexpr std::uint64_t directAnswerBytes = 200;
@@ -61,11 +64,34 @@
         m_backends.push_back(poolOf(it));
     for (const auto& it : m_spec.streams)
         m_next.push_back({ &it, m_start + fromSeconds(m_random.exponential(1 / it.rate)) });
+    m_health.resize(m_ingresses.size());
     m_nextDirect = m_start;
     m_timer = Timer::repeating(base, tickLength, [this] { tick(); });
 }
 
-HttpPool& LoadRun::anyIngress() { return *m_ingresses[m_random.below(m_ingresses.size())]; }
+std::size_t LoadRun::anyIngress()
+{
+    const auto now = monotonicNow();
+    auto index = m_random.below(m_ingresses.size());
+    for (std::size_t i = 0; i < m_ingresses.size(); ++i, index = (index + 1) % m_ingresses.size()) {
+        auto& it = m_health[index];
+        if (now < it.tryAgainAt)
+            continue;
+        if (!it.out || now - it.silentSince < silenceLimit)
+            break;
+        it.tryAgainAt = now + leaveAlone;
+        it.silentSince = it.tryAgainAt;
+    }
+    if (!m_health[index].out++)
+        m_health[index].silentSince = now;
+    return index;
+}
+
+void LoadRun::heardFrom(std::size_t ingress)
+{
+    --m_health[ingress].out;
+    m_health[ingress].silentSince = monotonicNow();
+}
 
 void LoadRun::tick()
 {
@@ -105,8 +131,10 @@
     ++m_out;
     HttpRequest request { "POST", "/" + call->stream->service + "/tickets",
         { { "Robinrun-Credential", call->stream->credential } }, {} };
-    anyIngress().send(request, clientTimeout, [this, call](const Result<HttpReply, HttpError>& result) {
+    const auto ingress = anyIngress();
+    m_ingresses[ingress]->send(request, clientTimeout, [this, call, ingress](const Result<HttpReply, HttpError>& result) {
         --m_out;
+        heardFrom(ingress);
         const auto ticket = result.has_value() ? findHeader(result.value().headers, "Robinrun-Ticket") : std::nullopt;
         if (!ticket) {
             // No ticket, no call: nothing can have run.
@@ -145,10 +173,15 @@
     ++m_out;
     ++call->sends;
     const auto sent = monotonicNow();
-    anyIngress().send(requestOf(*call), clientTimeout, [this, call, sent](const Result<HttpReply, HttpError>& result) {
+    const auto ingress = anyIngress();
+    const auto done = [this, call, sent, ingress](const Result<HttpReply, HttpError>& result) {
         --m_out;
+        heardFrom(ingress);
+        if (!result.has_value())
+            m_health[ingress].tryAgainAt = monotonicNow() + leaveAlone;
         ended(call, sent, result);
-    });
+    };
+    m_ingresses[ingress]->send(requestOf(*call), clientTimeout, done);
 }
 
 void LoadRun::sendAgain(const CallPtr& call)
--- a/src/Load/LoadRun.h
+++ b/src/Load/LoadRun.h
@@ -68,14 +68,22 @@
     bool isRight(const Call& call, const HttpReply& reply) const;
     void sendAgain(const CallPtr& call);
     HttpRequest requestOf(const Call& call) const;
-    HttpPool& anyIngress();
+    std::size_t anyIngress();
+    void heardFrom(std::size_t ingress);
     void finishWhenQuiet(Instant now);
     void askCounts();
 
     event_base* m_base;
     LoadSpec m_spec;
     Random m_random;
+    /// An ingress that is silent for a while is left alone, as a sensible caller would.
+    struct IngressHealth {
+        std::uint64_t out = 0;
+        Instant silentSince {};
+        Instant tryAgainAt {};
+    };
     std::vector<std::unique_ptr<HttpPool>> m_ingresses;
+    std::vector<IngressHealth> m_health;
     std::vector<std::unique_ptr<HttpPool>> m_direct;
     std::vector<std::unique_ptr<HttpPool>> m_backends;
     std::vector<Planned> m_next;
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -263,7 +263,7 @@
         return finishNotRun(id, call, Reason::OwnerLost, now);
     }
     while (true) {
-        const auto upstream = router.pick(call.tried, now, m_context->random);
+        const auto upstream = router.pick(call.tried, call.groupNumber, now, m_context->random);
         if (!upstream)
             return finishNotRun(
                 id, call, call.lastReason == Reason::None ? Reason::NoUpstream : call.lastReason, now);
@@ -271,7 +271,7 @@
             return;
         // The message could not go out, so it costs no attempt.
         router.sent(*upstream, call.groupNumber);
-        router.lost(*upstream, now);
+        router.lost(*upstream, call.groupNumber, now);
         call.tried.push_back(*upstream);
     }
 }
@@ -342,12 +342,12 @@
         return true;
     }
     if (m_send(info->config.node_address(), message, now)) {
-        if (call.callClass.isRepeatable && !call.isMinting && !call.ticket)
-            call.attemptTimer = Timer::once(
-                m_context->base, m_context->settings.choice.attemptTimeout, [this, id] { attemptTimedOut(id); });
+        const auto longest = m_context->settings.choice.attemptTimeout;
+        const auto patience = std::min(router.hedgeDelay().value_or(longest), longest);
+        call.attemptTimer = Timer::once(m_context->base, patience, [this, id, number] { attemptTimedOut(id, number); });
         return true;
     }
-    router.abandoned(upstream);
+    router.abandoned(upstream, call.groupNumber);
     call.out.pop_back();
     call.tried.pop_back();
     m_callByNumber.erase(number);
@@ -363,6 +363,7 @@
     Report report;
     report.load = { load.slots(), load.in_use(), load.waiting(), Duration(load.service_us()) };
     report.yours = load.yours();
+    report.queued = load.queued();
     report.errorShare = load.error_permille() / permille;
     report.heard = now;
     const bool isFailure = answer.outcome() == proto::UNKNOWN
@@ -402,12 +403,22 @@
         return refused(id, call, attempt, answer, now);
     if (call.isMinting)
         return ticketMinted(id, call, decode(answer.ticket()), now);
+    const bool isRepeatable = call.callClass.isRepeatable && !call.ticket;
     if (answer.outcome() == proto::ANSWERED && isWhole(answer)) {
-        step(call, CallEvent::Answered);
-        return finishAnswered(id, call, answer, now);
+        const bool isGood = answer.status() < firstServerError;
+        const bool mayReplace = !isGood && isRepeatable && now < call.deadline && (!call.out.empty() || mayTryAgain(call));
+        if (!mayReplace) {
+            m_routers.at(call.service)->measuredLatency(now - call.arrived);
+            step(call, CallEvent::Answered);
+            return finishAnswered(id, call, answer, now);
+        }
+        call.failedAnswer = std::make_unique<proto::Answer>(std::move(answer));
+        if (!call.out.empty())
+            return;
+        step(call, CallEvent::Refused);
+        return proceed(id, now);
     }
     const auto reason = answer.outcome() == proto::ANSWERED ? Reason::Damaged : reasonOf(answer);
-    const bool isRepeatable = call.callClass.isRepeatable && !call.ticket;
     call.wasLost = true;
     call.lastReason = reason;
     if (isRepeatable && now < call.deadline && mayTryAgain(call)) {
@@ -418,6 +429,16 @@
         finishUnknown(id, call, reason, now);
 }
 
+bool Ingress::finishWithFailure(CallId id, Call& call, Instant now)
+{
+    if (!call.failedAnswer)
+        return false;
+    const auto answer = std::move(call.failedAnswer);
+    step(call, CallEvent::Answered);
+    finishAnswered(id, call, *answer, now);
+    return true;
+}
+
 bool Ingress::mayTryAgain(Call& call)
 {
     if (call.attemptsLeft <= 1 || !m_routers.at(call.service)->trySpendRetry(call.groupNumber))
@@ -490,15 +511,22 @@
     finishNotRun(id, call, Reason::DeadlinePassed, now);
 }
 
-void Ingress::attemptTimedOut(CallId id)
+void Ingress::attemptTimedOut(CallId id, std::uint64_t number)
 {
     auto& call = m_calls.at(id);
     const auto now = monotonicNow();
-    if (call.out.empty() || now >= call.deadline || !mayTryAgain(call))
+    const auto it
+        = std::find_if(call.out.begin(), call.out.end(), [&](const auto& attempt) { return attempt.number == number; });
+    if (it == call.out.end())
         return;
-    // The slow attempt stays out; the first whole answer is taken.
-    const auto upstream = m_routers.at(call.service)->pick(call.tried, now, m_context->random);
-    if (upstream)
+    auto& router = *m_routers.at(call.service);
+    router.attemptTimedOut(it->upstream, now);
+    const bool mayHedge = call.callClass.isRepeatable && !call.isMinting && !call.ticket && call.attemptsLeft > 1;
+    if (!mayHedge || now >= call.deadline)
+        return;
+    // The late attempt stays out; the first whole answer is taken.
+    const auto upstream = router.pick(call.tried, call.groupNumber, now, m_context->random);
+    if (upstream && mayTryAgain(call))
         sendTo(id, call, *upstream, now);
 }
 
@@ -517,9 +545,9 @@
     for (const auto& it : std::exchange(call.out, {})) {
         m_callByNumber.erase(it.number);
         if (isLost)
-            router.lost(it.upstream, now);
+            router.lost(it.upstream, call.groupNumber, now);
         else
-            router.abandoned(it.upstream);
+            router.abandoned(it.upstream, call.groupNumber);
         if (it.upstream == m_owner->upstream()) {
             m_owner->cancel(m_context->incarnation, it.number, now);
             continue;
@@ -556,6 +584,8 @@
 
 void Ingress::finishNotRun(CallId id, Call& call, Reason reason, Instant now)
 {
+    if (finishWithFailure(id, call, now))
+        return;
     if (call.wasLost)
         return finishUnknown(id, call, reason, now);
     step(call, CallEvent::GivenUp);
@@ -574,6 +604,8 @@
 
 void Ingress::finishUnknown(CallId id, Call& call, Reason reason, Instant now)
 {
+    if (finishWithFailure(id, call, now))
+        return;
     step(call, CallEvent::Lost);
     const int status = reason == Reason::Damaged ? badGateway : gatewayTimeout;
     HttpReply reply { status,
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -73,6 +73,7 @@
         bool wasLost = false; ///< an attempt was lost: the outcome may be unknown
         Reason lastReason = Reason::None;
         std::uint32_t retryAfterMs = 0;
+        std::unique_ptr<proto::Answer> failedAnswer; ///< an error of a backend server, kept while others are tried
         std::optional<Ticket> ticket;
         std::optional<std::string> key; ///< caller's idempotency key
         bool isMinting = false; ///< the attempt asks for a ticket only
@@ -93,7 +94,8 @@
     void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
     void claimDecided(CallId id, const ClaimDecision& decision);
     void deadlineReached(CallId id);
-    void attemptTimedOut(CallId id);
+    void attemptTimedOut(CallId id, std::uint64_t number);
+    bool finishWithFailure(CallId id, Call& call, Instant now);
     void hungUp(CallId id);
     void step(Call& call, CallEvent event);
     void finishAnswered(CallId id, Call& call, proto::Answer& answer, Instant now);
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -18,6 +18,8 @@
 /// Headers by which deadlines and attempts are passed down to a backend server's own calls.
 constexpr const char* deadlineHeader = "Robinrun-Deadline-Ms";
 constexpr const char* attemptsHeader = "Robinrun-Attempts-Left";
+/// Header by which a backend server may say with any answer that it drains.
+constexpr const char* stateHeader = "Backend-State";
 constexpr const char* groupHeader = "Robinrun-Group";
 
 Hash128 fingerprintOf(const proto::Call& call)
@@ -159,7 +161,7 @@
     proto::Answer answer;
     answer.set_number(call.number());
     encode(m_tickets.mint(m_context->random, now), *answer.mutable_ticket());
-    fillNews(answer, sender, now);
+    fillNews(answer, sender, call.group(), now);
     reply(answer);
 }
 
@@ -193,7 +195,7 @@
     answer.set_body(begin.record->body);
     answer.set_body_length(begin.record->body.size());
     answer.set_body_hash(hash64(begin.record->body));
-    fillNews(answer, sender, now);
+    fillNews(answer, sender, call.group(), now);
     reply(answer);
 }
 
@@ -216,7 +218,7 @@
     const auto deadline = record.deadline;
     m_calls.emplace(id, std::move(record));
     m_idByKey[{ sender.incarnation, call.number() }] = id;
-    ++m_bySender[sender.incarnation];
+    ++m_bySender[{ sender.incarnation, call.group() }];
     Offer offer;
     offer.id = id;
     offer.group = m_context->directory.groupNumber(call.group());
@@ -270,6 +272,8 @@
     if (result.has_value()) {
         auto& reply = result.value();
         isFailure = reply.status >= firstServerError;
+        if (const auto state = findHeader(reply.headers, stateHeader))
+            setSign(LeavingSign::BackendServer, *state == "draining", now);
         answer.set_outcome(proto::ANSWERED);
         answer.set_status(static_cast<std::uint32_t>(reply.status));
         for (const auto& [name, value] : reply.headers) {
@@ -329,29 +333,30 @@
     const auto replies = std::move(record.replies);
     const auto numbers = std::move(record.numbers);
     const auto id = m_idByKey.find(key);
-    auto& bySender = m_bySender[record.sender.incarnation];
-    bySender -= bySender ? 1 : 0;
-    if (!bySender)
-        m_bySender.erase(record.sender.incarnation);
+    const auto group = record.call.group();
+    const auto bySender = m_bySender.find({ record.sender.incarnation, group });
+    if (--bySender->second == 0)
+        m_bySender.erase(bySender);
     m_calls.erase(id->second);
     m_idByKey.erase(id);
     for (std::size_t i = 0; i < replies.size(); ++i) {
         answer.set_number(numbers[i]);
-        fillNews(answer, replies[i].first, now);
+        fillNews(answer, replies[i].first, group, now);
         replies[i].second(answer);
     }
 }
 
-void Owner::fillNews(proto::Answer& answer, const Sender& sender, Instant now)
+void Owner::fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now)
 {
-    const auto load = m_admission.load(now);
+    const auto load = m_admission.loadFor(m_context->directory.groupNumber(group), now);
     auto& out = *answer.mutable_load();
     out.set_slots(load.slots);
     out.set_in_use(load.inUse);
     out.set_waiting(load.waiting);
+    out.set_queued(m_admission.load(now).waiting);
     out.set_service_us(static_cast<std::uint32_t>(load.service.count()));
     out.set_state(static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
-    const auto it = m_bySender.find(sender.incarnation);
+    const auto it = m_bySender.find({ sender.incarnation, group });
     out.set_yours(it == m_bySender.end() ? 0 : it->second);
     out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
     answer.set_incarnation(m_context->incarnation);
@@ -366,7 +371,7 @@
     answer.set_number(call.number());
     answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
     answer.set_reason(static_cast<std::uint32_t>(reason));
-    fillNews(answer, sender, now);
+    fillNews(answer, sender, call.group(), now);
     reply(answer);
 }
 
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -90,7 +90,7 @@
     void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason, bool isNotRun,
         Instant now);
     void answerAll(CallRecord& record, proto::Answer& answer, Instant now);
-    void fillNews(proto::Answer& answer, const Sender& sender, Instant now);
+    void fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now);
     void recordTicket(const CallRecord& record, const proto::Answer& answer);
     void lifeChanged(LifeState state, Instant now);
     const ServiceInfo* service() const;
@@ -109,7 +109,7 @@
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, CallRecord> m_calls;
     std::map<CallKey, std::uint64_t> m_idByKey;
-    std::unordered_map<std::uint64_t, std::uint32_t> m_bySender; ///< calls in hand, by sender's incarnation
+    std::map<std::pair<std::uint64_t, std::string>, std::uint32_t> m_bySender; ///< calls in hand, by sender and group
     struct Ingress {
         std::string address;
         Instant lastCall {};
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -47,7 +47,10 @@
         std::uint32_t slots = 12;
         std::size_t queueLimit = 256;
         Duration initialService = 10ms;
-        SojournControl::Options sojourn {};
+        /// Bounds on waiting, in slot times as they are now: a few calls in turn are a burst, more stand.
+        int sojournTarget = 3;
+        int sojournInterval = 20;
+        int maxWait = 10; ///< a call that would wait longer is refused at once: that is worth more than a late answer
         Duration maxElsewhere = 100ms;
     };
 
@@ -81,6 +84,9 @@
     Dispatch releaseSlot(Instant now);
 
     LoadReport load(Instant now) const;
+
+    /// \returns the load as a call of \a group meets it: `waiting` counts only what would go before it.
+    LoadReport loadFor(std::uint32_t group, Instant now) const;
     std::uint32_t inUse() const { return static_cast<std::uint32_t>(m_running.size()) + m_heldSlots; }
 
     /// \returns how long a call of the group is likely to wait if it came now.
@@ -96,7 +102,7 @@
     void fill(Dispatch& out, Instant now);
     void start(const QueuedCall& call, Dispatch& out, Instant now);
     void refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now);
-    SojournControl& sojournOf(std::uint32_t group);
+    bool hasStood(const QueuedCall& call, Instant now);
 
     Options m_options;
     FairQueue m_queue;
--- a/src/Queueing/FairQueue.cpp
+++ b/src/Queueing/FairQueue.cpp
@@ -43,10 +43,14 @@
     flow.tag = tag;
 }
 
+void FairQueue::chargeElsewhere(std::uint32_t group, Duration elsewhere)
+{
+    charge(group, m_flows[group], toSeconds(std::min(elsewhere, m_maxElsewhere)));
+}
+
 std::optional<QueuedCall> FairQueue::push(const QueuedCall& call)
 {
     auto& flow = m_flows[call.group];
-    charge(call.group, flow, toSeconds(std::min(call.elsewhere, m_maxElsewhere)));
     if (!flow.waiting) {
         flow.tag = std::max(flow.tag, m_virtualTime);
         m_backlogged.emplace(flow.tag, call.group);
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -21,7 +21,6 @@
     Instant arrived {};
     Instant deadline {};
     Duration expectedCost {}; ///< slot time it is likely to hold
-    Duration elsewhere {}; ///< slot time its group got on the service's other upstreams since its last call here
 };
 
 /// \brief Weighted fair queue over calling groups, in slot time.
@@ -51,6 +50,9 @@
     /// \brief Changes the limit; \a limit must be above 0.
     void setLimit(std::size_t limit);
 
+    /// \brief Charges a group for slot time that it got on other upstreams, whatever becomes of the call that told.
+    void chargeElsewhere(std::uint32_t group, Duration elsewhere);
+
     /// \brief Adds a call. When the queue is full, the newest call of the group that waits most for its share
     /// gives way. \returns the call that gave way: perhaps \a call itself.
     std::optional<QueuedCall> push(const QueuedCall& call);
--- a/src/Queueing/ServiceEstimate.h
+++ b/src/Queueing/ServiceEstimate.h
@@ -28,6 +28,9 @@
     /// \returns expected slot time of a new call of \a callClass.
     Duration of(std::uint32_t callClass) const;
 
+    /// \returns the mean slot time of ended calls, over all classes.
+    Duration mean() const { return fromSeconds(m_overall.value()); }
+
     /// \returns the mean slot time over all classes, raised by calls that run long. \param now the present.
     Duration overall(Instant now) const;
 
--- a/src/Queueing/SojournControl.h
+++ b/src/Queueing/SojournControl.h
@@ -16,22 +16,17 @@
         Duration interval = 500ms;
     };
 
-    explicit SojournControl(Options options)
-        : m_options(options)
-    {
-    }
-
     /// \brief Judges the call at the head as it is taken.
+    /// \param options as they are now: they may follow the service time.
     /// \param sojourn how long it has waited.
     /// \param isLast whether no other call waits behind it: the last one is never refused.
     /// \returns whether to refuse it.
-    bool shouldRefuse(Duration sojourn, bool isLast, Instant now);
+    bool shouldRefuse(const Options& options, Duration sojourn, bool isLast, Instant now);
 
 private:
-    bool stands(Duration sojourn, bool isLast, Instant now);
-    Instant after(Instant start) const;
+    bool stands(const Options& options, Duration sojourn, bool isLast, Instant now);
+    Instant after(const Options& options, Instant start) const;
 
-    Options m_options;
     Instant m_firstAbove {};
     bool m_isAbove = false;
     bool m_isRefusing = false;
--- a/src/Routing/Choice.cpp
+++ b/src/Routing/Choice.cpp
@@ -96,40 +96,54 @@
     return leastBy(cold, random, [&](std::size_t i) { return reportedService(in.views[i]); });
 }
 
-ExpectedDelayChoice::Means ExpectedDelayChoice::meansOf(const ChoiceInput& in) const
+ExpectedDelayChoice::Means ExpectedDelayChoice::meansOf(const ChoiceInput& in)
 {
     Means means;
-    double heard = 0;
+    m_services.clear();
     for (const auto it : in.candidates) {
         const auto& view = in.views[it];
         if (!view.report())
             continue;
-        ++heard;
-        means.othersPerSlot += view.othersReported() / std::max(1U, view.slots());
-        means.serviceSeconds += reportedService(view);
-    }
-    if (heard > 0) {
-        means.othersPerSlot /= heard;
-        means.serviceSeconds /= heard;
+        means.othersPerSlot += view.othersReported(in.group) / std::max(1U, view.slots());
+        m_services.push_back(reportedService(view));
     }
+    if (m_services.empty())
+        return means;
+    means.othersPerSlot /= static_cast<double>(m_services.size());
+    const auto middle = m_services.begin() + static_cast<std::ptrdiff_t>((m_services.size() - 1) / 2);
+    std::nth_element(m_services.begin(), middle, m_services.end());
+    means.serviceSeconds = *middle;
     return means;
 }
 
-double ExpectedDelayChoice::delay(const UpstreamView& view, const Means& means, Instant now) const
+double ExpectedDelayChoice::serviceOf(const UpstreamView& view, const Means& means, Instant now) const
+{
+    if (!view.report())
+        return means.serviceSeconds;
+    const double reported = reportedService(view);
+    const bool isAlike
+        = reported < means.serviceSeconds * options.alike && reported * options.alike > means.serviceSeconds;
+    if (isAlike)
+        return means.serviceSeconds;
+    const double fresh = freshness(now - view.report()->heard, options.speedMemory);
+    return means.serviceSeconds + (reported - means.serviceSeconds) * fresh;
+}
+
+double ExpectedDelayChoice::delay(const UpstreamView& view, const Means& means, const ChoiceInput& in) const
 {
     const double slots = std::max(1U, view.slots());
+    const double service = serviceOf(view, means, in.now);
     double others = means.othersPerSlot * slots;
-    double service = means.serviceSeconds;
-    if (view.report()) {
-        const auto age = now - view.report()->heard;
-        others += (view.othersReported() - others) * freshness(age, options.newsMemory);
-        service += (reportedService(view) - service) * freshness(age, options.speedMemory);
-    }
-    const double usable = slots * view.warmth(options.warmUp, now);
-    const double load = view.inFlight() + others;
+    if (view.report())
+        others += (view.othersReported(in.group) - others) * freshness(in.now - view.report()->heard, options.newsMemory);
+    const double usable = slots * view.warmth(options.warmUp, in.now);
+    const bool hasQueue = view.report() && view.report()->queued > view.slots() / 2;
+    const double own = hasQueue ? view.inFlightOf(in.group) : view.inFlight();
+    const double load = view.inFlightOf(in.group) + others;
     const double wait = service * std::max(0.0, load + 1 - usable) / usable;
-    const double crowding = options.loadSlope * service * load / usable;
-    const double failures = std::min(view.errorShare(now), 0.95);
+    const double fill = options.loadSlope * (options.ownWeight * own + others) / usable;
+    const double crowding = service * fill / (1 + fill / options.maxCrowding);
+    const double failures = std::min(view.errorShare(in.now), 0.95);
     return (toSeconds(view.roundTrip()) + wait + crowding + service) / (1 - failures);
 }
 
@@ -137,7 +151,7 @@
 {
     const auto means = meansOf(in);
     sampleInto(m_sampled, in.candidates, options.sample, random);
-    return leastBy(m_sampled, random, [&](std::size_t i) { return delay(in.views[i], means, in.now); });
+    return leastBy(m_sampled, random, [&](std::size_t i) { return delay(in.views[i], means, in); });
 }
 
 Choice makeChoice(ChoiceKind kind)
--- a/src/Routing/Choice.h
+++ b/src/Routing/Choice.h
@@ -34,6 +34,7 @@
     std::span<const UpstreamView> views;
     std::span<const std::size_t> candidates;
     Instant now {};
+    std::uint32_t group = 0;
 };
 
 /// \brief Uniform choice, blind to load.
@@ -67,16 +68,20 @@
 ///
 /// Expected delay = round trip + wait for a slot + slot time. Others' calls are taken from the owner's last
 /// report and decay towards the mean over the candidates as the report ages, so old news of an idle or a busy
-/// upstream counts less and less. Ingresses sample candidates, so that they don't all follow the same news.
+/// upstream counts less and less. Own calls in flight weigh more than they are: they are the one exact figure, and
+/// spread each ingress's calls evenly, so that ingresses with the same news don't all follow it.
 /// Cost: O(candidates); about 15 ns each.
 /// \sa docs/DESIGN-choice.md
 struct ExpectedDelayChoice {
     struct Options {
         Duration newsMemory = 60ms; ///< time constant for others' calls
         Duration speedMemory = 2s; ///< time constant for the slot time
+        double alike = 1.5; ///< slot times within this factor of the median are taken as equal: they differ by chance
         Duration warmUp = 5s; ///< length of the slow start
-        std::size_t sample = 3; ///< candidates compared
-        double loadSlope = 0.3; ///< part of a slot time that a full set of slots counts for below saturation
+        std::size_t sample = 8; ///< candidates compared
+        double loadSlope = 0.5; ///< part of a slot time that a full set of slots counts for below saturation
+        double ownWeight = 8; ///< how many calls one own call in flight counts for, below saturation
+        double maxCrowding = 10; ///< bound of what load below saturation counts for, in slot times
     };
     Options options {};
     std::size_t operator()(const ChoiceInput& in, Random& random);
@@ -84,11 +89,13 @@
 private:
     struct Means {
         double othersPerSlot = 0;
-        double serviceSeconds = 0;
+        double serviceSeconds = 0; ///< the median
     };
-    Means meansOf(const ChoiceInput& in) const;
-    double delay(const UpstreamView& view, const Means& means, Instant now) const;
+    Means meansOf(const ChoiceInput& in);
+    double serviceOf(const UpstreamView& view, const Means& means, Instant now) const;
+    double delay(const UpstreamView& view, const Means& means, const ChoiceInput& in) const;
     std::vector<std::size_t> m_sampled;
+    std::vector<double> m_services;
 };
 
 /// \brief A way to choose, with its state.
--- a/src/Routing/Ejection.cpp
+++ b/src/Routing/Ejection.cpp
@@ -64,7 +64,7 @@
         if (views[i].state() != UpstreamState::Active)
             continue;
         ++active;
-        if (!isEjected(i, now) && !contains(excluded, i))
+        if (!isEjected(i, now) && !contains(excluded, i) && views[i].isAvailable())
             out.push_back(i);
     }
     const bool isPanic = static_cast<double>(out.size() + excluded.size()) < m_options.panicShare * double(active);
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -56,8 +56,11 @@
 {
     for (auto& [name, pause] : m_pauses) {
         auto* view = viewOf(name);
-        if (view && view->state() != UpstreamState::Active && now >= pause.until)
-            view->setState(UpstreamState::Active, now);
+        if (!view || view->state() == UpstreamState::Active || now < pause.until)
+            continue;
+        if (view->state() == UpstreamState::Lost)
+            view->startTrial();
+        view->setState(UpstreamState::Active, now);
     }
 }
 
@@ -69,7 +72,8 @@
     view.setState(state, now);
 }
 
-std::optional<std::string> ServiceRouter::pick(std::span<const std::string> excluded, Instant now, Random& random)
+std::optional<std::string> ServiceRouter::pick(
+    std::span<const std::string> excluded, std::uint32_t group, Instant now, Random& random)
 {
     if (now >= m_nextJudgement) {
         m_nextJudgement = now + judgementEvery;
@@ -84,7 +88,7 @@
             m_excluded.push_back(found->second);
     }
     m_ejection.candidates(m_views, m_excluded, now, m_candidates);
-    const auto chosen = choose(m_choice, { m_views, m_candidates, now }, random);
+    const auto chosen = choose(m_choice, { m_views, m_candidates, now, group }, random);
     if (!chosen)
         return std::nullopt;
     return m_views[*chosen].name();
@@ -95,7 +99,7 @@
     auto* view = viewOf(upstream);
     if (!view)
         return Duration::zero();
-    view->sent();
+    view->sent(group);
     auto& use = m_use[group];
     const Duration others = use.total - use.own[upstream];
     const auto [it, isFirst] = use.othersAtLastSend.try_emplace(upstream, others);
@@ -113,28 +117,41 @@
     auto* view = viewOf(upstream);
     if (!view)
         return;
-    view->answered(report, isFailure, now);
+    view->answered(group, report, isFailure, now);
     m_pauses.erase(upstream);
 }
 
-void ServiceRouter::lost(const std::string& upstream, Instant now)
+void ServiceRouter::lost(const std::string& upstream, std::uint32_t group, Instant now)
 {
     auto* view = viewOf(upstream);
     if (!view)
         return;
-    view->gotNoAnswer(now);
-    const auto last = m_pauses[upstream].length;
+    view->gotNoAnswer(group, now);
+    pauseLost(*view, now);
+}
+
+void ServiceRouter::pauseLost(UpstreamView& view, Instant now)
+{
+    if (view.state() == UpstreamState::Lost)
+        return;
+    // Lost again before any answer came: longer each time.
+    const auto last = m_pauses[view.name()].length;
     const auto longest = m_options.lostFor * (1 << maxPauseDoublings);
-    const auto length = last > Duration::zero() && now < m_pauses[upstream].until + last
-        ? (now < m_pauses[upstream].until ? last : std::min(2 * last, longest))
-        : m_options.lostFor;
-    pause(*view, UpstreamState::Lost, length, now);
+    const auto length = last > Duration::zero() ? std::min(2 * last, longest) : m_options.lostFor;
+    pause(view, UpstreamState::Lost, length, now);
+}
+
+void ServiceRouter::attemptTimedOut(const std::string& upstream, Instant now)
+{
+    auto* view = viewOf(upstream);
+    if (view && view->late() >= m_options.lateLimit)
+        pauseLost(*view, now);
 }
 
-void ServiceRouter::abandoned(const std::string& upstream)
+void ServiceRouter::abandoned(const std::string& upstream, std::uint32_t group)
 {
     if (auto* view = viewOf(upstream))
-        view->abandoned();
+        view->abandoned(group);
 }
 
 void ServiceRouter::setLeaving(const std::string& upstream, bool isLeaving, Instant now)
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -4,6 +4,7 @@
 #include "Core/Time.h"
 #include "Routing/Choice.h"
 #include "Routing/Ejection.h"
+#include "Routing/LatencySketch.h"
 #include "Routing/RetryBudget.h"
 #include "Routing/UpstreamView.h"
 
@@ -35,6 +36,8 @@
         double retryFraction = 0.1;
         double retryBurst = 10;
         Duration lostFor = 1s; ///< how long an upstream whose node doesn't answer is left out at first
+        bool hedges = true; ///< whether late answers are acted upon
+        unsigned lateLimit = 3; ///< late answers in a row after which an upstream is left out like a lost one
         Duration leavingMemory = 5s; ///< after which a leaving upstream is asked again, in case it stayed
     };
 
@@ -47,7 +50,8 @@
 
     /// \brief Chooses an upstream for a call. \param excluded names already tried.
     /// \returns its name, or nothing if none is left.
-    std::optional<std::string> pick(std::span<const std::string> excluded, Instant now, Random& random);
+    std::optional<std::string> pick(
+        std::span<const std::string> excluded, std::uint32_t group, Instant now, Random& random);
 
     /// \brief Counts the first attempt of a call, which earns its group a part of a retry.
     void firstAttempt(std::uint32_t group) { budgetOf(group).firstAttempt(); }
@@ -64,10 +68,19 @@
         bool isFailure, Instant now);
 
     /// \brief No answer came, or the message could not go out.
-    void lost(const std::string& upstream, Instant now);
+    void lost(const std::string& upstream, std::uint32_t group, Instant now);
+
+    /// \brief How long a whole call took; tells when others are late.
+    void measuredLatency(Duration latency) { m_latency.add(latency); }
+
+    /// \returns the time after which an attempt is late, and a repeatable call may go elsewhere as well.
+    std::optional<Duration> hedgeDelay() const { return m_options.hedges ? m_latency.late() : std::nullopt; }
+
+    /// \brief An attempt is late; it stays out.
+    void attemptTimedOut(const std::string& upstream, Instant now);
 
     /// \brief An attempt was given up by this side.
-    void abandoned(const std::string& upstream);
+    void abandoned(const std::string& upstream, std::uint32_t group);
 
     /// \brief The owner says whether its upstream is leaving.
     void setLeaving(const std::string& upstream, bool isLeaving, Instant now);
@@ -93,10 +106,12 @@
     UpstreamView* viewOf(const std::string& name);
     RetryBudget& budgetOf(std::uint32_t group);
     void endPauses(Instant now);
+    void pauseLost(UpstreamView& view, Instant now);
     void pause(UpstreamView& view, UpstreamState state, Duration length, Instant now);
 
     Options m_options;
     Choice m_choice;
+    LatencySketch m_latency;
     Ejection m_ejection;
     std::vector<UpstreamView> m_views;
     std::unordered_map<std::string, std::size_t> m_index;
--- a/src/Routing/UpstreamView.cpp
+++ b/src/Routing/UpstreamView.cpp
@@ -20,10 +20,28 @@
 {
 }
 
-void UpstreamView::answered(const Report& report, bool isFailure, Instant now)
+void UpstreamView::abandoned(std::uint32_t group)
 {
+    auto& news = m_groups[group];
+    news.inFlight -= news.inFlight ? 1 : 0;
     m_inFlight -= m_inFlight ? 1 : 0;
+}
+
+std::uint32_t UpstreamView::inFlightOf(std::uint32_t group) const
+{
+    const auto it = m_groups.find(group);
+    return it == m_groups.end() ? 0 : it->second.inFlight;
+}
+
+void UpstreamView::answered(std::uint32_t group, const Report& report, bool isFailure, Instant now)
+{
+    abandoned(group);
+    auto& news = m_groups[group];
+    news.waiting = report.load.waiting;
+    news.yours = report.yours;
     m_report = report;
+    m_late = 0;
+    m_isOnTrial = false;
     m_errors.add(isFailure ? 1 : 0);
     if (isFailure)
         m_lastError = now;
@@ -31,9 +49,9 @@
         setState(UpstreamState::Active, now);
 }
 
-void UpstreamView::gotNoAnswer(Instant now)
+void UpstreamView::gotNoAnswer(std::uint32_t group, Instant now)
 {
-    m_inFlight -= m_inFlight ? 1 : 0;
+    abandoned(group);
     m_errors.add(1);
     m_lastError = now;
 }
@@ -47,12 +65,15 @@
     m_state = state;
 }
 
-double UpstreamView::othersReported() const
+double UpstreamView::othersReported(std::uint32_t group) const
 {
     if (!m_report)
         return 0;
-    const double total = m_report->load.inUse + m_report->load.waiting;
-    return std::max(0.0, total - m_report->yours);
+    double total = m_report->load.inUse;
+    const auto it = m_groups.find(group);
+    if (it != m_groups.end())
+        total += double(it->second.waiting) - it->second.yours;
+    return std::max(0.0, total);
 }
 
 double UpstreamView::errorShare(Instant now) const
--- a/src/Routing/UpstreamView.h
+++ b/src/Routing/UpstreamView.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace robinrun {
 
@@ -23,10 +24,11 @@
     static constexpr std::array<std::string_view, 3> names { "active", "leaving", "lost" };
 };
 
-/// \brief What an owner said about its upstream, and when it was heard.
+/// \brief What an owner said about its upstream in an answer to a call of one group, and when it was heard.
 struct Report {
-    LoadReport load;
-    std::uint32_t yours = 0; ///< of the calls in use or waiting, those of the ingress itself
+    LoadReport load; ///< `waiting` counts the calls that would go before a new one of the group
+    std::uint32_t yours = 0; ///< calls in use or waiting that this ingress has sent for the group
+    std::uint32_t queued = 0; ///< calls waiting, of all groups
     double errorShare = 0; ///< recent share of failed answers, over all callers
     Instant heard {};
 };
@@ -40,22 +42,35 @@
     UpstreamView(std::string name, std::uint32_t slots, Duration roundTrip);
 
     /// \brief A call was sent.
-    void sent() { ++m_inFlight; }
+    void sent(std::uint32_t group)
+    {
+        ++m_inFlight;
+        ++m_groups[group].inFlight;
+    }
 
     /// \brief An answer came, with the owner's news; \a isFailure for answers that failed at the backend server.
-    void answered(const Report& report, bool isFailure, Instant now);
+    void answered(std::uint32_t group, const Report& report, bool isFailure, Instant now);
 
     /// \brief No answer came in time, or the node is gone.
-    void gotNoAnswer(Instant now);
+    void gotNoAnswer(std::uint32_t group, Instant now);
 
     /// \brief This side gave an attempt up; nothing is learnt from it.
-    void abandoned() { m_inFlight -= m_inFlight ? 1 : 0; }
+    void abandoned(std::uint32_t group);
 
     /// \brief A round trip was measured; it replaces the guess bit by bit.
     void measuredRoundTrip(Duration roundTrip) { m_roundTrip += (roundTrip - m_roundTrip) / 8; }
 
-    /// \brief News without a call (an announcement).
-    void heard(const Report& report) { m_report = report; }
+    /// \brief An answer is late. \returns how many have been since the last answer of any kind.
+    unsigned late() { return ++m_late; }
+
+    /// \brief After a silence: one call at a time, until an answer comes.
+    void startTrial() { m_isOnTrial = true; }
+
+    /// \returns whether it may get a new call now.
+    bool isAvailable() const
+    {
+        return m_state == UpstreamState::Active && !(m_isOnTrial && m_inFlight > 0);
+    }
 
     void setState(UpstreamState state, Instant now);
     void setSlots(std::uint32_t slots) { m_slots = slots; }
@@ -67,11 +82,13 @@
     std::uint32_t slots() const { return m_slots; }
     Duration roundTrip() const { return m_roundTrip; }
     std::uint32_t inFlight() const { return m_inFlight; }
+    /// \returns own calls of one group that are out.
+    std::uint32_t inFlightOf(std::uint32_t group) const;
     UpstreamState state() const { return m_state; }
     const std::optional<Report>& report() const { return m_report; }
 
-    /// \returns calls of other ingresses that the owner last reported.
-    double othersReported() const;
+    /// \returns calls of others that a new call of \a group would have to share with or wait for, as last reported.
+    double othersReported(std::uint32_t group) const;
 
     /// \returns the larger of the own and the reported share of failures, old news counting less.
     double errorShare(Instant now) const;
@@ -80,15 +97,24 @@
     double warmth(Duration warmUp, Instant now) const;
 
 private:
+    struct GroupNews {
+        std::uint32_t inFlight = 0;
+        std::uint32_t waiting = 0;
+        std::uint32_t yours = 0;
+    };
+
     std::string m_name;
     std::uint32_t m_slots;
     Duration m_roundTrip;
     std::uint32_t m_inFlight = 0;
     UpstreamState m_state = UpstreamState::Active;
     std::optional<Report> m_report;
+    std::unordered_map<std::uint32_t, GroupNews> m_groups;
     Ewma m_errors;
     Instant m_lastError {};
     std::optional<Instant> m_coldSince;
+    unsigned m_late = 0;
+    bool m_isOnTrial = false;
 };
 
 } // namespace robinrun
