--- a/bench/faults/faults-main.cpp
+++ b/bench/faults/faults-main.cpp
@@ -1,6 +1,7 @@
 /// \file Runs random schedules of faults over the at-most-once parts and prints what came of them.
 ///
-/// Usage: bench-faults [schedules] [first seed]. Exits with 1 if anything ran twice or was falsely called not run.
+/// Usage: bench-faults [schedules] [first seed]. Exits with 1 if anything ran twice or was falsely called not
+/// run.
 
 #include "support/OnceModel.h"
 
--- a/bench/policy/OracleRun.h
+++ b/bench/policy/OracleRun.h
@@ -14,8 +14,8 @@
 
 /// \brief The limit that no policy can beat: one central fair queue over all slots, with perfect knowledge.
 ///
-/// It uses a server only while that serves at full speed, sends each call to the nearest free slot, and pays the
-/// network's delay but no delay of news.
+/// It uses a server only while that serves at full speed, sends each call to the nearest free slot, and pays
+/// the network's delay but no delay of news.
 class OracleRun {
 public:
     OracleRun(const Deployment& deployment, const Scenario& scenario, std::uint64_t seed);
--- a/src/Chart/Leaving.h
+++ b/src/Chart/Leaving.h
@@ -15,9 +15,9 @@
     NodeStop,
 };
 
-template <>
-struct EnumNames<LeavingSign> {
-    static constexpr std::array<std::string_view, 4> names { "host-list", "backend-server", "operator", "node-stop" };
+template <> struct EnumNames<LeavingSign> {
+    static constexpr std::array<std::string_view, 4> names { "host-list", "backend-server", "operator",
+        "node-stop" };
 };
 
 /// \brief Life of an upstream at its owner: any sign makes it leave, and it stays when all signs are gone.
--- a/src/Chart/StateChart.h
+++ b/src/Chart/StateChart.h
@@ -21,19 +21,19 @@
 
 namespace internal {
 
-/// \brief A state chart as read: names in the order of the code's tables, and a transition table.
-struct ChartTable {
-    static constexpr int noTransition = -1;
-    std::vector<int> next; ///< [state * events + event]; noTransition where the event is ignored
-    std::vector<bool> isFinal;
-    std::size_t initial = 0;
-    std::size_t events = 0;
-};
-
-/// \brief Reads and checks a chart: names match the tables, every state is reached from the initial one, and
-/// every state that isn't final says of every event where it leads or that it is ignored.
-Result<ChartTable, ChartError> readChart(const std::string& path, std::string_view name,
-    const std::vector<std::string_view>& states, const std::vector<std::string_view>& events);
+    /// \brief A state chart as read: names in the order of the code's tables, and a transition table.
+    struct ChartTable {
+        static constexpr int noTransition = -1;
+        std::vector<int> next; ///< [state * events + event]; noTransition where the event is ignored
+        std::vector<bool> isFinal;
+        std::size_t initial = 0;
+        std::size_t events = 0;
+    };
+
+    /// \brief Reads and checks a chart: names match the tables, every state is reached from the initial one,
+    /// and every state that isn't final says of every event where it leads or that it is ignored.
+    Result<ChartTable, ChartError> readChart(const std::string& path, std::string_view name,
+        const std::vector<std::string_view>& states, const std::vector<std::string_view>& events);
 
 } // namespace internal
 
@@ -42,8 +42,7 @@
 /// Cost: next() is one table look-up.
 /// \tparam State enum class with a table of names.
 /// \tparam Event enum class with a table of names.
-template <class State, class Event>
-class StateChart {
+template <class State, class Event> class StateChart {
 public:
     /// \brief Loads \a path. \param name the chart's name, which the file must repeat.
     static Result<StateChart, ChartError> load(const std::string& path, std::string_view name)
@@ -69,8 +68,7 @@
     bool isFinal(State state) const { return m_table.isFinal[static_cast<std::size_t>(state)]; }
 
 private:
-    template <class E>
-    static std::vector<std::string_view> names()
+    template <class E> static std::vector<std::string_view> names()
     {
         return { EnumNames<E>::names.begin(), EnumNames<E>::names.end() };
     }
--- a/src/Client/OperatorClient.cpp
+++ b/src/Client/OperatorClient.cpp
@@ -5,8 +5,8 @@
 namespace robinrun {
 namespace {
 
-/// Longer than a watch lasts at the server.
-constexpr Duration patience = 40s;
+    /// Longer than a watch lasts at the server.
+    constexpr Duration patience = 40s;
 
 } // namespace
 
--- a/src/Client/OperatorClient.h
+++ b/src/Client/OperatorClient.h
@@ -17,8 +17,8 @@
     OperatorClient(const std::string& server, std::string token);
 
     /// \param version for If-Match; empty: none is sent; "*": the resource must not exist yet.
-    Result<HttpReply, HttpError> ask(const std::string& method, const std::string& path, const std::string& body = "",
-        const std::string& version = "");
+    Result<HttpReply, HttpError> ask(const std::string& method, const std::string& path,
+        const std::string& body = "", const std::string& version = "");
 
 private:
     std::unique_ptr<event_base, decltype(&event_base_free)> m_base;
--- a/src/Config/ConfigFollower.cpp
+++ b/src/Config/ConfigFollower.cpp
@@ -6,12 +6,12 @@
 namespace robinrun {
 namespace {
 
-using Progress = ConfigFollower::Progress;
+    using Progress = ConfigFollower::Progress;
 
-Progress better(Progress a, Progress b)
-{
-    return a == Progress::Advanced || b == Progress::Advanced ? Progress::Advanced : std::max(a, b);
-}
+    Progress better(Progress a, Progress b)
+    {
+        return a == Progress::Advanced || b == Progress::Advanced ? Progress::Advanced : std::max(a, b);
+    }
 
 } // namespace
 
--- a/src/Config/ConfigFollower.h
+++ b/src/Config/ConfigFollower.h
@@ -19,19 +19,20 @@
     Gap, ///< records were forgotten that are needed, and no snapshot has been found yet
 };
 
-template <>
-struct EnumNames<LogStanding> {
-    static constexpr std::array<std::string_view, 5> names { "unread", "followed", "unreachable", "shorter", "gap" };
+template <> struct EnumNames<LogStanding> {
+    static constexpr std::array<std::string_view, 5> names { "unread", "followed", "unreachable", "shorter",
+        "gap" };
 };
 
 /// \brief Keeps a ConfigState up to date from pages of the log and from records passed on by peers.
 ///
-/// It never goes backwards: records below the applied offset are passed over, records beyond the next one wait for
-/// the gap to be filled. After a gap in the log it looks for a snapshot record whose content starts inside what is
-/// kept, and replays from there.
+/// It never goes backwards: records below the applied offset are passed over, records beyond the next one
+/// wait for the gap to be filled. After a gap in the log it looks for a snapshot record whose content starts
+/// inside what is kept, and replays from there.
 class ConfigFollower {
 public:
-    enum class Progress { None,
+    enum class Progress {
+        None,
         Advanced,
         NeedsEarlier, ///< the records begin beyond the next one: pull from nextOffset()
     };
@@ -51,7 +52,8 @@
     /// \returns records from \a from on for a peer, or the whole state where they are no longer held.
     proto::Records recordsFrom(std::uint64_t from) const;
 
-    /// \returns whether a snapshot should be appended: half of what the log keeps has passed since the last one.
+    /// \returns whether a snapshot should be appended: half of what the log keeps has passed since the last
+    /// one.
     bool needsSnapshot() const { return m_needsSnapshot; }
 
     const ConfigState& state() const { return m_state; }
--- a/src/Config/ConfigState.h
+++ b/src/Config/ConfigState.h
@@ -14,10 +14,10 @@
 
 /// \brief The configuration, folded from the records of the configuration stream in the order of offsets.
 ///
-/// The rule is the same everywhere and needs no clock: a change is accepted if its base version is the resource's
-/// present version (0 for one that doesn't exist) and it is valid; its offset + 1 becomes the new version. Of racing
-/// writers exactly one wins, on every node. The applied offset only rises.
-/// Cost: apply O(log resources); memory about the serialized size x 3.
+/// The rule is the same everywhere and needs no clock: a change is accepted if its base version is the
+/// resource's present version (0 for one that doesn't exist) and it is valid; its offset + 1 becomes the new
+/// version. Of racing writers exactly one wins, on every node. The applied offset only rises. Cost: apply
+/// O(log resources); memory about the serialized size x 3.
 class ConfigState {
 public:
     /// Fates kept to answer writers by the id of their change.
@@ -25,7 +25,8 @@
 
     virtual ~ConfigState() = default;
 
-    /// \brief Applies the record at nextOffset(). A record that can't be read counts as refused. \returns its fate.
+    /// \brief Applies the record at nextOffset(). A record that can't be read counts as refused. \returns its
+    /// fate.
     const proto::Fate& apply(std::string_view record);
 
     /// \brief Takes over a snapshot if it is further than this state. \returns whether it was.
@@ -49,7 +50,8 @@
     std::uint64_t digest() const;
 
 protected:
-    /// \brief Decides a change. Virtual for tests that break it on purpose. \returns the reason to refuse it, or "".
+    /// \brief Decides a change. Virtual for tests that break it on purpose. \returns the reason to refuse it,
+    /// or "".
     virtual std::string refusalOf(const proto::ChangeRecord& change) const;
 
 private:
--- a/src/Config/Validator.cpp
+++ b/src/Config/Validator.cpp
@@ -9,92 +9,95 @@
 namespace robinrun {
 namespace {
 
-constexpr std::size_t maxNameLength = 100;
-constexpr std::size_t sha256HexLength = 64;
-constexpr unsigned maxSlots = 100000;
-constexpr unsigned maxPort = 65535;
+    constexpr std::size_t maxNameLength = 100;
+    constexpr std::size_t sha256HexLength = 64;
+    constexpr unsigned maxSlots = 100000;
+    constexpr unsigned maxPort = 65535;
 
-bool isPlainName(std::string_view name)
-{
-    const auto isAllowed = [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_';
-    };
-    return !name.empty() && name.size() <= maxNameLength && std::all_of(name.begin(), name.end(), isAllowed);
-}
-
-/// \brief Collects errors under a path.
-class Checker {
-public:
-    std::vector<FieldError> errors;
-
-    void check(bool holds, const std::string& field, std::string message)
+    bool isPlainName(std::string_view name)
     {
-        if (!holds)
-            errors.push_back({ field, std::move(message) });
+        const auto isAllowed = [](char c) {
+            return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_';
+        };
+        return !name.empty() && name.size() <= maxNameLength
+            && std::all_of(name.begin(), name.end(), isAllowed);
     }
 
-    void checkName(std::string_view name, const std::string& field)
-    {
-        check(isPlainName(name), field, "must be 1 to 100 of a-z, 0-9, '-', '_', '.'");
-    }
+    /// \brief Collects errors under a path.
+    class Checker {
+    public:
+        std::vector<FieldError> errors;
 
-    void checkShare(double x, const std::string& field)
-    {
-        check(std::isfinite(x) && x >= 0 && x <= 1, field, "must be from 0 to 1");
-    }
+        void check(bool holds, const std::string& field, std::string message)
+        {
+            if (!holds)
+                errors.push_back({ field, std::move(message) });
+        }
 
-    void service(const proto::Service& it)
-    {
-        check(it.deadline_ms() > 0, "service.deadline_ms", "must be above 0");
-        checkShare(it.retry_fraction(), "service.retry_fraction");
-        checkShare(it.probe_slot_share(), "service.probe_slot_share");
-        check(std::isfinite(it.probes_per_s()) && it.probes_per_s() >= 0, "service.probes_per_s",
-            "must not be negative");
-        check(it.queue_limit() > 0, "service.queue_limit", "must be above 0");
-        std::set<std::string> names;
-        for (int i = 0; i < it.classes_size(); ++i) {
-            const auto path = "service.classes[" + std::to_string(i) + "]";
-            const auto& callClass = it.classes(i);
-            checkName(callClass.name(), path + ".name");
-            check(names.insert(callClass.name()).second, path + ".name", "stands twice");
-            check(callClass.path_prefix().starts_with("/"), path + ".path_prefix", "must start with '/'");
-            check(proto::OnceMode_IsValid(callClass.once()), path + ".once", "is no known mode");
+        void checkName(std::string_view name, const std::string& field)
+        {
+            check(isPlainName(name), field, "must be 1 to 100 of a-z, 0-9, '-', '_', '.'");
         }
-    }
 
-    void upstream(const proto::Upstream& it)
-    {
-        checkName(it.service(), "upstream.service");
-        check(isAddress(it.address()), "upstream.address", "must be an IPv4 address and port");
-        check(isAddress(it.node_address()), "upstream.node_address", "must be an IPv4 address and port");
-        checkName(it.host(), "upstream.host");
-        checkName(it.data_hall(), "upstream.data_hall");
-        checkName(it.region(), "upstream.region");
-        check(it.slots() > 0 && it.slots() <= maxSlots, "upstream.slots", "must be 1 to 100000");
-        check(it.connections() > 0 && it.connections() <= maxSlots, "upstream.connections", "must be 1 to 100000");
-    }
+        void checkShare(double x, const std::string& field)
+        {
+            check(std::isfinite(x) && x >= 0 && x <= 1, field, "must be from 0 to 1");
+        }
 
-    void group(const proto::Group& it)
-    {
-        const auto& hex = it.credential_sha256();
-        const auto isHex = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
-        check(hex.size() == sha256HexLength && std::all_of(hex.begin(), hex.end(), isHex), "group.credential_sha256",
-            "must be 64 lower-case hex digits");
-        std::set<std::string> services;
-        for (int i = 0; i < it.shares_size(); ++i) {
-            const auto path = "group.shares[" + std::to_string(i) + "]";
-            const auto& share = it.shares(i);
-            checkName(share.service(), path + ".service");
-            check(services.insert(share.service()).second, path + ".service", "stands twice");
-            check(std::isfinite(share.weight()) && share.weight() > 0, path + ".weight", "must be above 0");
+        void service(const proto::Service& it)
+        {
+            check(it.deadline_ms() > 0, "service.deadline_ms", "must be above 0");
+            checkShare(it.retry_fraction(), "service.retry_fraction");
+            checkShare(it.probe_slot_share(), "service.probe_slot_share");
+            check(std::isfinite(it.probes_per_s()) && it.probes_per_s() >= 0, "service.probes_per_s",
+                "must not be negative");
+            check(it.queue_limit() > 0, "service.queue_limit", "must be above 0");
+            std::set<std::string> names;
+            for (int i = 0; i < it.classes_size(); ++i) {
+                const auto path = "service.classes[" + std::to_string(i) + "]";
+                const auto& callClass = it.classes(i);
+                checkName(callClass.name(), path + ".name");
+                check(names.insert(callClass.name()).second, path + ".name", "stands twice");
+                check(callClass.path_prefix().starts_with("/"), path + ".path_prefix", "must start with '/'");
+                check(proto::OnceMode_IsValid(callClass.once()), path + ".once", "is no known mode");
+            }
         }
-    }
-};
 
-bool hasKind(const proto::Resource& resource, std::string_view kind)
-{
-    return resource.name().starts_with(std::string(kind) + "/");
-}
+        void upstream(const proto::Upstream& it)
+        {
+            checkName(it.service(), "upstream.service");
+            check(isAddress(it.address()), "upstream.address", "must be an IPv4 address and port");
+            check(isAddress(it.node_address()), "upstream.node_address", "must be an IPv4 address and port");
+            checkName(it.host(), "upstream.host");
+            checkName(it.data_hall(), "upstream.data_hall");
+            checkName(it.region(), "upstream.region");
+            check(it.slots() > 0 && it.slots() <= maxSlots, "upstream.slots", "must be 1 to 100000");
+            check(it.connections() > 0 && it.connections() <= maxSlots, "upstream.connections",
+                "must be 1 to 100000");
+        }
+
+        void group(const proto::Group& it)
+        {
+            const auto& hex = it.credential_sha256();
+            const auto isHex = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+            check(hex.size() == sha256HexLength && std::all_of(hex.begin(), hex.end(), isHex),
+                "group.credential_sha256", "must be 64 lower-case hex digits");
+            std::set<std::string> services;
+            for (int i = 0; i < it.shares_size(); ++i) {
+                const auto path = "group.shares[" + std::to_string(i) + "]";
+                const auto& share = it.shares(i);
+                checkName(share.service(), path + ".service");
+                check(services.insert(share.service()).second, path + ".service", "stands twice");
+                check(
+                    std::isfinite(share.weight()) && share.weight() > 0, path + ".weight", "must be above 0");
+            }
+        }
+    };
+
+    bool hasKind(const proto::Resource& resource, std::string_view kind)
+    {
+        return resource.name().starts_with(std::string(kind) + "/");
+    }
 
 } // namespace
 
--- a/src/Control/InForceTree.cpp
+++ b/src/Control/InForceTree.cpp
@@ -6,27 +6,28 @@
 namespace robinrun {
 namespace {
 
-void addCounts(std::map<std::uint64_t, std::uint32_t>& counts, const proto::InForce& report)
-{
-    for (const auto& it : report.counts())
-        counts[it.next_offset()] += it.nodes();
-}
-
-/// \brief Writes the counts, merging the lowest offsets into one when there are too many: never overstates.
-void writeCounts(std::map<std::uint64_t, std::uint32_t> counts, proto::InForce& out)
-{
-    while (counts.size() > InForceTree::maxCounts) {
-        const auto lowest = counts.begin();
-        const auto second = std::next(lowest);
-        lowest->second += second->second;
-        counts.erase(second);
+    void addCounts(std::map<std::uint64_t, std::uint32_t>& counts, const proto::InForce& report)
+    {
+        for (const auto& it : report.counts())
+            counts[it.next_offset()] += it.nodes();
     }
-    for (const auto& [offset, nodes] : counts) {
-        auto& it = *out.add_counts();
-        it.set_next_offset(offset);
-        it.set_nodes(nodes);
+
+    /// \brief Writes the counts, merging the lowest offsets into one when there are too many: never
+    /// overstates.
+    void writeCounts(std::map<std::uint64_t, std::uint32_t> counts, proto::InForce& out)
+    {
+        while (counts.size() > InForceTree::maxCounts) {
+            const auto lowest = counts.begin();
+            const auto second = std::next(lowest);
+            lowest->second += second->second;
+            counts.erase(second);
+        }
+        for (const auto& [offset, nodes] : counts) {
+            auto& it = *out.add_counts();
+            it.set_next_offset(offset);
+            it.set_nodes(nodes);
+        }
     }
-}
 
 } // namespace
 
@@ -60,7 +61,8 @@
         addCounts(counts, report);
         laggards.insert(laggards.end(), report.laggards().begin(), report.laggards().end());
     }
-    std::sort(laggards.begin(), laggards.end(), [](const auto& a, const auto& b) { return a.since_ms() > b.since_ms(); });
+    std::sort(laggards.begin(), laggards.end(),
+        [](const auto& a, const auto& b) { return a.since_ms() > b.since_ms(); });
     for (std::size_t i = 0; i < std::min<std::size_t>(laggards.size(), maxLaggards); ++i)
         *out.add_laggards() = laggards[i];
     writeCounts(std::move(counts), out);
--- a/src/Control/InForceTree.h
+++ b/src/Control/InForceTree.h
@@ -10,9 +10,9 @@
 
 /// \brief Counts, over the subtree below this node, who applies which offset.
 ///
-/// Each node sends the sum of itself and its children's last reports to its parent. Reports are bounded: the largest
-/// groups of equal offsets and a few named laggards. A child that is silent for `reportLife` drops out of the sum.
-/// Cost: O(children) a sum; a message of at most about 700 bytes.
+/// Each node sends the sum of itself and its children's last reports to its parent. Reports are bounded: the
+/// largest groups of equal offsets and a few named laggards. A child that is silent for `reportLife` drops
+/// out of the sum. Cost: O(children) a sum; a message of at most about 700 bytes.
 class InForceTree {
 public:
     static constexpr int maxLaggards = 20;
@@ -27,7 +27,8 @@
     void take(const std::string& child, const proto::InForce& report, Instant now);
 
     /// \returns the sum over this node and its children.
-    /// \param behindSince since when this node has known of an offset it doesn't apply; nothing if it is up to date.
+    /// \param behindSince since when this node has known of an offset it doesn't apply; nothing if it is up
+    /// to date.
     proto::InForce sum(const std::string& self, std::uint64_t nextOffset, Duration behindFor, Instant now);
 
 private:
--- a/src/Control/Membership.cpp
+++ b/src/Control/Membership.cpp
@@ -29,7 +29,10 @@
     m_suspectedUntil[name] = now + m_options.suspicion;
 }
 
-void Membership::heardFrom(const std::string& name) { m_suspectedUntil.erase(name); }
+void Membership::heardFrom(const std::string& name)
+{
+    m_suspectedUntil.erase(name);
+}
 
 bool Membership::isSuspected(const std::string& name, Instant now) const
 {
--- a/src/Control/Membership.h
+++ b/src/Control/Membership.h
@@ -14,10 +14,10 @@
 
 /// \brief The hosts of the system: the platform's list, corrected by what this node sees itself.
 ///
-/// The list lags. A host that doesn't answer is suspected for a while and passed over in trees; the suspicion ends
-/// when it is heard from, and by itself in any case, so that a wrong one heals. Suspicions are never told to others:
-/// no node is declared dead by hearsay, and there is no traffic for it.
-/// Cost: O(1) a look-up, O(hosts of the hall) for a hall's list; about 200 bytes a host.
+/// The list lags. A host that doesn't answer is suspected for a while and passed over in trees; the suspicion
+/// ends when it is heard from, and by itself in any case, so that a wrong one heals. Suspicions are never
+/// told to others: no node is declared dead by hearsay, and there is no traffic for it. Cost: O(1) a look-up,
+/// O(hosts of the hall) for a hall's list; about 200 bytes a host.
 class Membership {
 public:
     struct Options {
@@ -29,7 +29,8 @@
     {
     }
 
-    /// \brief Takes changes to the list. Older versions than the present are passed over. \returns whether taken.
+    /// \brief Takes changes to the list. Older versions than the present are passed over. \returns whether
+    /// taken.
     bool take(const HostPage& page);
 
     void suspect(const std::string& name, Instant now);
@@ -60,7 +61,8 @@
     Options m_options;
     std::uint64_t m_version = 0;
     std::map<std::string, HostEntry> m_hosts;
-    std::map<std::string, std::map<std::string, std::vector<std::string>>> m_hallHosts; ///< region, hall, names
+    std::map<std::string, std::map<std::string, std::vector<std::string>>>
+        m_hallHosts; ///< region, hall, names
     std::unordered_map<std::string, Instant> m_suspectedUntil;
 
     void index();
--- a/src/Control/Spread.cpp
+++ b/src/Control/Spread.cpp
@@ -5,8 +5,8 @@
 namespace robinrun {
 namespace {
 
-/// Roots come and go with the readers; more than this many remembered ones means that most are gone.
-constexpr std::size_t maxRemembered = 64;
+    /// Roots come and go with the readers; more than this many remembered ones means that most are gone.
+    constexpr std::size_t maxRemembered = 64;
 
 } // namespace
 
@@ -72,8 +72,8 @@
     return step;
 }
 
-std::vector<PassOn> Spread::advanced(
-    const Membership& members, const std::string& root, std::uint64_t from, std::uint64_t nextOffset, Instant now)
+std::vector<PassOn> Spread::advanced(const Membership& members, const std::string& root, std::uint64_t from,
+    std::uint64_t nextOffset, Instant now)
 {
     std::vector<PassOn> out;
     const bool isOwn = root.empty() && isReader(members, now);
--- a/src/Control/Spread.h
+++ b/src/Control/Spread.h
@@ -30,11 +30,11 @@
 
 /// \brief Decides how configuration reaches this node and goes on from it.
 ///
-/// The first hosts of a data hall by rendezvous rank are its readers: they tail the log and pass new records down a
-/// tree over the hall. Two readers make two trees; none is only slower. Every node tells a random peer its offset now
-/// and then (digest); who is behind gets what it lacks. A node that has heard nothing new for long reads the log
-/// itself, under a budget with jitter.
-/// Cost: a tick is O(hosts of the hall); messages see docs/CAPACITY.md.
+/// The first hosts of a data hall by rendezvous rank are its readers: they tail the log and pass new records
+/// down a tree over the hall. Two readers make two trees; none is only slower. Every node tells a random peer
+/// its offset now and then (digest); who is behind gets what it lacks. A node that has heard nothing new for
+/// long reads the log itself, under a budget with jitter. Cost: a tick is O(hosts of the hall); messages see
+/// docs/CAPACITY.md.
 class Spread {
 public:
     struct Options {
@@ -54,12 +54,13 @@
     /// \brief To be called a few times a second. \param isLogRead whether the log answers this node's reads.
     SpreadStep tick(const Membership& members, std::uint64_t nextOffset, bool isLogRead, Instant now);
 
-    /// \brief The applied offset has risen by records that came down \a root's tree (empty: not from a tree; they
-    /// go no further unless this node is a reader). \returns what to pass on.
-    std::vector<PassOn> advanced(
-        const Membership& members, const std::string& root, std::uint64_t from, std::uint64_t nextOffset, Instant now);
+    /// \brief The applied offset has risen by records that came down \a root's tree (empty: not from a tree;
+    /// they go no further unless this node is a reader). \returns what to pass on.
+    std::vector<PassOn> advanced(const Membership& members, const std::string& root, std::uint64_t from,
+        std::uint64_t nextOffset, Instant now);
 
-    /// \brief Something was heard that shows this node to be up to date: records, or a digest no higher than its own.
+    /// \brief Something was heard that shows this node to be up to date: records, or a digest no higher than
+    /// its own.
     void heard(Instant now) { m_lastHeard = now; }
 
     bool isReader(const Membership& members, Instant now) const;
@@ -76,7 +77,8 @@
     Instant m_lastHeard;
     Instant m_nextDigest;
     Instant m_nextHosts;
-    std::unordered_map<std::string, std::uint64_t> m_passedOn; ///< by root: offset up to which records were passed
+    std::unordered_map<std::string, std::uint64_t>
+        m_passedOn; ///< by root: offset up to which records were passed
 };
 
 } // namespace robinrun
--- a/src/Control/Tree.cpp
+++ b/src/Control/Tree.cpp
@@ -8,13 +8,13 @@
 namespace robinrun {
 namespace {
 
-constexpr std::string_view hallSalt = "hall";
-constexpr std::string_view rootSalt = "root";
+    constexpr std::string_view hallSalt = "hall";
+    constexpr std::string_view rootSalt = "root";
 
-std::size_t placeOf(const std::vector<std::string>& names, const std::string& name)
-{
-    return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
-}
+    std::size_t placeOf(const std::vector<std::string>& names, const std::string& name)
+    {
+        return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+    }
 
 } // namespace
 
@@ -34,8 +34,8 @@
     return names;
 }
 
-std::vector<std::string> treeChildren(
-    const std::vector<std::string>& ranked, const std::string& root, const std::string& self, std::size_t fanOut)
+std::vector<std::string> treeChildren(const std::vector<std::string>& ranked, const std::string& root,
+    const std::string& self, std::size_t fanOut)
 {
     std::vector<std::string> order { root };
     for (const auto& it : ranked) {
--- a/src/Control/Tree.h
+++ b/src/Control/Tree.h
@@ -9,18 +9,20 @@
 
 namespace robinrun {
 
-/// \returns \a names ordered by the hash of name and \a salt (rendezvous hashing): the first is the one to take a
-/// role, the next one takes over without any message, and each role falls on another host. O(n log n).
+/// \returns \a names ordered by the hash of name and \a salt (rendezvous hashing): the first is the one to
+/// take a role, the next one takes over without any message, and each role falls on another host. O(n log n).
 std::vector<std::string> rankByHash(std::vector<std::string> names, std::string_view salt);
 
-/// \returns the children of \a self in the tree over \a ranked that starts at \a root. A root that isn't ranked
-/// comes first; a self that isn't ranked has no children.
-std::vector<std::string> treeChildren(
-    const std::vector<std::string>& ranked, const std::string& root, const std::string& self, std::size_t fanOut);
+/// \returns the children of \a self in the tree over \a ranked that starts at \a root. A root that isn't
+/// ranked comes first; a self that isn't ranked has no children.
+std::vector<std::string> treeChildren(const std::vector<std::string>& ranked, const std::string& root,
+    const std::string& self, std::size_t fanOut);
 
-/// \brief Places in the trees that carry control traffic, computed by each node from its own view of the members.
+/// \brief Places in the trees that carry control traffic, computed by each node from its own view of the
+/// members.
 ///
-/// Views may differ: then a message goes to a node that doesn't need it, or one is missed and digests fill it in.
+/// Views may differ: then a message goes to a node that doesn't need it, or one is missed and digests fill it
+/// in.
 class Trees {
 public:
     Trees(const Membership& members, const HostEntry& self, std::size_t fanOut)
@@ -33,8 +35,8 @@
     /// \returns the live hosts of this node's data hall by rank, itself included.
     std::vector<std::string> hallRanks(Instant now) const;
 
-    /// \returns where this node's counts go: up the hall's tree, then to the region's first hall, then to the first
-    /// region. Empty at the top.
+    /// \returns where this node's counts go: up the hall's tree, then to the region's first hall, then to the
+    /// first region. Empty at the top.
     std::string parent(Instant now) const;
 
 private:
--- a/src/Core/Log.cpp
+++ b/src/Core/Log.cpp
@@ -7,8 +7,8 @@
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <chrono>
-#include <ctime>
 #include <cstdio>
+#include <ctime>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -16,73 +16,72 @@
 namespace robinrun {
 namespace {
 
-namespace bl = boost::log;
+    namespace bl = boost::log;
 
-struct LogState {
-    LogLevel level = LogLevel::Warning;
-    LogFormat format = LogFormat::Text;
-    std::string source;
-    bl::sources::logger logger;
-};
+    struct LogState {
+        LogLevel level = LogLevel::Warning;
+        LogFormat format = LogFormat::Text;
+        std::string source;
+        bl::sources::logger logger;
+    };
 
-LogState& state()
-{
-    static LogState s;
-    return s;
-}
+    LogState& state()
+    {
+        static LogState s;
+        return s;
+    }
 
-struct FieldWriter {
-    std::ostream& out;
-    bool isJson;
+    struct FieldWriter {
+        std::ostream& out;
+        bool isJson;
 
-    void operator()(std::string_view v) const
+        void operator()(std::string_view v) const
+        {
+            if (isJson)
+                out << '"' << escapeJson(v) << '"';
+            else
+                out << v;
+        }
+        void operator()(bool v) const { out << (v ? "true" : "false"); }
+        template <class T> void operator()(T v) const { out << v; }
+    };
+
+    std::string timestamp()
     {
-        if (isJson)
-            out << '"' << escapeJson(v) << '"';
-        else
-            out << v;
+        using namespace std::chrono;
+        const auto now = system_clock::now();
+        const auto seconds = system_clock::to_time_t(now);
+        const auto ms = duration_cast<milliseconds>(now.time_since_epoch()).count() % 1000;
+        std::tm tm {};
+        gmtime_r(&seconds, &tm);
+        std::ostringstream out;
+        out << std::put_time(&tm, "%FT%T") << '.' << std::setw(3) << std::setfill('0') << ms << 'Z';
+        return out.str();
     }
-    void operator()(bool v) const { out << (v ? "true" : "false"); }
-    template <class T>
-    void operator()(T v) const { out << v; }
-};
-
-std::string timestamp()
-{
-    using namespace std::chrono;
-    const auto now = system_clock::now();
-    const auto seconds = system_clock::to_time_t(now);
-    const auto ms = duration_cast<milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::tm tm {};
-    gmtime_r(&seconds, &tm);
-    std::ostringstream out;
-    out << std::put_time(&tm, "%FT%T") << '.' << std::setw(3) << std::setfill('0') << ms << 'Z';
-    return out.str();
-}
 
-std::string asJson(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
-{
-    std::ostringstream out;
-    out << R"({"time":")" << timestamp() << R"(","level":")" << nameOf(level) << R"(","source":")"
-        << escapeJson(state().source) << R"(","event":")" << escapeJson(event) << '"';
-    for (const auto& it : fields) {
-        out << ",\"" << it.key << "\":";
-        std::visit(FieldWriter { out, true }, it.value);
+    std::string asJson(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+    {
+        std::ostringstream out;
+        out << R"({"time":")" << timestamp() << R"(","level":")" << nameOf(level) << R"(","source":")"
+            << escapeJson(state().source) << R"(","event":")" << escapeJson(event) << '"';
+        for (const auto& it : fields) {
+            out << ",\"" << it.key << "\":";
+            std::visit(FieldWriter { out, true }, it.value);
+        }
+        out << '}';
+        return out.str();
     }
-    out << '}';
-    return out.str();
-}
 
-std::string asText(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
-{
-    std::ostringstream out;
-    out << timestamp() << ' ' << nameOf(level) << ' ' << state().source << ' ' << event;
-    for (const auto& it : fields) {
-        out << ' ' << it.key << '=';
-        std::visit(FieldWriter { out, false }, it.value);
+    std::string asText(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+    {
+        std::ostringstream out;
+        out << timestamp() << ' ' << nameOf(level) << ' ' << state().source << ' ' << event;
+        for (const auto& it : fields) {
+            out << ' ' << it.key << '=';
+            std::visit(FieldWriter { out, false }, it.value);
+        }
+        return out.str();
     }
-    return out.str();
-}
 
 } // namespace
 
@@ -99,7 +98,10 @@
     bl::core::get()->add_sink(boost::make_shared<Sink>(backend));
 }
 
-bool logs(LogLevel level) { return level >= state().level; }
+bool logs(LogLevel level)
+{
+    return level >= state().level;
+}
 
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
--- a/src/Core/Log.h
+++ b/src/Core/Log.h
@@ -11,22 +11,16 @@
 namespace robinrun {
 
 /// \brief Severity of a log record.
-enum class LogLevel { Debug,
-    Info,
-    Warning,
-    Error };
+enum class LogLevel { Debug, Info, Warning, Error };
 
-template <>
-struct EnumNames<LogLevel> {
+template <> struct EnumNames<LogLevel> {
     static constexpr std::array<std::string_view, 4> names { "debug", "info", "warning", "error" };
 };
 
 /// \brief How a record is written: one JSON object a line, or text for people.
-enum class LogFormat { Json,
-    Text };
+enum class LogFormat { Json, Text };
 
-template <>
-struct EnumNames<LogFormat> {
+template <> struct EnumNames<LogFormat> {
     static constexpr std::array<std::string_view, 2> names { "json", "text" };
 };
 
@@ -35,15 +29,51 @@
     std::string_view key;
     std::variant<std::string_view, std::int64_t, std::uint64_t, double, bool> value;
 
-    LogField(std::string_view k, std::string_view v) : key(k), value(v) { }
-    LogField(std::string_view k, const char* v) : key(k), value(std::string_view(v)) { }
-    LogField(std::string_view k, const std::string& v) : key(k), value(std::string_view(v)) { }
-    LogField(std::string_view k, int v) : key(k), value(std::int64_t { v }) { }
-    LogField(std::string_view k, std::int64_t v) : key(k), value(v) { }
-    LogField(std::string_view k, std::uint64_t v) : key(k), value(v) { }
-    LogField(std::string_view k, std::uint32_t v) : key(k), value(std::uint64_t { v }) { }
-    LogField(std::string_view k, double v) : key(k), value(v) { }
-    LogField(std::string_view k, bool v) : key(k), value(v) { }
+    LogField(std::string_view k, std::string_view v)
+        : key(k)
+        , value(v)
+    {
+    }
+    LogField(std::string_view k, const char* v)
+        : key(k)
+        , value(std::string_view(v))
+    {
+    }
+    LogField(std::string_view k, const std::string& v)
+        : key(k)
+        , value(std::string_view(v))
+    {
+    }
+    LogField(std::string_view k, int v)
+        : key(k)
+        , value(std::int64_t { v })
+    {
+    }
+    LogField(std::string_view k, std::int64_t v)
+        : key(k)
+        , value(v)
+    {
+    }
+    LogField(std::string_view k, std::uint64_t v)
+        : key(k)
+        , value(v)
+    {
+    }
+    LogField(std::string_view k, std::uint32_t v)
+        : key(k)
+        , value(std::uint64_t { v })
+    {
+    }
+    LogField(std::string_view k, double v)
+        : key(k)
+        , value(v)
+    {
+    }
+    LogField(std::string_view k, bool v)
+        : key(k)
+        , value(v)
+    {
+    }
 };
 
 /// \brief Sets up the sink (standard error) once, at the start of a program.
--- a/src/Core/Random.h
+++ b/src/Core/Random.h
@@ -39,7 +39,10 @@
     }
 
     /// \returns a log-normal number with the given mean and shape \a sigma.
-    double logNormal(double mean, double sigma) { return mean * std::exp(sigma * normal() - sigma * sigma / 2); }
+    double logNormal(double mean, double sigma)
+    {
+        return mean * std::exp(sigma * normal() - sigma * sigma / 2);
+    }
 
 private:
     std::mt19937_64 m_engine;
--- a/src/Core/Result.h
+++ b/src/Core/Result.h
@@ -10,11 +10,11 @@
 ///
 /// Reading the wrong side throws `boost::outcome_v2::bad_result_access`.
 template <class T, class E>
-using Result = boost::outcome_v2::basic_result<T, E, boost::outcome_v2::policy::throw_bad_result_access<E, void>>;
+using Result
+    = boost::outcome_v2::basic_result<T, E, boost::outcome_v2::policy::throw_bad_result_access<E, void>>;
 
 /// \returns a value that converts to any failed Result with the error type \a E.
-template <class E>
-auto failure(E error)
+template <class E> auto failure(E error)
 {
     return boost::outcome_v2::failure(std::move(error));
 }
--- a/src/Core/Time.h
+++ b/src/Core/Time.h
@@ -30,13 +30,22 @@
 using std::chrono_literals::operator""h;
 
 /// \returns \a d in seconds.
-constexpr double toSeconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
+constexpr double toSeconds(Duration d)
+{
+    return static_cast<double>(d.count()) / 1e6;
+}
 
 /// \returns \a d in milliseconds.
-constexpr double toMilliseconds(Duration d) { return static_cast<double>(d.count()) / 1e3; }
+constexpr double toMilliseconds(Duration d)
+{
+    return static_cast<double>(d.count()) / 1e3;
+}
 
 /// \returns the length of \a seconds, rounded towards zero.
-constexpr Duration fromSeconds(double seconds) { return Duration(static_cast<std::int64_t>(seconds * 1e6)); }
+constexpr Duration fromSeconds(double seconds)
+{
+    return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
 
 /// \returns the present on the monotonic clock. Only loops and programs call it.
 inline Instant monotonicNow()
--- a/src/Http/HttpPool.cpp
+++ b/src/Http/HttpPool.cpp
@@ -11,35 +11,35 @@
 namespace robinrun {
 namespace {
 
-timeval toTimeval(Duration d)
-{
-    const auto micros = std::max<std::int64_t>(d.count(), 1);
-    return { micros / 1000000, micros % 1000000 };
-}
+    timeval toTimeval(Duration d)
+    {
+        const auto micros = std::max<std::int64_t>(d.count(), 1);
+        return { micros / 1000000, micros % 1000000 };
+    }
 
-/// \brief Runs \a f on the next turn of the loop.
-void runLater(event_base* base, std::function<void()> f)
-{
-    static constexpr timeval atOnce { 0, 0 };
-    auto* boxed = new std::function<void()>(std::move(f));
-    const auto run = [](evutil_socket_t, short, void* arg) {
-        const std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()>*>(arg));
-        (*owned)();
-    };
-    event_base_once(base, -1, EV_TIMEOUT, run, boxed, &atOnce);
-}
+    /// \brief Runs \a f on the next turn of the loop.
+    void runLater(event_base* base, std::function<void()> f)
+    {
+        static constexpr timeval atOnce { 0, 0 };
+        auto* boxed = new std::function<void()>(std::move(f));
+        const auto run = [](evutil_socket_t, short, void* arg) {
+            const std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()>*>(arg));
+            (*owned)();
+        };
+        event_base_once(base, -1, EV_TIMEOUT, run, boxed, &atOnce);
+    }
 
-HttpErrorKind kindOf(evhttp_request_error error)
-{
-    switch (error) {
-    case EVREQ_HTTP_TIMEOUT:
-        return HttpErrorKind::TimedOut;
-    case EVREQ_HTTP_DATA_TOO_LONG:
-        return HttpErrorKind::TooLarge;
-    default:
-        return HttpErrorKind::Broken;
+    HttpErrorKind kindOf(evhttp_request_error error)
+    {
+        switch (error) {
+        case EVREQ_HTTP_TIMEOUT:
+            return HttpErrorKind::TimedOut;
+        case EVREQ_HTTP_DATA_TOO_LONG:
+            return HttpErrorKind::TooLarge;
+        default:
+            return HttpErrorKind::Broken;
+        }
     }
-}
 
 } // namespace
 
@@ -85,8 +85,8 @@
 void HttpPool::Exchange::completed(evhttp_request* request, void* self)
 {
     auto* exchange = static_cast<Exchange*>(self);
-    // evhttp's contract: no request after a failure on a connection that stood (the kind was told before), a request
-    // without a status when the connection could not be made, so that nothing was sent.
+    // evhttp's contract: no request after a failure on a connection that stood (the kind was told before), a
+    // request without a status when the connection could not be made, so that nothing was sent.
     if (!request) {
         const auto kind = exchange->isTimedOut ? HttpErrorKind::TimedOut : exchange->error;
         exchange->pool->finish(exchange, failure(HttpError { kind }), false);
@@ -211,7 +211,8 @@
     } else {
         --m_connections;
         // evhttp is still inside this connection: it is freed on the next turn.
-        runLater(m_base, [held = std::make_shared<std::unique_ptr<Connection>>(std::move(owned->connection))] {});
+        runLater(
+            m_base, [held = std::make_shared<std::unique_ptr<Connection>>(std::move(owned->connection))] {});
     }
     const auto done = std::move(owned->done);
     // A callback may destroy the pool.
@@ -235,7 +236,8 @@
 
 void HttpPool::cancel(std::uint64_t number)
 {
-    const auto inQueue = std::find_if(m_queue.begin(), m_queue.end(), [&](auto& it) { return it.number == number; });
+    const auto inQueue
+        = std::find_if(m_queue.begin(), m_queue.end(), [&](auto& it) { return it.number == number; });
     if (inQueue != m_queue.end()) {
         m_queue.erase(inQueue);
         return;
@@ -249,7 +251,8 @@
     event_del(owned->timer);
     --m_connections;
     evhttp_cancel_request(owned->raw);
-    // Freed on the next turn, as evhttp may be inside it; the exchange outlives any callback of the cancellation.
+    // Freed on the next turn, as evhttp may be inside it; the exchange outlives any callback of the
+    // cancellation.
     runLater(m_base, [held = std::make_shared<std::unique_ptr<Exchange>>(std::move(owned))] {});
     if (*m_isAlive)
         startQueued();
--- a/src/Http/HttpPool.h
+++ b/src/Http/HttpPool.h
@@ -17,8 +17,8 @@
 
 /// \brief A bounded pool of kept HTTP/1.1 connections to one server (libevent's evhttp).
 ///
-/// A request gets a connection of its own while it runs; the caller bounds how many run at once (at an owner: the
-/// slots). Requests beyond the bound wait for a connection. Nothing is ever sent twice.
+/// A request gets a connection of its own while it runs; the caller bounds how many run at once (at an owner:
+/// the slots). Requests beyond the bound wait for a connection. Nothing is ever sent twice.
 class HttpPool {
 public:
     using Done = std::function<void(Result<HttpReply, HttpError>)>;
@@ -35,11 +35,12 @@
     HttpPool(const HttpPool&) = delete;
     HttpPool& operator=(const HttpPool&) = delete;
 
-    /// \brief Sends \a request. \a done runs once, later, with the whole reply or the error. \returns a number for
-    /// cancel().
+    /// \brief Sends \a request. \a done runs once, later, with the whole reply or the error. \returns a
+    /// number for cancel().
     std::uint64_t send(const HttpRequest& request, Duration timeout, Done done);
 
-    /// \brief Gives the request up and ends its connection, so that the server may notice. `done` does not run.
+    /// \brief Gives the request up and ends its connection, so that the server may notice. `done` does not
+    /// run.
     void cancel(std::uint64_t number);
 
     std::size_t connections() const { return m_connections; }
--- a/src/Http/HttpRaw.cpp
+++ b/src/Http/HttpRaw.cpp
@@ -6,15 +6,15 @@
 namespace robinrun::internal {
 namespace {
 
-struct Method {
-    evhttp_cmd_type number;
-    std::string_view name;
-};
-
-constexpr std::array<Method, 9> methods { { { EVHTTP_REQ_GET, "GET" }, { EVHTTP_REQ_POST, "POST" },
-    { EVHTTP_REQ_HEAD, "HEAD" }, { EVHTTP_REQ_PUT, "PUT" }, { EVHTTP_REQ_DELETE, "DELETE" },
-    { EVHTTP_REQ_OPTIONS, "OPTIONS" }, { EVHTTP_REQ_TRACE, "TRACE" }, { EVHTTP_REQ_CONNECT, "CONNECT" },
-    { EVHTTP_REQ_PATCH, "PATCH" } } };
+    struct Method {
+        evhttp_cmd_type number;
+        std::string_view name;
+    };
+
+    constexpr std::array<Method, 9> methods { { { EVHTTP_REQ_GET, "GET" }, { EVHTTP_REQ_POST, "POST" },
+        { EVHTTP_REQ_HEAD, "HEAD" }, { EVHTTP_REQ_PUT, "PUT" }, { EVHTTP_REQ_DELETE, "DELETE" },
+        { EVHTTP_REQ_OPTIONS, "OPTIONS" }, { EVHTTP_REQ_TRACE, "TRACE" }, { EVHTTP_REQ_CONNECT, "CONNECT" },
+        { EVHTTP_REQ_PATCH, "PATCH" } } };
 
 } // namespace
 
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -12,11 +12,11 @@
 namespace robinrun {
 namespace {
 
-constexpr std::uint16_t allMethods = 0x1ff; // evhttp's nine methods
-constexpr int internalError = 500;
+    constexpr std::uint16_t allMethods = 0x1ff; // evhttp's nine methods
+    constexpr int internalError = 500;
 
-/// How much of a pipelined next request is read while one is answered.
-constexpr std::size_t pipelinedBytes = 64U << 10U;
+    /// How much of a pipelined next request is read while one is answered.
+    constexpr std::size_t pipelinedBytes = 64U << 10U;
 
 } // namespace
 
@@ -63,8 +63,9 @@
         return;
     evhttp_connection_set_closecb(
         connection, [](evhttp_connection*, void* self) { static_cast<HttpExchange*>(self)->hungUp(); }, this);
-    // evhttp stops reading while a request is answered, and so would not see the caller go. Reading goes on here
-    // without a read callback: data of a next request stays in the buffer, up to a bound, an end is noticed.
+    // evhttp stops reading while a request is answered, and so would not see the caller go. Reading goes on
+    // here without a read callback: data of a next request stays in the buffer, up to a bound, an end is
+    // noticed.
     auto* buffer = evhttp_connection_get_bufferevent(connection);
     bufferevent_data_cb writeDone = nullptr;
     bufferevent_event_cb ended = nullptr;
@@ -132,7 +133,10 @@
     return server;
 }
 
-HttpServer::~HttpServer() { evhttp_free(m_http); }
+HttpServer::~HttpServer()
+{
+    evhttp_free(m_http);
+}
 
 void HttpServer::stopAccepting()
 {
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -61,7 +61,8 @@
     };
 
     /// \brief Binds and listens. The error is a sentence with the address.
-    static Result<std::unique_ptr<HttpServer>, std::string> listen(event_base* base, Options options, Handler handler);
+    static Result<std::unique_ptr<HttpServer>, std::string> listen(
+        event_base* base, Options options, Handler handler);
     ~HttpServer();
 
     /// \brief Accepts no more connections; those there go on.
--- a/src/Http/HttpTypes.cpp
+++ b/src/Http/HttpTypes.cpp
@@ -5,17 +5,21 @@
 namespace robinrun {
 namespace {
 
-constexpr std::array<std::string_view, 11> hopByHop { "connection", "keep-alive", "proxy-authenticate",
-    "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "host",
-    "content-length" };
+    constexpr std::array<std::string_view, 11> hopByHop { "connection", "keep-alive", "proxy-authenticate",
+        "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "host",
+        "content-length" };
 
-char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c; }
+    char lower(char c)
+    {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
+    }
 
 } // namespace
 
 bool equalIgnoringCase(std::string_view a, std::string_view b)
 {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
+    return std::equal(
+        a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
 }
 
 std::optional<std::string_view> findHeader(const HttpHeaders& headers, std::string_view name)
@@ -29,7 +33,8 @@
 
 bool isHopByHop(std::string_view name)
 {
-    return std::any_of(hopByHop.begin(), hopByHop.end(), [&](auto it) { return equalIgnoringCase(it, name); });
+    return std::any_of(
+        hopByHop.begin(), hopByHop.end(), [&](auto it) { return equalIgnoringCase(it, name); });
 }
 
 } // namespace robinrun
--- a/src/Http/HttpTypes.h
+++ b/src/Http/HttpTypes.h
@@ -17,8 +17,8 @@
 /// \returns the value of the first field called \a name, in any case of letters.
 std::optional<std::string_view> findHeader(const HttpHeaders& headers, std::string_view name);
 
-/// \returns whether a field belongs to one connection only and must not be passed on (RFC 9110, 7.6.1), or is set
-/// anew by each hop (Host, Content-Length).
+/// \returns whether a field belongs to one connection only and must not be passed on (RFC 9110, 7.6.1), or is
+/// set anew by each hop (Host, Content-Length).
 bool isHopByHop(std::string_view name);
 
 /// \returns whether \a a and \a b are equal but for the case of ASCII letters.
@@ -46,10 +46,9 @@
     BadRequest, ///< it can't be sent at all, as with an unknown method
 };
 
-template <>
-struct EnumNames<HttpErrorKind> {
-    static constexpr std::array<std::string_view, 5> names { "not-connected", "timed-out", "broken", "too-large",
-        "bad-request" };
+template <> struct EnumNames<HttpErrorKind> {
+    static constexpr std::array<std::string_view, 5> names { "not-connected", "timed-out", "broken",
+        "too-large", "bad-request" };
 };
 
 /// \brief The HTTP layer's own error.
--- a/src/Load/LoadRun.cpp
+++ b/src/Load/LoadRun.cpp
@@ -8,39 +8,39 @@
 namespace robinrun {
 namespace {
 
-constexpr int ok = 200;
-constexpr int firstServerError = 500;
-constexpr Duration tickLength = 500us;
-constexpr Duration clientTimeout = 15s;
-constexpr Duration lastWait = 12s;
-constexpr Duration sendAgainAfter = 150ms;
-/// An ingress that has calls of ours and answers none for this long is left alone for a while.
-constexpr Duration silenceLimit = 150ms;
-constexpr Duration leaveAlone = 1s;
-constexpr int maxSends = 40;
-constexpr std::size_t connectionsPerIngress = 2000;
-constexpr std::uint64_t directAnswerBytes = 200;
+    constexpr int ok = 200;
+    constexpr int firstServerError = 500;
+    constexpr Duration tickLength = 500us;
+    constexpr Duration clientTimeout = 15s;
+    constexpr Duration lastWait = 12s;
+    constexpr Duration sendAgainAfter = 150ms;
+    /// An ingress that has calls of ours and answers none for this long is left alone for a while.
+    constexpr Duration silenceLimit = 150ms;
+    constexpr Duration leaveAlone = 1s;
+    constexpr int maxSends = 40;
+    constexpr std::size_t connectionsPerIngress = 2000;
+    constexpr std::uint64_t directAnswerBytes = 200;
 
-std::int64_t quantile(std::vector<std::int64_t> values, double q)
-{
-    if (values.empty())
-        return 0;
-    const auto at = static_cast<std::ptrdiff_t>(q * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + at, values.end());
-    return values[static_cast<std::size_t>(at)];
-}
+    std::int64_t quantile(std::vector<std::int64_t> values, double q)
+    {
+        if (values.empty())
+            return 0;
+        const auto at = static_cast<std::ptrdiff_t>(q * static_cast<double>(values.size() - 1));
+        std::nth_element(values.begin(), values.begin() + at, values.end());
+        return values[static_cast<std::size_t>(at)];
+    }
 
-std::int64_t numberOf(const HttpReply& reply, std::string_view name)
-{
-    const auto text = findHeader(reply.headers, name);
-    return text ? std::atoll(std::string(*text).c_str()) : 0;
-}
+    std::int64_t numberOf(const HttpReply& reply, std::string_view name)
+    {
+        const auto text = findHeader(reply.headers, name);
+        return text ? std::atoll(std::string(*text).c_str()) : 0;
+    }
 
-std::uint64_t jsonNumber(const std::string& json, const std::string& name)
-{
-    const auto at = json.find('"' + name + "\":");
-    return at == std::string::npos ? 0 : std::strtoull(json.c_str() + at + name.size() + 3, nullptr, 10);
-}
+    std::uint64_t jsonNumber(const std::string& json, const std::string& name)
+    {
+        const auto at = json.find('"' + name + "\":");
+        return at == std::string::npos ? 0 : std::strtoull(json.c_str() + at + name.size() + 3, nullptr, 10);
+    }
 
 } // namespace
 
@@ -132,20 +132,22 @@
     HttpRequest request { "POST", "/" + call->stream->service + "/tickets",
         { { "Robinrun-Credential", call->stream->credential } }, {} };
     const auto ingress = anyIngress();
-    m_ingresses[ingress]->send(request, clientTimeout, [this, call, ingress](const Result<HttpReply, HttpError>& result) {
-        --m_out;
-        heardFrom(ingress);
-        const auto ticket = result.has_value() ? findHeader(result.value().headers, "Robinrun-Ticket") : std::nullopt;
-        if (!ticket) {
-            // No ticket, no call: nothing can have run.
-            ++m_tallies[{ call->stream->group, call->stream->callClass }].notRun;
-            return;
-        }
-        call->ticket = std::string(*ticket);
-        send(call);
-        if (m_random.chance(call->stream->repeat))
+    m_ingresses[ingress]->send(
+        request, clientTimeout, [this, call, ingress](const Result<HttpReply, HttpError>& result) {
+            --m_out;
+            heardFrom(ingress);
+            const auto ticket
+                = result.has_value() ? findHeader(result.value().headers, "Robinrun-Ticket") : std::nullopt;
+            if (!ticket) {
+                // No ticket, no call: nothing can have run.
+                ++m_tallies[{ call->stream->group, call->stream->callClass }].notRun;
+                return;
+            }
+            call->ticket = std::string(*ticket);
             send(call);
-    });
+            if (m_random.chance(call->stream->repeat))
+                send(call);
+        });
 }
 
 HttpRequest LoadRun::requestOf(const Call& call) const
@@ -209,8 +211,9 @@
     if (call->planned < m_start + m_spec.warmUp)
         return;
     auto& tally = m_tallies[{ call->stream->group, call->stream->callClass }];
-    const auto outcome
-        = result.has_value() ? findHeader(result.value().headers, "Robinrun-Outcome").value_or("none") : "none";
+    const auto outcome = result.has_value()
+        ? findHeader(result.value().headers, "Robinrun-Outcome").value_or("none")
+        : "none";
     if (outcome == "answered") {
         const auto& reply = result.value();
         if (reply.status >= firstServerError) {
@@ -273,14 +276,15 @@
             event_base_loopexit(m_base, nullptr);
     };
     for (auto& it : m_backends) {
-        it->send({ "GET", "/counts", {}, {} }, 2s, [this, oneDone](const Result<HttpReply, HttpError>& result) {
-            if (result.has_value()) {
-                m_ran += jsonNumber(result.value().body, "ran");
-                m_ranTwice += jsonNumber(result.value().body, "ran_twice");
-                m_shed += jsonNumber(result.value().body, "shed");
-            }
-            oneDone();
-        });
+        it->send(
+            { "GET", "/counts", {}, {} }, 2s, [this, oneDone](const Result<HttpReply, HttpError>& result) {
+                if (result.has_value()) {
+                    m_ran += jsonNumber(result.value().body, "ran");
+                    m_ranTwice += jsonNumber(result.value().body, "ran_twice");
+                    m_shed += jsonNumber(result.value().body, "shed");
+                }
+                oneDone();
+            });
     }
     oneDone();
 }
@@ -297,22 +301,24 @@
     LoadTally sum;
     if (!isJson) {
         out << std::left << std::setw(22) << "group" << std::setw(16) << "class" << std::right << std::setw(9)
-            << "answered" << std::setw(8) << "failed" << std::setw(9) << "not-run" << std::setw(9) << "unknown"
-            << std::setw(7) << "wrong" << std::setw(9) << "no-reply" << std::setw(10) << "p50_ms" << std::setw(10)
-            << "p99_ms" << std::setw(10) << "p99.9_ms" << '\n';
+            << "answered" << std::setw(8) << "failed" << std::setw(9) << "not-run" << std::setw(9)
+            << "unknown" << std::setw(7) << "wrong" << std::setw(9) << "no-reply" << std::setw(10) << "p50_ms"
+            << std::setw(10) << "p99_ms" << std::setw(10) << "p99.9_ms" << '\n';
     }
     for (const auto& [key, it] : m_tallies) {
         const auto ms = [&](double q) { return static_cast<double>(quantile(it.latencyUs, q)) / 1000; };
         if (isJson) {
             out << "{\"load\":\"class\",\"group\":\"" << key.first << "\",\"class\":\"" << key.second
-                << "\",\"answered\":" << it.answered << ",\"failed\":" << it.failed << ",\"not_run\":" << it.notRun
-                << ",\"unknown\":" << it.unknown << ",\"wrong\":" << it.wrong << ",\"no_reply\":" << it.noReply
-                << ",\"p50_ms\":" << ms(0.5) << ",\"p99_ms\":" << ms(0.99) << ",\"p999_ms\":" << ms(0.999) << "}\n";
+                << "\",\"answered\":" << it.answered << ",\"failed\":" << it.failed
+                << ",\"not_run\":" << it.notRun << ",\"unknown\":" << it.unknown << ",\"wrong\":" << it.wrong
+                << ",\"no_reply\":" << it.noReply << ",\"p50_ms\":" << ms(0.5) << ",\"p99_ms\":" << ms(0.99)
+                << ",\"p999_ms\":" << ms(0.999) << "}\n";
         } else {
-            out << std::left << std::setw(22) << key.first << std::setw(16) << key.second << std::right << std::setw(9)
-                << it.answered << std::setw(8) << it.failed << std::setw(9) << it.notRun << std::setw(9) << it.unknown
-                << std::setw(7) << it.wrong << std::setw(9) << it.noReply << std::fixed << std::setprecision(2)
-                << std::setw(10) << ms(0.5) << std::setw(10) << ms(0.99) << std::setw(10) << ms(0.999) << '\n';
+            out << std::left << std::setw(22) << key.first << std::setw(16) << key.second << std::right
+                << std::setw(9) << it.answered << std::setw(8) << it.failed << std::setw(9) << it.notRun
+                << std::setw(9) << it.unknown << std::setw(7) << it.wrong << std::setw(9) << it.noReply
+                << std::fixed << std::setprecision(2) << std::setw(10) << ms(0.5) << std::setw(10) << ms(0.99)
+                << std::setw(10) << ms(0.999) << '\n';
         }
         sum.answered += it.answered;
         sum.failed += it.failed;
@@ -329,15 +335,16 @@
         out << "{\"load\":\"added\",\"direct_calls\":" << m_directTally.answered
             << ",\"direct_p50_us\":" << quantile(m_directTally.addedUs, 0.5)
             << ",\"direct_p99_us\":" << quantile(m_directTally.addedUs, 0.99)
-            << ",\"via_p50_us\":" << quantile(sum.addedUs, 0.5) << ",\"via_p99_us\":" << quantile(sum.addedUs, 0.99)
-            << ",\"added_p50_us\":" << added(0.5) << ",\"added_p99_us\":" << added(0.99)
-            << ",\"added_p999_us\":" << added(0.999) << "}\n";
+            << ",\"via_p50_us\":" << quantile(sum.addedUs, 0.5)
+            << ",\"via_p99_us\":" << quantile(sum.addedUs, 0.99) << ",\"added_p50_us\":" << added(0.5)
+            << ",\"added_p99_us\":" << added(0.99) << ",\"added_p999_us\":" << added(0.999) << "}\n";
     } else {
-        out << "failed=" << sum.failed << " no_reply=" << sum.noReply << " ran=" << m_ran << " shed=" << m_shed << '\n';
+        out << "failed=" << sum.failed << " no_reply=" << sum.noReply << " ran=" << m_ran
+            << " shed=" << m_shed << '\n';
     }
-    out << "answered=" << sum.answered + sum.failed << " refused_not_run=" << sum.notRun << " unknown=" << sum.unknown
-        << " wrong=" << sum.wrong << " ran_twice=" << m_ranTwice << " added_p50_us=" << added(0.5)
-        << " added_p99_us=" << added(0.99) << '\n';
+    out << "answered=" << sum.answered + sum.failed << " refused_not_run=" << sum.notRun
+        << " unknown=" << sum.unknown << " wrong=" << sum.wrong << " ran_twice=" << m_ranTwice
+        << " added_p50_us=" << added(0.5) << " added_p99_us=" << added(0.99) << '\n';
 }
 
 } // namespace robinrun
--- a/src/Load/LoadSpec.cpp
+++ b/src/Load/LoadSpec.cpp
@@ -3,24 +3,25 @@
 namespace robinrun {
 namespace {
 
-LoadStream readStream(YamlReader reader)
-{
-    LoadStream out;
-    out.group = reader.text("group");
-    out.credential = reader.text("credential");
-    out.service = reader.text("service");
-    out.callClass = reader.text("class");
-    out.method = reader.text("method", "GET");
-    out.path = reader.text("path");
-    out.rate = reader.number("rate", 0.01, 1e6, 1);
-    out.answerBytes = reader.bytes("answer", 0, 4U << 20U, 200);
-    out.deadlineMs = static_cast<std::uint64_t>(reader.duration("deadline", 0us, 10min, 0us).count() / 1000);
-    out.once = reader.choice("once", OnceWay::None);
-    out.repeat = reader.number("repeat", 0, 1, 0);
-    out.retriesUnknown = reader.flag("retries_unknown", false);
-    reader.finish();
-    return out;
-}
+    LoadStream readStream(YamlReader reader)
+    {
+        LoadStream out;
+        out.group = reader.text("group");
+        out.credential = reader.text("credential");
+        out.service = reader.text("service");
+        out.callClass = reader.text("class");
+        out.method = reader.text("method", "GET");
+        out.path = reader.text("path");
+        out.rate = reader.number("rate", 0.01, 1e6, 1);
+        out.answerBytes = reader.bytes("answer", 0, 4U << 20U, 200);
+        out.deadlineMs
+            = static_cast<std::uint64_t>(reader.duration("deadline", 0us, 10min, 0us).count() / 1000);
+        out.once = reader.choice("once", OnceWay::None);
+        out.repeat = reader.number("repeat", 0, 1, 0);
+        out.retriesUnknown = reader.flag("retries_unknown", false);
+        reader.finish();
+        return out;
+    }
 
 } // namespace
 
--- a/src/Load/LoadSpec.h
+++ b/src/Load/LoadSpec.h
@@ -19,8 +19,7 @@
     Key,
 };
 
-template <>
-struct EnumNames<OnceWay> {
+template <> struct EnumNames<OnceWay> {
     static constexpr std::array<std::string_view, 4> names { "none", "single", "ticket", "key" };
 };
 
@@ -37,7 +36,8 @@
     std::uint64_t deadlineMs = 0; ///< 0: none is sent
     OnceWay once = OnceWay::None;
     double repeat = 0; ///< share of calls with a ticket or key that are sent twice at once
-    bool retriesUnknown = false; ///< sends a keyed or ticketed call again when its outcome is unknown or not run
+    bool retriesUnknown
+        = false; ///< sends a keyed or ticketed call again when its outcome is unknown or not run
 };
 
 /// \brief A whole load, as a file tells it.
--- a/src/Node/ClaimService.cpp
+++ b/src/Node/ClaimService.cpp
@@ -9,18 +9,21 @@
 namespace robinrun {
 namespace {
 
-constexpr std::size_t pageRecords = 500;
-constexpr Duration readWait = 1s;
-constexpr Duration readRetry = 200ms;
-constexpr Duration homeLife = 60s;
-constexpr double appendBurst = 5;
+    constexpr std::size_t pageRecords = 500;
+    constexpr Duration readWait = 1s;
+    constexpr Duration readRetry = 200ms;
+    constexpr Duration homeLife = 60s;
+    constexpr double appendBurst = 5;
 
-/// How many homes are asked in turn when one doesn't answer.
-constexpr std::size_t maxHomes = 3;
+    /// How many homes are asked in turn when one doesn't answer.
+    constexpr std::size_t maxHomes = 3;
 
 } // namespace
 
-std::string claimStream(std::uint32_t partition) { return "claims-" + std::to_string(partition); }
+std::string claimStream(std::uint32_t partition)
+{
+    return "claims-" + std::to_string(partition);
+}
 
 ClaimService::ClaimService(
     NodeContext& context, AppendLog& log, const Membership& members, SendToPeer send, Instant now)
@@ -125,14 +128,15 @@
     batchOptions.gather = settings.gather;
     batchOptions.decideWithin = settings.decideWithin;
     const auto stream = claimStream(partition);
-    return m_homes.try_emplace(partition, foldOptions, batchOptions, m_context->incarnation, stream).first->second;
+    return m_homes.try_emplace(partition, foldOptions, batchOptions, m_context->incarnation, stream)
+        .first->second;
 }
 
 void ClaimService::decideHere(std::uint32_t partition, const Claim& claim, Decided decided, Instant now)
 {
     auto& it = home(partition);
     it.lastRequest = now;
-    const auto wallMs = wallClockMs();
+    const auto wallMs = m_context->wallClock();
     // A winner is final as soon as it is seen: repeats need no append.
     const auto status = it.fold.status(claim.key, claim.bornMs, wallMs);
     if (status.kind == ClaimStatus::Kind::Won)
@@ -153,13 +157,13 @@
             const auto it = m_homes.find(partition);
             if (it == m_homes.end())
                 return;
-            const auto end = monotonicNow();
+            const auto end = m_context->clock();
             it->second.isReading = false;
             if (!page) {
                 it->second.readAgainAt = end + readRetry;
                 return;
             }
-            const auto wallMs = wallClockMs();
+            const auto wallMs = m_context->wallClock();
             const auto batches = it->second.fold.take(page.value(), wallMs);
             it->second.batcher.streamAdvanced(it->second.fold, batches, wallMs);
             deliver(it->second);
@@ -183,7 +187,7 @@
             const bool isCertain = offset.error().kind == PlatformErrorKind::Unreachable
                 || offset.error().kind == PlatformErrorKind::Refused;
             if (isCertain)
-                it->second.batcher.appendFailed(id, monotonicNow());
+                it->second.batcher.appendFailed(id, m_context->clock());
         });
 }
 
--- a/src/Node/ClaimService.h
+++ b/src/Node/ClaimService.h
@@ -18,16 +18,19 @@
 
 namespace robinrun {
 
-/// \brief Decides claims on idempotency keys: asks the home node of a key's stream, and is that home for some.
+/// \brief Decides claims on idempotency keys: asks the home node of a key's stream, and is that home for
+/// some.
 ///
-/// A stream's home is the live host with the highest rendezvous rank, only so that claims gather into few appends.
-/// When two nodes think that they are home, or none answers, the stream itself still has one first claim.
+/// A stream's home is the live host with the highest rendezvous rank, only so that claims gather into few
+/// appends. When two nodes think that they are home, or none answers, the stream itself still has one first
+/// claim.
 class ClaimService {
 public:
     using Decided = std::function<void(const ClaimDecision&)>;
     using Answer = std::function<void(proto::ClaimReply&)>;
 
-    ClaimService(NodeContext& context, AppendLog& log, const Membership& members, SendToPeer send, Instant now);
+    ClaimService(
+        NodeContext& context, AppendLog& log, const Membership& members, SendToPeer send, Instant now);
 
     /// \brief Asks for the winner of a key. \a decided runs once, within `claims.decide_within` x 1.5.
     void claim(const Claim& claim, Decided decided, Instant now);
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -8,34 +8,36 @@
 namespace robinrun {
 namespace {
 
-constexpr const char* configStream = "config";
-constexpr std::size_t pageRecords = 500;
-constexpr Duration longWait = 5s;
-constexpr Duration readRetry = 300ms;
-constexpr Duration reportLife = 12s;
-constexpr Duration reportChanged = 500ms;
-constexpr Duration reportUnchanged = 4s;
-constexpr Duration countPatience = 1s;
-/// Snapshots by several nodes at once are harmless, but each is long: they wait a random time and look again.
-constexpr double snapshotSpreadSeconds = 20;
+    constexpr const char* configStream = "config";
+    constexpr std::size_t pageRecords = 500;
+    constexpr Duration longWait = 5s;
+    constexpr Duration readRetry = 300ms;
+    constexpr Duration reportLife = 12s;
+    constexpr Duration reportChanged = 500ms;
+    constexpr Duration reportUnchanged = 4s;
+    constexpr Duration countPatience = 1s;
+    /// Snapshots by several nodes at once are harmless, but each is long: they wait a random time and look
+    /// again.
+    constexpr double snapshotSpreadSeconds = 20;
 
-HostEntry selfOf(const NodeSettings& settings)
-{
-    return { settings.name, settings.listen.peers, settings.dataHall, settings.region, false };
-}
+    HostEntry selfOf(const NodeSettings& settings)
+    {
+        return { settings.name, settings.listen.peers, settings.dataHall, settings.region, false };
+    }
 
-Spread::Options spreadOptions(const NodeSettings& settings)
-{
-    Spread::Options options;
-    options.readers = settings.control.readers;
-    options.fanOut = settings.control.fanOut;
-    options.digestEvery = settings.control.digestEvery;
-    return options;
-}
+    Spread::Options spreadOptions(const NodeSettings& settings)
+    {
+        Spread::Options options;
+        options.readers = settings.control.readers;
+        options.fanOut = settings.control.fanOut;
+        options.digestEvery = settings.control.digestEvery;
+        return options;
+    }
 
 } // namespace
 
-ControlPlane::ControlPlane(NodeContext& context, AppendLog& log, HostList& hosts, SendToPeer send, Instant now)
+ControlPlane::ControlPlane(
+    NodeContext& context, AppendLog& log, HostList& hosts, SendToPeer send, Instant now)
     : m_context(&context)
     , m_log(&log)
     , m_hosts(&hosts)
@@ -72,17 +74,18 @@
         return;
     m_isReading = true;
     m_readWanted = false;
-    m_log->read(configStream, m_follower.readFrom(), pageRecords, longWait, [this](Result<LogPage, PlatformError> page) {
-        const auto end = monotonicNow();
-        m_isReading = false;
-        m_isLogAnswering = page.has_value();
-        if (!page) {
-            m_follower.logFailed();
-            m_readAgainAt = end + readRetry;
-            return;
-        }
-        takePage(page.value(), end);
-    });
+    m_log->read(configStream, m_follower.readFrom(), pageRecords, longWait,
+        [this](Result<LogPage, PlatformError> page) {
+            const auto end = m_context->clock();
+            m_isReading = false;
+            m_isLogAnswering = page.has_value();
+            if (!page) {
+                m_follower.logFailed();
+                m_readAgainAt = end + readRetry;
+                return;
+            }
+            takePage(page.value(), end);
+        });
 }
 
 void ControlPlane::takePage(const LogPage& page, Instant now)
@@ -111,7 +114,8 @@
         m_changed();
 }
 
-void ControlPlane::sendRecords(const std::string& peer, const std::string& root, std::uint64_t from, Instant now)
+void ControlPlane::sendRecords(
+    const std::string& peer, const std::string& root, std::uint64_t from, Instant now)
 {
     proto::PeerMessage message;
     *message.mutable_records() = m_follower.recordsFrom(from);
@@ -130,7 +134,8 @@
     if (progress == ConfigFollower::Progress::Advanced)
         advanced(records.root(), std::min(first, from), now);
     else if (!records.root().empty())
-        for (const auto& it : m_spread.advanced(m_members, records.root(), first, m_follower.nextOffset(), now))
+        for (const auto& it :
+            m_spread.advanced(m_members, records.root(), first, m_follower.nextOffset(), now))
             sendRecords(it.peer, it.root, it.from, now);
 }
 
@@ -185,7 +190,7 @@
                 proto::PeerMessage out;
                 out.mutable_in_force_reply()->set_number(number);
                 *out.mutable_in_force_reply()->mutable_total() = total;
-                m_send(address, out, monotonicNow());
+                m_send(address, out, m_context->clock());
             },
             now);
         return true;
@@ -308,7 +313,7 @@
     record.set_id(m_context->settings.name + "/snapshot/" + std::to_string(m_context->incarnation) + "/"
         + std::to_string(++m_snapshots));
     record.set_who(m_context->settings.name);
-    record.set_written_at_ms(wallClockMs());
+    record.set_written_at_ms(m_context->wallClock());
     *record.mutable_snapshot() = m_follower.state().snapshot();
     m_log->append(configStream, record.SerializeAsString(), [](Result<std::uint64_t, PlatformError>) {});
     m_context->metrics.count("robinrun_snapshots_total");
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -20,7 +20,8 @@
 
 namespace robinrun {
 
-/// \brief Keeps this node's configuration and host list up to date, passes both on, and counts what is in force.
+/// \brief Keeps this node's configuration and host list up to date, passes both on, and counts what is in
+/// force.
 class ControlPlane {
 public:
     using Changed = std::function<void()>;
@@ -40,8 +41,8 @@
     /// \brief Reads the log as soon as possible, to learn the fate of a change written through this node.
     void readSoon(Instant now);
 
-    /// \brief Asks the top of the counting tree for the sum over all nodes. \a done runs once, with this subtree's sum
-    /// if the top doesn't answer within a second.
+    /// \brief Asks the top of the counting tree for the sum over all nodes. \a done runs once, with this
+    /// subtree's sum if the top doesn't answer within a second.
     void countInForce(Counted done, Instant now);
 
     const ConfigFollower& follower() const { return m_follower; }
--- a/src/Node/Directory.cpp
+++ b/src/Node/Directory.cpp
@@ -7,12 +7,18 @@
 namespace robinrun {
 namespace {
 
-constexpr std::string_view defaultClass = "default";
-constexpr std::uint32_t defaultPriority = 1;
+    constexpr std::string_view defaultClass = "default";
+    constexpr std::uint32_t defaultPriority = 1;
 
-std::string idOf(const std::string& name) { return name.substr(name.find('/') + 1); }
+    std::string idOf(const std::string& name)
+    {
+        return name.substr(name.find('/') + 1);
+    }
 
-Duration milliseconds(std::uint32_t ms) { return Duration(std::int64_t { ms } * 1000); }
+    Duration milliseconds(std::uint32_t ms)
+    {
+        return Duration(std::int64_t { ms } * 1000);
+    }
 
 } // namespace
 
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -12,65 +12,71 @@
 namespace robinrun {
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusCreated = 201;
-constexpr int badRequest = 400;
-constexpr int unauthorized = 401;
-constexpr int notFound = 404;
-constexpr int unprocessable = 422;
-constexpr int badGateway = 502;
-constexpr int unavailable = 503;
-constexpr int gatewayTimeout = 504;
-constexpr int firstServerError = 500;
-
-/// Attempts over all levels of a call, unless the caller says less.
-constexpr std::uint32_t defaultAttempts = 3;
-constexpr std::uint32_t maxAttempts = 8;
-constexpr std::int64_t maxDeadlineMs = 600000;
-constexpr std::uint32_t drainingRetryMs = 100;
-constexpr double permille = 1000;
-
-constexpr std::string_view credentialHeader = "Robinrun-Credential";
-constexpr std::string_view deadlineHeader = "Robinrun-Deadline-Ms";
-constexpr std::string_view attemptsHeader = "Robinrun-Attempts-Left";
-constexpr std::string_view ticketHeader = "Robinrun-Ticket";
-constexpr std::string_view keyHeader = "Idempotency-Key";
-constexpr std::string_view outcomeHeader = "Robinrun-Outcome";
-constexpr std::string_view reasonHeader = "Robinrun-Reason";
-constexpr std::string_view adviceHeader = "Robinrun-Advice";
-constexpr std::string_view ticketTarget = "/tickets";
-
-/// \returns whether a header is for this system and not passed on to the backend server.
-bool isOwnHeader(std::string_view name)
-{
-    return equalIgnoringCase(name, credentialHeader) || equalIgnoringCase(name, deadlineHeader)
-        || equalIgnoringCase(name, attemptsHeader) || equalIgnoringCase(name, ticketHeader)
-        || equalIgnoringCase(name, "Robinrun-Group");
-}
+    constexpr int statusOk = 200;
+    constexpr int statusCreated = 201;
+    constexpr int badRequest = 400;
+    constexpr int unauthorized = 401;
+    constexpr int notFound = 404;
+    constexpr int unprocessable = 422;
+    constexpr int badGateway = 502;
+    constexpr int unavailable = 503;
+    constexpr int gatewayTimeout = 504;
+    constexpr int firstServerError = 500;
+
+    /// Attempts over all levels of a call, unless the caller says less.
+    constexpr std::uint32_t defaultAttempts = 3;
+    constexpr std::uint32_t maxAttempts = 8;
+    constexpr std::int64_t maxDeadlineMs = 600000;
+    constexpr std::uint32_t drainingRetryMs = 100;
+    constexpr double permille = 1000;
+
+    constexpr std::string_view credentialHeader = "Robinrun-Credential";
+    constexpr std::string_view deadlineHeader = "Robinrun-Deadline-Ms";
+    constexpr std::string_view attemptsHeader = "Robinrun-Attempts-Left";
+    constexpr std::string_view ticketHeader = "Robinrun-Ticket";
+    constexpr std::string_view keyHeader = "Idempotency-Key";
+    constexpr std::string_view outcomeHeader = "Robinrun-Outcome";
+    constexpr std::string_view reasonHeader = "Robinrun-Reason";
+    constexpr std::string_view adviceHeader = "Robinrun-Advice";
+    constexpr std::string_view ticketTarget = "/tickets";
+
+    /// \returns whether a header is for this system and not passed on to the backend server.
+    bool isOwnHeader(std::string_view name)
+    {
+        return equalIgnoringCase(name, credentialHeader) || equalIgnoringCase(name, deadlineHeader)
+            || equalIgnoringCase(name, attemptsHeader) || equalIgnoringCase(name, ticketHeader)
+            || equalIgnoringCase(name, "Robinrun-Group");
+    }
 
-std::optional<std::int64_t> parseNumber(std::string_view text)
-{
-    std::int64_t n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc() || end != text.data() + text.size() || n < 0)
-        return std::nullopt;
-    return n;
-}
+    std::optional<std::int64_t> parseNumber(std::string_view text)
+    {
+        std::int64_t n = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+        if (ec != std::errc() || end != text.data() + text.size() || n < 0)
+            return std::nullopt;
+        return n;
+    }
 
-std::string_view firstLabel(std::string_view host) { return host.substr(0, host.find_first_of(".:")); }
+    std::string_view firstLabel(std::string_view host)
+    {
+        return host.substr(0, host.find_first_of(".:"));
+    }
 
-Reason reasonOf(const proto::Answer& answer)
-{
-    return answer.reason() < countOf<Reason>() ? static_cast<Reason>(answer.reason()) : Reason::None;
-}
+    Reason reasonOf(const proto::Answer& answer)
+    {
+        return answer.reason() < countOf<Reason>() ? static_cast<Reason>(answer.reason()) : Reason::None;
+    }
 
-bool isWhole(const proto::Answer& answer)
-{
-    return answer.body().size() == answer.body_length() && hash64(answer.body()) == answer.body_hash();
-}
+    bool isWhole(const proto::Answer& answer)
+    {
+        return answer.body().size() == answer.body_length() && hash64(answer.body()) == answer.body_hash();
+    }
 
-/// \returns whether a refusal says that this owner is no place for the call, whatever it asks for.
-bool isAboutOwner(Reason reason) { return reason == Reason::Leaving || reason == Reason::WrongOwner; }
+    /// \returns whether a refusal says that this owner is no place for the call, whatever it asks for.
+    bool isAboutOwner(Reason reason)
+    {
+        return reason == Reason::Leaving || reason == Reason::WrongOwner;
+    }
 
 } // namespace
 
@@ -121,8 +127,8 @@
     const auto* info = m_context->directory.service(service);
     if (!info)
         return nullptr;
-    const auto it = std::find_if(
-        info->upstreams.begin(), info->upstreams.end(), [&](const auto& upstream) { return upstream.id == id; });
+    const auto it = std::find_if(info->upstreams.begin(), info->upstreams.end(),
+        [&](const auto& upstream) { return upstream.id == id; });
     return it == info->upstreams.end() ? nullptr : &*it;
 }
 
@@ -140,7 +146,8 @@
 {
     const auto& request = call.exchange->request();
     const auto credential = findHeader(request.headers, credentialHeader);
-    const auto* group = credential ? m_context->directory.groupByCredential(std::string(*credential)) : nullptr;
+    const auto* group
+        = credential ? m_context->directory.groupByCredential(std::string(*credential)) : nullptr;
     if (!group) {
         reject(*call.exchange, unauthorized, "the header Robinrun-Credential names no known calling group");
         return false;
@@ -157,7 +164,8 @@
             call.target = end == std::string::npos ? "/" : call.target.substr(end);
     }
     if (!service) {
-        reject(*call.exchange, notFound, "no service is named by the host or the first part of the path", group->id);
+        reject(*call.exchange, notFound, "no service is named by the host or the first part of the path",
+            group->id);
         return false;
     }
     call.service = service->id;
@@ -166,7 +174,8 @@
     if (const auto text = findHeader(request.headers, deadlineHeader)) {
         const auto ms = parseNumber(*text);
         if (!ms || *ms > maxDeadlineMs) {
-            reject(*call.exchange, badRequest, "header Robinrun-Deadline-Ms: a number up to 600000 is expected", group->id);
+            reject(*call.exchange, badRequest,
+                "header Robinrun-Deadline-Ms: a number up to 600000 is expected", group->id);
             return false;
         }
         allowed = std::min(allowed, Duration(*ms * 1000));
@@ -176,7 +185,8 @@
     if (const auto text = findHeader(request.headers, attemptsHeader)) {
         const auto n = parseNumber(*text);
         if (!n || *n < 1 || *n > maxAttempts) {
-            reject(*call.exchange, badRequest, "header Robinrun-Attempts-Left: a number from 1 to 8 is expected", group->id);
+            reject(*call.exchange, badRequest,
+                "header Robinrun-Attempts-Left: a number from 1 to 8 is expected", group->id);
             return false;
         }
         call.attemptsLeft = static_cast<std::uint32_t>(*n);
@@ -191,7 +201,8 @@
     const auto ticket = findHeader(request.headers, ticketHeader);
     const auto key = findHeader(request.headers, keyHeader);
     if (ticket && key) {
-        reject(*call.exchange, badRequest, "Robinrun-Ticket and Idempotency-Key can't both be given", call.group);
+        reject(*call.exchange, badRequest, "Robinrun-Ticket and Idempotency-Key can't both be given",
+            call.group);
         return false;
     }
     if (ticket) {
@@ -205,7 +216,8 @@
     if (key) {
         if (!keyBornMs(*key)) {
             reject(*call.exchange, badRequest,
-                "header Idempotency-Key: a UUID of version 7 or <seconds since 1970>:<text> is expected", call.group);
+                "header Idempotency-Key: a UUID of version 7 or <seconds since 1970>:<text> is expected",
+                call.group);
             return false;
         }
         call.key = std::string(*key);
@@ -334,17 +346,19 @@
     m_callByNumber[number] = id;
     step(call, CallEvent::Sent);
     if (isOwn) {
-        const Owner::Sender self { m_context->settings.name, m_context->settings.listen.peers, m_context->incarnation };
+        const Owner::Sender self { m_context->settings.name, m_context->settings.listen.peers,
+            m_context->incarnation };
         const auto& node = m_context->settings.name;
         m_owner->take(
-            message.call(), self, [this, node](proto::Answer& answer) { takeAnswer(node, answer, monotonicNow()); },
-            now);
+            message.call(), self,
+            [this, node](proto::Answer& answer) { takeAnswer(node, answer, monotonicNow()); }, now);
         return true;
     }
     if (m_send(info->config.node_address(), message, now)) {
         const auto longest = m_context->settings.choice.attemptTimeout;
         const auto patience = std::min(router.hedgeDelay().value_or(longest), longest);
-        call.attemptTimer = Timer::once(m_context->base, patience, [this, id, number] { attemptTimedOut(id, number); });
+        call.attemptTimer
+            = Timer::once(m_context->base, patience, [this, id, number] { attemptTimedOut(id, number); });
         return true;
     }
     router.abandoned(upstream, call.groupNumber);
@@ -386,8 +400,8 @@
         return; // given up before; nobody waits for it
     const auto id = found->second;
     auto& call = m_calls.at(id);
-    const auto it = std::find_if(
-        call.out.begin(), call.out.end(), [&](const auto& attempt) { return attempt.number == answer.number(); });
+    const auto it = std::find_if(call.out.begin(), call.out.end(),
+        [&](const auto& attempt) { return attempt.number == answer.number(); });
     // An answer counts only from the node that was asked, for this incarnation of this node.
     const bool isForeign = it->node != node || answer.caller_incarnation() != m_context->incarnation;
     if (isForeign) {
@@ -406,7 +420,8 @@
     const bool isRepeatable = call.callClass.isRepeatable && !call.ticket;
     if (answer.outcome() == proto::ANSWERED && isWhole(answer)) {
         const bool isGood = answer.status() < firstServerError;
-        const bool mayReplace = !isGood && isRepeatable && now < call.deadline && (!call.out.empty() || mayTryAgain(call));
+        const bool mayReplace
+            = !isGood && isRepeatable && now < call.deadline && (!call.out.empty() || mayTryAgain(call));
         if (!mayReplace) {
             m_routers.at(call.service)->measuredLatency(now - call.arrived);
             step(call, CallEvent::Answered);
@@ -515,13 +530,14 @@
 {
     auto& call = m_calls.at(id);
     const auto now = monotonicNow();
-    const auto it
-        = std::find_if(call.out.begin(), call.out.end(), [&](const auto& attempt) { return attempt.number == number; });
+    const auto it = std::find_if(
+        call.out.begin(), call.out.end(), [&](const auto& attempt) { return attempt.number == number; });
     if (it == call.out.end())
         return;
     auto& router = *m_routers.at(call.service);
     router.attemptTimedOut(it->upstream, now);
-    const bool mayHedge = call.callClass.isRepeatable && !call.isMinting && !call.ticket && call.attemptsLeft > 1;
+    const bool mayHedge
+        = call.callClass.isRepeatable && !call.isMinting && !call.ticket && call.attemptsLeft > 1;
     if (!mayHedge || now >= call.deadline)
         return;
     // The late attempt stays out; the first whole answer is taken.
@@ -592,7 +608,8 @@
     const int status = reason == Reason::TicketMismatch ? unprocessable : unavailable;
     const auto seconds = std::max<std::uint32_t>(1, (call.retryAfterMs + 999) / 1000);
     HttpReply reply { status,
-        { { std::string(outcomeHeader), "not-run" }, { std::string(reasonHeader), std::string(nameOf(reason)) },
+        { { std::string(outcomeHeader), "not-run" },
+            { std::string(reasonHeader), std::string(nameOf(reason)) },
             { "Retry-After", std::to_string(seconds) },
             { "Robinrun-Retry-After-Ms", std::to_string(call.retryAfterMs) } },
         "the call was not run: " + std::string(nameOf(reason)) + "\n" };
@@ -609,7 +626,8 @@
     step(call, CallEvent::Lost);
     const int status = reason == Reason::Damaged ? badGateway : gatewayTimeout;
     HttpReply reply { status,
-        { { std::string(outcomeHeader), "unknown" }, { std::string(reasonHeader), std::string(nameOf(reason)) } },
+        { { std::string(outcomeHeader), "unknown" },
+            { std::string(reasonHeader), std::string(nameOf(reason)) } },
         "the outcome of the call is unknown: " + std::string(nameOf(reason)) + "\n" };
     finish(id, call, std::move(reply), CallOutcome::Unknown, reason, now);
 }
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -20,14 +20,16 @@
 
 namespace robinrun {
 
-/// \brief Takes calls from callers, chooses upstreams and answers, each caller with the answer to its own call.
+/// \brief Takes calls from callers, chooses upstreams and answers, each caller with the answer to its own
+/// call.
 ///
-/// A call's life is the state chart `call`. "Not run" is said only while no attempt is out that may have been handed
-/// over: each attempt ends by its owner's answer or is lost, and a lost one makes the outcome unknown unless the call
-/// may be repeated.
+/// A call's life is the state chart `call`. "Not run" is said only while no attempt is out that may have been
+/// handed over: each attempt ends by its owner's answer or is lost, and a lost one makes the outcome unknown
+/// unless the call may be repeated.
 class Ingress {
 public:
-    Ingress(NodeContext& context, Owner& owner, ClaimService& claims, const Membership& members, SendToPeer send);
+    Ingress(
+        NodeContext& context, Owner& owner, ClaimService& claims, const Membership& members, SendToPeer send);
     ~Ingress();
 
     /// \brief A caller's request, whole.
@@ -46,7 +48,10 @@
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
 
     std::size_t inProgress() const { return m_calls.size(); }
-    const std::unordered_map<std::string, std::unique_ptr<ServiceRouter>>& routers() const { return m_routers; }
+    const std::unordered_map<std::string, std::unique_ptr<ServiceRouter>>& routers() const
+    {
+        return m_routers;
+    }
 
 private:
     /// One message to one owner.
@@ -73,7 +78,8 @@
         bool wasLost = false; ///< an attempt was lost: the outcome may be unknown
         Reason lastReason = Reason::None;
         std::uint32_t retryAfterMs = 0;
-        std::unique_ptr<proto::Answer> failedAnswer; ///< an error of a backend server, kept while others are tried
+        std::unique_ptr<proto::Answer>
+            failedAnswer; ///< an error of a backend server, kept while others are tried
         std::optional<Ticket> ticket;
         std::optional<std::string> key; ///< caller's idempotency key
         bool isMinting = false; ///< the attempt asks for a ticket only
@@ -83,12 +89,14 @@
     };
     using CallId = std::uint64_t;
 
-    void reject(HttpExchange& exchange, int status, const std::string& message, std::string_view group = "none");
+    void reject(
+        HttpExchange& exchange, int status, const std::string& message, std::string_view group = "none");
     bool readRequest(Call& call, Instant now);
     bool readOnce(Call& call);
     void proceed(CallId id, Instant now);
     bool sendTo(CallId id, Call& call, const std::string& upstream, Instant now);
-    proto::Call envelope(const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
+    proto::Call envelope(
+        const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
     bool mayTryAgain(Call& call);
     void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
     void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
@@ -119,7 +127,8 @@
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<std::uint64_t, CallId> m_callByNumber;
     std::unordered_map<std::string, std::unique_ptr<ServiceRouter>> m_routers;
-    /// What the last answer of an owner told of its clock, to pass deadlines that a late delivery can't outlive.
+    /// What the last answer of an owner told of its clock, to pass deadlines that a late delivery can't
+    /// outlive.
     struct OwnerClock {
         std::uint64_t incarnation = 0;
         std::uint64_t ownerUs = 0;
--- a/src/Node/JsonText.cpp
+++ b/src/Node/JsonText.cpp
@@ -9,60 +9,63 @@
 namespace robinrun {
 namespace {
 
-namespace pb = google::protobuf;
+    namespace pb = google::protobuf;
 
-/// \returns whether a plain scalar stands for itself in JSON: a number, true, false or null.
-bool isBare(const YAML::Node& node)
-{
-    static const std::regex number(R"(-?(0|[1-9][0-9]*)(\.[0-9]+)?([eE][+-]?[0-9]+)?)");
-    if (node.Tag() == "!")
-        return false; // it was quoted
-    const auto& s = node.Scalar();
-    return s == "true" || s == "false" || s == "null" || std::regex_match(s, number);
-}
-
-std::string toJsonText(const YAML::Node& node)
-{
-    if (node.IsScalar())
-        return isBare(node) ? node.Scalar() : '"' + escapeJson(node.Scalar()) + '"';
-    if (node.IsSequence()) {
-        std::string out;
-        for (const auto& it : node)
-            out += (out.empty() ? "" : ",") + toJsonText(it);
-        return "[" + out + "]";
+    /// \returns whether a plain scalar stands for itself in JSON: a number, true, false or null.
+    bool isBare(const YAML::Node& node)
+    {
+        static const std::regex number(R"(-?(0|[1-9][0-9]*)(\.[0-9]+)?([eE][+-]?[0-9]+)?)");
+        if (node.Tag() == "!")
+            return false; // it was quoted
+        const auto& s = node.Scalar();
+        return s == "true" || s == "false" || s == "null" || std::regex_match(s, number);
     }
-    if (node.IsMap()) {
-        std::string out;
-        for (const auto& it : node)
-            out += (out.empty() ? "\"" : ",\"") + escapeJson(it.first.Scalar()) + "\":" + toJsonText(it.second);
-        return "{" + out + "}";
+
+    std::string toJsonText(const YAML::Node& node)
+    {
+        if (node.IsScalar())
+            return isBare(node) ? node.Scalar() : '"' + escapeJson(node.Scalar()) + '"';
+        if (node.IsSequence()) {
+            std::string out;
+            for (const auto& it : node)
+                out += (out.empty() ? "" : ",") + toJsonText(it);
+            return "[" + out + "]";
+        }
+        if (node.IsMap()) {
+            std::string out;
+            for (const auto& it : node)
+                out += (out.empty() ? "\"" : ",\"") + escapeJson(it.first.Scalar())
+                    + "\":" + toJsonText(it.second);
+            return "{" + out + "}";
+        }
+        return "null";
     }
-    return "null";
-}
 
-std::string parseJson(const std::string& json, pb::Message& message)
-{
-    const auto status = pb::util::JsonStringToMessage(json, &message);
-    return status.ok() ? "" : std::string(status.message().data(), status.message().size());
-}
+    std::string parseJson(const std::string& json, pb::Message& message)
+    {
+        const auto status = pb::util::JsonStringToMessage(json, &message);
+        return status.ok() ? "" : std::string(status.message().data(), status.message().size());
+    }
 
-/// \brief Lets every field that \a patch names be cleared in \a message, down into messages that stand in both.
-void clearNamed(const YAML::Node& patch, pb::Message& message)
-{
-    const auto* descriptor = message.GetDescriptor();
-    const auto* reflection = message.GetReflection();
-    for (const auto& it : patch) {
-        const auto* field = descriptor->FindFieldByName(it.first.Scalar());
-        if (!field)
-            continue;
-        const bool isNested = it.second.IsMap() && !field->is_repeated()
-            && field->cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE && reflection->HasField(message, field);
-        if (isNested)
-            clearNamed(it.second, *reflection->MutableMessage(&message, field));
-        else
-            reflection->ClearField(&message, field);
+    /// \brief Lets every field that \a patch names be cleared in \a message, down into messages that stand in
+    /// both.
+    void clearNamed(const YAML::Node& patch, pb::Message& message)
+    {
+        const auto* descriptor = message.GetDescriptor();
+        const auto* reflection = message.GetReflection();
+        for (const auto& it : patch) {
+            const auto* field = descriptor->FindFieldByName(it.first.Scalar());
+            if (!field)
+                continue;
+            const bool isNested = it.second.IsMap() && !field->is_repeated()
+                && field->cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE
+                && reflection->HasField(message, field);
+            if (isNested)
+                clearNamed(it.second, *reflection->MutableMessage(&message, field));
+            else
+                reflection->ClearField(&message, field);
+        }
     }
-}
 
 } // namespace
 
--- a/src/Node/Metrics.cpp
+++ b/src/Node/Metrics.cpp
@@ -5,29 +5,33 @@
 namespace robinrun {
 namespace {
 
-namespace acc = boost::accumulators;
+    namespace acc = boost::accumulators;
 
-const acc::extractor<internal::FixedHistogramTag> bucketsOf;
+    const acc::extractor<internal::FixedHistogramTag> bucketsOf;
 
-void writeHistogram(std::ostream& out, std::string_view name, const std::string& labels, const internal::Histogram& h)
-{
-    const auto& buckets = bucketsOf(h);
-    std::uint64_t sum = 0;
-    for (std::size_t i = 0; i < buckets.size(); ++i) {
-        sum += buckets[i];
-        out << name << "_bucket{" << labels << ",le=\"";
-        if (i < internal::bucketBounds.size())
-            out << internal::bucketBounds[i];
-        else
-            out << "+Inf";
-        out << "\"} " << sum << '\n';
+    void writeHistogram(
+        std::ostream& out, std::string_view name, const std::string& labels, const internal::Histogram& h)
+    {
+        const auto& buckets = bucketsOf(h);
+        std::uint64_t sum = 0;
+        for (std::size_t i = 0; i < buckets.size(); ++i) {
+            sum += buckets[i];
+            out << name << "_bucket{" << labels << ",le=\"";
+            if (i < internal::bucketBounds.size())
+                out << internal::bucketBounds[i];
+            else
+                out << "+Inf";
+            out << "\"} " << sum << '\n';
+        }
+        out << name << "_sum{" << labels << "} " << (acc::count(h) ? acc::sum(h) : 0) << '\n';
+        out << name << "_count{" << labels << "} " << acc::count(h) << '\n';
     }
-    out << name << "_sum{" << labels << "} " << (acc::count(h) ? acc::sum(h) : 0) << '\n';
-    out << name << "_count{" << labels << "} " << acc::count(h) << '\n';
-}
 
-/// \returns the name of a series without its labels.
-std::string_view baseName(std::string_view series) { return series.substr(0, series.find('{')); }
+    /// \returns the name of a series without its labels.
+    std::string_view baseName(std::string_view series)
+    {
+        return series.substr(0, series.find('{'));
+    }
 
 } // namespace
 
@@ -52,14 +56,17 @@
     for (const auto& [key, series] : m_calls) {
         for (std::size_t i = 0; i < series.outcomes.size(); ++i) {
             if (series.outcomes[i])
-                out << "robinrun_calls_total{group=\"" << key.first << "\",class=\"" << key.second << "\",outcome=\""
-                    << nameOf(static_cast<CallOutcome>(i)) << "\"} " << series.outcomes[i] << '\n';
+                out << "robinrun_calls_total{group=\"" << key.first << "\",class=\"" << key.second
+                    << "\",outcome=\"" << nameOf(static_cast<CallOutcome>(i)) << "\"} " << series.outcomes[i]
+                    << '\n';
         }
     }
     out << "# TYPE robinrun_refusals_total counter\n";
     for (std::size_t i = 1; i < m_reasons.size(); ++i)
-        out << "robinrun_refusals_total{reason=\"" << nameOf(static_cast<Reason>(i)) << "\"} " << m_reasons[i] << '\n';
-    for (const auto* name : { "robinrun_latency_seconds", "robinrun_queueing_seconds", "robinrun_added_seconds" })
+        out << "robinrun_refusals_total{reason=\"" << nameOf(static_cast<Reason>(i)) << "\"} " << m_reasons[i]
+            << '\n';
+    for (const auto* name :
+        { "robinrun_latency_seconds", "robinrun_queueing_seconds", "robinrun_added_seconds" })
         out << "# TYPE " << name << " histogram\n";
     for (const auto& [key, series] : m_calls) {
         const auto labels = "group=\"" + key.first + "\",class=\"" + key.second + "\"";
--- a/src/Node/Metrics.h
+++ b/src/Node/Metrics.h
@@ -22,42 +22,40 @@
 
 namespace internal {
 
-/// Upper bounds of the histograms' buckets, in seconds; the last bucket has none.
-inline constexpr std::array<double, 20> bucketBounds { 0.0001, 0.0002, 0.0003, 0.0005, 0.0008, 0.0011, 0.002, 0.003,
-    0.005, 0.008, 0.012, 0.02, 0.03, 0.05, 0.08, 0.12, 0.2, 0.5, 1, 5 };
-
-/// \brief A histogram over fixed bounds as a Boost accumulator, since Prometheus wants the same buckets everywhere.
-template <class Sample>
-struct FixedHistogramImpl : boost::accumulators::accumulator_base {
-    using result_type = const std::array<std::uint64_t, bucketBounds.size() + 1>&;
-
-    template <class Args>
-    explicit FixedHistogramImpl(const Args&) { }
-
-    template <class Args>
-    void operator()(const Args& args)
-    {
-        const Sample x = args[boost::accumulators::sample];
-        std::size_t i = 0;
-        while (i < bucketBounds.size() && x > bucketBounds[i])
-            ++i;
-        ++m_counts[i];
-    }
-
-    result_type result(boost::accumulators::dont_care) const { return m_counts; }
-
-private:
-    std::array<std::uint64_t, bucketBounds.size() + 1> m_counts {};
-};
+    /// Upper bounds of the histograms' buckets, in seconds; the last bucket has none.
+    inline constexpr std::array<double, 20> bucketBounds { 0.0001, 0.0002, 0.0003, 0.0005, 0.0008, 0.0011,
+        0.002, 0.003, 0.005, 0.008, 0.012, 0.02, 0.03, 0.05, 0.08, 0.12, 0.2, 0.5, 1, 5 };
+
+    /// \brief A histogram over fixed bounds as a Boost accumulator, since Prometheus wants the same buckets
+    /// everywhere.
+    template <class Sample> struct FixedHistogramImpl : boost::accumulators::accumulator_base {
+        using result_type = const std::array<std::uint64_t, bucketBounds.size() + 1>&;
+
+        template <class Args> explicit FixedHistogramImpl(const Args&) { }
+
+        template <class Args> void operator()(const Args& args)
+        {
+            const Sample x = args[boost::accumulators::sample];
+            std::size_t i = 0;
+            while (i < bucketBounds.size() && x > bucketBounds[i])
+                ++i;
+            ++m_counts[i];
+        }
+
+        result_type result(boost::accumulators::dont_care) const { return m_counts; }
+
+    private:
+        std::array<std::uint64_t, bucketBounds.size() + 1> m_counts {};
+    };
 
-/// \brief Boost.Accumulators' name of the feature.
-struct FixedHistogramTag : boost::accumulators::depends_on<> {
-    using impl = FixedHistogramImpl<boost::mpl::_1>;
-};
+    /// \brief Boost.Accumulators' name of the feature.
+    struct FixedHistogramTag : boost::accumulators::depends_on<> {
+        using impl = FixedHistogramImpl<boost::mpl::_1>;
+    };
 
-using Histogram = boost::accumulators::accumulator_set<double,
-    boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
-        boost::accumulators::tag::max, FixedHistogramTag>>;
+    using Histogram = boost::accumulators::accumulator_set<double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+            boost::accumulators::tag::max, FixedHistogramTag>>;
 
 } // namespace internal
 
@@ -70,9 +68,9 @@
     HungUp,
 };
 
-template <>
-struct EnumNames<CallOutcome> {
-    static constexpr std::array<std::string_view, 5> names { "answered", "not-run", "unknown", "rejected", "hung-up" };
+template <> struct EnumNames<CallOutcome> {
+    static constexpr std::array<std::string_view, 5> names { "answered", "not-run", "unknown", "rejected",
+        "hung-up" };
 };
 
 /// \brief One finished call, for the metrics.
@@ -93,11 +91,15 @@
 public:
     void call(const CallSample& sample);
 
-    /// \brief Adds to a named count. \param series name with its labels, as in `robinrun_retries_total{kind="hedge"}`.
+    /// \brief Adds to a named count. \param series name with its labels, as in
+    /// `robinrun_retries_total{kind="hedge"}`.
     void count(const std::string& series, double n = 1) { m_counts[series] += n; }
 
     /// \brief A value read when metrics are asked for.
-    void gauge(const std::string& series, std::function<double()> read) { m_gauges[series] = std::move(read); }
+    void gauge(const std::string& series, std::function<double()> read)
+    {
+        m_gauges[series] = std::move(read);
+    }
 
     /// \returns all of it as Prometheus text.
     std::string text() const;
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -6,19 +6,23 @@
 namespace robinrun {
 namespace {
 
-constexpr Duration fastTick = 2ms;
-constexpr Duration slowTick = 100ms;
-/// Changes to the configuration that come together are applied together.
-constexpr Duration changeDelay = 5ms;
-/// Callers' connections stay open this long after the last call of a drain, for those who send one more.
-constexpr Duration lingering = 300ms;
-
-Owner::Sender senderOf(const PeerSocket::Sender& sender) { return { sender.node, sender.address, sender.incarnation }; }
+    constexpr Duration fastTick = 2ms;
+    constexpr Duration slowTick = 100ms;
+    /// Changes to the configuration that come together are applied together.
+    constexpr Duration changeDelay = 5ms;
+    /// Callers' connections stay open this long after the last call of a drain, for those who send one more.
+    constexpr Duration lingering = 300ms;
+
+    Owner::Sender senderOf(const PeerSocket::Sender& sender)
+    {
+        return { sender.node, sender.address, sender.incarnation };
+    }
 
 } // namespace
 
 Node::Node(event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation)
-    : m_context { std::move(settings), std::move(charts), base, incarnation, {}, {}, Random(incarnation) }
+    : m_context { std::move(settings), std::move(charts), base, incarnation, {}, {}, Random(incarnation),
+        monotonicNow, wallClockMs }
     , m_state(m_context.charts.node.initial())
 {
 }
@@ -72,17 +76,18 @@
         m_peers->send(address, message, monotonicNow());
     });
 
-    HttpServer::Options callers { settings.listen.callers, settings.limits.body, settings.limits.headers, 60s };
+    HttpServer::Options callers { settings.listen.callers, settings.limits.body, settings.limits.headers,
+        60s };
     auto server = HttpServer::listen(base, callers, [this](std::unique_ptr<HttpExchange> exchange) {
         m_ingress->take(std::move(exchange), monotonicNow());
     });
     if (!server)
         return failure(server.error());
     m_callers = std::move(server.value());
-    HttpServer::Options operators { settings.listen.operators, settings.limits.body, settings.limits.headers, 60s };
-    server = HttpServer::listen(base, operators, [this](std::unique_ptr<HttpExchange> exchange) {
-        m_api->take(std::move(exchange), monotonicNow());
-    });
+    HttpServer::Options operators { settings.listen.operators, settings.limits.body, settings.limits.headers,
+        60s };
+    server = HttpServer::listen(base, operators,
+        [this](std::unique_ptr<HttpExchange> exchange) { m_api->take(std::move(exchange), monotonicNow()); });
     if (!server)
         return failure(server.error());
     m_operators = std::move(server.value());
@@ -233,6 +238,9 @@
         event_base_loopexit(m_context.base, nullptr);
 }
 
-void Node::stop() { step(NodeEvent::StopAsked); }
+void Node::stop()
+{
+    step(NodeEvent::StopAsked);
+}
 
 } // namespace robinrun
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -28,7 +28,8 @@
         event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation);
     ~Node();
 
-    /// \brief Stops in order: announces leaving, refuses new work, ends what is in flight, then ends the loop.
+    /// \brief Stops in order: announces leaving, refuses new work, ends what is in flight, then ends the
+    /// loop.
     void stop();
 
     NodeState state() const { return m_state; }
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <event2/event.h>
+#include <functional>
 
 namespace robinrun {
 
@@ -21,6 +22,9 @@
     Directory directory;
     Metrics metrics;
     Random random { 0 };
+    /// Clocks for what happens in callbacks; tests put virtual ones here.
+    std::function<Instant()> clock = monotonicNow;
+    std::function<std::int64_t()> wallClock = wallClockMs;
 };
 
 } // namespace robinrun
--- a/src/Node/OperatorApi.cpp
+++ b/src/Node/OperatorApi.cpp
@@ -12,64 +12,73 @@
 namespace robinrun {
 namespace {
 
-constexpr int ok = 200;
-constexpr int accepted = 202;
-constexpr int badRequest = 400;
-constexpr int unauthorized = 401;
-constexpr int notFound = 404;
-constexpr int badMethod = 405;
-constexpr int gone = 410;
-constexpr int preconditionFailed = 412;
-constexpr int preconditionRequired = 428;
-constexpr int unavailable = 503;
-
-constexpr Duration watchWait = 25s;
-constexpr std::size_t maxWatches = 1000;
-constexpr int recentChanges = 20;
-constexpr std::string_view bearer = "Bearer ";
-const std::array<std::string, 3> kinds { "services", "upstreams", "groups" };
-
-HttpReply jsonReply(int status, std::string body) { return { status, { { "Content-Type", "application/json" } }, std::move(body) }; }
-
-HttpReply errorReply(int status, std::string_view message)
-{
-    return jsonReply(status, "{\"error\":\"" + escapeJson(message) + "\"}\n");
-}
+    constexpr int ok = 200;
+    constexpr int accepted = 202;
+    constexpr int badRequest = 400;
+    constexpr int unauthorized = 401;
+    constexpr int notFound = 404;
+    constexpr int badMethod = 405;
+    constexpr int gone = 410;
+    constexpr int preconditionFailed = 412;
+    constexpr int preconditionRequired = 428;
+    constexpr int unavailable = 503;
+
+    constexpr Duration watchWait = 25s;
+    constexpr std::size_t maxWatches = 1000;
+    constexpr int recentChanges = 20;
+    constexpr std::string_view bearer = "Bearer ";
+    const std::array<std::string, 3> kinds { "services", "upstreams", "groups" };
+
+    HttpReply jsonReply(int status, std::string body)
+    {
+        return { status, { { "Content-Type", "application/json" } }, std::move(body) };
+    }
 
-std::vector<std::string> splitBy(std::string_view s, char separator)
-{
-    std::vector<std::string> parts;
-    while (!s.empty()) {
-        const auto end = s.find(separator);
-        if (end != 0)
-            parts.emplace_back(s.substr(0, end));
-        s = end == std::string_view::npos ? std::string_view() : s.substr(end + 1);
+    HttpReply errorReply(int status, std::string_view message)
+    {
+        return jsonReply(status, "{\"error\":\"" + escapeJson(message) + "\"}\n");
     }
-    return parts;
-}
 
-std::map<std::string, std::string> parseQuery(std::string_view query)
-{
-    std::map<std::string, std::string> out;
-    for (const auto& it : splitBy(query, '&')) {
-        const auto equals = it.find('=');
-        out[it.substr(0, equals)] = equals == std::string::npos ? "" : it.substr(equals + 1);
+    std::vector<std::string> splitBy(std::string_view s, char separator)
+    {
+        std::vector<std::string> parts;
+        while (!s.empty()) {
+            const auto end = s.find(separator);
+            if (end != 0)
+                parts.emplace_back(s.substr(0, end));
+            s = end == std::string_view::npos ? std::string_view() : s.substr(end + 1);
+        }
+        return parts;
     }
-    return out;
-}
 
-std::optional<std::uint64_t> parseUnsigned(std::string_view text)
-{
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (text.empty() || ec != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return n;
-}
+    std::map<std::string, std::string> parseQuery(std::string_view query)
+    {
+        std::map<std::string, std::string> out;
+        for (const auto& it : splitBy(query, '&')) {
+            const auto equals = it.find('=');
+            out[it.substr(0, equals)] = equals == std::string::npos ? "" : it.substr(equals + 1);
+        }
+        return out;
+    }
 
-std::string resourceJson(const proto::Resource& resource) { return toJson(resource); }
+    std::optional<std::uint64_t> parseUnsigned(std::string_view text)
+    {
+        std::uint64_t n = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+        if (text.empty() || ec != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return n;
+    }
+
+    std::string resourceJson(const proto::Resource& resource)
+    {
+        return toJson(resource);
+    }
 
-bool isKind(const std::string& kind) { return std::find(kinds.begin(), kinds.end(), kind) != kinds.end(); }
+    bool isKind(const std::string& kind)
+    {
+        return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
+    }
 
 } // namespace
 
@@ -104,7 +113,8 @@
     if (path == "/health")
         return health(*exchange);
     if (path == "/metrics")
-        return exchange->reply({ ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context->metrics.text() });
+        return exchange->reply(
+            { ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context->metrics.text() });
     Request request;
     request.method = exchange->request().method;
     request.path = splitBy(path, '/');
@@ -128,7 +138,8 @@
     if (path.size() == 1 && path[0] == "watch" && isGet)
         return watch(request, std::move(exchange), now);
     if (path.size() >= 2 && path[0] == "operations" && isGet)
-        return operation(exchange->request().target.substr(std::string_view("/v1/operations/").size()), *exchange);
+        return operation(
+            exchange->request().target.substr(std::string_view("/v1/operations/").size()), *exchange);
     if (path.size() == 1 && isKind(path[0]) && isGet)
         return list(path[0], *exchange);
     if (path.size() != 2 || !isKind(path[0]))
@@ -168,8 +179,8 @@
         return 0;
     const auto match = findHeader(headers, "If-Match");
     if (!match) {
-        exchange.reply(errorReply(
-            preconditionRequired, "If-Match with the version to change, or If-None-Match: * to create, is needed"));
+        exchange.reply(errorReply(preconditionRequired,
+            "If-Match with the version to change, or If-None-Match: * to create, is needed"));
         return std::nullopt;
     }
     std::string text(*match);
@@ -180,8 +191,8 @@
     return version;
 }
 
-bool OperatorApi::buildChange(
-    const Request& request, const std::string& name, HttpExchange& exchange, proto::ChangeRecord& change) const
+bool OperatorApi::buildChange(const Request& request, const std::string& name, HttpExchange& exchange,
+    proto::ChangeRecord& change) const
 {
     if (request.method == "DELETE") {
         change.set_remove(name);
@@ -253,7 +264,8 @@
 
 void OperatorApi::appended(const std::string& id, const Result<std::uint64_t, PlatformError>& offset)
 {
-    const auto it = std::find_if(m_writes.begin(), m_writes.end(), [&](const auto& write) { return write.id == id; });
+    const auto it
+        = std::find_if(m_writes.begin(), m_writes.end(), [&](const auto& write) { return write.id == id; });
     if (it == m_writes.end())
         return;
     if (offset) {
@@ -292,7 +304,8 @@
                 + "\",\"version\":" + std::to_string(fate.version()) + "}\n"));
     }
     auto reply = jsonReply(ok,
-        "{\"name\":\"" + name + "\",\"version\":" + std::to_string(fate.version()) + ",\"id\":\"" + fate.id() + "\"}\n");
+        "{\"name\":\"" + name + "\",\"version\":" + std::to_string(fate.version()) + ",\"id\":\"" + fate.id()
+            + "\"}\n");
     reply.headers.emplace_back("ETag", '"' + std::to_string(fate.version()) + '"');
     exchange.reply(reply);
 }
@@ -301,8 +314,8 @@
 {
     if (write.isUncertain && isLogOut) {
         return write.exchange->reply(jsonReply(unavailable,
-            "{\"error\":\"the log is out\",\"may_take_effect\":true,\"operation\":\"/v1/operations/" + write.id
-                + "\"}\n"));
+            "{\"error\":\"the log is out\",\"may_take_effect\":true,\"operation\":\"/v1/operations/"
+                + write.id + "\"}\n"));
     }
     auto reply = jsonReply(
         accepted, "{\"operation\":\"/v1/operations/" + write.id + "\",\"name\":\"" + write.name + "\"}\n");
@@ -317,8 +330,8 @@
         return exchange.reply(jsonReply(ok, "{\"id\":\"" + escapeJson(id) + "\",\"state\":\"undecided\"}\n"));
     exchange.reply(jsonReply(ok,
         "{\"id\":\"" + escapeJson(id) + "\",\"state\":\"" + (fate->accepted() ? "accepted" : "refused")
-            + "\",\"version\":" + std::to_string(fate->version()) + ",\"reason\":\"" + escapeJson(fate->reason())
-            + "\"}\n"));
+            + "\",\"version\":" + std::to_string(fate->version()) + ",\"reason\":\""
+            + escapeJson(fate->reason()) + "\"}\n"));
 }
 
 void OperatorApi::watch(const Request& request, std::unique_ptr<HttpExchange> exchange, Instant now)
@@ -341,7 +354,8 @@
         return false;
     const auto records = follower.recordsFrom(watch.from);
     if (records.has_snapshot()) {
-        watch.exchange->reply(errorReply(gone, "changes before " + std::to_string(follower.nextOffset())
+        watch.exchange->reply(errorReply(gone,
+            "changes before " + std::to_string(follower.nextOffset())
                 + " are no longer held here; list, then watch from 'applied'"));
         return true;
     }
@@ -353,8 +367,9 @@
         const auto fate = follower.state().fateOf(change.id());
         const bool isAccepted = fate && fate->accepted() && fate->version() == it.offset() + 1;
         body += (body.empty() ? "" : ",\n") + std::string("{\"offset\":") + std::to_string(it.offset())
-            + ",\"name\":\"" + targetOf(change) + "\",\"who\":\"" + escapeJson(change.who()) + "\",\"accepted\":"
-            + (isAccepted ? "true" : "false") + ",\"removed\":" + (change.has_put() ? "false" : "true") + "}";
+            + ",\"name\":\"" + targetOf(change) + "\",\"who\":\"" + escapeJson(change.who())
+            + "\",\"accepted\":" + (isAccepted ? "true" : "false")
+            + ",\"removed\":" + (change.has_put() ? "false" : "true") + "}";
     }
     const auto next = std::to_string(std::max(watch.from, follower.nextOffset()));
     watch.exchange->reply(jsonReply(ok, "{\"next\":" + next + ",\"changes\":[" + body + "]}\n"));
@@ -383,11 +398,14 @@
         << ",\"applied\":" << follower.nextOffset() << ",\"log\":\"" << nameOf(follower.standing())
         << "\",\"log_id\":\"" << escapeJson(follower.logId()) << "\",\"known_end\":" << follower.knownEnd()
         << ",\"proven_newest\":"
-        << (follower.standing() == LogStanding::Followed && follower.knownEnd() <= follower.nextOffset() ? "true" : "false")
-        << ",\"reader\":" << (m_control->isReader(now) ? "true" : "false")
-        << ",\"digest\":\"" << follower.state().digest() << "\",\n\"nodes\":" << total.nodes()
-        << ",\"hosts_listed\":" << m_control->members().size() << ",\"min_applied\":" << total.min_next_offset()
-        << ",\"max_applied\":" << total.max_next_offset() << ",\n\"changes\":[";
+        << (follower.standing() == LogStanding::Followed && follower.knownEnd() <= follower.nextOffset()
+                   ? "true"
+                   : "false")
+        << ",\"reader\":" << (m_control->isReader(now) ? "true" : "false") << ",\"digest\":\""
+        << follower.state().digest() << "\",\n\"nodes\":" << total.nodes()
+        << ",\"hosts_listed\":" << m_control->members().size()
+        << ",\"min_applied\":" << total.min_next_offset() << ",\"max_applied\":" << total.max_next_offset()
+        << ",\n\"changes\":[";
     const auto& fates = follower.state().fates();
     const auto first = fates.size() > recentChanges ? fates.size() - recentChanges : 0;
     bool isFirst = true;
@@ -400,14 +418,15 @@
                 nodes += it.nodes();
         }
         out << (isFirst ? "" : ",") << "\n {\"id\":\"" << escapeJson(fates[i].id())
-            << "\",\"version\":" << fates[i].version() << ",\"in_force\":" << nodes << ",\"of\":" << total.nodes() << "}";
+            << "\",\"version\":" << fates[i].version() << ",\"in_force\":" << nodes
+            << ",\"of\":" << total.nodes() << "}";
         isFirst = false;
     }
     out << "],\n\"behind\":[";
     for (int i = 0; i < total.laggards_size(); ++i) {
         const auto& it = total.laggards(i);
-        out << (i ? "," : "") << "\n {\"node\":\"" << escapeJson(it.node()) << "\",\"applied\":" << it.next_offset()
-            << ",\"since_ms\":" << it.since_ms() << "}";
+        out << (i ? "," : "") << "\n {\"node\":\"" << escapeJson(it.node())
+            << "\",\"applied\":" << it.next_offset() << ",\"since_ms\":" << it.since_ms() << "}";
     }
     out << "]}\n";
     return out.str();
--- a/src/Node/OperatorApi.h
+++ b/src/Node/OperatorApi.h
@@ -28,7 +28,8 @@
 /// \sa docs/API.md
 class OperatorApi {
 public:
-    OperatorApi(NodeContext& context, ControlPlane& control, AppendLog& log, std::function<NodeFacts()> facts);
+    OperatorApi(
+        NodeContext& context, ControlPlane& control, AppendLog& log, std::function<NodeFacts()> facts);
 
     void take(std::unique_ptr<HttpExchange> exchange, Instant now);
 
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -9,25 +9,28 @@
 namespace robinrun {
 namespace {
 
-constexpr Duration forgetSenders = 120s;
-constexpr Duration ingressMemory = 30s;
-constexpr double errorSampleWeight = 0.05;
-constexpr int firstServerError = 500;
-constexpr double permille = 1000;
+    constexpr Duration forgetSenders = 120s;
+    constexpr Duration ingressMemory = 30s;
+    constexpr double errorSampleWeight = 0.05;
+    constexpr int firstServerError = 500;
+    constexpr double permille = 1000;
 
-/// Headers by which deadlines and attempts are passed down to a backend server's own calls.
-constexpr const char* deadlineHeader = "Robinrun-Deadline-Ms";
-constexpr const char* attemptsHeader = "Robinrun-Attempts-Left";
-/// Header by which a backend server may say with any answer that it drains.
-constexpr const char* stateHeader = "Backend-State";
-constexpr const char* groupHeader = "Robinrun-Group";
+    /// Headers by which deadlines and attempts are passed down to a backend server's own calls.
+    constexpr const char* deadlineHeader = "Robinrun-Deadline-Ms";
+    constexpr const char* attemptsHeader = "Robinrun-Attempts-Left";
+    /// Header by which a backend server may say with any answer that it drains.
+    constexpr const char* stateHeader = "Backend-State";
+    constexpr const char* groupHeader = "Robinrun-Group";
 
-Hash128 fingerprintOf(const proto::Call& call)
-{
-    return hash128(call.group() + '\n' + call.method() + '\n' + call.target() + '\n' + call.body());
-}
+    Hash128 fingerprintOf(const proto::Call& call)
+    {
+        return hash128(call.group() + '\n' + call.method() + '\n' + call.target() + '\n' + call.body());
+    }
 
-bool isOnceTicket(const proto::Call& call) { return call.has_ticket(); }
+    bool isOnceTicket(const proto::Call& call)
+    {
+        return call.has_ticket();
+    }
 
 } // namespace
 
@@ -44,7 +47,10 @@
 
 Owner::~Owner() = default;
 
-const ServiceInfo* Owner::service() const { return m_context->directory.service(m_serviceId); }
+const ServiceInfo* Owner::service() const
+{
+    return m_context->directory.service(m_serviceId);
+}
 
 void Owner::configure(Instant now)
 {
@@ -67,8 +73,8 @@
         m_pool = std::make_unique<HttpPool>(m_context->base, options);
     }
     if (!m_prober) {
-        const ProbeBudget::Options options { serviceInfo.config.probes_per_s(), serviceInfo.config.probe_slot_share(),
-            slots };
+        const ProbeBudget::Options options { serviceInfo.config.probes_per_s(),
+            serviceInfo.config.probe_slot_share(), slots };
         m_prober = std::make_unique<Prober>(*m_pool, options, now);
     }
     setSign(LeavingSign::Operator, info->config.leaving(), now);
@@ -185,7 +191,8 @@
     proto::Answer answer;
     answer.set_number(call.number());
     answer.set_outcome(begin.record->isKnown ? proto::ANSWERED : proto::UNKNOWN);
-    answer.set_reason(static_cast<std::uint32_t>(begin.record->isKnown ? Reason::None : Reason::BackendFailed));
+    answer.set_reason(
+        static_cast<std::uint32_t>(begin.record->isKnown ? Reason::None : Reason::BackendFailed));
     answer.set_status(static_cast<std::uint32_t>(begin.record->status));
     for (const auto& [name, value] : begin.record->headers) {
         auto& header = *answer.add_headers();
@@ -212,8 +219,8 @@
     record.arrived = now;
     record.deadline = now + Duration(call.remaining_us());
     if (call.owner_deadline_us())
-        record.deadline
-            = std::min(record.deadline, Instant(Duration(static_cast<std::int64_t>(call.owner_deadline_us()))));
+        record.deadline = std::min(
+            record.deadline, Instant(Duration(static_cast<std::int64_t>(call.owner_deadline_us()))));
     record.isRepeatable = callClass.isRepeatable && !isOnceTicket(call);
     const auto deadline = record.deadline;
     m_calls.emplace(id, std::move(record));
@@ -286,7 +293,8 @@
         answer.set_body_length(reply.body.size());
         answer.set_body_hash(hash64(reply.body));
         answer.set_body(std::move(reply.body));
-    } else if (result.error().kind == HttpErrorKind::NotConnected || result.error().kind == HttpErrorKind::BadRequest) {
+    } else if (result.error().kind == HttpErrorKind::NotConnected
+        || result.error().kind == HttpErrorKind::BadRequest) {
         answer.set_outcome(proto::NOT_RUN);
         answer.set_reason(static_cast<std::uint32_t>(Reason::BackendUnreachable));
     } else {
@@ -355,7 +363,8 @@
     out.set_waiting(load.waiting);
     out.set_queued(m_admission.load(now).waiting);
     out.set_service_us(static_cast<std::uint32_t>(load.service.count()));
-    out.set_state(static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
+    out.set_state(
+        static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
     const auto it = m_bySender.find({ sender.incarnation, group });
     out.set_yours(it == m_bySender.end() ? 0 : it->second);
     out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
@@ -364,8 +373,8 @@
     answer.set_owner_now_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
 }
 
-void Owner::refuseAtOnce(
-    const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason, bool isNotRun, Instant now)
+void Owner::refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
+    bool isNotRun, Instant now)
 {
     proto::Answer answer;
     answer.set_number(call.number());
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -22,9 +22,9 @@
 
 /// \brief Admits calls to the backend server beside this node, and alone does so.
 ///
-/// Every call gets exactly one answer: answered, not run (given up before it was handed over) or unknown (handed over,
-/// and no whole reply came). What it holds is in memory only; after a restart nothing of it is left, and calls meant
-/// for the former incarnation are refused.
+/// Every call gets exactly one answer: answered, not run (given up before it was handed over) or unknown
+/// (handed over, and no whole reply came). What it holds is in memory only; after a restart nothing of it is
+/// left, and calls meant for the former incarnation are refused.
 class Owner {
 public:
     /// \brief Who sent a call; answers, cancels and doubles are matched by it.
@@ -87,8 +87,8 @@
     void run(std::uint64_t id, Instant now);
     void ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now);
     void refuse(const Refusal& refusal, Instant now);
-    void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason, bool isNotRun,
-        Instant now);
+    void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
+        bool isNotRun, Instant now);
     void answerAll(CallRecord& record, proto::Answer& answer, Instant now);
     void fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now);
     void recordTicket(const CallRecord& record, const proto::Answer& answer);
@@ -109,7 +109,8 @@
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, CallRecord> m_calls;
     std::map<CallKey, std::uint64_t> m_idByKey;
-    std::map<std::pair<std::uint64_t, std::string>, std::uint32_t> m_bySender; ///< calls in hand, by sender and group
+    std::map<std::pair<std::uint64_t, std::string>, std::uint32_t>
+        m_bySender; ///< calls in hand, by sender and group
     struct Ingress {
         std::string address;
         Instant lastCall {};
--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -3,8 +3,8 @@
 namespace robinrun {
 namespace {
 
-constexpr Duration probeTimeout = 1s;
-constexpr int ok = 200;
+    constexpr Duration probeTimeout = 1s;
+    constexpr int ok = 200;
 
 } // namespace
 
@@ -22,7 +22,8 @@
             news.isReachable = reply.has_value();
             if (reply.has_value())
                 news.isDraining = findHeader(reply.value().headers, "Backend-State") == "draining"
-                    || (reply.value().status != ok && reply.value().body.find("draining") != std::string::npos);
+                    || (reply.value().status != ok
+                        && reply.value().body.find("draining") != std::string::npos);
             done(news, end - now);
         });
     return true;
--- a/src/Once/ClaimBatcher.cpp
+++ b/src/Once/ClaimBatcher.cpp
@@ -45,13 +45,15 @@
     }
 }
 
-bool ClaimBatcher::decide(std::uint64_t request, const Claim& claim, const ClaimFold& fold, std::int64_t wallMs)
+bool ClaimBatcher::decide(
+    std::uint64_t request, const Claim& claim, const ClaimFold& fold, std::int64_t wallMs)
 {
     const auto status = fold.status(claim.key, claim.bornMs, wallMs);
     if (status.kind == ClaimStatus::Kind::Free)
         return false;
     const bool isWon = status.kind == ClaimStatus::Kind::Won;
-    m_decisions.push_back({ request, isWon ? ClaimDecision::Kind::Won : ClaimDecision::Kind::TooOld, status.winner });
+    m_decisions.push_back(
+        { request, isWon ? ClaimDecision::Kind::Won : ClaimDecision::Kind::TooOld, status.winner });
     return true;
 }
 
@@ -62,9 +64,8 @@
     const auto isRead = [&](const Pending& it) {
         return std::find(batches.begin(), batches.end(), it.batch) != batches.end();
     };
-    std::erase_if(m_sent, [&](const auto& it) {
-        return isRead(it.second) && decide(it.first, it.second.claim, fold, wallMs);
-    });
+    std::erase_if(m_sent,
+        [&](const auto& it) { return isRead(it.second) && decide(it.first, it.second.claim, fold, wallMs); });
 }
 
 void ClaimBatcher::expireIn(PendingMap& pending, Instant now)
--- a/src/Once/ClaimBatcher.h
+++ b/src/Once/ClaimBatcher.h
@@ -24,11 +24,12 @@
     Ticket winner;
 };
 
-/// \brief Gathers the claims of many calls into few appends to one claim stream, and decides them from the stream.
+/// \brief Gathers the claims of many calls into few appends to one claim stream, and decides them from the
+/// stream.
 ///
-/// Only the fold decides: a claim is answered when the stream itself shows who won its key. Two batchers on one
-/// stream, a paused one, a lost reply or a record that shows up late change nothing but the number of appends.
-/// Cost: O(1) a claim, O(batch) an append.
+/// Only the fold decides: a claim is answered when the stream itself shows who won its key. Two batchers on
+/// one stream, a paused one, a lost reply or a record that shows up late change nothing but the number of
+/// appends. Cost: O(1) a claim, O(batch) an append.
 class ClaimBatcher {
 public:
     struct Options {
--- a/src/Once/ClaimFold.cpp
+++ b/src/Once/ClaimFold.cpp
@@ -7,9 +7,12 @@
 namespace robinrun {
 namespace {
 
-constexpr std::int64_t forgetEveryMs = 5000;
+    constexpr std::int64_t forgetEveryMs = 5000;
 
-std::int64_t milliseconds(Duration d) { return d.count() / 1000; }
+    std::int64_t milliseconds(Duration d)
+    {
+        return d.count() / 1000;
+    }
 
 } // namespace
 
@@ -38,8 +41,14 @@
     return batch;
 }
 
-std::int64_t ClaimFold::lifetimeMs() const { return milliseconds(m_options.keyLifetime); }
-std::int64_t ClaimFold::skewMs() const { return milliseconds(m_options.clockSkew); }
+std::int64_t ClaimFold::lifetimeMs() const
+{
+    return milliseconds(m_options.keyLifetime);
+}
+std::int64_t ClaimFold::skewMs() const
+{
+    return milliseconds(m_options.clockSkew);
+}
 
 void ClaimFold::follow(const LogPage& page, std::int64_t wallMs)
 {
@@ -82,7 +91,10 @@
     return ids;
 }
 
-bool ClaimFold::mayBeFirst(std::int64_t bornMs) const { return bornMs >= m_completeSinceMs + skewMs(); }
+bool ClaimFold::mayBeFirst(std::int64_t bornMs) const
+{
+    return bornMs >= m_completeSinceMs + skewMs();
+}
 
 void ClaimFold::enter(const Claim& claim)
 {
--- a/src/Once/ClaimFold.h
+++ b/src/Once/ClaimFold.h
@@ -14,7 +14,8 @@
 
 namespace robinrun {
 
-/// \brief Binds an idempotency key to a ticket. The first claim of a key by offset wins, for everybody, for ever.
+/// \brief Binds an idempotency key to a ticket. The first claim of a key by offset wins, for everybody, for
+/// ever.
 struct Claim {
     Hash128 key; ///< hash of group, service and the caller's key
     std::int64_t bornMs = 0; ///< from the key itself
@@ -43,9 +44,9 @@
 
 /// \brief Folds one claim stream, record by record in the order of offsets.
 ///
-/// All nodes that fold the same records agree. A key that is older than what the fold has seen in full is `TooOld`:
-/// its claim may have been made and forgotten. Claims are dropped from memory once their keys are `TooOld` by age.
-/// Cost: O(1) a claim; about 180 bytes a key.
+/// All nodes that fold the same records agree. A key that is older than what the fold has seen in full is
+/// `TooOld`: its claim may have been made and forgotten. Claims are dropped from memory once their keys are
+/// `TooOld` by age. Cost: O(1) a claim; about 180 bytes a key.
 class ClaimFold {
 public:
     struct Options {
--- a/src/Once/KeyAge.cpp
+++ b/src/Once/KeyAge.cpp
@@ -6,24 +6,24 @@
 namespace robinrun {
 namespace {
 
-constexpr std::size_t uuidLength = 36;
-constexpr std::size_t uuidVersionAt = 14;
-constexpr std::size_t maxSecondsDigits = 11;
-
-std::optional<std::int64_t> parse(std::string_view digits, int base)
-{
-    std::int64_t n = 0;
-    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), n, base);
-    if (digits.empty() || ec != std::errc() || end != digits.data() + digits.size() || n < 0)
-        return std::nullopt;
-    return n;
-}
+    constexpr std::size_t uuidLength = 36;
+    constexpr std::size_t uuidVersionAt = 14;
+    constexpr std::size_t maxSecondsDigits = 11;
+
+    std::optional<std::int64_t> parse(std::string_view digits, int base)
+    {
+        std::int64_t n = 0;
+        const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), n, base);
+        if (digits.empty() || ec != std::errc() || end != digits.data() + digits.size() || n < 0)
+            return std::nullopt;
+        return n;
+    }
 
-bool isUuid7(std::string_view key)
-{
-    return key.size() == uuidLength && key[8] == '-' && key[13] == '-' && key[18] == '-' && key[23] == '-'
-        && key[uuidVersionAt] == '7';
-}
+    bool isUuid7(std::string_view key)
+    {
+        return key.size() == uuidLength && key[8] == '-' && key[13] == '-' && key[18] == '-' && key[23] == '-'
+            && key[uuidVersionAt] == '7';
+    }
 
 } // namespace
 
--- a/src/Once/Ticket.cpp
+++ b/src/Once/Ticket.cpp
@@ -9,44 +9,45 @@
 namespace robinrun {
 namespace {
 
-constexpr std::size_t partCount = 5;
+    constexpr std::size_t partCount = 5;
 
-std::string hex(std::uint64_t n)
-{
-    std::array<char, 17> buf {};
-    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(n));
-    return buf.data();
-}
+    std::string hex(std::uint64_t n)
+    {
+        std::array<char, 17> buf {};
+        std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(n));
+        return buf.data();
+    }
 
-std::optional<std::uint64_t> parseHex(std::string_view s)
-{
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(s.data(), s.data() + s.size(), n, 16);
-    if (s.empty() || ec != std::errc() || end != s.data() + s.size())
-        return std::nullopt;
-    return n;
-}
+    std::optional<std::uint64_t> parseHex(std::string_view s)
+    {
+        std::uint64_t n = 0;
+        const auto [end, ec] = std::from_chars(s.data(), s.data() + s.size(), n, 16);
+        if (s.empty() || ec != std::errc() || end != s.data() + s.size())
+            return std::nullopt;
+        return n;
+    }
 
-/// \brief Splits off the last four parts; an upstream's name may hold dots itself.
-std::vector<std::string_view> splitFromEnd(std::string_view text)
-{
-    std::vector<std::string_view> parts;
-    while (parts.size() + 1 < partCount) {
-        const auto dot = text.rfind('.');
-        if (dot == std::string_view::npos)
-            break;
-        parts.push_back(text.substr(dot + 1));
-        text = text.substr(0, dot);
+    /// \brief Splits off the last four parts; an upstream's name may hold dots itself.
+    std::vector<std::string_view> splitFromEnd(std::string_view text)
+    {
+        std::vector<std::string_view> parts;
+        while (parts.size() + 1 < partCount) {
+            const auto dot = text.rfind('.');
+            if (dot == std::string_view::npos)
+                break;
+            parts.push_back(text.substr(dot + 1));
+            text = text.substr(0, dot);
+        }
+        parts.push_back(text);
+        return parts;
     }
-    parts.push_back(text);
-    return parts;
-}
 
 } // namespace
 
 std::string Ticket::text() const
 {
-    return upstream + '.' + hex(incarnation) + '.' + hex(epoch) + '.' + hex(nonce.high) + '.' + hex(nonce.low);
+    return upstream + '.' + hex(incarnation) + '.' + hex(epoch) + '.' + hex(nonce.high) + '.'
+        + hex(nonce.low);
 }
 
 Result<Ticket, std::string> Ticket::parse(std::string_view text)
--- a/src/Once/TicketTable.cpp
+++ b/src/Once/TicketTable.cpp
@@ -5,24 +5,24 @@
 namespace robinrun {
 namespace {
 
-/// Bytes of a record beside its body: map nodes, headers, the ticket's place among its epoch.
-constexpr std::size_t recordOverhead = 300;
-
-std::size_t sizeOf(const RecordedAnswer& answer)
-{
-    std::size_t n = answer.body.size();
-    for (const auto& [name, value] : answer.headers)
-        n += name.size() + value.size();
-    return n;
-}
+    /// Bytes of a record beside its body: map nodes, headers, the ticket's place among its epoch.
+    constexpr std::size_t recordOverhead = 300;
+
+    std::size_t sizeOf(const RecordedAnswer& answer)
+    {
+        std::size_t n = answer.body.size();
+        for (const auto& [name, value] : answer.headers)
+            n += name.size() + value.size();
+        return n;
+    }
 
-TicketTable::Begin refuse(Reason reason, bool isNotRun)
-{
-    TicketTable::Begin begin;
-    begin.reason = reason;
-    begin.isNotRun = isNotRun;
-    return begin;
-}
+    TicketTable::Begin refuse(Reason reason, bool isNotRun)
+    {
+        TicketTable::Begin begin;
+        begin.reason = reason;
+        begin.isNotRun = isNotRun;
+        return begin;
+    }
 
 } // namespace
 
@@ -45,7 +45,8 @@
     return { m_upstream, m_incarnation, epochAt(now), { random.bits(), random.bits() } };
 }
 
-TicketTable::Begin TicketTable::begin(const Ticket& ticket, Hash128 fingerprint, std::uint64_t id, Instant now)
+TicketTable::Begin TicketTable::begin(
+    const Ticket& ticket, Hash128 fingerprint, std::uint64_t id, Instant now)
 {
     const auto epoch = epochAt(now);
     if (epoch > m_options.keptEpochs)
--- a/src/Once/TicketTable.h
+++ b/src/Once/TicketTable.h
@@ -33,10 +33,11 @@
 
 /// \brief The owner's memory of tickets: each is run at most once, in this incarnation only.
 ///
-/// Nothing is stored for a ticket until it is used. Its epoch says when it was minted on the owner's own clock;
-/// a record is kept until `keptEpochs` epochs after that, and a ticket that is older is refused as unknown whether
-/// or not it was used. When the table is full, new tickets are refused as not run: a live record is never dropped.
-/// Cost: O(1); memory of a record is its body plus about 300 bytes, at most `maxBytes` in all.
+/// Nothing is stored for a ticket until it is used. Its epoch says when it was minted on the owner's own
+/// clock; a record is kept until `keptEpochs` epochs after that, and a ticket that is older is refused as
+/// unknown whether or not it was used. When the table is full, new tickets are refused as not run: a live
+/// record is never dropped. Cost: O(1); memory of a record is its body plus about 300 bytes, at most
+/// `maxBytes` in all.
 class TicketTable {
 public:
     struct Options {
@@ -58,14 +59,15 @@
 
     Ticket mint(Random& random, Instant now) const;
 
-    /// \brief A call with a ticket came. \param fingerprint of group, method, target and body: a ticket is good for
-    /// one request only. \param id of the call, for later joins.
+    /// \brief A call with a ticket came. \param fingerprint of group, method, target and body: a ticket is
+    /// good for one request only. \param id of the call, for later joins.
     virtual Begin begin(const Ticket& ticket, Hash128 fingerprint, std::uint64_t id, Instant now);
 
     /// \brief The call that was told to run has ended, after it was handed to the backend server.
     void ended(Hash128 nonce, RecordedAnswer answer);
 
-    /// \brief The call that was told to run was given up before it was handed over; the ticket is unused again.
+    /// \brief The call that was told to run was given up before it was handed over; the ticket is unused
+    /// again.
     void notRun(Hash128 nonce);
 
     std::size_t size() const { return m_entries.size(); }
--- a/src/Platform/AppendLog.h
+++ b/src/Platform/AppendLog.h
@@ -19,9 +19,9 @@
     Malformed, ///< the reply makes no sense
 };
 
-template <>
-struct EnumNames<PlatformErrorKind> {
-    static constexpr std::array<std::string_view, 4> names { "unreachable", "uncertain", "refused", "malformed" };
+template <> struct EnumNames<PlatformErrorKind> {
+    static constexpr std::array<std::string_view, 4> names { "unreachable", "uncertain", "refused",
+        "malformed" };
 };
 
 /// \brief The platform layer's own error.
@@ -54,7 +54,9 @@
     virtual void append(const std::string& stream, std::string record, Appended done) = 0;
 
     /// \brief Reads up to \a limit records from \a from on; with none there yet, waits up to \a wait for one.
-    virtual void read(const std::string& stream, std::uint64_t from, std::size_t limit, Duration wait, Read done) = 0;
+    virtual void read(
+        const std::string& stream, std::uint64_t from, std::size_t limit, Duration wait, Read done)
+        = 0;
 };
 
 } // namespace robinrun
--- a/src/Platform/HttpPlatform.cpp
+++ b/src/Platform/HttpPlatform.cpp
@@ -6,67 +6,67 @@
 namespace robinrun {
 namespace {
 
-constexpr std::size_t connections = 8;
-constexpr std::size_t frameHeader = 4;
-constexpr int ok = 200;
-constexpr int created = 201;
-
-PlatformError translate(HttpError error)
-{
-    const auto kind = error.kind == HttpErrorKind::NotConnected ? PlatformErrorKind::Unreachable
-                                                                : PlatformErrorKind::Uncertain;
-    return { kind, std::string(nameOf(error.kind)) };
-}
+    constexpr std::size_t connections = 8;
+    constexpr std::size_t frameHeader = 4;
+    constexpr int ok = 200;
+    constexpr int created = 201;
+
+    PlatformError translate(HttpError error)
+    {
+        const auto kind = error.kind == HttpErrorKind::NotConnected ? PlatformErrorKind::Unreachable
+                                                                    : PlatformErrorKind::Uncertain;
+        return { kind, std::string(nameOf(error.kind)) };
+    }
 
-PlatformError refused(const HttpReply& reply)
-{
-    return { PlatformErrorKind::Refused, "status " + std::to_string(reply.status) };
-}
+    PlatformError refused(const HttpReply& reply)
+    {
+        return { PlatformErrorKind::Refused, "status " + std::to_string(reply.status) };
+    }
 
-template <class T>
-std::optional<T> numberIn(const HttpHeaders& headers, std::string_view name)
-{
-    const auto text = findHeader(headers, name);
-    T n = 0;
-    if (!text || std::from_chars(text->data(), text->data() + text->size(), n).ec != std::errc())
-        return std::nullopt;
-    return n;
-}
+    template <class T> std::optional<T> numberIn(const HttpHeaders& headers, std::string_view name)
+    {
+        const auto text = findHeader(headers, name);
+        T n = 0;
+        if (!text || std::from_chars(text->data(), text->data() + text->size(), n).ec != std::errc())
+            return std::nullopt;
+        return n;
+    }
 
-Result<LogPage, PlatformError> parsePage(const HttpReply& reply)
-{
-    const auto logId = findHeader(reply.headers, "Log-Id");
-    const auto from = numberIn<std::uint64_t>(reply.headers, "From-Offset");
-    const auto first = numberIn<std::uint64_t>(reply.headers, "First-Offset");
-    const auto end = numberIn<std::uint64_t>(reply.headers, "End-Offset");
-    const auto keptSince = numberIn<std::int64_t>(reply.headers, "Kept-Since-Ms");
-    auto records = unframeRecords(reply.body);
-    if (!logId || !from || !first || !end || !keptSince || !records)
-        return failure(PlatformError { PlatformErrorKind::Malformed, "a page lacks a field or is cut short" });
-    return LogPage { std::string(*logId), *from, *first, *end, *keptSince, std::move(*records) };
-}
+    Result<LogPage, PlatformError> parsePage(const HttpReply& reply)
+    {
+        const auto logId = findHeader(reply.headers, "Log-Id");
+        const auto from = numberIn<std::uint64_t>(reply.headers, "From-Offset");
+        const auto first = numberIn<std::uint64_t>(reply.headers, "First-Offset");
+        const auto end = numberIn<std::uint64_t>(reply.headers, "End-Offset");
+        const auto keptSince = numberIn<std::int64_t>(reply.headers, "Kept-Since-Ms");
+        auto records = unframeRecords(reply.body);
+        if (!logId || !from || !first || !end || !keptSince || !records)
+            return failure(
+                PlatformError { PlatformErrorKind::Malformed, "a page lacks a field or is cut short" });
+        return LogPage { std::string(*logId), *from, *first, *end, *keptSince, std::move(*records) };
+    }
 
-HostPage parseHosts(const HttpReply& reply)
-{
-    HostPage page;
-    page.version = numberIn<std::uint64_t>(reply.headers, "Version").value_or(0);
-    page.isWhole = findHeader(reply.headers, "Whole") == "true";
-    std::istringstream lines(reply.body);
-    std::string line;
-    while (std::getline(lines, line)) {
-        std::istringstream fields(line);
-        HostEntry host;
-        std::string state;
-        if (!(fields >> host.name >> host.peerAddress >> host.dataHall >> host.region >> state))
-            continue;
-        host.isLeaving = state == "leaving";
-        if (state == "gone")
-            page.gone.push_back(host.name);
-        else
-            page.hosts.push_back(host);
+    HostPage parseHosts(const HttpReply& reply)
+    {
+        HostPage page;
+        page.version = numberIn<std::uint64_t>(reply.headers, "Version").value_or(0);
+        page.isWhole = findHeader(reply.headers, "Whole") == "true";
+        std::istringstream lines(reply.body);
+        std::string line;
+        while (std::getline(lines, line)) {
+            std::istringstream fields(line);
+            HostEntry host;
+            std::string state;
+            if (!(fields >> host.name >> host.peerAddress >> host.dataHall >> host.region >> state))
+                continue;
+            host.isLeaving = state == "leaving";
+            if (state == "gone")
+                page.gone.push_back(host.name);
+            else
+                page.hosts.push_back(host);
+        }
+        return page;
     }
-    return page;
-}
 
 } // namespace
 
--- a/src/Platform/HttpPlatform.h
+++ b/src/Platform/HttpPlatform.h
@@ -17,7 +17,8 @@
     HttpAppendLog(event_base* base, const std::string& address, Duration timeout);
 
     void append(const std::string& stream, std::string record, Appended done) override;
-    void read(const std::string& stream, std::uint64_t from, std::size_t limit, Duration wait, Read done) override;
+    void read(
+        const std::string& stream, std::uint64_t from, std::size_t limit, Duration wait, Read done) override;
 
 private:
     HttpPool m_pool;
@@ -36,7 +37,8 @@
     Duration m_timeout;
 };
 
-/// \brief Records of a page as the log's protocol frames them: 4 bytes of length, big-endian, then the record.
+/// \brief Records of a page as the log's protocol frames them: 4 bytes of length, big-endian, then the
+/// record.
 std::string frameRecords(const std::vector<std::string>& records);
 
 /// \returns the records; nothing if the frames don't add up.
--- a/src/Probing/ProbeBudget.h
+++ b/src/Probing/ProbeBudget.h
@@ -9,9 +9,9 @@
 
 /// \brief The hard limit on what measuring a backend server may cost it, kept in every state.
 ///
-/// Two bounds hold at once: probes a second (a bucket of one, empty at the start, so that a node restarted over
-/// and over can't exceed it) and the share of slot time that probes hold. Pressure only lowers the rate: no probe
-/// starts while calls wait. Over any span t at most 1 + rate x t probes start. Cost: O(1).
+/// Two bounds hold at once: probes a second (a bucket of one, empty at the start, so that a node restarted
+/// over and over can't exceed it) and the share of slot time that probes hold. Pressure only lowers the rate:
+/// no probe starts while calls wait. Over any span t at most 1 + rate x t probes start. Cost: O(1).
 class ProbeBudget {
 public:
     struct Options {
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -7,8 +7,8 @@
 namespace robinrun {
 namespace {
 
-/// A refused caller is asked to stay away at least this long: shorter repeats only add load.
-constexpr Duration minRetryAfter = 20ms;
+    /// A refused caller is asked to stay away at least this long: shorter repeats only add load.
+    constexpr Duration minRetryAfter = 20ms;
 
 } // namespace
 
@@ -22,7 +22,8 @@
 bool Admission::hasStood(const QueuedCall& call, Instant now)
 {
     const auto service = m_service.mean();
-    const SojournControl::Options options { m_options.sojournTarget * service, m_options.sojournInterval * service };
+    const SojournControl::Options options { m_options.sojournTarget * service,
+        m_options.sojournInterval * service };
     const bool isLast = m_queue.sizeOf(call.group) == 0;
     return m_sojourn[call.group].shouldRefuse(options, now - call.arrived, isLast, now);
 }
@@ -134,7 +135,8 @@
         if (now + call->expectedCost > call->deadline) {
             m_queue.settle(call->group, call->expectedCost, Duration::zero());
             m_waiting.erase(waiting);
-            refuse(*call, now >= call->deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline, out, now);
+            refuse(
+                *call, now >= call->deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline, out, now);
         } else if (hasStood(*call, now)) {
             m_queue.settle(call->group, call->expectedCost, Duration::zero());
             m_waiting.erase(waiting);
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -37,8 +37,8 @@
 
 /// \brief Decides at the owner which calls run on the backend server, which wait and which are refused.
 ///
-/// Only the owner admits work to its upstream, so slots in use are counted, never guessed. A refusal comes from
-/// the queue alone: a call in `run` has been handed over and is never refused afterwards.
+/// Only the owner admits work to its upstream, so slots in use are counted, never guessed. A refusal comes
+/// from the queue alone: a call in `run` has been handed over and is never refused afterwards.
 ///
 /// Cost: offer and finished O(log groups + refused); memory about 150 bytes a waiting call.
 class Admission {
@@ -50,7 +50,8 @@
         /// Bounds on waiting, in slot times as they are now: a few calls in turn are a burst, more stand.
         int sojournTarget = 3;
         int sojournInterval = 20;
-        int maxWait = 10; ///< a call that would wait longer is refused at once: that is worth more than a late answer
+        int maxWait
+            = 10; ///< a call that would wait longer is refused at once: that is worth more than a late answer
         Duration maxElsewhere = 100ms;
     };
 
@@ -70,7 +71,8 @@
     /// \brief A call that ran has ended (answered, failed or been cancelled at the backend server).
     Dispatch finished(std::uint64_t id, Instant now);
 
-    /// \brief Gives up a waiting call for its caller. \returns false when it isn't waiting (it may be running).
+    /// \brief Gives up a waiting call for its caller. \returns false when it isn't waiting (it may be
+    /// running).
     bool cancelWaiting(std::uint64_t id);
 
     /// \brief While leaving, nothing is taken in and all that waits is refused, to go elsewhere.
--- a/src/Queueing/FairQueue.cpp
+++ b/src/Queueing/FairQueue.cpp
@@ -126,7 +126,8 @@
     auto& flow = found->second;
     for (std::size_t priority = 0; priority < priorityCount; ++priority) {
         const auto& calls = flow.calls[priority];
-        const auto it = std::find_if(calls.begin(), calls.end(), [id](const auto& call) { return call.id == id; });
+        const auto it
+            = std::find_if(calls.begin(), calls.end(), [id](const auto& call) { return call.id == id; });
         if (it != calls.end())
             return take(group, flow, priority, static_cast<std::size_t>(it - calls.begin()));
     }
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -26,9 +26,9 @@
 /// \brief Weighted fair queue over calling groups, in slot time.
 ///
 /// Start-time fair queueing: each group has a virtual start tag that grows by cost / weight as its calls are
-/// taken; the backlogged group with the lowest tag is served next. An idle group is lifted to the virtual time
-/// when it returns, so it neither saves up credit nor pays for what others were lent. The cost is what a call
-/// is expected to hold and is corrected by settle() when it ends.
+/// taken; the backlogged group with the lowest tag is served next. An idle group is lifted to the virtual
+/// time when it returns, so it neither saves up credit nor pays for what others were lent. The cost is what a
+/// call is expected to hold and is corrected by settle() when it ends.
 ///
 /// Slot time that the group got on other upstreams is charged here too (distributed start-time fair queueing,
 /// Wang and Merchant, FAST 2007), so that shares hold over a whole service when calls are skewed to one of
@@ -50,7 +50,8 @@
     /// \brief Changes the limit; \a limit must be above 0.
     void setLimit(std::size_t limit);
 
-    /// \brief Charges a group for slot time that it got on other upstreams, whatever becomes of the call that told.
+    /// \brief Charges a group for slot time that it got on other upstreams, whatever becomes of the call that
+    /// told.
     void chargeElsewhere(std::uint32_t group, Duration elsewhere);
 
     /// \brief Adds a call. When the queue is full, the newest call of the group that waits most for its share
@@ -73,7 +74,8 @@
     bool isEmpty() const { return !m_size; }
     std::size_t sizeOf(std::uint32_t group) const;
 
-    /// \returns the expected slot time of the group's waiting calls that would run before a new one of \a priority.
+    /// \returns the expected slot time of the group's waiting calls that would run before a new one of \a
+    /// priority.
     Duration costAhead(std::uint32_t group, std::uint32_t priority) const;
 
     /// \returns the part of the slots, in (0, 1], that \a group gets while all that wait now go on waiting.
--- a/src/Queueing/Refusal.h
+++ b/src/Queueing/Refusal.h
@@ -35,8 +35,7 @@
     TooManyTickets,
 };
 
-template <>
-struct EnumNames<Reason> {
+template <> struct EnumNames<Reason> {
     static constexpr std::array<std::string_view, 22> names { "none", "queue-full", "over-share",
         "would-miss-deadline", "deadline-passed", "stood-too-long", "leaving", "cancelled", "wrong-owner",
         "wrong-incarnation", "duplicate", "backend-unreachable", "no-upstream", "attempts-spent",
--- a/src/Queueing/ServiceEstimate.cpp
+++ b/src/Queueing/ServiceEstimate.cpp
@@ -7,11 +7,12 @@
 namespace robinrun {
 namespace {
 
-constexpr double sampleWeight = 0.05;
+    constexpr double sampleWeight = 0.05;
 
-/// Running calls are, on average, half way through: their mean elapsed time is about half the slot time when
-/// all is steady, and more when calls vary in length. Beyond this multiple of the mean they mean slowness.
-constexpr double elapsedOfSteady = 1.0;
+    /// Running calls are, on average, half way through: their mean elapsed time is about half the slot time
+    /// when all is steady, and more when calls vary in length. Beyond this multiple of the mean they mean
+    /// slowness.
+    constexpr double elapsedOfSteady = 1.0;
 
 } // namespace
 
--- a/src/Queueing/SojournControl.h
+++ b/src/Queueing/SojournControl.h
@@ -7,8 +7,8 @@
 /// \brief Keeps one queue from standing: controlled delay (CoDel, RFC 8289), in time spent waiting.
 ///
 /// A queue that drains now and then is a burst and is left alone; one whose calls have all waited longer than
-/// `target` for a whole `interval` stands, and calls at its head are refused at a growing rate until it moves.
-/// Cost: O(1) a call.
+/// `target` for a whole `interval` stands, and calls at its head are refused at a growing rate until it
+/// moves. Cost: O(1) a call.
 class SojournControl {
 public:
     struct Options {
--- a/src/Routing/Choice.cpp
+++ b/src/Routing/Choice.cpp
@@ -6,52 +6,56 @@
 namespace robinrun {
 namespace {
 
-/// How many reports the hot/cold ranking samples, and the load quantile above which one is hot.
-constexpr std::size_t hotColdSample = 3;
-constexpr double hotQuantile = 0.75;
+    /// How many reports the hot/cold ranking samples, and the load quantile above which one is hot.
+    constexpr std::size_t hotColdSample = 3;
+    constexpr double hotQuantile = 0.75;
 
-double reportedLoad(const UpstreamView& view)
-{
-    if (!view.report())
-        return view.inFlight();
-    return view.report()->load.inUse + view.report()->load.waiting;
-}
+    /// Slot time to reckon with before any report: any will do that lets own calls in flight count.
+    constexpr double unknownServiceSeconds = 0.01;
 
-double reportedService(const UpstreamView& view)
-{
-    return view.report() ? toSeconds(view.report()->load.service) : 0;
-}
+    double reportedLoad(const UpstreamView& view)
+    {
+        if (!view.report())
+            return view.inFlight();
+        return view.report()->load.inUse + view.report()->load.waiting;
+    }
 
-/// \returns the candidate with the least score; ties go to one of them at random.
-template <class Score>
-std::size_t leastBy(std::span<const std::size_t> candidates, Random& random, Score score)
-{
-    double least = std::numeric_limits<double>::infinity();
-    std::size_t best = candidates.front();
-    std::size_t ties = 0;
-    for (const auto it : candidates) {
-        const double s = score(it);
-        if (s < least) {
-            least = s;
-            best = it;
-            ties = 1;
-        } else if (s == least && random.below(++ties) == 0) {
-            best = it;
+    double reportedService(const UpstreamView& view)
+    {
+        return view.report() ? toSeconds(view.report()->load.service) : 0;
+    }
+
+    /// \returns the candidate with the least score; ties go to one of them at random.
+    template <class Score>
+    std::size_t leastBy(std::span<const std::size_t> candidates, Random& random, Score score)
+    {
+        double least = std::numeric_limits<double>::infinity();
+        std::size_t best = candidates.front();
+        std::size_t ties = 0;
+        for (const auto it : candidates) {
+            const double s = score(it);
+            if (s < least) {
+                least = s;
+                best = it;
+                ties = 1;
+            } else if (s == least && random.below(++ties) == 0) {
+                best = it;
+            }
         }
+        return best;
     }
-    return best;
-}
 
-/// \brief Draws up to \a n different candidates into \a out.
-void sampleInto(std::vector<std::size_t>& out, std::span<const std::size_t> candidates, std::size_t n, Random& random)
-{
-    out.assign(candidates.begin(), candidates.end());
-    if (out.size() <= n)
-        return;
-    for (std::size_t i = 0; i < n; ++i)
-        std::swap(out[i], out[i + random.below(out.size() - i)]);
-    out.resize(n);
-}
+    /// \brief Draws up to \a n different candidates into \a out.
+    void sampleInto(
+        std::vector<std::size_t>& out, std::span<const std::size_t> candidates, std::size_t n, Random& random)
+    {
+        out.assign(candidates.begin(), candidates.end());
+        if (out.size() <= n)
+            return;
+        for (std::size_t i = 0; i < n; ++i)
+            std::swap(out[i], out[i + random.below(out.size() - i)]);
+        out.resize(n);
+    }
 
 } // namespace
 
@@ -99,6 +103,7 @@
 ExpectedDelayChoice::Means ExpectedDelayChoice::meansOf(const ChoiceInput& in)
 {
     Means means;
+    means.serviceSeconds = unknownServiceSeconds;
     m_services.clear();
     for (const auto it : in.candidates) {
         const auto& view = in.views[it];
@@ -135,7 +140,8 @@
     const double service = serviceOf(view, means, in.now);
     double others = means.othersPerSlot * slots;
     if (view.report())
-        others += (view.othersReported(in.group) - others) * freshness(in.now - view.report()->heard, options.newsMemory);
+        others += (view.othersReported(in.group) - others)
+            * freshness(in.now - view.report()->heard, options.newsMemory);
     const double usable = slots * view.warmth(options.warmUp, in.now);
     const bool hasQueue = view.report() && view.report()->queued > view.slots() / 2;
     const double own = hasQueue ? view.inFlightOf(in.group) : view.inFlight();
--- a/src/Routing/Choice.h
+++ b/src/Routing/Choice.h
@@ -23,8 +23,7 @@
     ExpectedDelay,
 };
 
-template <>
-struct EnumNames<ChoiceKind> {
+template <> struct EnumNames<ChoiceKind> {
     static constexpr std::array<std::string_view, 6> names { "random", "round-robin", "least-in-flight",
         "power-of-two", "hot-cold", "robinrun" };
 };
@@ -58,8 +57,8 @@
     std::size_t operator()(const ChoiceInput& in, Random& random);
 };
 
-/// \brief Probing with hot/cold ranking: of a few sampled reports those above a load quantile are hot; among the
-/// cold ones the least latency wins, and if all are hot the least load.
+/// \brief Probing with hot/cold ranking: of a few sampled reports those above a load quantile are hot; among
+/// the cold ones the least latency wins, and if all are hot the least load.
 struct HotColdChoice {
     std::size_t operator()(const ChoiceInput& in, Random& random);
 };
@@ -68,15 +67,16 @@
 ///
 /// Expected delay = round trip + wait for a slot + slot time. Others' calls are taken from the owner's last
 /// report and decay towards the mean over the candidates as the report ages, so old news of an idle or a busy
-/// upstream counts less and less. Own calls in flight weigh more than they are: they are the one exact figure, and
-/// spread each ingress's calls evenly, so that ingresses with the same news don't all follow it.
+/// upstream counts less and less. Own calls in flight weigh more than they are: they are the one exact
+/// figure, and spread each ingress's calls evenly, so that ingresses with the same news don't all follow it.
 /// Cost: O(candidates); about 15 ns each.
 /// \sa docs/DESIGN-choice.md
 struct ExpectedDelayChoice {
     struct Options {
         Duration newsMemory = 60ms; ///< time constant for others' calls
         Duration speedMemory = 2s; ///< time constant for the slot time
-        double alike = 1.5; ///< slot times within this factor of the median are taken as equal: they differ by chance
+        double alike
+            = 1.5; ///< slot times within this factor of the median are taken as equal: they differ by chance
         Duration warmUp = 5s; ///< length of the slow start
         std::size_t sample = 8; ///< candidates compared
         double loadSlope = 0.5; ///< part of a slot time that a full set of slots counts for below saturation
@@ -99,8 +99,8 @@
 };
 
 /// \brief A way to choose, with its state.
-using Choice = std::variant<RandomChoice, RoundRobinChoice, LeastInFlightChoice, PowerOfTwoChoice, HotColdChoice,
-    ExpectedDelayChoice>;
+using Choice = std::variant<RandomChoice, RoundRobinChoice, LeastInFlightChoice, PowerOfTwoChoice,
+    HotColdChoice, ExpectedDelayChoice>;
 
 /// \returns the choice of \a kind with its defaults.
 Choice makeChoice(ChoiceKind kind);
--- a/src/Routing/Ejection.cpp
+++ b/src/Routing/Ejection.cpp
@@ -5,12 +5,12 @@
 namespace robinrun {
 namespace {
 
-constexpr unsigned maxDoublings = 5;
+    constexpr unsigned maxDoublings = 5;
 
-bool contains(std::span<const std::size_t> set, std::size_t i)
-{
-    return std::find(set.begin(), set.end(), i) != set.end();
-}
+    bool contains(std::span<const std::size_t> set, std::size_t i)
+    {
+        return std::find(set.begin(), set.end(), i) != set.end();
+    }
 
 } // namespace
 
@@ -55,8 +55,8 @@
     return back;
 }
 
-void Ejection::candidates(std::span<const UpstreamView> views, std::span<const std::size_t> excluded, Instant now,
-    std::vector<std::size_t>& out) const
+void Ejection::candidates(std::span<const UpstreamView> views, std::span<const std::size_t> excluded,
+    Instant now, std::vector<std::size_t>& out) const
 {
     out.clear();
     std::size_t active = 0;
@@ -67,7 +67,8 @@
         if (!isEjected(i, now) && !contains(excluded, i) && views[i].isAvailable())
             out.push_back(i);
     }
-    const bool isPanic = static_cast<double>(out.size() + excluded.size()) < m_options.panicShare * double(active);
+    const bool isPanic
+        = static_cast<double>(out.size() + excluded.size()) < m_options.panicShare * double(active);
     if (!isPanic && !out.empty())
         return;
     out.clear();
--- a/src/Routing/Ejection.h
+++ b/src/Routing/Ejection.h
@@ -12,10 +12,10 @@
 
 /// \brief Keeps upstreams that fail out of the choice for a while: a fast error is not a fast server.
 ///
-/// At most `maxShare` of a service's upstreams are out at a time, and when fewer than `panicShare` would be left
-/// ejections are passed over (panic): if most look bad, the news is likely wrong or the load is what hurts.
-/// After its time an upstream comes back with a slow start; if it fails again it stays out twice as long.
-/// Cost: O(upstreams) a decision.
+/// At most `maxShare` of a service's upstreams are out at a time, and when fewer than `panicShare` would be
+/// left ejections are passed over (panic): if most look bad, the news is likely wrong or the load is what
+/// hurts. After its time an upstream comes back with a slow start; if it fails again it stays out twice as
+/// long. Cost: O(upstreams) a decision.
 class Ejection {
 public:
     struct Options {
--- a/src/Routing/LatencySketch.h
+++ b/src/Routing/LatencySketch.h
@@ -22,7 +22,8 @@
         ++m_samples;
     }
 
-    /// \returns the time after which an answer is later than nearly all; nothing before enough have been seen.
+    /// \returns the time after which an answer is later than nearly all; nothing before enough have been
+    /// seen.
     std::optional<Duration> late() const
     {
         if (m_samples < leastSamples)
--- a/src/Routing/RetryBudget.h
+++ b/src/Routing/RetryBudget.h
@@ -6,8 +6,8 @@
 
 /// \brief Bounds second attempts to a fraction of recent calls, so that overload isn't multiplied.
 ///
-/// Each first attempt earns `fraction` of a retry, up to `burst`; each retry spends one. Over any run of n first
-/// attempts at most burst + fraction x n retries pass, whatever the order. Cost: O(1).
+/// Each first attempt earns `fraction` of a retry, up to `burst`; each retry spends one. Over any run of n
+/// first attempts at most burst + fraction x n retries pass, whatever the order. Cost: O(1).
 class RetryBudget {
 public:
     RetryBudget(double fraction, double burst)
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -5,9 +5,9 @@
 namespace robinrun {
 namespace {
 
-/// How often errors are judged and pauses ended; decisions between use the last judgement.
-constexpr Duration judgementEvery = 20ms;
-constexpr int maxPauseDoublings = 4;
+    /// How often errors are judged and pauses ended; decisions between use the last judgement.
+    constexpr Duration judgementEvery = 20ms;
+    constexpr int maxPauseDoublings = 4;
 
 } // namespace
 
@@ -108,8 +108,8 @@
     return elsewhere;
 }
 
-void ServiceRouter::answered(const std::string& upstream, std::uint32_t group, const Report& report, Duration held,
-    bool isFailure, Instant now)
+void ServiceRouter::answered(const std::string& upstream, std::uint32_t group, const Report& report,
+    Duration held, bool isFailure, Instant now)
 {
     auto& use = m_use[group];
     use.total += held;
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -59,8 +59,8 @@
     /// \returns whether the group may send one more attempt; if so it is spent.
     bool trySpendRetry(std::uint32_t group) { return budgetOf(group).trySpend(); }
 
-    /// \brief An attempt goes out. \returns the slot time the group got on the other upstreams since its last call
-    /// to this one: the owner charges it to the group's share.
+    /// \brief An attempt goes out. \returns the slot time the group got on the other upstreams since its last
+    /// call to this one: the owner charges it to the group's share.
     Duration sent(const std::string& upstream, std::uint32_t group);
 
     /// \brief An answer came. \param held slot time of the call; zero if it was refused.
--- a/src/Routing/Subset.cpp
+++ b/src/Routing/Subset.cpp
@@ -9,26 +9,27 @@
 namespace robinrun {
 namespace {
 
-std::vector<std::size_t> orderByHash(const std::vector<std::string>& names)
-{
-    std::vector<std::uint64_t> hashes;
-    hashes.reserve(names.size());
-    for (const auto& it : names)
-        hashes.push_back(hash64(it));
-    std::vector<std::size_t> order(names.size());
-    std::iota(order.begin(), order.end(), 0);
-    std::sort(order.begin(), order.end(), [&](auto a, auto b) { return hashes[a] < hashes[b]; });
-    return order;
-}
-
-/// \returns the place of \a self on the ring, in [0, 1).
-double placeOf(const std::vector<std::string>& names, const std::string& self)
-{
-    const auto own = hash64(self);
-    const auto before = std::count_if(names.begin(), names.end(), [&](const auto& it) { return hash64(it) < own; });
-    const auto n = static_cast<double>(std::max<std::size_t>(names.size(), 1));
-    return std::min(static_cast<double>(before) / n, 1.0 - 1e-12);
-}
+    std::vector<std::size_t> orderByHash(const std::vector<std::string>& names)
+    {
+        std::vector<std::uint64_t> hashes;
+        hashes.reserve(names.size());
+        for (const auto& it : names)
+            hashes.push_back(hash64(it));
+        std::vector<std::size_t> order(names.size());
+        std::iota(order.begin(), order.end(), 0);
+        std::sort(order.begin(), order.end(), [&](auto a, auto b) { return hashes[a] < hashes[b]; });
+        return order;
+    }
+
+    /// \returns the place of \a self on the ring, in [0, 1).
+    double placeOf(const std::vector<std::string>& names, const std::string& self)
+    {
+        const auto own = hash64(self);
+        const auto before
+            = std::count_if(names.begin(), names.end(), [&](const auto& it) { return hash64(it) < own; });
+        const auto n = static_cast<double>(std::max<std::size_t>(names.size(), 1));
+        return std::min(static_cast<double>(before) / n, 1.0 - 1e-12);
+    }
 
 } // namespace
 
--- a/src/Routing/UpstreamView.cpp
+++ b/src/Routing/UpstreamView.cpp
@@ -6,9 +6,9 @@
 namespace robinrun {
 namespace {
 
-constexpr double errorSampleWeight = 0.1;
-constexpr Duration errorMemory = 3s;
-constexpr double leastWarmth = 0.1;
+    constexpr double errorSampleWeight = 0.1;
+    constexpr Duration errorMemory = 3s;
+    constexpr double leastWarmth = 0.1;
 
 } // namespace
 
@@ -18,6 +18,7 @@
     , m_roundTrip(roundTrip)
     , m_errors(errorSampleWeight)
 {
+    m_errors.add(0); // one failure among few calls is no share of 1
 }
 
 void UpstreamView::abandoned(std::uint32_t group)
--- a/src/Routing/UpstreamView.h
+++ b/src/Routing/UpstreamView.h
@@ -19,8 +19,7 @@
     Lost, ///< its node doesn't answer
 };
 
-template <>
-struct EnumNames<UpstreamState> {
+template <> struct EnumNames<UpstreamState> {
     static constexpr std::array<std::string_view, 3> names { "active", "leaving", "lost" };
 };
 
@@ -48,7 +47,8 @@
         ++m_groups[group].inFlight;
     }
 
-    /// \brief An answer came, with the owner's news; \a isFailure for answers that failed at the backend server.
+    /// \brief An answer came, with the owner's news; \a isFailure for answers that failed at the backend
+    /// server.
     void answered(std::uint32_t group, const Report& report, bool isFailure, Instant now);
 
     /// \brief No answer came in time, or the node is gone.
@@ -67,10 +67,7 @@
     void startTrial() { m_isOnTrial = true; }
 
     /// \returns whether it may get a new call now.
-    bool isAvailable() const
-    {
-        return m_state == UpstreamState::Active && !(m_isOnTrial && m_inFlight > 0);
-    }
+    bool isAvailable() const { return m_state == UpstreamState::Active && !(m_isOnTrial && m_inFlight > 0); }
 
     void setState(UpstreamState state, Instant now);
     void setSlots(std::uint32_t slots) { m_slots = slots; }
@@ -87,7 +84,8 @@
     UpstreamState state() const { return m_state; }
     const std::optional<Report>& report() const { return m_report; }
 
-    /// \returns calls of others that a new call of \a group would have to share with or wait for, as last reported.
+    /// \returns calls of others that a new call of \a group would have to share with or wait for, as last
+    /// reported.
     double othersReported(std::uint32_t group) const;
 
     /// \returns the larger of the own and the reported share of failures, old news counting less.
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -3,81 +3,81 @@
 namespace robinrun {
 namespace {
 
-constexpr std::size_t sha256HexLength = 64;
-constexpr std::uint64_t kibi = 1024;
-constexpr std::uint64_t mebi = 1024 * kibi;
+    constexpr std::size_t sha256HexLength = 64;
+    constexpr std::uint64_t kibi = 1024;
+    constexpr std::uint64_t mebi = 1024 * kibi;
 
-void readListen(YamlReader reader, NodeSettings& out)
-{
-    out.listen.callers = reader.address("callers");
-    out.listen.operators = reader.address("operators");
-    out.listen.peers = reader.address("peers");
-    reader.finish();
-}
+    void readListen(YamlReader reader, NodeSettings& out)
+    {
+        out.listen.callers = reader.address("callers");
+        out.listen.operators = reader.address("operators");
+        out.listen.peers = reader.address("peers");
+        reader.finish();
+    }
 
-void readPlatform(YamlReader reader, NodeSettings& out)
-{
-    out.platform.log = reader.address("log");
-    out.platform.hosts = reader.address("hosts");
-    out.platform.timeout = reader.duration("timeout", 100ms, 60s, 3s);
-    reader.finish();
-}
+    void readPlatform(YamlReader reader, NodeSettings& out)
+    {
+        out.platform.log = reader.address("log");
+        out.platform.hosts = reader.address("hosts");
+        out.platform.timeout = reader.duration("timeout", 100ms, 60s, 3s);
+        reader.finish();
+    }
 
-void readLog(YamlReader reader, NodeSettings& out)
-{
-    out.log.level = reader.choice("level", LogLevel::Info);
-    out.log.format = reader.choice("format", LogFormat::Json);
-    out.log.access = reader.flag("access", false);
-    reader.finish();
-}
+    void readLog(YamlReader reader, NodeSettings& out)
+    {
+        out.log.level = reader.choice("level", LogLevel::Info);
+        out.log.format = reader.choice("format", LogFormat::Json);
+        out.log.access = reader.flag("access", false);
+        reader.finish();
+    }
 
-void readLimits(YamlReader reader, NodeSettings& out)
-{
-    out.limits.body = reader.bytes("body", kibi, 64 * mebi, mebi);
-    out.limits.headers = reader.bytes("headers", kibi, mebi, 32 * kibi);
-    out.limits.calls = reader.count("calls", 1, 1000000, 20000);
-    out.limits.ticketMemory = reader.bytes("ticket_memory", 64 * kibi, 1024 * mebi, 16 * mebi);
-    reader.finish();
-}
+    void readLimits(YamlReader reader, NodeSettings& out)
+    {
+        out.limits.body = reader.bytes("body", kibi, 64 * mebi, mebi);
+        out.limits.headers = reader.bytes("headers", kibi, mebi, 32 * kibi);
+        out.limits.calls = reader.count("calls", 1, 1000000, 20000);
+        out.limits.ticketMemory = reader.bytes("ticket_memory", 64 * kibi, 1024 * mebi, 16 * mebi);
+        reader.finish();
+    }
 
-void readChoice(YamlReader reader, NodeSettings& out)
-{
-    out.choice.kind = reader.choice("policy", ChoiceKind::ExpectedDelay);
-    out.choice.subset = reader.count("subset", 1, 1000, 20);
-    out.choice.hallRoundTrip = reader.duration("hall_round_trip", 0us, 1s, 2ms);
-    out.choice.regionRoundTrip = reader.duration("region_round_trip", 0us, 1s, 60ms);
-    out.choice.attemptTimeout = reader.duration("attempt_timeout", 1ms, 60s, 300ms);
-    reader.finish();
-}
+    void readChoice(YamlReader reader, NodeSettings& out)
+    {
+        out.choice.kind = reader.choice("policy", ChoiceKind::ExpectedDelay);
+        out.choice.subset = reader.count("subset", 1, 1000, 20);
+        out.choice.hallRoundTrip = reader.duration("hall_round_trip", 0us, 1s, 2ms);
+        out.choice.regionRoundTrip = reader.duration("region_round_trip", 0us, 1s, 60ms);
+        out.choice.attemptTimeout = reader.duration("attempt_timeout", 1ms, 60s, 300ms);
+        reader.finish();
+    }
 
-void readClaims(YamlReader reader, NodeSettings& out)
-{
-    out.claims.partitions = reader.count("partitions", 1, 4096, 8);
-    out.claims.appendsPerSecond = reader.number("appends_per_second", 0.1, 1000, 20);
-    out.claims.gather = reader.duration("gather", 0us, 1s, 3ms);
-    out.claims.decideWithin = reader.duration("decide_within", 10ms, 60s, 2s);
-    out.claims.keyLifetime = reader.duration("key_lifetime", 1s, 24h, 10min);
-    out.claims.clockSkew = reader.duration("clock_skew", 0us, 60s, 2s);
-    reader.finish();
-}
+    void readClaims(YamlReader reader, NodeSettings& out)
+    {
+        out.claims.partitions = reader.count("partitions", 1, 4096, 8);
+        out.claims.appendsPerSecond = reader.number("appends_per_second", 0.1, 1000, 20);
+        out.claims.gather = reader.duration("gather", 0us, 1s, 3ms);
+        out.claims.decideWithin = reader.duration("decide_within", 10ms, 60s, 2s);
+        out.claims.keyLifetime = reader.duration("key_lifetime", 1s, 24h, 10min);
+        out.claims.clockSkew = reader.duration("clock_skew", 0us, 60s, 2s);
+        reader.finish();
+    }
 
-void readControl(YamlReader reader, NodeSettings& out)
-{
-    out.control.readers = reader.count("readers", 1, 10, 2);
-    out.control.fanOut = reader.count("fan_out", 2, 64, 8);
-    out.control.digestEvery = reader.duration("digest_every", 100ms, 60s, 2s);
-    out.control.writeWait = reader.duration("write_wait", 10ms, 60s, 3s);
-    reader.finish();
-}
+    void readControl(YamlReader reader, NodeSettings& out)
+    {
+        out.control.readers = reader.count("readers", 1, 10, 2);
+        out.control.fanOut = reader.count("fan_out", 2, 64, 8);
+        out.control.digestEvery = reader.duration("digest_every", 100ms, 60s, 2s);
+        out.control.writeWait = reader.duration("write_wait", 10ms, 60s, 3s);
+        reader.finish();
+    }
 
-void readTokens(YamlReader& reader, NodeSettings& out)
-{
-    out.operatorTokens = reader.textMap("operator_tokens");
-    for (const auto& [name, hash] : out.operatorTokens) {
-        if (hash.size() != sha256HexLength)
-            reader.fail("operator_tokens", "'" + name + "' must be a SHA-256 in 64 hex digits");
+    void readTokens(YamlReader& reader, NodeSettings& out)
+    {
+        out.operatorTokens = reader.textMap("operator_tokens");
+        for (const auto& [name, hash] : out.operatorTokens) {
+            if (hash.size() != sha256HexLength)
+                reader.fail("operator_tokens", "'" + name + "' must be a SHA-256 in 64 hex digits");
+        }
     }
-}
 
 } // namespace
 
