--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -20,7 +20,9 @@
     /// Of the deployment's bound on retries, what is planned with: calls that retries make are not seen here.
     constexpr double plannedPart = 0.5;
     /// A read that a store held and forgot is noticed after so long; changes have to be in force in 2 s.
-    constexpr Duration configurationWait = 5s;
+    constexpr Duration configurationWait = 12s;
+    /// Peers tell each other of themselves at once; the store is for those that they don't reach.
+    constexpr Duration gatherNodes = 400ms;
     constexpr std::size_t adminBody = 64U << 10U;
     constexpr std::size_t adminHeaders = 16U << 10U;
     constexpr Duration adminIdle = 60s;
@@ -169,6 +171,7 @@
         [](bool) {}, m_context.random);
     TopicFollower::Options nodes;
     nodes.topic = m_formats.nodesTopic;
+    nodes.gather = gatherNodes;
     m_nodesFeed = std::make_unique<TopicFollower>(
         base, *m_store, nodes, [this](const KeyedRecord& record) { takeStoredNode(record, monotonicNow()); },
         [](bool) {}, m_context.random);
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -7,7 +7,7 @@
 namespace robinrun {
 namespace {
 
-    /// A waiting read that fails within this time of its start was turned away, not held up.
+    /// Waits and pauses are drawn between this part of their length and all of it.
     constexpr double leastJitter = 0.5;
 
 } // namespace
@@ -43,7 +43,9 @@
 void TopicFollower::readOn()
 {
     ++m_calls;
-    m_store->follow(m_options.topic, m_next, m_options.wait,
+    // Nodes that started together don't read together: one of them hears early and tells the others.
+    const double part = leastJitter + (1 - leastJitter) * m_random->unit();
+    m_store->follow(m_options.topic, m_next, fromSeconds(toSeconds(m_options.wait) * part),
         [this, isAlive = m_isAlive](Result<KeyedPage, PlatformError> page) {
             if (*isAlive)
                 took(page);
@@ -59,7 +61,10 @@
     for (const auto& it : page.value().records)
         m_handler(it);
     setConnected(true, "");
-    readOn();
+    if (m_options.gather > Duration::zero())
+        readLater(m_options.gather);
+    else
+        readOn();
 }
 
 void TopicFollower::failed(const PlatformError& error)
@@ -72,7 +77,12 @@
     m_pause
         = m_pause > Duration::zero() ? std::min(2 * m_pause, m_options.longestPause) : m_options.firstPause;
     const double jitter = leastJitter + (1 - leastJitter) * m_random->unit();
-    m_again = Timer::once(m_base, fromSeconds(toSeconds(m_pause) * jitter), [this] {
+    readLater(fromSeconds(toSeconds(m_pause) * jitter));
+}
+
+void TopicFollower::readLater(Duration delay)
+{
+    m_again = Timer::once(m_base, delay, [this] {
         if (m_isCaughtUp)
             readOn();
         else
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -22,6 +22,7 @@
     struct Options {
         std::string topic;
         Duration wait = 25s; ///< longest a read waits; the store allows 30 s
+        Duration gather {}; ///< between an answer and the next read, so that news that come together cost one
         Duration firstPause = 100ms; ///< after a failure
         Duration longestPause = 1s; ///< so that a store which is back is noticed in time
     };
@@ -46,6 +47,7 @@
 private:
     void readNewest();
     void readOn();
+    void readLater(Duration delay);
     void took(const Result<KeyedPage, PlatformError>& page);
     void failed(const PlatformError& error);
     void setConnected(bool isConnected, const std::string& why);
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -78,6 +78,7 @@
     const auto slots = info->config.slots();
     const double usable = m_context->settings.admission.usableShare * slots;
     m_admission.setSlots(std::max(static_cast<std::uint32_t>(usable), 1U));
+    m_admission.setReserved(static_cast<std::uint32_t>(m_context->settings.admission.reservedSlots));
     m_admission.setQueueLimit(serviceInfo.config.queue_limit());
     for (const auto& it : m_context->directory.groups())
         m_admission.setWeight(it.number, it.weightIn(m_serviceId));
--- a/src/Queueing/WorkEstimate.h
+++ b/src/Queueing/WorkEstimate.h
@@ -11,9 +11,9 @@
 /// \brief How long calls of one class hold a slot, apart for those that started on a calm backend server and
 /// on one that told of a slow-down.
 ///
-/// Slow phases of shared hosts are often shorter than a call, so that a call which starts in one takes longer,
-/// but by far less than the factor told. The two means are measured rather than computed from the factor.
-/// Cost: O(1); 48 bytes.
+/// Slow phases of shared hosts are often shorter than a call, so that a call which starts in one takes
+/// longer, but by far less than the factor told. The two means are measured rather than computed from the
+/// factor. Cost: O(1); 48 bytes.
 class WorkEstimate {
 public:
     /// \param slowdown as it was known when the call was sent.
--- a/src/Routing/Choice.h
+++ b/src/Routing/Choice.h
@@ -106,7 +106,7 @@
 ///
 /// An answer in time is worth 1, a late one next to nothing; so what counts is the chance to be late, not the
 ////// delay itself: a near upstream that is in time goes before a faster one far away. The expected time is
-///round
+/// round
 /// trip + wait for a slot + slot time under the slow-down that the owner last told of; owners tell of each
 /// change. An upstream that is slow without telling is known by its mean slot time. Calls without a target go
 /// by the time alone.
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -91,6 +91,7 @@
     void readAdmission(YamlReader reader, NodeSettings& out)
     {
         out.admission.usableShare = reader.number("usable_share", 0.1, 1, 1);
+        out.admission.reservedSlots = reader.count("reserved_slots", 0, 1000, 0);
         reader.finish();
     }
 
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -86,6 +86,7 @@
 
     struct {
         double usableShare = 1; ///< of a backend server's slots: near full ones may slow all of them
+        std::uint64_t reservedSlots = 0; ///< for calls that backend servers make for calls they run
     } admission;
 
     struct {
