Nested calls are known by the running call whose id theirs extends; decision logs

Cause: callers and backend servers reach a node from the same address, so every call passed for a nested one: no priorities, no early refusals.

--- a/src/Core/Log.cpp
+++ b/src/Core/Log.cpp
@@ -1,30 +1,41 @@
 #include "Core/Log.h"
 
-#include <boost/core/null_deleter.hpp>
+#include "Core/Time.h"
+#include "Core/TokenBucket.h"
+#include "Core/internal/BoundedSink.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
 #include <iomanip>
-#include <iostream>
+#include <optional>
 #include <sstream>
+#include <unistd.h>
 
 namespace robinrun {
 namespace {
 
     namespace bl = boost::log;
 
+    using Sink = bl::sinks::synchronous_sink<internal::BoundedSink>;
+
     struct LogState {
-        LogLevel level = LogLevel::Warning;
-        LogFormat format = LogFormat::Text;
-        std::string source;
+        LogOptions options { LogLevel::Warning, LogFormat::Text, "", 0, false };
         bl::sources::logger logger;
+        boost::shared_ptr<Sink> sink;
+        std::optional<TokenBucket> budget;
+        std::uint64_t overBudget = 0;
+        std::uint64_t reported = 0;
     };
 
+    /// Errors may overdraw the bound by this many lines, so that they are dropped last.
+    constexpr double errorCredit = 100;
+
     LogState& state()
     {
         static LogState s;
@@ -46,10 +57,9 @@
         template <class T> void operator()(T v) const { out << v; }
     };
 
-    std::string timestamp()
+    std::string timestamp(std::chrono::system_clock::time_point now)
     {
         using namespace std::chrono;
-        const auto now = system_clock::now();
         const auto seconds = system_clock::to_time_t(now);
         const auto ms = duration_cast<milliseconds>(now.time_since_epoch()).count() % 1000;
         std::tm tm {};
@@ -59,11 +69,12 @@
         return out.str();
     }
 
-    std::string asJson(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+    std::string asJson(std::chrono::system_clock::time_point at, LogLevel level, std::string_view event,
+        std::span<const LogField> fields)
     {
         std::ostringstream out;
-        out << R"({"time":")" << timestamp() << R"(","level":")" << nameOf(level) << R"(","source":")"
-            << escapeJson(state().source) << R"(","event":")" << escapeJson(event) << '"';
+        out << R"({"time":")" << timestamp(at) << R"(","level":")" << nameOf(level) << R"(","source":")"
+            << escapeJson(state().options.source) << R"(","event":")" << escapeJson(event) << '"';
         for (const auto& it : fields) {
             out << ",\"" << it.key << "\":";
             std::visit(FieldWriter { out, true }, it.value);
@@ -72,10 +83,11 @@
         return out.str();
     }
 
-    std::string asText(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+    std::string asText(std::chrono::system_clock::time_point at, LogLevel level, std::string_view event,
+        std::span<const LogField> fields)
     {
         std::ostringstream out;
-        out << timestamp() << ' ' << nameOf(level) << ' ' << state().source << ' ' << event;
+        out << timestamp(at) << ' ' << nameOf(level) << ' ' << state().options.source << ' ' << event;
         for (const auto& it : fields) {
             out << ' ' << it.key << '=';
             std::visit(FieldWriter { out, false }, it.value);
@@ -83,37 +95,80 @@
         return out.str();
     }
 
+    bool isInBudget(LogLevel level)
+    {
+        auto& budget = state().budget;
+        if (!budget)
+            return true;
+        const auto now = monotonicNow();
+        if (budget->tryTake(1, now))
+            return true;
+        if (level < LogLevel::Error || budget->available(now) < -errorCredit)
+            return false;
+        budget->takeAnyway(1, now);
+        return true;
+    }
+
 } // namespace
 
-void startLog(LogLevel level, LogFormat format, std::string_view source)
+void startLog(const LogOptions& options)
 {
-    state().level = level;
-    state().format = format;
-    state().source = source;
-    using Sink = bl::sinks::synchronous_sink<bl::sinks::text_ostream_backend>;
-    auto backend = boost::make_shared<bl::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-    backend->auto_flush(true);
+    state().options = options;
+    state().budget.reset();
+    if (options.linesPerSecond > 0)
+        state().budget.emplace(
+            options.linesPerSecond, options.linesPerSecond, options.linesPerSecond, monotonicNow());
     bl::core::get()->remove_all_sinks();
-    bl::core::get()->add_sink(boost::make_shared<Sink>(backend));
+    state().sink = boost::make_shared<Sink>(
+        boost::make_shared<internal::BoundedSink>(STDOUT_FILENO, options.isBuffered));
+    bl::core::get()->add_sink(state().sink);
 }
 
 void setLogLevel(LogLevel level)
 {
-    state().level = level;
+    state().options.level = level;
 }
 
 bool logs(LogLevel level)
 {
-    return level >= state().level;
+    return level >= state().options.level;
 }
 
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    logAt(std::chrono::system_clock::now(), level, event, { fields.begin(), fields.size() });
+}
+
+void logAt(std::chrono::system_clock::time_point at, LogLevel level, std::string_view event,
+    std::span<const LogField> fields)
 {
     if (!logs(level))
         return;
-    const bool isJson = state().format == LogFormat::Json;
-    BOOST_LOG(state().logger) << (isJson ? asJson(level, event, fields) : asText(level, event, fields));
+    if (!isInBudget(level)) {
+        ++state().overBudget;
+        return;
+    }
+    const bool isJson = state().options.format == LogFormat::Json;
+    BOOST_LOG(state().logger) << (isJson ? asJson(at, level, event, fields)
+                                         : asText(at, level, event, fields));
+}
+
+void flushLog()
+{
+    const auto dropped = droppedLogLines();
+    if (dropped > state().reported) {
+        log(LogLevel::Error, "lines-dropped",
+            { { "lines", dropped - state().reported }, { "over_bound", state().overBudget } });
+        state().reported = dropped;
+    }
+    if (state().sink)
+        state().sink->locked_backend()->flush();
+}
+
+std::uint64_t droppedLogLines()
+{
+    const auto unread = state().sink ? state().sink->locked_backend()->dropped() : 0;
+    return state().overBudget + unread;
 }
 
 std::string escapeJson(std::string_view s)
--- a/src/Core/Log.h
+++ b/src/Core/Log.h
@@ -2,8 +2,10 @@
 
 #include "Core/EnumNames.h"
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -76,8 +78,25 @@
     }
 };
 
-/// \brief Sets up the sink (standard output) once, at the start of a program.
-void startLog(LogLevel level, LogFormat format, std::string_view source);
+/// \brief How a program logs.
+struct LogOptions {
+    LogLevel level = LogLevel::Info;
+    LogFormat format = LogFormat::Json;
+    std::string source; ///< named in each line
+    double linesPerSecond = 0; ///< lines beyond are dropped and counted, errors last; 0: no bound
+    bool isBuffered = false; ///< lines wait for flushLog() or a full buffer
+};
+
+/// \brief Sets up the sink (standard output) once, at the start of a program. Writing never waits for the
+/// reader.
+void startLog(const LogOptions& options);
+
+/// \brief Writes what was buffered, as far as the reader takes it, and says how many lines were dropped since
+/// the last time. To be called a few times a second.
+void flushLog();
+
+/// \returns lines dropped so far: over the bound, or not taken by the reader.
+std::uint64_t droppedLogLines();
 
 /// \brief Changes the least severity that is written.
 void setLogLevel(LogLevel level);
@@ -88,6 +107,10 @@
 /// \brief Writes one record: \a event in lower case with dashes, then its fields.
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// \brief The same for something that happened at \a at.
+void logAt(std::chrono::system_clock::time_point at, LogLevel level, std::string_view event,
+    std::span<const LogField> fields);
+
 /// \returns \a s as the inside of a JSON string.
 std::string escapeJson(std::string_view s);
 
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -437,6 +437,7 @@
         resources.push_back(std::move(it));
     }
     m_context.directory.rebuild(resources);
+    m_context.configVersion = m_config.version();
     const double nodes = std::max<double>(1, static_cast<double>(m_registry.nodes().size()));
     m_ingress->setRetryBurst(std::max(1.0, plannedPart * settings.retries.slack / nodes));
     m_owner->configure(now);
@@ -450,6 +451,7 @@
     const auto now = monotonicNow();
     m_owner->tick(now);
     m_peers->closeIdle(now);
+    flushLog();
     if (now >= m_nextContact)
         tellContacts(now);
     if (m_ingress->inProgress() || !m_owner->isIdle())
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -19,17 +19,14 @@
     /// A node that has just started usually has its configuration within so long.
     constexpr std::uint32_t notReadyRetryMs = 200;
     constexpr Duration connectRetry = 2ms;
+    /// Backend servers name a call that they make by the id of the call it is for, this, and an id of its
+    /// own.
+    constexpr char nestedMark = '.';
     /// A second attempt is in time if it gets this many usual slot times of what is left of the target.
     constexpr double secondAttemptWorks = 1.3;
     /// No answer is late before this many usual slot times.
     constexpr double leastPatienceWorks = 1.5;
 
-    /// \returns the part of `ip:port` before the colon.
-    std::string_view ipOf(std::string_view address)
-    {
-        return address.substr(0, address.find(':'));
-    }
-
 } // namespace
 
 Ingress::Ingress(
@@ -118,13 +115,19 @@
     const auto id = ++m_lastCall;
     auto& call = m_calls[id];
     call.request = std::move(request.value());
-    call.request.isNested = exchange->peer() == ipOf(m_context->settings.listen.callers);
+    call.request.isNested = isNested(call.request.id);
     call.exchange = std::move(exchange);
     call.state = m_context->charts.call.initial();
     call.arrived = now;
     call.deadline = now + call.request.allowed;
     call.attemptsLeft = call.request.attempts;
     call.ticket = call.request.ticket;
+    call.trail.add({ RequestEvent::RouteChosen, now, {}, 0, Reason::None,
+        { { "version", static_cast<std::int64_t>(m_context->configVersion) },
+            { "allowed_ms", call.request.allowed.count() / 1000 },
+            { "target_ms", call.request.callClass.targetLatency.count() / 1000 },
+            { "nested", call.request.isNested } },
+        call.request.callClass.name + " " + call.request.service });
     call.exchange->onHangUp([this, id] { hungUp(id); });
     call.deadlineTimer
         = Timer::once(m_context->base, call.request.allowed, [this, id] { deadlineReached(id); });
@@ -251,6 +254,12 @@
     }
 }
 
+bool Ingress::isNested(const std::string& id) const
+{
+    const auto end = id.rfind(nestedMark);
+    return end != std::string::npos && m_owner->isRunning(id.substr(0, end));
+}
+
 RouteNeeds Ingress::needsOf(const Call& call, Instant now) const
 {
     const auto& callClass = call.request.callClass;
@@ -277,6 +286,29 @@
     return call.request.callClass.isRepeatable && !call.ticket;
 }
 
+void Ingress::noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now)
+{
+    auto& router = *m_routers.at(call.request.service);
+    const auto* view = router.find(upstream);
+    RequestTrail::Entry entry { RequestEvent::UpstreamChosen, now, upstream, attempt };
+    entry.numbers
+        = { { "left_ms", (call.deadline - now).count() / 1000 }, { "attempts_left", call.attemptsLeft },
+              { "candidates", static_cast<std::int64_t>(router.views().size()) } };
+    if (view) {
+        entry.numbers.emplace_back("in_flight", view->inFlight());
+        entry.numbers.emplace_back("far", view->isFar());
+    }
+    if (view && view->report()) {
+        const auto& report = *view->report();
+        entry.numbers.emplace_back("news_age_ms", (now - report.heard).count() / 1000);
+        entry.numbers.emplace_back("told_in_use", report.load.inUse);
+        entry.numbers.emplace_back("told_queued", report.queued);
+        entry.numbers.emplace_back(
+            "told_slowdown_percent", static_cast<std::int64_t>(report.load.slowdown * 100));
+    }
+    call.trail.add(std::move(entry));
+}
+
 void Ingress::watchAttempt(CallId id, Call& call, std::uint64_t number)
 {
     const auto patience = patienceFor(call, *m_routers.at(call.request.service));
@@ -301,6 +333,7 @@
     call.out.push_back({ number, upstream, info->config.host(), address, message.call().owner_incarnation(),
         now, router.slowdownOf(upstream) });
     call.tried.push_back(upstream);
+    noteChoice(call, upstream, number, now);
     m_callByNumber[number] = id;
     step(call, CallEvent::Sent);
     if (isOwn) {
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -8,6 +8,7 @@
 #include "Node/NodeContext.h"
 #include "Node/Owner.h"
 #include "Node/PeerLinks.h"
+#include "Node/RequestTrail.h"
 #include "Node/Timer.h"
 #include "Routing/ServiceRouter.h"
 #include "peer.pb.h"
@@ -100,6 +101,7 @@
         std::unique_ptr<proto::Answer>
             failedAnswer; ///< an error of a backend server, kept while others are tried
         std::optional<Ticket> ticket;
+        RequestTrail trail;
         bool isMinting = false; ///< the attempt asks for a ticket only
         Timer deadlineTimer;
         Timer attemptTimer;
@@ -107,8 +109,11 @@
     };
     using CallId = std::uint64_t;
 
+    void noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now);
     void reject(HttpExchange& exchange, const CallRequestError& error);
     void reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply);
+    /// \returns whether the backend server beside this node makes the call \a id for one that it runs.
+    bool isNested(const std::string& id) const;
     void addTerms(const Call& call, proto::Call& out, Instant now) const;
     void watchAttempt(CallId id, Call& call, std::uint64_t number);
     void proceed(CallId id, Instant now);
@@ -136,6 +141,7 @@
     void finishTicket(CallId id, Call& call, Instant now);
     void finishNotRun(CallId id, Call& call, Reason reason, Instant now);
     void finishUnknown(CallId id, Call& call, Reason reason, Instant now);
+    void noteEnd(Call& call, CallOutcome outcome, Reason reason, int status, Instant now);
     std::uint32_t retryAfterFor(const Call& call, Instant now) const;
     void finish(CallId id, Call& call, HttpReply reply, CallOutcome outcome, Reason reason, Instant now,
         const proto::Answer* answer = nullptr);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -117,6 +117,10 @@
 {
     call.wasLost = true;
     call.lastReason = reason;
+    call.trail.setNotable();
+    call.trail.add({ RequestEvent::AttemptLost, now, {}, 0, reason,
+        { { "repeatable", isRepeatable(call) }, { "attempts_left", call.attemptsLeft },
+            { "others_out", static_cast<std::int64_t>(call.out.size()) } } });
     if (isRepeatable(call) && now < call.deadline && mayTryAgain(call)) {
         step(call, CallEvent::Refused);
         return proceed(id, now);
@@ -149,6 +153,10 @@
 void Ingress::refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
 {
     call.lastReason = reasonOf(answer);
+    call.trail.setNotable();
+    call.trail.add({ RequestEvent::OwnerRefused, now, attempt.upstream, attempt.number, call.lastReason,
+        { { "told_in_use", answer.load().in_use() }, { "told_queued", answer.load().queued() },
+            { "retry_after_ms", answer.retry_after_ms() }, { "backend_asked", answer.offered() } } });
     const bool isSooner = !call.retryAfterMs || answer.retry_after_ms() < call.retryAfterMs;
     if (isSooner || !call.request.isByRoute)
         call.retryAfterMs = answer.retry_after_ms();
@@ -227,6 +235,9 @@
         return;
     auto& router = *m_routers.at(call.request.service);
     router.attemptTimedOut(it->upstream, now);
+    call.trail.setNotable();
+    call.trail.add({ RequestEvent::AttemptLate, now, it->upstream, number, Reason::None,
+        { { "after_ms", (now - it->sent).count() / 1000 }, { "attempts_left", call.attemptsLeft } } });
     const bool mayHedge = isRepeatable(call) && !call.isMinting && call.attemptsLeft > 1;
     if (!mayHedge || now >= call.deadline)
         return;
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -97,6 +97,32 @@
     finish(id, call, replies::unknown(reason), CallOutcome::Unknown, reason, now);
 }
 
+void Ingress::noteEnd(Call& call, CallOutcome outcome, Reason reason, int status, Instant now)
+{
+    const auto event = [&] {
+        switch (outcome) {
+        case CallOutcome::Answered:
+            return RequestEvent::RequestAnswered;
+        case CallOutcome::Unknown:
+            return RequestEvent::RequestUnknown;
+        case CallOutcome::HungUp:
+            return RequestEvent::CallerGone;
+        default:
+            return RequestEvent::RequestRefused;
+        }
+    }();
+    const auto total = now - call.arrived;
+    const auto target = call.request.callClass.targetLatency;
+    const bool isLate = target > Duration::zero() && total > target;
+    if (outcome != CallOutcome::Answered || status >= httpStatus::firstServerError || isLate)
+        call.trail.setNotable();
+    call.trail.add({ event, now, {}, 0, reason,
+        { { "status", status }, { "total_ms", total.count() / 1000 }, { "late", isLate },
+            { "upstreams_tried", static_cast<std::int64_t>(call.tried.size()) },
+            { "left_ms", (call.deadline - now).count() / 1000 } } });
+    call.trail.write(call.request.id, "", m_context->settings.log.sampleOneIn, now);
+}
+
 void Ingress::finish(CallId id, Call& call, HttpReply reply, CallOutcome outcome, Reason reason, Instant now,
     const proto::Answer* answer)
 {
@@ -121,6 +147,7 @@
                 { "queued_us", std::int64_t { sample.queued.count() } },
                 { "held_us", std::int64_t { sample.held.count() } } });
     }
+    noteEnd(call, outcome, reason, reply.status, now);
     const auto exchange = std::move(call.exchange);
     m_calls.erase(id);
     if (outcome != CallOutcome::HungUp)
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -219,6 +219,7 @@
     m_owner->tick(now);
     m_api->tick(now);
     m_peers->closeIdle(now);
+    flushLog();
     if (m_ingress->inProgress() || !m_owner->isIdle())
         m_lastCallAnswered = now;
     if (m_state == NodeState::Draining && now - m_lastCallAnswered > lingering)
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -27,6 +27,7 @@
     std::function<Instant()> clock = monotonicNow;
     std::function<std::int64_t()> wallClock = wallClockMs;
     CallHeaders headers {};
+    std::uint64_t configVersion = 0; ///< of the directory, for the log
 };
 
 } // namespace robinrun
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -33,6 +33,7 @@
     constexpr double errorSampleWeight = 0.05;
     using namespace httpStatus;
     constexpr double permille = 1000;
+    constexpr double percent = 100;
 
     Hash128 fingerprintOf(const proto::Call& call)
     {
@@ -78,7 +79,6 @@
     const auto slots = info->config.slots();
     const double usable = m_context->settings.admission.usableShare * slots;
     m_admission.setSlots(std::max(static_cast<std::uint32_t>(usable), 1U));
-    m_admission.setReserved(static_cast<std::uint32_t>(m_context->settings.admission.reservedSlots));
     m_admission.setQueueLimit(serviceInfo.config.queue_limit());
     for (const auto& it : m_context->directory.groups())
         m_admission.setWeight(it.number, it.weightIn(m_serviceId));
@@ -323,6 +323,12 @@
     record.isRepeatable
         = record.isByRoute ? call.terms().repeatable() : callClass.isRepeatable && !isOnceTicket(call);
     const auto offer = offerOf(id, record, now);
+    const auto load = m_admission.load(now);
+    record.trail.add({ RequestEvent::Queued, now, upstream(), call.number(), Reason::None,
+        { { "in_use", load.inUse }, { "slots", load.slots }, { "queued", load.waiting },
+            { "priority", offer.priority }, { "left_ms", (record.deadline - now).count() / 1000 },
+            { "slowdown_percent", static_cast<std::int64_t>(load.slowdown * percent) },
+            { "news_age_ms", (now - m_loadHeard).count() / 1000 } } });
     m_calls.emplace(id, std::move(record));
     m_idByKey[{ sender.incarnation, call.number() }] = id;
     ++m_bySender[{ sender.incarnation, call.group() }];
@@ -388,7 +394,11 @@
     auto& record = m_calls.at(id);
     record.isRunning = true;
     record.started = now;
+    m_runningRequests.insert(record.call.request_id());
     record.pool = m_pool.get();
+    record.trail.add({ RequestEvent::SentToBackend, now, upstream(), record.call.number(), Reason::None,
+        { { "waited_ms", (now - record.arrived).count() / 1000 },
+            { "left_ms", (record.deadline - now).count() / 1000 } } });
     HttpPool::SendOptions options;
     options.timeout = record.deadline - now;
     options.longestRest = record.isRepeatable ? anyRest : longestRest;
@@ -508,6 +518,10 @@
     const auto numbers = std::move(record.numbers);
     const auto id = m_idByKey.find(key);
     const auto group = record.call.group();
+    noteEnd(record, answer, now);
+    if (const auto running = m_runningRequests.find(record.call.request_id());
+        record.isRunning && running != m_runningRequests.end())
+        m_runningRequests.erase(running);
     const auto bySender = m_bySender.find({ record.sender.incarnation, group });
     if (--bySender->second == 0)
         m_bySender.erase(bySender);
@@ -522,6 +536,30 @@
     }
 }
 
+void Owner::noteEnd(CallRecord& record, const proto::Answer& answer, Instant now)
+{
+    const auto reason = static_cast<Reason>(answer.reason());
+    const bool isGood = answer.outcome() == proto::ANSWERED
+        && answer.status() < static_cast<std::uint32_t>(firstServerError);
+    if (!isGood)
+        record.trail.setNotable();
+    const auto event = [&] {
+        if (answer.outcome() == proto::ANSWERED)
+            return RequestEvent::BackendAnswered;
+        if (reason == Reason::Cancelled)
+            return RequestEvent::CancelTaken;
+        return record.isRunning ? RequestEvent::BackendFailed : RequestEvent::OwnerGaveUp;
+    }();
+    const auto load = m_admission.load(now);
+    record.trail.add({ event, now, upstream(), record.call.number(), reason,
+        { { "status", answer.status() }, { "queued_ms", answer.queued_us() / 1000 },
+            { "held_ms", answer.held_us() / 1000 }, { "in_use", load.inUse }, { "queued", load.waiting },
+            { "retry_after_ms", answer.retry_after_ms() },
+            { "not_run", answer.outcome() == proto::NOT_RUN } } });
+    record.trail.write(
+        record.call.request_id(), record.sender.node, m_context->settings.log.sampleOneIn, now);
+}
+
 void Owner::fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now)
 {
     const auto load = m_admission.loadFor(m_context->directory.groupNumber(group), now);
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -4,6 +4,7 @@
 #include "Http/HttpPool.h"
 #include "Node/NodeContext.h"
 #include "Node/Prober.h"
+#include "Node/RequestTrail.h"
 #include "Node/Timer.h"
 #include "Once/TicketTable.h"
 #include "Queueing/Admission.h"
@@ -16,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace robinrun {
@@ -73,6 +75,9 @@
     void tick(Instant now);
 
     bool isIdle() const { return m_admission.isIdle(); }
+
+    /// \returns whether the backend server runs the request that its caller calls \a requestId.
+    bool isRunning(const std::string& requestId) const { return m_runningRequests.contains(requestId); }
     LifeState lifeState() const { return m_leaving.state(); }
     LoadReport load(Instant now) const { return m_admission.load(now); }
     const std::string& upstream() const { return m_context->settings.upstream; }
@@ -91,6 +96,7 @@
         bool isRunning = false;
         bool isRepeatable = true;
         bool isByRoute = false;
+        RequestTrail trail;
         HttpPool* pool = nullptr; ///< while running
         std::uint64_t request = 0; ///< its number there
     };
@@ -101,6 +107,7 @@
     void admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
     void act(const Dispatch& dispatch, Instant now);
     Offer offerOf(std::uint64_t id, const CallRecord& record, Instant now);
+    void noteEnd(CallRecord& record, const proto::Answer& answer, Instant now);
     void run(std::uint64_t id, Instant now);
     proto::Answer answerOf(HttpReply& reply, Instant now);
     static proto::Answer answerOf(HttpError error);
@@ -152,6 +159,7 @@
     std::unordered_map<std::string, Ingress> m_ingresses; ///< by node; told when this upstream leaves
     Ewma m_errors;
     Interner m_classNumbers;
+    std::unordered_multiset<std::string> m_runningRequests; ///< by their callers' ids
 };
 
 } // namespace robinrun
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -30,12 +30,11 @@
 
 Duration Admission::expectedWait(std::uint32_t group, std::uint32_t priority, Instant now) const
 {
-    const auto reserved = priority == 0 ? 0 : std::min(m_reserved, m_options.slots - 1);
-    if (inUse() + reserved < m_options.slots && m_queue.isEmpty())
+    if (inUse() < m_options.slots && m_queue.isEmpty())
         return Duration::zero();
     const double share = m_queue.shareOf(group);
     const double ahead = toSeconds(m_queue.costAhead(group, priority));
-    const double slots = std::max<double>(m_options.slots - reserved, 1);
+    const double slots = std::max<double>(m_options.slots, 1);
     // The next slot comes free after about one slot time over the number of slots.
     const double firstFree = toSeconds(m_service.overall(now)) / slots;
     return fromSeconds(firstFree + ahead / (slots * share));
@@ -148,7 +147,10 @@
 
 void Admission::fill(Dispatch& out, Instant now)
 {
-    while (const auto call = next()) {
+    while (inUse() < m_options.slots) {
+        const auto call = m_queue.pop();
+        if (!call)
+            return;
         const auto reason = reasonToDrop(*call, now);
         if (reason == Reason::None) {
             start(*call, out, now);
@@ -160,15 +162,6 @@
     }
 }
 
-std::optional<QueuedCall> Admission::next()
-{
-    if (inUse() >= m_options.slots)
-        return std::nullopt;
-    const auto free = m_options.slots - inUse();
-    const auto reserved = std::min(m_reserved, m_options.slots - 1);
-    return free > reserved ? m_queue.pop() : m_queue.pop(1);
-}
-
 void Admission::start(const QueuedCall& call, Dispatch& out, Instant now)
 {
     const auto waiting = m_waiting.find(call.id);
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -65,9 +65,6 @@
     /// \brief Changes the slots; fewer than in use means that none starts until enough have ended.
     void setSlots(std::uint32_t slots) { m_options.slots = slots; }
 
-    /// \brief Keeps \a n of the slots for calls of priority 0. At least one stays for all.
-    void setReserved(std::uint32_t n) { m_reserved = n; }
-
     /// \brief Work takes \a factor times as long as usual from now on.
     void setSlowdown(double factor) { m_service.setSlowdown(factor); }
 
@@ -111,7 +108,6 @@
     };
 
     void fill(Dispatch& out, Instant now);
-    std::optional<QueuedCall> next();
     void start(const QueuedCall& call, Dispatch& out, Instant now);
     void refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now) const;
     bool hasStood(const QueuedCall& call, Instant now);
@@ -129,7 +125,6 @@
     };
     std::unordered_map<std::uint64_t, Waiting> m_waiting;
     std::uint32_t m_heldSlots = 0;
-    std::uint32_t m_reserved = 0;
     bool m_isLeaving = false;
 };
 
--- a/src/Queueing/FairQueue.cpp
+++ b/src/Queueing/FairQueue.cpp
@@ -98,22 +98,19 @@
     return take(group, flow, priority, flow.calls[priority].size() - 1);
 }
 
-std::optional<QueuedCall> FairQueue::pop(std::size_t levels)
-{
-    for (const auto& [tag, group] : m_backlogged) {
-        auto& flow = m_flows.at(group);
-        std::size_t priority = 0;
-        while (priority < levels && flow.calls[priority].empty())
-            ++priority;
-        if (priority == levels)
-            continue;
-        m_virtualTime = std::max(m_virtualTime, tag);
-        const auto from = group; // the entry moves when it is charged
-        const auto call = take(from, flow, priority, 0);
-        charge(from, flow, toSeconds(call.expectedCost));
-        return call;
-    }
-    return std::nullopt;
+std::optional<QueuedCall> FairQueue::pop()
+{
+    if (m_backlogged.empty())
+        return std::nullopt;
+    const auto [tag, group] = *m_backlogged.begin();
+    m_virtualTime = std::max(m_virtualTime, tag);
+    auto& flow = m_flows.at(group);
+    std::size_t priority = 0;
+    while (flow.calls[priority].empty())
+        ++priority;
+    const auto call = take(group, flow, priority, 0);
+    charge(group, flow, toSeconds(call.expectedCost));
+    return call;
 }
 
 void FairQueue::settle(std::uint32_t group, Duration expected, Duration actual)
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -60,9 +60,7 @@
     std::optional<QueuedCall> push(const QueuedCall& call);
 
     /// \brief Takes the next call by fair share, and inside its group by priority, then age.
-    /// \param levels only calls of the first so many priorities are taken, of the group that is next with
-    /// one.
-    std::optional<QueuedCall> pop(std::size_t levels = priorityCount);
+    ///    std::optional<QueuedCall> pop();
 
     /// \brief Corrects the charge of a taken call once it is known what it held.
     void settle(std::uint32_t group, Duration expected, Duration actual);
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -26,6 +26,12 @@
     return it == m_index.end() ? nullptr : &m_views[it->second];
 }
 
+const UpstreamView* ServiceRouter::find(const std::string& upstream) const
+{
+    const auto it = m_index.find(upstream);
+    return it == m_index.end() ? nullptr : &m_views[it->second];
+}
+
 RetryBudget& ServiceRouter::budgetOf(std::uint32_t group)
 {
     return m_budgets.try_emplace(group, m_options.retryFraction, m_options.retryBurst).first->second;
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -122,6 +122,7 @@
     void measuredRoundTrip(const std::string& upstream, Duration roundTrip);
 
     std::span<const UpstreamView> views() const { return m_views; }
+    const UpstreamView* find(const std::string& upstream) const;
     const Ejection& ejection() const { return m_ejection; }
 
 private:
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -66,6 +66,8 @@
         out.log.level = reader.choice("level", LogLevel::Info);
         out.log.format = reader.choice("format", LogFormat::Json);
         out.log.access = reader.flag("access", false);
+        out.log.linesPerSecond = reader.number("lines_per_second", 1, 1e6, 2000);
+        out.log.sampleOneIn = reader.count("sample_one_in", 1, 1000000, 16);
         reader.finish();
     }
 
@@ -91,7 +93,6 @@
     void readAdmission(YamlReader reader, NodeSettings& out)
     {
         out.admission.usableShare = reader.number("usable_share", 0.1, 1, 1);
-        out.admission.reservedSlots = reader.count("reserved_slots", 0, 1000, 0);
         reader.finish();
     }
 
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -67,6 +67,8 @@
         LogLevel level {};
         LogFormat format {};
         bool access = false;
+        double linesPerSecond = 0; ///< bound on lines; errors are dropped last
+        std::uint64_t sampleOneIn = 1; ///< of calls that went well, so many are logged once; by their id
     } log;
 
     struct {
@@ -86,7 +88,6 @@
 
     struct {
         double usableShare = 1; ///< of a backend server's slots: near full ones may slow all of them
-        std::uint64_t reservedSlots = 0; ///< for calls that backend servers make for calls they run
     } admission;
 
     struct {
--- a/test/TestMain.cpp
+++ b/test/TestMain.cpp
@@ -8,8 +8,8 @@
 int main(int argc, char** argv)
 {
     // Tests bring about what would be logged: nothing is.
-    robinrun::startLog(static_cast<robinrun::LogLevel>(robinrun::countOf<robinrun::LogLevel>()),
-        robinrun::LogFormat::Text, "tests");
+    robinrun::startLog({ static_cast<robinrun::LogLevel>(robinrun::countOf<robinrun::LogLevel>()),
+        robinrun::LogFormat::Text, "tests" });
     // Properties draw the same cases every run; a seed in the environment explores others.
     setenv("RC_PARAMS", "seed=20261202 max_success=100", 0);
     return Catch::Session().run(argc, argv);
--- a/tools/CommandLine.h
+++ b/tools/CommandLine.h
@@ -82,6 +82,12 @@
         duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
 }
 
+/// \returns how a node logs: buffered, since its loop flushes.
+inline LogOptions logOptions(const NodeSettings& settings)
+{
+    return { settings.log.level, settings.log.format, settings.name, settings.log.linesPerSecond, true };
+}
+
 /// \brief Handlers of signals on a loop, while it lives.
 class Signals {
 public:
--- a/tools/robinrun-mesh.cpp
+++ b/tools/robinrun-mesh.cpp
@@ -35,7 +35,7 @@
 
 int run(const std::string& file, NodeSettings settings, Charts charts)
 {
-    startLog(settings.log.level, settings.log.format, settings.name);
+    startLog(tools::logOptions(settings));
     const auto base = makeLoop();
     const auto incarnation = tools::makeIncarnation();
     auto store
@@ -52,6 +52,7 @@
     log(LogLevel::Info, "started", { { "incarnation", incarnation } });
     event_base_dispatch(base.get());
     log(LogLevel::Info, "stopped");
+    flushLog();
     return EXIT_SUCCESS;
 }
 
--- a/tools/robinrun-node.cpp
+++ b/tools/robinrun-node.cpp
@@ -17,7 +17,7 @@
 
 int run(const std::string& file, NodeSettings settings, Charts charts)
 {
-    startLog(settings.log.level, settings.log.format, settings.name);
+    startLog(tools::logOptions(settings));
     const auto base = makeLoop();
     const auto incarnation = tools::makeIncarnation();
     auto node = Node::start(base.get(), std::move(settings), std::move(charts), incarnation);
@@ -31,6 +31,7 @@
     log(LogLevel::Info, "started", { { "incarnation", incarnation } });
     event_base_dispatch(base.get());
     log(LogLevel::Info, "stopped");
+    flushLog();
     return EXIT_SUCCESS;
 }
 
