--- a/src/Core/internal/BoundedSink.h
+++ b/src/Core/internal/BoundedSink.h
@@ -8,8 +8,8 @@
 
 /// \brief Writes log lines to a descriptor and never waits for who reads them.
 ///
-/// Lines gather in a buffer that is written when it is large enough or when flush() is called. When the reader
-/// has stopped, lines that don't fit in the buffer any more are dropped and counted.
+/// Lines gather in a buffer that is written when it is large enough or when flush() is called. When the
+/// reader has stopped, lines that don't fit in the buffer any more are dropped and counted.
 class BoundedSink : public boost::log::sinks::basic_formatted_sink_backend<char> {
 public:
     /// \param isBuffered false: each line is written at once, as a tool does that has no loop.
--- a/src/Node/RequestTrail.h
+++ b/src/Node/RequestTrail.h
@@ -44,8 +44,8 @@
 /// \brief What a node decided about one request, kept until the request ends here.
 ///
 /// Only then is it known whether it is worth a place in the log: requests that failed, were refused, tried
-/// again or late are written whole; of the others a sample by the hash of their id, so that all nodes keep the
-/// same ones. Cost: about 150 bytes an entry; nothing is formatted before write().
+/// again or late are written whole; of the others a sample by the hash of their id, so that all nodes keep
+/// the same ones. Cost: about 150 bytes an entry; nothing is formatted before write().
 class RequestTrail {
 public:
     using Number = std::pair<std::string_view, std::int64_t>;
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -60,7 +60,7 @@
     std::optional<QueuedCall> push(const QueuedCall& call);
 
     /// \brief Takes the next call by fair share, and inside its group by priority, then age.
-    ///    std::optional<QueuedCall> pop();
+    std::optional<QueuedCall> pop();
 
     /// \brief Corrects the charge of a taken call once it is known what it held.
     void settle(std::uint32_t group, Duration expected, Duration actual);
