--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -433,8 +433,7 @@
     if (verdict != BackendVerdict::Answered) {
         const bool isNotRun = verdict != BackendVerdict::Foreign;
         answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
-        answer.set_reason(
-            static_cast<std::uint32_t>(isNotRun ? Reason::BackendRefused : Reason::BackendFailed));
+        answer.set_reason(static_cast<std::uint32_t>(isNotRun ? Reason::BackendRefused : Reason::Damaged));
         return answer;
     }
     answer.set_outcome(proto::ANSWERED);
--- /dev/null
+++ b/test/PlatformTest.cpp
@@ -0,0 +1,125 @@
+#include "Core/Loop.h"
+#include "platform/AnnouncementReader.h"
+#include "platform/ConfigurationReader.h"
+#include "platform/StoreClient.h"
+#include "support/FakeStore.h"
+#include "support/MeshFixture.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace robinrun;
+using support::FakeStore;
+using support::MeshFixture;
+
+namespace {
+
+std::string errorOf(const std::string& text)
+{
+    const auto read = platform::readConfiguration(text);
+    return read ? "" : read.error();
+}
+
+HttpRequest put(const std::string& body)
+{
+    return { "PUT", "/instances/i-1", {}, body };
+}
+
+} // namespace
+
+TEST_CASE("A configuration is read whole", "[platform]")
+{
+    const auto read = platform::readConfiguration(MeshFixture::configuration(12));
+    REQUIRE(read);
+    const auto& it = read.value();
+    REQUIRE(it.version == 12);
+    REQUIRE(it.resources.size() == 4);
+    const auto& route = it.resources[1].route();
+    REQUIRE(route.once() == proto::SINGLE_DISPATCH);
+    REQUIRE(route.split(0).service() == "shop");
+    REQUIRE(route.target_latency_ms() == 500);
+    REQUIRE(it.limits.maxHeaders == 16384);
+    REQUIRE(it.limits.idleTimeout == 15s);
+}
+
+TEST_CASE("A bad configuration names the field and where it stands", "[platform]")
+{
+    REQUIRE(errorOf("no JSON") == "configuration: is no JSON");
+    REQUIRE(errorOf("[]") == "configuration: must be an object");
+    REQUIRE(errorOf(R"({"version":"12","resources":[]})") == "configuration.version: '12' is no version");
+    REQUIRE(errorOf(R"({"version":"r12"})") == "configuration.resources: is missing");
+    const std::string head = R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"a"},"spec":)";
+    REQUIRE(errorOf(head + R"({"host":5}}]})").find("resources[0].spec.host: must be a text") != std::string::npos);
+    REQUIRE(errorOf(head + R"({"host":"h","path_prefix":"/","kind":"odd"}}]})").find("'odd' is not known")
+        != std::string::npos);
+}
+
+TEST_CASE("No text at all breaks the readers", "[platform]")
+{
+    rc::prop("any bytes", [](const std::string& text) {
+        (void)platform::readConfiguration(text);
+        (void)platform::readAnnouncement(put(text));
+    });
+}
+
+TEST_CASE("Announcements are read, bad ones name the field", "[platform]")
+{
+    const auto read = platform::readAnnouncement(put(
+        R"({"address":"1.2.3.4:5","info":{"service":"s","slots":6},"status":{"state":"draining","seq":4}})"));
+    REQUIRE(read.value().upstream == "i-1");
+    REQUIRE(read.value().state == AnnouncedState::Draining);
+    REQUIRE(read.value().slots == 6);
+    REQUIRE(read.value().sequence == 4);
+    REQUIRE(platform::readAnnouncement({ "DELETE", "/instances/i-1", {}, "" }).value().state == AnnouncedState::Gone);
+    REQUIRE(platform::readAnnouncement({ "PUT", "/instances/", {}, "" }).error() == "target: must be /instances/ID");
+    REQUIRE(platform::readAnnouncement({ "POST", "/instances/i", {}, "" }).error() == "method: POST is not taken");
+    REQUIRE(platform::readAnnouncement(put(R"({"address":"a","info":{"service":"s"},"status":{}})")).error()
+        == "body.info.slots: is missing");
+}
+
+TEST_CASE("What is written to the store is read back, by key and in order", "[platform]")
+{
+    const auto base = makeLoop();
+    FakeStore store(base.get());
+    platform::StoreClient client(base.get(), store.address, 1s);
+    const std::string value("\0\x01 binary \xff", 11);
+    int done = 0;
+    client.write("keyed.t", "k", value, [&](auto result) { done += result.has_value(); });
+    REQUIRE(support::runUntil(base.get(), [&] { return done == 1; }));
+    std::optional<KeyedPage> newest;
+    client.newest("keyed.t", [&](auto page) { newest = page.value(); });
+    REQUIRE(support::runUntil(base.get(), [&] { return newest.has_value(); }));
+    REQUIRE(newest->records.at(0).value == value);
+    REQUIRE(newest->next == 1);
+    std::optional<KeyedPage> followed;
+    client.follow("keyed.t", 1, 5s, [&](auto page) { followed = page.value(); });
+    const auto later = Timer::once(base.get(), 20ms, [&] { store.put("keyed.t", "k", "second"); });
+    REQUIRE(support::runUntil(base.get(), [&] { return followed.has_value(); }));
+    REQUIRE(followed->records.at(0).value == "second");
+    REQUIRE(followed->next == 2);
+}
+
+TEST_CASE("A call of the store is done, not done or unknown, and says which", "[platform]")
+{
+    const auto base = makeLoop();
+    FakeStore store(base.get());
+    platform::StoreClient client(base.get(), store.address, 100ms);
+    const auto write = [&] {
+        std::optional<Result<void, PlatformError>> out;
+        client.write("keyed.t", "k", "v", [&](auto result) { out.emplace(result); });
+        REQUIRE(support::runUntil(base.get(), [&] { return out.has_value(); }));
+        return out->error().kind;
+    };
+    store.mode = FakeStore::Mode::Refusing;
+    REQUIRE(write() == PlatformErrorKind::Refused);
+    store.mode = FakeStore::Mode::Silent;
+    REQUIRE(write() == PlatformErrorKind::Uncertain);
+    store.mode = FakeStore::Mode::Losing;
+    REQUIRE(write() == PlatformErrorKind::Uncertain);
+    REQUIRE(store.newest("keyed.t", "k") == "v");
+    platform::StoreClient nowhere(base.get(), support::freeAddress(), 100ms);
+    std::optional<PlatformErrorKind> kind;
+    nowhere.newest("keyed.t", [&](auto page) { kind = page.error().kind; });
+    REQUIRE(support::runUntil(base.get(), [&] { return kind.has_value(); }));
+    REQUIRE(*kind == PlatformErrorKind::Unreachable);
+}
--- /dev/null
+++ b/test/support/FakeStore.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "Http/HttpServer.h"
+#include "Loopback.h"
+#include "Node/Timer.h"
+#include "Platform/HttpPlatform.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <openssl/evp.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace robinrun::support {
+
+/// \brief A small store of keyed topics in the words of the users' platform, with its outages.
+class FakeStore {
+public:
+    enum class Mode {
+        Up,
+        Refusing, ///< 503: nothing was done
+        Silent, ///< no answer; nothing was done
+        Losing, ///< writes are done, answers get lost
+    };
+
+    explicit FakeStore(event_base* base)
+        : m_base(base)
+    {
+        HttpServer::Options options;
+        options.address = address;
+        m_server = std::move(
+            HttpServer::listen(base, options, [this](auto exchange) { take(std::move(exchange)); }).value());
+    }
+
+    /// \brief Writes a record as the operator would.
+    void put(const std::string& topic, const std::string& key, const std::string& value)
+    {
+        auto& log = m_topics[topic];
+        log.records.push_back({ key, value });
+        wake(topic);
+    }
+
+    /// \brief Forgets all records but the newest of each key.
+    void compact(const std::string& topic) { m_topics[topic].first = m_topics[topic].records.size(); }
+
+    std::string newest(const std::string& topic, const std::string& key) const
+    {
+        const auto it = m_topics.find(topic);
+        if (it == m_topics.end())
+            return "";
+        for (auto record = it->second.records.rbegin(); record != it->second.records.rend(); ++record) {
+            if (record->key == key)
+                return record->value;
+        }
+        return "";
+    }
+
+    std::string address = freeAddress();
+    Mode mode = Mode::Up;
+    int calls = 0;
+    int writes = 0;
+
+private:
+    struct Record {
+        std::string key;
+        std::string value;
+    };
+    struct Log {
+        std::vector<Record> records;
+        std::size_t first = 0;
+    };
+    struct Waiting {
+        std::string topic;
+        std::size_t from;
+        std::unique_ptr<HttpExchange> exchange;
+    };
+
+    static std::string parameter(const std::string& target, const std::string& name)
+    {
+        const auto at = target.find(name + "=");
+        if (at == std::string::npos)
+            return "";
+        const auto begin = at + name.size() + 1;
+        return target.substr(begin, target.find('&', begin) - begin);
+    }
+
+    static std::string base64(const std::string& value)
+    {
+        std::string out(4 * ((value.size() + 2) / 3), '\0');
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+            reinterpret_cast<const unsigned char*>(value.data()), static_cast<int>(value.size()));
+        return out;
+    }
+
+    void take(std::unique_ptr<HttpExchange> exchange)
+    {
+        ++calls;
+        if (mode == Mode::Refusing)
+            return exchange->reply({ 503, {}, {} });
+        const auto target = exchange->request().target;
+        const auto topic = parameter(target, "topic");
+        if (mode == Mode::Silent) {
+            m_held.push_back(std::move(exchange));
+            return;
+        }
+        if (target.starts_with("/log-append"))
+            return append(topic, std::move(exchange));
+        if (target.starts_with("/log-newest"))
+            return exchange->reply({ 200, {}, newestText(topic) });
+        const auto from = std::stoull(parameter(target, "from"));
+        m_waiting.push_back({ topic, from, std::move(exchange) });
+        m_waiting.back().exchange->onHangUp([this] { dropEnded(); });
+        wake(topic);
+    }
+
+    void append(const std::string& topic, std::unique_ptr<HttpExchange> exchange)
+    {
+        ++writes;
+        const auto records = *unframeRecords(exchange->request().body);
+        for (const auto& it : records) {
+            const auto n = static_cast<unsigned char>(it[0]);
+            put(topic, it.substr(1, n), it.substr(1U + n));
+        }
+        if (mode == Mode::Losing)
+            m_held.push_back(std::move(exchange));
+        else
+            exchange->reply({ 200, {}, "{}" });
+    }
+
+    std::string newestText(const std::string& topic)
+    {
+        std::map<std::string, std::string> values;
+        for (const auto& it : m_topics[topic].records)
+            values[it.key] = it.value;
+        std::string items;
+        for (const auto& [key, value] : values) {
+            if (!value.empty())
+                items += (items.empty() ? "" : ",") + std::string("{\"key\":\"") + key + "\",\"value\":\""
+                    + base64(value) + "\",\"offset\":0}";
+        }
+        return "{\"items\":[" + items + "],\"more_pages\":false,\"end\":"
+            + std::to_string(m_topics[topic].records.size()) + "}";
+    }
+
+    void wake(const std::string& topic)
+    {
+        const auto& log = m_topics[topic];
+        for (auto& it : m_waiting) {
+            if (!it.exchange || it.topic != topic)
+                continue;
+            if (it.from < log.first) {
+                std::exchange(it.exchange, nullptr)->reply({ 410, {}, "{}" });
+            } else if (it.from < log.records.size()) {
+                std::vector<std::string> raw;
+                for (auto i = it.from; i < log.records.size(); ++i) {
+                    const auto& record = log.records[i];
+                    raw.push_back(static_cast<char>(record.key.size()) + record.key + record.value);
+                }
+                std::exchange(it.exchange, nullptr)
+                    ->reply({ 200, {}, std::string(16, '\0') + frameRecords(raw) });
+            }
+        }
+        std::erase_if(m_waiting, [](const auto& it) { return !it.exchange; });
+    }
+
+    void dropEnded() { m_ended = true; }
+
+    event_base* m_base;
+    std::unique_ptr<HttpServer> m_server;
+    std::map<std::string, Log> m_topics;
+    std::deque<Waiting> m_waiting;
+    std::vector<std::unique_ptr<HttpExchange>> m_held;
+    bool m_ended = false;
+};
+
+} // namespace robinrun::support
--- /dev/null
+++ b/test/support/MeshFixture.h
@@ -0,0 +1,263 @@
+#pragma once
+
+#include "FakeStore.h"
+#include "Http/HttpPool.h"
+#include "Mesh/MeshNode.h"
+#include "platform/AnnouncementReader.h"
+#include "platform/ConfigurationReader.h"
+#include "platform/Names.h"
+#include "platform/StoreClient.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace robinrun::support {
+
+/// \brief A backend server of the tests in the words of the users' platform.
+class FakeBackend {
+public:
+    FakeBackend(event_base* base, std::string upstreamId)
+        : id(std::move(upstreamId))
+        , m_base(base)
+    {
+        start();
+    }
+
+    void start()
+    {
+        HttpServer::Options options;
+        options.address = address;
+        m_server = std::move(
+            HttpServer::listen(m_base, options, [this](auto exchange) { take(std::move(exchange)); }).value());
+    }
+    void stop() { m_server.reset(); }
+
+    /// \brief Answers a request that was held.
+    void answer(std::size_t i)
+    {
+        const auto exchange = std::move(held.at(i));
+        exchange->reply(signedReply(exchange->request()));
+    }
+
+    HttpReply signedReply(const HttpRequest& request) const
+    {
+        const auto requestId = std::string(findHeader(request.headers, "X-Robinrun-Request-Id").value_or(""));
+        return { status,
+            { { "X-Robinrun-Request-Id", requestId }, { "X-Robinrun-Server-Signature", "sig." + id },
+                { "X-Robinrun-Server-Load", "1,0,4,100" } },
+            "body of " + id };
+    }
+
+    std::string address = freeAddress();
+    std::string id;
+    bool isWell = true;
+    bool holds = false;
+    bool hangsUp = false; ///< after it has run the request
+    int status = 200;
+    std::vector<HttpRequest> requests; ///< that it ran
+    std::vector<std::unique_ptr<HttpExchange>> held;
+    std::function<std::optional<HttpReply>(const HttpRequest&)> instead; ///< a reply without running
+    int misdirected = 0;
+
+private:
+    void take(std::unique_ptr<HttpExchange> exchange)
+    {
+        const auto& request = exchange->request();
+        if (request.target == "/healthz")
+            return exchange->reply({ isWell ? 200 : 503,
+                { { "X-Robinrun-Instance-Id", id }, { "X-Robinrun-Server-Load", "0,0,4,100" } }, "" });
+        if (findHeader(request.headers, "X-Robinrun-Target-Instance") != id) {
+            ++misdirected;
+            return exchange->reply({ 421, {}, "" });
+        }
+        if (instead) {
+            if (auto reply = instead(request))
+                return exchange->reply(*reply);
+        }
+        requests.push_back(request);
+        if (hangsUp)
+            return drop();
+        if (!holds)
+            return exchange->reply(signedReply(request));
+        held.push_back(std::move(exchange));
+    }
+
+    /// \brief Ends all connections with nothing said.
+    void drop()
+    {
+        m_restart = Timer::once(m_base, 1ms, [this] {
+            m_server.reset();
+            start();
+        });
+    }
+
+    event_base* m_base;
+    std::unique_ptr<HttpServer> m_server;
+    Timer m_restart;
+};
+
+/// \brief Mesh nodes on one loop, each with a backend server, and one store.
+struct MeshFixture {
+    struct Place {
+        std::unique_ptr<FakeBackend> backend;
+        std::unique_ptr<MeshNode> node;
+        NodeSettings settings;
+    };
+
+    LoopPtr base = makeLoop();
+    FakeStore store { base.get() };
+    std::vector<Place> places;
+    std::uint64_t lastIncarnation = 0;
+    std::uint64_t lastRequest = 0;
+    std::optional<HttpReply> reply;
+    std::vector<std::unique_ptr<HttpPool>> callers;
+
+    static std::string configuration(int version, const std::string& onlyService = "shop")
+    {
+        return R"({"version":"r)" + std::to_string(version) + R"(","base_version":"r0","resources":[)"
+            + R"({"type":"routes","metadata":{"name":"read"},"spec":{"host":"a.example","path_prefix":"/read/",)"
+            + R"("kind":"idempotent","timeout_ms":2000,"target_latency_ms":500,"priority":1,"service":")"
+            + onlyService + R"(","attempts":2}},)"
+            + R"({"type":"routes","metadata":{"name":"buy"},"spec":{"host":"a.example","path_prefix":"/buy/",)"
+            + R"("kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":500,"priority":0,"service":")"
+            + onlyService + R"(","attempts":2}},)"
+            + R"({"type":"services","metadata":{"name":"shop"},"spec":{"health_path":"/healthz"}},)"
+            + R"({"type":"services","metadata":{"name":"other"},"spec":{"health_path":"/healthz"}},)"
+            + R"({"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":65536,)"
+            + R"("header_timeout_ms":3000,"idle_timeout_ms":15000}}]})";
+    }
+
+    static MeshFormats formats()
+    {
+        MeshFormats out;
+        out.headers = platform::callHeaders();
+        out.configurationTopic = platform::configurationTopic;
+        out.configurationKey = platform::configurationKey;
+        out.nodesTopic = platform::nodesTopic;
+        out.readinessPath = platform::readinessPath;
+        out.metricsPath = platform::metricsPath;
+        out.readConfiguration = platform::readConfiguration;
+        out.readAnnouncement = platform::readAnnouncement;
+        return out;
+    }
+
+    /// \brief Adds a place with a backend server and starts its node.
+    std::size_t add(const std::string& service, const std::string& hall = "h1")
+    {
+        const auto name = "n" + std::to_string(places.size());
+        Place place;
+        place.backend = std::make_unique<FakeBackend>(base.get(), "i-" + name);
+        auto& s = place.settings;
+        s.name = name;
+        s.dataHall = hall;
+        s.region = "r";
+        s.service = service;
+        s.backend = place.backend->address;
+        s.listen.callers = freeAddress();
+        s.listen.peers = freeAddress();
+        s.listen.readiness = freeAddress();
+        s.listen.announcements = freeAddress();
+        s.listen.metrics = freeAddress();
+        s.limits.calls = 1000;
+        s.limits.ticketMemory = 100000;
+        s.choice.kind = ChoiceKind::Timely;
+        s.choice.subset = 100;
+        s.choice.attemptTimeout = 1s;
+        s.retries = { 0.2, 60 };
+        s.peers.heartbeat = 200ms;
+        s.peers.longestReconnect = 200ms;
+        s.peers.contacts = 16;
+        s.peers.contactEvery = 200ms;
+        s.drainTimeout = 3s;
+        s.lameDuck = 50ms;
+        s.log.sampleOneIn = 1;
+        places.push_back(std::move(place));
+        startNode(places.size() - 1);
+        return places.size() - 1;
+    }
+
+    void startNode(std::size_t i)
+    {
+        auto& place = places[i];
+        auto client = std::make_unique<platform::StoreClient>(base.get(), store.address, 300ms);
+        place.node = std::move(MeshNode::start(base.get(), place.settings,
+            Charts::load(std::string(SOURCE_FOLDER) + "/charts").value(), ++lastIncarnation, formats(),
+            std::move(client))
+                                   .value());
+    }
+
+    template <class F> void until(F isDone) { REQUIRE(runUntil(base.get(), isDone)); }
+
+    /// \brief Lets the loop run for \a length.
+    void pass(Duration length)
+    {
+        bool isOver = false;
+        const auto timer = Timer::once(base.get(), length, [&] { isOver = true; });
+        until([&] { return isOver; });
+    }
+
+    HttpReply send(const std::string& address, HttpRequest request)
+    {
+        start(address, std::move(request));
+        until([&] { return reply.has_value(); });
+        return *reply;
+    }
+
+    void start(const std::string& address, HttpRequest request)
+    {
+        reply.reset();
+        HttpPool::Options options;
+        options.address = address;
+        callers.push_back(std::make_unique<HttpPool>(base.get(), options));
+        callers.back()->send(request, 8s, [this](auto result) {
+            reply = result.has_value() ? result.value() : HttpReply { 0, {}, {} };
+        });
+    }
+
+    HttpRequest request(const std::string& method, const std::string& path)
+    {
+        return { method, path,
+            { { "Host", "a.example" }, { "X-Robinrun-Request-Id", "q" + std::to_string(++lastRequest) },
+                { "X-Robinrun-Deadline-Ms", "1500" } },
+            method == "GET" ? "" : "payload" };
+    }
+
+    HttpReply call(std::size_t i, const std::string& method, const std::string& path)
+    {
+        return send(places[i].settings.listen.callers, request(method, path));
+    }
+
+    int announce(std::size_t i, const std::string& state, int sequence, const std::string& upstream = "")
+    {
+        const auto& place = places[i];
+        const auto id = upstream.empty() ? place.backend->id : upstream;
+        const auto body = R"({"address":")" + place.backend->address + R"(","info":{"service":")"
+            + place.settings.service + R"(","version":"v1","zone":"z","slots":4},"status":{"state":")" + state
+            + R"(","seq":)" + std::to_string(sequence) + R"(,"warmup_left_ms":0}})";
+        return send(place.settings.listen.announcements, { "PUT", "/instances/" + id, {}, body }).status;
+    }
+
+    int sayGone(std::size_t i)
+    {
+        const auto& place = places[i];
+        return send(place.settings.listen.announcements, { "DELETE", "/instances/" + place.backend->id, {}, "" })
+            .status;
+    }
+
+    /// \brief Waits until a read sent to node \a i is served.
+    void untilServed(std::size_t i)
+    {
+        for (int n = 0; n < 200; ++n) {
+            if (call(i, "GET", "/read/x").status == 200)
+                return;
+            pass(20ms);
+        }
+        FAIL("no read is served");
+    }
+};
+
+} // namespace robinrun::support
