--- a/test/MeshTest.cpp
+++ b/test/MeshTest.cpp
@@ -13,7 +13,8 @@
     return std::string(findHeader(request.headers, name).value_or("none"));
 }
 
-/// \brief Two upstreams of the service `shop` (nodes 1 and 2), and one of `other` (node 0) whose callers call.
+/// \brief Two upstreams of the service `shop` (nodes 1 and 2), and one of `other` (node 0) whose callers
+/// call.
 struct ShopFixture : MeshFixture {
     ShopFixture()
     {
@@ -39,7 +40,10 @@
         return self.send(places[i].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body;
     }
 
-    std::size_t ran() const { return places[1].backend->requests.size() + places[2].backend->requests.size(); }
+    std::size_t ran() const
+    {
+        return places[1].backend->requests.size() + places[2].backend->requests.size();
+    }
 };
 
 } // namespace
@@ -162,7 +166,8 @@
     REQUIRE(f.store.writes == settled);
 }
 
-TEST_CASE("A call that must not repeat and whose answer is lost is not sent again, nor called not run", "[mesh]")
+TEST_CASE(
+    "A call that must not repeat and whose answer is lost is not sent again, nor called not run", "[mesh]")
 {
     ShopFixture f;
     f.places[1].backend->hangsUp = f.places[2].backend->hangsUp = true;
@@ -236,7 +241,8 @@
     f.until([&] { return isGone; });
 }
 
-TEST_CASE("A node that is stopped is not ready, finishes what it has and ends; its peers go elsewhere", "[mesh]")
+TEST_CASE(
+    "A node that is stopped is not ready, finishes what it has and ends; its peers go elsewhere", "[mesh]")
 {
     ShopFixture f;
     f.places[1].backend->holds = true;
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -48,8 +48,10 @@
     REQUIRE(errorOf("[]") == "configuration: must be an object");
     REQUIRE(errorOf(R"({"version":"12","resources":[]})") == "configuration.version: '12' is no version");
     REQUIRE(errorOf(R"({"version":"r12"})") == "configuration.resources: is missing");
-    const std::string head = R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"a"},"spec":)";
-    REQUIRE(errorOf(head + R"({"host":5}}]})").find("resources[0].spec.host: must be a text") != std::string::npos);
+    const std::string head
+        = R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"a"},"spec":)";
+    REQUIRE(errorOf(head + R"({"host":5}}]})").find("resources[0].spec.host: must be a text")
+        != std::string::npos);
     REQUIRE(errorOf(head + R"({"host":"h","path_prefix":"/","kind":"odd"}}]})").find("'odd' is not known")
         != std::string::npos);
 }
@@ -70,9 +72,12 @@
     REQUIRE(read.value().state == AnnouncedState::Draining);
     REQUIRE(read.value().slots == 6);
     REQUIRE(read.value().sequence == 4);
-    REQUIRE(platform::readAnnouncement({ "DELETE", "/instances/i-1", {}, "" }).value().state == AnnouncedState::Gone);
-    REQUIRE(platform::readAnnouncement({ "PUT", "/instances/", {}, "" }).error() == "target: must be /instances/ID");
-    REQUIRE(platform::readAnnouncement({ "POST", "/instances/i", {}, "" }).error() == "method: POST is not taken");
+    REQUIRE(platform::readAnnouncement({ "DELETE", "/instances/i-1", {}, "" }).value().state
+        == AnnouncedState::Gone);
+    REQUIRE(platform::readAnnouncement({ "PUT", "/instances/", {}, "" }).error()
+        == "target: must be /instances/ID");
+    REQUIRE(platform::readAnnouncement({ "POST", "/instances/i", {}, "" }).error()
+        == "method: POST is not taken");
     REQUIRE(platform::readAnnouncement(put(R"({"address":"a","info":{"service":"s"},"status":{}})")).error()
         == "body.info.slots: is missing");
 }
--- /dev/null
+++ b/test/RegistryTest.cpp
@@ -0,0 +1,162 @@
+#include "Mesh/AnnouncedUpstream.h"
+#include "Mesh/ConfigHolder.h"
+#include "Mesh/NodeRegistry.h"
+#include "Routing/WeightedTurns.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace robinrun;
+
+namespace {
+
+proto::NodeRecord record(std::uint64_t incarnation, std::uint64_t sequence, const std::string& upstream)
+{
+    proto::NodeRecord out;
+    out.set_node("n");
+    out.set_incarnation(incarnation);
+    out.set_sequence(sequence);
+    out.set_service("s");
+    out.set_upstream(upstream);
+    return out;
+}
+
+Announcement announcement(const std::string& upstream, std::uint64_t sequence, AnnouncedState state)
+{
+    Announcement out;
+    out.upstream = upstream;
+    out.slots = 4;
+    out.sequence = sequence;
+    out.state = state;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("Records of a node count by age, in whatever order they come", "[mesh]")
+{
+    rc::prop("order", [] {
+        std::vector<proto::NodeRecord> records;
+        for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+            for (std::uint64_t sequence = 1; sequence <= 3; ++sequence)
+                records.push_back(record(incarnation, sequence,
+                    "u" + std::to_string(incarnation) + std::to_string(sequence)));
+        }
+        for (std::size_t i = records.size(); i > 1; --i)
+            std::swap(records[i - 1], records[*rc::gen::inRange<std::size_t>(0, i)]);
+        NodeRegistry registry;
+        for (const auto& it : records)
+            registry.take(it);
+        RC_ASSERT(registry.find("n")->upstream() == "u33");
+    });
+}
+
+TEST_CASE("Only what routing needs counts as a change; gone nodes have no upstream", "[mesh]")
+{
+    NodeRegistry registry;
+    REQUIRE(registry.take(record(1, 1, "u")) == NodeRegistry::Change::Changed);
+    auto next = record(1, 2, "u");
+    next.set_config_version(7);
+    REQUIRE(registry.take(next) == NodeRegistry::Change::Refreshed);
+    REQUIRE(registry.take(record(1, 1, "older")) == NodeRegistry::Change::None);
+    REQUIRE(registry.upstreams().size() == 1);
+    auto gone = record(1, 3, "u");
+    gone.set_gone(true);
+    REQUIRE(registry.take(gone) == NodeRegistry::Change::Changed);
+    REQUIRE(registry.upstreams().empty());
+}
+
+TEST_CASE("Contacts are bounded, and most pairs see each other", "[mesh]")
+{
+    constexpr std::size_t nodes = 200;
+    constexpr std::size_t contacts = 16;
+    NodeRegistry registry;
+    for (std::size_t i = 0; i < nodes; ++i) {
+        auto it = record(1, 1, "u" + std::to_string(i));
+        it.set_node("n" + std::to_string(i));
+        registry.take(it);
+    }
+    std::vector<std::size_t> named(nodes, 0);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        const auto of = registry.contactsOf("n" + std::to_string(i), contacts);
+        REQUIRE(of.size() == contacts);
+        for (const auto& it : of)
+            ++named[std::stoul(it.substr(1))];
+    }
+    // Nobody is left out: each is a contact of someone.
+    REQUIRE(*std::min_element(named.begin(), named.end()) > 0);
+    REQUIRE(*std::max_element(named.begin(), named.end()) < 4 * contacts);
+}
+
+TEST_CASE("A start that has said it leaves does not come back", "[mesh]")
+{
+    AnnouncedUpstream upstream;
+    REQUIRE(upstream.take(announcement("a", 1, AnnouncedState::Ready)));
+    REQUIRE_FALSE(upstream.take(announcement("a", 1, AnnouncedState::Draining))); // repeated
+    REQUIRE(upstream.take(announcement("a", 3, AnnouncedState::Draining)));
+    REQUIRE_FALSE(upstream.take(announcement("a", 2, AnnouncedState::Ready)));
+    REQUIRE_FALSE(upstream.take(announcement("a", 4, AnnouncedState::Ready)));
+    REQUIRE(upstream.isLeaving());
+    REQUIRE(upstream.take(announcement("b", 1, AnnouncedState::Ready))); // a new start
+    REQUIRE_FALSE(upstream.isLeaving());
+    REQUIRE_FALSE(upstream.take(announcement("a", 9, AnnouncedState::Ready))); // of the former one
+    REQUIRE(upstream.current()->upstream == "b");
+    REQUIRE(upstream.take(announcement("b", 0, AnnouncedState::Gone))); // leaves without draining first
+    REQUIRE(upstream.isLeaving());
+}
+
+TEST_CASE("What the health answer says holds until the first announcement", "[mesh]")
+{
+    AnnouncedUpstream upstream;
+    REQUIRE(upstream.found(announcement("a", 0, AnnouncedState::Draining)));
+    REQUIRE(upstream.isLeaving()); // unwell, or leaving: not yet known
+    REQUIRE(upstream.take(announcement("a", 5, AnnouncedState::Ready)));
+    REQUIRE_FALSE(upstream.isLeaving());
+    REQUIRE_FALSE(upstream.found(announcement("b", 0, AnnouncedState::Ready)));
+    AnnouncedUpstream second;
+    REQUIRE(second.found(announcement("a", 0, AnnouncedState::Ready)));
+    REQUIRE(second.hasLeftBefore("a")); // a former life of the node has acknowledged it
+    REQUIRE_FALSE(second.take(announcement("a", 5, AnnouncedState::Ready)));
+    REQUIRE(second.isLeaving());
+}
+
+TEST_CASE("Parts of a split get their weights to within one call", "[mesh]")
+{
+    rc::prop("weights", [] {
+        const auto first = *rc::gen::inRange(1, 100);
+        const auto second = *rc::gen::inRange(1, 100);
+        WeightedTurns turns;
+        const WeightedTurns::Split split { { "a", first }, { "b", second } };
+        int ofFirst = 0;
+        for (int i = 1; i <= 200; ++i) {
+            ofFirst += turns.next("r", split) == "a";
+            const double due = double(i) * first / (first + second);
+            RC_ASSERT(std::abs(ofFirst - due) <= 1);
+        }
+    });
+    WeightedTurns turns;
+    REQUIRE(turns.next("r", {}) == "");
+    REQUIRE(turns.next("r", { { "only", 0 } }) == "only");
+}
+
+TEST_CASE("A configuration is taken over only if it is newer and can be read", "[mesh]")
+{
+    MeshFormats formats;
+    formats.readConfiguration = [](std::string_view text) -> Result<Configuration, std::string> {
+        if (text.empty())
+            return failure(std::string("is empty"));
+        Configuration out;
+        out.version = std::stoull(std::string(text));
+        return out;
+    };
+    ConfigHolder holder;
+    REQUIRE_FALSE(holder.offer("", "test", formats));
+    REQUIRE_FALSE(holder.hasAny());
+    REQUIRE(holder.offer("9", "test", formats));
+    REQUIRE_FALSE(holder.offer("9", "test", formats));
+    REQUIRE_FALSE(holder.offer("8", "test", formats));
+    REQUIRE(holder.offer("10", "test", formats));
+    REQUIRE(holder.version() == 10);
+    REQUIRE(holder.text() == "10");
+}
--- /dev/null
+++ b/test/TimelyTest.cpp
@@ -0,0 +1,169 @@
+#include "Node/BackendReply.h"
+#include "Queueing/Admission.h"
+#include "Queueing/WorkEstimate.h"
+#include "Routing/ServiceRouter.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace robinrun;
+
+namespace {
+
+constexpr Instant start { 1s };
+
+Offer offer(std::uint64_t id, std::uint32_t priority, Duration target, Duration deadline = 1s)
+{
+    Offer out;
+    out.id = id;
+    out.priority = priority;
+    out.deadline = start + deadline;
+    out.inTimeUntil = start + target;
+    return out;
+}
+
+/// \brief An owner with one slot and a call in it; calls take 100 ms.
+Admission busyAdmission()
+{
+    Admission::Options options;
+    options.slots = 1;
+    options.initialService = 100ms;
+    Admission admission(options);
+    admission.offer(offer(1, 1, 500ms), start);
+    return admission;
+}
+
+ServiceRouter routerOf(std::vector<RouteTarget> targets)
+{
+    ServiceRouter::Options options;
+    options.kind = ChoiceKind::Timely;
+    ServiceRouter router(options);
+    router.setUpstreams(targets, start);
+    for (int i = 0; i < 50; ++i)
+        router.measuredWork("c", 100ms, 1);
+    return router;
+}
+
+Report told(double slowdown, std::uint32_t inUse)
+{
+    Report report;
+    report.load = { 9, inUse, 0, 100ms, slowdown };
+    report.heard = start;
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("A call that can't be in time gets no place in the queue, but a free slot", "[timely]")
+{
+    auto admission = busyAdmission();
+    const auto late = admission.offer(offer(2, 1, 150ms), start);
+    REQUIRE(late.refused.at(0).reason == Reason::WouldBeLate);
+    REQUIRE(late.refused.at(0).retryAfter > 0ms);
+    REQUIRE(admission.offer(offer(3, 1, 400ms), start).refused.empty());
+    Admission idle { Admission::Options {} };
+    REQUIRE(idle.offer(offer(4, 1, 1us), start).run == std::vector<std::uint64_t> { 4 });
+}
+
+TEST_CASE("A waiting call that can't be in time any more gives way to those that can", "[timely]")
+{
+    auto admission = busyAdmission();
+    REQUIRE(admission.offer(offer(2, 1, 250ms), start).refused.empty());
+    REQUIRE(admission.offer(offer(3, 1, 900ms), start).refused.empty());
+    const auto next = admission.finished(1, start + 200ms);
+    REQUIRE(next.refused.at(0).id == 2);
+    REQUIRE(next.run == std::vector<std::uint64_t> { 3 });
+}
+
+TEST_CASE("More urgent calls go first", "[timely]")
+{
+    auto admission = busyAdmission();
+    admission.offer(offer(2, 2, 900ms), start);
+    admission.offer(offer(3, 0, 900ms), start);
+    REQUIRE(admission.finished(1, start + 100ms).run == std::vector<std::uint64_t> { 3 });
+}
+
+TEST_CASE("Slot times are kept apart for calm and slow starts", "[timely]")
+{
+    WorkEstimate work;
+    REQUIRE_FALSE(work.of(1));
+    work.add(100ms, 1);
+    REQUIRE(work.of(4) == 100ms); // nothing better is known
+    work.add(300ms, 4);
+    REQUIRE(work.of(1) == 100ms);
+    REQUIRE(work.of(4) == 300ms);
+}
+
+TEST_CASE("Calls go to a near upstream that is in time, else to a far one", "[timely]")
+{
+    auto router = routerOf({ { "near", 9, 0ms, false }, { "far", 9, 2ms, true } });
+    Random random(1);
+    const RouteNeeds needs { 0, "c", 250ms };
+    REQUIRE(router.pick({}, needs, start, random) == "near");
+    router.heard("near", told(4, 1), start);
+    REQUIRE(router.pick({}, needs, start, random) == "far");
+    router.heard("near", told(1, 1), start);
+    REQUIRE(router.pick({}, needs, start, random) == "near");
+    router.heard("near", told(1, 40), start); // a queue that makes it late
+    REQUIRE(router.pick({}, needs, start, random) == "far");
+}
+
+TEST_CASE("An upstream whose backend server is down is left out until it is up", "[timely]")
+{
+    auto router = routerOf({ { "a", 9, 0ms, false }, { "b", 9, 0ms, false } });
+    Random random(1);
+    auto down = told(1, 0);
+    down.load.isDown = true;
+    router.heard("a", down, start);
+    for (int i = 0; i < 10; ++i)
+        REQUIRE(router.pick({}, { 0, "c", 250ms }, start, random) == "b");
+    router.heard("a", told(1, 0), start);
+    router.heard("b", down, start);
+    REQUIRE(router.pick({}, { 0, "c", 250ms }, start, random) == "a");
+}
+
+TEST_CASE("Retries of one node stay inside its part, whatever the order", "[timely]")
+{
+    rc::prop("budget", [] {
+        ServiceRouter::Options options;
+        options.retryFraction = 0.1;
+        options.retryBurst = 2;
+        ServiceRouter router(options);
+        int first = 0;
+        int retries = 0;
+        const auto steps = *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>());
+        for (const bool isFirst : steps) {
+            if (isFirst) {
+                router.firstAttempt(0);
+                ++first;
+            } else {
+                retries += router.trySpendRetry(0);
+            }
+            RC_ASSERT(retries <= 2 + 0.1 * first + 1e-9);
+        }
+    });
+}
+
+TEST_CASE("A backend server's reply says what became of the call", "[timely]")
+{
+    CallHeaders names;
+    names.signature = "Sig";
+    REQUIRE(judge({ 200, { { "Sig", "x" } }, "" }, names) == BackendVerdict::Answered);
+    REQUIRE(judge({ 500, { { "sig", "x" } }, "" }, names) == BackendVerdict::Answered);
+    REQUIRE(judge({ 200, {}, "" }, names) == BackendVerdict::Foreign);
+    REQUIRE(judge({ 503, { { "Backend-Not-Run", "1" } }, "" }, names) == BackendVerdict::NotRun);
+    REQUIRE(judge({ 421, {}, "" }, names) == BackendVerdict::OtherUpstream);
+}
+
+TEST_CASE("Told loads are read, what isn't one is passed over", "[timely]")
+{
+    const auto load = parseLoad("3,1,12,400");
+    REQUIRE(load->running == 3);
+    REQUIRE(load->waiting == 1);
+    REQUIRE(load->slots == 12);
+    REQUIRE(load->slowdown == Approx(4));
+    REQUIRE(parseLoad("3,1,12")->slowdown == Approx(1));
+    for (const auto* bad : { "", "3", "3,1", "a,b,c", "3,1,12,x", "-1,0,4", "3;1;12" })
+        REQUIRE_FALSE(parseLoad(bad));
+    rc::prop("any text", [](const std::string& text) { (void)parseLoad(text); });
+}
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -141,8 +141,8 @@
                 items += (items.empty() ? "" : ",") + std::string("{\"key\":\"") + key + "\",\"value\":\""
                     + base64(value) + "\",\"offset\":0}";
         }
-        return "{\"items\":[" + items + "],\"more_pages\":false,\"end\":"
-            + std::to_string(m_topics[topic].records.size()) + "}";
+        return "{\"items\":[" + items
+            + "],\"more_pages\":false,\"end\":" + std::to_string(m_topics[topic].records.size()) + "}";
     }
 
     void wake(const std::string& topic)
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -31,8 +31,9 @@
     {
         HttpServer::Options options;
         options.address = address;
-        m_server = std::move(
-            HttpServer::listen(m_base, options, [this](auto exchange) { take(std::move(exchange)); }).value());
+        m_server = std::move(HttpServer::listen(m_base, options, [this](auto exchange) {
+            take(std::move(exchange));
+        }).value());
     }
     void stop() { m_server.reset(); }
 
@@ -244,7 +245,8 @@
     int sayGone(std::size_t i)
     {
         const auto& place = places[i];
-        return send(place.settings.listen.announcements, { "DELETE", "/instances/" + place.backend->id, {}, "" })
+        return send(
+            place.settings.listen.announcements, { "DELETE", "/instances/" + place.backend->id, {}, "" })
             .status;
     }
 
