Logs that never wait, one table of events, robinrunctl explain; the end of a link between nodes is noticed

Cause: the monitor of a link was never read once before it was waited for, and ZeroMQ signals only sockets found empty; so calls to a killed node waited for their deadline.

--- /dev/null
+++ b/src/Client/Explain.cpp
@@ -0,0 +1,154 @@
+#include "Client/Explain.h"
+
+#include "Core/LogEvents.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <iomanip>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace robinrun {
+namespace {
+
+    using Json = nlohmann::ordered_json;
+
+    struct Line {
+        std::int64_t atMs = 0; ///< by the clock of its node
+        std::string node;
+        std::string event;
+        std::uint64_t attempt = 0; ///< 0: none
+        std::string from; ///< node that asked; "" for lines of an ingress
+        Json fields;
+    };
+
+    /// \brief Reads `2026-12-02T10:11:12.123Z`. \returns milliseconds since 1970.
+    std::optional<std::int64_t> parseTime(const std::string& text)
+    {
+        std::tm tm {};
+        int ms = 0;
+        const int n = std::sscanf(text.c_str(), "%d-%d-%dT%d:%d:%d.%dZ", &tm.tm_year, &tm.tm_mon, &tm.tm_mday,
+            &tm.tm_hour, &tm.tm_min, &tm.tm_sec, &ms);
+        if (n != 7)
+            return std::nullopt;
+        tm.tm_year -= 1900;
+        tm.tm_mon -= 1;
+        return std::int64_t { timegm(&tm) } * 1000 + ms;
+    }
+
+    std::optional<Line> parseLine(const std::string& text, const std::string& request)
+    {
+        const auto brace = text.find('{');
+        if (brace == std::string::npos || text.find(request) == std::string::npos)
+            return std::nullopt;
+        const auto json = Json::parse(text.substr(brace), nullptr, false);
+        if (!json.is_object() || json.value("request", "") != request)
+            return std::nullopt;
+        const auto at = parseTime(json.value("time", ""));
+        if (!at)
+            return std::nullopt;
+        Line line { *at, json.value("source", "?"), json.value("event", "?"), json.value("attempt", 0ULL),
+            json.value("from", ""), json };
+        for (const auto* it : { "time", "level", "source", "event", "request", "attempt", "from" })
+            line.fields.erase(it);
+        return line;
+    }
+
+    /// The span of one attempt by the clock of the ingress.
+    struct Span {
+        std::int64_t begin = 0;
+        std::int64_t end = 0;
+    };
+
+    std::map<std::uint64_t, Span> spansOf(const std::vector<Line>& lines)
+    {
+        std::map<std::uint64_t, Span> spans;
+        std::int64_t last = 0;
+        for (const auto& it : lines) {
+            if (it.from.empty())
+                last = std::max(last, it.atMs);
+        }
+        for (const auto& it : lines) {
+            if (it.from.empty() && it.event == "upstream-chosen")
+                spans[it.attempt] = { it.atMs, last };
+        }
+        for (const auto& it : lines) {
+            const auto span = spans.find(it.attempt);
+            if (it.from.empty() && it.event == "owner-refused" && span != spans.end())
+                span->second.end = it.atMs;
+        }
+        return spans;
+    }
+
+    /// \brief Moves an owner's lines of one attempt into its span, all by the same difference. \returns it.
+    std::int64_t shiftInto(const Span& span, std::vector<Line*>& lines)
+    {
+        std::int64_t first = lines.front()->atMs;
+        std::int64_t last = first;
+        for (const auto* it : lines) {
+            first = std::min(first, it->atMs);
+            last = std::max(last, it->atMs);
+        }
+        std::int64_t shift = 0;
+        if (first < span.begin)
+            shift = span.begin - first;
+        else if (last > span.end)
+            shift = std::max(span.begin - first, span.end - last);
+        for (auto* it : lines)
+            it->atMs += shift;
+        return shift;
+    }
+
+    void writeLine(std::ostream& out, const Line& line, std::int64_t origin)
+    {
+        out << std::setw(7) << line.atMs - origin << " ms  " << std::left << std::setw(22) << line.node << ' '
+            << std::setw(16) << line.event << std::right;
+        if (line.attempt)
+            out << " attempt " << line.attempt;
+        for (const auto& [name, value] : line.fields.items())
+            out << "  " << name << '=' << (value.is_string() ? value.get<std::string>() : value.dump());
+        if (const auto* info = findLogEvent(line.event))
+            out << "  (" << info->meaning << ")";
+        out << '\n';
+    }
+
+} // namespace
+
+Result<std::string, ExplainError> explain(const std::string& request, const std::vector<std::string>& logs)
+{
+    std::vector<Line> lines;
+    for (const auto& log : logs) {
+        std::istringstream in(log);
+        std::string text;
+        while (std::getline(in, text)) {
+            if (auto line = parseLine(text, request))
+                lines.push_back(std::move(*line));
+        }
+    }
+    if (lines.empty())
+        return failure(ExplainError { "no line of request " + request
+            + ": it went well and is not in the sample, or its nodes' logs are not among these" });
+    const auto spans = spansOf(lines);
+    std::map<std::pair<std::uint64_t, std::string>, std::vector<Line*>> ofOwners;
+    for (auto& it : lines) {
+        if (!it.from.empty())
+            ofOwners[{ it.attempt, it.node }].push_back(&it);
+    }
+    std::ostringstream out;
+    for (auto& [key, owned] : ofOwners) {
+        const auto span = spans.find(key.first);
+        const auto shift = span == spans.end() ? 0 : shiftInto(span->second, owned);
+        if (shift)
+            out << "clock of " << key.second << " moved by " << shift << " ms\n";
+    }
+    std::stable_sort(lines.begin(), lines.end(), [](const Line& a, const Line& b) { return a.atMs < b.atMs; });
+    for (const auto& it : lines)
+        writeLine(out, it, lines.front().atMs);
+    return out.str();
+}
+
+} // namespace robinrun
--- a/src/Core/Log.cpp
+++ b/src/Core/Log.cpp
@@ -25,7 +25,7 @@
     using Sink = bl::sinks::synchronous_sink<internal::BoundedSink>;
 
     struct LogState {
-        LogOptions options { LogLevel::Warning, LogFormat::Text, "", 0, false };
+        LogOptions options { LogLevel::Warning, LogFormat::Text, {}, 0, false, STDOUT_FILENO };
         bl::sources::logger logger;
         boost::shared_ptr<Sink> sink;
         std::optional<TokenBucket> budget;
@@ -119,8 +119,8 @@
         state().budget.emplace(
             options.linesPerSecond, options.linesPerSecond, options.linesPerSecond, monotonicNow());
     bl::core::get()->remove_all_sinks();
-    state().sink = boost::make_shared<Sink>(
-        boost::make_shared<internal::BoundedSink>(STDOUT_FILENO, options.isBuffered));
+    state().sink
+        = boost::make_shared<Sink>(boost::make_shared<internal::BoundedSink>(options.fd, options.isBuffered));
     bl::core::get()->add_sink(state().sink);
 }
 
--- a/src/Core/Log.h
+++ b/src/Core/Log.h
@@ -85,6 +85,7 @@
     std::string source; ///< named in each line
     double linesPerSecond = 0; ///< lines beyond are dropped and counted, errors last; 0: no bound
     bool isBuffered = false; ///< lines wait for flushLog() or a full buffer
+    int fd = 1; ///< where lines go: standard output
 };
 
 /// \brief Sets up the sink (standard output) once, at the start of a program. Writing never waits for the
--- /dev/null
+++ b/src/Core/LogEvents.cpp
@@ -0,0 +1,102 @@
+#include "Core/LogEvents.h"
+
+#include <algorithm>
+#include <array>
+
+namespace robinrun {
+namespace {
+
+    constexpr std::array events {
+        // The process and what it depends on.
+        LogEventInfo { "started", "incarnation", "the process serves from now on" },
+        LogEventInfo { "start-failed", "error", "a socket could not be bound, or settings make no sense" },
+        LogEventInfo { "stopped", "", "the process ends in order" },
+        LogEventInfo { "stop-asked", "in_progress upstream_leaving", "SIGTERM or SIGINT came" },
+        LogEventInfo { "node-state", "state cause", "the node's life moved on" },
+        LogEventInfo { "reloaded", "file", "the settings were read again" },
+        LogEventInfo { "reload-refused", "field error", "the settings are bad; the old ones stay in force" },
+        LogEventInfo { "store-reached", "topic why next", "the store answers (again)" },
+        LogEventInfo { "store-lost", "topic why next", "a read of the store failed" },
+        LogEventInfo { "topic-forgotten", "topic from", "records were no longer kept; the newest are read" },
+        LogEventInfo { "record-not-written", "topic key error message", "a write failed; it is made again" },
+        LogEventInfo { "peer-lost", "peer", "a link ended; what was out there gets no answer" },
+        LogEventInfo { "peer-back", "peer", "a lost peer is heard again" },
+        LogEventInfo { "peer-send-failed", "peer error", "a message could not be sent" },
+        LogEventInfo { "peer-link-unwatched", "peer error", "the end of a link will not be noticed" },
+        LogEventInfo { "peer-message-malformed", "bytes", "what came is no message" },
+        LogEventInfo { "peer-message-unknown", "from kind", "a message of another version of robinrun" },
+        LogEventInfo { "accept-failed", "error", "a caller could not be let in, as when descriptors run out" },
+        LogEventInfo { "lines-dropped", "lines over_bound", "lines that were not written since the last such" },
+        // What the node believes.
+        LogEventInfo { "configuration-adopted", "version before source resources", "in force from now on" },
+        LogEventInfo { "configuration-refused", "source error in_force", "can't be read; the old one stays" },
+        LogEventInfo { "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
+        LogEventInfo { "announcement-refused", "target error", "an announcement can't be read" },
+        LogEventInfo { "node-record-malformed", "key", "a record in the store is none" },
+        LogEventInfo { "upstream-sign", "upstream sign set", "a reason to leave came or went" },
+        LogEventInfo { "upstream-life", "upstream state", "the own upstream's life moved on" },
+        LogEventInfo { "backend-down", "upstream unreached", "connections can't be made" },
+        LogEventInfo { "backend-up", "upstream unreached", "it answers again" },
+        LogEventInfo { "applied", "offset", "records of the log are in force" },
+        LogEventInfo { "log-standing", "standing", "the log answers, or doesn't" },
+        LogEventInfo { "peer-follows-other-log", "peer", "a peer has records of another log" },
+        LogEventInfo { "change-written", "id who resource", "an operator's change was written" },
+        LogEventInfo { "answer-foreign", "from number", "an answer from a node that was not asked" },
+        LogEventInfo { "call-doubled", "from number", "a call came twice; the first counts" },
+        LogEventInfo { "call", "group service class outcome reason status total_us queued_us held_us",
+            "a call ended (with log.access)" },
+        // Decisions on one request, at its ingress.
+        LogEventInfo { "request-rejected", "request status why", "no call was made of it" },
+        LogEventInfo {
+            "route-chosen", "request target version allowed_ms target_ms nested", "route and service" },
+        LogEventInfo { "upstream-chosen",
+            "request attempt upstream left_ms attempts_left candidates in_flight far news_age_ms told_in_use "
+            "told_queued told_slowdown_percent",
+            "where an attempt goes, and what was known of it" },
+        LogEventInfo { "owner-refused",
+            "request attempt upstream reason told_in_use told_queued retry_after_ms backend_asked",
+            "the owner answered that the call was not run" },
+        LogEventInfo { "attempt-late", "request attempt upstream after_ms attempts_left", "a second is tried" },
+        LogEventInfo { "attempt-lost", "request reason repeatable attempts_left others_out",
+            "no whole answer came; it may have run" },
+        LogEventInfo { "request-answered",
+            "request reason status total_ms late upstreams_tried left_ms", "a backend server's answer" },
+        LogEventInfo { "request-refused", "request reason status total_ms late upstreams_tried left_ms",
+            "not run, and said so" },
+        LogEventInfo { "request-unknown", "request reason status total_ms late upstreams_tried left_ms",
+            "may have run" },
+        LogEventInfo { "caller-gone", "request reason status total_ms late upstreams_tried left_ms",
+            "the caller hung up first" },
+        // Decisions on one request, at the owner of an upstream.
+        LogEventInfo { "queued",
+            "request from attempt upstream in_use slots queued priority left_ms slowdown_percent news_age_ms",
+            "an attempt came" },
+        LogEventInfo { "sent-to-backend", "request from attempt upstream waited_ms left_ms", "it got a slot" },
+        LogEventInfo { "backend-answered",
+            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms not_run",
+            "a whole answer came" },
+        LogEventInfo { "backend-failed",
+            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms not_run",
+            "no whole answer came, or it says not run" },
+        LogEventInfo { "owner-gave-up",
+            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms not_run",
+            "refused before it got a slot" },
+        LogEventInfo { "cancel-taken",
+            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms not_run",
+            "the ingress took it back" },
+    };
+
+} // namespace
+
+std::span<const LogEventInfo> logEvents()
+{
+    return events;
+}
+
+const LogEventInfo* findLogEvent(std::string_view name)
+{
+    const auto it = std::find_if(events.begin(), events.end(), [&](const auto& event) { return event.name == name; });
+    return it == events.end() ? nullptr : &*it;
+}
+
+} // namespace robinrun
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -23,6 +23,8 @@
     constexpr Duration configurationWait = 12s;
     /// Peers tell each other of themselves at once; the store is for those that they don't reach.
     constexpr Duration gatherNodes = 400ms;
+    /// Of n nodes each reads what each writes: n x n calls, but for this.
+    constexpr Duration longestGatherNodes = 3s;
     constexpr std::size_t adminBody = 64U << 10U;
     constexpr std::size_t adminHeaders = 16U << 10U;
     constexpr Duration adminIdle = 60s;
@@ -122,7 +124,8 @@
         return failure(peers.error());
     m_peers = std::move(peers.value());
     m_peers->onLost([this](const std::string& address) {
-        log(LogLevel::Info, "peer-lost", { { "peer", address } });
+        if (m_lostPeers.insert(address).second)
+            log(LogLevel::Info, "peer-lost", { { "peer", address } });
         m_ingress->peerLost(address, monotonicNow());
     });
     return boost::outcome_v2::success();
@@ -172,6 +175,7 @@
     TopicFollower::Options nodes;
     nodes.topic = m_formats.nodesTopic;
     nodes.gather = gatherNodes;
+    nodes.longestGather = longestGatherNodes;
     m_nodesFeed = std::make_unique<TopicFollower>(
         base, *m_store, nodes, [this](const KeyedRecord& record) { takeStoredNode(record, monotonicNow()); },
         [](bool) {}, m_context.random);
@@ -285,6 +289,8 @@
 void MeshNode::takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
 {
     const auto now = monotonicNow();
+    if (m_lostPeers.erase(sender.address))
+        log(LogLevel::Info, "peer-back", { { "peer", sender.address } });
     switch (message.body_case()) {
     case proto::PeerMessage::kCall:
         return takeCall(sender, message.call(), now);
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <event2/event.h>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace robinrun {
@@ -103,6 +104,7 @@
     bool m_isRebuildPending = false;
     bool m_isPullPending = false;
     bool m_isStopping = false;
+    std::set<std::string> m_lostPeers; ///< addresses of links that have ended and were not heard since
     Instant m_nextContact {};
     Instant m_lastBusy {};
     Timer m_rebuildTimer;
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -61,10 +61,10 @@
     for (const auto& it : page.value().records)
         m_handler(it);
     setConnected(true, "");
-    if (m_options.gather > Duration::zero())
-        readLater(m_options.gather);
-    else
-        readOn();
+    if (m_options.gather == Duration::zero())
+        return readOn();
+    m_gather = std::clamp(2 * m_gather, m_options.gather, m_options.longestGather);
+    readLater(m_gather);
 }
 
 void TopicFollower::failed(const PlatformError& error)
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -22,7 +22,9 @@
     struct Options {
         std::string topic;
         Duration wait = 25s; ///< longest a read waits; the store allows 30 s
-        Duration gather {}; ///< between an answer and the next read, so that news that come together cost one
+        /// Between an answer and the next read, so that news that come together cost one; doubles with each.
+        Duration gather {};
+        Duration longestGather {};
         Duration firstPause = 100ms; ///< after a failure
         Duration longestPause = 1s; ///< so that a store which is back is noticed in time
     };
@@ -64,6 +66,7 @@
     bool m_isConnected = false;
     bool m_hasToldLost = false;
     Duration m_pause {};
+    Duration m_gather {};
     Timer m_again;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -97,6 +97,10 @@
     sample.callClass = "none";
     sample.outcome = CallOutcome::Rejected;
     m_context->metrics.call(sample);
+    const auto id = findHeader(exchange.request().headers, m_context->headers.requestId);
+    if (id)
+        log(LogLevel::Info, "request-rejected",
+            { { "request", *id }, { "status", reply.status }, { "why", error.message } });
     exchange.reply(reply);
 }
 
@@ -105,7 +109,7 @@
     if (m_calls.size() >= m_context->settings.limits.calls)
         return reject(*exchange, { unavailable, "this node has too many calls in progress" });
     if (!m_isConfigured) {
-        reject(*exchange, { unavailable, "" },
+        reject(*exchange, { unavailable, "this node has no configuration yet" },
             replies::notRun(Reason::NotReady, notReadyRetryMs, false, m_context->headers));
         return;
     }
--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -233,6 +233,8 @@
     link.monitorWatcher
         = event_new(m_base, link.monitor.get(zmq::sockopt::fd), EV_READ | EV_PERSIST, onReadable, &link);
     event_add(link.monitorWatcher, nullptr);
+    // ZeroMQ signals its descriptor only after the socket was found empty once.
+    drainMonitor(link);
 }
 
 void PeerSocket::drainMonitor(Link& link)
--- a/test/RegistryTest.cpp
+++ b/test/RegistryTest.cpp
@@ -40,8 +40,8 @@
         std::vector<proto::NodeRecord> records;
         for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
             for (std::uint64_t sequence = 1; sequence <= 3; ++sequence)
-                records.push_back(record(incarnation, sequence,
-                    "u" + std::to_string(incarnation) + std::to_string(sequence)));
+                records.push_back(record(
+                    incarnation, sequence, "u" + std::to_string(incarnation) + std::to_string(sequence)));
         }
         for (std::size_t i = records.size(); i > 1; --i)
             std::swap(records[i - 1], records[*rc::gen::inRange<std::size_t>(0, i)]);
--- a/tools/robinrunctl.cpp
+++ b/tools/robinrunctl.cpp
@@ -1,5 +1,6 @@
 /// \file The operators' command line.
 
+#include "Client/Explain.h"
 #include "Client/OperatorClient.h"
 #include "Config/Validator.h"
 #include "Http/HttpStatus.h"
@@ -32,6 +33,7 @@
   delete KIND/ID        delete a resource
   status                what is in force, and which nodes are behind
   watch [FROM]          print changes as they come into force
+  explain ID LOG...     tell from nodes' logs what became of the request ID
 
 options:
   -s, --server IP:PORT  operator port of any node (default: $ROBINRUN_SERVER)
@@ -351,15 +353,36 @@
     out.words.assign(argv + optind, argv + argc);
     if (out.output != "table" && out.output != "json" && out.output != "yaml")
         return fail("--output: '" + out.output + "' is not one of table, json, yaml", badUsage);
-    if (!isAddress(out.server))
+    const bool needsServer = out.words.empty() || out.words[0] != "explain";
+    if (needsServer && !isAddress(out.server))
         return fail("--server: '" + out.server + "' is not an IPv4 address and port", badUsage);
     return -1;
 }
 
+int explainRequest(const Options& options)
+{
+    std::vector<std::string> logs;
+    for (auto it = options.words.begin() + 2; it != options.words.end(); ++it) {
+        std::ifstream in(*it);
+        if (!in)
+            return fail("can't read " + *it, badUsage);
+        std::ostringstream text;
+        text << in.rdbuf();
+        logs.push_back(text.str());
+    }
+    const auto story = explain(options.words[1], logs);
+    if (!story)
+        return fail(story.error().message);
+    std::cout << story.value();
+    return EXIT_SUCCESS;
+}
+
 int run(const Options& options)
 {
     const auto command = options.words.empty() ? std::string() : options.words[0];
     const auto n = options.words.size();
+    if (command == "explain" && n >= 3)
+        return explainRequest(options);
     OperatorClient client(options.server, options.token);
     if (command == "get" && n == 2)
         return get(client, options);
