--- a/src/Client/Explain.cpp
+++ b/src/Client/Explain.cpp
@@ -145,7 +145,8 @@
         if (shift)
             out << "clock of " << key.second << " moved by " << shift << " ms\n";
     }
-    std::stable_sort(lines.begin(), lines.end(), [](const Line& a, const Line& b) { return a.atMs < b.atMs; });
+    std::stable_sort(
+        lines.begin(), lines.end(), [](const Line& a, const Line& b) { return a.atMs < b.atMs; });
     for (const auto& it : lines)
         writeLine(out, it, lines.front().atMs);
     return out.str();
--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -25,12 +25,15 @@
         LogEventInfo { "peer-link-unwatched", "peer error", "the end of a link will not be noticed" },
         LogEventInfo { "peer-message-malformed", "bytes", "what came is no message" },
         LogEventInfo { "peer-message-unknown", "from kind", "a message of another version of robinrun" },
-        LogEventInfo { "accept-failed", "error", "a caller could not be let in, as when descriptors run out" },
-        LogEventInfo { "lines-dropped", "lines over_bound", "lines that were not written since the last such" },
+        LogEventInfo {
+            "accept-failed", "error", "a caller could not be let in, as when descriptors run out" },
+        LogEventInfo {
+            "lines-dropped", "lines over_bound", "lines that were not written since the last such" },
         // What the node believes.
         LogEventInfo { "configuration-adopted", "version before source resources", "in force from now on" },
         LogEventInfo { "configuration-refused", "source error in_force", "can't be read; the old one stays" },
-        LogEventInfo { "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
+        LogEventInfo {
+            "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
         LogEventInfo { "announcement-refused", "target error", "an announcement can't be read" },
         LogEventInfo { "node-record-malformed", "key", "a record in the store is none" },
         LogEventInfo { "upstream-sign", "upstream sign set", "a reason to leave came or went" },
@@ -56,11 +59,12 @@
         LogEventInfo { "owner-refused",
             "request attempt upstream reason told_in_use told_queued retry_after_ms backend_asked",
             "the owner answered that the call was not run" },
-        LogEventInfo { "attempt-late", "request attempt upstream after_ms attempts_left", "a second is tried" },
+        LogEventInfo {
+            "attempt-late", "request attempt upstream after_ms attempts_left", "a second is tried" },
         LogEventInfo { "attempt-lost", "request reason repeatable attempts_left others_out",
             "no whole answer came; it may have run" },
-        LogEventInfo { "request-answered",
-            "request reason status total_ms late upstreams_tried left_ms", "a backend server's answer" },
+        LogEventInfo { "request-answered", "request reason status total_ms late upstreams_tried left_ms",
+            "a backend server's answer" },
         LogEventInfo { "request-refused", "request reason status total_ms late upstreams_tried left_ms",
             "not run, and said so" },
         LogEventInfo { "request-unknown", "request reason status total_ms late upstreams_tried left_ms",
@@ -71,18 +75,23 @@
         LogEventInfo { "queued",
             "request from attempt upstream in_use slots queued priority left_ms slowdown_percent news_age_ms",
             "an attempt came" },
-        LogEventInfo { "sent-to-backend", "request from attempt upstream waited_ms left_ms", "it got a slot" },
+        LogEventInfo {
+            "sent-to-backend", "request from attempt upstream waited_ms left_ms", "it got a slot" },
         LogEventInfo { "backend-answered",
-            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms not_run",
+            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
+            "not_run",
             "a whole answer came" },
         LogEventInfo { "backend-failed",
-            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms not_run",
+            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
+            "not_run",
             "no whole answer came, or it says not run" },
         LogEventInfo { "owner-gave-up",
-            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms not_run",
+            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
+            "not_run",
             "refused before it got a slot" },
         LogEventInfo { "cancel-taken",
-            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms not_run",
+            "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
+            "not_run",
             "the ingress took it back" },
     };
 
@@ -95,7 +104,8 @@
 
 const LogEventInfo* findLogEvent(std::string_view name)
 {
-    const auto it = std::find_if(events.begin(), events.end(), [&](const auto& event) { return event.name == name; });
+    const auto it
+        = std::find_if(events.begin(), events.end(), [&](const auto& event) { return event.name == name; });
     return it == events.end() ? nullptr : &*it;
 }
 
--- /dev/null
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -0,0 +1,142 @@
+#include "Core/Log.h"
+#include "Mesh/MeshNode.h"
+
+#include <algorithm>
+
+/// \file A mesh node's configuration, readiness and end.
+
+namespace robinrun {
+namespace {
+
+    /// Changes that come together are applied together.
+    constexpr Duration changeDelay = 3ms;
+    /// After its last call is answered a stopping node waits so long for another one on its way.
+    constexpr Duration lingering = 200ms;
+    /// A node whose store can't be reached counts as ready this long after its start if it has a configuration.
+    constexpr Duration readyAnyway = 1500ms;
+    /// Of the deployment's bound on retries, what is planned with: calls that retries make are not seen here.
+    constexpr double plannedPart = 0.5;
+
+} // namespace
+
+bool MeshNode::isReady() const
+{
+    if (m_isStopping || !m_config.hasAny())
+        return false;
+    return m_nodesFeed->isCaughtUp() || monotonicNow() - m_started > readyAnyway;
+}
+
+void MeshNode::offerConfiguration(std::string_view text, std::string_view source, Instant now)
+{
+    if (!m_config.offer(text, source, m_formats))
+        return;
+    const auto& limits = m_config.current()->limits;
+    m_callers->setLimits(limits.maxHeaders, limits.maxBody, limits.headerTimeout, limits.idleTimeout);
+    rebuild();
+    m_ingress->setConfigured(true);
+    step(NodeEvent::Configured);
+    tellContacts(now);
+}
+
+void MeshNode::rebuildSoon()
+{
+    if (std::exchange(m_isRebuildPending, true))
+        return;
+    m_rebuildTimer = Timer::once(m_context.base, changeDelay, [this] { rebuild(); });
+}
+
+void MeshNode::rebuild()
+{
+    m_isRebuildPending = false;
+    if (!m_config.hasAny())
+        return;
+    const auto now = monotonicNow();
+    const auto& settings = m_context.settings;
+    auto resources = m_config.current()->resources;
+    std::string healthPath;
+    for (auto& it : resources) {
+        if (!it.has_service())
+            continue;
+        it.mutable_service()->set_retry_fraction(plannedPart * settings.retries.ratio);
+        if (it.name() == "services/" + settings.service)
+            healthPath = it.service().health_path();
+    }
+    for (auto& it : m_registry.upstreams()) {
+        it.mutable_upstream()->set_connections(static_cast<std::uint32_t>(settings.limits.calls));
+        resources.push_back(std::move(it));
+    }
+    m_context.directory.rebuild(resources);
+    m_context.configVersion = m_config.version();
+    const double nodes = std::max<double>(1, static_cast<double>(m_registry.nodes().size()));
+    m_ingress->setRetryBurst(std::max(1.0, plannedPart * settings.retries.slack / nodes));
+    m_owner->configure(now);
+    m_ingress->configure(now);
+    if (!m_announced.current() && !m_finder->isRunning() && !settings.backend.empty() && !m_isStopping)
+        m_finder->start(healthPath, m_context.headers);
+}
+
+void MeshNode::tick()
+{
+    const auto now = monotonicNow();
+    m_owner->tick(now);
+    m_peers->closeIdle(now);
+    flushLog();
+    if (now >= m_nextContact)
+        tellContacts(now);
+    if (m_ingress->inProgress() || !m_owner->isIdle())
+        m_lastBusy = now;
+    if (m_state == NodeState::Draining && now - m_lastBusy > lingering && m_writer->isWritten())
+        step(NodeEvent::Drained);
+}
+
+void MeshNode::reload(const NodeSettings& settings)
+{
+    m_context.settings.log = settings.log;
+    m_context.settings.admission = settings.admission;
+    m_context.settings.retries = settings.retries;
+    rebuild();
+}
+
+void MeshNode::stop()
+{
+    if (std::exchange(m_isStopping, true))
+        return;
+    log(LogLevel::Info, "stop-asked",
+        { { "in_progress", std::uint64_t { m_ingress->inProgress() } },
+            { "upstream_leaving", m_announced.isLeaving() } });
+    m_callers->setClosing(true);
+    m_finder->stop();
+    m_lameDuckTimer
+        = Timer::once(m_context.base, m_context.settings.lameDuck, [this] { step(NodeEvent::StopAsked); });
+    m_drainLimit = Timer::once(
+        m_context.base, m_context.settings.drainTimeout, [this] { step(NodeEvent::DrainTimeout); });
+}
+
+void MeshNode::beginLeaving()
+{
+    const auto now = monotonicNow();
+    m_lastBusy = now;
+    m_ingress->setDraining(true);
+    m_owner->setSign(LeavingSign::NodeStop, true, now);
+    if (!m_announced.isLeaving())
+        return;
+    // The backend server has left before: this node will not be back.
+    m_record.set_gone(true);
+    tellContacts(now);
+    m_writer->set("");
+}
+
+void MeshNode::step(NodeEvent event)
+{
+    const auto next = m_context.charts.node.next(m_state, event);
+    if (!next)
+        return;
+    m_state = *next;
+    log(LogLevel::Info, "node-state", { { "state", nameOf(m_state) }, { "cause", nameOf(event) } });
+    if (m_state == NodeState::Draining)
+        beginLeaving();
+    if (m_state == NodeState::Stopped)
+        event_base_loopexit(m_context.base, nullptr);
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -0,0 +1,161 @@
+#include "Core/Log.h"
+#include "Mesh/MeshNode.h"
+
+/// \file What a mesh node hears from its peers and the store, and tells them.
+
+namespace robinrun {
+namespace {
+
+    /// After a peer says that it has a newer configuration, the store has so long to deliver it first.
+    constexpr Duration pullDelay = 150ms;
+
+    Owner::Sender senderOf(const PeerSocket::Sender& sender)
+    {
+        return { sender.node, sender.address, sender.incarnation };
+    }
+
+} // namespace
+
+void MeshNode::publish(Instant now)
+{
+    m_record.set_sequence(m_record.sequence() + 1);
+    m_registry.take(m_record);
+    m_writer->set(m_record.SerializeAsString());
+    rebuildSoon();
+    tellContacts(now);
+}
+
+void MeshNode::tellContacts(Instant now)
+{
+    m_nextContact = now + m_context.settings.peers.contactEvery;
+    const auto& settings = m_context.settings;
+    for (const auto& it : m_registry.contactsOf(settings.name, settings.peers.contacts))
+        sendRecord(m_registry.find(it)->peer_address(), now);
+}
+
+void MeshNode::sendRecord(const std::string& address, Instant now)
+{
+    m_record.set_config_version(m_config.version());
+    proto::PeerMessage message;
+    *message.mutable_node_record() = m_record;
+    m_peers->send(address, message, now);
+}
+
+void MeshNode::takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
+{
+    const auto now = monotonicNow();
+    if (m_lostPeers.erase(sender.address))
+        log(LogLevel::Info, "peer-back", { { "peer", sender.address } });
+    switch (message.body_case()) {
+    case proto::PeerMessage::kCall:
+        return takeCall(sender, message.call(), now);
+    case proto::PeerMessage::kAnswer:
+        return m_ingress->takeAnswer(sender.node, *message.mutable_answer(), now);
+    case proto::PeerMessage::kCancel:
+        return m_owner->cancel(sender.incarnation, message.cancel().number(), now);
+    case proto::PeerMessage::kLeaving:
+        return m_ingress->takeLeaving(message.leaving(), now);
+    case proto::PeerMessage::kLoadNews:
+        return m_ingress->takeLoad(message.load_news(), now);
+    case proto::PeerMessage::kNodeRecord:
+        return takeRecord(sender, message.node_record(), now);
+    case proto::PeerMessage::kConfigRequest:
+        return takeConfigRequest(sender, message.config_request(), now);
+    case proto::PeerMessage::kConfigCopy:
+        return offerConfiguration(message.config_copy().text(), sender.node, now);
+    default:
+        log(LogLevel::Warning, "peer-message-unknown",
+            { { "from", sender.node }, { "kind", static_cast<int>(message.body_case()) } });
+    }
+}
+
+void MeshNode::takeCall(const PeerSocket::Sender& sender, const proto::Call& call, Instant now)
+{
+    m_owner->take(
+        call, senderOf(sender),
+        [this, sender](proto::Answer answer) {
+            proto::PeerMessage message;
+            *message.mutable_answer() = std::move(answer);
+            m_peers->answer(sender, message, monotonicNow());
+        },
+        now);
+}
+
+void MeshNode::registryChanged(const proto::NodeRecord& record, bool isNewLife, Instant now)
+{
+    rebuildSoon();
+    if (isNewLife && !record.upstream().empty())
+        m_ingress->revive(record.upstream(), now);
+}
+
+void MeshNode::takeRecord(const PeerSocket::Sender& sender, const proto::NodeRecord& record, Instant now)
+{
+    const auto* known = m_registry.find(record.node());
+    const bool isNewLife = !known || known->incarnation() < record.incarnation();
+    const auto change = m_registry.take(record);
+    if (change == NodeRegistry::Change::Changed)
+        registryChanged(record, isNewLife, now);
+    if (isNewLife)
+        sendRecord(sender.address, now);
+    if (record.config_version() > m_config.version())
+        pullSoon(sender.address, record.config_version());
+}
+
+void MeshNode::takeStoredNode(const KeyedRecord& stored, Instant now)
+{
+    proto::NodeRecord record;
+    if (stored.value.empty())
+        record.set_gone(true);
+    else if (!record.ParseFromString(stored.value) || record.node() != stored.key)
+        return log(LogLevel::Error, "node-record-malformed", { { "key", stored.key } });
+    if (stored.value.empty()) {
+        const auto* known = m_registry.find(stored.key);
+        if (!known || stored.key == m_context.settings.name)
+            return;
+        record = *known;
+        record.set_gone(true);
+    }
+    if (record.node() == m_context.settings.name) {
+        // What a former life of this node has acknowledged binds this one too.
+        if (record.incarnation() != m_context.incarnation && record.leaving()
+            && m_announced.hasLeftBefore(record.upstream()))
+            upstreamChanged(now);
+        return;
+    }
+    const auto* known = m_registry.find(record.node());
+    const bool isNewLife = !known || known->incarnation() < record.incarnation();
+    if (m_registry.take(record) != NodeRegistry::Change::Changed)
+        return;
+    registryChanged(record, isNewLife, now);
+    if (isNewLife && m_nodesFeed->isCaughtUp())
+        sendRecord(record.peer_address(), now);
+}
+
+void MeshNode::takeConfigRequest(
+    const PeerSocket::Sender& sender, const proto::ConfigRequest& request, Instant now)
+{
+    if (m_config.version() <= request.newer_than())
+        return;
+    proto::PeerMessage message;
+    message.mutable_config_copy()->set_version(m_config.version());
+    message.mutable_config_copy()->set_text(m_config.text());
+    m_peers->answer(sender, message, now);
+}
+
+void MeshNode::pullSoon(const std::string& address, std::uint64_t version)
+{
+    if (m_isPullPending)
+        return;
+    m_isPullPending = true;
+    const auto delay = m_config.hasAny() ? pullDelay : Duration::zero();
+    m_pullTimer = Timer::once(m_context.base, delay, [this, address, version] {
+        m_isPullPending = false;
+        if (m_config.version() >= version)
+            return;
+        proto::PeerMessage message;
+        message.mutable_config_request()->set_newer_than(m_config.version());
+        m_peers->send(address, message, monotonicNow());
+    });
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/OwnerAnswers.cpp
@@ -0,0 +1,165 @@
+#include "Core/Hash.h"
+#include "Http/HttpStatus.h"
+#include "Node/BackendReply.h"
+#include "Node/Owner.h"
+#include "Wire/TicketCodec.h"
+
+/// \file How an owner answers: what became of a call, and its own load with each answer.
+
+namespace robinrun {
+namespace {
+
+    using namespace httpStatus;
+    constexpr double permille = 1000;
+
+} // namespace
+
+proto::Answer Owner::answerOf(HttpReply& reply, Instant now)
+{
+    proto::Answer answer;
+    answer.set_offered(true);
+    learn(reply, now);
+    const auto verdict = judge(reply, m_context->headers);
+    if (verdict != BackendVerdict::Answered) {
+        const bool isNotRun = verdict != BackendVerdict::Foreign;
+        answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
+        answer.set_reason(static_cast<std::uint32_t>(isNotRun ? Reason::BackendRefused : Reason::Damaged));
+        return answer;
+    }
+    answer.set_outcome(proto::ANSWERED);
+    answer.set_status(static_cast<std::uint32_t>(reply.status));
+    for (const auto& [name, value] : reply.headers) {
+        if (isHopByHop(name))
+            continue;
+        auto& header = *answer.add_headers();
+        header.set_name(name);
+        header.set_value(value);
+    }
+    answer.set_body_length(reply.body.size());
+    answer.set_body_hash(hash64(reply.body));
+    answer.set_body(std::move(reply.body));
+    return answer;
+}
+
+proto::Answer Owner::answerOf(HttpError error)
+{
+    proto::Answer answer;
+    const bool isNotSent
+        = error.kind == HttpErrorKind::NotConnected || error.kind == HttpErrorKind::BadRequest;
+    answer.set_offered(!isNotSent);
+    answer.set_outcome(isNotSent ? proto::NOT_RUN : proto::UNKNOWN);
+    answer.set_reason(
+        static_cast<std::uint32_t>(isNotSent ? Reason::BackendUnreachable : Reason::BackendFailed));
+    return answer;
+}
+
+void Owner::recordTicket(const CallRecord& record, const proto::Answer& answer)
+{
+    if (!record.call.has_ticket())
+        return;
+    const auto nonce = decode(record.call.ticket()).nonce;
+    if (answer.outcome() == proto::NOT_RUN)
+        return m_tickets.notRun(nonce);
+    RecordedAnswer recorded;
+    recorded.isKnown = answer.outcome() == proto::ANSWERED;
+    recorded.status = static_cast<int>(answer.status());
+    recorded.body = answer.body();
+    for (const auto& it : answer.headers())
+        recorded.headers.emplace_back(it.name(), it.value());
+    m_tickets.ended(nonce, std::move(recorded));
+}
+
+void Owner::refuse(const Refusal& refusal, Instant now)
+{
+    auto& record = m_calls.at(refusal.id);
+    proto::Answer answer;
+    answer.set_outcome(proto::NOT_RUN);
+    answer.set_reason(static_cast<std::uint32_t>(refusal.reason));
+    answer.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(refusal.retryAfter)));
+    answer.set_queued_us(static_cast<std::uint32_t>((now - record.arrived).count()));
+    recordTicket(record, answer);
+    answerAll(record, answer, now);
+}
+
+void Owner::answerAll(CallRecord& record, const proto::Answer& answer, Instant now)
+{
+    const auto key = CallKey { record.sender.incarnation, record.call.number() };
+    const auto replies = std::move(record.replies);
+    const auto numbers = std::move(record.numbers);
+    const auto id = m_idByKey.find(key);
+    const auto group = record.call.group();
+    noteEnd(record, answer, now);
+    if (const auto running = m_runningRequests.find(record.call.request_id());
+        record.isRunning && running != m_runningRequests.end())
+        m_runningRequests.erase(running);
+    const auto bySender = m_bySender.find({ record.sender.incarnation, group });
+    if (--bySender->second == 0)
+        m_bySender.erase(bySender);
+    m_calls.erase(id->second);
+    m_idByKey.erase(id);
+    for (std::size_t i = 0; i < replies.size(); ++i) {
+        // Each gets a copy of its own: whoever is first may take it apart.
+        auto copy = answer;
+        copy.set_number(numbers[i]);
+        fillNews(copy, replies[i].first, group, now);
+        replies[i].second(std::move(copy));
+    }
+}
+
+void Owner::noteEnd(CallRecord& record, const proto::Answer& answer, Instant now)
+{
+    const auto reason = static_cast<Reason>(answer.reason());
+    const bool isGood = answer.outcome() == proto::ANSWERED
+        && answer.status() < static_cast<std::uint32_t>(firstServerError);
+    if (!isGood)
+        record.trail.setNotable();
+    const auto event = [&] {
+        if (answer.outcome() == proto::ANSWERED)
+            return RequestEvent::BackendAnswered;
+        if (reason == Reason::Cancelled)
+            return RequestEvent::CancelTaken;
+        return record.isRunning ? RequestEvent::BackendFailed : RequestEvent::OwnerGaveUp;
+    }();
+    const auto load = m_admission.load(now);
+    record.trail.add({ event, now, upstream(), record.call.number(), reason,
+        { { "status", answer.status() }, { "queued_ms", answer.queued_us() / 1000 },
+            { "held_ms", answer.held_us() / 1000 }, { "in_use", load.inUse }, { "queued", load.waiting },
+            { "retry_after_ms", answer.retry_after_ms() },
+            { "not_run", answer.outcome() == proto::NOT_RUN } } });
+    record.trail.write(
+        record.call.request_id(), record.sender.node, m_context->settings.log.sampleOneIn, now);
+}
+
+void Owner::fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now)
+{
+    const auto load = m_admission.loadFor(m_context->directory.groupNumber(group), now);
+    auto& out = *answer.mutable_load();
+    out.set_slots(load.slots);
+    out.set_in_use(load.inUse);
+    out.set_waiting(load.waiting);
+    out.set_queued(m_admission.load(now).waiting);
+    out.set_service_us(static_cast<std::uint32_t>(load.service.count()));
+    out.set_state(
+        static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
+    out.set_slowdown_permille(static_cast<std::uint32_t>(load.slowdown * permille));
+    out.set_down(m_isDown);
+    const auto it = m_bySender.find({ sender.incarnation, group });
+    out.set_yours(it == m_bySender.end() ? 0 : it->second);
+    out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
+    answer.set_incarnation(m_context->incarnation);
+    answer.set_caller_incarnation(sender.incarnation);
+    answer.set_owner_now_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+}
+
+void Owner::refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
+    bool isNotRun, Instant now)
+{
+    proto::Answer answer;
+    answer.set_number(call.number());
+    answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
+    answer.set_reason(static_cast<std::uint32_t>(reason));
+    fillNews(answer, sender, call.group(), now);
+    reply(std::move(answer));
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/OwnerRun.cpp
@@ -0,0 +1,215 @@
+#include "Core/Log.h"
+#include "Http/HttpStatus.h"
+#include "Node/BackendReply.h"
+#include "Node/CallHeaders.h"
+#include "Node/Owner.h"
+
+#include <algorithm>
+
+/// \file An owner and its backend server: how calls are sent there and what is learnt from it.
+
+namespace robinrun {
+namespace {
+
+    using namespace httpStatus;
+
+    /// A kept connection that rested longer is not used for what must not be repeated: the server may have
+    /// forgotten it.
+    constexpr Duration longestRest = 1s;
+    constexpr Duration anyRest = 1h;
+    /// Connections that can't be made in a row, after which the backend server is taken for down.
+    constexpr unsigned unreachedLimit = 2;
+    constexpr Duration probeWhileDown = 250ms;
+    /// While a backend server is slow it gets few calls, and so would not be heard to be well again.
+    constexpr Duration probeWhileSlow = 60ms;
+    constexpr double slowFrom = 1.5;
+    /// Ingresses are told of a slow-down that has changed by this factor.
+    constexpr double tellFactor = 1.5;
+    /// Ingresses that sent a call within this time are told of a changed load.
+    constexpr Duration tellMemory = 3s;
+
+} // namespace
+
+void Owner::probeBackend(Instant now)
+{
+    if (m_isDown) {
+        if (now < m_nextProbe)
+            return;
+        m_nextProbe = now + probeWhileDown;
+        probe([](const ProbeNews&) {}, now);
+        return;
+    }
+    const auto load = m_admission.load(now);
+    if (load.slowdown >= slowFrom && now - m_loadHeard >= probeWhileSlow) {
+        probe([](const ProbeNews&) {}, now);
+        return;
+    }
+    const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
+    const bool isStarted
+        = m_prober.tryProbe(*m_pool, freeSlots, load.waiting, now, [this](ProbeNews news, Duration) {
+              const auto end = monotonicNow();
+              act(m_admission.releaseSlot(end), end);
+              if (news.isReachable)
+                  setSign(LeavingSign::BackendServer, news.isDraining, end);
+          });
+    if (!isStarted)
+        return;
+    m_admission.holdSlot();
+    m_context->metrics.count("robinrun_probes_total");
+}
+
+void Owner::probe(std::function<void(const ProbeNews&)> done, Instant now)
+{
+    if (!m_pool)
+        return;
+    const bool isStarted
+        = m_prober.probe(*m_pool, now, [this, done = std::move(done)](ProbeNews news, Duration) {
+              const auto end = monotonicNow();
+              setDown(!news.isReachable, end);
+              if (news.slowdown)
+                  setSlowdown(*news.slowdown, end);
+              done(news);
+          });
+    if (isStarted)
+        m_context->metrics.count("robinrun_probes_total");
+}
+
+void Owner::setDown(bool isDown, Instant now)
+{
+    if (!isDown)
+        m_unreached = 0;
+    if (m_isDown == isDown)
+        return;
+    m_isDown = isDown;
+    m_nextProbe = now + probeWhileDown;
+    log(LogLevel::Warning, isDown ? "backend-down" : "backend-up",
+        { { "upstream", upstream() }, { "unreached", m_unreached } });
+    tellLoad(now);
+}
+
+void Owner::setSlowdown(double slowdown, Instant now)
+{
+    m_loadHeard = now;
+    m_admission.setSlowdown(slowdown);
+    const double change = slowdown / m_toldSlowdown;
+    if (change < tellFactor && change > 1 / tellFactor)
+        return;
+    m_toldSlowdown = slowdown;
+    tellLoad(now);
+}
+
+void Owner::tellLoad(Instant now)
+{
+    if (!m_tellLoad)
+        return;
+    for (const auto& [node, ingress] : m_ingresses) {
+        if (now - ingress.lastCall > tellMemory)
+            continue;
+        proto::Answer answer;
+        fillNews(answer, { node, ingress.address, ingress.incarnation }, ingress.group, now);
+        proto::LoadNews news;
+        news.set_upstream(upstream());
+        news.set_incarnation(m_context->incarnation);
+        news.mutable_load()->Swap(answer.mutable_load());
+        m_tellLoad(ingress.address, news);
+    }
+}
+
+HttpRequest Owner::requestOf(const CallRecord& record, Instant now) const
+{
+    HttpRequest request;
+    request.method = record.call.method();
+    request.target = record.call.target();
+    for (const auto& it : record.call.headers())
+        request.headers.emplace_back(it.name(), it.value());
+    const auto left = std::max<std::int64_t>((record.deadline - now).count() / 1000, 1);
+    const auto& names = m_context->headers;
+    request.headers.emplace_back(names.deadline, std::to_string(left));
+    if (record.isByRoute) {
+        request.headers.emplace_back(names.expectedUpstream, upstream());
+        request.headers.emplace_back(names.callerService, record.call.caller_service());
+    } else {
+        request.headers.emplace_back(headers::attempts, std::to_string(record.call.attempts_left()));
+        request.headers.emplace_back(headers::group, record.call.group());
+    }
+    request.body = record.call.body();
+    return request;
+}
+
+void Owner::run(std::uint64_t id, Instant now)
+{
+    auto& record = m_calls.at(id);
+    record.isRunning = true;
+    record.started = now;
+    m_runningRequests.insert(record.call.request_id());
+    record.pool = m_pool.get();
+    record.trail.add({ RequestEvent::SentToBackend, now, upstream(), record.call.number(), Reason::None,
+        { { "waited_ms", (now - record.arrived).count() / 1000 },
+            { "left_ms", (record.deadline - now).count() / 1000 } } });
+    HttpPool::SendOptions options;
+    options.timeout = record.deadline - now;
+    options.longestRest = record.isRepeatable ? anyRest : longestRest;
+    if (!record.call.request_id().empty()) {
+        options.isOurs
+            = [name = m_context->headers.requestId, own = record.call.request_id()](const HttpReply& reply) {
+                  const auto told = findHeader(reply.headers, name);
+                  return !told || *told == own;
+              };
+    }
+    record.request = m_pool->send(requestOf(record, now), std::move(options),
+        [this, id](Result<HttpReply, HttpError> result) { ended(id, std::move(result), monotonicNow()); });
+}
+
+void Owner::learn(const HttpReply& reply, Instant now)
+{
+    setDown(false, now);
+    if (const auto state = findHeader(reply.headers, headers::backendState))
+        setSign(LeavingSign::BackendServer, *state == "draining", now);
+    const auto text = findHeader(reply.headers, m_context->headers.load);
+    const auto load = text ? parseLoad(*text) : std::nullopt;
+    if (load)
+        setSlowdown(load->slowdown, now);
+}
+
+void Owner::ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now)
+{
+    // First of all: a drain told with this answer must stop the call that would get its slot.
+    auto answer = result.has_value() ? answerOf(result.value(), now) : answerOf(result.error());
+    if (!result.has_value() && result.error().kind == HttpErrorKind::NotConnected
+        && ++m_unreached >= unreachedLimit)
+        setDown(true, now);
+    auto& record = m_calls.at(id);
+    const auto next = m_admission.finished(id, now);
+    answer.set_queued_us(static_cast<std::uint32_t>((record.started - record.arrived).count()));
+    answer.set_held_us(static_cast<std::uint32_t>((now - record.started).count()));
+    const bool isFailure = answer.outcome() != proto::ANSWERED
+        || answer.status() >= static_cast<std::uint32_t>(firstServerError);
+    m_errors.add(isFailure ? 1 : 0);
+    recordTicket(record, answer);
+    answerAll(record, answer, now);
+    act(next, now);
+}
+
+void Owner::cancel(std::uint64_t senderIncarnation, std::uint64_t number, Instant now)
+{
+    const auto found = m_idByKey.find({ senderIncarnation, number });
+    if (found == m_idByKey.end())
+        return;
+    const auto id = found->second;
+    auto& record = m_calls.at(id);
+    if (record.replies.size() > 1)
+        return; // others wait for the same ticket
+    if (m_admission.cancelWaiting(id))
+        return refuse({ id, Reason::Cancelled, {} }, now);
+    if (!record.isRepeatable)
+        return; // what must not be repeated is not cut off either
+    record.pool->cancel(record.request);
+    const auto next = m_admission.finished(id, now);
+    proto::Answer answer;
+    answer.set_outcome(proto::UNKNOWN);
+    answer.set_reason(static_cast<std::uint32_t>(Reason::Cancelled));
+    answerAll(record, answer, now);
+    act(next, now);
+}
+
+} // namespace robinrun
--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -1,5 +1,5 @@
-#include "Client/Explain.h"
 #include "Core/Log.h"
+#include "Client/Explain.h"
 #include "Core/LogEvents.h"
 #include "Node/RequestTrail.h"
 #include "support/MeshFixture.h"
