--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -12,7 +12,8 @@
     constexpr Duration changeDelay = 3ms;
     /// After its last call is answered a stopping node waits so long for another one on its way.
     constexpr Duration lingering = 200ms;
-    /// A node whose store can't be reached counts as ready this long after its start if it has a configuration.
+    /// A node whose store can't be reached counts as ready this long after its start if it has a
+    /// configuration.
     constexpr Duration readyAnyway = 1500ms;
     /// Of the deployment's bound on retries, what is planned with: calls that retries make are not seen here.
     constexpr double plannedPart = 0.5;
--- a/test/e2e.sh
+++ b/test/e2e.sh
@@ -79,6 +79,16 @@
 expect "a ticket for another request" "422" \
   "$(call -H "Robinrun-Ticket: $ticket" -X POST -d other "http://$(ingress 4)/refunds/authorise")"
 
+# SIGHUP reads the settings again; bad ones leave the old ones in force. Neither ends the node.
+hup="$(nth_name 3)"
+signal_node "$hup" HUP
+expect "a call after SIGHUP" "Robinrun-Outcome: answered" "$(call "http://$(ingress 3)/tracking/returns/1")"
+cp "$folder/node-$hup.yaml" "$folder/kept.yaml"
+echo "no_such_field: 1" >>"$folder/node-$hup.yaml"
+signal_node "$hup" HUP
+expect "a call after SIGHUP with bad settings" "Robinrun-Outcome: answered" "$(call "http://$(ingress 3)/tracking/returns/1")"
+cp "$folder/kept.yaml" "$folder/node-$hup.yaml"
+
 # A planned stop of a node under load cuts off nothing: no call is lost or unknown, none is wrong or runs twice.
 sed -e 's/^duration: .*/duration: 6s/' -e 's/rate: [0-9]\{3,\}/rate: 50/' "$folder/load.yaml" >"$folder/stop-load.yaml"
 stopped="$(nth_name 2)"
--- a/tools/CommandLine.h
+++ b/tools/CommandLine.h
@@ -4,10 +4,12 @@
 
 #include "Core/Log.h"
 #include "Core/Loop.h"
+#include "Node/Timer.h"
 #include "Settings/NodeSettings.h"
 
 #include <csignal>
 #include <event2/event.h>
+#include <filesystem>
 #include <functional>
 #include <getopt.h>
 #include <iostream>
@@ -134,4 +136,42 @@
     log(LogLevel::Info, "reloaded", { { "file", file } });
 }
 
+/// \brief Calls \a changed when a file has another time of change than before; looks once in \a interval.
+class FileWatch {
+public:
+    FileWatch(event_base* base, std::string file, Duration interval, std::function<void()> changed)
+        : m_file(std::move(file))
+        , m_changed(std::move(changed))
+        , m_last(timeOf(m_file))
+        , m_timer(Timer::repeating(base, interval, [this] { look(); }))
+    {
+    }
+    FileWatch(const FileWatch&) = delete;
+    FileWatch& operator=(const FileWatch&) = delete;
+
+private:
+    using FileTime = std::filesystem::file_time_type;
+
+    static FileTime timeOf(const std::string& file)
+    {
+        std::error_code ec;
+        const auto time = std::filesystem::last_write_time(file, ec);
+        return ec ? FileTime::min() : time; // gone for a moment, as while it is replaced
+    }
+
+    void look()
+    {
+        const auto time = timeOf(m_file);
+        if (time == m_last || time == FileTime::min())
+            return;
+        m_last = time;
+        m_changed();
+    }
+
+    std::string m_file;
+    std::function<void()> m_changed;
+    FileTime m_last;
+    Timer m_timer;
+};
+
 } // namespace robinrun::tools
--- a/tools/robinrun-mesh.cpp
+++ b/tools/robinrun-mesh.cpp
@@ -19,6 +19,9 @@
 
 using namespace robinrun;
 
+/// The platform may change the settings without a signal; a look costs one system call.
+constexpr Duration lookEvery = 2s;
+
 MeshFormats platformFormats()
 {
     MeshFormats formats;
@@ -46,9 +49,11 @@
         log(LogLevel::Error, "start-failed", { { "error", node.error() } });
         return EXIT_FAILURE;
     }
+    const auto reload
+        = [&] { tools::reloadSettings(file, [&](const NodeSettings& it) { node.value()->reload(it); }); };
     const tools::Signals signals(
-        base.get(), [&] { node.value()->stop(); },
-        [&] { tools::reloadSettings(file, [&](const NodeSettings& it) { node.value()->reload(it); }); });
+        base.get(), [&] { node.value()->stop(); }, reload);
+    const tools::FileWatch watch(base.get(), file, lookEvery, reload);
     log(LogLevel::Info, "started", { { "incarnation", incarnation } });
     event_base_dispatch(base.get());
     log(LogLevel::Info, "stopped");
