--- a/src/Core/internal/BoundedSink.cpp
+++ b/src/Core/internal/BoundedSink.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <poll.h>
+#include <string_view>
 #include <unistd.h>
 
 namespace robinrun::internal {
@@ -12,6 +13,16 @@
     /// About a second of lines at the usual bound.
     constexpr std::size_t maxBuffered = 256U << 10U;
 
+    /// \returns how much of \a text to write at once: whole lines, as many as a chunk holds, so that a reader
+    /// of many processes does not get two lines in one.
+    std::size_t wholeLines(std::string_view text)
+    {
+        if (text.size() <= chunk)
+            return text.size();
+        const auto end = text.rfind('\n', chunk - 1);
+        return end == std::string_view::npos ? chunk : end + 1;
+    }
+
     bool isWritable(int fd)
     {
         pollfd it { fd, POLLOUT, 0 };
@@ -47,7 +58,8 @@
 {
     std::size_t written = 0;
     while (written < m_buf.size() && isWritable(m_fd)) {
-        const auto n = write(m_fd, m_buf.data() + written, std::min(chunk, m_buf.size() - written));
+        const auto n
+            = write(m_fd, m_buf.data() + written, wholeLines(std::string_view(m_buf).substr(written)));
         if (n <= 0)
             break;
         written += static_cast<std::size_t>(n);
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -19,6 +19,7 @@
     constexpr double errorSampleWeight = 0.05;
     using namespace httpStatus;
     constexpr double percent = 100;
+    constexpr std::int64_t neverHeard = -1; // in the log, for an age
 
     Hash128 fingerprintOf(const proto::Call& call)
     {
@@ -225,7 +226,7 @@
         { { "in_use", load.inUse }, { "slots", load.slots }, { "queued", load.waiting },
             { "priority", offer.priority }, { "left_ms", (record.deadline - now).count() / 1000 },
             { "slowdown_percent", static_cast<std::int64_t>(load.slowdown * percent) },
-            { "news_age_ms", (now - m_loadHeard).count() / 1000 } } });
+            { "news_age_ms", m_loadHeard ? (now - *m_loadHeard).count() / 1000 : neverHeard } } });
     m_calls.emplace(id, std::move(record));
     m_idByKey[{ sender.incarnation, call.number() }] = id;
     ++m_bySender[{ sender.incarnation, call.group() }];
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -143,7 +144,7 @@
     unsigned m_unreached = 0; ///< connections in a row that could not be made
     double m_toldSlowdown = 1;
     Instant m_nextProbe {};
-    Instant m_loadHeard {}; ///< when the backend server last told its slow-down
+    std::optional<Instant> m_loadHeard; ///< when the backend server last told its slow-down
     std::string m_serviceId;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, CallRecord> m_calls;
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -40,7 +40,7 @@
         return;
     }
     const auto load = m_admission.load(now);
-    if (load.slowdown >= slowFrom && now - m_loadHeard >= probeWhileSlow) {
+    if (load.slowdown >= slowFrom && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow)) {
         probe([](const ProbeNews&) {}, now);
         return;
     }
