Ingresses keep to some upstreams of a large service, a third of them in other halls; loads told to a bounded number

Cause: with hundreds of nodes every ingress would keep a link to every upstream, and owners would tell all of them of each slow-down. What it does at 61 and 88 machines is not measured yet.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -14,6 +14,8 @@
     constexpr Duration gatherNodes = 400ms;
     /// Of n nodes each reads what each writes: n x n calls, but for this.
     constexpr Duration longestGatherNodes = 3s;
+    /// Each link costs heartbeats; one that is needed again stands anew within a millisecond.
+    constexpr Duration linkIdle = 20s;
     constexpr std::size_t adminBody = 64U << 10U;
     constexpr std::size_t adminHeaders = 16U << 10U;
     constexpr Duration adminIdle = 60s;
@@ -101,6 +103,7 @@
     options.node = settings.name;
     options.incarnation = m_context.incarnation;
     options.heartbeat = settings.peers.heartbeat;
+    options.idleTimeout = linkIdle;
     options.longestReconnect = settings.peers.longestReconnect;
     auto peers = PeerSocket::bind(m_context.base, options,
         [this](const PeerSocket::Sender& from, proto::PeerMessage& message) { takeMessage(from, message); });
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -19,6 +19,8 @@
     /// A node that has just started usually has its configuration within so long.
     constexpr std::uint32_t notReadyRetryMs = 200;
     constexpr Duration connectRetry = 2ms;
+    /// Of the upstreams that an ingress keeps to, at least one in so many is in another data hall.
+    constexpr std::size_t farPart = 3;
     /// Backend servers name a call that they make by the id of the call it is for, this, and an id of its
     /// own.
     constexpr char nestedMark = '.';
@@ -41,6 +43,34 @@
 
 Ingress::~Ingress() = default;
 
+std::vector<std::size_t> Ingress::subsetOf(
+    const ServiceInfo& service, const std::vector<std::string>& hosts) const
+{
+    const auto& settings = m_context->settings;
+    std::vector<std::size_t> near;
+    std::vector<std::size_t> far;
+    for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
+        const bool isNear = settings.choice.kind != ChoiceKind::Timely
+            || service.upstreams[i].config.data_hall() == settings.dataHall;
+        (isNear ? near : far).push_back(i);
+    }
+    std::vector<std::size_t> out;
+    const auto take = [&](const std::vector<std::size_t>& from, std::size_t size) {
+        std::vector<std::string> names;
+        for (const auto i : from)
+            names.push_back(service.upstreams[i].id);
+        for (const auto i : chooseSubset(names, hosts, settings.name, size))
+            out.push_back(from[i]);
+    };
+    // With some in other halls, for when the own one is full or lost.
+    const auto size = settings.choice.subset;
+    const auto ofNear = far.empty() ? size : size - size / farPart;
+    take(near, ofNear);
+    if (!far.empty())
+        take(far, size - out.size());
+    return out;
+}
+
 void Ingress::configure(Instant now)
 {
     const auto& settings = m_context->settings;
@@ -56,11 +86,8 @@
         router->setRetryFraction(info.config.retry_fraction());
         if (m_retryBurst)
             router->setRetryBurst(*m_retryBurst);
-        std::vector<std::string> names;
-        for (const auto& it : info.upstreams)
-            names.push_back(it.id);
         std::vector<RouteTarget> targets;
-        for (const auto i : chooseSubset(names, hosts, settings.name, settings.choice.subset)) {
+        for (const auto i : subsetOf(info, hosts)) {
             const auto& config = info.upstreams[i].config;
             Duration roundTrip = config.region() == settings.region ? settings.choice.hallRoundTrip
                                                                     : settings.choice.regionRoundTrip;
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -109,6 +109,9 @@
     };
     using CallId = std::uint64_t;
 
+    /// \returns the upstreams to keep connections to, as places in the list of the service.
+    std::vector<std::size_t> subsetOf(
+        const ServiceInfo& service, const std::vector<std::string>& hosts) const;
     void noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now);
     void reject(HttpExchange& exchange, const CallRequestError& error);
     void reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply);
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -27,6 +27,8 @@
     constexpr double tellFactor = 1.5;
     /// Ingresses that sent a call within this time are told of a changed load.
     constexpr Duration tellMemory = 3s;
+    /// At most so many, as slow-downs change several times a second; the others hear with their next answer.
+    constexpr std::size_t maxTold = 32;
 
 } // namespace
 
@@ -102,9 +104,12 @@
 {
     if (!m_tellLoad)
         return;
+    std::size_t told = 0;
     for (const auto& [node, ingress] : m_ingresses) {
         if (now - ingress.lastCall > tellMemory)
             continue;
+        if (++told > maxTold)
+            return;
         proto::Answer answer;
         fillNews(answer, { node, ingress.address, ingress.incarnation }, ingress.group, now);
         proto::LoadNews news;
--- a/test/IngressTest.cpp
+++ b/test/IngressTest.cpp
@@ -203,3 +203,32 @@
         [&](auto result) { f.reply = result.value(); });
     REQUIRE(f.outcome() == "not-run");
 }
+
+TEST_CASE("Of many upstreams an ingress keeps to some, most in its own data hall, some in others", "[node]")
+{
+    IngressFixture f;
+    std::vector<proto::Resource> resources;
+    proto::Resource service;
+    service.set_name("services/s");
+    service.mutable_service()->set_deadline_ms(1000);
+    resources.push_back(service);
+    for (int i = 0; i < 90; ++i) {
+        proto::Resource upstream;
+        upstream.set_name("upstreams/u" + std::to_string(i));
+        upstream.mutable_upstream()->set_service("s");
+        upstream.mutable_upstream()->set_data_hall("hall-" + std::to_string(i % 3));
+        upstream.mutable_upstream()->set_slots(4);
+        resources.push_back(upstream);
+    }
+    f.context.settings.choice.kind = ChoiceKind::Timely;
+    f.context.settings.choice.subset = 24;
+    f.context.settings.dataHall = "hall-1";
+    f.context.directory.rebuild(resources);
+    f.ingress.configure(monotonicNow());
+    std::size_t far = 0;
+    const auto views = f.ingress.routers().at("s")->views();
+    for (const auto& it : views)
+        far += it.isFar();
+    REQUIRE(views.size() == 24);
+    REQUIRE(far == 8);
+}
