Changed records are told to all nodes at once; the store's topic of nodes is read every 12 s at most

Cause: on 61 and 88 machines calls to the store were the dearest price, most of them reads of other nodes' records that peers had told already.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -9,13 +9,13 @@
     using namespace httpStatus;
     constexpr Duration tickEvery = 50ms;
     /// A read that a store held and forgot is noticed after so long; changes have to be in force in 2 s.
-    constexpr Duration configurationWait = 12s;
+    constexpr Duration configurationWait = 20s;
     /// Peers tell each other of themselves at once; the store is for those that they don't reach.
     constexpr Duration gatherNodes = 400ms;
     /// Of n nodes each reads what each writes: n x n calls, but for this.
-    constexpr Duration longestGatherNodes = 3s;
+    constexpr Duration longestGatherNodes = 12s;
     /// Each link costs heartbeats; one that is needed again stands anew within a millisecond.
-    constexpr Duration linkIdle = 20s;
+    constexpr Duration linkIdle = 5s;
     constexpr std::size_t adminBody = 64U << 10U;
     constexpr std::size_t adminHeaders = 16U << 10U;
     constexpr Duration adminIdle = 60s;
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -74,6 +74,7 @@
     void rebuildSoon();
     void rebuild();
     void publish(Instant now);
+    void tellAll(Instant now);
     void tellContacts(Instant now);
     void sendRecord(const std::string& address, Instant now);
 
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -8,6 +8,9 @@
 
     /// After a peer says that it has a newer configuration, the store has so long to deliver it first.
     constexpr Duration pullDelay = 150ms;
+    /// A changed record is told to all nodes while there are no more; in larger systems to the contacts, and
+    /// the others read it in the store.
+    constexpr std::size_t maxToldDirectly = 200;
 
     Owner::Sender senderOf(const PeerSocket::Sender& sender)
     {
@@ -22,7 +25,18 @@
     m_registry.take(m_record);
     m_writer->set(m_record.SerializeAsString());
     rebuildSoon();
-    tellContacts(now);
+    tellAll(now);
+}
+
+void MeshNode::tellAll(Instant now)
+{
+    if (m_registry.nodes().size() > maxToldDirectly)
+        return tellContacts(now);
+    m_nextContact = now + m_context.settings.peers.contactEvery;
+    for (const auto& [name, record] : m_registry.nodes()) {
+        if (name != m_context.settings.name && !record.gone())
+            sendRecord(record.peer_address(), now);
+    }
 }
 
 void MeshNode::tellContacts(Instant now)
