One conversion of durations for libevent; a declaration without a definition gone

The same conversion stood in three files of Http; the server's one lacked the lower bound, but only ever got durations above zero. ClientConnection::takeReply() was declared and defined nowhere.

--- a/src/Http/HttpPool.cpp
+++ b/src/Http/HttpPool.cpp
@@ -2,19 +2,11 @@
 
 #include "Core/Check.h"
 #include "Http/internal/ClientConnection.h"
+#include "Http/internal/Timeval.h"
 
 #include <algorithm>
 
 namespace robinrun {
-namespace {
-
-    timeval toTimeval(Duration d)
-    {
-        const auto micros = std::max<std::int64_t>(d.count(), 1);
-        return { micros / 1000000, micros % 1000000 };
-    }
-
-} // namespace
 
 HttpPool::Exchange::~Exchange()
 {
@@ -77,7 +69,7 @@
         late->pool->timedOut(late->number);
     };
     exchange->timer = event_new(m_base, -1, EV_TIMEOUT, onTimeout, exchange.get());
-    const auto tv = toTimeval(options.timeout);
+    const auto tv = internal::toTimeval(options.timeout);
     event_add(exchange->timer, &tv);
     exchange->options = std::move(options);
     if (attachConnection(*exchange))
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "Http/internal/ClientConnection.h"
 
+#include "Http/internal/Timeval.h"
+
 #include <arpa/inet.h>
 #include <charconv>
 #include <event2/buffer.h>
@@ -10,12 +12,6 @@
 namespace robinrun::internal {
 namespace {
 
-    timeval toTimeval(Duration d)
-    {
-        const auto micros = std::max<std::int64_t>(d.count(), 1);
-        return { micros / 1000000, micros % 1000000 };
-    }
-
     /// \returns for how long the server says it keeps the connection (`Keep-Alive: timeout=5`); less a
     /// second, since it says whole ones.
     Duration keptFor(const HttpReply& reply, Duration standard)
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -29,7 +29,6 @@
     static void readable(bufferevent*, void* self);
     static void eventCame(bufferevent*, short what, void* self);
     void readOn();
-    void takeReply();
     void fail(HttpErrorKind kind);
 
     HttpPool* m_pool;
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -1,6 +1,7 @@
 #include "Http/internal/ServerConnection.h"
 
 #include "Http/HttpStatus.h"
+#include "Http/internal/Timeval.h"
 
 #include <event2/buffer.h>
 #include <netinet/in.h>
@@ -15,11 +16,7 @@
     /// After the last answer the caller has so long to read it and close; closing at once could reset it.
     constexpr Duration lingering = 1s;
 
-    timeval toTimeval(Duration d)
-    {
-        return { d.count() / 1000000, d.count() % 1000000 };
-    }
-
+    /// \brief Ends the connection when nothing comes for \a timeout; zero: never.
     void setReadTimeout(bufferevent* buffer, Duration timeout)
     {
         const auto tv = toTimeval(timeout);
