--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -19,6 +19,8 @@
 public:
     RequestParser(std::size_t maxHeaders, std::size_t maxBody);
     ~RequestParser();
+    RequestParser(const RequestParser&) = delete;
+    RequestParser& operator=(const RequestParser&) = delete;
 
     /// \brief Takes bytes out of \a in up to the end of the request, if it is there. The error is the status
     /// to refuse it with (400, 413 or 431); the connection can't be read on after that.
@@ -54,6 +56,8 @@
     /// \param hasNoBody of a reply to HEAD.
     ReplyParser(std::size_t maxBody, bool hasNoBody);
     ~ReplyParser();
+    ReplyParser(const ReplyParser&) = delete;
+    ReplyParser& operator=(const ReplyParser&) = delete;
 
     /// \brief Takes bytes out of \a in up to the end of the reply, if it is there.
     Result<void, HttpErrorKind> feed(evbuffer* in);
--- a/src/Http/internal/Timeval.h
+++ b/src/Http/internal/Timeval.h
@@ -8,7 +8,8 @@
 
 namespace robinrun::internal {
 
-/// \returns \a d as libevent takes it, at least a microsecond: to libevent, zero is no timeout on a bufferevent.
+/// \returns \a d as libevent takes it, at least a microsecond: to libevent, zero is no timeout on a
+/// bufferevent.
 inline timeval toTimeval(Duration d)
 {
     constexpr std::int64_t microsPerSecond = 1000000;
