--- a/tools/CommandLine.h
+++ b/tools/CommandLine.h
@@ -1,13 +1,16 @@
 #pragma once
 
-/// \file What the programs of a node have in common: command line, settings, signals.
+/// \file What the programs of a node have in common: command line, settings, signals, the run of the loop.
 
+#include "Chart/Charts.h"
 #include "Core/Log.h"
-#include "Core/Loop.h"
 #include "Node/Timer.h"
 #include "Settings/NodeSettings.h"
 
+#include <chrono>
 #include <csignal>
+#include <cstdint>
+#include <cstdlib>
 #include <event2/event.h>
 #include <filesystem>
 #include <functional>
@@ -15,18 +18,24 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <system_error>
+#include <utility>
+#include <vector>
 
 namespace robinrun::tools {
 
+/// Exit status for a bad command line or bad settings.
 inline constexpr int badUsage = 2;
 
+/// \brief What a node was asked to do.
 struct CommandLine {
-    std::string settings;
-    bool isCheck = false;
+    std::string settings; ///< path of the settings file
+    bool isCheck = false; ///< check the settings and charts only
     int exitStatus = -1; ///< set when there is nothing more to do
 };
 
-/// \brief Reads the options that all nodes take. \param program its name, for messages.
+/// \brief Reads the options that all nodes take; prints the help, the version or what is wrong.
+/// \param program its name, for messages.
 inline CommandLine parseCommandLine(int argc, char** argv, const std::string& program)
 {
     const std::string usage = "usage: " + program + R"( --settings FILE [--check-settings]
@@ -90,7 +99,58 @@
     return { settings.log.level, settings.log.format, settings.name, settings.log.linesPerSecond, true };
 }
 
-/// \brief Handlers of signals on a loop, while it lives.
+/// \brief Starts a node from settings and charts that are good, and runs it to its end.
+/// \param file of the settings, to read them again. \returns the exit status.
+using RunNode = std::function<int(const std::string& file, NodeSettings settings, Charts charts)>;
+
+/// \brief Reads the command line, the settings and the charts; what is wrong with them goes to standard
+/// error. \a run is called if all is good and more than a check was asked for. \returns the exit status.
+inline int loadAndRun(int argc, char** argv, const std::string& program, const RunNode& run)
+{
+    const auto line = parseCommandLine(argc, argv, program);
+    if (line.exitStatus >= 0)
+        return line.exitStatus;
+    auto settings = NodeSettings::load(line.settings);
+    if (!settings) {
+        for (const auto& it : settings.error())
+            std::cerr << it.text() << "\n";
+        return badUsage;
+    }
+    auto charts = Charts::load(settings.value().chartsFolder);
+    if (!charts) {
+        std::cerr << charts.error().text() << "\n";
+        return badUsage;
+    }
+    if (line.isCheck) {
+        std::cout << "settings and charts are good\n";
+        return EXIT_SUCCESS;
+    }
+    return run(line.settings, std::move(settings.value()), std::move(charts.value()));
+}
+
+/// \brief The `main` of a node: loadAndRun(), with exceptions told on standard error.
+inline int nodeMain(int argc, char** argv, const std::string& program, const RunNode& run)
+{
+    try {
+        return loadAndRun(argc, argv, program, run);
+    } catch (const std::exception& ex) {
+        std::cerr << program << ": " << ex.what() << "\n";
+        return EXIT_FAILURE;
+    }
+}
+
+/// \brief Runs the loop of a node that has started until something ends it. \returns the exit status.
+inline int runLoop(event_base* base, std::uint64_t incarnation)
+{
+    log(LogLevel::Info, "started", { { "incarnation", incarnation } });
+    event_base_dispatch(base);
+    log(LogLevel::Info, "stopped");
+    flushLog();
+    return EXIT_SUCCESS;
+}
+
+/// \brief Handlers of signals on a loop, while it lives. SIGTERM and SIGINT stop, SIGHUP reloads, SIGPIPE is
+/// ignored.
 class Signals {
 public:
     Signals(event_base* base, std::function<void()> stop, std::function<void()> reload)
--- a/tools/robinrun-mesh.cpp
+++ b/tools/robinrun-mesh.cpp
@@ -11,9 +11,10 @@
 #include "platform/StoreClient.h"
 #include "tools/CommandLine.h"
 
-#include <event2/event.h>
-#include <iostream>
+#include <cstdlib>
+#include <memory>
 #include <string>
+#include <utility>
 
 namespace {
 
@@ -54,39 +55,12 @@
     const tools::Signals signals(
         base.get(), [&] { node.value()->stop(); }, reload);
     const tools::FileWatch watch(base.get(), file, lookEvery, reload);
-    log(LogLevel::Info, "started", { { "incarnation", incarnation } });
-    event_base_dispatch(base.get());
-    log(LogLevel::Info, "stopped");
-    flushLog();
-    return EXIT_SUCCESS;
+    return tools::runLoop(base.get(), incarnation);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    try {
-        const auto line = tools::parseCommandLine(argc, argv, "robinrun-mesh");
-        if (line.exitStatus >= 0)
-            return line.exitStatus;
-        auto settings = NodeSettings::load(line.settings);
-        if (!settings) {
-            for (const auto& it : settings.error())
-                std::cerr << it.text() << "\n";
-            return tools::badUsage;
-        }
-        auto charts = Charts::load(settings.value().chartsFolder);
-        if (!charts) {
-            std::cerr << charts.error().text() << "\n";
-            return tools::badUsage;
-        }
-        if (line.isCheck) {
-            std::cout << "settings and charts are good\n";
-            return EXIT_SUCCESS;
-        }
-        return run(line.settings, std::move(settings.value()), std::move(charts.value()));
-    } catch (const std::exception& ex) {
-        std::cerr << "robinrun-mesh: " << ex.what() << "\n";
-        return EXIT_FAILURE;
-    }
+    return tools::nodeMain(argc, argv, "robinrun-mesh", run);
 }
