--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -2,7 +2,6 @@
 
 #include "Http/HttpServer.h"
 #include "Loopback.h"
-#include "Node/Timer.h"
 #include "Platform/HttpPlatform.h"
 
 #include <cstdint>
@@ -10,8 +9,8 @@
 #include <map>
 #include <memory>
 #include <openssl/evp.h>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace robinrun::support {
@@ -27,7 +26,6 @@
     };
 
     explicit FakeStore(event_base* base)
-        : m_base(base)
     {
         HttpServer::Options options;
         options.address = address;
@@ -35,7 +33,7 @@
             HttpServer::listen(base, options, [this](auto exchange) { take(std::move(exchange)); }).value());
     }
 
-    /// \brief Writes a record as the operator would.
+    /// \brief Writes a record as the operator would, whatever the mode; waiting reads are answered.
     void put(const std::string& topic, const std::string& key, const std::string& value)
     {
         auto& log = m_topics[topic];
@@ -46,6 +44,7 @@
     /// \brief Forgets all records but the newest of each key.
     void compact(const std::string& topic) { m_topics[topic].first = m_topics[topic].records.size(); }
 
+    /// \returns the value written last under \a key; "" if there is none.
     std::string newest(const std::string& topic, const std::string& key) const
     {
         const auto it = m_topics.find(topic);
@@ -60,8 +59,8 @@
 
     std::string address = freeAddress();
     Mode mode = Mode::Up;
-    int calls = 0;
-    int writes = 0;
+    int calls = 0; ///< of any kind, answered or not
+    int writes = 0; ///< done, answered or not
 
 private:
     struct Record {
@@ -70,7 +69,7 @@
     };
     struct Log {
         std::vector<Record> records;
-        std::size_t first = 0;
+        std::size_t first = 0; ///< offset of the oldest record that is kept
     };
     struct Waiting {
         std::string topic;
@@ -112,7 +111,6 @@
             return exchange->reply({ 200, {}, newestText(topic) });
         const auto from = std::stoull(parameter(target, "from"));
         m_waiting.push_back({ topic, from, std::move(exchange) });
-        m_waiting.back().exchange->onHangUp([this] { dropEnded(); });
         wake(topic);
     }
 
@@ -166,14 +164,10 @@
         std::erase_if(m_waiting, [](const auto& it) { return !it.exchange; });
     }
 
-    void dropEnded() { m_ended = true; }
-
-    event_base* m_base;
     std::unique_ptr<HttpServer> m_server;
     std::map<std::string, Log> m_topics;
     std::deque<Waiting> m_waiting;
-    std::vector<std::unique_ptr<HttpExchange>> m_held;
-    bool m_ended = false;
+    std::vector<std::unique_ptr<HttpExchange>> m_held; ///< never answered
 };
 
 } // namespace robinrun::support
