Mesh: MeshNode's start and the reading of stored records in short steps, topic followers without a dead callback

bind() wired everything in one function; the owner's two callbacks are now functions beside the other messages to peers. Reading a stored record, this node's own record and the test for a new life have names. Nobody used TopicFollower's callback for its standing (the log tells it, and isConnected()).

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -56,43 +56,38 @@
 
 Result<void, std::string> MeshNode::bind()
 {
-    auto* base = m_context.base;
     auto peers = bindPeers();
     if (!peers)
         return peers;
+    makeParts();
+    auto servers = bindServers();
+    if (!servers)
+        return servers;
+    startFeeds();
+    addGauges();
+    m_tickTimer = Timer::repeating(m_context.base, tickEvery, [this] { tick(); });
+    return boost::outcome_v2::success();
+}
+
+void MeshNode::makeParts()
+{
+    auto* base = m_context.base;
     m_owner = std::make_unique<Owner>(m_context, m_started);
+    m_owner->onAnnounce(
+        [this](const std::string& address, bool isLeaving) { tellLeaving(address, isLeaving); });
+    m_owner->onLoadChanged(
+        [this](const std::string& address, proto::LoadNews& news) { tellLoad(address, news); });
     const auto send = [this](const std::string& address, proto::PeerMessage& message, Instant now) {
         return m_peers->send(address, message, now);
     };
     m_ingress = std::make_unique<Ingress>(m_context, *m_owner, nullptr, nullptr, send);
     m_ingress->setConfigured(false);
-    m_owner->onAnnounce([this](const std::string& address, bool isLeaving) {
-        proto::PeerMessage message;
-        message.mutable_leaving()->set_upstream(m_owner->upstream());
-        message.mutable_leaving()->set_incarnation(m_context.incarnation);
-        message.mutable_leaving()->set_undone(!isLeaving);
-        m_peers->send(address, message, monotonicNow());
-    });
-    m_owner->onLoadChanged([this](const std::string& address, proto::LoadNews& news) {
-        if (address == m_context.settings.listen.peers)
-            return m_ingress->takeLoad(news, monotonicNow());
-        proto::PeerMessage message;
-        message.mutable_load_news()->Swap(&news);
-        m_peers->send(address, message, monotonicNow());
-    });
-    auto servers = bindServers();
-    if (!servers)
-        return servers;
     m_writer = std::make_unique<RecordWriter>(base, *m_store, m_formats.nodesTopic, m_context.settings.name);
     m_finder = std::make_unique<BackendFinder>(
         base, m_context.settings.backend, [this](const Announcement& found) {
             if (m_announced.found(found))
                 upstreamChanged(monotonicNow());
         });
-    startFeeds();
-    addGauges();
-    m_tickTimer = Timer::repeating(base, tickEvery, [this] { tick(); });
-    return boost::outcome_v2::success();
 }
 
 Result<void, std::string> MeshNode::bindPeers()
@@ -158,14 +153,14 @@
             if (record.key == m_formats.configurationKey)
                 offerConfiguration(record.value, "store", monotonicNow());
         },
-        [](bool) {}, m_context.random);
+        m_context.random);
     TopicFollower::Options nodes;
     nodes.topic = m_formats.nodesTopic;
     nodes.gather = gatherNodes;
     nodes.longestGather = longestGatherNodes;
     m_nodesFeed = std::make_unique<TopicFollower>(
         base, *m_store, nodes, [this](const KeyedRecord& record) { takeStoredNode(record, monotonicNow()); },
-        [](bool) {}, m_context.random);
+        m_context.random);
     m_configFeed->start();
     m_nodesFeed->start();
 }
@@ -193,13 +188,13 @@
         "robinrun_store_calls_total{kind=\"write-node\"}", [this] { return double(m_writer->calls()); });
 }
 
-void MeshNode::answerReadiness(HttpExchange& exchange)
+void MeshNode::answerReadiness(HttpExchange& exchange) const
 {
     const bool isAsked = exchange.request().target == m_formats.readinessPath;
     exchange.reply({ !isAsked ? notFound : isReady() ? ok : unavailable, {}, {} });
 }
 
-void MeshNode::answerMetrics(HttpExchange& exchange)
+void MeshNode::answerMetrics(HttpExchange& exchange) const
 {
     if (exchange.request().target != m_formats.metricsPath)
         return exchange.reply({ notFound, {}, {} });
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -20,8 +20,10 @@
 #include <cstdint>
 #include <event2/event.h>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace robinrun {
 
@@ -45,6 +47,8 @@
     /// \brief Takes over the settings that can change in a running node (logs, admission, retries).
     void reload(const NodeSettings& settings);
 
+    /// \returns whether callers should come here: there is a configuration, the other nodes are known or the
+    /// store has not answered for a while, and no stop has been asked for.
     bool isReady() const;
 
 private:
@@ -52,6 +56,9 @@
         MeshFormats formats, std::unique_ptr<RecordStore> store);
     Result<void, std::string> bind();
     Result<void, std::string> bindPeers();
+    void makeParts();
+    void tellLeaving(const std::string& address, bool isLeaving);
+    void tellLoad(const std::string& address, proto::LoadNews& news);
     Result<void, std::string> bindServers();
     void startFeeds();
     void addGauges();
@@ -61,11 +68,16 @@
     void takeRecord(const PeerSocket::Sender& sender, const proto::NodeRecord& record, Instant now);
     void takeConfigRequest(
         const PeerSocket::Sender& sender, const proto::ConfigRequest& request, Instant now);
-    void takeStoredNode(const KeyedRecord& record, Instant now);
+    void takeStoredNode(const KeyedRecord& stored, Instant now);
+    /// \returns what a record of the store says of its node; nothing if it is malformed or says nothing new.
+    std::optional<proto::NodeRecord> readStoredNode(const KeyedRecord& stored) const;
+    void takeOwnRecord(const proto::NodeRecord& record, Instant now);
+    /// \returns whether \a record is of a node, or of a start of it, that is not known yet.
+    bool isNewLifeOf(const proto::NodeRecord& record) const;
     void registryChanged(const proto::NodeRecord& record, bool isNewLife, Instant now);
 
-    void answerReadiness(HttpExchange& exchange);
-    void answerMetrics(HttpExchange& exchange);
+    void answerReadiness(HttpExchange& exchange) const;
+    void answerMetrics(HttpExchange& exchange) const;
     void takeAnnouncement(HttpExchange& exchange);
     void upstreamChanged(Instant now);
 
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -41,6 +41,24 @@
     m_peers->send(address, message, now);
 }
 
+void MeshNode::tellLeaving(const std::string& address, bool isLeaving)
+{
+    proto::PeerMessage message;
+    message.mutable_leaving()->set_upstream(m_owner->upstream());
+    message.mutable_leaving()->set_incarnation(m_context.incarnation);
+    message.mutable_leaving()->set_undone(!isLeaving);
+    m_peers->send(address, message, monotonicNow());
+}
+
+void MeshNode::tellLoad(const std::string& address, proto::LoadNews& news)
+{
+    if (address == m_context.settings.listen.peers)
+        return m_ingress->takeLoad(news, monotonicNow());
+    proto::PeerMessage message;
+    message.mutable_load_news()->Swap(&news);
+    m_peers->send(address, message, monotonicNow());
+}
+
 void MeshNode::takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
 {
     const auto now = monotonicNow();
@@ -81,6 +99,12 @@
         now);
 }
 
+bool MeshNode::isNewLifeOf(const proto::NodeRecord& record) const
+{
+    const auto* known = m_registry.find(record.node());
+    return !known || known->incarnation() < record.incarnation();
+}
+
 void MeshNode::registryChanged(const proto::NodeRecord& record, bool isNewLife, Instant now)
 {
     rebuildSoon();
@@ -90,8 +114,7 @@
 
 void MeshNode::takeRecord(const PeerSocket::Sender& sender, const proto::NodeRecord& record, Instant now)
 {
-    const auto* known = m_registry.find(record.node());
-    const bool isNewLife = !known || known->incarnation() < record.incarnation();
+    const bool isNewLife = isNewLifeOf(record);
     const auto change = m_registry.take(record);
     if (change == NodeRegistry::Change::Changed)
         registryChanged(record, isNewLife, now);
@@ -101,34 +124,45 @@
         pullSoon(sender.address, record.config_version());
 }
 
-void MeshNode::takeStoredNode(const KeyedRecord& stored, Instant now)
+std::optional<proto::NodeRecord> MeshNode::readStoredNode(const KeyedRecord& stored) const
 {
     proto::NodeRecord record;
-    if (stored.value.empty())
-        record.set_gone(true);
-    else if (!record.ParseFromString(stored.value) || record.node() != stored.key)
-        return log(LogLevel::Error, "node-record-malformed", { { "key", stored.key } });
-    if (stored.value.empty()) {
-        const auto* known = m_registry.find(stored.key);
-        if (!known || stored.key == m_context.settings.name)
-            return;
-        record = *known;
-        record.set_gone(true);
+    if (!stored.value.empty()) {
+        if (record.ParseFromString(stored.value) && record.node() == stored.key)
+            return record;
+        log(LogLevel::Error, "node-record-malformed", { { "key", stored.key } });
+        return std::nullopt;
     }
-    if (record.node() == m_context.settings.name) {
-        // What a former life of this node has acknowledged binds this one too.
-        if (record.incarnation() != m_context.incarnation && record.leaving()
-            && m_announced.hasLeftBefore(record.upstream()))
-            upstreamChanged(now);
+    // Taken away: the node said that it will not be back. This node's own word is not taken from the store.
+    const auto* known = m_registry.find(stored.key);
+    if (!known || stored.key == m_context.settings.name)
+        return std::nullopt;
+    record = *known;
+    record.set_gone(true);
+    return record;
+}
+
+void MeshNode::takeOwnRecord(const proto::NodeRecord& record, Instant now)
+{
+    // What a former life of this node has acknowledged binds this one too.
+    if (record.incarnation() != m_context.incarnation && record.leaving()
+        && m_announced.hasLeftBefore(record.upstream()))
+        upstreamChanged(now);
+}
+
+void MeshNode::takeStoredNode(const KeyedRecord& stored, Instant now)
+{
+    const auto record = readStoredNode(stored);
+    if (!record)
         return;
-    }
-    const auto* known = m_registry.find(record.node());
-    const bool isNewLife = !known || known->incarnation() < record.incarnation();
-    if (m_registry.take(record) != NodeRegistry::Change::Changed)
+    if (record->node() == m_context.settings.name)
+        return takeOwnRecord(*record, now);
+    const bool isNewLife = isNewLifeOf(*record);
+    if (m_registry.take(*record) != NodeRegistry::Change::Changed)
         return;
-    registryChanged(record, isNewLife, now);
+    registryChanged(*record, isNewLife, now);
     if (isNewLife && m_nodesFeed->isCaughtUp())
-        sendRecord(record.peer_address(), now);
+        sendRecord(record->peer_address(), now);
 }
 
 void MeshNode::takeConfigRequest(
--- a/src/Mesh/NodeRegistry.cpp
+++ b/src/Mesh/NodeRegistry.cpp
@@ -8,12 +8,13 @@
 namespace robinrun {
 namespace {
 
-    auto ageOf(const proto::NodeRecord& record)
+    /// \returns what orders the records of one node; the later one compares greater.
+    auto orderOf(const proto::NodeRecord& record)
     {
         return std::make_tuple(record.incarnation(), record.sequence());
     }
 
-    /// \returns whether routing sees a difference.
+    /// \returns whether two records of a node are the same to routing.
     bool isAlike(const proto::NodeRecord& a, const proto::NodeRecord& b)
     {
         return a.incarnation() == b.incarnation() && a.peer_address() == b.peer_address()
@@ -21,6 +22,16 @@
             && a.slots() == b.slots() && a.leaving() == b.leaving() && a.gone() == b.gone();
     }
 
+    /// \returns the same number for (a, b) as for (b, a).
+    std::uint64_t hashOfPair(const std::string& a, const std::string& b)
+    {
+        const auto& [first, second] = std::minmax(a, b);
+        std::string pair = first;
+        pair += '\n';
+        pair += second;
+        return hash64(pair);
+    }
+
 } // namespace
 
 NodeRegistry::Change NodeRegistry::take(const proto::NodeRecord& record)
@@ -30,7 +41,7 @@
         m_nodes.emplace(record.node(), record);
         return Change::Changed;
     }
-    if (ageOf(record) < ageOf(it->second))
+    if (orderOf(record) < orderOf(it->second))
         return Change::None;
     const bool isSame = isAlike(it->second, record);
     it->second = record;
@@ -71,8 +82,7 @@
     for (const auto& [name, record] : m_nodes) {
         if (name == self || record.gone())
             continue;
-        const auto& [first, second] = std::minmax(self, name);
-        ranked.emplace_back(hash64(first + '\n' + second), name);
+        ranked.emplace_back(hashOfPair(self, name), name);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> out;
--- a/src/Mesh/NodeRegistry.h
+++ b/src/Mesh/NodeRegistry.h
@@ -2,8 +2,8 @@
 
 #include "peer.pb.h"
 
+#include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,22 +18,25 @@
 class NodeRegistry {
 public:
     enum class Change {
-        None, ///< older than what is known, or the same
+        None, ///< older than what is known
         Refreshed, ///< newer, but nothing that routing needs has changed
         Changed,
     };
 
-    /// \brief Takes in a record.
+    /// \brief Takes a record in unless a later one of its node is known. \returns what has changed.
     Change take(const proto::NodeRecord& record);
 
+    /// \returns what is known of a node; null if nothing is. Holds until the next take().
     const proto::NodeRecord* find(const std::string& node) const;
     const std::map<std::string, proto::NodeRecord>& nodes() const { return m_nodes; }
 
-    /// \brief The upstreams that may get calls, as resources of the directory.
+    /// \returns the upstreams of all nodes that are not gone, leaving ones too, as resources of the
+    /// directory. Cost: O(nodes).
     std::vector<proto::Resource> upstreams() const;
 
     /// \brief Up to \a n peers of \a self, the same pairs seen from both ends as far as the bound allows:
     /// those whose pair with \a self hashes least. For regular contact that must not grow with the system.
+    /// Cost: O(nodes log nodes).
     std::vector<std::string> contactsOf(const std::string& self, std::size_t n) const;
 
 private:
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -13,12 +13,11 @@
 } // namespace
 
 TopicFollower::TopicFollower(
-    event_base* base, RecordStore& store, Options options, Handler handler, Standing standing, Random& random)
+    event_base* base, RecordStore& store, Options options, Handler handler, Random& random)
     : m_base(base)
     , m_store(&store)
     , m_options(std::move(options))
     , m_handler(std::move(handler))
-    , m_standing(std::move(standing))
     , m_random(&random)
 {
 }
@@ -31,28 +30,33 @@
 void TopicFollower::readNewest()
 {
     ++m_calls;
-    m_store->newest(m_options.topic, [this, isAlive = m_isAlive](Result<KeyedPage, PlatformError> page) {
-        if (!*isAlive)
-            return;
-        if (page)
-            m_isCaughtUp = true;
-        took(page);
-    });
+    m_store->newest(
+        m_options.topic, [this, isAlive = m_isAlive](const Result<KeyedPage, PlatformError>& page) {
+            if (!*isAlive)
+                return;
+            if (page)
+                m_isCaughtUp = true;
+            handle(page);
+        });
+}
+
+double TopicFollower::jitter()
+{
+    return leastJitter + (1 - leastJitter) * m_random->unit();
 }
 
 void TopicFollower::readOn()
 {
     ++m_calls;
     // Nodes that started together don't read together: one of them hears early and tells the others.
-    const double part = leastJitter + (1 - leastJitter) * m_random->unit();
-    m_store->follow(m_options.topic, m_next, fromSeconds(toSeconds(m_options.wait) * part),
-        [this, isAlive = m_isAlive](Result<KeyedPage, PlatformError> page) {
+    m_store->follow(m_options.topic, m_next, fromSeconds(toSeconds(m_options.wait) * jitter()),
+        [this, isAlive = m_isAlive](const Result<KeyedPage, PlatformError>& page) {
             if (*isAlive)
-                took(page);
+                handle(page);
         });
 }
 
-void TopicFollower::took(const Result<KeyedPage, PlatformError>& page)
+void TopicFollower::handle(const Result<KeyedPage, PlatformError>& page)
 {
     if (!page)
         return failed(page.error());
@@ -76,8 +80,7 @@
     setConnected(false, std::string(nameOf(error.kind)) + ": " + error.message);
     m_pause
         = m_pause > Duration::zero() ? std::min(2 * m_pause, m_options.longestPause) : m_options.firstPause;
-    const double jitter = leastJitter + (1 - leastJitter) * m_random->unit();
-    readLater(fromSeconds(toSeconds(m_pause) * jitter));
+    readLater(fromSeconds(toSeconds(m_pause) * jitter()));
 }
 
 void TopicFollower::readLater(Duration delay)
@@ -99,7 +102,6 @@
     m_hasToldLost = !isConnected;
     log(isConnected ? LogLevel::Info : LogLevel::Warning, isConnected ? "store-reached" : "store-lost",
         { { "topic", m_options.topic }, { "why", why }, { "next", m_next } });
-    m_standing(isConnected);
 }
 
 } // namespace robinrun
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -29,28 +29,30 @@
         Duration longestPause = 1s; ///< so that a store which is back is noticed in time
     };
     using Handler = std::function<void(const KeyedRecord&)>;
-    /// \brief Told when all that was there at the start has been handled, once, and when the store is lost
-    /// and back.
-    using Standing = std::function<void(bool isConnected)>;
 
-    TopicFollower(event_base* base, RecordStore& store, Options options, Handler handler, Standing standing,
-        Random& random);
+    /// \param handler gets each record, in the order they were written. \param random for the jitter. The
+    /// store and \a random must outlive the follower.
+    TopicFollower(event_base* base, RecordStore& store, Options options, Handler handler, Random& random);
     ~TopicFollower();
     TopicFollower(const TopicFollower&) = delete;
     TopicFollower& operator=(const TopicFollower&) = delete;
 
+    /// \brief Starts to read; to be called once.
     void start() { readNewest(); }
 
     /// \returns whether everything that was there at the start has been read.
     bool isCaughtUp() const { return m_isCaughtUp; }
+    /// \returns whether the last call succeeded.
     bool isConnected() const { return m_isConnected; }
+    /// \returns calls made to the store so far, failed ones too.
     std::uint64_t calls() const { return m_calls; }
 
 private:
     void readNewest();
     void readOn();
     void readLater(Duration delay);
-    void took(const Result<KeyedPage, PlatformError>& page);
+    double jitter();
+    void handle(const Result<KeyedPage, PlatformError>& page);
     void failed(const PlatformError& error);
     void setConnected(bool isConnected, const std::string& why);
 
@@ -58,15 +60,14 @@
     RecordStore* m_store;
     Options m_options;
     Handler m_handler;
-    Standing m_standing;
     Random* m_random;
-    std::uint64_t m_next = 0;
+    std::uint64_t m_next = 0; ///< offset to read on from
     std::uint64_t m_calls = 0;
     bool m_isCaughtUp = false;
     bool m_isConnected = false;
     bool m_hasToldLost = false;
-    Duration m_pause {};
-    Duration m_gather {};
+    Duration m_pause {}; ///< the last one after a failure; zero after a success
+    Duration m_gather {}; ///< the last one between an answer and the next read
     Timer m_again;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
