Ingress and Owner: long functions in short steps

take(), takeAnswer() and configure() of Ingress and configure(), takeTicket() and admit() of Owner each did several things; what they did has names now: begin, answered, targetsOf, routerFor, turnTo, replay, recordOf.

--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -5,8 +5,6 @@
 #include "Http/HttpStatus.h"
 #include "Node/CallHeaders.h"
 #include "Node/CallReply.h"
-#include "Once/KeyAge.h"
-#include "Routing/Subset.h"
 #include "Wire/TicketCodec.h"
 
 #include <algorithm>
@@ -19,8 +17,6 @@
     /// A node that has just started usually has its configuration within so long.
     constexpr std::uint32_t notReadyRetryMs = 200;
     constexpr Duration connectRetry = 2ms;
-    /// Of the upstreams that an ingress keeps to, at least one in so many is in another data hall.
-    constexpr std::size_t farPart = 3;
     /// Backend servers name a call that they make by the id of the call it is for, this, and an id of its
     /// own.
     constexpr char nestedMark = '.';
@@ -43,65 +39,6 @@
 
 Ingress::~Ingress() = default;
 
-std::vector<std::size_t> Ingress::subsetOf(
-    const ServiceInfo& service, const std::vector<std::string>& hosts) const
-{
-    const auto& settings = m_context->settings;
-    std::vector<std::size_t> near;
-    std::vector<std::size_t> far;
-    for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
-        const bool isNear = settings.choice.kind != ChoiceKind::Timely
-            || service.upstreams[i].config.data_hall() == settings.dataHall;
-        (isNear ? near : far).push_back(i);
-    }
-    std::vector<std::size_t> out;
-    const auto take = [&](const std::vector<std::size_t>& from, std::size_t size) {
-        std::vector<std::string> names;
-        for (const auto i : from)
-            names.push_back(service.upstreams[i].id);
-        for (const auto i : chooseSubset(names, hosts, settings.name, size))
-            out.push_back(from[i]);
-    };
-    // With some in other halls, for when the own one is full or lost.
-    const auto size = settings.choice.subset;
-    const auto ofNear = far.empty() ? size : size - size / farPart;
-    take(near, ofNear);
-    if (!far.empty())
-        take(far, size - out.size());
-    return out;
-}
-
-void Ingress::configure(Instant now)
-{
-    const auto& settings = m_context->settings;
-    const auto hosts = m_members ? m_members->names() : std::vector<std::string>();
-    for (const auto& [id, info] : m_context->directory.services()) {
-        auto& router = m_routers[id];
-        if (!router) {
-            ServiceRouter::Options options;
-            options.kind = settings.choice.kind;
-            options.retryFraction = info.config.retry_fraction();
-            router = std::make_unique<ServiceRouter>(options);
-        }
-        router->setRetryFraction(info.config.retry_fraction());
-        if (m_retryBurst)
-            router->setRetryBurst(*m_retryBurst);
-        std::vector<RouteTarget> targets;
-        for (const auto i : subsetOf(info, hosts)) {
-            const auto& config = info.upstreams[i].config;
-            Duration roundTrip = config.region() == settings.region ? settings.choice.hallRoundTrip
-                                                                    : settings.choice.regionRoundTrip;
-            const bool isFar = config.data_hall() != settings.dataHall;
-            if (!isFar)
-                roundTrip = Duration::zero();
-            if (!config.leaving())
-                targets.push_back({ info.upstreams[i].id, config.slots(), roundTrip, isFar });
-        }
-        router->setUpstreams(targets, now);
-    }
-    // Routers of removed services stay: calls in progress still end through them.
-}
-
 const UpstreamInfo* Ingress::upstreamOf(const std::string& service, const std::string& id) const
 {
     const auto* info = m_context->directory.service(service);
@@ -143,9 +80,14 @@
     auto request = CallRequest::parse(exchange->request(), m_context->directory, m_context->headers, m_turns);
     if (!request)
         return reject(*exchange, request.error());
+    begin(std::move(exchange), std::move(request.value()), now);
+}
+
+void Ingress::begin(std::unique_ptr<HttpExchange> exchange, CallRequest request, Instant now)
+{
     const auto id = ++m_lastCall;
     auto& call = m_calls[id];
-    call.request = std::move(request.value());
+    call.request = std::move(request);
     call.request.isNested = isNested(call.request.id);
     call.exchange = std::move(exchange);
     call.state = m_context->charts.call.initial();
@@ -153,12 +95,7 @@
     call.deadline = now + call.request.allowed;
     call.attemptsLeft = call.request.attempts;
     call.ticket = call.request.ticket;
-    call.trail.add({ RequestEvent::RouteChosen, now, {}, 0, Reason::None,
-        { { "version", static_cast<std::int64_t>(m_context->configVersion) },
-            { "allowed_ms", call.request.allowed.count() / 1000 },
-            { "target_ms", call.request.callClass.targetLatency.count() / 1000 },
-            { "nested", call.request.isNested } },
-        call.request.callClass.name + " " + call.request.service });
+    noteRoute(call, now);
     call.exchange->onHangUp([this, id] { hungUp(id); });
     call.deadlineTimer
         = Timer::once(m_context->base, call.request.allowed, [this, id] { deadlineReached(id); });
@@ -172,6 +109,16 @@
     proceed(id, now);
 }
 
+void Ingress::noteRoute(Call& call, Instant now) const
+{
+    call.trail.add({ RequestEvent::RouteChosen, now, {}, 0, Reason::None,
+        { { "version", static_cast<std::int64_t>(m_context->configVersion) },
+            { "allowed_ms", call.request.allowed.count() / 1000 },
+            { "target_ms", call.request.callClass.targetLatency.count() / 1000 },
+            { "nested", call.request.isNested } },
+        call.request.callClass.name + " " + call.request.service });
+}
+
 void Ingress::step(Call& call, CallEvent event)
 {
     if (const auto next = m_context->charts.call.next(call.state, event))
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -112,6 +112,13 @@
     /// \returns the upstreams to keep connections to, as places in the list of the service.
     std::vector<std::size_t> subsetOf(
         const ServiceInfo& service, const std::vector<std::string>& hosts) const;
+    /// \returns those of them that don't leave, with what their router needs to know.
+    std::vector<RouteTarget> targetsOf(
+        const ServiceInfo& service, const std::vector<std::string>& hosts) const;
+    ServiceRouter& routerFor(const ServiceInfo& service);
+    /// \brief Starts the life of a call.
+    void begin(std::unique_ptr<HttpExchange> exchange, CallRequest request, Instant now);
+    void noteRoute(Call& call, Instant now) const;
     void noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now);
     void reject(HttpExchange& exchange, const CallRequestError& error);
     void reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply);
@@ -126,6 +133,9 @@
         const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
     bool mayTryAgain(Call& call);
     bool mayMoveOn(Call& call, const proto::Answer& answer);
+    /// \brief A backend server's whole answer: the caller gets it, unless it is an error and another attempt
+    /// may do better.
+    void answered(CallId id, Call& call, proto::Answer& answer, Instant now);
     void attemptLost(CallId id, Call& call, Reason reason, Instant now);
     RouteNeeds needsOf(const Call& call, Instant now) const;
     /// \returns whether a second attempt at \a upstream is likely to be in time.
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -95,24 +95,28 @@
         return refused(id, call, attempt, answer, now);
     if (call.isMinting)
         return ticketMinted(id, call, decode(answer.ticket()), now);
-    if (answer.outcome() == proto::ANSWERED && isWhole(answer)) {
-        const bool isGood = answer.status() < firstServerError;
-        const bool mayReplace = !isGood && isRepeatable(call) && now < call.deadline
-            && (!call.out.empty() || mayTryAgain(call));
-        if (!mayReplace) {
-            m_routers.at(call.request.service)->measuredLatency(now - call.arrived);
-            step(call, CallEvent::Answered);
-            return finishAnswered(id, call, answer, now);
-        }
-        call.failedAnswer = std::make_unique<proto::Answer>(std::move(answer));
-        if (!call.out.empty())
-            return;
-        step(call, CallEvent::Refused);
-        return proceed(id, now);
-    }
+    if (answer.outcome() == proto::ANSWERED && isWhole(answer))
+        return answered(id, call, answer, now);
     attemptLost(id, call, answer.outcome() == proto::ANSWERED ? Reason::Damaged : reasonOf(answer), now);
 }
 
+void Ingress::answered(CallId id, Call& call, proto::Answer& answer, Instant now)
+{
+    const bool isGood = answer.status() < firstServerError;
+    const bool mayReplace
+        = !isGood && isRepeatable(call) && now < call.deadline && (!call.out.empty() || mayTryAgain(call));
+    if (!mayReplace) {
+        m_routers.at(call.request.service)->measuredLatency(now - call.arrived);
+        step(call, CallEvent::Answered);
+        return finishAnswered(id, call, answer, now);
+    }
+    call.failedAnswer = std::make_unique<proto::Answer>(std::move(answer));
+    if (!call.out.empty())
+        return;
+    step(call, CallEvent::Refused);
+    proceed(id, now);
+}
+
 void Ingress::attemptLost(CallId id, Call& call, Reason reason, Instant now)
 {
     call.wasLost = true;
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -2,9 +2,6 @@
 
 #include "Core/Hash.h"
 #include "Core/Log.h"
-#include "Http/HttpStatus.h"
-#include "Node/BackendReply.h"
-#include "Node/CallHeaders.h"
 #include "Wire/TicketCodec.h"
 
 #include <algorithm>
@@ -17,7 +14,6 @@
     constexpr std::uint32_t priorityOfNested = 0;
     constexpr Duration ingressMemory = 30s;
     constexpr double errorSampleWeight = 0.05;
-    using namespace httpStatus;
     constexpr double percent = 100;
     constexpr std::int64_t neverHeard = -1; // in the log, for an age
 
@@ -63,27 +59,31 @@
     m_admission.setQueueLimit(serviceInfo.config.queue_limit());
     for (const auto& it : m_context->directory.groups())
         m_admission.setWeight(it.number, it.weightIn(m_serviceId));
-    if (m_backendAddress != info->config.address() || m_boundUpstream != info->id) {
-        m_backendAddress = info->config.address();
-        m_boundUpstream = info->id;
-        m_isDown = false;
-        m_unreached = 0;
-        m_admission.setSlowdown(m_toldSlowdown = 1);
-        HttpPool::Options options;
-        options.address = m_backendAddress;
-        options.maxConnections = info->config.connections();
-        options.connectTimeout = connectTimeout;
-        // Calls that run at the former address end there.
-        if (m_pool)
-            m_formerPools.push_back(std::move(m_pool));
-        m_pool = std::make_unique<HttpPool>(m_context->base, options);
-    }
+    if (m_backendAddress != info->config.address() || m_boundUpstream != info->id)
+        turnTo(*info);
     m_prober.setPath(serviceInfo.config.health_path(), m_context->headers);
     m_prober.setOptions(
         { serviceInfo.config.probes_per_s(), serviceInfo.config.probe_slot_share(), slots }, now);
     setSign(LeavingSign::Operator, info->config.leaving(), now);
 }
 
+void Owner::turnTo(const UpstreamInfo& info)
+{
+    m_backendAddress = info.config.address();
+    m_boundUpstream = info.id;
+    m_isDown = false;
+    m_unreached = 0;
+    m_admission.setSlowdown(m_toldSlowdown = 1);
+    HttpPool::Options options;
+    options.address = m_backendAddress;
+    options.maxConnections = info.config.connections();
+    options.connectTimeout = connectTimeout;
+    // Calls that run at the former address end there.
+    if (m_pool)
+        m_formerPools.push_back(std::move(m_pool));
+    m_pool = std::make_unique<HttpPool>(m_context->base, options);
+}
+
 void Owner::setSign(LeavingSign sign, bool isSet, Instant now)
 {
     if (m_leaving.hasSign(sign) == isSet)
@@ -183,22 +183,26 @@
         return;
     }
     case TicketStep::Replay:
-        break;
+        return replay(call, sender, reply, *begin.record, now);
     }
+}
+
+void Owner::replay(const proto::Call& call, const Sender& sender, const Reply& reply,
+    const RecordedAnswer& recorded, Instant now)
+{
     proto::Answer answer;
     answer.set_number(call.number());
-    answer.set_outcome(begin.record->isKnown ? proto::ANSWERED : proto::UNKNOWN);
-    answer.set_reason(
-        static_cast<std::uint32_t>(begin.record->isKnown ? Reason::None : Reason::BackendFailed));
-    answer.set_status(static_cast<std::uint32_t>(begin.record->status));
-    for (const auto& [name, value] : begin.record->headers) {
+    answer.set_outcome(recorded.isKnown ? proto::ANSWERED : proto::UNKNOWN);
+    answer.set_reason(static_cast<std::uint32_t>(recorded.isKnown ? Reason::None : Reason::BackendFailed));
+    answer.set_status(static_cast<std::uint32_t>(recorded.status));
+    for (const auto& [name, value] : recorded.headers) {
         auto& header = *answer.add_headers();
         header.set_name(name);
         header.set_value(value);
     }
-    answer.set_body(begin.record->body);
-    answer.set_body_length(begin.record->body.size());
-    answer.set_body_hash(hash64(begin.record->body));
+    answer.set_body(recorded.body);
+    answer.set_body_length(recorded.body.size());
+    answer.set_body_hash(hash64(recorded.body));
     fillNews(answer, sender, call.group(), now);
     reply(std::move(answer));
 }
@@ -206,6 +210,18 @@
 void Owner::admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
     const auto id = ++m_lastId;
+    auto record = recordOf(call, sender, std::move(reply), now);
+    const auto offer = offerOf(id, record, now);
+    noteQueued(record, offer, now);
+    m_calls.emplace(id, std::move(record));
+    m_idByKey[{ sender.incarnation, call.number() }] = id;
+    ++m_bySender[{ sender.incarnation, call.group() }];
+    act(m_admission.offer(offer, now), now);
+}
+
+Owner::CallRecord Owner::recordOf(
+    const proto::Call& call, const Sender& sender, Reply reply, Instant now) const
+{
     const auto& callClass = service()->classOf(call.target());
     CallRecord record;
     record.call = call;
@@ -220,17 +236,17 @@
     record.isByRoute = call.has_terms();
     record.isRepeatable
         = record.isByRoute ? call.terms().repeatable() : callClass.isRepeatable && !call.has_ticket();
-    const auto offer = offerOf(id, record, now);
+    return record;
+}
+
+void Owner::noteQueued(CallRecord& record, const Offer& offer, Instant now) const
+{
     const auto load = m_admission.load(now);
-    record.trail.add({ RequestEvent::Queued, now, upstream(), call.number(), Reason::None,
+    record.trail.add({ RequestEvent::Queued, now, upstream(), record.call.number(), Reason::None,
         { { "in_use", load.inUse }, { "slots", load.slots }, { "queued", load.waiting },
             { "priority", offer.priority }, { "left_ms", (record.deadline - now).count() / 1000 },
             { "slowdown_percent", static_cast<std::int64_t>(load.slowdown * percent) },
             { "news_age_ms", m_loadHeard ? (now - *m_loadHeard).count() / 1000 : neverHeard } } });
-    m_calls.emplace(id, std::move(record));
-    m_idByKey[{ sender.incarnation, call.number() }] = id;
-    ++m_bySender[{ sender.incarnation, call.group() }];
-    act(m_admission.offer(offer, now), now);
 }
 
 Offer Owner::offerOf(std::uint64_t id, const CallRecord& record, Instant now)
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -102,10 +102,17 @@
         std::uint64_t request = 0; ///< its number there
     };
 
+    /// \brief The backend server has another address, or another start of it has come.
+    void turnTo(const UpstreamInfo& info);
     Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
     void mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now);
     void takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+    /// \brief Answers a repeated ticket with what its call got.
+    void replay(const proto::Call& call, const Sender& sender, const Reply& reply,
+        const RecordedAnswer& recorded, Instant now);
     void admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+    CallRecord recordOf(const proto::Call& call, const Sender& sender, Reply reply, Instant now) const;
+    void noteQueued(CallRecord& record, const Offer& offer, Instant now) const;
     void act(const Dispatch& dispatch, Instant now);
     Offer offerOf(std::uint64_t id, const CallRecord& record, Instant now);
     void noteEnd(CallRecord& record, const proto::Answer& answer, Instant now);
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -48,7 +48,7 @@
     }
     const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
     const bool isStarted
-        = m_prober.tryProbe(*m_pool, freeSlots, load.waiting, now, [this](ProbeNews news, Duration) {
+        = m_prober.tryProbe(*m_pool, freeSlots, load.waiting, now, [this](const ProbeNews& news, Duration) {
               const auto end = monotonicNow();
               act(m_admission.releaseSlot(end), end);
               if (news.isReachable)
@@ -65,7 +65,7 @@
     if (!m_pool)
         return;
     const bool isStarted
-        = m_prober.probe(*m_pool, now, [this, done = std::move(done)](ProbeNews news, Duration) {
+        = m_prober.probe(*m_pool, now, [this, done = std::move(done)](const ProbeNews& news, Duration) {
               const auto end = monotonicNow();
               setDown(!news.isReachable, end);
               if (news.slowdown)
