Explain in short steps; what members and functions of the new modules are is said where it wasn't

explain() read, aligned, sorted and wrote in one; reading and aligning have names. Comments give units, costs, bounds and what failure means.

--- a/src/Client/Explain.cpp
+++ b/src/Client/Explain.cpp
@@ -9,8 +9,8 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <set>
 #include <sstream>
+#include <utility>
 
 namespace robinrun {
 namespace {
@@ -116,35 +116,47 @@
         out << '\n';
     }
 
+    std::vector<Line> linesOf(const std::string& request, const std::vector<std::string>& logs)
+    {
+        std::vector<Line> lines;
+        for (const auto& log : logs) {
+            std::istringstream in(log);
+            std::string text;
+            while (std::getline(in, text)) {
+                if (auto line = parseLine(text, request))
+                    lines.push_back(std::move(*line));
+            }
+        }
+        return lines;
+    }
+
+    /// \brief Moves the lines of each owner into the spans of their attempts; writes to \a out how far.
+    void alignOwners(std::vector<Line>& lines, std::ostream& out)
+    {
+        const auto spans = spansOf(lines);
+        std::map<std::pair<std::uint64_t, std::string>, std::vector<Line*>> ofOwners;
+        for (auto& it : lines) {
+            if (!it.from.empty())
+                ofOwners[{ it.attempt, it.node }].push_back(&it);
+        }
+        for (auto& [key, owned] : ofOwners) {
+            const auto span = spans.find(key.first);
+            const auto shift = span == spans.end() ? 0 : shiftInto(span->second, owned);
+            if (shift)
+                out << "clock of " << key.second << " moved by " << shift << " ms\n";
+        }
+    }
+
 } // namespace
 
 Result<std::string, ExplainError> explain(const std::string& request, const std::vector<std::string>& logs)
 {
-    std::vector<Line> lines;
-    for (const auto& log : logs) {
-        std::istringstream in(log);
-        std::string text;
-        while (std::getline(in, text)) {
-            if (auto line = parseLine(text, request))
-                lines.push_back(std::move(*line));
-        }
-    }
+    auto lines = linesOf(request, logs);
     if (lines.empty())
         return failure(ExplainError { "no line of request " + request
             + ": it went well and is not in the sample, or its nodes' logs are not among these" });
-    const auto spans = spansOf(lines);
-    std::map<std::pair<std::uint64_t, std::string>, std::vector<Line*>> ofOwners;
-    for (auto& it : lines) {
-        if (!it.from.empty())
-            ofOwners[{ it.attempt, it.node }].push_back(&it);
-    }
     std::ostringstream out;
-    for (auto& [key, owned] : ofOwners) {
-        const auto span = spans.find(key.first);
-        const auto shift = span == spans.end() ? 0 : shiftInto(span->second, owned);
-        if (shift)
-            out << "clock of " << key.second << " moved by " << shift << " ms\n";
-    }
+    alignOwners(lines, out);
     std::stable_sort(
         lines.begin(), lines.end(), [](const Line& a, const Line& b) { return a.atMs < b.atMs; });
     for (const auto& it : lines)
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -23,6 +23,7 @@
 
     /// \brief Rests in the pool, for \a longest at most.
     void rest(Duration longest, Instant now);
+    /// \returns how long it has rested.
     Duration rested(Instant now) const { return now - m_restingSince; }
 
 private:
@@ -37,7 +38,7 @@
     std::function<bool(const HttpReply&)> m_isOurs;
     std::uint64_t m_number = 0;
     bool m_isConnected = false;
-    bool m_hadSurplus = false;
+    bool m_hadSurplus = false; ///< a reply to another request came during this one
     Instant m_restingSince {};
 };
 
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -11,6 +11,8 @@
 /// \brief One connection of a caller: reads a request, hands it on, writes its answer, reads the next one.
 class ServerConnection {
 public:
+    /// \param fd an accepted connection, which this then owns. \param peer the caller's address, for the
+    /// handler.
     ServerConnection(HttpServer& server, evutil_socket_t fd, std::string peer);
     ~ServerConnection();
     ServerConnection(const ServerConnection&) = delete;
--- a/src/Mesh/AnnouncedUpstream.h
+++ b/src/Mesh/AnnouncedUpstream.h
@@ -13,6 +13,7 @@
 ///
 /// A start of the server that has said it leaves does not come back: an announcement that says otherwise was
 /// held up on its way. A new start takes the place of the former one at once.
+/// Cost: O(log former starts); their ids are kept for the life of the process.
 class AnnouncedUpstream {
 public:
     /// \returns whether anything has changed.
@@ -27,6 +28,7 @@
     /// \returns whether anything has changed.
     bool hasLeftBefore(const std::string& upstream);
 
+    /// \returns what is known of the present start; nothing if the server was not heard of yet.
     const std::optional<Announcement>& current() const { return m_current; }
     bool isLeaving() const { return m_current && m_current->state != AnnouncedState::Ready; }
 
--- a/src/Mesh/BackendFinder.h
+++ b/src/Mesh/BackendFinder.h
@@ -17,9 +17,12 @@
 public:
     using Found = std::function<void(const Announcement&)>;
 
+    /// \param address ip:port of the backend server. \param found runs at most once for each start(), on the
+    /// loop.
     BackendFinder(event_base* base, const std::string& address, Found found);
 
-    /// \brief Asks again and again until something is found or stop().
+    /// \brief Asks at once and then after each failure with a pause (0.4 s), until something is found or
+    /// stop(). \param names of the header fields by which the server tells.
     void start(const std::string& healthPath, const CallHeaders& names);
     void stop();
     bool isRunning() const { return m_isRunning; }
--- a/src/Mesh/MeshFormats.h
+++ b/src/Mesh/MeshFormats.h
@@ -18,8 +18,8 @@
     std::string configurationTopic; ///< of the store; the configuration is one record in it
     std::string configurationKey;
     std::string nodesTopic; ///< of the store; the nodes' own
-    std::string readinessPath;
-    std::string metricsPath;
+    std::string readinessPath; ///< 200 if the node is ready, else 503
+    std::string metricsPath; ///< text in the format of Prometheus
     /// \brief Reads a configuration. The error names the field.
     std::function<Result<Configuration, std::string>(std::string_view text)> readConfiguration;
     /// \brief Reads an announcement of the backend server beside this node. The error names the field.
--- a/src/Mesh/RecordWriter.h
+++ b/src/Mesh/RecordWriter.h
@@ -4,6 +4,7 @@
 #include "Node/Timer.h"
 #include "Platform/RecordStore.h"
 
+#include <cstdint>
 #include <event2/event.h>
 #include <memory>
 #include <string>
@@ -25,7 +26,9 @@
     /// \brief Sets the value; empty takes the key away.
     void set(std::string value);
 
+    /// \returns whether the last value that was set is in the store.
     bool isWritten() const { return !m_isWanted && !m_isOut; }
+    /// \returns writes made so far, failed ones too.
     std::uint64_t calls() const { return m_calls; }
 
 private:
@@ -38,7 +41,7 @@
     std::string m_value;
     bool m_isWanted = false;
     bool m_isOut = false;
-    Duration m_pause {};
+    Duration m_pause {}; ///< the last one after a failure; zero after a success
     std::uint64_t m_calls = 0;
     Timer m_again;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -52,8 +52,7 @@
         const bool isFar = config.data_hall() != settings.dataHall;
         const bool isInRegion = config.region() == settings.region;
         const auto toFar = isInRegion ? settings.choice.hallRoundTrip : settings.choice.regionRoundTrip;
-        out.push_back(
-            { service.upstreams[i].id, config.slots(), isFar ? toFar : Duration::zero(), isFar });
+        out.push_back({ service.upstreams[i].id, config.slots(), isFar ? toFar : Duration::zero(), isFar });
     }
     return out;
 }
--- a/src/Node/RequestTrail.h
+++ b/src/Node/RequestTrail.h
@@ -57,7 +57,7 @@
         std::uint64_t attempt = 0; ///< number of the attempt, the same at both ends; 0: none
         Reason reason = Reason::None;
         std::vector<Number> numbers = {};
-        std::string text = {}; ///< route and service; ""
+        std::string text = {}; ///< route and service; "" where they are not the matter
     };
 
     void add(Entry entry) { m_entries.push_back(std::move(entry)); }
--- a/tools/CommandLine.h
+++ b/tools/CommandLine.h
@@ -162,6 +162,7 @@
         watch(base, SIGINT, &m_stop);
         watch(base, SIGHUP, &m_reload);
     }
+    ~Signals() = default;
     Signals(const Signals&) = delete;
     Signals& operator=(const Signals&) = delete;
 
@@ -206,6 +207,7 @@
         , m_timer(Timer::repeating(base, interval, [this] { look(); }))
     {
     }
+    ~FileWatch() = default;
     FileWatch(const FileWatch&) = delete;
     FileWatch& operator=(const FileWatch&) = delete;
 
