--- a/src/Mesh/AnnouncedUpstream.cpp
+++ b/src/Mesh/AnnouncedUpstream.cpp
@@ -1,21 +1,28 @@
 #include "Mesh/AnnouncedUpstream.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace robinrun {
+namespace {
+
+    /// An announcement may be seconds late, not longer than so many starts of a server.
+    constexpr std::size_t rememberedStarts = 64;
+
+} // namespace
 
 bool AnnouncedUpstream::take(const Announcement& announcement)
 {
-    if (m_former.contains(announcement.upstream))
+    if (isFormer(announcement.upstream))
         return false;
     if (!m_current || m_current->upstream != announcement.upstream) {
         if (announcement.state == AnnouncedState::Gone) {
             // The last word of a start that was never known: nothing of it may come later.
-            m_former.insert(announcement.upstream);
+            addFormer(announcement.upstream);
             return false;
         }
         if (m_current)
-            m_former.insert(m_current->upstream);
+            addFormer(m_current->upstream);
         m_current = announcement;
         m_isGuess = false;
         return true;
@@ -41,7 +48,7 @@
 
 bool AnnouncedUpstream::found(const Announcement& guess)
 {
-    if (m_current || m_former.contains(guess.upstream))
+    if (m_current || isFormer(guess.upstream))
         return false;
     m_current = guess;
     m_isGuess = true;
@@ -51,7 +58,7 @@
 bool AnnouncedUpstream::hasLeftBefore(const std::string& upstream)
 {
     if (!m_current || m_current->upstream != upstream) {
-        m_former.insert(upstream);
+        addFormer(upstream);
         return false;
     }
     if (isLeaving() && !m_isGuess)
@@ -61,4 +68,18 @@
     return true;
 }
 
+void AnnouncedUpstream::addFormer(const std::string& upstream)
+{
+    if (isFormer(upstream))
+        return;
+    m_former.push_back(upstream);
+    if (m_former.size() > rememberedStarts)
+        m_former.pop_front();
+}
+
+bool AnnouncedUpstream::isFormer(const std::string& upstream) const
+{
+    return std::find(m_former.begin(), m_former.end(), upstream) != m_former.end();
+}
+
 } // namespace robinrun
--- a/src/Mesh/AnnouncedUpstream.h
+++ b/src/Mesh/AnnouncedUpstream.h
@@ -2,8 +2,8 @@
 
 #include "Mesh/Announcement.h"
 
+#include <deque>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace robinrun {
@@ -35,7 +35,11 @@
 private:
     std::optional<Announcement> m_current;
     bool m_isGuess = false; ///< no announcement of the present start has come yet
-    std::set<std::string> m_former; ///< starts that have left or were replaced
+    /// \brief Remembers a start that has left or was replaced; the last ones are kept.
+    void addFormer(const std::string& upstream);
+    bool isFormer(const std::string& upstream) const;
+
+    std::deque<std::string> m_former;
 };
 
 } // namespace robinrun
