--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -6,6 +6,9 @@
 namespace robinrun {
 namespace {
 
+    /// Clocks of owners that have not answered for so long are forgotten: their upstreams may be gone.
+    constexpr Duration clockMemory = 10min;
+
     /// Of the upstreams that an ingress keeps to, at least one in so many is in another data hall.
     constexpr std::size_t farPart = 3;
 
@@ -79,6 +82,7 @@
             router.setRetryBurst(*m_retryBurst);
         router.setUpstreams(targetsOf(info, hosts), now);
     }
+    std::erase_if(m_ownerClocks, [&](const auto& it) { return now - it.second.heard > clockMemory; });
     // Routers of removed services stay: calls in progress still end through them.
 }
 
