A store that is down does not hold the restart of a node up

Cause: a draining node waited until its record was written, also when it had nothing left to say; with the store down that was until the drain's limit of 5.5 s of 6 s of grace. The new test failed before.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -86,7 +86,10 @@
         tellContacts(now);
     if (m_ingress->inProgress() || !m_owner->isIdle())
         m_lastBusy = now;
-    if (m_state == NodeState::Draining && now - m_lastBusy > lingering && m_writer->isWritten())
+    // Only the word that the node is gone has to be written first: a store that is down must not hold a
+    // restart up.
+    const bool hasSaidAll = !m_record.gone() || m_writer->isWritten();
+    if (m_state == NodeState::Draining && now - m_lastBusy > lingering && hasSaidAll)
         step(NodeEvent::Drained);
 }
 
--- a/test/MeshTest.cpp
+++ b/test/MeshTest.cpp
@@ -261,6 +261,25 @@
     REQUIRE(f.reply->status == 200);
 }
 
+TEST_CASE("A store that is down does not hold the stop of a node up", "[mesh]")
+{
+    ShopFixture f;
+    f.store.mode = FakeStore::Mode::Refusing;
+    REQUIRE(f.announce(1, "ready", 10, "i-new") == 200); // a record that can't be written now
+    f.places[1].settings.drainTimeout = 1h;
+    f.places[1].node.reset();
+    f.startNode(1);
+    f.pass(100ms);
+    REQUIRE(f.announce(1, "ready", 11, "i-new") == 200);
+    bool hasEnded = false;
+    f.places[1].node->stop();
+    // The loop ends when the node has; the limit of the drain is an hour.
+    const auto limit = Timer::once(f.base.get(), 9s, [&] { event_base_loopbreak(f.base.get()); });
+    event_base_dispatch(f.base.get());
+    hasEnded = !event_base_got_break(f.base.get());
+    REQUIRE(hasEnded);
+}
+
 TEST_CASE("A node without a configuration isn't ready and says that nothing has run", "[mesh]")
 {
     MeshFixture f;
