Handing calls to the owner and the word of leaving stand once for both nodes

Cause: Node and MeshNode had the same two pieces, to the letter. Now src/Node/OwnerMessages. Ruled out: a common base class, as nothing else is shared.

--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -64,7 +64,6 @@
     void addGauges();
 
     void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
-    void takeCall(const PeerSocket::Sender& sender, const proto::Call& call, Instant now);
     void takeRecord(const PeerSocket::Sender& sender, const proto::NodeRecord& record, Instant now);
     void takeConfigRequest(
         const PeerSocket::Sender& sender, const proto::ConfigRequest& request, Instant now);
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -1,5 +1,6 @@
 #include "Core/Log.h"
 #include "Mesh/MeshNode.h"
+#include "Node/OwnerMessages.h"
 
 /// \file What a mesh node hears from its peers and the store, and tells them.
 
@@ -12,11 +13,6 @@
     /// the others read it in the store.
     constexpr std::size_t maxToldDirectly = 200;
 
-    Owner::Sender senderOf(const PeerSocket::Sender& sender)
-    {
-        return { sender.node, sender.address, sender.incarnation };
-    }
-
 } // namespace
 
 void MeshNode::publish(Instant now)
@@ -57,10 +53,7 @@
 
 void MeshNode::tellLeaving(const std::string& address, bool isLeaving)
 {
-    proto::PeerMessage message;
-    message.mutable_leaving()->set_upstream(m_owner->upstream());
-    message.mutable_leaving()->set_incarnation(m_context.incarnation);
-    message.mutable_leaving()->set_undone(!isLeaving);
+    auto message = leavingMessage(*m_owner, m_context.incarnation, isLeaving);
     m_peers->send(address, message, monotonicNow());
 }
 
@@ -80,7 +73,7 @@
         log(LogLevel::Info, "peer-back", { { "peer", sender.address } });
     switch (message.body_case()) {
     case proto::PeerMessage::kCall:
-        return takeCall(sender, message.call(), now);
+        return handToOwner(*m_owner, *m_peers, sender, message.call(), now);
     case proto::PeerMessage::kAnswer:
         return m_ingress->takeAnswer(sender.node, *message.mutable_answer(), now);
     case proto::PeerMessage::kCancel:
@@ -101,18 +94,6 @@
     }
 }
 
-void MeshNode::takeCall(const PeerSocket::Sender& sender, const proto::Call& call, Instant now)
-{
-    m_owner->take(
-        call, senderOf(sender),
-        [this, sender](proto::Answer answer) {
-            proto::PeerMessage message;
-            *message.mutable_answer() = std::move(answer);
-            m_peers->answer(sender, message, monotonicNow());
-        },
-        now);
-}
-
 bool MeshNode::isNewLifeOf(const proto::NodeRecord& record) const
 {
     const auto* known = m_registry.find(record.node());
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -1,6 +1,7 @@
 #include "Node/Node.h"
 
 #include "Core/Log.h"
+#include "Node/OwnerMessages.h"
 #include "Platform/HttpPlatform.h"
 
 namespace robinrun {
@@ -16,11 +17,6 @@
     /// Callers' connections stay open this long after the last call of a drain, for those who send one more.
     constexpr Duration lingering = 300ms;
 
-    Owner::Sender senderOf(const PeerSocket::Sender& sender)
-    {
-        return { sender.node, sender.address, sender.incarnation };
-    }
-
 } // namespace
 
 Node::Node(event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation)
@@ -73,10 +69,7 @@
     m_api = std::make_unique<OperatorApi>(m_context, *m_control, *m_log, [this] { return facts(); });
     m_control->onChanged([this] { configurationChanged(); });
     m_owner->onAnnounce([this](const std::string& address, bool isLeaving) {
-        proto::PeerMessage message;
-        message.mutable_leaving()->set_upstream(m_owner->upstream());
-        message.mutable_leaving()->set_incarnation(m_context.incarnation);
-        message.mutable_leaving()->set_undone(!isLeaving);
+        auto message = leavingMessage(*m_owner, m_context.incarnation, isLeaving);
         m_peers->send(address, message, monotonicNow());
     });
 
@@ -139,7 +132,7 @@
     const auto now = monotonicNow();
     switch (message.body_case()) {
     case proto::PeerMessage::kCall:
-        return takeCall(sender, message.call(), now);
+        return handToOwner(*m_owner, *m_peers, sender, message.call(), now);
     case proto::PeerMessage::kAnswer:
         return m_ingress->takeAnswer(sender.node, *message.mutable_answer(), now);
     case proto::PeerMessage::kCancel:
@@ -155,18 +148,6 @@
     }
 }
 
-void Node::takeCall(const PeerSocket::Sender& sender, const proto::Call& call, Instant now)
-{
-    m_owner->take(
-        call, senderOf(sender),
-        [this, sender](proto::Answer answer) {
-            proto::PeerMessage message;
-            *message.mutable_answer() = std::move(answer);
-            m_peers->answer(sender, message, monotonicNow());
-        },
-        now);
-}
-
 void Node::takeClaim(const PeerSocket::Sender& sender, const proto::ClaimRequest& request, Instant now)
 {
     m_claims->takeRequest(
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -40,7 +40,6 @@
     Node(event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation);
     Result<void, std::string> bind();
     void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
-    void takeCall(const PeerSocket::Sender& sender, const proto::Call& call, Instant now);
     void takeClaim(const PeerSocket::Sender& sender, const proto::ClaimRequest& request, Instant now);
     void configurationChanged();
     void applyChanges();
