--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -3,9 +3,7 @@
 #include "FakeStore.h"
 #include "Http/HttpPool.h"
 #include "Mesh/MeshNode.h"
-#include "platform/AnnouncementReader.h"
-#include "platform/ConfigurationReader.h"
-#include "platform/Names.h"
+#include "platform/Formats.h"
 #include "platform/StoreClient.h"
 
 #include <catch2/catch.hpp>
@@ -134,20 +132,6 @@
             + R"("header_timeout_ms":3000,"idle_timeout_ms":15000}}]})";
     }
 
-    static MeshFormats formats()
-    {
-        MeshFormats out;
-        out.headers = platform::callHeaders();
-        out.configurationTopic = platform::configurationTopic;
-        out.configurationKey = platform::configurationKey;
-        out.nodesTopic = platform::nodesTopic;
-        out.readinessPath = platform::readinessPath;
-        out.metricsPath = platform::metricsPath;
-        out.readConfiguration = platform::readConfiguration;
-        out.readAnnouncement = platform::readAnnouncement;
-        return out;
-    }
-
     /// \brief Adds a place with a backend server and starts its node.
     std::size_t add(const std::string& service, const std::string& hall = "h1")
     {
@@ -188,8 +172,8 @@
         auto& place = places[i];
         auto client = std::make_unique<platform::StoreClient>(base.get(), store.address, 300ms);
         place.node = std::move(MeshNode::start(base.get(), place.settings,
-            Charts::load(std::string(SOURCE_FOLDER) + "/charts").value(), ++lastIncarnation, formats(),
-            std::move(client))
+            Charts::load(std::string(SOURCE_FOLDER) + "/charts").value(), ++lastIncarnation,
+            platform::formats(), std::move(client))
                                    .value());
     }
 
--- a/tools/robinrun-mesh.cpp
+++ b/tools/robinrun-mesh.cpp
@@ -5,9 +5,7 @@
 #include "Core/Loop.h"
 #include "Mesh/MeshNode.h"
 #include "Settings/NodeSettings.h"
-#include "platform/AnnouncementReader.h"
-#include "platform/ConfigurationReader.h"
-#include "platform/Names.h"
+#include "platform/Formats.h"
 #include "platform/StoreClient.h"
 #include "tools/CommandLine.h"
 
@@ -23,20 +21,6 @@
 /// The platform may change the settings without a signal; a look costs one system call.
 constexpr Duration lookEvery = 2s;
 
-MeshFormats platformFormats()
-{
-    MeshFormats formats;
-    formats.headers = platform::callHeaders();
-    formats.configurationTopic = platform::configurationTopic;
-    formats.configurationKey = platform::configurationKey;
-    formats.nodesTopic = platform::nodesTopic;
-    formats.readinessPath = platform::readinessPath;
-    formats.metricsPath = platform::metricsPath;
-    formats.readConfiguration = platform::readConfiguration;
-    formats.readAnnouncement = platform::readAnnouncement;
-    return formats;
-}
-
 int run(const std::string& file, NodeSettings settings, Charts charts)
 {
     startLog(tools::logOptions(settings));
@@ -44,8 +28,8 @@
     const auto incarnation = tools::makeIncarnation();
     auto store
         = std::make_unique<platform::StoreClient>(base.get(), settings.store.address, settings.store.timeout);
-    auto node = MeshNode::start(
-        base.get(), std::move(settings), std::move(charts), incarnation, platformFormats(), std::move(store));
+    auto node = MeshNode::start(base.get(), std::move(settings), std::move(charts), incarnation,
+        platform::formats(), std::move(store));
     if (!node) {
         log(LogLevel::Error, "start-failed", { { "error", node.error() } });
         return EXIT_FAILURE;
