A rebuild at once takes back the one that was due

Cause: a changed upstream asked for a rebuild in 3 ms and then rebuilt at once, so the directory was built twice. The pending timer now ends with any rebuild. All 145 test cases pass; not measured by itself.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -49,6 +49,7 @@
 void MeshNode::rebuild()
 {
     m_isRebuildPending = false;
+    m_rebuildTimer = Timer();
     if (!m_config.hasAny())
         return;
     const auto now = monotonicNow();
