--- a/src/Node/OwnerMessages.cpp
+++ b/src/Node/OwnerMessages.cpp
@@ -4,8 +4,8 @@
 
 namespace robinrun {
 
-void handToOwner(Owner& owner, PeerSocket& peers, const PeerSocket::Sender& sender, const proto::Call& call,
-    Instant now)
+void handToOwner(
+    Owner& owner, PeerSocket& peers, const PeerSocket::Sender& sender, const proto::Call& call, Instant now)
 {
     owner.take(
         call, { sender.node, sender.address, sender.incarnation },
--- a/src/Node/OwnerMessages.h
+++ b/src/Node/OwnerMessages.h
@@ -9,10 +9,10 @@
 
 namespace robinrun {
 
-/// \brief Hands a peer's call to \a owner; its answer goes back along the link that the call came by. Both must
-/// outlive the call.
-void handToOwner(Owner& owner, PeerSocket& peers, const PeerSocket::Sender& sender, const proto::Call& call,
-    Instant now);
+/// \brief Hands a peer's call to \a owner; its answer goes back along the link that the call came by. Both
+/// must outlive the call.
+void handToOwner(
+    Owner& owner, PeerSocket& peers, const PeerSocket::Sender& sender, const proto::Call& call, Instant now);
 
 /// \returns the word to an ingress that the upstream of \a owner leaves, or stays after all.
 /// \param incarnation of the owner's node.
