A changed number of nodes gives no retries; splits start at another point on each node

Cause: setRetryBurst() threw the budgets away, so each node that came or went refilled all of them, and a new life that knew no other node yet took half of the deployment's slack for itself.

--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -84,6 +84,8 @@
     void pullSoon(const std::string& address, std::uint64_t version);
     void rebuildSoon();
     void rebuild();
+    /// \returns this node's share of the retries that the deployment's nodes may save up.
+    double retryBurst() const;
     void publish(Instant now);
     void tellAll(Instant now);
     void tellContacts(Instant now);
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -17,6 +17,8 @@
     constexpr Duration readyAnyway = 1500ms;
     /// Of the deployment's bound on retries, what is planned with: calls that retries make are not seen here.
     constexpr double plannedPart = 0.5;
+    /// Retries that a node may save up at least: with fewer it could never send one.
+    constexpr double leastRetryBurst = 1;
 
 } // namespace
 
@@ -69,14 +71,22 @@
     }
     m_context.directory.rebuild(resources);
     m_context.configVersion = m_config.version();
-    const double nodes = std::max<double>(1, static_cast<double>(m_registry.nodes().size()));
-    m_ingress->setRetryBurst(std::max(1.0, plannedPart * settings.retries.slack / nodes));
+    m_ingress->setRetryBurst(retryBurst());
     m_owner->configure(now);
     m_ingress->configure(now);
     if (!m_announced.current() && !m_finder->isRunning() && !settings.backend.empty() && !m_isStopping)
         m_finder->start(healthPath, m_context.headers);
 }
 
+double MeshNode::retryBurst() const
+{
+    // A node that knows few others yet would take most of the slack for itself, at each of its starts.
+    if (!m_nodesFeed->isCaughtUp())
+        return leastRetryBurst;
+    const auto nodes = static_cast<double>(std::max<std::size_t>(m_registry.nodes().size(), 1));
+    return std::max(leastRetryBurst, plannedPart * m_context.settings.retries.slack / nodes);
+}
+
 void MeshNode::tick()
 {
     const auto now = monotonicNow();
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -34,6 +34,7 @@
     , m_claims(claims)
     , m_members(members)
     , m_send(std::move(send))
+    , m_turns(context.random.bits())
 {
 }
 
--- a/src/Routing/RetryBudget.h
+++ b/src/Routing/RetryBudget.h
@@ -17,6 +17,18 @@
     {
     }
 
+    /// \brief Changes the bounds. What is saved up stays, as far as the new burst holds it: a change gives
+    /// no retries, however often it comes.
+    void setBounds(double fraction, double burst)
+    {
+        m_fraction = fraction;
+        m_burst = burst;
+        m_tokens = std::min(m_tokens, burst);
+    }
+
+    /// \returns the retries that are saved up.
+    double saved() const { return m_tokens; }
+
     void firstAttempt() { m_tokens = std::min(m_burst, m_tokens + m_fraction); }
 
     /// \returns whether a retry may be sent; if so it is spent.
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -62,18 +62,28 @@
 
 void ServiceRouter::setRetryFraction(double fraction)
 {
-    if (fraction == m_options.retryFraction)
-        return;
-    m_options.retryFraction = fraction;
-    m_budgets.clear();
+    setRetryBounds(fraction, m_options.retryBurst);
 }
 
 void ServiceRouter::setRetryBurst(double burst)
 {
-    if (burst == m_options.retryBurst)
-        return;
+    setRetryBounds(m_options.retryFraction, burst);
+}
+
+void ServiceRouter::setRetryBounds(double fraction, double burst)
+{
+    m_options.retryFraction = fraction;
     m_options.retryBurst = burst;
-    m_budgets.clear();
+    for (auto& [group, budget] : m_budgets)
+        budget.setBounds(fraction, burst);
+}
+
+double ServiceRouter::savedRetries() const
+{
+    double out = 0;
+    for (const auto& [group, budget] : m_budgets)
+        out += budget.saved();
+    return out;
 }
 
 void ServiceRouter::measuredWork(std::string_view callClass, Duration held, double slowdown)
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -57,7 +57,7 @@
     /// \brief Sets the upstreams; those known by name keep what is known of them, new ones start slowly.
     void setUpstreams(const std::vector<RouteTarget>& targets, Instant now);
 
-    /// \brief Changes the budget of retries; groups start anew with it if it is another one.
+    /// \brief Changes the budget of retries; groups keep what they have saved up.
     void setRetryFraction(double fraction);
 
     /// \brief Changes how many retries a group may save up.
@@ -89,6 +89,9 @@
     /// \brief Counts the first attempt of a call, which earns its group a part of a retry.
     void firstAttempt(std::uint32_t group) { budgetOf(group).firstAttempt(); }
 
+    /// \returns the retries that all groups have saved up.
+    double savedRetries() const;
+
     /// \returns whether the group may send one more attempt; if so it is spent.
     bool trySpendRetry(std::uint32_t group) { return budgetOf(group).trySpend(); }
 
@@ -140,6 +143,7 @@
     UpstreamView* viewOf(const std::string& name);
     ChoiceInput inputFor(const RouteNeeds& needs, Instant now) const;
     RetryBudget& budgetOf(std::uint32_t group);
+    void setRetryBounds(double fraction, double burst);
     void endPauses(Instant now);
     void pauseLost(UpstreamView& view, Instant now);
     /// \returns how long to leave an upstream alone: longer each time until it answers.
--- a/test/RegistryTest.cpp
+++ b/test/RegistryTest.cpp
@@ -126,7 +126,7 @@
     rc::prop("weights", [] {
         const auto first = *rc::gen::inRange(1, 100);
         const auto second = *rc::gen::inRange(1, 100);
-        WeightedTurns turns;
+        WeightedTurns turns(*rc::gen::arbitrary<std::uint64_t>());
         const WeightedTurns::Split split { { "a", first }, { "b", second } };
         int ofFirst = 0;
         for (int i = 1; i <= 200; ++i) {
@@ -135,11 +135,24 @@
             RC_ASSERT(std::abs(ofFirst - due) <= 1);
         }
     });
-    WeightedTurns turns;
+    WeightedTurns turns(1);
     REQUIRE(turns.next("r", {}) == "");
     REQUIRE(turns.next("r", { { "only", 0 } }) == "only");
 }
 
+TEST_CASE("Parts of a split get their weights too where many nodes see few calls each", "[mesh]")
+{
+    // 100 nodes with two calls each: started alike, all of them would send both to the larger part.
+    const WeightedTurns::Split split { { "a", 3 }, { "b", 1 } };
+    int ofFirst = 0;
+    for (std::uint64_t node = 0; node < 100; ++node) {
+        WeightedTurns turns(node);
+        for (int i = 0; i < 2; ++i)
+            ofFirst += turns.next("r", split) == "a";
+    }
+    REQUIRE(std::abs(ofFirst - 150) <= 20);
+}
+
 TEST_CASE("A configuration is taken over only if it is newer and can be read", "[mesh]")
 {
     MeshFormats formats;
--- a/test/RoutingTest.cpp
+++ b/test/RoutingTest.cpp
@@ -200,6 +200,26 @@
     });
 }
 
+TEST_CASE("A changed share of the retries gives no new ones", "[routing]")
+{
+    ServiceRouter router({ .retryFraction = 0, .retryBurst = 3 });
+    const auto spend = [&](int n) {
+        int spent = 0;
+        for (int i = 0; i < n; ++i)
+            spent += router.trySpendRetry(group);
+        return spent;
+    };
+    REQUIRE(spend(2) == 2);
+    router.setRetryBurst(2); // a node more
+    router.setRetryBurst(3); // and gone again
+    REQUIRE(spend(5) == 1);
+    router.setRetryFraction(0.5);
+    REQUIRE(spend(5) == 0);
+    router.firstAttempt(group);
+    router.firstAttempt(group);
+    REQUIRE(spend(5) == 1);
+}
+
 TEST_CASE("Subsets are even, and change little when upstreams or ingresses come and go", "[routing]")
 {
     constexpr std::size_t size = 20;
