Nodes gossip their records and a few follow the configuration for all

A record told to all nodes at once went over links that had just been opened, so that most of those messages were dropped and the store had to repair it. Now: a changed record goes to the contacts over links that stand, and from contact to contact; digests of buckets repair what was lost; the nodes' topic is read about once a second by all nodes together. A node that hears enough others follow the configuration rests and pulls from whoever tells it first.

--- /dev/null
+++ b/src/Mesh/Gossip.cpp
@@ -0,0 +1,107 @@
+#include "Mesh/Gossip.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace robinrun {
+
+Gossip::Gossip(const NodeRegistry& registry, std::string self, Options options, Send send)
+    : m_registry(&registry)
+    , m_self(std::move(self))
+    , m_options(options)
+    , m_send(std::move(send))
+{
+}
+
+void Gossip::spread(const proto::NodeRecord& record, const std::string& from)
+{
+    m_news[record.node()] = { record, from };
+}
+
+void Gossip::publish(const proto::NodeRecord& own, Instant now)
+{
+    for (const auto& it : m_registry->contactsOf(m_self, m_options.contacts)) {
+        proto::PeerMessage message;
+        *message.mutable_node_records()->add_records() = own;
+        m_send(m_registry->find(it)->peer_address(), message, now);
+    }
+}
+
+void Gossip::flush(Random& random, Instant now)
+{
+    const auto news = std::exchange(m_news, {});
+    if (news.empty())
+        return;
+    auto contacts = m_registry->contactsOf(m_self, m_options.contacts);
+    const auto n = std::min(m_options.relays, contacts.size());
+    for (std::size_t i = 0; i < n; ++i) {
+        std::swap(contacts[i], contacts[i + random.below(contacts.size() - i)]);
+        proto::PeerMessage message;
+        auto& out = *message.mutable_node_records();
+        for (const auto& [node, it] : news) {
+            if (node != contacts[i] && it.from != contacts[i])
+                *out.add_records() = it.record;
+        }
+        if (out.records_size() > 0)
+            m_send(m_registry->find(contacts[i])->peer_address(), message, now);
+    }
+}
+
+void Gossip::tellContacts(const proto::NodeContact& contact, Instant now)
+{
+    for (const auto& it : m_registry->contactsOf(m_self, m_options.contacts)) {
+        proto::PeerMessage message;
+        *message.mutable_node_contact() = contact;
+        m_send(m_registry->find(it)->peer_address(), message, now);
+    }
+}
+
+void Gossip::heardDigest(std::uint64_t digest, bool isNew, const Reply& reply, Instant now)
+{
+    if (!isNew && (digest == m_registry->digest() || now < m_nextRepair))
+        return;
+    if (!isNew)
+        m_nextRepair = now + m_options.repairEvery;
+    proto::PeerMessage message;
+    for (const auto it : m_registry->digests())
+        message.mutable_registry_digests()->add_buckets(it);
+    reply(message);
+}
+
+void Gossip::answer(const proto::RegistryDigests& asked, const Reply& reply) const
+{
+    proto::PeerMessage message;
+    auto& out = *message.mutable_node_records();
+    const auto& own = m_registry->digests();
+    const auto n = std::min<std::size_t>(own.size(), static_cast<std::size_t>(asked.buckets_size()));
+    for (std::size_t i = 0; i < n; ++i) {
+        if (asked.buckets(static_cast<int>(i)) == own[i])
+            continue;
+        out.add_whole_buckets(static_cast<std::uint32_t>(i));
+        for (auto& it : m_registry->recordsIn(i))
+            *out.add_records() = std::move(it);
+    }
+    if (out.whole_buckets_size() > 0)
+        reply(message);
+}
+
+void Gossip::complete(const proto::NodeRecords& records, const Reply& reply) const
+{
+    std::unordered_map<std::string, const proto::NodeRecord*> told;
+    for (const auto& it : records.records())
+        told[it.node()] = &it;
+    proto::PeerMessage message;
+    auto& out = *message.mutable_node_records();
+    for (const auto bucket : records.whole_buckets()) {
+        for (auto& it : m_registry->recordsIn(bucket)) {
+            const auto known = told.find(it.node());
+            if (known == told.end() || NodeRegistry::isLater(it, *known->second))
+                *out.add_records() = std::move(it);
+        }
+    }
+    if (out.records_size() > 0)
+        reply(message);
+}
+
+} // namespace robinrun
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -10,10 +10,18 @@
     constexpr Duration tickEvery = 50ms;
     /// A read that a store held and forgot is noticed after so long; changes have to be in force in 2 s.
     constexpr Duration configurationWait = 20s;
-    /// Peers tell each other of themselves at once; the store is for those that they don't reach.
-    constexpr Duration gatherNodes = 400ms;
-    /// Of n nodes each reads what each writes: n x n calls, but for this.
-    constexpr Duration longestGatherNodes = 12s;
+    /// A node that starts hears within so long which peers follow the configuration.
+    constexpr Duration firstContacts = 1s;
+    /// After a node has written its record it reads once more, for those that started at the same time: of
+    /// two nodes the one that reads last sees the other.
+    constexpr Duration nodesAfterWrite = 400ms;
+    /// Reads of the nodes' topic a second, by all nodes together: peers tell each other of themselves at
+    /// once, the store is for those that they don't reach.
+    constexpr double nodesReadsPerSecond = 1;
+    constexpr Duration leastNodesPause = 3s;
+    /// Where others that live try the store often, the rest try it this seldom while it is away.
+    constexpr Duration retryOften = 1s;
+    constexpr Duration retrySeldom = 4s;
     /// Each link costs heartbeats; one that is needed again stands anew within a millisecond.
     constexpr Duration linkIdle = 5s;
     constexpr std::size_t adminBody = 64U << 10U;
@@ -30,6 +38,11 @@
     , m_state(m_context.charts.node.initial())
     , m_started(monotonicNow())
     , m_store(std::move(store))
+    , m_gossip(m_registry, m_context.settings.name, { m_context.settings.peers.contacts },
+          [this](const std::string& address, proto::PeerMessage& message, Instant now) {
+              sendToContact(address, message, now);
+          })
+    , m_share(m_context.settings.listen.peers, { m_context.settings.peers.followers })
 {
     const auto& own = m_context.settings;
     m_record.set_node(own.name);
@@ -108,6 +121,7 @@
     m_peers->onLost([this](const std::string& address) {
         if (m_lostPeers.insert(address).second)
             log(LogLevel::Info, "peer-lost", { { "peer", address } });
+        m_share.lost(address);
         m_ingress->peerLost(address, monotonicNow());
     });
     return boost::outcome_v2::success();
@@ -144,9 +158,14 @@
 void MeshNode::startFeeds()
 {
     auto* base = m_context.base;
+    const auto longestRetry = [this] { return m_share.mayLag(monotonicNow()) ? retrySeldom : retryOften; };
     TopicFollower::Options config;
     config.topic = m_formats.configurationTopic;
     config.wait = configurationWait;
+    config.pause
+        = [this] { return std::exchange(m_hasReadConfiguration, true) ? Duration::zero() : firstContacts; };
+    config.mayRest = [this] { return m_config.hasAny() && m_share.mayRest(monotonicNow()); };
+    config.longestRetry = longestRetry;
     m_configFeed = std::make_unique<TopicFollower>(
         base, *m_store, config,
         [this](const KeyedRecord& record) {
@@ -156,15 +175,37 @@
         m_context.random);
     TopicFollower::Options nodes;
     nodes.topic = m_formats.nodesTopic;
-    nodes.gather = gatherNodes;
-    nodes.longestGather = longestGatherNodes;
+    nodes.wait = Duration::zero();
+    nodes.pause = [this] { return nodesPause(); };
+    nodes.longestRetry = longestRetry;
     m_nodesFeed = std::make_unique<TopicFollower>(
         base, *m_store, nodes, [this](const KeyedRecord& record) { takeStoredNode(record, monotonicNow()); },
         m_context.random);
+    m_writer->onWritten([this] {
+        if (!m_hasReadNodesSince)
+            m_hasReadNodesSince = m_nodesFeed->readWithin(nodesAfterWrite);
+    });
     m_configFeed->start();
     m_nodesFeed->start();
 }
 
+Duration MeshNode::nodesPause()
+{
+    if (m_writer->isWritten() && m_writer->calls() > 0 && !std::exchange(m_hasReadNodesSince, true))
+        return nodesAfterWrite;
+    const auto nodes = static_cast<double>(m_registry.nodes().size());
+    const auto mean = std::max(toSeconds(leastNodesPause), nodes / nodesReadsPerSecond);
+    return fromSeconds(mean * (0.5 + m_context.random.unit()));
+}
+
+template <class Calls> void MeshNode::addStoreGauges(const std::string& kind, const Calls& calls)
+{
+    auto& metrics = m_context.metrics;
+    const std::string total = "robinrun_store_calls_total{kind=\"" + kind + "\",outcome=";
+    metrics.gauge(total + "\"done\"}", [&calls] { return double(calls.calls() - calls.failures()); });
+    metrics.gauge(total + "\"failed\"}", [&calls] { return double(calls.failures()); });
+}
+
 void MeshNode::addGauges()
 {
     auto& metrics = m_context.metrics;
@@ -180,12 +221,11 @@
     metrics.gauge("robinrun_peer_links", [this] { return double(m_peers->links()); });
     metrics.gauge("robinrun_nodes_known", [this] { return double(m_registry.nodes().size()); });
     metrics.gauge("robinrun_store_connected", [this] { return m_configFeed->isConnected() ? 1.0 : 0.0; });
-    metrics.gauge("robinrun_store_calls_total{kind=\"read-configuration\"}",
-        [this] { return double(m_configFeed->calls()); });
-    metrics.gauge(
-        "robinrun_store_calls_total{kind=\"read-nodes\"}", [this] { return double(m_nodesFeed->calls()); });
     metrics.gauge(
-        "robinrun_store_calls_total{kind=\"write-node\"}", [this] { return double(m_writer->calls()); });
+        "robinrun_follows_configuration", [this] { return m_configFeed->isFollowing() ? 1.0 : 0.0; });
+    addStoreGauges("read-configuration", *m_configFeed);
+    addStoreGauges("read-nodes", *m_nodesFeed);
+    addStoreGauges("write-node", *m_writer);
 }
 
 void MeshNode::answerReadiness(HttpExchange& exchange) const
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -5,6 +5,8 @@
 #include "Mesh/AnnouncedUpstream.h"
 #include "Mesh/BackendFinder.h"
 #include "Mesh/ConfigHolder.h"
+#include "Mesh/FollowShare.h"
+#include "Mesh/Gossip.h"
 #include "Mesh/MeshFormats.h"
 #include "Mesh/NodeRegistry.h"
 #include "Mesh/RecordWriter.h"
@@ -62,18 +64,21 @@
     Result<void, std::string> bindServers();
     void startFeeds();
     void addGauges();
+    template <class Calls> void addStoreGauges(const std::string& kind, const Calls& calls);
 
     void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
-    void takeRecord(const PeerSocket::Sender& sender, const proto::NodeRecord& record, Instant now);
+    void takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now);
+    void takeRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now);
+    /// \returns whether it was news.
+    bool takeRecord(const proto::NodeRecord& record, Instant now);
     void takeConfigRequest(
         const PeerSocket::Sender& sender, const proto::ConfigRequest& request, Instant now);
     void takeStoredNode(const KeyedRecord& stored, Instant now);
     /// \returns what a record of the store says of its node; nothing if it is malformed or says nothing new.
     std::optional<proto::NodeRecord> readStoredNode(const KeyedRecord& stored) const;
-    void takeOwnRecord(const proto::NodeRecord& record, Instant now);
-    /// \returns whether \a record is of a node, or of a start of it, that is not known yet.
-    bool isNewLifeOf(const proto::NodeRecord& record) const;
-    void registryChanged(const proto::NodeRecord& record, bool isNewLife, Instant now);
+    bool takeOwnRecord(const proto::NodeRecord& record, Instant now);
+    /// \returns whether \a node, or this start of it, is not known yet.
+    bool isNewLife(const std::string& node, std::uint64_t incarnation) const;
 
     void answerReadiness(HttpExchange& exchange) const;
     void answerMetrics(HttpExchange& exchange) const;
@@ -87,9 +92,12 @@
     /// \returns this node's share of the retries that the deployment's nodes may save up.
     double retryBurst() const;
     void publish(Instant now);
-    void tellAll(Instant now);
     void tellContacts(Instant now);
-    void sendRecord(const std::string& address, Instant now);
+    void sendToContact(const std::string& address, proto::PeerMessage& message, Instant now);
+    void relaySoon();
+    Gossip::Reply replyTo(const PeerSocket::Sender& sender, Instant now);
+    /// \returns how long to wait until the nodes' topic is read again.
+    Duration nodesPause();
 
     void tick();
     void step(NodeEvent event);
@@ -113,16 +121,23 @@
     std::unique_ptr<BackendFinder> m_finder;
     ConfigHolder m_config;
     NodeRegistry m_registry;
+    Gossip m_gossip;
+    FollowShare m_share;
     AnnouncedUpstream m_announced;
     proto::NodeRecord m_record; ///< of this node, as last published
     bool m_isRebuildPending = false;
     bool m_isPullPending = false;
+    bool m_isRelayPending = false;
+    bool m_isContactOpening = false; ///< a link to a contact was opened a moment ago
+    bool m_hasReadConfiguration = false;
+    bool m_hasReadNodesSince = false; ///< since this life's record was written first
     bool m_isStopping = false;
     std::set<std::string> m_lostPeers; ///< addresses of links that have ended and were not heard since
     Instant m_nextContact {};
     Instant m_lastBusy {};
     Timer m_rebuildTimer;
     Timer m_pullTimer;
+    Timer m_relayTimer;
     Timer m_tickTimer;
     Timer m_lameDuckTimer;
     Timer m_drainLimit;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -66,6 +66,10 @@
             healthPath = it.service().health_path();
     }
     for (auto& it : m_registry.upstreams()) {
+        // What a former life of this node owned is not owned by it until it is found or announced again.
+        const bool isOwn = it.upstream().host() == settings.name;
+        if (isOwn && it.name() != "upstreams/" + settings.upstream)
+            continue;
         it.mutable_upstream()->set_connections(static_cast<std::uint32_t>(settings.limits.calls));
         resources.push_back(std::move(it));
     }
@@ -95,6 +99,7 @@
     flushLog();
     if (now >= m_nextContact)
         tellContacts(now);
+    m_configFeed->wake();
     if (m_ingress->inProgress() || !m_owner->isIdle())
         m_lastBusy = now;
     // Only the word that the node is gone has to be written first: a store that is down must not hold a
@@ -137,7 +142,7 @@
         return;
     // The backend server has left before: this node will not be back.
     m_record.set_gone(true);
-    tellContacts(now);
+    m_gossip.publish(m_record, now);
     m_writer->set("");
 }
 
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -7,11 +7,13 @@
 namespace robinrun {
 namespace {
 
-    /// After a peer says that it has a newer configuration, the store has so long to deliver it first.
+    /// After a peer says that it has a newer configuration, the store has so long to deliver it first to a
+    /// node that reads there itself.
     constexpr Duration pullDelay = 150ms;
-    /// A changed record is told to all nodes while there are no more; in larger systems to the contacts, and
-    /// the others read it in the store.
-    constexpr std::size_t maxToldDirectly = 200;
+    /// News of nodes that come together are passed on together.
+    constexpr Duration relayDelay = 10ms;
+    /// A contact whose link has just been opened is tried again after so long.
+    constexpr Duration connectingAgain = 100ms;
 
 } // namespace
 
@@ -21,34 +23,40 @@
     m_registry.take(m_record);
     m_writer->set(m_record.SerializeAsString());
     rebuildSoon();
-    tellAll(now);
+    m_gossip.publish(m_record, now);
 }
 
-void MeshNode::tellAll(Instant now)
+void MeshNode::tellContacts(Instant now)
 {
-    if (m_registry.nodes().size() > maxToldDirectly)
-        return tellContacts(now);
-    m_nextContact = now + m_context.settings.peers.contactEvery;
-    for (const auto& [name, record] : m_registry.nodes()) {
-        if (name != m_context.settings.name && !record.gone())
-            sendRecord(record.peer_address(), now);
-    }
+    proto::NodeContact contact;
+    contact.set_config_version(m_config.version());
+    contact.set_registry_digest(m_registry.digest());
+    contact.set_follows_configuration(m_configFeed->isFollowing());
+    m_isContactOpening = false;
+    m_gossip.tellContacts(contact, now);
+    m_nextContact = now + (m_isContactOpening ? connectingAgain : m_context.settings.peers.contactEvery);
 }
 
-void MeshNode::tellContacts(Instant now)
+void MeshNode::sendToContact(const std::string& address, proto::PeerMessage& message, Instant now)
 {
-    m_nextContact = now + m_context.settings.peers.contactEvery;
-    const auto& settings = m_context.settings;
-    for (const auto& it : m_registry.contactsOf(settings.name, settings.peers.contacts))
-        sendRecord(m_registry.find(it)->peer_address(), now);
+    // What can't be sent now is not kept: contacts compare what they know every second.
+    if (m_peers->send(address, message, now) == SendResult::Connecting)
+        m_isContactOpening = true;
 }
 
-void MeshNode::sendRecord(const std::string& address, Instant now)
+void MeshNode::relaySoon()
 {
-    m_record.set_config_version(m_config.version());
-    proto::PeerMessage message;
-    *message.mutable_node_record() = m_record;
-    m_peers->send(address, message, now);
+    if (!std::exchange(m_isRelayPending, true)) {
+        m_relayTimer = Timer::once(m_context.base, relayDelay, [this] {
+            m_isRelayPending = false;
+            m_gossip.flush(m_context.random, monotonicNow());
+        });
+    }
+}
+
+Gossip::Reply MeshNode::replyTo(const PeerSocket::Sender& sender, Instant now)
+{
+    return [this, sender, now](proto::PeerMessage& message) { m_peers->answer(sender, message, now); };
 }
 
 void MeshNode::tellLeaving(const std::string& address, bool isLeaving)
@@ -82,8 +90,12 @@
         return m_ingress->takeLeaving(message.leaving(), now);
     case proto::PeerMessage::kLoadNews:
         return m_ingress->takeLoad(message.load_news(), now);
-    case proto::PeerMessage::kNodeRecord:
-        return takeRecord(sender, message.node_record(), now);
+    case proto::PeerMessage::kNodeContact:
+        return takeContact(sender, message.node_contact(), now);
+    case proto::PeerMessage::kNodeRecords:
+        return takeRecords(sender, message.node_records(), now);
+    case proto::PeerMessage::kRegistryDigests:
+        return m_gossip.answer(message.registry_digests(), replyTo(sender, now));
     case proto::PeerMessage::kConfigRequest:
         return takeConfigRequest(sender, message.config_request(), now);
     case proto::PeerMessage::kConfigCopy:
@@ -94,29 +106,42 @@
     }
 }
 
-bool MeshNode::isNewLifeOf(const proto::NodeRecord& record) const
+bool MeshNode::isNewLife(const std::string& node, std::uint64_t incarnation) const
 {
-    const auto* known = m_registry.find(record.node());
-    return !known || known->incarnation() < record.incarnation();
+    const auto* known = m_registry.find(node);
+    return !known || known->incarnation() < incarnation;
 }
 
-void MeshNode::registryChanged(const proto::NodeRecord& record, bool isNewLife, Instant now)
+void MeshNode::takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now)
 {
-    rebuildSoon();
-    if (isNewLife && !record.upstream().empty())
-        m_ingress->revive(record.upstream(), now);
+    m_share.heard(sender.address, contact.follows_configuration(), now);
+    m_gossip.heardDigest(
+        contact.registry_digest(), isNewLife(sender.node, sender.incarnation), replyTo(sender, now), now);
+    if (contact.config_version() > m_config.version())
+        pullSoon(sender.address, contact.config_version());
+}
+
+void MeshNode::takeRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now)
+{
+    for (const auto& it : records.records()) {
+        if (takeRecord(it, now))
+            m_gossip.spread(it, sender.node);
+    }
+    m_gossip.complete(records, replyTo(sender, now));
+    relaySoon();
 }
 
-void MeshNode::takeRecord(const PeerSocket::Sender& sender, const proto::NodeRecord& record, Instant now)
+bool MeshNode::takeRecord(const proto::NodeRecord& record, Instant now)
 {
-    const bool isNewLife = isNewLifeOf(record);
+    if (record.node() == m_context.settings.name)
+        return takeOwnRecord(record, now);
+    const bool isNew = isNewLife(record.node(), record.incarnation());
     const auto change = m_registry.take(record);
     if (change == NodeRegistry::Change::Changed)
-        registryChanged(record, isNewLife, now);
-    if (isNewLife)
-        sendRecord(sender.address, now);
-    if (record.config_version() > m_config.version())
-        pullSoon(sender.address, record.config_version());
+        rebuildSoon();
+    if (isNew && !record.upstream().empty())
+        m_ingress->revive(record.upstream(), now);
+    return change != NodeRegistry::Change::None;
 }
 
 std::optional<proto::NodeRecord> MeshNode::readStoredNode(const KeyedRecord& stored) const
@@ -128,36 +153,33 @@
         log(LogLevel::Error, "node-record-malformed", { { "key", stored.key } });
         return std::nullopt;
     }
-    // Taken away: the node said that it will not be back. This node's own word is not taken from the store.
+    // Taken away: the node said that it will not be back.
     const auto* known = m_registry.find(stored.key);
-    if (!known || stored.key == m_context.settings.name)
+    if (!known)
         return std::nullopt;
     record = *known;
     record.set_gone(true);
     return record;
 }
 
-void MeshNode::takeOwnRecord(const proto::NodeRecord& record, Instant now)
+bool MeshNode::takeOwnRecord(const proto::NodeRecord& record, Instant now)
 {
+    const bool isNews = m_registry.take(record) != NodeRegistry::Change::None;
     // What a former life of this node has acknowledged binds this one too.
-    if (record.incarnation() != m_context.incarnation && record.leaving()
-        && m_announced.hasLeftBefore(record.upstream()))
+    const bool isFormer = record.incarnation() != m_context.incarnation;
+    if (isFormer && record.leaving() && m_announced.hasLeftBefore(record.upstream()))
         upstreamChanged(now);
+    // Somebody took this node for gone.
+    if (!isFormer && record.gone() && !m_record.gone())
+        publish(now);
+    return isNews;
 }
 
 void MeshNode::takeStoredNode(const KeyedRecord& stored, Instant now)
 {
-    const auto record = readStoredNode(stored);
-    if (!record)
-        return;
-    if (record->node() == m_context.settings.name)
-        return takeOwnRecord(*record, now);
-    const bool isNewLife = isNewLifeOf(*record);
-    if (m_registry.take(*record) != NodeRegistry::Change::Changed)
-        return;
-    registryChanged(*record, isNewLife, now);
-    if (isNewLife && m_nodesFeed->isCaughtUp())
-        sendRecord(record->peer_address(), now);
+    // Not passed on: others read it too, and contacts find by their digests what they lack.
+    if (const auto record = readStoredNode(stored))
+        takeRecord(*record, now);
 }
 
 void MeshNode::takeConfigRequest(
@@ -176,7 +198,8 @@
     if (m_isPullPending)
         return;
     m_isPullPending = true;
-    const auto delay = m_config.hasAny() ? pullDelay : Duration::zero();
+    const bool isStoreFirst = m_config.hasAny() && m_configFeed->isFollowing();
+    const auto delay = isStoreFirst ? pullDelay : Duration::zero();
     m_pullTimer = Timer::once(m_context.base, delay, [this, address, version] {
         m_isPullPending = false;
         if (m_config.version() >= version)
--- a/src/Mesh/NodeRegistry.cpp
+++ b/src/Mesh/NodeRegistry.cpp
@@ -11,7 +11,7 @@
     /// \returns what orders the records of one node; the later one compares greater.
     auto orderOf(const proto::NodeRecord& record)
     {
-        return std::make_tuple(record.incarnation(), record.sequence());
+        return std::make_tuple(record.incarnation(), record.sequence(), record.gone());
     }
 
     /// \returns whether two records of a node are the same to routing.
@@ -22,6 +22,13 @@
             && a.slots() == b.slots() && a.leaving() == b.leaving() && a.gone() == b.gone();
     }
 
+    /// \returns a hash of a node's name and of what orders its records.
+    std::uint64_t hashOf(const proto::NodeRecord& record)
+    {
+        return hash64(record.node() + '\n' + std::to_string(record.incarnation()) + '\n'
+            + std::to_string(record.sequence()) + (record.gone() ? "\ngone" : ""));
+    }
+
     /// \returns the same number for (a, b) as for (b, a).
     std::uint64_t hashOfPair(const std::string& a, const std::string& b)
     {
@@ -38,16 +45,52 @@
 {
     const auto it = m_nodes.find(record.node());
     if (it == m_nodes.end()) {
-        m_nodes.emplace(record.node(), record);
+        put(record);
         return Change::Changed;
     }
-    if (orderOf(record) < orderOf(it->second))
+    if (!isLater(record, it->second))
         return Change::None;
     const bool isSame = isAlike(it->second, record);
-    it->second = record;
+    put(record);
     return isSame ? Change::Refreshed : Change::Changed;
 }
 
+void NodeRegistry::put(const proto::NodeRecord& record)
+{
+    auto& digest = m_digests[bucketOf(record.node())];
+    auto& known = m_nodes[record.node()];
+    if (!known.node().empty())
+        digest ^= hashOf(known);
+    known = record;
+    digest ^= hashOf(known);
+}
+
+bool NodeRegistry::isLater(const proto::NodeRecord& a, const proto::NodeRecord& b)
+{
+    return orderOf(a) > orderOf(b);
+}
+
+std::size_t NodeRegistry::bucketOf(const std::string& node)
+{
+    return hash64(node) % bucketCount;
+}
+
+std::uint64_t NodeRegistry::digest() const
+{
+    return hash64(std::string_view(
+        reinterpret_cast<const char*>(m_digests.data()), m_digests.size() * sizeof(m_digests.front())));
+}
+
+std::vector<proto::NodeRecord> NodeRegistry::recordsIn(std::size_t bucket) const
+{
+    std::vector<proto::NodeRecord> out;
+    for (const auto& [name, record] : m_nodes) {
+        if (bucketOf(name) == bucket)
+            out.push_back(record);
+    }
+    return out;
+}
+
 const proto::NodeRecord* NodeRegistry::find(const std::string& node) const
 {
     const auto it = m_nodes.find(node);
--- a/src/Mesh/NodeRegistry.h
+++ b/src/Mesh/NodeRegistry.h
@@ -2,7 +2,9 @@
 
 #include "peer.pb.h"
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -11,12 +13,17 @@
 
 /// \brief What this node knows of all nodes and the upstreams beside them, from the store and from peers.
 ///
-/// Of two records of a node the one of the later incarnation counts, then the one with the higher sequence;
-/// so it does not matter by which way and in which order they come. A record says what its node said last,
+/// Of two records of a node the one of the later incarnation counts, then the one with the higher sequence,
+/// then the one that says the node is gone; so it does not matter by which way and in which order they come.
+/// Nodes compare what they know by digests of buckets of records. A record says what its node said last,
 /// not that it lives: whether it answers is for the routers to find out.
 /// Cost: O(log nodes); about 300 bytes a node.
 class NodeRegistry {
 public:
+    /// Of 7,200 records 112 lie in each: what is sent for one difference stays small.
+    static constexpr std::size_t bucketCount = 64;
+    using Digests = std::array<std::uint64_t, bucketCount>;
+
     enum class Change {
         None, ///< older than what is known
         Refreshed, ///< newer, but nothing that routing needs has changed
@@ -39,8 +46,26 @@
     /// Cost: O(nodes log nodes).
     std::vector<std::string> contactsOf(const std::string& self, std::size_t n) const;
 
+    /// \returns a digest of the records in each bucket. Equal ones mean equal records, but for chance.
+    const Digests& digests() const { return m_digests; }
+
+    /// \returns one digest of all records.
+    std::uint64_t digest() const;
+
+    /// \returns the bucket of the node called \a node.
+    static std::size_t bucketOf(const std::string& node);
+
+    /// \returns the records in \a bucket. Cost: O(nodes).
+    std::vector<proto::NodeRecord> recordsIn(std::size_t bucket) const;
+
+    /// \returns whether \a a is of a later life of its node than \a b, or said later in the same one.
+    static bool isLater(const proto::NodeRecord& a, const proto::NodeRecord& b);
+
 private:
+    void put(const proto::NodeRecord& record);
+
     std::map<std::string, proto::NodeRecord> m_nodes;
+    Digests m_digests {};
 };
 
 } // namespace robinrun
--- a/src/Mesh/RecordWriter.cpp
+++ b/src/Mesh/RecordWriter.cpp
@@ -47,8 +47,11 @@
         m_isOut = false;
         if (result) {
             m_pause = {};
+            if (m_written)
+                m_written();
             return write();
         }
+        ++m_failures;
         log(LogLevel::Warning, "record-not-written",
             { { "topic", m_topic }, { "key", m_key }, { "error", nameOf(result.error().kind) },
                 { "message", result.error().message } });
--- a/src/Mesh/RecordWriter.h
+++ b/src/Mesh/RecordWriter.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <event2/event.h>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -30,6 +31,10 @@
     bool isWritten() const { return !m_isWanted && !m_isOut; }
     /// \returns writes made so far, failed ones too.
     std::uint64_t calls() const { return m_calls; }
+    /// \returns how many of them failed.
+    std::uint64_t failures() const { return m_failures; }
+    /// \brief Runs \a f each time that a write has succeeded.
+    void onWritten(std::function<void()> f) { m_written = std::move(f); }
 
 private:
     void write();
@@ -43,6 +48,8 @@
     bool m_isOut = false;
     Duration m_pause {}; ///< the last one after a failure; zero after a success
     std::uint64_t m_calls = 0;
+    std::uint64_t m_failures = 0;
+    std::function<void()> m_written;
     Timer m_again;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -45,6 +45,32 @@
     return leastJitter + (1 - leastJitter) * m_random->unit();
 }
 
+void TopicFollower::readAgain()
+{
+    m_isPausing = false;
+    m_isResting = false;
+    if (!m_isCaughtUp)
+        return readNewest();
+    if (m_options.mayRest && m_options.mayRest()) {
+        m_isResting = true;
+        return;
+    }
+    readOn();
+}
+
+void TopicFollower::wake()
+{
+    if (m_isResting && !m_options.mayRest())
+        readAgain();
+}
+
+bool TopicFollower::readWithin(Duration delay)
+{
+    if (m_isPausing)
+        readLater(delay);
+    return m_isPausing;
+}
+
 void TopicFollower::readOn()
 {
     ++m_calls;
@@ -60,15 +86,15 @@
 {
     if (!page)
         return failed(page.error());
-    m_pause = {};
+    m_retry = {};
     m_next = page.value().next;
     for (const auto& it : page.value().records)
         m_handler(it);
     setConnected(true, "");
-    if (m_options.gather == Duration::zero())
-        return readOn();
-    m_gather = std::clamp(2 * m_gather, m_options.gather, m_options.longestGather);
-    readLater(m_gather);
+    if (!m_options.pause)
+        return readAgain();
+    m_isPausing = true;
+    readLater(m_options.pause());
 }
 
 void TopicFollower::failed(const PlatformError& error)
@@ -77,20 +103,16 @@
         log(LogLevel::Info, "topic-forgotten", { { "topic", m_options.topic }, { "from", m_next } });
         return readNewest();
     }
+    ++m_failures;
     setConnected(false, std::string(nameOf(error.kind)) + ": " + error.message);
-    m_pause
-        = m_pause > Duration::zero() ? std::min(2 * m_pause, m_options.longestPause) : m_options.firstPause;
-    readLater(fromSeconds(toSeconds(m_pause) * jitter()));
+    m_retry
+        = m_retry > Duration::zero() ? std::min(2 * m_retry, m_options.longestRetry()) : m_options.firstRetry;
+    readLater(fromSeconds(toSeconds(m_retry) * jitter()));
 }
 
 void TopicFollower::readLater(Duration delay)
 {
-    m_again = Timer::once(m_base, delay, [this] {
-        if (m_isCaughtUp)
-            readOn();
-        else
-            readNewest();
-    });
+    m_again = Timer::once(m_base, delay, [this] { readAgain(); });
 }
 
 void TopicFollower::setConnected(bool isConnected, const std::string& why)
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -15,18 +15,21 @@
 
 /// \brief Keeps up with one keyed topic of the store: first the newest record of each key, then what comes.
 ///
-/// Reads wait at the store, so that news comes at once and a quiet topic costs a call each `wait`. Failed
-/// calls are made again after a pause that doubles, with jitter. Cost: one call at a time.
+/// Reads wait at the store, so that news comes at once and a quiet topic costs a call each `wait`. Between
+/// two reads the follower may pause or rest, if others read the topic too. Failed calls are made again after
+/// a pause that doubles, with jitter. Cost: one call at a time.
 class TopicFollower {
 public:
     struct Options {
         std::string topic;
         Duration wait = 25s; ///< longest a read waits; the store allows 30 s
-        /// Between an answer and the next read, so that news that come together cost one; doubles with each.
-        Duration gather {};
-        Duration longestGather {};
-        Duration firstPause = 100ms; ///< after a failure
-        Duration longestPause = 1s; ///< so that a store which is back is noticed in time
+        /// How long to pause between an answer and the next read; none by default.
+        std::function<Duration()> pause = nullptr;
+        /// Whether this node may leave the topic to others for now; asked before each read but the first.
+        std::function<bool()> mayRest = nullptr;
+        Duration firstRetry = 100ms; ///< after a failure
+        /// The longest time between two tries, so that a store which is back is noticed in time.
+        std::function<Duration()> longestRetry = [] { return Duration(1s); };
     };
     using Handler = std::function<void(const KeyedRecord&)>;
 
@@ -40,16 +43,28 @@
     /// \brief Starts to read; to be called once.
     void start() { readNewest(); }
 
+    /// \brief Ends a pause after \a delay. \returns whether there was one.
+    bool readWithin(Duration delay);
+
+    /// \brief To be called now and then: ends a rest that may not go on.
+    void wake();
+
+    /// \returns whether a read is out and the store answered the last one.
+    bool isFollowing() const { return m_isConnected && !m_isResting; }
+
     /// \returns whether everything that was there at the start has been read.
     bool isCaughtUp() const { return m_isCaughtUp; }
     /// \returns whether the last call succeeded.
     bool isConnected() const { return m_isConnected; }
     /// \returns calls made to the store so far, failed ones too.
     std::uint64_t calls() const { return m_calls; }
+    /// \returns how many of them failed.
+    std::uint64_t failures() const { return m_failures; }
 
 private:
     void readNewest();
     void readOn();
+    void readAgain();
     void readLater(Duration delay);
     double jitter();
     void handle(const Result<KeyedPage, PlatformError>& page);
@@ -63,11 +78,13 @@
     Random* m_random;
     std::uint64_t m_next = 0; ///< offset to read on from
     std::uint64_t m_calls = 0;
+    std::uint64_t m_failures = 0;
     bool m_isCaughtUp = false;
     bool m_isConnected = false;
     bool m_hasToldLost = false;
-    Duration m_pause {}; ///< the last one after a failure; zero after a success
-    Duration m_gather {}; ///< the last one between an answer and the next read
+    bool m_isResting = false;
+    bool m_isPausing = false; ///< between an answer and the next read
+    Duration m_retry {}; ///< the last pause after a failure; zero after a success
     Timer m_again;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -48,6 +48,7 @@
         out.peers.heartbeat = reader.duration("heartbeat", 50ms, 60s, 5s);
         out.peers.longestReconnect = reader.duration("longest_reconnect", 50ms, 60s, 2s);
         out.peers.contacts = reader.count("contacts", 1, 100, 16);
+        out.peers.followers = reader.count("followers", 1, 100, 4);
         out.peers.contactEvery = reader.duration("contact_every", 100ms, 60s, 2s);
         reader.finish();
     }
--- a/test/MeshTest.cpp
+++ b/test/MeshTest.cpp
@@ -143,6 +143,52 @@
         REQUIRE(f.call(i % 3, "GET", "/read/x").body == "body of i-n0");
 }
 
+TEST_CASE("A few nodes read the configuration for all; when they are gone, others do", "[mesh]")
+{
+    MeshFixture f;
+    f.followers = 1;
+    f.store.put("keyed.op", "config", MeshFixture::configuration(5));
+    for (int i = 0; i < 6; ++i)
+        f.add(i % 2 ? "other" : "shop");
+    for (std::size_t i = 0; i < 6; ++i)
+        f.untilServed(i);
+    const auto follows = [&](std::size_t i) {
+        const auto text = f.send(f.places[i].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body;
+        return text.find("robinrun_follows_configuration 1") != std::string::npos;
+    };
+    const auto following = [&] {
+        std::vector<std::size_t> out;
+        for (std::size_t i = 0; i < 6; ++i) {
+            if (f.places[i].node && follows(i))
+                out.push_back(i);
+        }
+        return out;
+    };
+    const auto isInForceAt = [&](std::size_t i, const std::string& service) {
+        const auto body = f.call(i, "GET", "/read/x").body;
+        const auto at = std::stoul(body.substr(body.find("-n") + 2));
+        return f.places[at].settings.service == service;
+    };
+    f.until([&] { return following().size() == 1; });
+    const auto first = following().front();
+    f.store.put("keyed.op", "config", MeshFixture::configuration(6, "other"));
+    f.until([&] {
+        for (std::size_t i = 0; i < 6; ++i) {
+            if (!isInForceAt(i, "other"))
+                return false;
+        }
+        return true;
+    });
+    REQUIRE(following() == std::vector<std::size_t> { first });
+    f.places[first].node.reset();
+    f.store.put("keyed.op", "config", MeshFixture::configuration(7));
+    f.until([&] { return following().size() == 1; });
+    for (std::size_t i = 0; i < 6; ++i) {
+        if (i != first)
+            f.until([&] { return isInForceAt(i, "shop"); });
+    }
+}
+
 TEST_CASE("Records that the store has forgotten are read anew", "[mesh]")
 {
     ShopFixture f;
--- a/test/RegistryTest.cpp
+++ b/test/RegistryTest.cpp
@@ -56,9 +56,8 @@
 {
     NodeRegistry registry;
     REQUIRE(registry.take(record(1, 1, "u")) == NodeRegistry::Change::Changed);
-    auto next = record(1, 2, "u");
-    next.set_config_version(7);
-    REQUIRE(registry.take(next) == NodeRegistry::Change::Refreshed);
+    REQUIRE(registry.take(record(1, 2, "u")) == NodeRegistry::Change::Refreshed);
+    REQUIRE(registry.take(record(1, 2, "u")) == NodeRegistry::Change::None);
     REQUIRE(registry.take(record(1, 1, "older")) == NodeRegistry::Change::None);
     REQUIRE(registry.upstreams().size() == 1);
     auto gone = record(1, 3, "u");
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -112,6 +112,7 @@
     std::vector<Place> places;
     std::uint64_t lastIncarnation = 0;
     std::uint64_t lastRequest = 0;
+    std::uint64_t followers = 4; ///< see NodeSettings
     std::optional<HttpReply> reply;
     std::vector<std::unique_ptr<HttpPool>> callers;
 
@@ -158,6 +159,7 @@
         s.peers.heartbeat = 200ms;
         s.peers.longestReconnect = 200ms;
         s.peers.contacts = 16;
+        s.peers.followers = followers;
         s.peers.contactEvery = 200ms;
         s.drainTimeout = 3s;
         s.lameDuck = 50ms;
