A call gets its second attempt when its upstream turns slow, while another can still be in time

Cause: a second attempt was made after target - 1.3 x usual work, at least 1.5 x the usual work. Now an ingress knows by a clock of the work done how far a call is, and from the owner's word that work takes longer whether it will be late; then, and only if the other upstream is expected to be in time, it spends a retry.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -61,6 +61,9 @@
             "the owner answered that the call was not run" },
         LogEventInfo {
             "attempt-late", "request attempt upstream after_ms attempts_left", "a second is tried" },
+        LogEventInfo { "attempt-slowed",
+            "request attempt upstream expected_ms work_done_ms target_left_ms attempts_left",
+            "the upstream became slow and the answer would be late; a second is tried" },
         LogEventInfo { "attempt-lost", "request reason repeatable attempts_left others_out",
             "no whole answer came; it may have run" },
         LogEventInfo { "request-answered", "request reason status total_ms late upstreams_tried left_ms",
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -310,7 +310,7 @@
     // The owner may answer inside take(): the attempt must stand before that.
     const auto address = isOwn ? std::string() : info->config.node_address();
     call.out.push_back({ number, upstream, info->config.host(), address, message.call().owner_incarnation(),
-        now, router.slowdownOf(upstream) });
+        now, router.slowdownOf(upstream), router.workClockOf(upstream, now) });
     call.tried.push_back(upstream);
     noteChoice(call, upstream, number, now);
     m_callByNumber[number] = id;
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -84,6 +84,7 @@
         std::uint64_t ownerIncarnation = 0;
         Instant sent {};
         double slowdown = 1; ///< of the upstream, as known when sent
+        Duration workClock {}; ///< of the upstream, when sent
     };
     struct Call {
         std::unique_ptr<HttpExchange> exchange;
@@ -140,6 +141,12 @@
     RouteNeeds needsOf(const Call& call, Instant now) const;
     /// \returns whether a second attempt at \a upstream is likely to be in time.
     bool isWorthwhile(const Call& call, const std::string& upstream, Instant now);
+    /// \brief An upstream has become slow: calls that run there and will be late for it may get a second
+    /// attempt.
+    void upstreamSlowed(const std::string& upstream, Instant now);
+    void attemptSlowed(CallId id, Call& call, const Attempt& attempt, Instant now);
+    /// \returns whether \a call may have a second attempt while the first one is out.
+    bool mayHedge(const Call& call, Instant now) const;
     Duration patienceFor(const Call& call, const ServiceRouter& router) const;
     bool isRepeatable(const Call& call) const;
     void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -63,8 +63,14 @@
     router.setLeaving(attempt.upstream, isLeaving, now);
     if (load.down())
         router.heard(attempt.upstream, report, now);
-    if (answer.outcome() == proto::ANSWERED && answer.status() < firstError)
-        router.measuredWork(call.request.callClass.name, held, attempt.slowdown);
+    if (answer.outcome() == proto::ANSWERED && answer.status() < firstError) {
+        const auto& callClass = call.request.callClass.name;
+        router.measuredWork(callClass, held, attempt.slowdown);
+        // Time in the owner's queue was no work.
+        const double ran = toSeconds(held) / std::max(toSeconds(now - attempt.sent), toSeconds(held));
+        const auto work = router.workClockOf(attempt.upstream, now) - attempt.workClock;
+        router.ranWork(callClass, fromSeconds(toSeconds(work) * std::min(ran, 1.0)));
+    }
     if (answer.outcome() == proto::ANSWERED) {
         const auto network = (now - attempt.sent) - held - Duration(answer.queued_us());
         router.measuredRoundTrip(attempt.upstream, std::max(network, Duration::zero()));
@@ -90,7 +96,11 @@
     const Attempt attempt = *it;
     call.out.erase(it);
     m_callByNumber.erase(found);
+    auto& router = *m_routers.at(call.request.service);
+    const bool wasSlow = router.slowdownOf(attempt.upstream) >= WorkClock::slowFrom;
     learn(call, attempt, answer, now);
+    if (!wasSlow && router.slowdownOf(attempt.upstream) >= WorkClock::slowFrom)
+        upstreamSlowed(attempt.upstream, now);
     if (answer.outcome() == proto::NOT_RUN)
         return refused(id, call, attempt, answer, now);
     if (call.isMinting)
@@ -242,8 +252,7 @@
     call.trail.setNotable();
     call.trail.add({ RequestEvent::AttemptLate, now, it->upstream, number, Reason::None,
         { { "after_ms", (now - it->sent).count() / 1000 }, { "attempts_left", call.attemptsLeft } } });
-    const bool mayHedge = isRepeatable(call) && !call.isMinting && call.attemptsLeft > 1;
-    if (!mayHedge || now >= call.deadline)
+    if (!mayHedge(call, now))
         return;
     // The late attempt stays out; the first whole answer is taken.
     const auto upstream = router.pick(call.tried, needsOf(call, now), now, m_context->random);
@@ -253,6 +262,46 @@
         sendTo(id, call, *upstream, now);
 }
 
+bool Ingress::mayHedge(const Call& call, Instant now) const
+{
+    return isRepeatable(call) && !call.isMinting && call.attemptsLeft > 1 && now < call.deadline;
+}
+
+void Ingress::upstreamSlowed(const std::string& upstream, Instant now)
+{
+    std::vector<std::pair<CallId, std::uint64_t>> slowed;
+    for (const auto& [id, call] : m_calls) {
+        const bool isOnly = call.out.size() == 1 && call.out.front().upstream == upstream;
+        if (isOnly && call.request.isByRoute && mayHedge(call, now))
+            slowed.emplace_back(id, call.out.front().number);
+    }
+    for (const auto& [id, number] : slowed) {
+        const auto it = m_calls.find(id);
+        if (it != m_calls.end() && it->second.out.size() == 1 && it->second.out.front().number == number)
+            attemptSlowed(id, it->second, it->second.out.front(), now);
+    }
+}
+
+void Ingress::attemptSlowed(CallId id, Call& call, const Attempt& attempt, Instant now)
+{
+    auto& router = *m_routers.at(call.request.service);
+    const auto needs = needsOf(call, now);
+    const auto done = router.workClockOf(attempt.upstream, now) - attempt.workClock;
+    const auto here = router.remainingAt(attempt.upstream, call.request.callClass.name, done);
+    if (here <= needs.targetLatency)
+        return;
+    const auto upstream = router.pick(call.tried, needs, now, m_context->random);
+    if (!upstream || !isWorthwhile(call, *upstream, now))
+        return;
+    call.trail.setNotable();
+    call.trail.add({ RequestEvent::AttemptSlowed, now, attempt.upstream, attempt.number, Reason::None,
+        { { "expected_ms", here.count() / 1000 }, { "work_done_ms", done.count() / 1000 },
+            { "target_left_ms", needs.targetLatency.count() / 1000 },
+            { "attempts_left", call.attemptsLeft } } });
+    if (mayTryAgain(call))
+        sendTo(id, call, *upstream, now);
+}
+
 void Ingress::peerLost(const std::string& address, Instant now)
 {
     std::vector<std::pair<CallId, std::uint64_t>> lost;
@@ -292,6 +341,8 @@
         router->heard(news.upstream(), report, now);
         router->setLeaving(news.upstream(), isLeaving, now);
     }
+    if (report.load.slowdown >= WorkClock::slowFrom)
+        upstreamSlowed(news.upstream(), now);
 }
 
 void Ingress::takeLeaving(const proto::Leaving& leaving, Instant now)
--- a/src/Node/RequestTrail.h
+++ b/src/Node/RequestTrail.h
@@ -20,6 +20,7 @@
     UpstreamChosen,
     OwnerRefused,
     AttemptLate,
+    AttemptSlowed,
     AttemptLost,
     RequestRefused,
     RequestUnknown,
@@ -34,10 +35,10 @@
 };
 
 template <> struct EnumNames<RequestEvent> {
-    static constexpr std::array<std::string_view, 15> names { "route-chosen", "upstream-chosen",
-        "owner-refused", "attempt-late", "attempt-lost", "request-refused", "request-unknown",
-        "request-answered", "caller-gone", "queued", "sent-to-backend", "backend-answered", "backend-failed",
-        "owner-gave-up", "cancel-taken" };
+    static constexpr std::array<std::string_view, 16> names { "route-chosen", "upstream-chosen",
+        "owner-refused", "attempt-late", "attempt-slowed", "attempt-lost", "request-refused",
+        "request-unknown", "request-answered", "caller-gone", "queued", "sent-to-backend", "backend-answered",
+        "backend-failed", "owner-gave-up", "cancel-taken" };
 };
 
 /// \brief What a node decided about one request, kept until the request ends here.
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -123,12 +123,25 @@
     return view && view->report() ? view->report()->load.slowdown : 1;
 }
 
+Duration ServiceRouter::workClockOf(const std::string& upstream, Instant now)
+{
+    const auto* view = viewOf(upstream);
+    return view ? view->workClock().read(now) : Duration::zero();
+}
+
+Duration ServiceRouter::remainingAt(const std::string& upstream, std::string_view callClass, Duration done)
+{
+    const auto* view = viewOf(upstream);
+    return view ? m_remaining.of(callClass, done, view->workClock().slowdown()) : Duration::zero();
+}
+
 void ServiceRouter::heard(const std::string& upstream, const Report& report, Instant now)
 {
     auto* view = viewOf(upstream);
     if (!view)
         return;
-    view->heard(report);
+    if (const auto slowPhase = view->heard(report))
+        m_remaining.slowPhaseEnded(*slowPhase);
     if (report.load.isDown)
         pauseLost(*view, now);
     else if (view->state() == UpstreamState::Lost)
@@ -207,7 +220,8 @@
     auto* view = viewOf(upstream);
     if (!view)
         return;
-    view->answered(group, report, isFailure, now);
+    if (const auto slowPhase = view->answered(group, report, isFailure, now))
+        m_remaining.slowPhaseEnded(*slowPhase);
     m_pauses.erase(upstream);
 }
 
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -5,6 +5,7 @@
 #include "Routing/Choice.h"
 #include "Routing/Ejection.h"
 #include "Routing/LatencySketch.h"
+#include "Routing/RemainingTime.h"
 #include "Routing/RetryBudget.h"
 #include "Routing/UpstreamView.h"
 
@@ -80,6 +81,16 @@
     /// \returns the slow-down last told of \a upstream.
     double slowdownOf(const std::string& upstream);
 
+    /// \returns the reading of the clock of the work done at \a upstream; zero if it isn't known.
+    Duration workClockOf(const std::string& upstream, Instant now);
+
+    /// \brief A call of \a callClass ran to its end and took \a work by that clock.
+    void ranWork(std::string_view callClass, Duration work) { m_remaining.ran(callClass, work); }
+
+    /// \returns how much longer a call of \a callClass is expected to run at \a upstream after \a done of its
+    /// work; zero if nothing is known.
+    Duration remainingAt(const std::string& upstream, std::string_view callClass, Duration done);
+
     /// \brief The owner told its load by itself.
     void heard(const std::string& upstream, const Report& report, Instant now);
 
@@ -154,6 +165,7 @@
     Choice m_choice;
     LatencySketch m_latency;
     std::map<std::string, WorkEstimate, std::less<>> m_work; ///< by class
+    RemainingTime m_remaining;
     Ejection m_ejection;
     std::vector<UpstreamView> m_views;
     std::unordered_map<std::string, std::size_t> m_index;
--- a/src/Routing/UpstreamView.cpp
+++ b/src/Routing/UpstreamView.cpp
@@ -35,13 +35,14 @@
     return it == m_groups.end() ? 0 : it->second.inFlight;
 }
 
-void UpstreamView::answered(std::uint32_t group, const Report& report, bool isFailure, Instant now)
+std::optional<Duration> UpstreamView::answered(
+    std::uint32_t group, const Report& report, bool isFailure, Instant now)
 {
     abandoned(group);
     auto& news = m_groups[group];
     news.waiting = report.load.waiting;
     news.yours = report.yours;
-    m_report = report;
+    const auto slowPhase = heard(report);
     m_late = 0;
     m_isOnTrial = false;
     m_restUntil = {};
@@ -50,6 +51,7 @@
         m_lastError = now;
     if (m_state == UpstreamState::Lost)
         setState(UpstreamState::Active, now);
+    return slowPhase;
 }
 
 void UpstreamView::gotNoAnswer(std::uint32_t group, Instant now)
--- a/src/Routing/UpstreamView.h
+++ b/src/Routing/UpstreamView.h
@@ -4,6 +4,7 @@
 #include "Core/Ewma.h"
 #include "Core/Time.h"
 #include "Queueing/Admission.h"
+#include "Routing/WorkClock.h"
 
 #include <cstdint>
 #include <optional>
@@ -49,11 +50,19 @@
     }
 
     /// \brief An answer came, with the owner's news; \a isFailure for answers that failed at the backend
-    /// server.
-    void answered(std::uint32_t group, const Report& report, bool isFailure, Instant now);
+    /// server. \returns as heard().
+    std::optional<Duration> answered(std::uint32_t group, const Report& report, bool isFailure, Instant now);
 
-    /// \brief The owner tells its load by itself, without an answer.
-    void heard(const Report& report) { m_report = report; }
+    /// \brief The owner tells its load, by itself or with an answer.
+    /// \returns the length of the slow phase that has ended with this; nothing if none has.
+    std::optional<Duration> heard(const Report& report)
+    {
+        m_report = report;
+        return m_workClock.told(report.load.slowdown, report.heard);
+    }
+
+    /// \returns the clock of the work that a call gets done there.
+    const WorkClock& workClock() const { return m_workClock; }
 
     /// \brief No answer came in time, or the node is gone.
     void gotNoAnswer(std::uint32_t group, Instant now);
@@ -123,6 +132,7 @@
     std::uint32_t m_inFlight = 0;
     UpstreamState m_state = UpstreamState::Active;
     std::optional<Report> m_report;
+    WorkClock m_workClock;
     std::unordered_map<std::uint32_t, GroupNews> m_groups;
     Ewma m_errors;
     Instant m_lastError {};
--- /dev/null
+++ b/src/Routing/WorkClock.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Core/Time.h"
+
+#include <optional>
+
+namespace robinrun {
+
+/// \brief Counts the work that a backend server gets done on one call: time, but slower while it tells of a
+/// slow-down.
+///
+/// The difference of two readings is the time that the same work would have taken on a calm server. Right
+/// only as far as slow-downs are told, and told soon. Cost: O(1).
+class WorkClock {
+public:
+    /// From this factor on a slow-down is told apart from chance.
+    static constexpr double slowFrom = 1.5;
+
+    /// \brief From \a now on work takes \a slowdown times as long.
+    /// \returns the length of the slow phase that has ended with this; nothing if none has.
+    std::optional<Duration> told(double slowdown, Instant now)
+    {
+        m_done = read(now);
+        m_at = now;
+        const bool wasSlow = m_slowdown >= slowFrom;
+        m_slowdown = slowdown < 1 ? 1 : slowdown;
+        const bool isSlow = m_slowdown >= slowFrom;
+        if (isSlow && !wasSlow)
+            m_slowSince = now;
+        if (!wasSlow || isSlow)
+            return std::nullopt;
+        return now - m_slowSince;
+    }
+
+    /// \returns the work done since the clock began.
+    Duration read(Instant now) const
+    {
+        return m_done + (now > m_at ? fromSeconds(toSeconds(now - m_at) / m_slowdown) : Duration::zero());
+    }
+
+    double slowdown() const { return m_slowdown; }
+    bool isSlow() const { return m_slowdown >= slowFrom; }
+
+private:
+    double m_slowdown = 1;
+    Duration m_done {};
+    Instant m_at {};
+    Instant m_slowSince {};
+};
+
+} // namespace robinrun
--- a/test/IngressTest.cpp
+++ b/test/IngressTest.cpp
@@ -22,13 +22,14 @@
     std::unique_ptr<HttpServer> server;
     std::unique_ptr<HttpPool> caller;
     std::optional<HttpReply> reply;
+    Duration ahead {}; ///< of the real time, the time at which requests come
 
     IngressFixture()
     {
         ingress.configure(monotonicNow());
         server
             = std::move(HttpServer::listen(base.get(), { address, 1000, 10000, 10s }, [this](auto exchange) {
-                  ingress.take(std::move(exchange), monotonicNow());
+                  ingress.take(std::move(exchange), monotonicNow() + ahead);
               }).value());
         HttpPool::Options options;
         options.address = address;
@@ -232,3 +233,125 @@
     REQUIRE(views.size() == 24);
     REQUIRE(far == 8);
 }
+
+namespace {
+
+/// \brief An ingress for calls by route: a target latency of 400 ms, calls of 200 ms, two upstreams.
+struct RouteFixture : IngressFixture {
+    Instant now = monotonicNow();
+
+    RouteFixture()
+    {
+        context.settings.choice.kind = ChoiceKind::Timely;
+        auto config = support::exampleConfig(backend);
+        for (const bool isOnce : { false, true }) {
+            proto::Resource route;
+            route.set_name(isOnce ? "routes/pay" : "routes/read");
+            auto& it = *route.mutable_route();
+            it.set_host("a.example");
+            it.set_path_prefix(isOnce ? "/pay/" : "/read/");
+            auto& share = *it.add_split();
+            share.set_service("s");
+            share.set_weight(1);
+            it.set_once(isOnce ? proto::SINGLE_DISPATCH : proto::REPEATABLE);
+            it.set_timeout_ms(3000);
+            it.set_target_latency_ms(400);
+            it.set_attempts(2);
+            config.apply(support::put(std::move(route)));
+        }
+        context.directory.rebuild(config);
+        ingress.setRetryBurst(1);
+        ingress.configure(now);
+        for (int i = 0; i < 8; ++i) {
+            const auto learnt = routed("/read/x");
+            pass(200ms);
+            answer(learnt, 1);
+        }
+    }
+
+    void pass(Duration length)
+    {
+        ahead += length;
+        now = monotonicNow() + ahead;
+    }
+
+    proto::Call routed(const std::string& path)
+    {
+        now = monotonicNow() + ahead;
+        return call(path, { { "Host", "a.example" } });
+    }
+
+    void answer(const proto::Call& to, double slowdown)
+    {
+        auto out = answerTo(to, proto::ANSWERED, "body");
+        out.set_held_us(200000);
+        out.mutable_load()->set_slots(4);
+        out.mutable_load()->set_slowdown_permille(static_cast<std::uint32_t>(slowdown * 1000));
+        ingress.takeAnswer(hostOf(to), out, now);
+        REQUIRE(runUntil(base.get(), [&] { return reply.has_value(); }));
+    }
+
+    void tellSlow(const std::string& upstream, double slowdown)
+    {
+        proto::LoadNews news;
+        news.set_upstream(upstream);
+        news.mutable_load()->set_slots(4);
+        news.mutable_load()->set_slowdown_permille(static_cast<std::uint32_t>(slowdown * 1000));
+        ingress.takeLoad(news, now);
+    }
+
+    /// \returns the calls sent to peers since the last look; cancels are left out.
+    std::vector<proto::Call> calls()
+    {
+        std::vector<proto::Call> out;
+        for (const auto& it : std::exchange(sent, {})) {
+            if (it.has_call())
+                out.push_back(it.call());
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+TEST_CASE("A call whose upstream becomes slow gets a second attempt if only that can be in time", "[node]")
+{
+    RouteFixture f;
+    const auto first = f.routed("/read/x");
+    f.pass(50ms);
+    f.tellSlow("u-other", 8);
+    REQUIRE(f.calls().empty());
+    f.tellSlow(first.upstream(), 8);
+    const auto second = f.calls();
+    REQUIRE(second.size() == 1);
+    REQUIRE(second.front().upstream() != first.upstream());
+    f.tellSlow(first.upstream(), 16); // one second attempt is all
+    REQUIRE(f.calls().empty());
+    f.answer(second.front(), 1);
+    REQUIRE(f.reply->body == "body");
+}
+
+TEST_CASE("A slow upstream is no reason for a second attempt where it doesn't help or must not be", "[node]")
+{
+    RouteFixture f;
+    // Nearly done: the rest is in time even there.
+    const auto nearlyDone = f.routed("/read/x");
+    f.pass(190ms);
+    f.tellSlow(nearlyDone.upstream(), 2);
+    REQUIRE(f.calls().empty());
+    f.tellSlow(nearlyDone.upstream(), 1);
+    // Too late for a second one.
+    f.routed("/read/x");
+    f.pass(350ms);
+    f.tellSlow("u1", 8);
+    f.tellSlow("u2", 8);
+    REQUIRE(f.calls().empty());
+    for (const std::string it : { "u1", "u2" })
+        f.tellSlow(it, 1);
+    // May not repeat.
+    f.routed("/pay/x");
+    f.pass(20ms);
+    f.tellSlow("u1", 8);
+    f.tellSlow("u2", 8);
+    REQUIRE(f.calls().empty());
+}
--- a/test/TimelyTest.cpp
+++ b/test/TimelyTest.cpp
@@ -1,7 +1,9 @@
 #include "Node/BackendReply.h"
 #include "Queueing/Admission.h"
 #include "Queueing/WorkEstimate.h"
+#include "Routing/RemainingTime.h"
 #include "Routing/ServiceRouter.h"
+#include "Routing/WorkClock.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -167,3 +169,32 @@
         REQUIRE_FALSE(parseLoad(bad));
     rc::prop("any text", [](const std::string& text) { (void)parseLoad(text); });
 }
+
+TEST_CASE("The work clock runs slower while a slow-down is told, and tells how long that was", "[timely]")
+{
+    WorkClock clock;
+    REQUIRE_FALSE(clock.told(1, start));
+    const auto begin = clock.read(start);
+    REQUIRE(clock.read(start + 100ms) - begin == 100ms);
+    REQUIRE_FALSE(clock.told(4, start + 100ms));
+    REQUIRE(clock.read(start + 300ms) - begin == 150ms);
+    REQUIRE_FALSE(clock.told(8, start + 300ms)); // still slow
+    REQUIRE(clock.told(1, start + 700ms) == 600ms);
+    REQUIRE(clock.read(start + 700ms) - begin == 200ms);
+    REQUIRE(clock.read(start) - begin <= 200ms); // an earlier time doesn't turn it back
+    REQUIRE_FALSE(clock.told(0.5, start + 800ms)); // nothing is faster than calm
+    REQUIRE(clock.read(start + 900ms) - begin == 400ms);
+}
+
+TEST_CASE("What a running call still needs goes by the work done and the usual slow phase", "[timely]")
+{
+    RemainingTime remaining;
+    REQUIRE(remaining.of("c", 0ms, 4) == 0ms); // nothing is known
+    for (int i = 0; i < 10; ++i)
+        remaining.ran("c", 200ms);
+    remaining.slowPhaseEnded(400ms);
+    REQUIRE(remaining.of("c", 50ms, 1) == 150ms);
+    REQUIRE(remaining.of("c", 190ms, 1) == 40ms); // a part of the usual is always left
+    REQUIRE(remaining.of("c", 150ms, 4) == 200ms); // ends within the phase
+    REQUIRE(remaining.of("c", 0ms, 4) == 500ms); // 100 ms of work in the phase, the rest after it
+}
