A retry is paid for at the services that its run calls, too

Cause: the bound on repeated arrivals counts calls that a repeated run makes at the services it calls; budgets did not see them. While second attempts were rare that did not show; a call of the tracker makes 1.4 calls to the lodger on average. Owners now count the calls that a run makes, answers carry the counts, and an ingress spends from the budgets of those services and sends no second attempt while one of them is in debt. Test: IngressTest.

--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -89,7 +89,7 @@
     const auto id = ++m_lastCall;
     auto& call = m_calls[id];
     call.request = std::move(request);
-    call.request.isNested = isNested(call.request.id);
+    call.request.isNested = isNested(call.request);
     call.exchange = std::move(exchange);
     call.state = m_context->charts.call.initial();
     call.arrived = now;
@@ -233,10 +233,10 @@
     }
 }
 
-bool Ingress::isNested(const std::string& id) const
+bool Ingress::isNested(const CallRequest& request)
 {
-    const auto end = id.rfind(nestedMark);
-    return end != std::string::npos && m_owner->isRunning(id.substr(0, end));
+    const auto end = request.id.rfind(nestedMark);
+    return end != std::string::npos && m_owner->noteNested(request.id.substr(0, end), request.service);
 }
 
 RouteNeeds Ingress::needsOf(const Call& call, Instant now) const
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -10,6 +10,7 @@
 #include "Node/PeerLinks.h"
 #include "Node/RequestTrail.h"
 #include "Node/Timer.h"
+#include "Routing/NestedCalls.h"
 #include "Routing/ServiceRouter.h"
 #include "peer.pb.h"
 
@@ -123,8 +124,8 @@
     void noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now);
     void reject(HttpExchange& exchange, const CallRequestError& error);
     void reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply);
-    /// \returns whether the backend server beside this node makes the call \a id for one that it runs.
-    bool isNested(const std::string& id) const;
+    /// \returns whether the backend server beside this node makes this call for one that it runs.
+    bool isNested(const CallRequest& request);
     void addTerms(const Call& call, proto::Call& out, Instant now) const;
     void watchAttempt(CallId id, Call& call, std::uint64_t number);
     void proceed(CallId id, Instant now);
@@ -132,6 +133,8 @@
     void tryAgainSoon(CallId id, Call& call);
     proto::Call envelope(
         const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
+    /// \returns whether the budgets allow one more attempt, which is then paid for: at the service, and at
+    /// those that its backend servers call for it.
     bool mayTryAgain(Call& call);
     bool mayMoveOn(Call& call, const proto::Answer& answer);
     /// \brief A backend server's whole answer: the caller gets it, unless it is an error and another attempt
@@ -175,6 +178,7 @@
     const Membership* m_members;
     SendToPeer m_send;
     WeightedTurns m_turns;
+    NestedCalls m_nestedCalls;
     bool m_isDraining = false;
     bool m_isConfigured = true;
     std::optional<double> m_retryBurst;
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -70,6 +70,10 @@
         const double ran = toSeconds(held) / std::max(toSeconds(now - attempt.sent), toSeconds(held));
         const auto work = router.workClockOf(attempt.upstream, now) - attempt.workClock;
         router.ranWork(callClass, fromSeconds(toSeconds(work) * std::min(ran, 1.0)));
+        NestedCalls::Counts nested;
+        for (const auto& it : answer.nested())
+            nested[it.service()] = it.calls();
+        m_nestedCalls.ran(callClass, nested);
     }
     if (answer.outcome() == proto::ANSWERED) {
         const auto network = (now - attempt.sent) - held - Duration(answer.queued_us());
@@ -145,9 +149,21 @@
 
 bool Ingress::mayTryAgain(Call& call)
 {
-    if (call.attemptsLeft <= 1
-        || !m_routers.at(call.request.service)->trySpendRetry(call.request.groupNumber))
+    if (call.attemptsLeft <= 1)
         return false;
+    const auto group = call.request.groupNumber;
+    const auto& nested = m_nestedCalls.of(call.request.callClass.name);
+    const auto isPaidUp = [&](const auto& it) {
+        const auto router = m_routers.find(it.first);
+        return router == m_routers.end() || router->second->hasRetriesLeft(group);
+    };
+    if (!std::all_of(nested.begin(), nested.end(), isPaidUp)
+        || !m_routers.at(call.request.service)->trySpendRetry(group))
+        return false;
+    for (const auto& [service, calls] : nested) {
+        if (const auto router = m_routers.find(service); router != m_routers.end())
+            router->second->chargeRetries(group, calls.value());
+    }
     --call.attemptsLeft;
     m_context->metrics.count("robinrun_retries_total");
     return true;
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -18,7 +18,6 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace robinrun {
@@ -74,8 +73,9 @@
 
     bool isIdle() const { return m_admission.isIdle(); }
 
-    /// \returns whether the backend server runs the request that its caller calls \a requestId.
-    bool isRunning(const std::string& requestId) const { return m_runningRequests.contains(requestId); }
+    /// \brief A request came that may be made by the backend server for the one that its caller calls \a
+    /// requestId. \returns whether the backend server runs that; then the call to \a service is counted.
+    bool noteNested(const std::string& requestId, const std::string& service);
     LifeState lifeState() const { return m_leaving.state(); }
     LoadReport load(Instant now) const { return m_admission.load(now); }
     const std::string& upstream() const { return m_context->settings.upstream; }
@@ -94,6 +94,8 @@
         bool isRunning = false;
         bool isRepeatable = true;
         bool isByRoute = false;
+        std::map<std::string, std::uint32_t>
+            nested; ///< calls that the backend server made for it, by service
         RequestTrail trail;
         HttpPool* pool = nullptr; ///< while running
         std::uint64_t request = 0; ///< its number there
@@ -168,7 +170,8 @@
     std::unordered_map<std::string, Ingress> m_ingresses; ///< by node; told when this upstream leaves
     Ewma m_errors;
     Interner m_classNumbers;
-    std::unordered_multiset<std::string> m_runningRequests; ///< by their callers' ids
+    std::unordered_multimap<std::string, std::uint64_t>
+        m_runningRequests; ///< ids here, by their callers' ids
 };
 
 } // namespace robinrun
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -4,6 +4,8 @@
 #include "Node/Owner.h"
 #include "Wire/TicketCodec.h"
 
+#include <algorithm>
+
 /// \file How an owner answers: what became of a call, and its own load with each answer.
 
 namespace robinrun {
@@ -89,8 +91,9 @@
     const auto id = m_idByKey.find(key);
     const auto group = record.call.group();
     noteEnd(record, answer, now);
-    if (const auto running = m_runningRequests.find(record.call.request_id());
-        record.isRunning && running != m_runningRequests.end())
+    const auto [begin, end] = m_runningRequests.equal_range(record.call.request_id());
+    const auto running = std::find_if(begin, end, [&](const auto& it) { return it.second == id->second; });
+    if (running != end)
         m_runningRequests.erase(running);
     const auto bySender = m_bySender.find({ record.sender.incarnation, group });
     if (--bySender->second == 0)
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -138,7 +138,8 @@
     auto& record = m_calls.at(id);
     record.isRunning = true;
     record.started = now;
-    m_runningRequests.insert(record.call.request_id());
+    if (!record.call.request_id().empty())
+        m_runningRequests.emplace(record.call.request_id(), id);
     record.pool = m_pool.get();
     record.trail.add({ RequestEvent::SentToBackend, now, upstream(), record.call.number(), Reason::None,
         { { "waited_ms", (now - record.arrived).count() / 1000 },
@@ -157,6 +158,15 @@
         [this, id](Result<HttpReply, HttpError> result) { ended(id, std::move(result), monotonicNow()); });
 }
 
+bool Owner::noteNested(const std::string& requestId, const std::string& service)
+{
+    const auto running = m_runningRequests.find(requestId);
+    if (running == m_runningRequests.end())
+        return false;
+    ++m_calls.at(running->second).nested[service];
+    return true;
+}
+
 void Owner::learn(const HttpReply& reply, Instant now)
 {
     setDown(false, now);
@@ -182,6 +192,11 @@
     const bool isFailure = answer.outcome() != proto::ANSWERED
         || answer.status() >= static_cast<std::uint32_t>(firstServerError);
     m_errors.add(isFailure ? 1 : 0);
+    for (const auto& [service, n] : record.nested) {
+        auto& nested = *answer.add_nested();
+        nested.set_service(service);
+        nested.set_calls(n);
+    }
     recordTicket(record, answer);
     answerAll(record, answer, now);
     act(next, now);
--- a/src/Routing/RemainingTime.cpp
+++ b/src/Routing/RemainingTime.cpp
@@ -10,7 +10,8 @@
     /// A call that has taken as long as usual is expected to need this part of it more: work varies by a
     /// third.
     constexpr double leastPartLeft = 0.2;
-    /// Before any slow phase was seen to end, they are taken for so long: a common time slice of shared hosts.
+    /// Before any slow phase was seen to end, they are taken for so long: a common time slice of shared
+    /// hosts.
     constexpr double guessedSlowPhaseSeconds = 0.3;
 
 } // namespace
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -106,6 +106,13 @@
     /// \returns whether the group may send one more attempt; if so it is spent.
     bool trySpendRetry(std::uint32_t group) { return budgetOf(group).trySpend(); }
 
+    /// \returns whether the group has anything left of its budget, so that another service's retry may make
+    /// calls here.
+    bool hasRetriesLeft(std::uint32_t group) { return budgetOf(group).saved() > 0; }
+
+    /// \brief A retry at another service is going to make \a n calls of \a group here.
+    void chargeRetries(std::uint32_t group, double n) { budgetOf(group).charge(n); }
+
     /// \brief An attempt goes out. \returns the slot time the group got on the other upstreams since its last
     /// call to this one: the owner charges it to the group's share.
     Duration sent(const std::string& upstream, std::uint32_t group);
--- a/test/IngressTest.cpp
+++ b/test/IngressTest.cpp
@@ -259,6 +259,11 @@
             it.set_attempts(2);
             config.apply(support::put(std::move(route)));
         }
+        proto::Resource called;
+        called.set_name("services/t");
+        called.mutable_service()->set_deadline_ms(3000);
+        called.mutable_service()->set_queue_limit(10);
+        config.apply(support::put(called));
         context.directory.rebuild(config);
         ingress.setRetryBurst(1);
         ingress.configure(now);
@@ -355,3 +360,35 @@
     f.tellSlow("u2", 8);
     REQUIRE(f.calls().empty());
 }
+
+TEST_CASE("A retry is paid for at the services that its run calls, too", "[node]")
+{
+    RouteFixture f;
+    // Runs of /read/ make two calls to the service "t".
+    for (int i = 0; i < 3; ++i) {
+        const auto learnt = f.routed("/read/x");
+        auto out = IngressFixture::answerTo(learnt, proto::ANSWERED, "body");
+        auto& nested = *out.add_nested();
+        nested.set_service("t");
+        nested.set_calls(2);
+        f.give(hostOf(learnt), out);
+        REQUIRE(runUntil(f.base.get(), [&] { return f.reply.has_value(); }));
+    }
+    const auto secondAfterLoss = [&] {
+        const auto first = f.routed("/read/x");
+        f.give(hostOf(first), IngressFixture::answerTo(first, proto::UNKNOWN));
+        REQUIRE(runUntil(f.base.get(), [&] { return !f.sent.empty() || f.reply; }));
+        const bool isSent = !f.sent.empty();
+        if (isSent)
+            f.give(hostOf(f.nextCall()), IngressFixture::answerTo(first, proto::NOT_RUN));
+        return isSent;
+    };
+    REQUIRE(f.ingress.routers().at("t")->savedRetries() == 0); // nothing asked of it yet
+    REQUIRE(secondAfterLoss());
+    REQUIRE(f.ingress.routers().at("t")->savedRetries() == Approx(-1));
+    f.ingress.setRetryBurst(9);
+    f.ingress.configure(f.now);
+    for (int i = 0; i < 8; ++i) // earns retries at "s", none at "t"
+        f.answer(f.routed("/read/x"), 1);
+    REQUIRE_FALSE(secondAfterLoss());
+}
