Owners are asked to run a call at once before it may wait anywhere; links are waited for a moment

An owner now refuses as busy what can't run at once; two are asked, then the call may wait at the best of those. Besides, a link that had just been opened sent the call to any other upstream whose link stood; now it is waited for up to 12 ms. Second attempts need a fifth of time to spare, and are not made for calls that are on their way.

--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -17,6 +17,11 @@
     /// A node that has just started usually has its configuration within so long.
     constexpr std::uint32_t notReadyRetryMs = 200;
     constexpr Duration connectRetry = 2ms;
+    /// A link stands after three round trips or so; a worse upstream whose link stands costs more than that.
+    constexpr Duration linkPatience = 12ms;
+    /// Owners asked to run a call at once before it may wait in a queue. What an ingress knows of loads is as
+    /// old as its last answer from there; an owner knows, and asking costs a round trip.
+    constexpr std::uint32_t maxAsks = 2;
     /// Backend servers name a call that they make by the id of the call it is for, this, and an id of its
     /// own.
     constexpr char nestedMark = '.';
@@ -96,6 +101,8 @@
     call.deadline = now + call.request.allowed;
     call.attemptsLeft = call.request.attempts;
     call.ticket = call.request.ticket;
+    if (call.request.isByRoute && call.request.callClass.targetLatency > Duration::zero())
+        call.asksLeft = maxAsks;
     noteRoute(call, now);
     call.exchange->onHangUp([this, id] { hungUp(id); });
     call.deadlineTimer
@@ -142,18 +149,15 @@
             finishUnknown(id, call, Reason::OwnerLost, now);
         return;
     }
-    // Links that don't stand yet are passed over while another one does.
+    // Links that don't stand after a moment are passed over while another one does.
     std::vector<std::string> connecting;
-    while (true) {
-        auto excluded = call.tried;
-        excluded.insert(excluded.end(), connecting.begin(), connecting.end());
-        const auto upstream = router.pick(excluded, needsOf(call, now), now, m_context->random);
-        if (!upstream)
-            break;
+    while (const auto upstream = pickFor(call, connecting, now)) {
         const auto result = sendTo(id, call, *upstream, now);
         if (result == SendResult::Sent)
             return;
         if (result == SendResult::Connecting) {
+            if (awaitsLink(call, *upstream, now))
+                return tryAgainSoon(id, call);
             connecting.push_back(*upstream);
             continue;
         }
@@ -167,6 +171,33 @@
     finishNotRun(id, call, call.lastReason == Reason::None ? Reason::NoUpstream : call.lastReason, now);
 }
 
+std::optional<std::string> Ingress::pickFor(
+    Call& call, const std::vector<std::string>& connecting, Instant now)
+{
+    if (!call.awaitedLink.empty())
+        return call.awaitedLink;
+    auto& router = *m_routers.at(call.request.service);
+    auto excluded = call.tried;
+    excluded.insert(excluded.end(), connecting.begin(), connecting.end());
+    auto upstream = router.pick(excluded, needsOf(call, now), now, m_context->random);
+    if (upstream || call.busy.empty())
+        return upstream;
+    stopAsking(call);
+    return pickFor(call, connecting, now);
+}
+
+bool Ingress::awaitsLink(Call& call, const std::string& upstream, Instant now)
+{
+    if (call.awaitedLink.empty()) {
+        call.awaitedLink = upstream;
+        call.linkAwaitedUntil = now + linkPatience;
+    }
+    if (now < call.linkAwaitedUntil)
+        return true;
+    call.awaitedLink.clear();
+    return false;
+}
+
 void Ingress::tryAgainSoon(CallId id, Call& call)
 {
     call.connectTimer
@@ -224,6 +255,7 @@
     const auto left = callClass.targetLatency - (now - call.arrived);
     terms.set_target_latency_us(static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1)));
     terms.set_nested(call.request.isNested);
+    terms.set_only_at_once(call.asksLeft > 0);
     out.set_caller_service(m_context->settings.service);
     out.set_request_id(call.request.id);
     if (const auto host = findHeader(call.exchange->request().headers, "Host")) {
@@ -312,7 +344,8 @@
     call.out.push_back({ number, upstream, info->config.host(), address, message.call().owner_incarnation(),
         now, router.slowdownOf(upstream), router.workClockOf(upstream, now) });
     call.tried.push_back(upstream);
-    noteChoice(call, upstream, number, now);
+    if (isOwn)
+        noteChoice(call, upstream, number, now);
     m_callByNumber[number] = id;
     step(call, CallEvent::Sent);
     if (isOwn) {
@@ -326,7 +359,10 @@
         return SendResult::Sent;
     }
     const auto result = m_send(info->config.node_address(), message, now);
+    if (result != SendResult::Connecting)
+        call.awaitedLink.clear();
     if (result == SendResult::Sent) {
+        noteChoice(call, upstream, number, now);
         watchAttempt(id, call, number);
         return result;
     }
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -97,6 +97,10 @@
         std::vector<std::string> tried;
         std::vector<Attempt> out;
         std::uint32_t freeRefusals = 0; ///< by owners that had not asked their backend server
+        std::uint32_t asksLeft = 0; ///< owners still to be asked to run it at once or not at all
+        std::vector<std::string> busy; ///< upstreams that could not; to be tried again, to wait there
+        std::string awaitedLink; ///< upstream that is waited for while its link is opened; "" for none
+        Instant linkAwaitedUntil {};
         bool wasLost = false; ///< an attempt was lost: the outcome may be unknown
         Reason lastReason = Reason::None;
         std::uint32_t retryAfterMs = 0;
@@ -130,12 +134,19 @@
     void watchAttempt(CallId id, Call& call, std::uint64_t number);
     void proceed(CallId id, Instant now);
     SendResult sendTo(CallId id, Call& call, const std::string& upstream, Instant now);
+    /// \returns an upstream for the call; nothing if there is none. \param connecting those passed over.
+    std::optional<std::string> pickFor(Call& call, const std::vector<std::string>& connecting, Instant now);
+    /// \returns whether to wait for the link to \a upstream, which was opened a moment ago.
+    static bool awaitsLink(Call& call, const std::string& upstream, Instant now);
     void tryAgainSoon(CallId id, Call& call);
     proto::Call envelope(
         const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
     /// \returns whether the budgets allow one more attempt, which is then paid for: at the service, and at
     /// those that its backend servers call for it.
     bool mayTryAgain(Call& call);
+    /// \brief Gives back what mayTryAgain() has spent.
+    void takeBackRetry(Call& call);
+    void chargeNested(const Call& call, double times);
     bool mayMoveOn(Call& call, const proto::Answer& answer);
     /// \brief A backend server's whole answer: the caller gets it, unless it is an error and another attempt
     /// may do better.
@@ -148,11 +159,19 @@
     /// attempt.
     void upstreamSlowed(const std::string& upstream, Instant now);
     void attemptSlowed(CallId id, Call& call, const Attempt& attempt, Instant now);
+    /// \returns the work done on \a attempt so far, as time on a calm backend server.
+    Duration workDone(const Call& call, const Attempt& attempt, Instant now) const;
+    /// \returns whether the answer to \a attempt is expected in time.
+    bool isOnItsWay(const Call& call, const Attempt& attempt, Instant now) const;
     /// \returns whether \a call may have a second attempt while the first one is out.
     bool mayHedge(const Call& call, Instant now) const;
     Duration patienceFor(const Call& call, const ServiceRouter& router) const;
     bool isRepeatable(const Call& call) const;
     void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
+    /// \brief An owner that was to run the call at once or not at all could not: the next one is asked.
+    void ownerBusy(CallId id, Call& call, const Attempt& attempt, Instant now);
+    /// \brief From now on the call may wait in a queue, also at the owners that were busy.
+    static void stopAsking(Call& call);
     void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
     void claimDecided(CallId id, const ClaimDecision& decision);
     void deadlineReached(CallId id);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -16,6 +16,10 @@
     constexpr double permille = 1000;
     /// Owners asked beyond the first one while none has asked its backend server; each costs a round trip.
     constexpr std::uint32_t maxFreeRefusals = 2;
+    /// A second attempt is made if so many times its expected time is left: work varies by a third.
+    constexpr double secondAttemptMargin = 1.2;
+    /// A call that has taken so many times its usual work is stuck, whatever is told of its upstream.
+    constexpr double stuckWorks = 2;
 
     Reason reasonOf(const proto::Answer& answer)
     {
@@ -160,15 +164,48 @@
     if (!std::all_of(nested.begin(), nested.end(), isPaidUp)
         || !m_routers.at(call.request.service)->trySpendRetry(group))
         return false;
-    for (const auto& [service, calls] : nested) {
-        if (const auto router = m_routers.find(service); router != m_routers.end())
-            router->second->chargeRetries(group, calls.value());
-    }
+    chargeNested(call, 1);
     --call.attemptsLeft;
     m_context->metrics.count("robinrun_retries_total");
     return true;
 }
 
+void Ingress::chargeNested(const Call& call, double times)
+{
+    for (const auto& [service, calls] : m_nestedCalls.of(call.request.callClass.name)) {
+        if (const auto router = m_routers.find(service); router != m_routers.end())
+            router->second->chargeRetries(call.request.groupNumber, times * calls.value());
+    }
+}
+
+void Ingress::takeBackRetry(Call& call)
+{
+    m_routers.at(call.request.service)->chargeRetries(call.request.groupNumber, -1);
+    chargeNested(call, -1);
+    ++call.attemptsLeft;
+}
+
+void Ingress::stopAsking(Call& call)
+{
+    call.asksLeft = 0;
+    for (const auto& it : std::exchange(call.busy, {}))
+        std::erase(call.tried, it);
+}
+
+void Ingress::ownerBusy(CallId id, Call& call, const Attempt& attempt, Instant now)
+{
+    call.busy.push_back(attempt.upstream);
+    if (call.asksLeft <= 1)
+        stopAsking(call);
+    else
+        --call.asksLeft;
+    // A second attempt that nobody ran: the first one goes on.
+    if (!call.out.empty())
+        return takeBackRetry(call);
+    step(call, CallEvent::Refused);
+    proceed(id, now);
+}
+
 bool Ingress::mayMoveOn(Call& call, const proto::Answer& answer)
 {
     // Moving on from an owner that is leaving is no overload: it costs no retry.
@@ -182,11 +219,14 @@
 
 void Ingress::refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
 {
-    call.lastReason = reasonOf(answer);
-    call.trail.setNotable();
-    call.trail.add({ RequestEvent::OwnerRefused, now, attempt.upstream, attempt.number, call.lastReason,
+    const auto reason = reasonOf(answer);
+    call.trail.add({ RequestEvent::OwnerRefused, now, attempt.upstream, attempt.number, reason,
         { { "told_in_use", answer.load().in_use() }, { "told_queued", answer.load().queued() },
             { "retry_after_ms", answer.retry_after_ms() }, { "backend_asked", answer.offered() } } });
+    if (reason == Reason::Busy)
+        return ownerBusy(id, call, attempt, now);
+    call.lastReason = reason;
+    call.trail.setNotable();
     const bool isSooner = !call.retryAfterMs || answer.retry_after_ms() < call.retryAfterMs;
     if (isSooner || !call.request.isByRoute)
         call.retryAfterMs = answer.retry_after_ms();
@@ -252,7 +292,8 @@
 bool Ingress::isWorthwhile(const Call& call, const std::string& upstream, Instant now)
 {
     const auto needs = needsOf(call, now);
-    return m_routers.at(call.request.service)->expectedAt(upstream, needs, now) < needs.targetLatency;
+    const auto expected = m_routers.at(call.request.service)->expectedAt(upstream, needs, now);
+    return fromSeconds(secondAttemptMargin * toSeconds(expected)) < needs.targetLatency;
 }
 
 void Ingress::attemptTimedOut(CallId id, std::uint64_t number)
@@ -268,7 +309,7 @@
     call.trail.setNotable();
     call.trail.add({ RequestEvent::AttemptLate, now, it->upstream, number, Reason::None,
         { { "after_ms", (now - it->sent).count() / 1000 }, { "attempts_left", call.attemptsLeft } } });
-    if (!mayHedge(call, now))
+    if (!mayHedge(call, now) || (call.request.isByRoute && isOnItsWay(call, *it, now)))
         return;
     // The late attempt stays out; the first whole answer is taken.
     const auto upstream = router.pick(call.tried, needsOf(call, now), now, m_context->random);
@@ -278,6 +319,22 @@
         sendTo(id, call, *upstream, now);
 }
 
+Duration Ingress::workDone(const Call& call, const Attempt& attempt, Instant now) const
+{
+    return m_routers.at(call.request.service)->workClockOf(attempt.upstream, now) - attempt.workClock;
+}
+
+bool Ingress::isOnItsWay(const Call& call, const Attempt& attempt, Instant now) const
+{
+    auto& router = *m_routers.at(call.request.service);
+    const auto& callClass = call.request.callClass.name;
+    const auto done = workDone(call, attempt, now);
+    const auto usual = router.remainingAt(attempt.upstream, callClass, Duration::zero());
+    if (toSeconds(done) > stuckWorks * toSeconds(usual))
+        return false;
+    return router.remainingAt(attempt.upstream, callClass, done) <= needsOf(call, now).targetLatency;
+}
+
 bool Ingress::mayHedge(const Call& call, Instant now) const
 {
     return isRepeatable(call) && !call.isMinting && call.attemptsLeft > 1 && now < call.deadline;
@@ -302,7 +359,7 @@
 {
     auto& router = *m_routers.at(call.request.service);
     const auto needs = needsOf(call, now);
-    const auto done = router.workClockOf(attempt.upstream, now) - attempt.workClock;
+    const auto done = workDone(call, attempt, now);
     const auto here = router.remainingAt(attempt.upstream, call.request.callClass.name, done);
     if (here <= needs.targetLatency)
         return;
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -154,9 +154,16 @@
         return mint(call, sender, reply, now);
     if (call.has_ticket())
         return takeTicket(call, sender, std::move(reply), now);
+    if (call.terms().only_at_once() && !isReadyAtOnce(now))
+        return refuseAtOnce(call, sender, reply, Reason::Busy, true, now);
     admit(call, sender, std::move(reply), now);
 }
 
+bool Owner::isReadyAtOnce(Instant now) const
+{
+    return m_admission.hasFreeSlot() && m_admission.load(now).slowdown < WorkClock::slowFrom;
+}
+
 void Owner::mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now)
 {
     if (m_leaving.isLeaving())
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -8,6 +8,7 @@
 #include "Node/Timer.h"
 #include "Once/TicketTable.h"
 #include "Queueing/Admission.h"
+#include "Routing/WorkClock.h"
 #include "Wire/SeenCalls.h"
 #include "peer.pb.h"
 
@@ -104,6 +105,8 @@
     /// \brief The backend server has another address, or another start of it has come.
     void turnTo(const UpstreamInfo& info);
     Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
+    /// \returns whether a call would run at once, on a backend server that isn't slowed down.
+    bool isReadyAtOnce(Instant now) const;
     void mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now);
     void takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
     /// \brief Answers a repeated ticket with what its call got.
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -22,7 +22,6 @@
     constexpr Duration probeWhileDown = 250ms;
     /// While a backend server is slow it gets few calls, and so would not be heard to be well again.
     constexpr Duration probeWhileSlow = 60ms;
-    constexpr double slowFrom = 1.5;
     /// Ingresses are told of a slow-down that has changed by this factor.
     constexpr double tellFactor = 1.5;
     /// Ingresses that sent a call within this time are told of a changed load.
@@ -41,7 +40,7 @@
         return probe(now);
     }
     const auto load = m_admission.load(now);
-    if (load.slowdown >= slowFrom && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow)) {
+    if (load.slowdown >= WorkClock::slowFrom && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow)) {
         return probe(now);
     }
     const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -91,6 +91,9 @@
     void holdSlot() { ++m_heldSlots; }
     Dispatch releaseSlot(Instant now);
 
+    /// \returns whether a call that came now would get a slot at once.
+    bool hasFreeSlot() const { return !m_isLeaving && inUse() < m_options.slots && m_queue.isEmpty(); }
+
     LoadReport load(Instant now) const;
 
     /// \returns the load as a call of \a group meets it: `waiting` counts only what would go before it.
--- a/src/Queueing/Refusal.h
+++ b/src/Queueing/Refusal.h
@@ -36,14 +36,15 @@
     WouldBeLate, ///< the answer would come after its target latency
     BackendRefused, ///< the backend server says that it did not run it
     NotReady, ///< the node has no configuration yet
+    Busy, ///< asked to run it at once or not at all, the owner has no slot free or is slowed down
 };
 
 template <> struct EnumNames<Reason> {
-    static constexpr std::array<std::string_view, 25> names { "none", "queue-full", "over-share",
+    static constexpr std::array<std::string_view, 26> names { "none", "queue-full", "over-share",
         "would-miss-deadline", "deadline-passed", "stood-too-long", "leaving", "cancelled", "wrong-owner",
         "wrong-incarnation", "duplicate", "backend-unreachable", "no-upstream", "attempts-spent",
         "claim-undecided", "key-too-old", "ticket-unknown", "ticket-mismatch", "owner-lost", "backend-failed",
-        "damaged", "too-many-tickets", "would-be-late", "backend-refused", "not-ready" };
+        "damaged", "too-many-tickets", "would-be-late", "backend-refused", "not-ready", "busy" };
 };
 
 /// \brief A waiting call that the owner gives up on, before it was handed to the backend server.
--- a/src/Routing/RetryBudget.h
+++ b/src/Routing/RetryBudget.h
@@ -31,8 +31,9 @@
 
     void firstAttempt() { m_tokens = std::min(m_burst, m_tokens + m_fraction); }
 
-    /// \brief Pays for \a n calls that a retry makes here. May leave a debt, which first attempts pay off.
-    void charge(double n) { m_tokens -= n; }
+    /// \brief Pays for \a n calls that a retry makes here; below 0 takes that back. May leave a debt, which
+    /// first attempts pay off.
+    void charge(double n) { m_tokens = std::min(m_burst, m_tokens - n); }
 
     /// \returns whether a retry may be sent; if so it is spent.
     bool trySpend()
