--- a/test/IngressTest.cpp
+++ b/test/IngressTest.cpp
@@ -392,3 +392,53 @@
         f.answer(f.routed("/read/x"), 1);
     REQUIRE_FALSE(secondAfterLoss());
 }
+
+TEST_CASE("Two owners are asked to run a call at once; then it may wait, also where it was asked", "[node]")
+{
+    RouteFixture f;
+    auto next = f.routed("/pay/x");
+    REQUIRE(next.terms().only_at_once());
+    const auto busyReply = [&](const proto::Call& to) {
+        auto out = IngressFixture::answerTo(to, proto::NOT_RUN);
+        out.set_reason(static_cast<std::uint32_t>(Reason::Busy));
+        f.give(hostOf(to), out);
+    };
+    const auto first = next.upstream();
+    busyReply(next);
+    next = f.nextCall();
+    REQUIRE(next.upstream() != first);
+    REQUIRE(next.terms().only_at_once());
+    busyReply(next);
+    next = f.nextCall();
+    REQUIRE_FALSE(next.terms().only_at_once());
+    // That is no attempt, and no reason in the answer.
+    auto refused = IngressFixture::answerTo(next, proto::NOT_RUN);
+    refused.set_reason(static_cast<std::uint32_t>(Reason::QueueFull));
+    f.give(hostOf(next), refused);
+    f.give(hostOf(f.nextCall()), [&] {
+        auto out = IngressFixture::answerTo(next, proto::NOT_RUN);
+        out.set_number(next.number() + 1);
+        out.set_reason(static_cast<std::uint32_t>(Reason::QueueFull));
+        return out;
+    }());
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.reply->status == 503);
+}
+
+TEST_CASE("A second attempt that a busy owner didn't run costs no retry", "[node]")
+{
+    RouteFixture f;
+    const auto first = f.routed("/read/x");
+    const auto saved = f.ingress.routers().at("s")->savedRetries();
+    f.pass(50ms);
+    f.tellSlow(first.upstream(), 8);
+    const auto second = f.calls();
+    REQUIRE(second.size() == 1);
+    REQUIRE(f.ingress.routers().at("s")->savedRetries() == Approx(saved - 1));
+    auto busy = IngressFixture::answerTo(second.front(), proto::NOT_RUN);
+    busy.set_reason(static_cast<std::uint32_t>(Reason::Busy));
+    f.give(hostOf(second.front()), busy);
+    REQUIRE(f.ingress.routers().at("s")->savedRetries() == Approx(saved));
+    f.answer(first, 1);
+    REQUIRE(f.reply->body == "body");
+}
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -222,3 +222,51 @@
     f.owner.configure(monotonicNow());
     REQUIRE(f.owner.lifeState() == LifeState::Draining);
 }
+
+TEST_CASE("A call that is to run at once or not at all is refused by a full or slowed server's owner", "[node]")
+{
+    OwnerFixture f;
+    const auto atOnce = [&](std::uint64_t number) {
+        auto out = f.call(number);
+        out.mutable_terms()->set_only_at_once(true);
+        out.mutable_terms()->set_target_latency_us(1000000);
+        out.mutable_terms()->set_repeatable(true);
+        return out;
+    };
+    f.context.headers.load = "Load";
+    f.context.headers.notRun = "Not-Run";
+    f.context.headers.signature = "Signature";
+    f.take(atOnce(1));
+    f.waitRunning(1);
+    f.take(atOnce(2)); // the only slot is taken
+    f.waitAnswers(1);
+    REQUIRE(f.reason(0) == Reason::Busy);
+    REQUIRE(f.answers[0].outcome() == proto::NOT_RUN);
+    REQUIRE(f.answers[0].load().in_use() == 1);
+    f.running[0]->reply({ 200, { { "Signature", "s" }, { "Load", "0,0,1,400" } }, "one" });
+    f.waitAnswers(2);
+    f.take(atOnce(3)); // a slot is free, but work takes four times as long
+    f.waitAnswers(3);
+    REQUIRE(f.reason(2) == Reason::Busy);
+    auto patient = atOnce(4);
+    patient.mutable_terms()->set_only_at_once(false);
+    f.take(patient);
+    f.waitRunning(2);
+}
+
+TEST_CASE("What a backend server calls for a run is counted and told with its answer", "[node]")
+{
+    OwnerFixture f;
+    auto call = f.call(1);
+    call.set_request_id("r1");
+    f.take(call);
+    f.waitRunning(1);
+    REQUIRE(f.owner.noteNested("r1", "t"));
+    REQUIRE(f.owner.noteNested("r1", "t"));
+    REQUIRE_FALSE(f.owner.noteNested("r2", "t"));
+    f.running[0]->reply({ 200, {}, "one" });
+    f.waitAnswers(1);
+    REQUIRE(f.answers[0].nested_size() == 1);
+    REQUIRE(f.answers[0].nested(0).calls() == 2);
+    REQUIRE_FALSE(f.owner.noteNested("r1", "t")); // it is over
+}
