A call that waits for a link lets go of an upstream that is taken away

Besides: a link stays open while an answer to a call may come along it, where the call may take longer than a link may be idle; nodes can bind another address than the one they tell.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -107,7 +107,8 @@
 {
     const auto& settings = m_context.settings;
     PeerSocket::Options options;
-    options.bindAddress = settings.listen.peers;
+    options.address = settings.listen.peers;
+    options.bindAddress = settings.listen.peersBind;
     options.node = settings.name;
     options.incarnation = m_context.incarnation;
     options.heartbeat = settings.peers.heartbeat;
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -155,6 +155,8 @@
         const auto result = sendTo(id, call, *upstream, now);
         if (result == SendResult::Sent)
             return;
+        if (result != SendResult::Connecting)
+            call.awaitedLink.clear();
         if (result == SendResult::Connecting) {
             if (awaitsLink(call, *upstream, now))
                 return tryAgainSoon(id, call);
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -51,7 +51,8 @@
     auto* base = m_context.base;
     const auto& settings = m_context.settings;
     PeerSocket::Options peerOptions;
-    peerOptions.bindAddress = settings.listen.peers;
+    peerOptions.address = settings.listen.peers;
+    peerOptions.bindAddress = settings.listen.peersBind;
     peerOptions.node = settings.name;
     peerOptions.incarnation = m_context.incarnation;
     auto peers = PeerSocket::bind(base, peerOptions,
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -30,6 +30,7 @@
         out.listen.callers = reader.address("callers");
         out.listen.operators = reader.address("operators", noneIf(hasStore));
         out.listen.peers = reader.address("peers");
+        out.listen.peersBind = reader.address("peers_bind", "");
         out.listen.readiness = reader.address("readiness", "");
         out.listen.announcements = reader.address("announcements", noneIf(!hasStore));
         out.listen.metrics = reader.address("metrics", "");
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -26,7 +26,8 @@
     struct {
         std::string callers;
         std::string operators;
-        std::string peers;
+        std::string peers; ///< by which peers reach and know this node
+        std::string peersBind; ///< bound in its place, where they reach it through a relay; "" for the same
         std::string readiness; ///< "" where nobody asks
         std::string announcements; ///< of the backend server beside this node
         std::string metrics; ///< "" for none but those of the operators' port
--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Log.h"
 
+#include <algorithm>
 #include <vector>
 #include <zmq.hpp>
 
@@ -27,7 +28,7 @@
     event* watcher = nullptr;
     event* monitorWatcher = nullptr;
     Instant opened {};
-    Instant lastUsed {};
+    Instant lastUsed {}; ///< or, while an answer may come, the latest time of that
     bool hasStood = false;
     bool isDirty = false;
 
@@ -82,7 +83,8 @@
         router.set(zmq::sockopt::maxmsgsize, peers->m_options.maxMessage);
         router.set(zmq::sockopt::router_handover, true);
         router.set(zmq::sockopt::router_mandatory, true);
-        router.bind("tcp://" + peers->m_options.bindAddress);
+        const auto& bound = peers->m_options.bindAddress;
+        router.bind("tcp://" + (bound.empty() ? peers->m_options.address : bound));
         const auto onReadable
             = [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->drainRouter(); };
         peers->m_routerEvent
@@ -123,14 +125,14 @@
             = event_new(m_base, socket.get(zmq::sockopt::fd), EV_READ | EV_PERSIST, onReadable, link.get());
         event_add(link->watcher, nullptr);
     }
-    link->lastUsed = now;
+    link->lastUsed = std::max(link->lastUsed, now);
     return *link;
 }
 
 bool PeerSocket::sendTo(zmq::socket_t& socket, proto::PeerMessage& message, Link* link)
 {
     message.set_from(m_options.node);
-    message.set_from_address(m_options.bindAddress);
+    message.set_from_address(m_options.address);
     message.set_incarnation(m_options.incarnation);
     zmq::message_t buf(message.ByteSizeLong());
     message.SerializeWithCachedSizesToArray(buf.data<std::uint8_t>());
@@ -151,6 +153,7 @@
         auto& link = linkTo(address, now);
         if (sendTo(link.socket, message, &link)) {
             link.hasStood = true;
+            link.lastUsed = std::max(link.lastUsed, neededUntil(message, now));
             return SendResult::Sent;
         }
         const bool isNew = !link.hasStood && now - link.opened < m_options.connectPatience;
@@ -161,6 +164,12 @@
     }
 }
 
+Instant PeerSocket::neededUntil(const proto::PeerMessage& message, Instant now)
+{
+    // The answer to a call comes back along the link.
+    return message.has_call() ? now + Duration(message.call().remaining_us()) : now;
+}
+
 bool PeerSocket::answer(const Sender& to, proto::PeerMessage& message, Instant now)
 {
     if (to.route.empty())
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -58,7 +58,8 @@
     using Lost = std::function<void(const std::string& address)>;
 
     struct Options {
-        std::string bindAddress; ///< ip:port
+        std::string address; ///< ip:port by which peers reach this socket
+        std::string bindAddress; ///< bound in its place; "" for the same
         std::string node;
         std::uint64_t incarnation = 0;
         int highWaterMark = 5000; ///< messages queued to one peer
@@ -96,6 +97,7 @@
 
 private:
     struct Link;
+    static Instant neededUntil(const proto::PeerMessage& message, Instant now);
     PeerSocket(event_base* base, Options options, Handler handler);
     Link& linkTo(const std::string& address, Instant now);
     bool sendTo(zmq::socket_t& socket, proto::PeerMessage& message, Link* link);
--- a/test/IngressTest.cpp
+++ b/test/IngressTest.cpp
@@ -239,11 +239,11 @@
 /// \brief An ingress for calls by route: a target latency of 400 ms, calls of 200 ms, two upstreams.
 struct RouteFixture : IngressFixture {
     Instant now = monotonicNow();
+    ConfigState config = support::exampleConfig(backend);
 
     RouteFixture()
     {
         context.settings.choice.kind = ChoiceKind::Timely;
-        auto config = support::exampleConfig(backend);
         for (const bool isOnce : { false, true }) {
             proto::Resource route;
             route.set_name(isOnce ? "routes/pay" : "routes/read");
@@ -442,3 +442,24 @@
     f.answer(first, 1);
     REQUIRE(f.reply->body == "body");
 }
+
+TEST_CASE("A call that waits for a link goes elsewhere when the upstream is taken away", "[node]")
+{
+    RouteFixture f;
+    f.isReachable = false;
+    f.whenNot = SendResult::Connecting;
+    f.reply.reset();
+    f.caller->send(
+        { "GET", "/read/x", { { "Host", "a.example" }, { "Robinrun-Credential", support::secret } }, {} }, 9s,
+        [&](auto result) { f.reply = result.value(); });
+    REQUIRE(runUntil(f.base.get(), [&] { return f.ingress.inProgress() == 1; }));
+    std::vector<proto::Resource> kept;
+    for (const auto& [name, it] : f.config.resources()) {
+        if (!it.has_upstream())
+            kept.push_back(it);
+    }
+    f.context.directory.rebuild(kept);
+    f.ingress.configure(f.now);
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.reply->status == 503);
+}
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -223,7 +223,8 @@
     REQUIRE(f.owner.lifeState() == LifeState::Draining);
 }
 
-TEST_CASE("A call that is to run at once or not at all is refused by a full or slowed server's owner", "[node]")
+TEST_CASE(
+    "A call that is to run at once or not at all is refused by a full or slowed server's owner", "[node]")
 {
     OwnerFixture f;
     const auto atOnce = [&](std::uint64_t number) {
--- a/test/support/NodeFixture.h
+++ b/test/support/NodeFixture.h
@@ -68,6 +68,7 @@
     FakeLog log { unusedLoop, 1, {} };
     std::deque<proto::PeerMessage> sent;
     bool isReachable = true; ///< whether messages to peers go out
+    SendResult whenNot = SendResult::Unreachable; ///< what becomes of them otherwise
 
     explicit NodeFixture(const std::string& ownUpstream = "")
         : context { {}, Charts::load(charts).value(), base.get(), 77, {}, {}, Random(1), monotonicNow,
@@ -92,7 +93,7 @@
     {
         return [this](const std::string&, proto::PeerMessage& message, Instant) {
             if (!isReachable)
-                return SendResult::Unreachable;
+                return whenNot;
             sent.push_back(message);
             return SendResult::Sent;
         };
