A busy owner is compared with the others again; a fault soak

Now the choice is made anew with what the owner has just told, and may fall on it again. The soak (test/soak) runs real nodes behind proxies and checks what callers and backend servers see.

--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -182,10 +182,10 @@
     auto excluded = call.tried;
     excluded.insert(excluded.end(), connecting.begin(), connecting.end());
     auto upstream = router.pick(excluded, needsOf(call, now), now, m_context->random);
-    if (upstream || call.busy.empty())
-        return upstream;
-    stopAsking(call);
-    return pickFor(call, connecting, now);
+    // Better than any other although it is busy: the call may wait there.
+    if (upstream && std::find(call.busy.begin(), call.busy.end(), *upstream) != call.busy.end())
+        call.asksLeft = 0;
+    return upstream;
 }
 
 bool Ingress::awaitsLink(Call& call, const std::string& upstream, Instant now)
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -98,7 +98,7 @@
         std::vector<Attempt> out;
         std::uint32_t freeRefusals = 0; ///< by owners that had not asked their backend server
         std::uint32_t asksLeft = 0; ///< owners still to be asked to run it at once or not at all
-        std::vector<std::string> busy; ///< upstreams that could not; to be tried again, to wait there
+        std::vector<std::string> busy; ///< upstreams that could not; chosen again, the call waits there
         std::string awaitedLink; ///< upstream that is waited for while its link is opened; "" for none
         Instant linkAwaitedUntil {};
         bool wasLost = false; ///< an attempt was lost: the outcome may be unknown
@@ -170,8 +170,6 @@
     void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
     /// \brief An owner that was to run the call at once or not at all could not: the next one is asked.
     void ownerBusy(CallId id, Call& call, const Attempt& attempt, Instant now);
-    /// \brief From now on the call may wait in a queue, also at the owners that were busy.
-    static void stopAsking(Call& call);
     void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
     void claimDecided(CallId id, const ClaimDecision& decision);
     void deadlineReached(CallId id);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -185,20 +185,12 @@
     ++call.attemptsLeft;
 }
 
-void Ingress::stopAsking(Call& call)
-{
-    call.asksLeft = 0;
-    for (const auto& it : std::exchange(call.busy, {}))
-        std::erase(call.tried, it);
-}
-
 void Ingress::ownerBusy(CallId id, Call& call, const Attempt& attempt, Instant now)
 {
+    // With what its owner has just told, it may still be the best choice.
+    std::erase(call.tried, attempt.upstream);
     call.busy.push_back(attempt.upstream);
-    if (call.asksLeft <= 1)
-        stopAsking(call);
-    else
-        --call.asksLeft;
+    call.asksLeft -= call.asksLeft ? 1 : 0;
     // A second attempt that nobody ran: the first one goes on.
     if (!call.out.empty())
         return takeBackRetry(call);
--- a/test/IngressTest.cpp
+++ b/test/IngressTest.cpp
@@ -401,6 +401,10 @@
     const auto busyReply = [&](const proto::Call& to) {
         auto out = IngressFixture::answerTo(to, proto::NOT_RUN);
         out.set_reason(static_cast<std::uint32_t>(Reason::Busy));
+        out.mutable_load()->set_slots(4);
+        out.mutable_load()->set_in_use(4);
+        out.mutable_load()->set_queued(4);
+        out.mutable_load()->set_service_us(200000);
         f.give(hostOf(to), out);
     };
     const auto first = next.upstream();
@@ -425,6 +429,22 @@
     REQUIRE(f.reply->status == 503);
 }
 
+TEST_CASE("A busy upstream that is still the best choice is not asked twice", "[node]")
+{
+    RouteFixture f;
+    const auto first = f.routed("/pay/x");
+    for (const std::string it : { "u1", "u2" }) {
+        if (it != first.upstream())
+            f.tellSlow(it, 16);
+    }
+    auto busy = IngressFixture::answerTo(first, proto::NOT_RUN);
+    busy.set_reason(static_cast<std::uint32_t>(Reason::Busy));
+    f.give(hostOf(first), busy);
+    const auto next = f.nextCall();
+    REQUIRE(next.upstream() == first.upstream());
+    REQUIRE_FALSE(next.terms().only_at_once());
+}
+
 TEST_CASE("A second attempt that a busy owner didn't run costs no retry", "[node]")
 {
     RouteFixture f;
--- /dev/null
+++ b/test/soak/FaultPlan.cpp
@@ -0,0 +1,142 @@
+#include "soak/FaultPlan.h"
+
+#include <csignal>
+
+namespace robinrun::soak {
+namespace {
+
+    using support::FakeStore;
+
+    constexpr Duration shortestGap = 50ms;
+    constexpr Duration longestGap = 700ms;
+    constexpr Duration shortestFault = 100ms;
+    constexpr Duration longestFault = 3s;
+    constexpr double slowFactor = 6;
+
+} // namespace
+
+FaultPlan::FaultPlan(SoakSite& site, std::uint64_t seed)
+    : m_site(&site)
+    , m_random(seed)
+    , m_started(monotonicNow())
+{
+}
+
+void FaultPlan::run(Duration length)
+{
+    m_end = monotonicNow() + length;
+    next();
+}
+
+void FaultPlan::next()
+{
+    if (monotonicNow() >= m_end)
+        return undoAll();
+    const auto kind = static_cast<FaultKind>(m_random.below(countOf<FaultKind>()));
+    apply(kind, between(shortestFault, longestFault));
+    m_next = Timer::once(m_site->base(), between(shortestGap, longestGap), [this] { next(); });
+}
+
+Duration FaultPlan::between(Duration least, Duration most)
+{
+    return least + fromSeconds(toSeconds(most - least) * m_random.unit());
+}
+
+SoakSite::Host& FaultPlan::anyHost()
+{
+    return *m_site->hosts()[m_random.below(m_site->hosts().size())];
+}
+
+void FaultPlan::note(const std::string& text)
+{
+    m_story.push_back(std::to_string(toMilliseconds(monotonicNow() - m_started)) + " ms: " + text);
+}
+
+void FaultPlan::later(Duration delay, std::function<void()> f)
+{
+    m_later.push_back(Timer::once(m_site->base(), delay, std::move(f)));
+}
+
+void FaultPlan::apply(FaultKind kind, Duration length)
+{
+    auto& host = anyHost();
+    note(std::string(nameOf(kind)) + " " + host.name + " for " + std::to_string(toMilliseconds(length)) + " ms");
+    switch (kind) {
+    case FaultKind::HarmLink:
+        return harmLink(host, length);
+    case FaultKind::KillNode:
+        return m_site->killNode(host, length);
+    case FaultKind::PauseNode:
+        return pause(host, length);
+    case FaultKind::StopNode:
+        return m_site->stopNode(host, length);
+    case FaultKind::ReloadNode:
+        return m_site->reloadNode(host);
+    case FaultKind::HarmStore:
+        return harmStore(length);
+    case FaultKind::ForgetHistory:
+        m_site->store().compact("keyed.op");
+        return m_site->store().compact("keyed.nodes");
+    case FaultKind::ReplaceBackend:
+        return host.backend->replace();
+    case FaultKind::CrashBackend:
+        host.backend->crash();
+        return later(length, [&host] {
+            if (!host.backend->isRunning())
+                host.backend->start();
+        });
+    case FaultKind::SlowBackend:
+        host.backend->setSlowdown(slowFactor);
+        return later(length, [&host] { host.backend->setSlowdown(1); });
+    case FaultKind::FillBackend:
+        host.backend->setFull(true);
+        return later(length, [&host] { host.backend->setFull(false); });
+    case FaultKind::ChangeConfiguration:
+        return m_site->changeConfiguration();
+    }
+}
+
+void FaultPlan::harmLink(SoakSite::Host& host, Duration length)
+{
+    FaultProxy* const links[]
+        = { host.toCallers.get(), host.toPeers.get(), host.toStore.get(), host.toBackend.get() };
+    constexpr std::string_view names[] = { "callers", "peers", "store", "backend" };
+    const auto i = m_random.below(std::size(links));
+    const auto fault = static_cast<LinkFault>(1 + m_random.below(countOf<LinkFault>() - 1));
+    note("  its link to " + std::string(names[i]) + ": " + std::string(nameOf(fault)));
+    auto* link = links[i];
+    link->set(fault);
+    later(length, [link] { link->set(LinkFault::None); });
+}
+
+void FaultPlan::harmStore(Duration length)
+{
+    constexpr FakeStore::Mode modes[]
+        = { FakeStore::Mode::Refusing, FakeStore::Mode::Silent, FakeStore::Mode::Losing };
+    m_site->store().mode = modes[m_random.below(std::size(modes))];
+    later(length, [this] { m_site->store().mode = FakeStore::Mode::Up; });
+}
+
+void FaultPlan::pause(SoakSite::Host& host, Duration length)
+{
+    host.node.signal(SIGSTOP);
+    later(length, [&host] { host.node.signal(SIGCONT); });
+}
+
+void FaultPlan::undoAll()
+{
+    note("all faults end");
+    m_later.clear();
+    m_site->store().mode = FakeStore::Mode::Up;
+    for (auto& it : m_site->hosts()) {
+        for (auto* link : { it->toCallers.get(), it->toPeers.get(), it->toStore.get(), it->toBackend.get() })
+            link->set(LinkFault::None);
+        it->node.signal(SIGCONT);
+        it->backend->setSlowdown(1);
+        it->backend->setFull(false);
+        if (!it->backend->isRunning())
+            it->backend->start();
+    }
+}
+
+} // namespace robinrun::soak
--- /dev/null
+++ b/test/soak/FaultProxy.cpp
@@ -0,0 +1,167 @@
+#include "soak/FaultProxy.h"
+
+#include "Http/HttpTypes.h"
+#include "Node/Timer.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <utility>
+
+namespace robinrun::soak {
+namespace {
+
+    constexpr Duration delayOfBytes = 80ms;
+
+    sockaddr_in parse(const std::string& address)
+    {
+        std::string ip;
+        std::uint16_t port = 0;
+        sockaddr_in out {};
+        out.sin_family = AF_INET;
+        if (!splitAddress(address, ip, port) || inet_pton(AF_INET, ip.c_str(), &out.sin_addr) != 1)
+            throw std::runtime_error("no address: " + address);
+        out.sin_port = htons(port);
+        return out;
+    }
+
+    void resetOnClose(bufferevent* end)
+    {
+        const linger now { 1, 0 };
+        setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
+
+} // namespace
+
+struct FaultProxy::Relay {
+    FaultProxy* proxy;
+    bufferevent* client = nullptr;
+    bufferevent* server = nullptr;
+    Timer late;
+    bool isEnding = false; ///< one side has ended; the other still gets what came before
+
+    explicit Relay(FaultProxy* owner)
+        : proxy(owner)
+    {
+    }
+    Relay(const Relay&) = delete;
+    Relay& operator=(const Relay&) = delete;
+    ~Relay()
+    {
+        bufferevent_free(client);
+        bufferevent_free(server);
+    }
+
+    void move(bool isUp) const
+    {
+        auto* from = isUp ? client : server;
+        auto* to = isUp ? server : client;
+        if (!proxy->isSilent(isUp))
+            bufferevent_write_buffer(to, bufferevent_get_input(from));
+    }
+
+    /// \brief The client (\a isUp) or the server has ended its connection.
+    void ended(bool isUp)
+    {
+        if (std::exchange(isEnding, true))
+            return proxy->remove(this);
+        move(isUp);
+        if (evbuffer_get_length(bufferevent_get_output(isUp ? server : client)) == 0)
+            proxy->remove(this);
+    }
+
+    void readable(bool isUp)
+    {
+        if (proxy->m_fault != LinkFault::Delay)
+            return move(isUp);
+        late = Timer::once(proxy->m_base, delayOfBytes, [this] {
+            move(true);
+            move(false);
+        });
+    }
+};
+
+FaultProxy::FaultProxy(event_base* base, const std::string& address, std::string target)
+    : m_base(base)
+    , m_target(std::move(target))
+{
+    const auto bound = parse(address);
+    const auto onAccept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        static_cast<FaultProxy*>(self)->accept(fd);
+    };
+    m_listener = evconnlistener_new_bind(base, onAccept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
+        reinterpret_cast<const sockaddr*>(&bound), sizeof(bound));
+    if (!m_listener)
+        throw std::runtime_error("can't listen at " + address);
+}
+
+FaultProxy::~FaultProxy()
+{
+    evconnlistener_free(m_listener);
+}
+
+bool FaultProxy::isSilent(bool isUp) const
+{
+    return m_fault == LinkFault::Silence
+        || m_fault == (isUp ? LinkFault::SilenceUp : LinkFault::SilenceDown);
+}
+
+void FaultProxy::set(LinkFault fault)
+{
+    m_fault = fault;
+    if (fault == LinkFault::Reset) {
+        for (auto& [raw, relay] : m_relays) {
+            resetOnClose(relay->client);
+            resetOnClose(relay->server);
+        }
+        return m_relays.clear();
+    }
+    for (auto& [raw, relay] : m_relays) {
+        relay->move(true);
+        relay->move(false);
+    }
+}
+
+void FaultProxy::remove(Relay* relay)
+{
+    m_relays.erase(relay);
+}
+
+void FaultProxy::accept(evutil_socket_t fd)
+{
+    auto relay = std::make_unique<Relay>(this);
+    relay->client = bufferevent_socket_new(m_base, fd, BEV_OPT_CLOSE_ON_FREE);
+    relay->server = bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE);
+    if (m_fault == LinkFault::Reset) {
+        resetOnClose(relay->client);
+        return;
+    }
+    const auto onEnd = [](bufferevent* end, short what, void* arg) {
+        auto* self = static_cast<Relay*>(arg);
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+            self->ended(end == self->client);
+    };
+    const auto onWritten = [](bufferevent*, void* arg) {
+        auto* self = static_cast<Relay*>(arg);
+        if (self->isEnding)
+            self->proxy->remove(self);
+    };
+    const auto target = parse(m_target);
+    for (auto* it : { relay->client, relay->server }) {
+        const auto onRead = [](bufferevent* end, void* arg) {
+            auto* self = static_cast<Relay*>(arg);
+            self->readable(end == self->client);
+        };
+        bufferevent_setcb(it, onRead, onWritten, onEnd, relay.get());
+        bufferevent_enable(it, EV_READ | EV_WRITE);
+    }
+    bufferevent_socket_connect(
+        relay->server, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    auto* raw = relay.get();
+    m_relays.emplace(raw, std::move(relay));
+}
+
+} // namespace robinrun::soak
--- /dev/null
+++ b/test/soak/FaultProxy.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Core/EnumNames.h"
+#include "Core/Time.h"
+
+#include <event2/event.h>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+struct evconnlistener;
+
+namespace robinrun::soak {
+
+/// \brief What a proxy does with the bytes that pass it.
+enum class LinkFault {
+    None,
+    Delay, ///< passes them on late
+    Reset, ///< resets all connections, and new ones
+    Silence, ///< passes nothing on; connections stay
+    SilenceUp, ///< passes nothing on towards the server
+    SilenceDown, ///< passes nothing on towards the client
+};
+
+} // namespace robinrun::soak
+
+template <> struct robinrun::EnumNames<robinrun::soak::LinkFault> {
+    static constexpr std::array<std::string_view, 6> names { "none", "delay", "reset", "silence",
+        "silence-up", "silence-down" };
+};
+
+namespace robinrun::soak {
+
+/// \brief A relay of TCP connections on loopback that can be told to harm them.
+class FaultProxy {
+public:
+    /// \brief Listens at \a address and relays to \a target. \throws std::runtime_error.
+    FaultProxy(event_base* base, const std::string& address, std::string target);
+    ~FaultProxy();
+    FaultProxy(const FaultProxy&) = delete;
+    FaultProxy& operator=(const FaultProxy&) = delete;
+
+    /// \brief What is silenced is passed on when the fault ends, as on a link that was cut for a while.
+    void set(LinkFault fault);
+    LinkFault fault() const { return m_fault; }
+
+private:
+    struct Relay;
+    void accept(evutil_socket_t fd);
+    void remove(Relay* relay);
+    bool isSilent(bool isUp) const;
+
+    event_base* m_base;
+    std::string m_target;
+    evconnlistener* m_listener = nullptr;
+    LinkFault m_fault = LinkFault::None;
+    std::unordered_map<Relay*, std::unique_ptr<Relay>> m_relays;
+};
+
+} // namespace robinrun::soak
--- /dev/null
+++ b/test/soak/Ledger.cpp
@@ -0,0 +1,98 @@
+#include "soak/Ledger.h"
+
+#include "Http/HttpStatus.h"
+
+#include <algorithm>
+
+namespace robinrun::soak {
+namespace {
+
+    using namespace httpStatus;
+
+    bool mayRepeat(const HttpRequest& request)
+    {
+        return request.method == "GET";
+    }
+
+    std::string headerOf(const HttpHeaders& headers, const char* name)
+    {
+        return std::string(findHeader(headers, name).value_or(""));
+    }
+
+} // namespace
+
+void Ledger::sent(const std::string& id, const HttpRequest& request, std::size_t node)
+{
+    m_requests[id] = { request, node, {}, false };
+}
+
+void Ledger::ran(const HttpRequest& request, const std::string& upstream, const std::string& service)
+{
+    ++m_runs;
+    const auto id = headerOf(request.headers, "X-Robinrun-Request-Id");
+    const auto it = m_requests.find(id);
+    if (it == m_requests.end())
+        return broken("ran what nobody sent: '" + id + "' at " + upstream);
+    auto& entry = it->second;
+    const auto& asked = entry.request;
+    if (request.method != asked.method || request.target != asked.target || request.body != asked.body)
+        broken("ran another request than was sent: " + id + " at " + upstream);
+    if (!m_allowed.contains(service))
+        broken("ran at a service that no configuration allows: " + id + " at " + upstream);
+    if (headerOf(request.headers, "X-Robinrun-Caller-Service").empty())
+        broken("ran without the name of the calling service: " + id);
+    entry.ranAt.push_back(upstream);
+    if (!mayRepeat(asked) && entry.ranAt.size() > 1)
+        broken("ran twice: " + id + " at " + entry.ranAt.front() + " and " + upstream);
+    if (entry.saidNotRun && !mayRepeat(asked))
+        broken("ran after the answer that it had not and would not: " + id + " at " + upstream);
+}
+
+void Ledger::answered(const std::string& id, const HttpReply& reply)
+{
+    auto& entry = m_requests.at(id);
+    const bool isPromise = reply.status == unavailable || reply.status == tooMany;
+    if (isPromise) {
+        ++m_refused;
+        entry.saidNotRun = true;
+        if (!entry.ranAt.empty() && !mayRepeat(entry.request))
+            broken("said not run, but ran: " + id + " at " + entry.ranAt.front());
+        if (headerOf(reply.headers, "Retry-After").empty())
+            broken("refused without a time to come back: " + id);
+    }
+    if (reply.status >= firstError)
+        return;
+    ++m_served;
+    const auto isOf = [&](const auto& it) { return reply.body == bodyFor(id, it); };
+    if (headerOf(reply.headers, "X-Robinrun-Server-Signature").empty())
+        broken("a success without the backend server's signature: " + id);
+    if (std::none_of(entry.ranAt.begin(), entry.ranAt.end(), isOf))
+        broken("a success with another body than the backend server's: " + id + ": '" + reply.body + "'");
+}
+
+void Ledger::failed(const std::string& id, HttpErrorKind error, bool isCalm)
+{
+    // A request that crosses the end of its connection and was not passed on may be sent again.
+    const auto& entry = m_requests.at(id);
+    const bool isCut = error == HttpErrorKind::TimedOut || !entry.ranAt.empty();
+    if (isCalm && isCut)
+        broken("no answer while nothing was wrong: " + id + " (" + std::string(nameOf(error)) + ", node "
+            + std::to_string(entry.node) + ", runs " + std::to_string(entry.ranAt.size()) + ")");
+}
+
+void Ledger::ranAfterLeave(const std::string& id, const std::string& upstream, Duration after)
+{
+    broken("reached a server " + std::to_string(toMilliseconds(after)) + " ms after its leave was acknowledged: "
+        + id + " at " + upstream);
+}
+
+void Ledger::sawVersion(const std::string& life, std::uint64_t version, std::uint64_t before)
+{
+    if (version < before)
+        broken("configuration " + std::to_string(version) + " in force after " + std::to_string(before) + " at "
+            + life);
+    auto& seen = m_versions[life];
+    seen = std::max(seen, version);
+}
+
+} // namespace robinrun::soak
--- /dev/null
+++ b/test/soak/Ledger.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Http/HttpTypes.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace robinrun::soak {
+
+/// \brief All that callers and backend servers have seen, and the promises that it must keep.
+///
+/// A broken promise is kept as a sentence with the request's id, to be looked up in the nodes' logs.
+class Ledger {
+public:
+    /// \brief A caller is about to send \a request to node \a node.
+    void sent(const std::string& id, const HttpRequest& request, std::size_t node);
+
+    /// \brief The backend server \a upstream of \a service starts to run what came as \a request.
+    void ran(const HttpRequest& request, const std::string& upstream, const std::string& service);
+
+    /// \brief The caller has its end: an answer, or none whose error is \a error.
+    void answered(const std::string& id, const HttpReply& reply);
+    void failed(const std::string& id, HttpErrorKind error, bool isCalm);
+
+    /// \brief A request came to \a upstream so long after its node had acknowledged that it leaves.
+    void ranAfterLeave(const std::string& id, const std::string& upstream, Duration after);
+
+    /// \brief From now on \a service may run calls of the route "/which/", by configuration \a version.
+    void allow(const std::string& service) { m_allowed.insert(service); }
+
+    /// \returns the newest version that was seen in force in \a life of a node; 0 if none was.
+    std::uint64_t seenVersion(const std::string& life) { return m_versions[life]; }
+
+    /// \brief A request showed that \a version is in force in \a life of a node; when it was sent, \a before
+    /// had been seen there.
+    void sawVersion(const std::string& life, std::uint64_t version, std::uint64_t before);
+
+    void broken(std::string promise) { m_broken.push_back(std::move(promise)); }
+    const std::vector<std::string>& brokenPromises() const { return m_broken; }
+
+    /// \returns the body that a backend server gives to the request \a id.
+    static std::string bodyFor(const std::string& id, const std::string& upstream)
+    {
+        return "done " + id + " by " + upstream;
+    }
+
+    std::size_t requests() const { return m_requests.size(); }
+    std::size_t served() const { return m_served; }
+    std::size_t refused() const { return m_refused; }
+    std::size_t runs() const { return m_runs; }
+
+private:
+    struct Entry {
+        HttpRequest request;
+        std::size_t node = 0;
+        std::vector<std::string> ranAt;
+        bool saidNotRun = false;
+    };
+
+    std::unordered_map<std::string, Entry> m_requests;
+    std::set<std::string> m_allowed;
+    std::map<std::string, std::uint64_t> m_versions;
+    std::vector<std::string> m_broken;
+    std::size_t m_served = 0;
+    std::size_t m_refused = 0;
+    std::size_t m_runs = 0;
+};
+
+} // namespace robinrun::soak
--- /dev/null
+++ b/test/soak/SoakBackend.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Http/HttpPool.h"
+#include "Http/HttpServer.h"
+#include "Node/Timer.h"
+#include "soak/Ledger.h"
+
+#include <cstdint>
+#include <event2/event.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace robinrun::soak {
+
+/// \brief A backend server of the soak: slots, work, announcements to its node, leaving, crashes and slow
+/// phases. Each start has an id of its own.
+class SoakBackend {
+public:
+    struct Options {
+        std::string address;
+        std::string announcements; ///< of the node beside it
+        std::string service;
+        std::string name; ///< of the place; ids of starts begin with it
+        std::uint32_t slots = 4;
+        Duration work = 20ms;
+    };
+
+    SoakBackend(event_base* base, Options options, Ledger& ledger);
+
+    /// \brief A new start, with a new id.
+    void start();
+    void crash();
+    /// \brief Announces that it leaves; once that is acknowledged it serves on for a while, ends, and another
+    /// start takes the address.
+    void replace();
+
+    /// \brief Work takes \a factor times as long from now on.
+    void setSlowdown(double factor) { m_slowdown = factor; }
+    /// \brief Whether each request is rejected as not run.
+    void setFull(bool isFull) { m_isFull = isFull; }
+
+    bool isRunning() const { return m_server != nullptr; }
+    bool isLeaving() const { return m_isLeaving; }
+    const std::string& upstream() const { return m_upstream; }
+
+private:
+    void take(std::unique_ptr<HttpExchange> exchange);
+    void run(std::unique_ptr<HttpExchange> exchange);
+    void announce();
+    HttpHeaders loadHeaders(const std::string& requestId) const;
+
+    event_base* m_base;
+    Options m_options;
+    Ledger* m_ledger;
+    HttpPool m_pool; ///< to the node
+    std::unique_ptr<HttpServer> m_server;
+    std::string m_upstream;
+    std::uint64_t m_starts = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint32_t m_running = 0;
+    double m_slowdown = 1;
+    bool m_isFull = false;
+    bool m_isLeaving = false;
+    std::optional<Instant> m_leaveAcknowledged;
+    Timer m_heartbeat;
+    Timer m_end;
+    std::vector<std::pair<std::uint64_t, Timer>> m_work; ///< by number of the run
+    std::uint64_t m_lastRun = 0;
+};
+
+} // namespace robinrun::soak
--- /dev/null
+++ b/test/soak/SoakSite.cpp
@@ -0,0 +1,233 @@
+#include "soak/SoakSite.h"
+
+#include "support/Loopback.h"
+
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+namespace robinrun::soak {
+namespace {
+
+    using support::freeAddress;
+
+    constexpr std::uint64_t deadlineMs = 2000;
+    constexpr Duration patience = 6s; ///< of callers, well beyond the deadline they give
+    constexpr Duration watchEvery = 20ms;
+    constexpr Duration readinessEvery = 500ms;
+    constexpr Duration probeEvery = 300ms;
+    constexpr Duration readinessTimeout = 400ms;
+    constexpr double shareOfWrites = 0.4;
+    constexpr int fewLines = 2000;
+    constexpr int manyLines = 3000;
+
+    HttpPool::Options callerOptions(const std::string& address)
+    {
+        HttpPool::Options options;
+        options.address = address;
+        options.connectTimeout = 1s;
+        return options;
+    }
+
+    /// \brief A configuration in the words of the users' platform.
+    std::string configuration(std::uint64_t version)
+    {
+        const auto route = [](const std::string& name, const std::string& service, const std::string& kind) {
+            return R"({"type":"routes","metadata":{"name":")" + name
+                + R"("},"spec":{"host":"a.example","path_prefix":"/)" + name + R"(/","kind":")" + kind
+                + R"(","timeout_ms":2000,"target_latency_ms":1000,"priority":1,"service":")" + service
+                + R"(","attempts":2}},)";
+        };
+        const std::string which = version % 2 ? "other" : "shop";
+        return R"({"version":"r)" + std::to_string(version) + R"(","base_version":"r0","resources":[)"
+            + route("read", "shop", "idempotent") + route("buy", "shop", "non_idempotent")
+            + route("which", which, "idempotent") + route("v" + std::to_string(version), which, "idempotent")
+            + R"({"type":"services","metadata":{"name":"shop"},"spec":{"health_path":"/healthz"}},)"
+            + R"({"type":"services","metadata":{"name":"other"},"spec":{"health_path":"/healthz"}},)"
+            + R"({"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":65536,)"
+            + R"("header_timeout_ms":3000,"idle_timeout_ms":15000}}]})";
+    }
+
+} // namespace
+
+SoakSite::SoakSite(event_base* base, Options options, std::uint64_t seed)
+    : m_base(base)
+    , m_options(std::move(options))
+    , m_random(seed)
+    , m_store(base)
+{
+    changeConfiguration();
+    m_ledger.allow("shop");
+    for (std::size_t i = 0; i < m_options.nodes; ++i)
+        addHost(i);
+    m_watch = Timer::repeating(base, watchEvery, [this] { watch(); });
+    m_ask = Timer::repeating(base, readinessEvery, [this] {
+        for (auto& it : m_hosts)
+            askReadiness(*it);
+    });
+    m_probe = Timer::repeating(base, probeEvery, [this] {
+        for (std::size_t i = 0; i < m_hosts.size(); ++i)
+            probeVersion(i);
+    });
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+        m_traffic.push_back(Timer::repeating(
+            base, fromSeconds(1 / m_options.callsPerSecond), [this, i] { callOnce(i); }));
+}
+
+void SoakSite::addHost(std::size_t i)
+{
+    auto host = std::make_unique<Host>();
+    host->name = "n" + std::to_string(i);
+    host->settingsFile = m_options.folder + "/" + host->name + ".yaml";
+    const auto behind = [&](std::unique_ptr<FaultProxy>& proxy, const std::string& target) {
+        const auto address = freeAddress();
+        proxy = std::make_unique<FaultProxy>(m_base, address, target);
+        return address;
+    };
+    const auto callers = freeAddress();
+    const auto peers = freeAddress();
+    const auto announcements = freeAddress();
+    const auto backend = freeAddress();
+    host->callers = behind(host->toCallers, callers);
+    host->readiness = freeAddress();
+    const std::string service = i % 2 ? "other" : "shop";
+    std::ofstream out(host->settingsFile);
+    out << "node: " << host->name << "\ndata_hall: h" << i % 3 << "\nregion: r\nservice: " << service
+        << "\nbackend: " << behind(host->toBackend, backend) << "\ncharts: " << m_options.charts
+        << "\ndrain_timeout: 4s\nlame_duck: 600ms\nlisten: {callers: '" << callers << "', readiness: '"
+        << host->readiness << "', announcements: '" << announcements << "', peers: '"
+        << behind(host->toPeers, peers) << "', peers_bind: '" << peers << "', metrics: '" << freeAddress()
+        << "'}\nstore: {address: '" << behind(host->toStore, m_store.address)
+        << "', timeout: 1s}\nretries: {ratio: 0.2, slack: 20}\npeers: {heartbeat: 300ms, longest_reconnect: "
+           "300ms, contact_every: 500ms}\nadmission: {usable_share: 1}\nchoice: {policy: timely, subset: "
+           "24}\n";
+    out.close();
+    writeSettings(*host, fewLines);
+    host->backend = std::make_unique<SoakBackend>(
+        m_base, SoakBackend::Options { backend, announcements, service, host->name }, m_ledger);
+    m_hosts.push_back(std::move(host));
+    startNode(*m_hosts.back());
+}
+
+void SoakSite::writeSettings(const Host& host, int linesPerSecond) const
+{
+    std::ifstream in(host.settingsFile);
+    std::string text;
+    for (std::string line; std::getline(in, line);) {
+        if (!line.starts_with("log:"))
+            text += line + "\n";
+    }
+    in.close();
+    std::ofstream(host.settingsFile) << text << "log: {format: json, lines_per_second: " << linesPerSecond
+                                     << ", sample_one_in: 1}\n";
+}
+
+void SoakSite::startNode(Host& host)
+{
+    if (host.node.isRunning())
+        return;
+    ++host.life;
+    host.isStopping = false;
+    host.isPaused = false;
+    host.node = ChildProcess(
+        { m_options.program, "--settings", host.settingsFile }, m_options.folder + "/" + host.name + ".log");
+    host.keptConnections = std::make_unique<HttpPool>(m_base, callerOptions(host.callers));
+}
+
+void SoakSite::stopNode(Host& host, Duration pause)
+{
+    if (std::exchange(host.isStopping, true))
+        return;
+    host.node.signal(SIGTERM);
+    host.restart = Timer::once(m_base, pause + 6s, [this, &host] {
+        if (host.node.isRunning() && m_isCalm)
+            m_ledger.broken("a node that was asked to end while nothing was wrong still runs: " + host.name);
+        host.node.signal(SIGKILL);
+        host.restart = Timer::once(m_base, 100ms, [this, &host] { startNode(host); });
+    });
+}
+
+void SoakSite::killNode(Host& host, Duration pause)
+{
+    host.isStopping = true;
+    host.node.signal(SIGKILL);
+    host.restart = Timer::once(m_base, pause, [this, &host] { startNode(host); });
+}
+
+void SoakSite::changeConfiguration()
+{
+    ++m_version;
+    m_ledger.allow(m_version % 2 ? "other" : "shop");
+    m_store.put("keyed.op", "config", configuration(m_version));
+}
+
+void SoakSite::reloadNode(Host& host)
+{
+    writeSettings(host, m_random.chance(0.5) ? fewLines : manyLines);
+    host.node.signal(SIGHUP);
+}
+
+void SoakSite::watch()
+{
+    for (auto& it : m_hosts) {
+        if (it->node.isRunning() || it->isStopping)
+            continue;
+        m_ledger.broken("a node ended by itself: " + it->name + ", status " + std::to_string(it->node.exitStatus()));
+        startNode(*it);
+    }
+}
+
+void SoakSite::askReadiness(Host& host)
+{
+    auto pool = std::make_shared<HttpPool>(m_base, callerOptions(host.readiness));
+    pool->send({ "GET", "/readyz", {}, "" }, readinessTimeout,
+        [&host, pool](const Result<HttpReply, HttpError>& reply) mutable {
+            host.isReady = reply && reply.value().status == 200;
+        });
+}
+
+void SoakSite::callOnce(std::size_t i)
+{
+    const bool isWrite = m_random.chance(shareOfWrites);
+    const std::string path = isWrite ? "/buy/" : m_random.chance(0.5) ? "/read/" : "/which/";
+    const std::string body = isWrite ? std::string(m_random.below(2000), 'x') : "";
+    send(i, { isWrite ? "POST" : "GET", path + std::to_string(m_lastRequest), {}, body }, false);
+}
+
+void SoakSite::probeVersion(std::size_t i)
+{
+    const auto version = m_random.chance(0.5) && m_version > 1 ? m_version - 1 : m_version;
+    send(i, { "GET", "/v" + std::to_string(version) + "/x", {}, "" }, true);
+}
+
+void SoakSite::send(std::size_t i, HttpRequest request, bool isProbe)
+{
+    auto& host = *m_hosts[i];
+    const auto id = "q" + std::to_string(++m_lastRequest);
+    request.headers = { { "Host", "a.example" }, { "X-Robinrun-Request-Id", id },
+        { "X-Robinrun-Deadline-Ms", std::to_string(deadlineMs) }, { "X-Robinrun-Caller-Service", "forged" } };
+    m_ledger.sent(id, request, i);
+    const auto life = lifeOf(host);
+    const auto seen = m_ledger.seenVersion(life);
+    const auto version = isProbe ? std::stoull(request.target.substr(2)) : 0;
+    const bool wasReady = host.isReady;
+    host.keptConnections->send(request, patience, [=, this, &host](const Result<HttpReply, HttpError>& reply) {
+        if (!reply)
+            return m_ledger.failed(id, reply.error().kind, m_isCalm && wasReady);
+        m_ledger.answered(id, reply.value());
+        if (isProbe && reply.value().status == 200 && lifeOf(host) == life)
+            m_ledger.sawVersion(life, version, seen);
+    });
+}
+
+bool SoakSite::isAllInForce() const
+{
+    auto& ledger = const_cast<Ledger&>(m_ledger);
+    for (const auto& it : m_hosts) {
+        if (!it->isReady || ledger.seenVersion(lifeOf(*it)) < m_version)
+            return false;
+    }
+    return true;
+}
+
+} // namespace robinrun::soak
