--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -211,6 +211,10 @@
 {
     auto& metrics = m_context.metrics;
     metrics.gauge("robinrun_config_version", [this] { return double(m_config.version()); });
+    metrics.gauge("robinrun_config_age_seconds", [this] { return toSeconds(monotonicNow() - m_adopted); });
+    metrics.gauge("robinrun_retries_saved", [this] { return m_ingress->savedRetries(); });
+    metrics.gauge("robinrun_upstream_news_age_seconds",
+        [this] { return toSeconds(m_ingress->meanNewsAge(monotonicNow())); });
     metrics.gauge("robinrun_ready", [this] { return isReady() ? 1.0 : 0.0; });
     metrics.gauge("robinrun_calls_in_progress", [this] { return double(m_ingress->inProgress()); });
     metrics.gauge("robinrun_slots_in_use", [this] { return double(m_owner->load(monotonicNow()).inUse); });
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -137,6 +137,7 @@
     bool m_hasReadNodesSince = false; ///< since this life's record was written first
     bool m_isStopping = false;
     std::set<std::string> m_lostPeers; ///< addresses of links that have ended and were not heard since
+    Instant m_adopted {}; ///< when the configuration in force was
     Instant m_nextContact {};
     Instant m_restUntil {}; ///< from following the configuration, though too few others do
     Instant m_lastBusy {};
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -33,6 +33,7 @@
 {
     if (!m_config.offer(text, source, m_formats))
         return;
+    m_adopted = now;
     m_pulls.got(m_config.version());
     const auto& limits = m_config.current()->limits;
     m_callers->setLimits(limits.maxHeaders, limits.maxBody, limits.headerTimeout, limits.idleTimeout);
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -70,6 +70,10 @@
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
 
     std::size_t inProgress() const { return m_calls.size(); }
+    /// \returns the retries that all services' budgets have saved up.
+    double savedRetries() const;
+    /// \returns how old the last news of an upstream is, on average over those that were heard of.
+    Duration meanNewsAge(Instant now) const;
     const std::unordered_map<std::string, std::unique_ptr<ServiceRouter>>& routers() const
     {
         return m_routers;
--- /dev/null
+++ b/src/Node/IngressRetries.cpp
@@ -0,0 +1,137 @@
+#include "Node/Ingress.h"
+
+#include <algorithm>
+
+/// \file Second attempts: when one is worth it, and what it costs the budgets of retries.
+
+namespace robinrun {
+namespace {
+
+    /// A second attempt is made if so many times its expected time is left: work varies by a third.
+    constexpr double secondAttemptMargin = 1.2;
+    /// A call that has taken so many times its usual work is stuck, whatever is told of its upstream.
+    constexpr double stuckWorks = 2;
+
+} // namespace
+
+bool Ingress::mayTryAgain(Call& call)
+{
+    if (call.attemptsLeft <= 1)
+        return false;
+    const auto group = call.request.groupNumber;
+    const auto& nested = m_nestedCalls.of(call.request.callClass.name);
+    const auto isPaidUp = [&](const auto& it) {
+        const auto router = m_routers.find(it.first);
+        return router == m_routers.end() || router->second->hasRetriesLeft(group);
+    };
+    if (!std::all_of(nested.begin(), nested.end(), isPaidUp)
+        || !m_routers.at(call.request.service)->trySpendRetry(group))
+        return false;
+    chargeNested(call, 1);
+    --call.attemptsLeft;
+    m_context->metrics.count("robinrun_retries_total");
+    return true;
+}
+
+void Ingress::chargeNested(const Call& call, double times)
+{
+    for (const auto& [service, calls] : m_nestedCalls.of(call.request.callClass.name)) {
+        if (const auto router = m_routers.find(service); router != m_routers.end())
+            router->second->chargeRetries(call.request.groupNumber, times * calls.value());
+    }
+}
+
+void Ingress::takeBackRetry(Call& call)
+{
+    m_routers.at(call.request.service)->chargeRetries(call.request.groupNumber, -1);
+    chargeNested(call, -1);
+    ++call.attemptsLeft;
+}
+
+bool Ingress::isWorthwhile(const Call& call, const std::string& upstream, Instant now)
+{
+    const auto needs = needsOf(call, now);
+    const auto expected = m_routers.at(call.request.service)->expectedAt(upstream, needs, now);
+    return fromSeconds(secondAttemptMargin * toSeconds(expected)) < needs.targetLatency;
+}
+
+void Ingress::attemptTimedOut(CallId id, std::uint64_t number)
+{
+    auto& call = m_calls.at(id);
+    const auto now = monotonicNow();
+    const auto it = std::find_if(
+        call.out.begin(), call.out.end(), [&](const auto& attempt) { return attempt.number == number; });
+    if (it == call.out.end())
+        return;
+    auto& router = *m_routers.at(call.request.service);
+    router.attemptTimedOut(it->upstream, now);
+    call.trail.setNotable();
+    call.trail.add({ RequestEvent::AttemptLate, now, it->upstream, number, Reason::None,
+        { { "after_ms", (now - it->sent).count() / 1000 }, { "attempts_left", call.attemptsLeft } } });
+    if (!mayHedge(call, now) || (call.request.isByRoute && isOnItsWay(call, *it, now)))
+        return;
+    // The late attempt stays out; the first whole answer is taken.
+    const auto upstream = router.pick(call.tried, needsOf(call, now), now, m_context->random);
+    if (!upstream || (call.request.isByRoute && !isWorthwhile(call, *upstream, now)))
+        return;
+    if (mayTryAgain(call))
+        sendTo(id, call, *upstream, now);
+}
+
+Duration Ingress::workDone(const Call& call, const Attempt& attempt, Instant now) const
+{
+    return m_routers.at(call.request.service)->workClockOf(attempt.upstream, now) - attempt.workClock;
+}
+
+bool Ingress::isOnItsWay(const Call& call, const Attempt& attempt, Instant now) const
+{
+    auto& router = *m_routers.at(call.request.service);
+    const auto& callClass = call.request.callClass.name;
+    const auto done = workDone(call, attempt, now);
+    const auto usual = router.remainingAt(attempt.upstream, callClass, Duration::zero());
+    if (toSeconds(done) > stuckWorks * toSeconds(usual))
+        return false;
+    return router.remainingAt(attempt.upstream, callClass, done) <= needsOf(call, now).targetLatency;
+}
+
+bool Ingress::mayHedge(const Call& call, Instant now) const
+{
+    return isRepeatable(call) && !call.isMinting && call.attemptsLeft > 1 && now < call.deadline;
+}
+
+void Ingress::upstreamSlowed(const std::string& upstream, Instant now)
+{
+    std::vector<std::pair<CallId, std::uint64_t>> slowed;
+    for (const auto& [id, call] : m_calls) {
+        const bool isOnly = call.out.size() == 1 && call.out.front().upstream == upstream;
+        if (isOnly && call.request.isByRoute && mayHedge(call, now))
+            slowed.emplace_back(id, call.out.front().number);
+    }
+    for (const auto& [id, number] : slowed) {
+        const auto it = m_calls.find(id);
+        if (it != m_calls.end() && it->second.out.size() == 1 && it->second.out.front().number == number)
+            attemptSlowed(id, it->second, it->second.out.front(), now);
+    }
+}
+
+void Ingress::attemptSlowed(CallId id, Call& call, const Attempt& attempt, Instant now)
+{
+    auto& router = *m_routers.at(call.request.service);
+    const auto needs = needsOf(call, now);
+    const auto done = workDone(call, attempt, now);
+    const auto here = router.remainingAt(attempt.upstream, call.request.callClass.name, done);
+    if (here <= needs.targetLatency)
+        return;
+    const auto upstream = router.pick(call.tried, needs, now, m_context->random);
+    if (!upstream || !isWorthwhile(call, *upstream, now))
+        return;
+    call.trail.setNotable();
+    call.trail.add({ RequestEvent::AttemptSlowed, now, attempt.upstream, attempt.number, Reason::None,
+        { { "expected_ms", here.count() / 1000 }, { "work_done_ms", done.count() / 1000 },
+            { "target_left_ms", needs.targetLatency.count() / 1000 },
+            { "attempts_left", call.attemptsLeft } } });
+    if (mayTryAgain(call))
+        sendTo(id, call, *upstream, now);
+}
+
+} // namespace robinrun
--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -1,7 +1,7 @@
 #include "Node/Ingress.h"
 #include "Routing/Subset.h"
 
-/// \file Which upstreams of each service an ingress keeps to.
+/// \file Which upstreams of each service an ingress keeps to, and what it knows of them.
 
 namespace robinrun {
 namespace {
@@ -86,4 +86,27 @@
     // Routers of removed services stay: calls in progress still end through them.
 }
 
+double Ingress::savedRetries() const
+{
+    double out = 0;
+    for (const auto& [service, router] : m_routers)
+        out += router->savedRetries();
+    return out;
+}
+
+Duration Ingress::meanNewsAge(Instant now) const
+{
+    Duration total {};
+    std::int64_t n = 0;
+    for (const auto& [service, router] : m_routers) {
+        for (const auto& it : router->views()) {
+            if (!it.report())
+                continue;
+            total += now - it.report()->heard;
+            ++n;
+        }
+    }
+    return n ? total / n : Duration::zero();
+}
+
 } // namespace robinrun
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -60,7 +60,8 @@
 void FaultPlan::apply(FaultKind kind, Duration length)
 {
     auto& host = anyHost();
-    note(std::string(nameOf(kind)) + " " + host.name + " for " + std::to_string(toMilliseconds(length)) + " ms");
+    note(std::string(nameOf(kind)) + " " + host.name + " for " + std::to_string(toMilliseconds(length))
+        + " ms");
     switch (kind) {
     case FaultKind::HarmLink:
         return harmLink(host, length);
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -105,8 +105,7 @@
 
 bool FaultProxy::isSilent(bool isUp) const
 {
-    return m_fault == LinkFault::Silence
-        || m_fault == (isUp ? LinkFault::SilenceUp : LinkFault::SilenceDown);
+    return m_fault == LinkFault::Silence || m_fault == (isUp ? LinkFault::SilenceUp : LinkFault::SilenceDown);
 }
 
 void FaultProxy::set(LinkFault fault)
@@ -158,8 +157,7 @@
         bufferevent_setcb(it, onRead, onWritten, onEnd, relay.get());
         bufferevent_enable(it, EV_READ | EV_WRITE);
     }
-    bufferevent_socket_connect(
-        relay->server, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    bufferevent_socket_connect(relay->server, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
     auto* raw = relay.get();
     m_relays.emplace(raw, std::move(relay));
 }
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -82,15 +82,15 @@
 
 void Ledger::ranAfterLeave(const std::string& id, const std::string& upstream, Duration after)
 {
-    broken("reached a server " + std::to_string(toMilliseconds(after)) + " ms after its leave was acknowledged: "
-        + id + " at " + upstream);
+    broken("reached a server " + std::to_string(toMilliseconds(after))
+        + " ms after its leave was acknowledged: " + id + " at " + upstream);
 }
 
 void Ledger::sawVersion(const std::string& life, std::uint64_t version, std::uint64_t before)
 {
     if (version < before)
-        broken("configuration " + std::to_string(version) + " in force after " + std::to_string(before) + " at "
-            + life);
+        broken("configuration " + std::to_string(version) + " in force after " + std::to_string(before)
+            + " at " + life);
     auto& seen = m_versions[life];
     seen = std::max(seen, version);
 }
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -130,14 +130,15 @@
     ++m_running;
     const auto number = ++m_lastRun;
     const std::shared_ptr<HttpExchange> held = std::move(exchange);
-    m_work.emplace_back(number, Timer::once(m_base, fromSeconds(toSeconds(m_options.work) * m_slowdown), [=, this] {
-        --m_running;
-        const auto id = headerOf(held->request(), "X-Robinrun-Request-Id");
-        auto headers = loadHeaders(id);
-        headers.emplace_back("X-Robinrun-Server-Signature", "s." + m_upstream);
-        held->reply({ ok, headers, Ledger::bodyFor(id, m_upstream) });
-        std::erase_if(m_work, [&](const auto& it) { return it.first == number; });
-    }));
+    m_work.emplace_back(
+        number, Timer::once(m_base, fromSeconds(toSeconds(m_options.work) * m_slowdown), [=, this] {
+            --m_running;
+            const auto id = headerOf(held->request(), "X-Robinrun-Request-Id");
+            auto headers = loadHeaders(id);
+            headers.emplace_back("X-Robinrun-Server-Signature", "s." + m_upstream);
+            held->reply({ ok, headers, Ledger::bodyFor(id, m_upstream) });
+            std::erase_if(m_work, [&](const auto& it) { return it.first == number; });
+        }));
 }
 
 } // namespace robinrun::soak
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -70,8 +70,8 @@
             probeVersion(i);
     });
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
-        m_traffic.push_back(Timer::repeating(
-            base, fromSeconds(1 / m_options.callsPerSecond), [this, i] { callOnce(i); }));
+        m_traffic.push_back(
+            Timer::repeating(base, fromSeconds(1 / m_options.callsPerSecond), [this, i] { callOnce(i); }));
 }
 
 void SoakSite::addHost(std::size_t i)
@@ -172,7 +172,8 @@
     for (auto& it : m_hosts) {
         if (it->node.isRunning() || it->isStopping)
             continue;
-        m_ledger.broken("a node ended by itself: " + it->name + ", status " + std::to_string(it->node.exitStatus()));
+        m_ledger.broken(
+            "a node ended by itself: " + it->name + ", status " + std::to_string(it->node.exitStatus()));
         startNode(*it);
     }
 }
@@ -211,13 +212,14 @@
     const auto seen = m_ledger.seenVersion(life);
     const auto version = isProbe ? std::stoull(request.target.substr(2)) : 0;
     const bool wasReady = host.isReady;
-    host.keptConnections->send(request, patience, [=, this, &host](const Result<HttpReply, HttpError>& reply) {
-        if (!reply)
-            return m_ledger.failed(id, reply.error().kind, m_isCalm && wasReady);
-        m_ledger.answered(id, reply.value());
-        if (isProbe && reply.value().status == 200 && lifeOf(host) == life)
-            m_ledger.sawVersion(life, version, seen);
-    });
+    host.keptConnections->send(
+        request, patience, [=, this, &host](const Result<HttpReply, HttpError>& reply) {
+            if (!reply)
+                return m_ledger.failed(id, reply.error().kind, m_isCalm && wasReady);
+            m_ledger.answered(id, reply.value());
+            if (isProbe && reply.value().status == 200 && lifeOf(host) == life)
+                m_ledger.sawVersion(life, version, seen);
+        });
 }
 
 bool SoakSite::isAllInForce() const
--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -15,8 +15,8 @@
 
 namespace robinrun::soak {
 
-/// \brief Real nodes as processes, each between proxies that can harm its links, with backend servers, a store
-/// and callers inside the soak's own process.
+/// \brief Real nodes as processes, each between proxies that can harm its links, with backend servers, a
+/// store and callers inside the soak's own process.
 class SoakSite {
 public:
     struct Options {
--- a/test/soak/soak-main.cpp
+++ b/test/soak/soak-main.cpp
@@ -1,5 +1,5 @@
-/// \file A fault soak: real nodes as separate processes, faults from outside, and the promises that callers and
-/// backend servers must see kept.
+/// \file A fault soak: real nodes as separate processes, faults from outside, and the promises that callers
+/// and backend servers must see kept.
 ///
 /// First faults are drawn from the seed; then all ends, and the deployment has to come back, to put a changed
 /// configuration in force and to let each node be stopped without cutting a request off.
@@ -65,14 +65,15 @@
     pass(base, settle);
     site.setCalm(true);
     site.changeConfiguration();
-    breakPromiseIfNot(
-        waitFor(base, recoverWithin, isAllInForce), site, "a changed configuration isn't in force everywhere");
+    breakPromiseIfNot(waitFor(base, recoverWithin, isAllInForce), site,
+        "a changed configuration isn't in force everywhere");
     for (auto& it : site.hosts()) {
         site.stopNode(*it, 0s);
         pass(base, betweenStops);
     }
     pass(base, afterLastStop);
-    breakPromiseIfNot(waitFor(base, recoverWithin, isAllInForce), site, "not all nodes serve after a restart");
+    breakPromiseIfNot(
+        waitFor(base, recoverWithin, isAllInForce), site, "not all nodes serve after a restart");
 }
 
 int report(SoakSite& site, const FaultPlan& plan, const Options& options)
@@ -97,11 +98,11 @@
 Options parse(int argc, char** argv)
 {
     Options out;
-    const option known[] = { { "seed", required_argument, nullptr, 's' },
-        { "seconds", required_argument, nullptr, 'l' }, { "nodes", required_argument, nullptr, 'n' },
-        { "program", required_argument, nullptr, 'p' }, { "charts", required_argument, nullptr, 'c' },
-        { "folder", required_argument, nullptr, 'f' }, { "verbose", no_argument, nullptr, 'v' },
-        { nullptr, 0, nullptr, 0 } };
+    const option known[]
+        = { { "seed", required_argument, nullptr, 's' }, { "seconds", required_argument, nullptr, 'l' },
+              { "nodes", required_argument, nullptr, 'n' }, { "program", required_argument, nullptr, 'p' },
+              { "charts", required_argument, nullptr, 'c' }, { "folder", required_argument, nullptr, 'f' },
+              { "verbose", no_argument, nullptr, 'v' }, { nullptr, 0, nullptr, 0 } };
     for (int it = 0; (it = getopt_long(argc, argv, "s:l:n:p:c:f:v", known, nullptr)) != -1;) {
         switch (it) {
         case 's':
@@ -139,8 +140,9 @@
 {
     auto options = parse(argc, argv);
     if (options.site.program.empty() || options.site.folder.empty() || options.site.nodes == 0) {
-        std::cerr << "usage: robinrun-soak --program NODE --charts FOLDER --folder FOLDER [--seed N] [--seconds S] "
-                     "[--nodes N] [--verbose]\n";
+        std::cerr
+            << "usage: robinrun-soak --program NODE --charts FOLDER --folder FOLDER [--seed N] [--seconds S] "
+               "[--nodes N] [--verbose]\n";
         return EXIT_FAILURE;
     }
     std::signal(SIGPIPE, SIG_IGN);
