--- a/test/soak/ChildProcess.cpp
+++ b/test/soak/ChildProcess.cpp
@@ -25,6 +25,7 @@
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
     std::vector<char*> raw;
+    raw.reserve(argv.size() + 1);
     for (const auto& it : argv)
         raw.push_back(const_cast<char*>(it.c_str()));
     raw.push_back(nullptr);
@@ -53,7 +54,7 @@
     waitpid(m_pid, &m_status, 0);
 }
 
-void ChildProcess::signal(int number)
+void ChildProcess::signal(int number) const
 {
     if (m_pid > 0)
         kill(m_pid, number);
--- a/test/soak/ChildProcess.h
+++ b/test/soak/ChildProcess.h
@@ -19,7 +19,7 @@
     ~ChildProcess();
 
     /// \brief Sends \a number if the process is still there.
-    void signal(int number);
+    void signal(int number) const;
 
     /// \returns whether it runs. Afterwards exitStatus() tells how it ended.
     bool isRunning();
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -80,7 +80,7 @@
     host->name = "n" + std::to_string(i);
     host->settingsFile = m_options.folder + "/" + host->name + ".yaml";
     const auto behind = [&](std::unique_ptr<FaultProxy>& proxy, const std::string& target) {
-        const auto address = freeAddress();
+        auto address = freeAddress();
         proxy = std::make_unique<FaultProxy>(m_base, address, target);
         return address;
     };
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -50,11 +50,12 @@
         const auto it = m_topics.find(topic);
         if (it == m_topics.end())
             return "";
-        for (auto record = it->second.records.rbegin(); record != it->second.records.rend(); ++record) {
-            if (record->key == key)
-                return record->value;
+        std::string out;
+        for (const auto& record : it->second.records) {
+            if (record.key == key)
+                out = record.value;
         }
-        return "";
+        return out;
     }
 
     std::string address = freeAddress();
