--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -21,6 +21,8 @@
         LogEventInfo { "record-not-written", "topic key error message", "a write failed; it is made again" },
         LogEventInfo { "peer-lost", "peer", "a link ended; what was out there gets no answer" },
         LogEventInfo { "peer-back", "peer", "a lost peer is heard again" },
+        LogEventInfo {
+            "peer-forgotten", "peer unreached_s", "not reached for long; its record is taken away" },
         LogEventInfo { "peer-send-failed", "peer error", "a message could not be sent" },
         LogEventInfo { "peer-link-unwatched", "peer error", "the end of a link will not be noticed" },
         LogEventInfo { "peer-message-malformed", "bytes", "what came is no message" },
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -22,11 +22,13 @@
 
 #include <cstdint>
 #include <event2/event.h>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace robinrun {
 
@@ -98,6 +100,9 @@
     void publish(Instant now);
     void tellContacts(Instant now);
     void sendToContact(const std::string& address, proto::PeerMessage& message, Instant now);
+    /// \brief Contacts that could not be reached for long are marked gone, here, at the peers and in the
+    /// store. One that lives after all says so when it hears of it.
+    void forgetLost(Instant now);
     void relaySoon();
     Gossip::Reply replyTo(const PeerSocket::Sender& sender, Instant now);
     /// \returns how long to wait until the nodes' topic is read again.
@@ -136,6 +141,9 @@
     bool m_hasReadConfiguration = false;
     bool m_hasReadNodesSince = false; ///< since this life's record was written first
     bool m_isStopping = false;
+    std::map<std::string, Instant>
+        m_reached; ///< when a contact was last, by address; since it is one at first
+    std::vector<std::unique_ptr<RecordWriter>> m_forgotten; ///< take away the records of lost nodes
     std::set<std::string> m_lostPeers; ///< addresses of links that have ended and were not heard since
     Instant m_adopted {}; ///< when the configuration in force was
     Instant m_nextContact {};
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -32,13 +32,39 @@
     m_isContactOpening = false;
     m_gossip.tellContacts(contact, now);
     m_nextContact = now + (m_isContactOpening ? connectingAgain : m_context.settings.peers.contactEvery);
+    forgetLost(now);
 }
 
 void MeshNode::sendToContact(const std::string& address, proto::PeerMessage& message, Instant now)
 {
     // What can't be sent now is not kept: contacts compare what they know every second.
-    if (m_peers->send(address, message, now) == SendResult::Connecting)
+    const auto result = m_peers->send(address, message, now);
+    if (result == SendResult::Connecting)
         m_isContactOpening = true;
+    if (result == SendResult::Sent)
+        m_reached[address] = now;
+}
+
+void MeshNode::forgetLost(Instant now)
+{
+    const auto& settings = m_context.settings;
+    for (const auto& it : m_registry.contactsOf(settings.name, settings.peers.contacts)) {
+        auto record = *m_registry.find(it);
+        const auto reached = m_reached.try_emplace(record.peer_address(), now).first;
+        if (now - reached->second <= settings.peers.forgetAfter)
+            continue;
+        log(LogLevel::Warning, "peer-forgotten",
+            { { "peer", it }, { "unreached_s", toSeconds(now - reached->second) } });
+        m_reached.erase(reached);
+        record.set_gone(true);
+        takeRecord(record, now);
+        m_gossip.spread(record, "");
+        relaySoon();
+        m_forgotten.push_back(
+            std::make_unique<RecordWriter>(m_context.base, *m_store, m_formats.nodesTopic, it));
+        m_forgotten.back()->set("");
+    }
+    std::erase_if(m_forgotten, [](const auto& it) { return it->isWritten(); });
 }
 
 void MeshNode::relaySoon()
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -51,6 +51,8 @@
         out.peers.contacts = reader.count("contacts", 1, 100, 16);
         out.peers.followers = reader.count("followers", 1, 100, 4);
         out.peers.contactEvery = reader.duration("contact_every", 100ms, 60s, 2s);
+        // Regions lose each other for an hour now and then; that is no reason to forget half of the nodes.
+        out.peers.forgetAfter = reader.duration("forget_after", 1s, 24h, 2h);
         reader.finish();
     }
 
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -62,6 +62,7 @@
         std::uint64_t followers
             = 0; ///< nodes that a node must hear follow the configuration to leave it to them
         Duration contactEvery {};
+        Duration forgetAfter {}; ///< a contact that could not be reached for so long is taken for gone
     } peers;
 
     std::map<std::string, std::string> operatorTokens; ///< name: SHA-256 of the token, hex
--- a/test/MeshTest.cpp
+++ b/test/MeshTest.cpp
@@ -189,6 +189,28 @@
     }
 }
 
+TEST_CASE("A node that is lost for long is forgotten by all; one that lives says so", "[mesh]")
+{
+    MeshFixture f;
+    f.forgetAfter = 1s;
+    f.store.put("keyed.op", "config", MeshFixture::configuration(5));
+    for (const char* it : { "other", "shop", "shop" })
+        f.add(it);
+    for (std::size_t i = 0; i < 3; ++i)
+        f.untilServed(i);
+    f.until([&] { return !f.store.newest("keyed.nodes", "n2").empty(); });
+    f.places[2].node.reset();
+    f.until([&] { return f.store.newest("keyed.nodes", "n2").empty(); });
+    f.startNode(2);
+    f.untilServed(2);
+    f.until([&] { return !f.store.newest("keyed.nodes", "n2").empty(); });
+    // Somebody who can't reach it takes it for gone.
+    f.store.put("keyed.nodes", "n1", "");
+    f.until([&] { return !f.store.newest("keyed.nodes", "n1").empty(); });
+    f.places[2].backend->stop();
+    f.until([&] { return f.call(0, "GET", "/read/x").body == "body of i-n1"; });
+}
+
 TEST_CASE("Records that the store has forgotten are read anew", "[mesh]")
 {
     ShopFixture f;
--- a/test/soak/ChildProcess.cpp
+++ b/test/soak/ChildProcess.cpp
@@ -20,6 +20,7 @@
         throw std::runtime_error("can't start " + argv.front() + ": " + std::strerror(errno));
     if (m_pid > 0)
         return;
+    close_range(STDERR_FILENO + 1, ~0U, 0); // the soak's own sockets are not the node's
     prctl(PR_SET_PDEATHSIG, SIGKILL); // nothing is left over if the soak itself is killed
     const int fd = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(fd, STDOUT_FILENO);
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -113,6 +113,7 @@
     std::uint64_t lastIncarnation = 0;
     std::uint64_t lastRequest = 0;
     std::uint64_t followers = 4; ///< see NodeSettings
+    Duration forgetAfter = 1h; ///< see NodeSettings
     std::optional<HttpReply> reply;
     std::vector<std::unique_ptr<HttpPool>> callers;
 
@@ -160,6 +161,7 @@
         s.peers.longestReconnect = 200ms;
         s.peers.contacts = 16;
         s.peers.followers = followers;
+        s.peers.forgetAfter = forgetAfter;
         s.peers.contactEvery = 200ms;
         s.drainTimeout = 3s;
         s.lameDuck = 50ms;
