A link is no longer closed under its monitor: that could cut a node off from all peers for good

Each link has a monitor socket whose reader was destroyed before the link's own socket. If the connection ended in between, ZeroMQ's I/O thread waited for ever to tell the missing reader, and with it all links of the process stood still; peers that connected saw no handshake (lost after 30 s). Ruled out: lost edges of the descriptors (sends drain them), the relays (peers' other links went on). The monitor is stopped first now.

--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -43,6 +43,9 @@
     Link& operator=(const Link&) = delete;
     ~Link()
     {
+        // The monitor is stopped before its reader closes: ZeroMQ's own thread would wait for ever to tell a
+        // reader that is gone of the connection's end, and all links of this node would stand still with it.
+        zmq_socket_monitor(socket.handle(), nullptr, 0);
         if (watcher)
             event_free(watcher);
         if (monitorWatcher)
--- a/test/PeerSocketTest.cpp
+++ b/test/PeerSocketTest.cpp
@@ -1,9 +1,13 @@
 #include "Wire/PeerSocket.h"
-#include "support/Loopback.h"
-
 #include "Core/Loop.h"
+#include "Core/Random.h"
+#include "support/Loopback.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+#include <vector>
 
 using namespace robinrun;
 using support::freeAddress;
@@ -40,9 +44,8 @@
     void send(PeerSocket& from, proto::PeerMessage message, Instant now)
     {
         const auto before = received;
-        REQUIRE(runUntil(base.get(), [&] {
-            return from.send(address, message, now) == SendResult::Sent || received > before;
-        }));
+        REQUIRE(runUntil(base.get(),
+            [&] { return from.send(address, message, now) == SendResult::Sent || received > before; }));
         REQUIRE(runUntil(base.get(), [&] { return received > before; }));
     }
 };
@@ -81,3 +84,65 @@
     REQUIRE(runUntil(
         f.base.get(), [&] { return f.one->send(bound, message, monotonicNow()) == SendResult::Sent; }));
 }
+
+namespace {
+
+/// \brief Peers that all end at the same moment, on a thread of their own.
+class EndingPeers {
+public:
+    explicit EndingPeers(const std::vector<std::string>& addresses)
+        : m_thread([this, addresses] { run(addresses); })
+    {
+    }
+    EndingPeers(const EndingPeers&) = delete;
+    EndingPeers& operator=(const EndingPeers&) = delete;
+    ~EndingPeers()
+    {
+        end();
+        m_thread.join();
+    }
+
+    void end() { m_isOver = true; }
+
+private:
+    void run(const std::vector<std::string>& addresses) const
+    {
+        const auto base = makeLoop();
+        std::vector<std::unique_ptr<PeerSocket>> peers;
+        for (const auto& it : addresses) {
+            PeerSocket::Options options;
+            options.address = it;
+            options.node = it;
+            peers.push_back(
+                std::move(PeerSocket::bind(base.get(), options, [](const auto&, auto&) {}).value()));
+        }
+        while (!m_isOver)
+            std::this_thread::yield();
+    }
+
+    std::atomic<bool> m_isOver = false;
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("Links that are closed while their connections end leave the others alone", "[wire]")
+{
+    PeerFixture f;
+    Random random(2);
+    proto::PeerMessage message;
+    message.mutable_node_contact();
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 20; ++i)
+        addresses.push_back(freeAddress());
+    for (int round = 0; round < 30; ++round) {
+        EndingPeers peers(addresses);
+        for (const auto& it : addresses)
+            REQUIRE(runUntil(
+                f.base.get(), [&] { return f.one->send(it, message, monotonicNow()) == SendResult::Sent; }));
+        peers.end();
+        std::this_thread::sleep_for(std::chrono::microseconds(random.below(3000)));
+        f.one->closeIdle(monotonicNow() + 1h);
+    }
+    f.send(*f.one, message, monotonicNow());
+}
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -14,8 +14,8 @@
     constexpr std::uint64_t deadlineMs = 2000;
     constexpr Duration patience = 20s; ///< of callers, far beyond the deadline they give
     constexpr Duration stopLookEvery = 100ms;
-    /// The platform kills a node after so long; while nothing is wrong it is given more, as the machine may be
-    /// busy.
+    /// The platform kills a node after so long; while nothing is wrong it is given more, as the machine may
+    /// be busy.
     constexpr Duration grace = 6s;
     constexpr Duration graceInCalm = 30s;
     constexpr Duration watchEvery = 20ms;
