--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -15,9 +15,6 @@
     constexpr double pageOverhead = 400;
     constexpr Duration readRetry = 300ms;
     constexpr Duration reportLife = 12s;
-    constexpr Duration reportChanged = 500ms;
-    constexpr Duration reportUnchanged = 4s;
-    constexpr Duration countPatience = 1s;
     /// Snapshots by several nodes at once are harmless, but each is long: they wait a random time and look
     /// again.
     constexpr double snapshotSpreadSeconds = 20;
@@ -266,104 +263,6 @@
     }
 }
 
-void ControlPlane::fetchHosts(Instant)
-{
-    m_hosts->fetch(m_members.version(), [this](Result<HostPage, PlatformError> page) {
-        if (page.has_value() && m_members.take(page.value()) && m_changed)
-            m_changed();
-    });
-}
-
-void ControlPlane::sendHosts(const std::string& address, std::uint64_t since, Instant now)
-{
-    const auto page = m_members.pageSince(since);
-    if (!page)
-        return;
-    proto::PeerMessage message;
-    auto& out = *message.mutable_host_changes();
-    out.set_version(page->version);
-    out.set_whole(page->isWhole);
-    for (const auto& it : page->hosts) {
-        auto& host = *out.add_hosts();
-        host.set_name(it.name);
-        host.set_peer_address(it.peerAddress);
-        host.set_data_hall(it.dataHall);
-        host.set_region(it.region);
-        host.set_leaving(it.isLeaving);
-    }
-    for (const auto& it : page->gone)
-        out.add_gone(it);
-    post(address, message, now);
-}
-
-void ControlPlane::takeHosts(const proto::HostChanges& changes)
-{
-    HostPage page { changes.version(), changes.whole(), {}, {} };
-    for (const auto& it : changes.hosts())
-        page.hosts.push_back({ it.name(), it.peer_address(), it.data_hall(), it.region(), it.leaving() });
-    for (const auto& it : changes.gone())
-        page.gone.push_back(it);
-    if (m_members.take(page) && m_changed)
-        m_changed();
-}
-
-proto::InForce ControlPlane::ownSum(Instant now)
-{
-    const bool isBehind = m_follower.knownEnd() > m_follower.nextOffset();
-    if (!isBehind)
-        m_behindSince.reset();
-    else if (!m_behindSince)
-        m_behindSince = now;
-    const auto behindFor = m_behindSince ? std::max(now - *m_behindSince, Duration(1)) : Duration::zero();
-    return m_inForce.sum(m_context->settings.name, m_follower.nextOffset(), behindFor, now);
-}
-
-void ControlPlane::reportUp(Instant now)
-{
-    const bool isChanged = m_lastReported != m_follower.nextOffset();
-    if (now < m_nextReport && !(isChanged && now >= m_nextReport - reportUnchanged + reportChanged))
-        return;
-    m_nextReport = now + reportUnchanged;
-    m_lastReported = m_follower.nextOffset();
-    const auto parent
-        = Trees(m_members, m_spread.self(), m_spread.hallRanks(), m_context->settings.control.fanOut)
-              .parent(now);
-    if (parent != m_lastParent && !m_lastParent.empty()) {
-        // Counted at the new place only: the former parent forgets this subtree.
-        proto::PeerMessage retraction;
-        retraction.mutable_in_force();
-        sendToNode(m_lastParent, retraction, now);
-    }
-    m_lastParent = parent;
-    if (parent.empty())
-        return;
-    proto::PeerMessage message;
-    *message.mutable_in_force() = ownSum(now);
-    sendToNode(parent, message, now);
-}
-
-void ControlPlane::countInForce(Counted done, Instant now)
-{
-    const auto parent
-        = Trees(m_members, m_spread.self(), m_spread.hallRanks(), m_context->settings.control.fanOut)
-              .parent(now);
-    proto::PeerMessage message;
-    const auto number = ++m_lastCount;
-    message.mutable_in_force_request()->set_number(number);
-    if (parent.empty() || !sendToNode(parent, message, now))
-        return done(ownSum(now));
-    m_counts.push_back({ number, std::move(done), now });
-}
-
-void ControlPlane::expireCounts(Instant now)
-{
-    while (!m_counts.empty() && now - m_counts.front().since > countPatience) {
-        const auto done = std::move(m_counts.front().done);
-        m_counts.pop_front();
-        done(ownSum(now));
-    }
-}
-
 void ControlPlane::appendSnapshot(Instant now)
 {
     if (!m_follower.needsSnapshot()) {
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -62,6 +62,8 @@
     void fetchHosts(Instant now);
     void sendHosts(const std::string& address, std::uint64_t since, Instant now);
     void takeHosts(const proto::HostChanges& changes);
+    /// \returns the node that this one reports to; "" if it is the top of the counting tree.
+    std::string countingParent(Instant now);
     void reportUp(Instant now);
     void appendSnapshot(Instant now);
     void expireCounts(Instant now);
