--- a/bench/policy/PolicyRun.h
+++ b/bench/policy/PolicyRun.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace robinrun::bench {
@@ -39,8 +40,8 @@
         FakeBackend backend;
         ProbeBudget probes;
         Ewma errors;
-        std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t>
-            inHand; ///< calls by ingress and group
+        /// Calls taken and not answered yet, by ingress and group.
+        std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> inHand;
         bool isDead = false;
         bool isProbing = false;
         Instant drainingSince = Instant::max();
@@ -49,7 +50,6 @@
         std::uint64_t call = 0;
         std::size_t upstream = 0;
         Instant arrivedAtOwner {};
-        Instant started {};
         bool isRunning = false;
         bool isOver = false; ///< ended, refused or cancelled at the owner
     };
@@ -62,7 +62,6 @@
         std::vector<std::string> tried;
         std::vector<std::uint64_t> out;
         bool hasFailed = false;
-        bool wasLost = false;
     };
     enum class End { Answered, Failed, Refused };
 
@@ -89,6 +88,9 @@
     Duration oneWay(std::uint32_t hallA, std::uint32_t hallB) const;
     bool isOwn() const { return m_kind == ChoiceKind::ExpectedDelay; }
 
+    /// How often each owner looks whether its budget allows a probe.
+    static constexpr Duration probeEvery = 100ms;
+
     Deployment m_deployment;
     Scenario m_scenario;
     ChoiceKind m_kind;
