--- /dev/null
+++ b/test/RoutedCallsTest.cpp
@@ -0,0 +1,260 @@
+#include "support/IngressFixture.h"
+
+#include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
+
+using namespace robinrun;
+using support::hostOf;
+using support::IngressFixture;
+using support::runUntil;
+
+namespace {
+
+/// \brief An ingress for calls by route: a target latency of 400 ms, calls of 200 ms, two upstreams.
+struct RouteFixture : IngressFixture {
+    Instant now = monotonicNow();
+    ConfigState config = support::exampleConfig(backend);
+
+    RouteFixture()
+    {
+        context.settings.choice.kind = ChoiceKind::Timely;
+        for (const bool isOnce : { false, true }) {
+            proto::Resource route;
+            route.set_name(isOnce ? "routes/pay" : "routes/read");
+            auto& it = *route.mutable_route();
+            it.set_host("a.example");
+            it.set_path_prefix(isOnce ? "/pay/" : "/read/");
+            auto& share = *it.add_split();
+            share.set_service("s");
+            share.set_weight(1);
+            it.set_once(isOnce ? proto::SINGLE_DISPATCH : proto::REPEATABLE);
+            it.set_timeout_ms(3000);
+            it.set_target_latency_ms(400);
+            it.set_attempts(2);
+            config.apply(support::put(std::move(route)));
+        }
+        proto::Resource called;
+        called.set_name("services/t");
+        called.mutable_service()->set_deadline_ms(3000);
+        called.mutable_service()->set_queue_limit(10);
+        config.apply(support::put(called));
+        context.directory.rebuild(config);
+        ingress.setRetryBurst(1);
+        ingress.configure(now);
+        for (int i = 0; i < 8; ++i) {
+            const auto learnt = routed("/read/x");
+            pass(200ms);
+            answer(learnt, 1);
+        }
+    }
+
+    void pass(Duration length)
+    {
+        ahead += length;
+        now = monotonicNow() + ahead;
+    }
+
+    proto::Call routed(const std::string& path)
+    {
+        now = monotonicNow() + ahead;
+        return call(path, { { "Host", "a.example" } });
+    }
+
+    void answer(const proto::Call& to, double slowdown)
+    {
+        auto out = answerTo(to, proto::ANSWERED, "body");
+        out.set_held_us(200000);
+        out.mutable_load()->set_slots(4);
+        out.mutable_load()->set_slowdown_permille(static_cast<std::uint32_t>(slowdown * 1000));
+        ingress.takeAnswer(hostOf(to), out, now);
+        REQUIRE(runUntil(base.get(), [&] { return reply.has_value(); }));
+    }
+
+    void tellSlow(const std::string& upstream, double slowdown)
+    {
+        proto::LoadNews news;
+        news.set_upstream(upstream);
+        news.mutable_load()->set_slots(4);
+        news.mutable_load()->set_slowdown_permille(static_cast<std::uint32_t>(slowdown * 1000));
+        ingress.takeLoad(news, now);
+    }
+
+    /// \returns the calls sent to peers since the last look; cancels are left out.
+    std::vector<proto::Call> calls()
+    {
+        std::vector<proto::Call> out;
+        for (const auto& it : std::exchange(sent, {})) {
+            if (it.has_call())
+                out.push_back(it.call());
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+TEST_CASE("A call whose upstream becomes slow gets a second attempt if only that can be in time", "[node]")
+{
+    RouteFixture f;
+    const auto first = f.routed("/read/x");
+    f.pass(50ms);
+    f.tellSlow("u-other", 8);
+    REQUIRE(f.calls().empty());
+    f.tellSlow(first.upstream(), 8);
+    const auto second = f.calls();
+    REQUIRE(second.size() == 1);
+    REQUIRE(second.front().upstream() != first.upstream());
+    f.tellSlow(first.upstream(), 16); // one second attempt is all
+    REQUIRE(f.calls().empty());
+    f.answer(second.front(), 1);
+    REQUIRE(f.reply->body == "body");
+}
+
+TEST_CASE("A slow upstream is no reason for a second attempt where it doesn't help or must not be", "[node]")
+{
+    RouteFixture f;
+    // Nearly done: the rest is in time even there.
+    const auto nearlyDone = f.routed("/read/x");
+    f.pass(190ms);
+    f.tellSlow(nearlyDone.upstream(), 2);
+    REQUIRE(f.calls().empty());
+    f.tellSlow(nearlyDone.upstream(), 1);
+    // Too late for a second one.
+    f.routed("/read/x");
+    f.pass(350ms);
+    f.tellSlow("u1", 8);
+    f.tellSlow("u2", 8);
+    REQUIRE(f.calls().empty());
+    for (const std::string it : { "u1", "u2" })
+        f.tellSlow(it, 1);
+    // May not repeat.
+    f.routed("/pay/x");
+    f.pass(20ms);
+    f.tellSlow("u1", 8);
+    f.tellSlow("u2", 8);
+    REQUIRE(f.calls().empty());
+}
+
+TEST_CASE("A retry is paid for at the services that its run calls, too", "[node]")
+{
+    RouteFixture f;
+    // Runs of /read/ make two calls to the service "t".
+    for (int i = 0; i < 3; ++i) {
+        const auto learnt = f.routed("/read/x");
+        auto out = IngressFixture::answerTo(learnt, proto::ANSWERED, "body");
+        auto& nested = *out.add_nested();
+        nested.set_service("t");
+        nested.set_calls(2);
+        f.give(hostOf(learnt), out);
+        REQUIRE(runUntil(f.base.get(), [&] { return f.reply.has_value(); }));
+    }
+    const auto secondAfterLoss = [&] {
+        const auto first = f.routed("/read/x");
+        f.give(hostOf(first), IngressFixture::answerTo(first, proto::UNKNOWN));
+        REQUIRE(runUntil(f.base.get(), [&] { return !f.sent.empty() || f.reply; }));
+        const bool isSent = !f.sent.empty();
+        if (isSent)
+            f.give(hostOf(f.nextCall()), IngressFixture::answerTo(first, proto::NOT_RUN));
+        return isSent;
+    };
+    REQUIRE(f.ingress.routers().at("t")->savedRetries() == 0); // nothing asked of it yet
+    REQUIRE(secondAfterLoss());
+    REQUIRE(f.ingress.routers().at("t")->savedRetries() == Approx(-1));
+    f.ingress.setRetryBurst(9);
+    f.ingress.configure(f.now);
+    for (int i = 0; i < 8; ++i) // earns retries at "s", none at "t"
+        f.answer(f.routed("/read/x"), 1);
+    REQUIRE_FALSE(secondAfterLoss());
+}
+
+TEST_CASE("Two owners are asked to run a call at once; then it may wait, also where it was asked", "[node]")
+{
+    RouteFixture f;
+    auto next = f.routed("/pay/x");
+    REQUIRE(next.terms().only_at_once());
+    const auto busyReply = [&](const proto::Call& to) {
+        auto out = IngressFixture::answerTo(to, proto::NOT_RUN);
+        out.set_reason(static_cast<std::uint32_t>(Reason::Busy));
+        out.mutable_load()->set_slots(4);
+        out.mutable_load()->set_in_use(4);
+        out.mutable_load()->set_queued(4);
+        out.mutable_load()->set_service_us(200000);
+        f.give(hostOf(to), out);
+    };
+    const auto first = next.upstream();
+    busyReply(next);
+    next = f.nextCall();
+    REQUIRE(next.upstream() != first);
+    REQUIRE(next.terms().only_at_once());
+    busyReply(next);
+    next = f.nextCall();
+    REQUIRE_FALSE(next.terms().only_at_once());
+    // That is no attempt, and no reason in the answer.
+    auto refused = IngressFixture::answerTo(next, proto::NOT_RUN);
+    refused.set_reason(static_cast<std::uint32_t>(Reason::QueueFull));
+    f.give(hostOf(next), refused);
+    f.give(hostOf(f.nextCall()), [&] {
+        auto out = IngressFixture::answerTo(next, proto::NOT_RUN);
+        out.set_number(next.number() + 1);
+        out.set_reason(static_cast<std::uint32_t>(Reason::QueueFull));
+        return out;
+    }());
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.reply->status == 503);
+}
+
+TEST_CASE("A busy upstream that is still the best choice is not asked twice", "[node]")
+{
+    RouteFixture f;
+    const auto first = f.routed("/pay/x");
+    for (const std::string it : { "u1", "u2" }) {
+        if (it != first.upstream())
+            f.tellSlow(it, 16);
+    }
+    auto busy = IngressFixture::answerTo(first, proto::NOT_RUN);
+    busy.set_reason(static_cast<std::uint32_t>(Reason::Busy));
+    f.give(hostOf(first), busy);
+    const auto next = f.nextCall();
+    REQUIRE(next.upstream() == first.upstream());
+    REQUIRE_FALSE(next.terms().only_at_once());
+}
+
+TEST_CASE("A second attempt that a busy owner didn't run costs no retry", "[node]")
+{
+    RouteFixture f;
+    const auto first = f.routed("/read/x");
+    const auto saved = f.ingress.routers().at("s")->savedRetries();
+    f.pass(50ms);
+    f.tellSlow(first.upstream(), 8);
+    const auto second = f.calls();
+    REQUIRE(second.size() == 1);
+    REQUIRE(f.ingress.routers().at("s")->savedRetries() == Approx(saved - 1));
+    auto busy = IngressFixture::answerTo(second.front(), proto::NOT_RUN);
+    busy.set_reason(static_cast<std::uint32_t>(Reason::Busy));
+    f.give(hostOf(second.front()), busy);
+    REQUIRE(f.ingress.routers().at("s")->savedRetries() == Approx(saved));
+    f.answer(first, 1);
+    REQUIRE(f.reply->body == "body");
+}
+
+TEST_CASE("A call that waits for a link goes elsewhere when the upstream is taken away", "[node]")
+{
+    RouteFixture f;
+    f.isReachable = false;
+    f.whenNot = SendResult::Connecting;
+    f.reply.reset();
+    f.caller->send(
+        { "GET", "/read/x", { { "Host", "a.example" }, { "Robinrun-Credential", support::secret } }, {} }, 9s,
+        [&](auto result) { f.reply = result.value(); });
+    REQUIRE(runUntil(f.base.get(), [&] { return f.ingress.inProgress() == 1; }));
+    std::vector<proto::Resource> kept;
+    for (const auto& [name, it] : f.config.resources()) {
+        if (!it.has_upstream())
+            kept.push_back(it);
+    }
+    f.context.directory.rebuild(kept);
+    f.ingress.configure(f.now);
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.reply->status == 503);
+}
