--- a/src/Mesh/FollowShare.cpp
+++ b/src/Mesh/FollowShare.cpp
@@ -3,6 +3,12 @@
 #include "Core/Hash.h"
 
 namespace robinrun {
+namespace {
+
+    /// Counts each node that was heard, whether it follows or not.
+    constexpr auto isAlive = [](const auto&) { return true; };
+
+} // namespace
 
 FollowShare::FollowShare(const std::string& self, Options options)
     : m_options(options)
@@ -29,15 +35,15 @@
     return countBefore(now, [](const Heard& it) { return it.isFollowing; }) >= m_options.enough;
 }
 
-bool FollowShare::mayLag(Instant now) const
+Duration FollowShare::takeOverDelay(Instant now) const
 {
-    return countBefore(now, [](const Heard&) { return true; }) >= m_options.enough;
+    const auto before = countBefore(now, isAlive);
+    return static_cast<std::int64_t>(before / m_options.enough) * m_options.stagger;
 }
 
-Duration FollowShare::takeOverDelay(Instant now) const
+bool FollowShare::mayLag(Instant now) const
 {
-    const auto before = countBefore(now, [](const Heard&) { return true; });
-    return static_cast<std::int64_t>(before / m_options.enough) * m_options.stagger;
+    return countBefore(now, isAlive) >= m_options.enough;
 }
 
 } // namespace robinrun
--- a/src/Mesh/FollowShare.h
+++ b/src/Mesh/FollowShare.h
@@ -14,8 +14,8 @@
 ///
 /// Each call to the store has its price, and what one node reads its peers hear of within milliseconds. So a
 /// node rests while it hears regularly of enough nodes that follow and that go before it by a hash of their
-/// addresses. Nobody elects anybody: a node that hears of too few, for whatever reason, follows. With a
-/// contacts heard by each node, about `enough` of a nodes follow.
+/// addresses. Nobody elects anybody: a node that hears of too few, for whatever reason, follows. Where
+/// each node hears c contacts, about `enough` of each c nodes follow.
 /// Cost: O(peers heard); about 100 bytes each.
 class FollowShare {
 public:
--- a/src/Mesh/Gossip.cpp
+++ b/src/Mesh/Gossip.cpp
@@ -21,11 +21,9 @@
 
 void Gossip::publish(const proto::NodeRecord& own, Instant now)
 {
-    for (const auto& it : m_registry->contactsOf(m_self, m_options.contacts)) {
-        proto::PeerMessage message;
-        *message.mutable_node_records()->add_records() = own;
-        m_send(m_registry->find(it)->peer_address(), message, now);
-    }
+    proto::PeerMessage message;
+    *message.mutable_node_records()->add_records() = own;
+    sendToContacts(message, now);
 }
 
 void Gossip::flush(Random& random, Instant now)
@@ -49,11 +47,17 @@
 }
 
 void Gossip::tellContacts(const proto::NodeContact& contact, Instant now)
+{
+    proto::PeerMessage message;
+    *message.mutable_node_contact() = contact;
+    sendToContacts(message, now);
+}
+
+void Gossip::sendToContacts(const proto::PeerMessage& message, Instant now)
 {
     for (const auto& it : m_registry->contactsOf(m_self, m_options.contacts)) {
-        proto::PeerMessage message;
-        *message.mutable_node_contact() = contact;
-        m_send(m_registry->find(it)->peer_address(), message, now);
+        auto copy = message; // the sender's fields are added to it
+        m_send(m_registry->find(it)->peer_address(), copy, now);
     }
 }
 
--- a/src/Mesh/Gossip.h
+++ b/src/Mesh/Gossip.h
@@ -48,8 +48,9 @@
     /// \brief Tells all contacts \a contact.
     void tellContacts(const proto::NodeContact& contact, Instant now);
 
-    /// \brief A peer says what it knows. Asks for it if that is something else; of a life of a peer that is
-    /// new (\a isNew), at once.
+    /// \brief A peer tells the digest of all that it knows. Asks for the buckets that differ if \a digest is
+    /// another one than the own: at once if this life of the peer is new here (\a isNew), else at most once
+    /// each Options::repairEvery.
     void heardDigest(std::uint64_t digest, bool isNew, const Reply& reply, Instant now);
 
     /// \brief A peer asks for the buckets that differ from its own.
@@ -65,6 +66,8 @@
         std::string from;
     };
 
+    void sendToContacts(const proto::PeerMessage& message, Instant now);
+
     const NodeRegistry* m_registry;
     std::string m_self;
     Options m_options;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -3,6 +3,9 @@
 #include "Core/Log.h"
 #include "Http/HttpStatus.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace robinrun {
 namespace {
 
@@ -18,6 +21,7 @@
     /// Reads of the nodes' topic a second, by all nodes together: peers tell each other of themselves at
     /// once, the store is for those that they don't reach.
     constexpr double nodesReadsPerSecond = 1;
+    /// Between two reads by one node; few nodes would read without need otherwise.
     constexpr Duration leastNodesPause = 3s;
     /// Where others that live try the store often, the rest try it this seldom while it is away.
     constexpr Duration retryOften = 1s;
@@ -196,6 +200,7 @@
         return nodesAfterWrite;
     const auto nodes = static_cast<double>(m_registry.nodes().size());
     const auto mean = std::max(toSeconds(leastNodesPause), nodes / nodesReadsPerSecond);
+    // From half of the mean to one and a half: nodes that start together don't go on to read together.
     return fromSeconds(mean * (0.5 + m_context.random.unit()));
 }
 
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -103,7 +103,9 @@
     /// \brief Contacts that could not be reached for long are marked gone, here, at the peers and in the
     /// store. One that lives after all says so when it hears of it.
     void forgetLost(Instant now);
+    /// \brief Passes on in a moment what the gossip has kept for that.
     void relaySoon();
+    /// \returns what answers \a sender along the link that its message came by.
     Gossip::Reply replyTo(const PeerSocket::Sender& sender, Instant now);
     /// \returns how long to wait until the nodes' topic is read again.
     Duration nodesPause();
@@ -141,9 +143,9 @@
     bool m_hasReadConfiguration = false;
     bool m_hasReadNodesSince = false; ///< since this life's record was written first
     bool m_isStopping = false;
-    std::map<std::string, Instant>
-        m_reached; ///< when a contact was last, by address; since it is one at first
-    std::vector<std::unique_ptr<RecordWriter>> m_forgotten; ///< take away the records of lost nodes
+    /// When a contact was last reached, by address; for one never reached, when it was first tried.
+    std::map<std::string, Instant> m_reached;
+    std::vector<std::unique_ptr<RecordWriter>> m_forgotten; ///< they take away the records of lost nodes
     std::set<std::string> m_lostPeers; ///< addresses of links that have ended and were not heard since
     Instant m_adopted {}; ///< when the configuration in force was
     Instant m_nextContact {};
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -2,6 +2,8 @@
 #include "Mesh/MeshNode.h"
 #include "Node/OwnerMessages.h"
 
+#include <utility>
+
 /// \file What a mesh node hears from its peers and the store, and tells them.
 
 namespace robinrun {
