--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -155,8 +155,6 @@
         const auto result = sendTo(id, call, *upstream, now);
         if (result == SendResult::Sent)
             return;
-        if (result != SendResult::Connecting)
-            call.awaitedLink.clear();
         if (result == SendResult::Connecting) {
             if (awaitsLink(call, *upstream, now))
                 return tryAgainSoon(id, call);
@@ -332,8 +330,10 @@
 SendResult Ingress::sendTo(CallId id, Call& call, const std::string& upstream, Instant now)
 {
     const auto* info = upstreamOf(call.request.service, upstream);
-    if (!info)
+    if (!info) {
+        call.awaitedLink.clear();
         return SendResult::Unreachable;
+    }
     auto& router = *m_routers.at(call.request.service);
     const auto number = ++m_lastNumber;
     const auto elsewhere = router.sent(upstream, call.request.groupNumber);
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -150,6 +150,8 @@
     bool mayTryAgain(Call& call);
     /// \brief Gives back what mayTryAgain() has spent.
     void takeBackRetry(Call& call);
+    /// \brief Charges the services that a run of \a call calls in turn with \a times the calls it makes
+    /// there.
     void chargeNested(const Call& call, double times);
     bool mayMoveOn(Call& call, const proto::Answer& answer);
     /// \brief A backend server's whole answer: the caller gets it, unless it is an error and another attempt
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -68,8 +68,8 @@
         router.measuredWork(callClass, held, attempt.slowdown);
         // Time in the owner's queue was no work.
         const double ran = toSeconds(held) / std::max(toSeconds(now - attempt.sent), toSeconds(held));
-        const auto work = router.workClockOf(attempt.upstream, now) - attempt.workClock;
-        router.ranWork(callClass, fromSeconds(toSeconds(work) * std::min(ran, 1.0)));
+        const double work = toSeconds(workDone(call, attempt, now));
+        router.ranWork(callClass, fromSeconds(work * std::min(ran, 1.0)));
         NestedCalls::Counts nested;
         for (const auto& it : answer.nested())
             nested[it.service()] = it.calls();
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -1,6 +1,8 @@
 #include "Node/Ingress.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 /// \file Second attempts: when one is worth it, and what it costs the budgets of retries.
 
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -95,8 +95,8 @@
         bool isRunning = false;
         bool isRepeatable = true;
         bool isByRoute = false;
-        std::map<std::string, std::uint32_t>
-            nested; ///< calls that the backend server made for it, by service
+        /// Calls that the backend server made for it, by service.
+        std::map<std::string, std::uint32_t> nested;
         RequestTrail trail;
         HttpPool* pool = nullptr; ///< while running
         std::uint64_t request = 0; ///< its number there
@@ -173,8 +173,8 @@
     std::unordered_map<std::string, Ingress> m_ingresses; ///< by node; told when this upstream leaves
     Ewma m_errors;
     Interner m_classNumbers;
-    std::unordered_multimap<std::string, std::uint64_t>
-        m_runningRequests; ///< ids here, by their callers' ids
+    /// Ids here of the calls that run, by their callers' ids.
+    std::unordered_multimap<std::string, std::uint64_t> m_runningRequests;
 };
 
 } // namespace robinrun
--- a/src/Routing/WorkClock.h
+++ b/src/Routing/WorkClock.h
@@ -22,12 +22,11 @@
     {
         m_done = read(now);
         m_at = now;
-        const bool wasSlow = m_slowdown >= slowFrom;
+        const bool wasSlow = isSlow();
         m_slowdown = slowdown < 1 ? 1 : slowdown;
-        const bool isSlow = m_slowdown >= slowFrom;
-        if (isSlow && !wasSlow)
+        if (isSlow() && !wasSlow)
             m_slowSince = now;
-        if (!wasSlow || isSlow)
+        if (!wasSlow || isSlow())
             return std::nullopt;
         return now - m_slowSince;
     }
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -59,8 +59,8 @@
         Duration heartbeat {}; ///< on links; two that stay out end one
         Duration longestReconnect {};
         std::uint64_t contacts = 0; ///< peers that are told of changes at once
-        std::uint64_t followers
-            = 0; ///< nodes that a node must hear follow the configuration to leave it to them
+        /// A node that hears so many others follow the configuration leaves it to them.
+        std::uint64_t followers = 0;
         Duration contactEvery {};
         Duration forgetAfter {}; ///< a contact that could not be reached for so long is taken for gone
     } peers;
