--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -1,6 +1,9 @@
 #include "soak/FaultPlan.h"
 
 #include <csignal>
+#include <iterator>
+#include <string_view>
+#include <utility>
 
 namespace robinrun::soak {
 namespace {
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -6,6 +6,8 @@
 #include "Node/Timer.h"
 #include "soak/SoakSite.h"
 
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -14,11 +14,6 @@
         return request.method == "GET";
     }
 
-    std::string headerOf(const HttpHeaders& headers, const char* name)
-    {
-        return std::string(findHeader(headers, name).value_or(""));
-    }
-
 } // namespace
 
 void Ledger::sent(const std::string& id, const HttpRequest& request, std::size_t node)
@@ -86,6 +81,12 @@
         + " ms after its leave was acknowledged: " + id + " at " + upstream);
 }
 
+std::uint64_t Ledger::seenVersion(const std::string& life) const
+{
+    const auto it = m_versions.find(life);
+    return it == m_versions.end() ? 0 : it->second;
+}
+
 void Ledger::sawVersion(const std::string& life, std::uint64_t version, std::uint64_t before)
 {
     if (version < before)
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -5,14 +5,20 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace robinrun::soak {
 
+/// \returns the value of the header field \a name; "" if there is none.
+inline std::string headerOf(const HttpHeaders& headers, const char* name)
+{
+    return std::string(findHeader(headers, name).value_or(""));
+}
+
 /// \brief All that callers and backend servers have seen, and the promises that it must keep.
 ///
 /// A broken promise is kept as a sentence with the request's id, to be looked up in the nodes' logs.
@@ -26,6 +32,7 @@
 
     /// \brief The caller has its end: an answer, or none whose error is \a error.
     void answered(const std::string& id, const HttpReply& reply);
+    /// \param isCalm whether nothing was harmed, so that an answer was due.
     void failed(const std::string& id, HttpErrorKind error, bool isCalm);
 
     /// \brief A request came to \a upstream so long after its node had acknowledged that it leaves.
@@ -35,12 +42,13 @@
     void allow(const std::string& service) { m_allowed.insert(service); }
 
     /// \returns the newest version that was seen in force in \a life of a node; 0 if none was.
-    std::uint64_t seenVersion(const std::string& life) { return m_versions[life]; }
+    std::uint64_t seenVersion(const std::string& life) const;
 
     /// \brief A request showed that \a version is in force in \a life of a node; when it was sent, \a before
     /// had been seen there.
     void sawVersion(const std::string& life, std::uint64_t version, std::uint64_t before);
 
+    /// \brief Keeps the sentence \a promise, which says what was broken.
     void broken(std::string promise) { m_broken.push_back(std::move(promise)); }
     const std::vector<std::string>& brokenPromises() const { return m_broken; }
 
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -24,11 +24,6 @@
         return options;
     }
 
-    std::string headerOf(const HttpRequest& request, const char* name)
-    {
-        return std::string(findHeader(request.headers, name).value_or(""));
-    }
-
 } // namespace
 
 SoakBackend::SoakBackend(event_base* base, Options options, Ledger& ledger)
@@ -108,10 +103,10 @@
 void SoakBackend::take(std::unique_ptr<HttpExchange> exchange)
 {
     const auto& request = exchange->request();
-    const auto id = headerOf(request, "X-Robinrun-Request-Id");
+    const auto id = headerOf(request.headers, "X-Robinrun-Request-Id");
     if (request.target == "/healthz")
         return exchange->reply({ m_isLeaving ? unavailable : ok, loadHeaders(id), "" });
-    if (headerOf(request, "X-Robinrun-Target-Instance") != m_upstream)
+    if (headerOf(request.headers, "X-Robinrun-Target-Instance") != m_upstream)
         return exchange->reply({ misdirected, loadHeaders(id), "" });
     if (m_isFull || m_running >= m_options.slots) {
         auto headers = loadHeaders(id);
@@ -133,7 +128,7 @@
     m_work.emplace_back(
         number, Timer::once(m_base, fromSeconds(toSeconds(m_options.work) * m_slowdown), [=, this] {
             --m_running;
-            const auto id = headerOf(held->request(), "X-Robinrun-Request-Id");
+            const auto id = headerOf(held->request().headers, "X-Robinrun-Request-Id");
             auto headers = loadHeaders(id);
             headers.emplace_back("X-Robinrun-Server-Signature", "s." + m_upstream);
             held->reply({ ok, headers, Ledger::bodyFor(id, m_upstream) });
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace robinrun::soak {
@@ -42,7 +43,6 @@
     void setFull(bool isFull) { m_isFull = isFull; }
 
     bool isRunning() const { return m_server != nullptr; }
-    bool isLeaving() const { return m_isLeaving; }
     const std::string& upstream() const { return m_upstream; }
 
 private:
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -1,5 +1,6 @@
 #include "soak/SoakSite.h"
 
+#include "Http/HttpStatus.h"
 #include "support/Loopback.h"
 
 #include <csignal>
@@ -17,7 +18,12 @@
     constexpr Duration readinessEvery = 500ms;
     constexpr Duration probeEvery = 300ms;
     constexpr Duration readinessTimeout = 400ms;
+    /// Drain timeout (4 s) and lame duck (0.6 s) of the settings below, and some time to spare.
+    constexpr Duration endsWithin = 6s;
+    /// A killed process is waited for, so that its ports are free.
+    constexpr Duration untilReaped = 100ms;
     constexpr double shareOfWrites = 0.4;
+    /// Two values of a setting that a reload may change; both leave the log whole.
     constexpr int fewLines = 2000;
     constexpr int manyLines = 3000;
 
@@ -29,6 +35,12 @@
         return options;
     }
 
+    /// \returns the service that runs the calls of the route "/which/" by configuration \a version.
+    std::string serviceOfWhich(std::uint64_t version)
+    {
+        return version % 2 ? "other" : "shop";
+    }
+
     /// \brief A configuration in the words of the users' platform.
     std::string configuration(std::uint64_t version)
     {
@@ -38,7 +50,7 @@
                 + R"(","timeout_ms":2000,"target_latency_ms":1000,"priority":1,"service":")" + service
                 + R"(","attempts":2}},)";
         };
-        const std::string which = version % 2 ? "other" : "shop";
+        const auto which = serviceOfWhich(version);
         return R"({"version":"r)" + std::to_string(version) + R"(","base_version":"r0","resources":[)"
             + route("read", "shop", "idempotent") + route("buy", "shop", "non_idempotent")
             + route("which", which, "idempotent") + route("v" + std::to_string(version), which, "idempotent")
@@ -128,7 +140,6 @@
         return;
     ++host.life;
     host.isStopping = false;
-    host.isPaused = false;
     host.node = ChildProcess(
         { m_options.program, "--settings", host.settingsFile }, m_options.folder + "/" + host.name + ".log");
     host.keptConnections = std::make_unique<HttpPool>(m_base, callerOptions(host.callers));
@@ -139,11 +150,11 @@
     if (std::exchange(host.isStopping, true))
         return;
     host.node.signal(SIGTERM);
-    host.restart = Timer::once(m_base, pause + 6s, [this, &host] {
+    host.restart = Timer::once(m_base, pause + endsWithin, [this, &host] {
         if (host.node.isRunning() && m_isCalm)
             m_ledger.broken("a node that was asked to end while nothing was wrong still runs: " + host.name);
         host.node.signal(SIGKILL);
-        host.restart = Timer::once(m_base, 100ms, [this, &host] { startNode(host); });
+        host.restart = Timer::once(m_base, untilReaped, [this, &host] { startNode(host); });
     });
 }
 
@@ -157,7 +168,7 @@
 void SoakSite::changeConfiguration()
 {
     ++m_version;
-    m_ledger.allow(m_version % 2 ? "other" : "shop");
+    m_ledger.allow(serviceOfWhich(m_version));
     m_store.put("keyed.op", "config", configuration(m_version));
 }
 
@@ -183,7 +194,7 @@
     auto pool = std::make_shared<HttpPool>(m_base, callerOptions(host.readiness));
     pool->send({ "GET", "/readyz", {}, "" }, readinessTimeout,
         [&host, pool](const Result<HttpReply, HttpError>& reply) mutable {
-            host.isReady = reply && reply.value().status == 200;
+            host.isReady = reply && reply.value().status == httpStatus::ok;
         });
 }
 
@@ -217,16 +228,15 @@
             if (!reply)
                 return m_ledger.failed(id, reply.error().kind, m_isCalm && wasReady);
             m_ledger.answered(id, reply.value());
-            if (isProbe && reply.value().status == 200 && lifeOf(host) == life)
+            if (isProbe && reply.value().status == httpStatus::ok && lifeOf(host) == life)
                 m_ledger.sawVersion(life, version, seen);
         });
 }
 
 bool SoakSite::isAllInForce() const
 {
-    auto& ledger = const_cast<Ledger&>(m_ledger);
     for (const auto& it : m_hosts) {
-        if (!it->isReady || ledger.seenVersion(lifeOf(*it)) < m_version)
+        if (!it->isReady || m_ledger.seenVersion(lifeOf(*it)) < m_version)
             return false;
     }
     return true;
--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -41,7 +41,6 @@
         ChildProcess node;
         std::uint64_t life = 0;
         bool isStopping = false; ///< was asked to end
-        bool isPaused = false;
         bool isReady = false; ///< as it last said
         Timer restart;
         std::unique_ptr<HttpPool> keptConnections; ///< of its callers; used until the process is gone
--- a/test/soak/soak-main.cpp
+++ b/test/soak/soak-main.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <functional>
 #include <getopt.h>
 #include <iostream>
 #include <string>
