--- a/test/PeerSocketTest.cpp
+++ b/test/PeerSocketTest.cpp
@@ -40,9 +40,8 @@
     void send(PeerSocket& from, proto::PeerMessage message, Instant now)
     {
         const auto before = received;
-        REQUIRE(runUntil(base.get(), [&] {
-            return from.send(address, message, now) == SendResult::Sent || received > before;
-        }));
+        REQUIRE(runUntil(base.get(),
+            [&] { return from.send(address, message, now) == SendResult::Sent || received > before; }));
         REQUIRE(runUntil(base.get(), [&] { return received > before; }));
     }
 };
