--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -2,6 +2,8 @@
 #include "Mesh/MeshNode.h"
 #include "Node/OwnerMessages.h"
 
+#include <utility>
+
 /// \file What a mesh node hears from its peers and the store, and tells them.
 
 namespace robinrun {
@@ -227,7 +229,9 @@
         return;
     proto::PeerMessage message;
     message.mutable_config_request()->set_newer_than(m_config.version());
-    m_peers->send(*address, message, now);
+    // Over a link that is just being opened it is sent with the next tick.
+    if (m_peers->send(*address, message, now) != SendResult::Connecting)
+        m_pulls.asked(*address, now);
 }
 
 } // namespace robinrun
--- a/src/Mesh/PullPlan.cpp
+++ b/src/Mesh/PullPlan.cpp
@@ -1,7 +1,5 @@
 #include "Mesh/PullPlan.h"
 
-#include <utility>
-
 namespace robinrun {
 
 void PullPlan::heard(const std::string& address, std::uint64_t version, bool isNear, Instant now)
@@ -29,7 +27,7 @@
     m_askedUntil = {};
 }
 
-std::optional<std::string> PullPlan::due(bool readsStore, Instant now)
+std::optional<std::string> PullPlan::due(bool readsStore, Instant now) const
 {
     if (m_version == 0 || now < m_askedUntil)
         return std::nullopt;
@@ -38,12 +36,17 @@
     const bool isNear = !m_near.empty();
     if (waited < toStore + (isNear ? Duration::zero() : m_options.nearFirst))
         return std::nullopt;
-    auto& chosen = isNear ? m_near : m_far;
-    if (chosen.empty())
-        return std::nullopt;
+    const auto& chosen = isNear ? m_near : m_far;
+    return chosen.empty() ? std::nullopt : std::optional(chosen);
+}
+
+void PullPlan::asked(const std::string& address, Instant now)
+{
     m_askedUntil = now + m_options.patience;
-    // If it doesn't answer, the next one that says it has it is asked.
-    return std::exchange(chosen, {});
+    if (m_near == address)
+        m_near.clear();
+    if (m_far == address)
+        m_far.clear();
 }
 
 } // namespace robinrun
--- a/src/Mesh/PullPlan.h
+++ b/src/Mesh/PullPlan.h
@@ -34,8 +34,11 @@
     void got(std::uint64_t version);
 
     /// \param readsStore whether this node waits for news at the store itself.
-    /// \returns the address of the peer to ask now; each is returned once for each time it is to be asked.
-    std::optional<std::string> due(bool readsStore, Instant now);
+    /// \returns the address of the peer to ask now, until asked() tells that it was.
+    std::optional<std::string> due(bool readsStore, Instant now) const;
+
+    /// \brief The peer at \a address was asked. If it doesn't answer, the next one that has it is asked.
+    void asked(const std::string& address, Instant now);
 
 private:
     Options m_options;
--- a/test/GossipTest.cpp
+++ b/test/GossipTest.cpp
@@ -257,11 +257,14 @@
     REQUIRE_FALSE(plan.due(false, now));
     plan.heard("near-1", 5, true, now);
     REQUIRE(plan.due(false, now) == "near-1");
+    REQUIRE(plan.due(false, now) == "near-1"); // the link to it is still being opened
+    plan.asked("near-1", now);
     // Sixteen contacts that all have it cost one copy.
     for (int i = 0; i < 16; ++i)
         plan.heard("near-" + std::to_string(i), 5, true, now);
     REQUIRE_FALSE(plan.due(false, now + options.patience / 2));
     REQUIRE(plan.due(false, now + options.patience) == "near-15");
+    plan.asked("near-15", now + options.patience);
     plan.got(5);
     REQUIRE_FALSE(plan.due(false, now + 1h));
 
@@ -269,6 +272,7 @@
     plan.heard("far-1", 6, false, now);
     REQUIRE_FALSE(plan.due(true, now + options.nearFirst));
     REQUIRE(plan.due(true, now + options.storeFirst + options.nearFirst) == "far-1");
+    plan.asked("far-1", now + options.storeFirst + options.nearFirst);
     plan.heard("far-2", 7, false, now); // newer still
     plan.got(6);
     REQUIRE(plan.due(false, now + options.patience * 2) == "far-2");
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -1,5 +1,6 @@
 #include "soak/SoakSite.h"
 
+#include "Http/HttpStatus.h"
 #include "support/Loopback.h"
 
 #include <csignal>
@@ -23,6 +24,7 @@
     constexpr Duration probeEvery = 300ms;
     constexpr Duration readinessTimeout = 400ms;
     constexpr double shareOfWrites = 0.4;
+    /// Two values of a setting that a reload may change; both leave the log whole.
     constexpr int fewLines = 2000;
     constexpr int manyLines = 3000;
 
@@ -34,6 +36,12 @@
         return options;
     }
 
+    /// \returns the service that runs the calls of the route "/which/" by configuration \a version.
+    std::string serviceOfWhich(std::uint64_t version)
+    {
+        return version % 2 ? "other" : "shop";
+    }
+
     /// \brief A configuration in the words of the users' platform.
     std::string configuration(std::uint64_t version)
     {
@@ -43,7 +51,7 @@
                 + R"(","timeout_ms":2000,"target_latency_ms":1000,"priority":1,"service":")" + service
                 + R"(","attempts":2}},)";
         };
-        const std::string which = version % 2 ? "other" : "shop";
+        const auto which = serviceOfWhich(version);
         return R"({"version":"r)" + std::to_string(version) + R"(","base_version":"r0","resources":[)"
             + route("read", "shop", "idempotent") + route("buy", "shop", "non_idempotent")
             + route("which", which, "idempotent") + route("v" + std::to_string(version), which, "idempotent")
@@ -133,7 +141,6 @@
         return;
     ++host.life;
     host.isStopping = false;
-    host.isPaused = false;
     host.node = ChildProcess(
         { m_options.program, "--settings", host.settingsFile }, m_options.folder + "/" + host.name + ".log");
     host.keptConnections = std::make_unique<HttpPool>(m_base, callerOptions(host.callers));
@@ -165,7 +172,7 @@
 void SoakSite::changeConfiguration()
 {
     ++m_version;
-    m_ledger.allow(m_version % 2 ? "other" : "shop");
+    m_ledger.allow(serviceOfWhich(m_version));
     m_store.put("keyed.op", "config", configuration(m_version));
 }
 
@@ -191,7 +198,7 @@
     auto pool = std::make_shared<HttpPool>(m_base, callerOptions(host.readiness));
     pool->send({ "GET", "/readyz", {}, "" }, readinessTimeout,
         [&host, pool](const Result<HttpReply, HttpError>& reply) mutable {
-            host.isReady = reply && reply.value().status == 200;
+            host.isReady = reply && reply.value().status == httpStatus::ok;
         });
 }
 
@@ -225,16 +232,15 @@
             if (!reply)
                 return m_ledger.failed(id, reply.error().kind, m_isCalm && wasReady);
             m_ledger.answered(id, reply.value());
-            if (isProbe && reply.value().status == 200 && lifeOf(host) == life)
+            if (isProbe && reply.value().status == httpStatus::ok && lifeOf(host) == life)
                 m_ledger.sawVersion(life, version, seen);
         });
 }
 
 bool SoakSite::isAllInForce() const
 {
-    auto& ledger = const_cast<Ledger&>(m_ledger);
     for (const auto& it : m_hosts) {
-        if (!it->isReady || ledger.seenVersion(lifeOf(*it)) < m_version)
+        if (!it->isReady || m_ledger.seenVersion(lifeOf(*it)) < m_version)
             return false;
     }
     return true;
