--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -136,6 +136,29 @@
     REQUIRE(f.calls().empty());
 }
 
+TEST_CASE("Where a second attempt would be in time, none is made if the first is, too", "[node]")
+{
+    RouteFixture f;
+    const auto halfDone = f.routed("/read/x");
+    f.pass(120ms);
+    f.tellSlow(halfDone.upstream(), 2);
+    REQUIRE(f.calls().empty());
+}
+
+TEST_CASE("Where only a second attempt would be in time, a call that must not repeat gets none", "[node]")
+{
+    RouteFixture f;
+    for (int i = 0; i < 8; ++i) { // so that the work of the class is known
+        const auto learnt = f.routed("/pay/x");
+        f.pass(200ms);
+        f.answer(learnt, 1);
+    }
+    const auto call = f.routed("/pay/x");
+    f.pass(50ms);
+    f.tellSlow(call.upstream(), 8);
+    REQUIRE(f.calls().empty());
+}
+
 TEST_CASE("A retry is paid for at the services that its run calls, too", "[node]")
 {
     RouteFixture f;
