A node that was no contact for a while is not taken for gone when it is one again

A contact again after forget_after, its link had to be opened, and before that the old time was judged. ContactReach forgets those that are no contacts now. Test: GossipTest.

--- /dev/null
+++ b/src/Mesh/ContactReach.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Core/Time.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief Remembers when each contact was last reached, and tells which were not for long.
+///
+/// A node that was no contact for a while begins anew: that it was not tried is no sign that it is gone.
+/// Cost: O(contacts log contacts).
+class ContactReach {
+public:
+    /// \param forgetAfter a contact that was tried and not reached for longer is lost.
+    explicit ContactReach(Duration forgetAfter)
+        : m_forgetAfter(forgetAfter)
+    {
+    }
+
+    /// \brief A message to the contact at \a address went out.
+    void reached(const std::string& address, Instant now) { m_reached[address] = now; }
+
+    /// \brief To be called with each round of contact, with the addresses of all contacts that were tried.
+    /// \returns those that are lost; each once.
+    std::vector<std::string> takeLost(std::span<const std::string> contacts, Instant now);
+
+private:
+    Duration m_forgetAfter;
+    std::map<std::string, Instant> m_reached; ///< or tried first, by address
+};
+
+} // namespace robinrun
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -47,6 +47,7 @@
               sendToContact(address, message, now);
           })
     , m_share(m_context.settings.listen.peers, { m_context.settings.peers.followers })
+    , m_reach(m_context.settings.peers.forgetAfter)
 {
     const auto& own = m_context.settings;
     m_record.set_node(own.name);
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -5,6 +5,7 @@
 #include "Mesh/AnnouncedUpstream.h"
 #include "Mesh/BackendFinder.h"
 #include "Mesh/ConfigHolder.h"
+#include "Mesh/ContactReach.h"
 #include "Mesh/FollowShare.h"
 #include "Mesh/Gossip.h"
 #include "Mesh/MeshFormats.h"
@@ -22,7 +23,6 @@
 
 #include <cstdint>
 #include <event2/event.h>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -143,8 +143,7 @@
     bool m_hasReadConfiguration = false;
     bool m_hasReadNodesSince = false; ///< since this life's record was written first
     bool m_isStopping = false;
-    /// When a contact was last reached, by address; for one never reached, when it was first tried.
-    std::map<std::string, Instant> m_reached;
+    ContactReach m_reach;
     std::vector<std::unique_ptr<RecordWriter>> m_forgotten; ///< they take away the records of lost nodes
     std::set<std::string> m_lostPeers; ///< addresses of links that have ended and were not heard since
     Instant m_adopted {}; ///< when the configuration in force was
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -44,26 +44,28 @@
     if (result == SendResult::Connecting)
         m_isContactOpening = true;
     if (result == SendResult::Sent)
-        m_reached[address] = now;
+        m_reach.reached(address, now);
 }
 
 void MeshNode::forgetLost(Instant now)
 {
     const auto& settings = m_context.settings;
+    std::vector<std::string> addresses;
+    std::map<std::string, std::string> nodes; // by address
     for (const auto& it : m_registry.contactsOf(settings.name, settings.peers.contacts)) {
-        auto record = *m_registry.find(it);
-        const auto reached = m_reached.try_emplace(record.peer_address(), now).first;
-        if (now - reached->second <= settings.peers.forgetAfter)
-            continue;
+        addresses.push_back(m_registry.find(it)->peer_address());
+        nodes[addresses.back()] = it;
+    }
+    for (const auto& it : m_reach.takeLost(addresses, now)) {
+        auto record = *m_registry.find(nodes[it]);
         log(LogLevel::Warning, "peer-forgotten",
-            { { "peer", it }, { "unreached_s", toSeconds(now - reached->second) } });
-        m_reached.erase(reached);
+            { { "peer", record.node() }, { "unreached_s", toSeconds(settings.peers.forgetAfter) } });
         record.set_gone(true);
         takeRecord(record, now);
         m_gossip.spread(record, "");
         relaySoon();
         m_forgotten.push_back(
-            std::make_unique<RecordWriter>(m_context.base, *m_store, m_formats.nodesTopic, it));
+            std::make_unique<RecordWriter>(m_context.base, *m_store, m_formats.nodesTopic, record.node()));
         m_forgotten.back()->set("");
     }
     std::erase_if(m_forgotten, [](const auto& it) { return it->isWritten(); });
--- a/test/GossipTest.cpp
+++ b/test/GossipTest.cpp
@@ -1,4 +1,5 @@
 #include "Mesh/Gossip.h"
+#include "Mesh/ContactReach.h"
 #include "Mesh/FollowShare.h"
 #include "Mesh/PullPlan.h"
 
@@ -277,3 +278,21 @@
     plan.got(6);
     REQUIRE(plan.due(false, now + options.patience * 2) == "far-2");
 }
+
+TEST_CASE("A contact is lost only after it was tried for long and never reached", "[gossip]")
+{
+    ContactReach reach(1h);
+    const std::vector<std::string> both { "a", "b" };
+    const std::vector<std::string> onlyB { "b" };
+    Instant now {};
+    REQUIRE(reach.takeLost(both, now).empty());
+    reach.reached("a", now + 30min);
+    REQUIRE(reach.takeLost(both, now + 61min) == onlyB);
+    REQUIRE(reach.takeLost(both, now + 62min).empty()); // told once
+    // "a" was no contact for hours; that it was not tried then says nothing.
+    REQUIRE(reach.takeLost(onlyB, now + 70min).empty());
+    now += 5h;
+    REQUIRE(reach.takeLost(both, now) == onlyB);
+    REQUIRE(reach.takeLost(both, now + 59min).empty());
+    REQUIRE(reach.takeLost(both, now + 2h) == std::vector<std::string> { "a", "b" });
+}
