--- a/bench/decisions/decisions-main.cpp
+++ b/bench/decisions/decisions-main.cpp
@@ -38,7 +38,7 @@
     }
     for (auto _ : state) {
         now += 100us;
-        const auto name = *router.pick({}, 1, now, random);
+        const auto name = *router.pick({}, { 1 }, now, random);
         router.sent(name, 1);
         router.answered(name, 1, exampleReport(random, now), 10ms, false, now);
     }
--- a/bench/policy/PolicyRun.cpp
+++ b/bench/policy/PolicyRun.cpp
@@ -140,7 +140,7 @@
 {
     auto& call = m_calls.at(callId);
     auto& ingress = *m_ingresses[call.ingress];
-    const auto name = ingress.router.pick(call.tried, call.group, m_loop.now(), ingress.random);
+    const auto name = ingress.router.pick(call.tried, { call.group }, m_loop.now(), ingress.random);
     if (!name)
         return finish(callId, call.hasFailed ? End::Failed : End::Refused, {});
     send(callId, m_upstreamByName.at(*name));
@@ -317,7 +317,7 @@
     ingress.router.attemptTimedOut(m_upstreams[m_attempts.at(attemptId).upstream]->name, m_loop.now());
     if (call.attemptsLeft <= 1)
         return;
-    const auto name = ingress.router.pick(call.tried, call.group, m_loop.now(), ingress.random);
+    const auto name = ingress.router.pick(call.tried, { call.group }, m_loop.now(), ingress.random);
     if (!name || !ingress.router.trySpendRetry(call.group))
         return;
     --call.attemptsLeft;
--- a/src/Config/Validator.cpp
+++ b/src/Config/Validator.cpp
@@ -76,6 +76,26 @@
                 "must be 1 to 100000");
         }
 
+        void route(const proto::Route& it)
+        {
+            check(!it.host().empty() && it.host().find_first_of(": /") == std::string::npos, "route.host",
+                "must be a host without a port");
+            check(it.path_prefix().starts_with("/") && it.path_prefix().ends_with("/"), "route.path_prefix",
+                "must start and end with '/'");
+            check(it.split_size() > 0, "route.split", "must name a service");
+            for (int i = 0; i < it.split_size(); ++i) {
+                const auto path = "route.split[" + std::to_string(i) + "]";
+                checkName(it.split(i).service(), path + ".service");
+                const double weight = it.split(i).weight();
+                check(std::isfinite(weight) && weight >= 0, path + ".weight", "must not be negative");
+            }
+            check(proto::OnceMode_IsValid(it.once()), "route.once", "is no known mode");
+            check(it.timeout_ms() > 0, "route.timeout_ms", "must be above 0");
+            check(it.target_latency_ms() <= it.timeout_ms(), "route.target_latency_ms",
+                "must not be above timeout_ms");
+            check(it.attempts() > 0, "route.attempts", "must be above 0");
+        }
+
         void group(const proto::Group& it)
         {
             const auto& hex = it.credential_sha256();
@@ -135,8 +155,12 @@
         checker.check(hasKind(resource, "groups"), "name", "a group is named groups/<id>");
         checker.group(resource.group());
         break;
+    case proto::Resource::kRoute:
+        checker.check(hasKind(resource, "routes"), "name", "a route is named routes/<id>");
+        checker.route(resource.route());
+        break;
     case proto::Resource::BODY_NOT_SET:
-        checker.check(false, "body", "one of service, upstream, group must be set");
+        checker.check(false, "body", "one of service, upstream, group, route must be set");
         break;
     }
     return checker.errors;
--- a/src/Core/Log.cpp
+++ b/src/Core/Log.cpp
@@ -92,12 +92,17 @@
     state().source = source;
     using Sink = bl::sinks::synchronous_sink<bl::sinks::text_ostream_backend>;
     auto backend = boost::make_shared<bl::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     bl::core::get()->remove_all_sinks();
     bl::core::get()->add_sink(boost::make_shared<Sink>(backend));
 }
 
+void setLogLevel(LogLevel level)
+{
+    state().level = level;
+}
+
 bool logs(LogLevel level)
 {
     return level >= state().level;
--- a/src/Core/Log.h
+++ b/src/Core/Log.h
@@ -76,9 +76,12 @@
     }
 };
 
-/// \brief Sets up the sink (standard error) once, at the start of a program.
+/// \brief Sets up the sink (standard output) once, at the start of a program.
 void startLog(LogLevel level, LogFormat format, std::string_view source);
 
+/// \brief Changes the least severity that is written.
+void setLogLevel(LogLevel level);
+
 /// \returns whether records of \a level are written; saves building fields that nobody reads.
 bool logs(LogLevel level);
 
--- a/src/Http/HttpPool.h
+++ b/src/Http/HttpPool.h
@@ -35,6 +35,8 @@
         std::size_t maxReply = 4U << 20U;
         Duration idleTimeout = 30s; ///< kept connections are closed after; less if the server says so
         Duration connectTimeout = 5s;
+        /// A server's host that says nothing for so long is taken for dead (TCP keep-alive); 0: never.
+        Duration deadAfter {};
     };
 
     /// \brief How one request is sent.
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -32,6 +32,21 @@
         return std::min(standard, std::max(Duration(std::chrono::seconds(seconds)) - 1s, Duration::zero()));
     }
 
+    /// \brief Lets the connection end when the other host is silent for \a deadAfter, also while nothing is
+    /// sent.
+    void watchHost(evutil_socket_t fd, Duration deadAfter)
+    {
+        constexpr int probes = 2;
+        const int on = 1;
+        const int interval = std::max(1, static_cast<int>(toSeconds(deadAfter)) / (probes + 1));
+        const int milliseconds = static_cast<int>(toMilliseconds(deadAfter));
+        setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof(interval));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+    }
+
 } // namespace
 
 ClientConnection::ClientConnection(HttpPool& pool, const std::string& ip, std::uint16_t port)
@@ -50,6 +65,8 @@
     bufferevent_socket_connect(m_buffer, reinterpret_cast<sockaddr*>(&at), sizeof(at));
     const int on = 1;
     setsockopt(bufferevent_getfd(m_buffer), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (pool.m_options.deadAfter > Duration::zero())
+        watchHost(bufferevent_getfd(m_buffer), pool.m_options.deadAfter);
 }
 
 ClientConnection::~ClientConnection()
--- /dev/null
+++ b/src/Mesh/AnnouncedUpstream.cpp
@@ -0,0 +1,64 @@
+#include "Mesh/AnnouncedUpstream.h"
+
+#include <utility>
+
+namespace robinrun {
+
+bool AnnouncedUpstream::take(const Announcement& announcement)
+{
+    if (m_former.contains(announcement.upstream))
+        return false;
+    if (!m_current || m_current->upstream != announcement.upstream) {
+        if (announcement.state == AnnouncedState::Gone) {
+            // The last word of a start that was never known: nothing of it may come later.
+            m_former.insert(announcement.upstream);
+            return false;
+        }
+        if (m_current)
+            m_former.insert(m_current->upstream);
+        m_current = announcement;
+        m_isGuess = false;
+        return true;
+    }
+    const bool wasGuess = std::exchange(m_isGuess, false);
+    if (announcement.state == AnnouncedState::Gone) {
+        const bool wasLeaving = isLeaving();
+        m_current->state = AnnouncedState::Gone;
+        return !wasLeaving;
+    }
+    if (announcement.sequence <= m_current->sequence)
+        return false;
+    const bool isNews = m_current->state != announcement.state || m_current->slots != announcement.slots
+        || m_current->address != announcement.address;
+    m_current->sequence = announcement.sequence;
+    if (isLeaving() && !wasGuess)
+        return false;
+    m_current->state = announcement.state;
+    m_current->slots = announcement.slots;
+    m_current->address = announcement.address;
+    return isNews;
+}
+
+bool AnnouncedUpstream::found(const Announcement& guess)
+{
+    if (m_current || m_former.contains(guess.upstream))
+        return false;
+    m_current = guess;
+    m_isGuess = true;
+    return true;
+}
+
+bool AnnouncedUpstream::hasLeftBefore(const std::string& upstream)
+{
+    if (!m_current || m_current->upstream != upstream) {
+        m_former.insert(upstream);
+        return false;
+    }
+    if (isLeaving() && !m_isGuess)
+        return false;
+    m_isGuess = false;
+    m_current->state = AnnouncedState::Draining;
+    return true;
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/BackendFinder.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Http/HttpPool.h"
+#include "Mesh/Announcement.h"
+#include "Node/Prober.h"
+#include "Node/Timer.h"
+
+#include <event2/event.h>
+#include <functional>
+#include <string>
+
+namespace robinrun {
+
+/// \brief Asks the backend server beside a node that has just started which start of it runs, so that the
+/// node need not wait for the next announcement.
+class BackendFinder {
+public:
+    using Found = std::function<void(const Announcement&)>;
+
+    BackendFinder(event_base* base, const std::string& address, Found found);
+
+    /// \brief Asks again and again until something is found or stop().
+    void start(const std::string& healthPath, const CallHeaders& names);
+    void stop();
+    bool isRunning() const { return m_isRunning; }
+
+private:
+    void ask();
+    void heard(const ProbeNews& news);
+
+    event_base* m_base;
+    std::string m_address;
+    Found m_found;
+    Prober m_prober; ///< declared before the pool, whose callbacks refer to it
+    HttpPool m_pool;
+    bool m_isRunning = false;
+    Timer m_again;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/Configuration.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "resources.pb.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief What callers may send, and how long they may take.
+struct CallerLimits {
+    std::size_t maxHeaders = 32U << 10U; ///< bytes
+    std::size_t maxBody = 1U << 20U; ///< bytes
+    Duration headerTimeout = 10s; ///< for a whole request
+    Duration idleTimeout = 60s; ///< between two requests of a connection
+};
+
+/// \brief One version of a configuration that is written as a whole.
+struct Configuration {
+    std::uint64_t version = 0; ///< rises; in uneven steps
+    std::vector<proto::Resource> resources; ///< services and routes
+    CallerLimits limits;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/MeshFormats.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Core/Result.h"
+#include "Http/HttpTypes.h"
+#include "Mesh/Announcement.h"
+#include "Mesh/Configuration.h"
+#include "Node/CallHeaders.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace robinrun {
+
+/// \brief How a deployment writes what a mesh node reads: translations only, nothing that decides.
+struct MeshFormats {
+    CallHeaders headers;
+    std::string configurationTopic; ///< of the store; the configuration is one record in it
+    std::string configurationKey;
+    std::string nodesTopic; ///< of the store; the nodes' own
+    std::string readinessPath;
+    std::string metricsPath;
+    /// \brief Reads a configuration. The error names the field.
+    std::function<Result<Configuration, std::string>(std::string_view text)> readConfiguration;
+    /// \brief Reads an announcement of the backend server beside this node. The error names the field.
+    std::function<Result<Announcement, std::string>(const HttpRequest& request)> readAnnouncement;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/MeshNode.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "Chart/Charts.h"
+#include "Http/HttpServer.h"
+#include "Mesh/AnnouncedUpstream.h"
+#include "Mesh/BackendFinder.h"
+#include "Mesh/ConfigHolder.h"
+#include "Mesh/MeshFormats.h"
+#include "Mesh/NodeRegistry.h"
+#include "Mesh/RecordWriter.h"
+#include "Mesh/TopicFollower.h"
+#include "Node/Ingress.h"
+#include "Node/NodeContext.h"
+#include "Node/Owner.h"
+#include "Node/Timer.h"
+#include "Platform/RecordStore.h"
+#include "Settings/NodeSettings.h"
+#include "Wire/PeerSocket.h"
+
+#include <cstdint>
+#include <event2/event.h>
+#include <memory>
+#include <string>
+
+namespace robinrun {
+
+/// \brief A node where backend servers announce themselves and all nodes meet in a keyed store.
+///
+/// It plays the same parts as Node, ingress and owner, without a host list and without a log of changes: the
+/// configuration is one record of the store, each node writes one record of itself there, and peers tell each
+/// other both, so that a node which the store turns away works on.
+class MeshNode {
+public:
+    /// \brief Binds all sockets and starts. The error is a sentence.
+    static Result<std::unique_ptr<MeshNode>, std::string> start(event_base* base, NodeSettings settings,
+        Charts charts, std::uint64_t incarnation, MeshFormats formats, std::unique_ptr<RecordStore> store);
+    ~MeshNode();
+    MeshNode(const MeshNode&) = delete;
+    MeshNode& operator=(const MeshNode&) = delete;
+
+    /// \brief Begins a planned stop: the node is no longer ready, ends what it has, then ends the loop.
+    void stop();
+
+    /// \brief Takes over the settings that can change in a running node (logs, admission, retries).
+    void reload(const NodeSettings& settings);
+
+    bool isReady() const;
+
+private:
+    MeshNode(event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation,
+        MeshFormats formats, std::unique_ptr<RecordStore> store);
+    Result<void, std::string> bind();
+    Result<void, std::string> bindPeers();
+    Result<void, std::string> bindServers();
+    void startFeeds();
+    void addGauges();
+
+    void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
+    void takeCall(const PeerSocket::Sender& sender, const proto::Call& call, Instant now);
+    void takeRecord(const PeerSocket::Sender& sender, const proto::NodeRecord& record, Instant now);
+    void takeConfigRequest(
+        const PeerSocket::Sender& sender, const proto::ConfigRequest& request, Instant now);
+    void takeStoredNode(const KeyedRecord& record, Instant now);
+    void registryChanged(const proto::NodeRecord& record, bool isNewLife, Instant now);
+
+    void answerReadiness(HttpExchange& exchange);
+    void answerMetrics(HttpExchange& exchange);
+    void takeAnnouncement(HttpExchange& exchange);
+    void upstreamChanged(Instant now);
+
+    void offerConfiguration(std::string_view text, std::string_view source, Instant now);
+    void pullSoon(const std::string& address, std::uint64_t version);
+    void rebuildSoon();
+    void rebuild();
+    void publish(Instant now);
+    void tellContacts(Instant now);
+    void sendRecord(const std::string& address, Instant now);
+
+    void tick();
+    void step(NodeEvent event);
+    void beginLeaving();
+
+    NodeContext m_context;
+    MeshFormats m_formats;
+    NodeState m_state;
+    Instant m_started;
+    std::unique_ptr<RecordStore> m_store;
+    std::unique_ptr<PeerSocket> m_peers;
+    std::unique_ptr<Owner> m_owner;
+    std::unique_ptr<Ingress> m_ingress;
+    std::unique_ptr<HttpServer> m_callers;
+    std::unique_ptr<HttpServer> m_readiness;
+    std::unique_ptr<HttpServer> m_announcements;
+    std::unique_ptr<HttpServer> m_metrics;
+    std::unique_ptr<TopicFollower> m_configFeed;
+    std::unique_ptr<TopicFollower> m_nodesFeed;
+    std::unique_ptr<RecordWriter> m_writer;
+    std::unique_ptr<BackendFinder> m_finder;
+    ConfigHolder m_config;
+    NodeRegistry m_registry;
+    AnnouncedUpstream m_announced;
+    proto::NodeRecord m_record; ///< of this node, as last published
+    bool m_isRebuildPending = false;
+    bool m_isPullPending = false;
+    bool m_isStopping = false;
+    Instant m_nextContact {};
+    Instant m_lastBusy {};
+    Timer m_rebuildTimer;
+    Timer m_pullTimer;
+    Timer m_tickTimer;
+    Timer m_lameDuckTimer;
+    Timer m_drainLimit;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/NodeRegistry.cpp
@@ -0,0 +1,84 @@
+#include "Mesh/NodeRegistry.h"
+
+#include "Core/Hash.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace robinrun {
+namespace {
+
+    auto ageOf(const proto::NodeRecord& record)
+    {
+        return std::make_tuple(record.incarnation(), record.sequence());
+    }
+
+    /// \returns whether routing sees a difference.
+    bool isAlike(const proto::NodeRecord& a, const proto::NodeRecord& b)
+    {
+        return a.incarnation() == b.incarnation() && a.peer_address() == b.peer_address()
+            && a.data_hall() == b.data_hall() && a.service() == b.service() && a.upstream() == b.upstream()
+            && a.slots() == b.slots() && a.leaving() == b.leaving() && a.gone() == b.gone();
+    }
+
+} // namespace
+
+NodeRegistry::Change NodeRegistry::take(const proto::NodeRecord& record)
+{
+    const auto it = m_nodes.find(record.node());
+    if (it == m_nodes.end()) {
+        m_nodes.emplace(record.node(), record);
+        return Change::Changed;
+    }
+    if (ageOf(record) < ageOf(it->second))
+        return Change::None;
+    const bool isSame = isAlike(it->second, record);
+    it->second = record;
+    return isSame ? Change::Refreshed : Change::Changed;
+}
+
+const proto::NodeRecord* NodeRegistry::find(const std::string& node) const
+{
+    const auto it = m_nodes.find(node);
+    return it == m_nodes.end() ? nullptr : &it->second;
+}
+
+std::vector<proto::Resource> NodeRegistry::upstreams() const
+{
+    std::vector<proto::Resource> out;
+    for (const auto& [name, record] : m_nodes) {
+        if (record.upstream().empty() || record.gone())
+            continue;
+        proto::Resource resource;
+        resource.set_name("upstreams/" + record.upstream());
+        auto& upstream = *resource.mutable_upstream();
+        upstream.set_service(record.service());
+        upstream.set_address(record.address());
+        upstream.set_node_address(record.peer_address());
+        upstream.set_host(name);
+        upstream.set_data_hall(record.data_hall());
+        upstream.set_region(record.region());
+        upstream.set_slots(record.slots());
+        upstream.set_leaving(record.leaving());
+        out.push_back(std::move(resource));
+    }
+    return out;
+}
+
+std::vector<std::string> NodeRegistry::contactsOf(const std::string& self, std::size_t n) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto& [name, record] : m_nodes) {
+        if (name == self || record.gone())
+            continue;
+        const auto& [first, second] = std::minmax(self, name);
+        ranked.emplace_back(hash64(first + '\n' + second), name);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < std::min(n, ranked.size()); ++i)
+        out.push_back(std::move(ranked[i].second));
+    return out;
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/NodeRegistry.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "peer.pb.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief What this node knows of all nodes and the upstreams beside them, from the store and from peers.
+///
+/// Of two records of a node the one of the later incarnation counts, then the one with the higher sequence;
+/// so it does not matter by which way and in which order they come. A record says what its node said last,
+/// not that it lives: whether it answers is for the routers to find out.
+/// Cost: O(log nodes); about 300 bytes a node.
+class NodeRegistry {
+public:
+    enum class Change {
+        None, ///< older than what is known, or the same
+        Refreshed, ///< newer, but nothing that routing needs has changed
+        Changed,
+    };
+
+    /// \brief Takes in a record.
+    Change take(const proto::NodeRecord& record);
+
+    const proto::NodeRecord* find(const std::string& node) const;
+    const std::map<std::string, proto::NodeRecord>& nodes() const { return m_nodes; }
+
+    /// \brief The upstreams that may get calls, as resources of the directory.
+    std::vector<proto::Resource> upstreams() const;
+
+    /// \brief Up to \a n peers of \a self, the same pairs seen from both ends as far as the bound allows:
+    /// those whose pair with \a self hashes least. For regular contact that must not grow with the system.
+    std::vector<std::string> contactsOf(const std::string& self, std::size_t n) const;
+
+private:
+    std::map<std::string, proto::NodeRecord> m_nodes;
+};
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/TopicFollower.cpp
@@ -0,0 +1,94 @@
+#include "Mesh/TopicFollower.h"
+
+#include "Core/Log.h"
+
+#include <algorithm>
+
+namespace robinrun {
+namespace {
+
+    /// A waiting read that fails within this time of its start was turned away, not held up.
+    constexpr double leastJitter = 0.5;
+
+} // namespace
+
+TopicFollower::TopicFollower(event_base* base, RecordStore& store, Options options, Handler handler,
+    Standing standing, Random& random)
+    : m_base(base)
+    , m_store(&store)
+    , m_options(std::move(options))
+    , m_handler(std::move(handler))
+    , m_standing(std::move(standing))
+    , m_random(&random)
+{
+}
+
+TopicFollower::~TopicFollower()
+{
+    *m_isAlive = false;
+}
+
+void TopicFollower::readNewest()
+{
+    ++m_calls;
+    m_store->newest(m_options.topic, [this, isAlive = m_isAlive](Result<KeyedPage, PlatformError> page) {
+        if (!*isAlive)
+            return;
+        if (page)
+            m_isCaughtUp = true;
+        took(page);
+    });
+}
+
+void TopicFollower::readOn()
+{
+    ++m_calls;
+    m_store->follow(m_options.topic, m_next, m_options.wait,
+        [this, isAlive = m_isAlive](Result<KeyedPage, PlatformError> page) {
+            if (*isAlive)
+                took(page);
+        });
+}
+
+void TopicFollower::took(const Result<KeyedPage, PlatformError>& page)
+{
+    if (!page)
+        return failed(page.error());
+    m_pause = {};
+    m_next = page.value().next;
+    for (const auto& it : page.value().records)
+        m_handler(it);
+    setConnected(true, "");
+    readOn();
+}
+
+void TopicFollower::failed(const PlatformError& error)
+{
+    if (error.kind == PlatformErrorKind::Forgotten) {
+        log(LogLevel::Info, "topic-forgotten", { { "topic", m_options.topic }, { "from", m_next } });
+        return readNewest();
+    }
+    setConnected(false, std::string(nameOf(error.kind)) + ": " + error.message);
+    m_pause = m_pause > Duration::zero() ? std::min(2 * m_pause, m_options.longestPause) : m_options.firstPause;
+    const double jitter = leastJitter + (1 - leastJitter) * m_random->unit();
+    m_again = Timer::once(m_base, fromSeconds(toSeconds(m_pause) * jitter), [this] {
+        if (m_isCaughtUp)
+            readOn();
+        else
+            readNewest();
+    });
+}
+
+void TopicFollower::setConnected(bool isConnected, const std::string& why)
+{
+    const bool isChanged = m_isConnected != isConnected || (!isConnected && !m_hasToldLost);
+    m_isConnected = isConnected;
+    if (!isChanged)
+        return;
+    m_hasToldLost = !isConnected;
+    log(isConnected ? LogLevel::Info : LogLevel::Warning, isConnected ? "store-reached" : "store-lost",
+        { { "topic", m_options.topic }, { "why", why }, { "next", m_next } });
+    m_standing(isConnected);
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Mesh/TopicFollower.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Core/Random.h"
+#include "Core/Time.h"
+#include "Node/Timer.h"
+#include "Platform/RecordStore.h"
+
+#include <cstdint>
+#include <event2/event.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace robinrun {
+
+/// \brief Keeps up with one keyed topic of the store: first the newest record of each key, then what comes.
+///
+/// Reads wait at the store, so that news comes at once and a quiet topic costs a call each `wait`. Failed
+/// calls are made again after a pause that doubles, with jitter. Cost: one call at a time.
+class TopicFollower {
+public:
+    struct Options {
+        std::string topic;
+        Duration wait = 25s; ///< longest a read waits; the store allows 30 s
+        Duration firstPause = 100ms; ///< after a failure
+        Duration longestPause = 1s; ///< so that a store which is back is noticed in time
+    };
+    using Handler = std::function<void(const KeyedRecord&)>;
+    /// \brief Told when all that was there at the start has been handled, once, and when the store is lost
+    /// and back.
+    using Standing = std::function<void(bool isConnected)>;
+
+    TopicFollower(event_base* base, RecordStore& store, Options options, Handler handler, Standing standing,
+        Random& random);
+    ~TopicFollower();
+    TopicFollower(const TopicFollower&) = delete;
+    TopicFollower& operator=(const TopicFollower&) = delete;
+
+    void start() { readNewest(); }
+
+    /// \returns whether everything that was there at the start has been read.
+    bool isCaughtUp() const { return m_isCaughtUp; }
+    bool isConnected() const { return m_isConnected; }
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    void readNewest();
+    void readOn();
+    void took(const Result<KeyedPage, PlatformError>& page);
+    void failed(const PlatformError& error);
+    void setConnected(bool isConnected, const std::string& why);
+
+    event_base* m_base;
+    RecordStore* m_store;
+    Options m_options;
+    Handler m_handler;
+    Standing m_standing;
+    Random* m_random;
+    std::uint64_t m_next = 0;
+    std::uint64_t m_calls = 0;
+    bool m_isCaughtUp = false;
+    bool m_isConnected = false;
+    bool m_hasToldLost = false;
+    Duration m_pause {};
+    Timer m_again;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace robinrun
--- a/src/Node/CallHeaders.h
+++ b/src/Node/CallHeaders.h
@@ -2,32 +2,50 @@
 
 #include "Http/HttpTypes.h"
 
+#include <string>
 #include <string_view>
 
-namespace robinrun::headers {
+namespace robinrun {
 
 /// \file Header fields between callers, nodes and backend servers. \sa docs/CALLING.md
 
-inline constexpr std::string_view credential = "Robinrun-Credential";
-inline constexpr std::string_view deadline = "Robinrun-Deadline-Ms";
-inline constexpr std::string_view attempts = "Robinrun-Attempts-Left";
-inline constexpr std::string_view group = "Robinrun-Group";
-inline constexpr std::string_view ticket = "Robinrun-Ticket";
-inline constexpr std::string_view key = "Idempotency-Key";
-inline constexpr std::string_view outcome = "Robinrun-Outcome";
-inline constexpr std::string_view reason = "Robinrun-Reason";
-inline constexpr std::string_view advice = "Robinrun-Advice";
-inline constexpr std::string_view retryAfterMs = "Robinrun-Retry-After-Ms";
-inline constexpr std::string_view queuedUs = "Robinrun-Queued-Us";
-/// By which a backend server may say with any answer that it drains.
-inline constexpr std::string_view backendState = "Backend-State";
-
-/// \returns whether a caller's field is for this system and not passed on to the backend server.
-inline bool isForUs(std::string_view name)
-{
-    return equalIgnoringCase(name, credential) || equalIgnoringCase(name, deadline)
-        || equalIgnoringCase(name, attempts) || equalIgnoringCase(name, ticket)
-        || equalIgnoringCase(name, group);
-}
-
-} // namespace robinrun::headers
+namespace headers {
+
+    inline constexpr std::string_view attempts = "Robinrun-Attempts-Left";
+    inline constexpr std::string_view group = "Robinrun-Group";
+    inline constexpr std::string_view ticket = "Robinrun-Ticket";
+    inline constexpr std::string_view key = "Idempotency-Key";
+    inline constexpr std::string_view outcome = "Robinrun-Outcome";
+    inline constexpr std::string_view reason = "Robinrun-Reason";
+    inline constexpr std::string_view advice = "Robinrun-Advice";
+    inline constexpr std::string_view retryAfterMs = "Robinrun-Retry-After-Ms";
+    inline constexpr std::string_view queuedUs = "Robinrun-Queued-Us";
+    /// By which a backend server may say with any answer that it drains.
+    inline constexpr std::string_view backendState = "Backend-State";
+
+} // namespace headers
+
+/// \brief The names of the fields that a deployment may call otherwise. Those given here are robinrun's own.
+struct CallHeaders {
+    std::string credential = "Robinrun-Credential"; ///< names the calling group; "": all are one group
+    std::string deadline = "Robinrun-Deadline-Ms"; ///< how long the answer is of use, ms
+    std::string requestId = "Robinrun-Request-Id"; ///< one for each attempt of a caller
+    std::string callerService = "Robinrun-Caller-Service"; ///< service beside the node where the call began
+    std::string expectedUpstream = "Robinrun-Upstream"; ///< id of the backend server's start that is meant
+    std::string upstream = "Backend-Id"; ///< id of the backend server's start that answers
+    std::string notRun = "Backend-Not-Run"; ///< on answers to calls that the backend server didn't run
+    std::string load = "Backend-Load"; ///< running, waiting, slots, and how long work takes in % of the usual
+    std::string signature; ///< by which its own answers are known; "": they aren't signed
+    bool hasFractionalRetryAfter = false; ///< whether callers understand parts of a second there
+
+    /// \returns whether a caller's field is for this system and not passed on to the backend server.
+    bool isForUs(std::string_view name) const
+    {
+        return equalIgnoringCase(name, credential) || equalIgnoringCase(name, deadline)
+            || equalIgnoringCase(name, headers::attempts) || equalIgnoringCase(name, headers::ticket)
+            || equalIgnoringCase(name, headers::group) || equalIgnoringCase(name, callerService)
+            || equalIgnoringCase(name, expectedUpstream);
+    }
+};
+
+} // namespace robinrun
--- a/src/Node/CallReply.cpp
+++ b/src/Node/CallReply.cpp
@@ -16,6 +16,14 @@
         return { std::string(name), std::string(value) };
     }
 
+    std::string retryAfter(std::uint32_t ms, const CallHeaders& names)
+    {
+        if (!names.hasFractionalRetryAfter)
+            return std::to_string((ms + 999) / 1000);
+        const auto thousandths = std::to_string(1000 + ms % 1000).substr(1);
+        return std::to_string(ms / 1000) + "." + thousandths;
+    }
+
 } // namespace
 
 HttpReply answered(proto::Answer& answer)
@@ -37,13 +45,12 @@
         "{\"ticket\":\"" + text + "\"}\n" };
 }
 
-HttpReply notRun(Reason reason, std::uint32_t retryAfterMs, bool advisesTicket)
+HttpReply notRun(Reason reason, std::uint32_t retryAfterMs, bool advisesTicket, const CallHeaders& names)
 {
     const auto ms = std::max(retryAfterMs, leastRetryMs);
-    const auto seconds = (ms + 999) / 1000;
     HttpReply reply { reason == Reason::TicketMismatch ? unprocessable : unavailable,
         { field(headers::outcome, "not-run"), field(headers::reason, nameOf(reason)),
-            { "Retry-After", std::to_string(seconds) }, field(headers::retryAfterMs, std::to_string(ms)) },
+            { "Retry-After", retryAfter(ms, names) }, field(headers::retryAfterMs, std::to_string(ms)) },
         "the call was not run: " + std::string(nameOf(reason)) + "\n" };
     if (advisesTicket)
         reply.headers.push_back(field(headers::advice, "take-ticket"));
--- a/src/Node/CallReply.h
+++ b/src/Node/CallReply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Http/HttpTypes.h"
+#include "Node/CallHeaders.h"
 #include "Once/Ticket.h"
 #include "Queueing/Refusal.h"
 #include "peer.pb.h"
@@ -19,7 +20,7 @@
 
     /// \param retryAfterMs when asking again makes sense. \param advisesTicket whether a ticket would work
     /// now.
-    HttpReply notRun(Reason reason, std::uint32_t retryAfterMs, bool advisesTicket);
+    HttpReply notRun(Reason reason, std::uint32_t retryAfterMs, bool advisesTicket, const CallHeaders& names);
 
     HttpReply unknown(Reason reason);
 
--- a/src/Node/CallRequest.cpp
+++ b/src/Node/CallRequest.cpp
@@ -17,6 +17,8 @@
     constexpr std::int64_t maxAttempts = 8;
     constexpr std::int64_t maxDeadlineMs = 600000;
     constexpr std::string_view ticketTarget = "/tickets";
+    /// The group of all callers where they name none.
+    constexpr std::string_view onlyGroup = "all";
 
     std::optional<std::int64_t> parseNumber(std::string_view text)
     {
@@ -27,6 +29,11 @@
         return n;
     }
 
+    std::string_view withoutPort(std::string_view host)
+    {
+        return host.substr(0, host.find(':'));
+    }
+
     std::string_view firstLabel(std::string_view host)
     {
         return host.substr(0, host.find_first_of(".:"));
@@ -35,18 +42,24 @@
     /// \brief Reads one request field by field; each step returns what is wrong, or "".
     class Parser {
     public:
-        Parser(const HttpRequest& request, Directory& directory)
+        Parser(
+            const HttpRequest& request, Directory& directory, const CallHeaders& names, WeightedTurns& turns)
             : m_request(request)
             , m_directory(directory)
+            , m_names(names)
+            , m_turns(turns)
         {
         }
 
         Result<CallRequest, CallRequestError> parse()
         {
             if (!readGroup())
-                return fault(unauthorized, "the header Robinrun-Credential names no known calling group");
-            if (!readService())
-                return fault(notFound, "no service is named by the host or the first part of the path");
+                return fault(
+                    unauthorized, "the header " + m_names.credential + " names no known calling group");
+            m_out.target = m_request.target;
+            m_out.id = findHeader(m_request.headers, m_names.requestId).value_or("");
+            if (!readRoute() && !readService())
+                return fault(notFound, "no route fits, and no service is named by the host or the path");
             for (const auto step : { &Parser::readDeadline, &Parser::readAttempts, &Parser::readOnce }) {
                 auto message = (this->*step)();
                 if (!message.empty())
@@ -64,7 +77,12 @@
 
         bool readGroup()
         {
-            const auto credential = findHeader(m_request.headers, headers::credential);
+            if (m_names.credential.empty()) {
+                m_out.group = onlyGroup;
+                m_out.groupNumber = m_directory.groupNumber(onlyGroup);
+                return true;
+            }
+            const auto credential = findHeader(m_request.headers, m_names.credential);
             const auto* group
                 = credential ? m_directory.groupByCredential(std::string(*credential)) : nullptr;
             if (!group)
@@ -74,9 +92,25 @@
             return true;
         }
 
+        bool readRoute()
+        {
+            const auto host = findHeader(m_request.headers, "Host");
+            const auto path = std::string_view(m_out.target).substr(0, m_out.target.find('?'));
+            const auto* route = host ? m_directory.route(withoutPort(*host), path) : nullptr;
+            if (!route)
+                return false;
+            m_out.isByRoute = true;
+            m_out.callClass = route->callClass;
+            m_out.service = m_turns.next(route->callClass.name, route->split);
+            m_out.attempts = route->attempts;
+            return m_directory.service(m_out.service) != nullptr;
+        }
+
         bool readService()
         {
-            m_out.target = m_request.target;
+            // With routes, they alone say what there is.
+            if (m_directory.hasRoutes())
+                return false;
             const auto host = findHeader(m_request.headers, "Host");
             const auto* service = host ? m_directory.service(firstLabel(*host)) : nullptr;
             if (!service && m_out.target.starts_with('/')) {
@@ -95,18 +129,20 @@
         std::string readDeadline()
         {
             m_out.allowed = m_out.callClass.deadline;
-            const auto text = findHeader(m_request.headers, headers::deadline);
+            const auto text = findHeader(m_request.headers, m_names.deadline);
             if (!text)
                 return "";
             const auto ms = parseNumber(*text);
             if (!ms || *ms > maxDeadlineMs)
-                return "header Robinrun-Deadline-Ms: a number up to 600000 is expected";
+                return "header " + m_names.deadline + ": a number up to 600000 is expected";
             m_out.allowed = std::min(m_out.allowed, Duration(*ms * 1000));
             return "";
         }
 
         std::string readAttempts()
         {
+            if (m_out.isByRoute)
+                return "";
             m_out.attempts = defaultAttempts;
             const auto text = findHeader(m_request.headers, headers::attempts);
             if (!text)
@@ -120,6 +156,8 @@
 
         std::string readOnce()
         {
+            if (m_out.isByRoute)
+                return "";
             m_out.wantsTicket = m_request.method == "POST" && m_out.target == ticketTarget;
             const auto ticket = findHeader(m_request.headers, headers::ticket);
             const auto key = findHeader(m_request.headers, headers::key);
@@ -141,14 +179,17 @@
 
         const HttpRequest& m_request;
         Directory& m_directory;
+        const CallHeaders& m_names;
+        WeightedTurns& m_turns;
         CallRequest m_out;
     };
 
 } // namespace
 
-Result<CallRequest, CallRequestError> CallRequest::parse(const HttpRequest& request, Directory& directory)
+Result<CallRequest, CallRequestError> CallRequest::parse(
+    const HttpRequest& request, Directory& directory, const CallHeaders& names, WeightedTurns& turns)
 {
-    return Parser(request, directory).parse();
+    return Parser(request, directory, names, turns).parse();
 }
 
 } // namespace robinrun
--- a/src/Node/CallRequest.h
+++ b/src/Node/CallRequest.h
@@ -3,8 +3,10 @@
 #include "Core/Result.h"
 #include "Core/Time.h"
 #include "Http/HttpTypes.h"
+#include "Node/CallHeaders.h"
 #include "Node/Directory.h"
 #include "Once/Ticket.h"
+#include "Routing/WeightedTurns.h"
 
 #include <cstdint>
 #include <optional>
@@ -31,9 +33,14 @@
     std::optional<Ticket> ticket;
     std::optional<std::string> key; ///< the caller's idempotency key
     bool wantsTicket = false; ///< asks for a ticket, not for a call
+    std::string id; ///< the caller's own name of this attempt; ""
+    bool isByRoute = false;
+    bool isNested = false; ///< made by the backend server beside this node, for a call that it runs
 
-    /// \brief Reads \a request. Errors: unknown credential or service, fields that make no sense.
-    static Result<CallRequest, CallRequestError> parse(const HttpRequest& request, Directory& directory);
+    /// \brief Reads \a request. Errors: unknown credential, service or route, fields that make no sense.
+    /// \param turns whose turn it is where a route is split; moves on.
+    static Result<CallRequest, CallRequestError> parse(
+        const HttpRequest& request, Directory& directory, const CallHeaders& names, WeightedTurns& turns);
 };
 
 } // namespace robinrun
--- a/src/Node/Directory.cpp
+++ b/src/Node/Directory.cpp
@@ -58,27 +58,79 @@
     m_groups.push_back(std::move(info));
 }
 
-void Directory::rebuild(const ConfigState& state)
+void Directory::addRoute(const std::string& id, const proto::Route& config)
+{
+    RouteInfo info;
+    info.callClass = { id, config.path_prefix(), config.priority(), config.once() == proto::REPEATABLE,
+        milliseconds(config.timeout_ms()), milliseconds(config.target_latency_ms()) };
+    for (const auto& it : config.split())
+        info.split.emplace_back(it.service(), it.weight());
+    info.attempts = std::max(config.attempts(), 1U);
+    auto& routes = m_routes[config.host()];
+    const auto isLonger
+        = [&](const auto& it) { return it.callClass.pathPrefix.size() < info.callClass.pathPrefix.size(); };
+    routes.insert(std::find_if(routes.begin(), routes.end(), isLonger), std::move(info));
+}
+
+void Directory::clear()
 {
     m_services.clear();
+    m_routes.clear();
     m_groups.clear();
     m_groupByHash.clear();
     m_groupByCredential.clear();
+}
+
+void Directory::add(const proto::Resource& resource)
+{
+    const auto id = idOf(resource.name());
+    if (resource.has_service())
+        addService(id, resource.service());
+    else if (resource.has_group())
+        addGroup(id, resource.group());
+    else if (resource.has_route())
+        addRoute(id, resource.route());
+}
+
+void Directory::addUpstream(const proto::Resource& resource)
+{
+    const auto it = m_services.find(resource.upstream().service());
+    if (it != m_services.end())
+        it->second.upstreams.push_back({ idOf(resource.name()), resource.upstream() });
+}
+
+void Directory::rebuild(const ConfigState& state)
+{
+    clear();
+    for (const auto& [name, resource] : state.resources())
+        add(resource);
     for (const auto& [name, resource] : state.resources()) {
-        if (resource.has_service())
-            addService(idOf(name), resource.service());
-        else if (resource.has_group())
-            addGroup(idOf(name), resource.group());
+        if (resource.has_upstream())
+            addUpstream(resource);
     }
-    for (const auto& [name, resource] : state.resources()) {
-        if (!resource.has_upstream())
-            continue;
-        const auto it = m_services.find(resource.upstream().service());
-        if (it != m_services.end())
-            it->second.upstreams.push_back({ idOf(name), resource.upstream() });
+}
+
+void Directory::rebuild(std::span<const proto::Resource> resources)
+{
+    clear();
+    for (const auto& it : resources)
+        add(it);
+    for (const auto& it : resources) {
+        if (it.has_upstream())
+            addUpstream(it);
     }
 }
 
+const RouteInfo* Directory::route(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routes.find(host);
+    if (found == m_routes.end())
+        return nullptr;
+    const auto it = std::find_if(found->second.begin(), found->second.end(),
+        [&](const auto& route) { return path.starts_with(route.callClass.pathPrefix); });
+    return it == found->second.end() ? nullptr : &*it;
+}
+
 const ServiceInfo* Directory::service(std::string_view id) const
 {
     const auto it = m_services.find(id);
--- a/src/Node/Directory.h
+++ b/src/Node/Directory.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -32,6 +33,14 @@
     std::uint32_t priority = 0;
     bool isRepeatable = true;
     Duration deadline {};
+    Duration targetLatency {}; ///< within which an answer is in time; 0: no sooner than the deadline
+};
+
+/// \brief A route, ready to look up.
+struct RouteInfo {
+    ClassInfo callClass; ///< named as the route
+    std::vector<std::pair<std::string, double>> split; ///< services and their weights
+    std::uint32_t attempts = 1; ///< upstreams that one call may be sent to
 };
 
 struct UpstreamInfo {
@@ -62,6 +71,11 @@
 class Directory {
 public:
     void rebuild(const ConfigState& state);
+    void rebuild(std::span<const proto::Resource> resources);
+
+    /// \returns the route of a call to \a host (without a port) and \a path: the longest prefix that fits.
+    const RouteInfo* route(std::string_view host, std::string_view path) const;
+    bool hasRoutes() const { return !m_routes.empty(); }
 
     const ServiceInfo* service(std::string_view id) const;
     const GroupInfo* groupByCredential(const std::string& credential);
@@ -77,11 +91,16 @@
     /// Credentials remembered with their group, right or wrong ones; all are dropped beyond this.
     static constexpr std::size_t rememberedCredentials = 10000;
 
+    void clear();
+    void add(const proto::Resource& resource);
+    void addUpstream(const proto::Resource& resource);
+    void addRoute(const std::string& id, const proto::Route& config);
     void addService(const std::string& id, const proto::Service& config);
     void addGroup(const std::string& id, const proto::Group& config);
 
     Interner m_numbers;
     std::map<std::string, ServiceInfo, std::less<>> m_services;
+    std::map<std::string, std::vector<RouteInfo>, std::less<>> m_routes; ///< by host, longest prefix first
     std::vector<GroupInfo> m_groups;
     std::unordered_map<std::string, std::size_t> m_groupByHash;
     std::unordered_map<std::string, const GroupInfo*> m_groupByCredential;
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -29,8 +29,10 @@
 /// unless the call may be repeated.
 class Ingress {
 public:
+    /// \param claims null where callers give no idempotency keys. \param members null where each node may
+    /// keep connections to all upstreams.
     Ingress(
-        NodeContext& context, Owner& owner, ClaimService& claims, const Membership& members, SendToPeer send);
+        NodeContext& context, Owner& owner, ClaimService* claims, const Membership* members, SendToPeer send);
     ~Ingress();
     Ingress(const Ingress&) = delete;
     Ingress& operator=(const Ingress&) = delete;
@@ -44,9 +46,24 @@
     /// \brief An owner says that its upstream leaves or stays.
     void takeLeaving(const proto::Leaving& leaving, Instant now);
 
+    /// \brief An owner tells its load by itself.
+    void takeLoad(const proto::LoadNews& news, Instant now);
+
+    /// \brief The link to the node at \a address has ended: what is out there gets no answer any more.
+    void peerLost(const std::string& address, Instant now);
+
+    /// \brief The node of an upstream has started anew or can be reached again.
+    void revive(const std::string& upstream, Instant now);
+
     /// \brief The configuration or the members have changed.
     void configure(Instant now);
 
+    /// \brief Until there is a configuration, calls are refused as not run.
+    void setConfigured(bool isConfigured) { m_isConfigured = isConfigured; }
+
+    /// \brief How many retries one service of this node may save up.
+    void setRetryBurst(double burst) { m_retryBurst = burst; }
+
     /// \brief While draining, new calls are refused as not run.
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
 
@@ -62,6 +79,7 @@
         std::uint64_t number = 0;
         std::string upstream;
         std::string node; ///< the host whose answer counts
+        std::string address; ///< of that node; "" for this one
         std::uint64_t ownerIncarnation = 0;
         Instant sent {};
     };
@@ -74,6 +92,7 @@
         std::uint32_t attemptsLeft = 0;
         std::vector<std::string> tried;
         std::vector<Attempt> out;
+        std::uint32_t freeRefusals = 0; ///< by owners that had not asked their backend server
         bool wasLost = false; ///< an attempt was lost: the outcome may be unknown
         Reason lastReason = Reason::None;
         std::uint32_t retryAfterMs = 0;
@@ -88,12 +107,20 @@
     using CallId = std::uint64_t;
 
     void reject(HttpExchange& exchange, const CallRequestError& error);
+    void reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply);
+    void addTerms(const Call& call, proto::Call& out, Instant now) const;
+    void watchAttempt(CallId id, Call& call, std::uint64_t number);
     void proceed(CallId id, Instant now);
     SendResult sendTo(CallId id, Call& call, const std::string& upstream, Instant now);
     void tryAgainSoon(CallId id, Call& call);
     proto::Call envelope(
         const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
     bool mayTryAgain(Call& call);
+    bool mayMoveOn(Call& call, const proto::Answer& answer);
+    void attemptLost(CallId id, Call& call, Reason reason, Instant now);
+    RouteNeeds needsOf(const Call& call, Instant now) const;
+    Duration patienceFor(const Call& call, const ServiceRouter& router) const;
+    bool isRepeatable(const Call& call) const;
     void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
     void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
     void claimDecided(CallId id, const ClaimDecision& decision);
@@ -106,6 +133,7 @@
     void finishTicket(CallId id, Call& call, Instant now);
     void finishNotRun(CallId id, Call& call, Reason reason, Instant now);
     void finishUnknown(CallId id, Call& call, Reason reason, Instant now);
+    std::uint32_t retryAfterFor(const Call& call, Instant now) const;
     void finish(CallId id, Call& call, HttpReply reply, CallOutcome outcome, Reason reason, Instant now,
         const proto::Answer* answer = nullptr);
     void giveUpAttempts(Call& call, Instant now, bool isLost);
@@ -117,7 +145,10 @@
     ClaimService* m_claims;
     const Membership* m_members;
     SendToPeer m_send;
+    WeightedTurns m_turns;
     bool m_isDraining = false;
+    bool m_isConfigured = true;
+    std::optional<double> m_retryBurst;
     CallId m_lastCall = 0;
     std::uint64_t m_lastNumber = 0;
     std::unordered_map<CallId, Call> m_calls;
--- /dev/null
+++ b/src/Node/IngressAnswers.cpp
@@ -0,0 +1,282 @@
+#include "Core/Hash.h"
+#include "Core/Log.h"
+#include "Http/HttpStatus.h"
+#include "Node/Ingress.h"
+#include "Once/KeyAge.h"
+#include "Wire/TicketCodec.h"
+
+#include <algorithm>
+
+/// \file Answers, refusals and losses of attempts: what an ingress learns of them and does next.
+
+namespace robinrun {
+namespace {
+
+    using namespace httpStatus;
+    constexpr double permille = 1000;
+    /// Owners asked beyond the first one while none has asked its backend server; each costs a round trip.
+    constexpr std::uint32_t maxFreeRefusals = 2;
+
+    Reason reasonOf(const proto::Answer& answer)
+    {
+        return answer.reason() < countOf<Reason>() ? static_cast<Reason>(answer.reason()) : Reason::None;
+    }
+
+    bool isWhole(const proto::Answer& answer)
+    {
+        return answer.body().size() == answer.body_length() && hash64(answer.body()) == answer.body_hash();
+    }
+
+    /// \returns whether a refusal says that this owner is no place for the call, whatever it asks for.
+    bool isAboutOwner(Reason reason)
+    {
+        return reason == Reason::Leaving || reason == Reason::WrongOwner;
+    }
+
+    Report reportOf(const proto::Load& load, Instant now)
+    {
+        Report report;
+        report.load = { load.slots(), load.in_use(), load.waiting(), Duration(load.service_us()) };
+        report.load.slowdown = load.slowdown_permille() ? load.slowdown_permille() / permille : 1;
+        report.load.isDown = load.down();
+        report.yours = load.yours();
+        report.queued = load.queued();
+        report.errorShare = load.error_permille() / permille;
+        report.heard = now;
+        return report;
+    }
+
+} // namespace
+
+void Ingress::learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
+{
+    auto& router = *m_routers.at(call.request.service);
+    m_ownerClocks[attempt.upstream] = { answer.incarnation(), answer.owner_now_us(), now };
+    const auto& load = answer.load();
+    const auto report = reportOf(load, now);
+    const bool isFailure = answer.outcome() == proto::UNKNOWN
+        || (answer.outcome() == proto::ANSWERED && answer.status() >= firstServerError)
+        || reasonOf(answer) == Reason::BackendUnreachable;
+    const Duration held(answer.held_us());
+    router.answered(attempt.upstream, call.request.groupNumber, report, held, isFailure, now);
+    const bool isLeaving = load.state() == static_cast<std::uint32_t>(UpstreamState::Leaving);
+    router.setLeaving(attempt.upstream, isLeaving, now);
+    if (load.down())
+        router.heard(attempt.upstream, report, now);
+    if (answer.outcome() == proto::ANSWERED && answer.status() < firstError)
+        router.measuredWork(call.request.callClass.name, held, report.load.slowdown);
+    if (answer.outcome() == proto::ANSWERED) {
+        const auto network = (now - attempt.sent) - held - Duration(answer.queued_us());
+        router.measuredRoundTrip(attempt.upstream, std::max(network, Duration::zero()));
+    }
+}
+
+void Ingress::takeAnswer(const std::string& node, proto::Answer& answer, Instant now)
+{
+    const auto found = m_callByNumber.find(answer.number());
+    if (found == m_callByNumber.end())
+        return; // given up before; nobody waits for it
+    const auto id = found->second;
+    auto& call = m_calls.at(id);
+    const auto it = std::find_if(call.out.begin(), call.out.end(),
+        [&](const auto& attempt) { return attempt.number == answer.number(); });
+    // An answer counts only from the node that was asked, for this incarnation of this node.
+    const bool isForeign = it->node != node || answer.caller_incarnation() != m_context->incarnation;
+    if (isForeign) {
+        log(LogLevel::Error, "answer-foreign", { { "from", node }, { "number", answer.number() } });
+        m_context->metrics.count("robinrun_foreign_answers_total");
+        return;
+    }
+    const Attempt attempt = *it;
+    call.out.erase(it);
+    m_callByNumber.erase(found);
+    learn(call, attempt, answer, now);
+    if (answer.outcome() == proto::NOT_RUN)
+        return refused(id, call, attempt, answer, now);
+    if (call.isMinting)
+        return ticketMinted(id, call, decode(answer.ticket()), now);
+    if (answer.outcome() == proto::ANSWERED && isWhole(answer)) {
+        const bool isGood = answer.status() < firstServerError;
+        const bool mayReplace
+            = !isGood && isRepeatable(call) && now < call.deadline && (!call.out.empty() || mayTryAgain(call));
+        if (!mayReplace) {
+            m_routers.at(call.request.service)->measuredLatency(now - call.arrived);
+            step(call, CallEvent::Answered);
+            return finishAnswered(id, call, answer, now);
+        }
+        call.failedAnswer = std::make_unique<proto::Answer>(std::move(answer));
+        if (!call.out.empty())
+            return;
+        step(call, CallEvent::Refused);
+        return proceed(id, now);
+    }
+    attemptLost(
+        id, call, answer.outcome() == proto::ANSWERED ? Reason::Damaged : reasonOf(answer), now);
+}
+
+void Ingress::attemptLost(CallId id, Call& call, Reason reason, Instant now)
+{
+    call.wasLost = true;
+    call.lastReason = reason;
+    if (isRepeatable(call) && now < call.deadline && mayTryAgain(call)) {
+        step(call, CallEvent::Refused);
+        return proceed(id, now);
+    }
+    if (call.out.empty())
+        finishUnknown(id, call, reason, now);
+}
+
+bool Ingress::mayTryAgain(Call& call)
+{
+    if (call.attemptsLeft <= 1
+        || !m_routers.at(call.request.service)->trySpendRetry(call.request.groupNumber))
+        return false;
+    --call.attemptsLeft;
+    m_context->metrics.count("robinrun_retries_total");
+    return true;
+}
+
+bool Ingress::mayMoveOn(Call& call, const proto::Answer& answer)
+{
+    // Moving on from an owner that is leaving is no overload: it costs no retry.
+    if (isAboutOwner(call.lastReason) || call.lastReason == Reason::WrongIncarnation)
+        return true;
+    // Nor does it load any backend server to ask another owner, but that has an end too.
+    if (call.request.isByRoute && !answer.offered())
+        return ++call.freeRefusals <= maxFreeRefusals;
+    return mayTryAgain(call);
+}
+
+void Ingress::refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
+{
+    call.lastReason = reasonOf(answer);
+    const bool isSooner = !call.retryAfterMs || answer.retry_after_ms() < call.retryAfterMs;
+    if (isSooner || !call.request.isByRoute)
+        call.retryAfterMs = answer.retry_after_ms();
+    if (!call.out.empty())
+        return; // another attempt is still out
+    step(call, CallEvent::Refused);
+    if (call.ticket && !call.isMinting)
+        return finishNotRun(id, call, call.lastReason, now);
+    // An owner that restarted is as good as before under its new incarnation.
+    if (call.lastReason == Reason::WrongIncarnation)
+        std::erase(call.tried, attempt.upstream);
+    if (call.lastReason == Reason::DeadlinePassed || now >= call.deadline || !mayMoveOn(call, answer))
+        return finishNotRun(id, call, call.lastReason, now);
+    proceed(id, now);
+}
+
+void Ingress::ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now)
+{
+    call.ticket = ticket;
+    if (call.request.wantsTicket)
+        return finishTicket(id, call, now);
+    const auto key = hash128(call.request.group + '\n' + call.request.service + '\n' + *call.request.key);
+    const Claim claim { key, *keyBornMs(*call.request.key), ticket };
+    m_claims->claim(
+        claim, [this, id](const ClaimDecision& decision) { claimDecided(id, decision); }, now);
+}
+
+void Ingress::claimDecided(CallId id, const ClaimDecision& decision)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    auto& call = it->second;
+    const auto now = monotonicNow();
+    call.isMinting = false;
+    call.tried.clear();
+    switch (decision.kind) {
+    case ClaimDecision::Kind::Won:
+        step(call, CallEvent::ClaimDecided);
+        call.ticket = decision.winner;
+        return proceed(id, now);
+    case ClaimDecision::Kind::TooOld:
+        return finishUnknown(id, call, Reason::KeyTooOld, now);
+    case ClaimDecision::Kind::Undecided:
+        step(call, CallEvent::ClaimUndecided);
+        return finishNotRun(id, call, Reason::ClaimUndecided, now);
+    }
+}
+
+void Ingress::deadlineReached(CallId id)
+{
+    auto& call = m_calls.at(id);
+    const auto now = monotonicNow();
+    const bool isOut = !call.out.empty() && !call.isMinting;
+    const bool mayHaveRunEarlier = call.ticket && !call.isMinting;
+    giveUpAttempts(call, now, true);
+    if (isOut || call.wasLost || mayHaveRunEarlier)
+        return finishUnknown(id, call, Reason::DeadlinePassed, now);
+    const bool isClaiming = call.state == CallState::Claiming;
+    finishNotRun(id, call, isClaiming ? Reason::ClaimUndecided : Reason::DeadlinePassed, now);
+}
+
+void Ingress::attemptTimedOut(CallId id, std::uint64_t number)
+{
+    auto& call = m_calls.at(id);
+    const auto now = monotonicNow();
+    const auto it = std::find_if(
+        call.out.begin(), call.out.end(), [&](const auto& attempt) { return attempt.number == number; });
+    if (it == call.out.end())
+        return;
+    auto& router = *m_routers.at(call.request.service);
+    router.attemptTimedOut(it->upstream, now);
+    const bool mayHedge
+        = isRepeatable(call) && !call.isMinting && call.attemptsLeft > 1;
+    if (!mayHedge || now >= call.deadline)
+        return;
+    // The late attempt stays out; the first whole answer is taken.
+    const auto upstream = router.pick(call.tried, needsOf(call, now), now, m_context->random);
+    if (upstream && mayTryAgain(call))
+        sendTo(id, call, *upstream, now);
+}
+
+void Ingress::peerLost(const std::string& address, Instant now)
+{
+    std::vector<std::pair<CallId, std::uint64_t>> lost;
+    for (const auto& [id, call] : m_calls) {
+        for (const auto& it : call.out) {
+            if (it.address == address)
+                lost.emplace_back(id, it.number);
+        }
+    }
+    for (const auto& [id, number] : lost) {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end())
+            continue;
+        auto& call = found->second;
+        const auto it = std::find_if(
+            call.out.begin(), call.out.end(), [&, n = number](const auto& out) { return out.number == n; });
+        if (it == call.out.end())
+            continue;
+        m_routers.at(call.request.service)->lost(it->upstream, call.request.groupNumber, now);
+        call.out.erase(it);
+        m_callByNumber.erase(number);
+        attemptLost(id, call, Reason::OwnerLost, now);
+    }
+}
+
+void Ingress::revive(const std::string& upstream, Instant now)
+{
+    for (auto& [service, router] : m_routers)
+        router->revive(upstream, now);
+}
+
+void Ingress::takeLoad(const proto::LoadNews& news, Instant now)
+{
+    const auto report = reportOf(news.load(), now);
+    const bool isLeaving = news.load().state() == static_cast<std::uint32_t>(UpstreamState::Leaving);
+    for (auto& [service, router] : m_routers) {
+        router->heard(news.upstream(), report, now);
+        router->setLeaving(news.upstream(), isLeaving, now);
+    }
+}
+
+void Ingress::takeLeaving(const proto::Leaving& leaving, Instant now)
+{
+    for (auto& [service, router] : m_routers)
+        router->setLeaving(leaving.upstream(), !leaving.undone(), now);
+}
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Node/IngressEnd.cpp
@@ -0,0 +1,130 @@
+#include "Core/Log.h"
+#include "Http/HttpStatus.h"
+#include "Node/CallReply.h"
+#include "Node/Ingress.h"
+
+/// \file How an ingress ends calls: answered, not run, unknown, or the caller is gone.
+
+namespace robinrun {
+namespace {
+
+    /// When to come back if nothing tells better: about the time in which a lost peer is noticed.
+    constexpr std::uint32_t standardRetryMs = 150;
+    /// Of what a caller has left, so that it can still be served then.
+    constexpr double longestRetryAfterShare = 0.33;
+
+} // namespace
+
+bool Ingress::finishWithFailure(CallId id, Call& call, Instant now)
+{
+    if (!call.failedAnswer)
+        return false;
+    const auto answer = std::move(call.failedAnswer);
+    step(call, CallEvent::Answered);
+    finishAnswered(id, call, *answer, now);
+    return true;
+}
+
+void Ingress::hungUp(CallId id)
+{
+    auto& call = m_calls.at(id);
+    const auto now = monotonicNow();
+    giveUpAttempts(call, now, false);
+    step(call, CallEvent::HungUp);
+    finish(id, call, {}, CallOutcome::HungUp, Reason::Cancelled, now);
+}
+
+void Ingress::giveUpAttempts(Call& call, Instant now, bool isLost)
+{
+    auto& router = *m_routers.at(call.request.service);
+    for (const auto& it : std::exchange(call.out, {})) {
+        m_callByNumber.erase(it.number);
+        if (isLost)
+            router.lost(it.upstream, call.request.groupNumber, now);
+        else
+            router.abandoned(it.upstream, call.request.groupNumber);
+        if (it.upstream == m_owner->upstream()) {
+            m_owner->cancel(m_context->incarnation, it.number, now);
+            continue;
+        }
+        const auto* info = upstreamOf(call.request.service, it.upstream);
+        proto::PeerMessage message;
+        message.mutable_cancel()->set_number(it.number);
+        if (info)
+            m_send(info->config.node_address(), message, now);
+    }
+}
+
+void Ingress::finishAnswered(CallId id, Call& call, proto::Answer& answer, Instant now)
+{
+    finish(id, call, replies::answered(answer), CallOutcome::Answered, Reason::None, now, &answer);
+}
+
+void Ingress::finishTicket(CallId id, Call& call, Instant now)
+{
+    step(call, CallEvent::Answered);
+    finish(id, call, replies::ticket(*call.ticket), CallOutcome::Answered, Reason::None, now);
+}
+
+std::uint32_t Ingress::retryAfterFor(const Call& call, Instant now) const
+{
+    if (!call.request.isByRoute)
+        return call.retryAfterMs;
+    const auto left = toMilliseconds(std::max(call.deadline - now, Duration::zero()));
+    const auto longest = static_cast<std::uint32_t>(left * longestRetryAfterShare);
+    return std::min(call.retryAfterMs ? call.retryAfterMs : standardRetryMs, longest);
+}
+
+void Ingress::finishNotRun(CallId id, Call& call, Reason reason, Instant now)
+{
+    if (finishWithFailure(id, call, now))
+        return;
+    if (call.wasLost)
+        return finishUnknown(id, call, reason, now);
+    step(call, CallEvent::GivenUp);
+    const auto* service = m_context->directory.service(call.request.service);
+    const bool advisesTicket
+        = reason == Reason::ClaimUndecided && service && service->config.ticket_in_outage();
+    const auto reply = replies::notRun(reason, retryAfterFor(call, now), advisesTicket, m_context->headers);
+    finish(id, call, reply, CallOutcome::NotRun, reason, now);
+}
+
+void Ingress::finishUnknown(CallId id, Call& call, Reason reason, Instant now)
+{
+    if (finishWithFailure(id, call, now))
+        return;
+    step(call, CallEvent::Lost);
+    finish(id, call, replies::unknown(reason), CallOutcome::Unknown, reason, now);
+}
+
+void Ingress::finish(CallId id, Call& call, HttpReply reply, CallOutcome outcome, Reason reason, Instant now,
+    const proto::Answer* answer)
+{
+    giveUpAttempts(call, now, false);
+    CallSample sample;
+    sample.group = call.request.group;
+    sample.callClass = call.request.callClass.name;
+    sample.outcome = outcome;
+    sample.reason = reason;
+    sample.total = now - call.arrived;
+    if (answer) {
+        sample.queued = Duration(answer->queued_us());
+        sample.held = Duration(answer->held_us());
+    }
+    m_context->metrics.call(sample);
+    if (m_context->settings.log.access) {
+        log(LogLevel::Info, "call",
+            { { "group", call.request.group }, { "service", call.request.service },
+                { "class", call.request.callClass.name }, { "outcome", nameOf(outcome) },
+                { "reason", nameOf(reason) }, { "status", reply.status },
+                { "total_us", std::int64_t { sample.total.count() } },
+                { "queued_us", std::int64_t { sample.queued.count() } },
+                { "held_us", std::int64_t { sample.held.count() } } });
+    }
+    const auto exchange = std::move(call.exchange);
+    m_calls.erase(id);
+    if (outcome != CallOutcome::HungUp)
+        exchange->reply(reply);
+}
+
+} // namespace robinrun
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -68,7 +68,8 @@
     m_control = std::make_unique<ControlPlane>(m_context, *m_log, *m_hosts, sender(), now);
     m_owner = std::make_unique<Owner>(m_context, now);
     m_claims = std::make_unique<ClaimService>(m_context, *m_log, m_control->members(), sender(), now);
-    m_ingress = std::make_unique<Ingress>(m_context, *m_owner, *m_claims, m_control->members(), sender());
+    m_ingress
+        = std::make_unique<Ingress>(m_context, *m_owner, m_claims.get(), &m_control->members(), sender());
     m_api = std::make_unique<OperatorApi>(m_context, *m_control, *m_log, [this] { return facts(); });
     m_control->onChanged([this] { configurationChanged(); });
     m_owner->onAnnounce([this](const std::string& address, bool isLeaving) {
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -3,6 +3,7 @@
 #include "Chart/Charts.h"
 #include "Core/Random.h"
 #include "Core/Time.h"
+#include "Node/CallHeaders.h"
 #include "Node/Directory.h"
 #include "Node/Metrics.h"
 #include "Settings/NodeSettings.h"
@@ -25,6 +26,7 @@
     /// Clocks for what happens in callbacks; tests put virtual ones here.
     std::function<Instant()> clock = monotonicNow;
     std::function<std::int64_t()> wallClock = wallClockMs;
+    CallHeaders headers {};
 };
 
 } // namespace robinrun
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -3,6 +3,7 @@
 #include "Core/Hash.h"
 #include "Core/Log.h"
 #include "Http/HttpStatus.h"
+#include "Node/BackendReply.h"
 #include "Node/CallHeaders.h"
 #include "Wire/TicketCodec.h"
 
@@ -12,6 +13,19 @@
 namespace {
 
     constexpr Duration forgetSenders = 120s;
+    /// A kept connection that rested longer is not used for what must not be repeated: the server may have
+    /// forgotten it.
+    constexpr Duration longestRest = 1s;
+    constexpr Duration anyRest = 1h;
+    /// Connections that can't be made in a row, after which the backend server is taken for down.
+    constexpr unsigned unreachedLimit = 2;
+    constexpr Duration probeWhileDown = 250ms;
+    constexpr Duration connectTimeout = 300ms;
+    /// Ingresses are told of a slow-down that has changed by this factor.
+    constexpr double tellFactor = 1.5;
+    /// Ingresses that sent a call within this time are told of a changed load.
+    constexpr Duration tellMemory = 3s;
+    constexpr std::uint32_t priorityOfNested = 0;
     constexpr Duration ingressMemory = 30s;
     constexpr double errorSampleWeight = 0.05;
     using namespace httpStatus;
@@ -59,20 +73,27 @@
     m_serviceId = info->config.service();
     const auto& serviceInfo = *service();
     const auto slots = info->config.slots();
-    m_admission.setSlots(slots);
+    const double usable = m_context->settings.admission.usableShare * slots;
+    m_admission.setSlots(std::max(static_cast<std::uint32_t>(usable), 1U));
     m_admission.setQueueLimit(serviceInfo.config.queue_limit());
     for (const auto& it : m_context->directory.groups())
         m_admission.setWeight(it.number, it.weightIn(m_serviceId));
-    if (m_backendAddress != info->config.address()) {
+    if (m_backendAddress != info->config.address() || m_boundUpstream != info->id) {
         m_backendAddress = info->config.address();
+        m_boundUpstream = info->id;
+        m_isDown = false;
+        m_unreached = 0;
+        m_admission.setSlowdown(m_toldSlowdown = 1);
         HttpPool::Options options;
         options.address = m_backendAddress;
         options.maxConnections = info->config.connections();
+        options.connectTimeout = connectTimeout;
         // Calls that run at the former address end there.
         if (m_pool)
             m_formerPools.push_back(std::move(m_pool));
         m_pool = std::make_unique<HttpPool>(m_context->base, options);
     }
+    m_prober.setPath(serviceInfo.config.health_path(), m_context->headers);
     m_prober.setOptions(
         { serviceInfo.config.probes_per_s(), serviceInfo.config.probe_slot_share(), slots }, now);
     setSign(LeavingSign::Operator, info->config.leaving(), now);
@@ -109,8 +130,19 @@
     m_seen.forgetSilent(now);
     std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
-    if (!m_pool)
+    if (m_pool)
+        probeBackend(now);
+}
+
+void Owner::probeBackend(Instant now)
+{
+    if (m_isDown) {
+        if (now < m_nextProbe)
+            return;
+        m_nextProbe = now + probeWhileDown;
+        probe([](const ProbeNews&) {}, now);
         return;
+    }
     const auto load = m_admission.load(now);
     const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
     const bool isStarted
@@ -126,6 +158,62 @@
     m_context->metrics.count("robinrun_probes_total");
 }
 
+void Owner::probe(std::function<void(const ProbeNews&)> done, Instant now)
+{
+    if (!m_pool)
+        return;
+    const bool isStarted
+        = m_prober.probe(*m_pool, now, [this, done = std::move(done)](ProbeNews news, Duration) {
+              const auto end = monotonicNow();
+              setDown(!news.isReachable, end);
+              if (news.slowdown)
+                  setSlowdown(*news.slowdown, end);
+              done(news);
+          });
+    if (isStarted)
+        m_context->metrics.count("robinrun_probes_total");
+}
+
+void Owner::setDown(bool isDown, Instant now)
+{
+    if (!isDown)
+        m_unreached = 0;
+    if (m_isDown == isDown)
+        return;
+    m_isDown = isDown;
+    m_nextProbe = now + probeWhileDown;
+    log(LogLevel::Warning, isDown ? "backend-down" : "backend-up",
+        { { "upstream", upstream() }, { "unreached", m_unreached } });
+    tellLoad(now);
+}
+
+void Owner::setSlowdown(double slowdown, Instant now)
+{
+    m_admission.setSlowdown(slowdown);
+    const double change = slowdown / m_toldSlowdown;
+    if (change < tellFactor && change > 1 / tellFactor)
+        return;
+    m_toldSlowdown = slowdown;
+    tellLoad(now);
+}
+
+void Owner::tellLoad(Instant now)
+{
+    if (!m_tellLoad)
+        return;
+    for (const auto& [node, ingress] : m_ingresses) {
+        if (now - ingress.lastCall > tellMemory)
+            continue;
+        proto::Answer answer;
+        fillNews(answer, { node, ingress.address, ingress.incarnation }, ingress.group, now);
+        proto::LoadNews news;
+        news.set_upstream(upstream());
+        news.set_incarnation(m_context->incarnation);
+        news.mutable_load()->Swap(answer.mutable_load());
+        m_tellLoad(ingress.address, news);
+    }
+}
+
 Reason Owner::faultOf(const proto::Call& call, const Sender& sender, Instant now)
 {
     if (call.upstream() != upstream() || !m_pool)
@@ -134,6 +222,8 @@
         return Reason::WrongIncarnation;
     if (!m_seen.isNew(sender.incarnation, call.number(), now))
         return Reason::Duplicate;
+    if (m_isDown)
+        return Reason::BackendUnreachable;
     if (hash64(call.body()) != call.body_hash())
         return Reason::Damaged;
     const Instant deadline { Duration(static_cast<std::int64_t>(call.owner_deadline_us())) };
@@ -144,7 +234,7 @@
 
 void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
-    m_ingresses[sender.node] = { sender.address, now };
+    m_ingresses[sender.node] = { sender.address, now, sender.incarnation, call.group() };
     const auto fault = faultOf(call, sender, now);
     if (fault == Reason::Duplicate) {
         // The first delivery is answered under the same number; an answer to the double could overtake it.
@@ -209,8 +299,7 @@
 void Owner::admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
     const auto id = ++m_lastId;
-    const auto* serviceInfo = service();
-    const auto& callClass = serviceInfo->classOf(call.target());
+    const auto& callClass = service()->classOf(call.target());
     CallRecord record;
     record.call = call;
     record.sender = sender;
@@ -221,19 +310,39 @@
     if (call.owner_deadline_us())
         record.deadline = std::min(
             record.deadline, Instant(Duration(static_cast<std::int64_t>(call.owner_deadline_us()))));
-    record.isRepeatable = callClass.isRepeatable && !isOnceTicket(call);
-    const auto deadline = record.deadline;
+    record.isByRoute = call.has_terms();
+    record.isRepeatable
+        = record.isByRoute ? call.terms().repeatable() : callClass.isRepeatable && !isOnceTicket(call);
+    const auto offer = offerOf(id, record, now);
     m_calls.emplace(id, std::move(record));
     m_idByKey[{ sender.incarnation, call.number() }] = id;
     ++m_bySender[{ sender.incarnation, call.group() }];
+    act(m_admission.offer(offer, now), now);
+}
+
+Offer Owner::offerOf(std::uint64_t id, const CallRecord& record, Instant now)
+{
+    const auto& call = record.call;
     Offer offer;
     offer.id = id;
     offer.group = m_context->directory.groupNumber(call.group());
-    offer.callClass = m_classNumbers(callClass.name);
-    offer.priority = callClass.priority;
-    offer.deadline = deadline;
+    offer.deadline = record.deadline;
     offer.elsewhere = Duration(call.elsewhere_us());
-    act(m_admission.offer(offer, now), now);
+    if (!record.isByRoute) {
+        const auto& callClass = service()->classOf(call.target());
+        offer.callClass = m_classNumbers(callClass.name);
+        offer.priority = callClass.priority;
+        return offer;
+    }
+    const auto& terms = call.terms();
+    offer.callClass = m_classNumbers(call.call_class());
+    // A call made for another one goes first: that one holds a slot while it waits, and its work is done.
+    offer.priority = terms.nested() ? priorityOfNested : terms.priority() + 1;
+    if (!terms.nested())
+        offer.inTimeUntil = now + Duration(terms.target_latency_us());
+    else
+        offer.inTimeUntil = offer.deadline;
+    return offer;
 }
 
 void Owner::act(const Dispatch& dispatch, Instant now)
@@ -252,9 +361,15 @@
     for (const auto& it : record.call.headers())
         request.headers.emplace_back(it.name(), it.value());
     const auto left = std::max<std::int64_t>((record.deadline - now).count() / 1000, 1);
-    request.headers.emplace_back(headers::deadline, std::to_string(left));
-    request.headers.emplace_back(headers::attempts, std::to_string(record.call.attempts_left()));
-    request.headers.emplace_back(headers::group, record.call.group());
+    const auto& names = m_context->headers;
+    request.headers.emplace_back(names.deadline, std::to_string(left));
+    if (record.isByRoute) {
+        request.headers.emplace_back(names.expectedUpstream, upstream());
+        request.headers.emplace_back(names.callerService, record.call.caller_service());
+    } else {
+        request.headers.emplace_back(headers::attempts, std::to_string(record.call.attempts_left()));
+        request.headers.emplace_back(headers::group, record.call.group());
+    }
     request.body = record.call.body();
     return request;
 }
@@ -265,46 +380,84 @@
     record.isRunning = true;
     record.started = now;
     record.pool = m_pool.get();
-    record.request = m_pool->send(requestOf(record, now), record.deadline - now,
+    HttpPool::SendOptions options;
+    options.timeout = record.deadline - now;
+    options.longestRest = record.isRepeatable ? anyRest : longestRest;
+    if (!record.call.request_id().empty()) {
+        options.isOurs
+            = [name = m_context->headers.requestId, own = record.call.request_id()](const HttpReply& reply) {
+                  const auto told = findHeader(reply.headers, name);
+                  return !told || *told == own;
+              };
+    }
+    record.request = m_pool->send(requestOf(record, now), std::move(options),
         [this, id](Result<HttpReply, HttpError> result) { ended(id, std::move(result), monotonicNow()); });
 }
 
+void Owner::learn(const HttpReply& reply, Instant now)
+{
+    setDown(false, now);
+    if (const auto state = findHeader(reply.headers, headers::backendState))
+        setSign(LeavingSign::BackendServer, *state == "draining", now);
+    const auto text = findHeader(reply.headers, m_context->headers.load);
+    const auto load = text ? parseLoad(*text) : std::nullopt;
+    if (load)
+        setSlowdown(load->slowdown, now);
+}
+
+proto::Answer Owner::answerOf(HttpReply& reply, Instant now)
+{
+    proto::Answer answer;
+    answer.set_offered(true);
+    learn(reply, now);
+    const auto verdict = judge(reply, m_context->headers);
+    if (verdict != BackendVerdict::Answered) {
+        const bool isNotRun = verdict != BackendVerdict::Foreign;
+        answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
+        answer.set_reason(
+            static_cast<std::uint32_t>(isNotRun ? Reason::BackendRefused : Reason::BackendFailed));
+        return answer;
+    }
+    answer.set_outcome(proto::ANSWERED);
+    answer.set_status(static_cast<std::uint32_t>(reply.status));
+    for (const auto& [name, value] : reply.headers) {
+        if (isHopByHop(name))
+            continue;
+        auto& header = *answer.add_headers();
+        header.set_name(name);
+        header.set_value(value);
+    }
+    answer.set_body_length(reply.body.size());
+    answer.set_body_hash(hash64(reply.body));
+    answer.set_body(std::move(reply.body));
+    return answer;
+}
+
+proto::Answer Owner::answerOf(HttpError error)
+{
+    proto::Answer answer;
+    const bool isNotSent
+        = error.kind == HttpErrorKind::NotConnected || error.kind == HttpErrorKind::BadRequest;
+    answer.set_offered(!isNotSent);
+    answer.set_outcome(isNotSent ? proto::NOT_RUN : proto::UNKNOWN);
+    answer.set_reason(
+        static_cast<std::uint32_t>(isNotSent ? Reason::BackendUnreachable : Reason::BackendFailed));
+    return answer;
+}
+
 void Owner::ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now)
 {
     // First of all: a drain told with this answer must stop the call that would get its slot.
-    if (result.has_value()) {
-        if (const auto state = findHeader(result.value().headers, headers::backendState))
-            setSign(LeavingSign::BackendServer, *state == "draining", now);
-    }
+    auto answer = result.has_value() ? answerOf(result.value(), now) : answerOf(result.error());
+    if (!result.has_value() && result.error().kind == HttpErrorKind::NotConnected
+        && ++m_unreached >= unreachedLimit)
+        setDown(true, now);
     auto& record = m_calls.at(id);
     const auto next = m_admission.finished(id, now);
-    proto::Answer answer;
     answer.set_queued_us(static_cast<std::uint32_t>((record.started - record.arrived).count()));
     answer.set_held_us(static_cast<std::uint32_t>((now - record.started).count()));
-    bool isFailure = true;
-    if (result.has_value()) {
-        auto& reply = result.value();
-        isFailure = reply.status >= firstServerError;
-        answer.set_outcome(proto::ANSWERED);
-        answer.set_status(static_cast<std::uint32_t>(reply.status));
-        for (const auto& [name, value] : reply.headers) {
-            if (isHopByHop(name))
-                continue;
-            auto& header = *answer.add_headers();
-            header.set_name(name);
-            header.set_value(value);
-        }
-        answer.set_body_length(reply.body.size());
-        answer.set_body_hash(hash64(reply.body));
-        answer.set_body(std::move(reply.body));
-    } else if (result.error().kind == HttpErrorKind::NotConnected
-        || result.error().kind == HttpErrorKind::BadRequest) {
-        answer.set_outcome(proto::NOT_RUN);
-        answer.set_reason(static_cast<std::uint32_t>(Reason::BackendUnreachable));
-    } else {
-        answer.set_outcome(proto::UNKNOWN);
-        answer.set_reason(static_cast<std::uint32_t>(Reason::BackendFailed));
-    }
+    const bool isFailure = answer.outcome() != proto::ANSWERED
+        || answer.status() >= static_cast<std::uint32_t>(firstServerError);
     m_errors.add(isFailure ? 1 : 0);
     recordTicket(record, answer);
     answerAll(record, answer, now);
@@ -371,6 +524,8 @@
     out.set_service_us(static_cast<std::uint32_t>(load.service.count()));
     out.set_state(
         static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
+    out.set_slowdown_permille(static_cast<std::uint32_t>(load.slowdown * permille));
+    out.set_down(m_isDown);
     const auto it = m_bySender.find({ sender.incarnation, group });
     out.set_yours(it == m_bySender.end() ? 0 : it->second);
     out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -36,6 +36,8 @@
     using Reply = std::function<void(proto::Answer)>;
     /// \brief Tells an ingress that the upstream is leaving or stays.
     using Announce = std::function<void(const std::string& address, bool isLeaving)>;
+    /// \brief Tells an ingress of a load that has changed much.
+    using TellLoad = std::function<void(const std::string& address, proto::LoadNews& news)>;
 
     Owner(NodeContext& context, Instant now);
     ~Owner();
@@ -43,6 +45,7 @@
     Owner& operator=(const Owner&) = delete;
 
     void onAnnounce(Announce announce) { m_announce = std::move(announce); }
+    void onLoadChanged(TellLoad tell) { m_tellLoad = std::move(tell); }
 
     /// \brief A call came. \a reply runs once, perhaps at once.
     void take(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
@@ -56,6 +59,16 @@
     /// \brief Sets or clears a sign of leaving.
     void setSign(LeavingSign sign, bool isSet, Instant now);
 
+    /// \brief Asks the backend server for its health now. \a done gets what it said.
+    void probe(std::function<void(const ProbeNews&)> done, Instant now);
+
+    /// \brief Something else than a call shows that the backend server lives.
+    void heardFromBackend(Instant now) { setDown(false, now); }
+    bool isBackendDown() const { return m_isDown; }
+
+    /// \returns connections to the backend server opened so far.
+    std::uint64_t connectionsOpened() const { return m_pool ? m_pool->opened() : 0; }
+
     /// \brief Timed work: probes, the end of a drain, forgetting.
     void tick(Instant now);
 
@@ -77,6 +90,7 @@
         Instant deadline {};
         bool isRunning = false;
         bool isRepeatable = true;
+        bool isByRoute = false;
         HttpPool* pool = nullptr; ///< while running
         std::uint64_t request = 0; ///< its number there
     };
@@ -86,7 +100,15 @@
     void takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
     void admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
     void act(const Dispatch& dispatch, Instant now);
+    Offer offerOf(std::uint64_t id, const CallRecord& record, Instant now);
     void run(std::uint64_t id, Instant now);
+    proto::Answer answerOf(HttpReply& reply, Instant now);
+    static proto::Answer answerOf(HttpError error);
+    void learn(const HttpReply& reply, Instant now);
+    void setSlowdown(double slowdown, Instant now);
+    void setDown(bool isDown, Instant now);
+    void tellLoad(Instant now);
+    void probeBackend(Instant now);
     void ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now);
     void refuse(const Refusal& refusal, Instant now);
     void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
@@ -107,7 +129,13 @@
     std::vector<std::unique_ptr<HttpPool>> m_formerPools;
     std::unique_ptr<HttpPool> m_pool;
     std::string m_backendAddress;
+    std::string m_boundUpstream; ///< that the pool's connections are meant for
     Announce m_announce;
+    TellLoad m_tellLoad;
+    bool m_isDown = false;
+    unsigned m_unreached = 0; ///< connections in a row that could not be made
+    double m_toldSlowdown = 1;
+    Instant m_nextProbe {};
     std::string m_serviceId;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, CallRecord> m_calls;
@@ -117,6 +145,8 @@
     struct Ingress {
         std::string address;
         Instant lastCall {};
+        std::uint64_t incarnation = 0;
+        std::string group;
     };
     std::unordered_map<std::string, Ingress> m_ingresses; ///< by node; told when this upstream leaves
     Ewma m_errors;
--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -1,6 +1,7 @@
 #include "Node/Prober.h"
 
 #include "Http/HttpStatus.h"
+#include "Node/BackendReply.h"
 #include "Node/CallHeaders.h"
 
 namespace robinrun {
@@ -11,25 +12,50 @@
 
 } // namespace
 
-bool Prober::tryProbe(HttpPool& pool, std::uint32_t freeSlots, std::uint32_t waiting, Instant now, Done done)
+void Prober::setPath(const std::string& path, const CallHeaders& names)
 {
-    if (m_isOut || !freeSlots || !m_budget.tryStart(waiting, now))
+    if (!path.empty())
+        m_path = path;
+    m_names = names;
+}
+
+ProbeNews Prober::read(const HttpReply& reply) const
+{
+    ProbeNews news;
+    news.isReachable = true;
+    news.isWell = reply.status == ok;
+    news.isDraining = findHeader(reply.headers, headers::backendState) == "draining"
+        || (reply.status != ok && reply.body.find("draining") != std::string::npos);
+    news.upstream = findHeader(reply.headers, m_names.upstream).value_or("");
+    if (const auto text = findHeader(reply.headers, m_names.load)) {
+        if (const auto load = parseLoad(*text)) {
+            news.slowdown = load->slowdown;
+            news.slots = load->slots;
+        }
+    }
+    return news;
+}
+
+bool Prober::probe(HttpPool& pool, Instant now, Done done)
+{
+    if (m_isOut)
         return false;
     m_isOut = true;
-    pool.send({ "GET", "/health", {}, {} }, probeTimeout,
+    pool.send({ "GET", m_path, {}, {} }, probeTimeout,
         [this, now, done = std::move(done)](Result<HttpReply, HttpError> reply) {
             m_isOut = false;
             const auto end = monotonicNow();
             m_budget.ended(end - now, end);
-            ProbeNews news;
-            news.isReachable = reply.has_value();
-            if (reply.has_value())
-                news.isDraining = findHeader(reply.value().headers, headers::backendState) == "draining"
-                    || (reply.value().status != ok
-                        && reply.value().body.find("draining") != std::string::npos);
-            done(news, end - now);
+            done(reply.has_value() ? read(reply.value()) : ProbeNews {}, end - now);
         });
     return true;
 }
 
+bool Prober::tryProbe(HttpPool& pool, std::uint32_t freeSlots, std::uint32_t waiting, Instant now, Done done)
+{
+    if (m_isOut || !freeSlots || !m_budget.tryStart(waiting, now))
+        return false;
+    return probe(pool, now, std::move(done));
+}
+
 } // namespace robinrun
--- a/src/Node/Prober.h
+++ b/src/Node/Prober.h
@@ -1,17 +1,23 @@
 #pragma once
 
 #include "Http/HttpPool.h"
+#include "Node/CallHeaders.h"
 #include "Probing/ProbeBudget.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace robinrun {
 
-/// \brief What a probe of the backend server showed. Its load figures are not used: they lag or mislead.
+/// \brief What a probe of the backend server showed. Its counts of calls are not used: they lag or mislead.
 struct ProbeNews {
     bool isReachable = false;
     bool isDraining = false;
+    bool isWell = false; ///< the server believes so
+    std::string upstream; ///< id of the server's present start, if it tells
+    std::uint32_t slots = 0; ///< if it tells
+    std::optional<double> slowdown;
 };
 
 /// \brief Asks the backend server's health endpoint, inside the budget and only on a free slot.
@@ -31,10 +37,20 @@
     /// as the backend server counts it.
     bool tryProbe(HttpPool& pool, std::uint32_t freeSlots, std::uint32_t waiting, Instant now, Done done);
 
+    /// \brief Probes without asking the budget, as when nothing is known of the server.
+    /// \returns false if a probe is out.
+    bool probe(HttpPool& pool, Instant now, Done done);
+
+    void setPath(const std::string& path, const CallHeaders& names);
+
     const ProbeBudget& budget() const { return m_budget; }
 
 private:
+    ProbeNews read(const HttpReply& reply) const;
+
     ProbeBudget m_budget;
+    std::string m_path = "/health";
+    CallHeaders m_names;
     bool m_isOut = false;
 };
 
--- a/src/Platform/AppendLog.h
+++ b/src/Platform/AppendLog.h
@@ -17,11 +17,12 @@
     Uncertain, ///< no reply: the request may have taken effect, or may yet
     Refused, ///< the service answered that it won't
     Malformed, ///< the reply makes no sense
+    Forgotten, ///< what was asked for is no longer kept
 };
 
 template <> struct EnumNames<PlatformErrorKind> {
-    static constexpr std::array<std::string_view, 4> names { "unreachable", "uncertain", "refused",
-        "malformed" };
+    static constexpr std::array<std::string_view, 5> names { "unreachable", "uncertain", "refused",
+        "malformed", "forgotten" };
 };
 
 /// \brief The platform layer's own error.
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -45,18 +45,12 @@
     require(!m_waiting.contains(offer.id) && !m_running.contains(offer.id), "Admission::offer: id is new");
     Dispatch out;
     const auto cost = m_service.of(offer.callClass);
-    const QueuedCall call { offer.id, offer.group, offer.priority, now, offer.deadline, cost };
+    const QueuedCall call { offer.id, offer.group, offer.priority, now, offer.deadline, cost,
+        offer.inTimeUntil };
     m_queue.chargeElsewhere(offer.group, offer.elsewhere);
-    if (m_isLeaving) {
-        refuse(call, Reason::Leaving, out, now);
-        return out;
-    }
-    if (now + expectedWait(offer.group, offer.priority, now) + cost > offer.deadline) {
-        refuse(call, now >= offer.deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline, out, now);
-        return out;
-    }
-    if (expectedWait(offer.group, offer.priority, now) > m_options.maxWait * m_service.mean()) {
-        refuse(call, Reason::QueueFull, out, now);
+    const auto wait = expectedWait(offer.group, offer.priority, now);
+    if (const auto reason = reasonToRefuse(call, wait, now); reason != Reason::None) {
+        refuse(call, reason, out, now);
         return out;
     }
     m_waiting.emplace(offer.id, Waiting { offer.group, offer.callClass });
@@ -69,6 +63,31 @@
     return out;
 }
 
+Reason Admission::reasonToRefuse(const QueuedCall& call, Duration wait, Instant now) const
+{
+    if (m_isLeaving)
+        return Reason::Leaving;
+    if (now >= call.deadline)
+        return Reason::DeadlinePassed;
+    const auto end = now + wait + call.expectedCost;
+    if (end > call.deadline)
+        return Reason::WouldMissDeadline;
+    if (call.inTimeUntil == Instant::max())
+        return wait > m_options.maxWait * m_service.mean() ? Reason::QueueFull : Reason::None;
+    // With a slot free it is served, late or not; a place in the queue goes to those that can be in time.
+    return wait > Duration::zero() && end > call.inTimeUntil ? Reason::WouldBeLate : Reason::None;
+}
+
+Reason Admission::reasonToDrop(const QueuedCall& call, Instant now)
+{
+    const auto end = now + call.expectedCost;
+    if (end > call.deadline)
+        return now >= call.deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline;
+    if (call.inTimeUntil == Instant::max())
+        return hasStood(call, now) ? Reason::StoodTooLong : Reason::None;
+    return end > call.inTimeUntil && !m_queue.isEmpty() ? Reason::WouldBeLate : Reason::None;
+}
+
 Dispatch Admission::finished(std::uint64_t id, Instant now)
 {
     const auto it = m_running.find(id);
@@ -114,7 +133,8 @@
 
 LoadReport Admission::load(Instant now) const
 {
-    return { m_options.slots, inUse(), static_cast<std::uint32_t>(m_queue.size()), m_service.overall(now) };
+    return { m_options.slots, inUse(), static_cast<std::uint32_t>(m_queue.size()), m_service.overall(now),
+        m_service.slowdown() };
 }
 
 LoadReport Admission::loadFor(std::uint32_t group, Instant now) const
@@ -131,19 +151,14 @@
         const auto call = m_queue.pop();
         if (!call)
             return;
-        const auto waiting = m_waiting.find(call->id);
-        if (now + call->expectedCost > call->deadline) {
-            m_queue.settle(call->group, call->expectedCost, Duration::zero());
-            m_waiting.erase(waiting);
-            refuse(
-                *call, now >= call->deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline, out, now);
-        } else if (hasStood(*call, now)) {
-            m_queue.settle(call->group, call->expectedCost, Duration::zero());
-            m_waiting.erase(waiting);
-            refuse(*call, Reason::StoodTooLong, out, now);
-        } else {
+        const auto reason = reasonToDrop(*call, now);
+        if (reason == Reason::None) {
             start(*call, out, now);
+            continue;
         }
+        m_queue.settle(call->group, call->expectedCost, Duration::zero());
+        m_waiting.erase(call->id);
+        refuse(*call, reason, out, now);
     }
 }
 
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -19,6 +19,7 @@
     std::uint32_t priority = 0;
     Instant deadline {};
     Duration elsewhere {};
+    Instant inTimeUntil = Instant::max(); ///< an answer after this is late
 };
 
 /// \brief What to do after a step: calls to hand to the backend server, and calls given up as not run.
@@ -33,6 +34,8 @@
     std::uint32_t inUse = 0;
     std::uint32_t waiting = 0;
     Duration service {};
+    double slowdown = 1; ///< how much longer work takes at this moment, as the backend server says
+    bool isDown = false; ///< the backend server can't be reached
 };
 
 /// \brief Decides at the owner which calls run on the backend server, which wait and which are refused.
@@ -62,6 +65,9 @@
     /// \brief Changes the slots; fewer than in use means that none starts until enough have ended.
     void setSlots(std::uint32_t slots) { m_options.slots = slots; }
 
+    /// \brief Work takes \a factor times as long as usual from now on.
+    void setSlowdown(double factor) { m_service.setSlowdown(factor); }
+
     /// \brief Changes how many calls may wait; those that wait beyond it stay.
     void setQueueLimit(std::size_t limit) { m_queue.setLimit(limit); }
 
@@ -105,6 +111,8 @@
     void start(const QueuedCall& call, Dispatch& out, Instant now);
     void refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now) const;
     bool hasStood(const QueuedCall& call, Instant now);
+    Reason reasonToRefuse(const QueuedCall& call, Duration wait, Instant now) const;
+    Reason reasonToDrop(const QueuedCall& call, Instant now);
 
     Options m_options;
     FairQueue m_queue;
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -21,6 +21,7 @@
     Instant arrived {};
     Instant deadline {};
     Duration expectedCost {}; ///< slot time it is likely to hold
+    Instant inTimeUntil = Instant::max(); ///< an answer after this is late; calls without have no such time
 };
 
 /// \brief Weighted fair queue over calling groups, in slot time.
--- a/src/Queueing/Refusal.h
+++ b/src/Queueing/Refusal.h
@@ -33,14 +33,17 @@
     BackendFailed,
     Damaged,
     TooManyTickets,
+    WouldBeLate, ///< the answer would come after its target latency
+    BackendRefused, ///< the backend server says that it did not run it
+    NotReady, ///< the node has no configuration yet
 };
 
 template <> struct EnumNames<Reason> {
-    static constexpr std::array<std::string_view, 22> names { "none", "queue-full", "over-share",
+    static constexpr std::array<std::string_view, 25> names { "none", "queue-full", "over-share",
         "would-miss-deadline", "deadline-passed", "stood-too-long", "leaving", "cancelled", "wrong-owner",
         "wrong-incarnation", "duplicate", "backend-unreachable", "no-upstream", "attempts-spent",
         "claim-undecided", "key-too-old", "ticket-unknown", "ticket-mismatch", "owner-lost", "backend-failed",
-        "damaged", "too-many-tickets" };
+        "damaged", "too-many-tickets", "would-be-late", "backend-refused", "not-ready" };
 };
 
 /// \brief A waiting call that the owner gives up on, before it was handed to the backend server.
--- a/src/Queueing/ServiceEstimate.cpp
+++ b/src/Queueing/ServiceEstimate.cpp
@@ -27,7 +27,7 @@
         m_origin = now;
         m_startedSumSeconds = 0;
     }
-    m_started.emplace(id, now);
+    m_started.emplace(id, Started { now, m_slowdown });
     m_startedSumSeconds += toSeconds(now - m_origin);
 }
 
@@ -35,27 +35,29 @@
 {
     const auto it = m_started.find(id);
     require(it != m_started.end(), "ServiceEstimate::ended: the call was started");
-    const Duration held = now - it->second;
-    m_startedSumSeconds -= toSeconds(it->second - m_origin);
+    const Duration held = now - it->second.at;
+    // The factor changes while calls run: the mean of both ends stands for it.
+    const double usual = toSeconds(held) / ((it->second.slowdown + m_slowdown) / 2);
+    m_startedSumSeconds -= toSeconds(it->second.at - m_origin);
     m_started.erase(it);
-    m_overall.add(toSeconds(held));
-    m_byClass.try_emplace(callClass, sampleWeight).first->second.add(toSeconds(held));
+    m_overall.add(usual);
+    m_byClass.try_emplace(callClass, sampleWeight).first->second.add(usual);
     return held;
 }
 
 Duration ServiceEstimate::of(std::uint32_t callClass) const
 {
     const auto it = m_byClass.find(callClass);
-    return fromSeconds(it == m_byClass.end() ? m_overall.value() : it->second.value());
+    return fromSeconds((it == m_byClass.end() ? m_overall.value() : it->second.value()) * m_slowdown);
 }
 
 Duration ServiceEstimate::overall(Instant now) const
 {
     if (m_started.empty())
-        return fromSeconds(m_overall.value());
+        return mean();
     const auto n = static_cast<double>(m_started.size());
     const double elapsed = toSeconds(now - m_origin) - m_startedSumSeconds / n;
-    return fromSeconds(std::max(m_overall.value(), elapsed / elapsedOfSteady));
+    return fromSeconds(std::max(toSeconds(mean()), elapsed / elapsedOfSteady));
 }
 
 } // namespace robinrun
--- a/src/Queueing/ServiceEstimate.h
+++ b/src/Queueing/ServiceEstimate.h
@@ -25,11 +25,16 @@
     /// \returns how long the call held its slot.
     Duration ended(std::uint64_t id, std::uint32_t callClass, Instant now);
 
+    /// \brief The backend server says that work takes \a factor times as long as usual from \a now on.
+    /// Estimates follow at once; what ended calls held is scaled by the factor they met.
+    void setSlowdown(double factor) { m_slowdown = factor; }
+    double slowdown() const { return m_slowdown; }
+
     /// \returns expected slot time of a new call of \a callClass.
     Duration of(std::uint32_t callClass) const;
 
     /// \returns the mean slot time of ended calls, over all classes.
-    Duration mean() const { return fromSeconds(m_overall.value()); }
+    Duration mean() const { return fromSeconds(m_overall.value() * m_slowdown); }
 
     /// \returns the mean slot time over all classes, raised by calls that run long. \param now the present.
     Duration overall(Instant now) const;
@@ -39,7 +44,12 @@
 private:
     Ewma m_overall;
     std::unordered_map<std::uint32_t, Ewma> m_byClass;
-    std::unordered_map<std::uint64_t, Instant> m_started;
+    struct Started {
+        Instant at;
+        double slowdown;
+    };
+    double m_slowdown = 1;
+    std::unordered_map<std::uint64_t, Started> m_started;
     double m_startedSumSeconds = 0;
     Instant m_origin {};
 };
--- a/src/Routing/Choice.cpp
+++ b/src/Routing/Choice.cpp
@@ -1,6 +1,7 @@
 #include "Routing/Choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace robinrun {
@@ -160,6 +161,41 @@
     return leastBy(m_sampled, random, [&](std::size_t i) { return delay(in.views[i], means, in); });
 }
 
+Duration TimelyChoice::expected(const UpstreamView& view, const ChoiceInput& in) const
+{
+    const double usable = std::max(1U, view.slots());
+    double others = 0;
+    double slowdown = 1;
+    Duration service = in.work;
+    if (const auto& report = view.report()) {
+        const auto age = in.now - report->heard;
+        const double busy = double(report->load.inUse) + report->queued - report->yours;
+        others = std::max(0.0, busy) * freshness(age, options.loadMemory);
+        slowdown += (report->load.slowdown - 1) * freshness(age, options.slowdownMemory);
+        service = report->load.service;
+    }
+    slowdown *= 1 + (options.coldSlowdown - 1) * (1 - view.warmth(options.warmUp, in.now));
+    const double load = view.inFlight() + others;
+    const double wait = toSeconds(service) * std::max(0.0, load + 1 - usable) / usable;
+    return view.roundTrip() + fromSeconds(wait + toSeconds(in.work) * slowdown);
+}
+
+double TimelyChoice::loss(const UpstreamView& view, const ChoiceInput& in) const
+{
+    const double seconds = toSeconds(expected(view, in));
+    if (in.targetLatency <= Duration::zero())
+        return seconds;
+    const double part = seconds / toSeconds(in.targetLatency);
+    const double late = 1 / (1 + std::exp((options.latePoint - part) / options.lateSpread));
+    const double failed = 1 - (1 - late) * (1 - view.errorShare(in.now));
+    return failed + options.delayLoss * part + (view.isFar() ? options.farLoss : 0);
+}
+
+std::size_t TimelyChoice::operator()(const ChoiceInput& in, Random& random)
+{
+    return leastBy(in.candidates, random, [&](std::size_t i) { return loss(in.views[i], in); });
+}
+
 Choice makeChoice(ChoiceKind kind)
 {
     switch (kind) {
@@ -173,6 +209,8 @@
         return PowerOfTwoChoice {};
     case ChoiceKind::HotCold:
         return HotColdChoice {};
+    case ChoiceKind::Timely:
+        return TimelyChoice {};
     case ChoiceKind::ExpectedDelay:
         break;
     }
--- a/src/Routing/Choice.h
+++ b/src/Routing/Choice.h
@@ -21,11 +21,12 @@
     PowerOfTwo,
     HotCold,
     ExpectedDelay,
+    Timely,
 };
 
 template <> struct EnumNames<ChoiceKind> {
-    static constexpr std::array<std::string_view, 6> names { "random", "round-robin", "least-in-flight",
-        "power-of-two", "hot-cold", "robinrun" };
+    static constexpr std::array<std::string_view, 7> names { "random", "round-robin", "least-in-flight",
+        "power-of-two", "hot-cold", "robinrun", "timely" };
 };
 
 /// \brief Candidates of one decision: indexes into `views` that may be chosen.
@@ -34,6 +35,8 @@
     std::span<const std::size_t> candidates;
     Instant now {};
     std::uint32_t group = 0;
+    Duration targetLatency {}; ///< what is left of it; 0: none
+    Duration work {}; ///< slot time of such a call when nothing slows it
 };
 
 /// \brief Uniform choice, blind to load.
@@ -98,9 +101,38 @@
     std::vector<double> m_services;
 };
 
+/// \brief The least expected loss of credit, for calls with a target latency.
+///
+/// An answer in time is worth 1, a late one next to nothing; so what counts is the chance to be late, not the
+/// delay itself: a near upstream that is in time goes before a faster one far away. The expected time is
+/// round trip + wait for a slot + work x the slow-down that the owner last told of. News ages: a slow-down is
+/// forgotten after some hundred ms, since it shifts as often. Calls without a target go by the time alone.
+/// Cost: O(candidates).
+/// \sa docs/DESIGN-platform.md
+struct TimelyChoice {
+    struct Options {
+        Duration slowdownMemory = 300ms; ///< time constant; slow phases of shared hosts last as long
+        Duration loadMemory = 500ms; ///< time constant for others' calls
+        double latePoint = 0.85; ///< part of the target latency at which an answer is late half of the time
+        double lateSpread = 0.12; ///< width of that estimate: work varies by a third
+        double farLoss = 0.15; ///< credit that the bytes of a call to another data hall cost
+        double delayLoss = 0.1; ///< credit for each target latency that passes, among those in time
+        Duration warmUp = 3s; ///< a new upstream is slower for so long
+        double coldSlowdown = 2; ///< how much, at its start
+    };
+    Options options {};
+    std::size_t operator()(const ChoiceInput& in, Random& random);
+
+    /// \returns the time that a call is expected to take there.
+    Duration expected(const UpstreamView& view, const ChoiceInput& in) const;
+
+private:
+    double loss(const UpstreamView& view, const ChoiceInput& in) const;
+};
+
 /// \brief A way to choose, with its state.
 using Choice = std::variant<RandomChoice, RoundRobinChoice, LeastInFlightChoice, PowerOfTwoChoice,
-    HotColdChoice, ExpectedDelayChoice>;
+    HotColdChoice, ExpectedDelayChoice, TimelyChoice>;
 
 /// \returns the choice of \a kind with its defaults.
 Choice makeChoice(ChoiceKind kind);
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -8,6 +8,9 @@
     /// How often errors are judged and pauses ended; decisions between use the last judgement.
     constexpr Duration judgementEvery = 20ms;
     constexpr int maxPauseDoublings = 4;
+    constexpr double workSampleWeight = 0.05;
+    /// Work that was never measured is taken for this part of the target latency.
+    constexpr double unknownWorkShare = 0.3;
 
 } // namespace
 
@@ -41,7 +44,7 @@
             views.push_back(std::move(*known));
             continue;
         }
-        views.emplace_back(it.name, it.slots, it.roundTrip);
+        views.emplace_back(it.name, it.slots, it.roundTrip, it.isFar);
         if (!isFirst)
             views.back().restartWarmUp(now);
     }
@@ -60,6 +63,47 @@
     m_budgets.clear();
 }
 
+void ServiceRouter::setRetryBurst(double burst)
+{
+    if (burst == m_options.retryBurst)
+        return;
+    m_options.retryBurst = burst;
+    m_budgets.clear();
+}
+
+void ServiceRouter::measuredWork(std::string_view callClass, Duration held, double slowdown)
+{
+    auto it = m_work.find(callClass);
+    if (it == m_work.end())
+        it = m_work.emplace(std::string(callClass), Ewma(workSampleWeight)).first;
+    it->second.add(toSeconds(held) / std::max(slowdown, 1.0));
+}
+
+Duration ServiceRouter::usualWork(std::string_view callClass, Duration targetLatency) const
+{
+    const auto it = m_work.find(callClass);
+    return fromSeconds(it == m_work.end() ? toSeconds(targetLatency) * unknownWorkShare : it->second.value());
+}
+
+void ServiceRouter::heard(const std::string& upstream, const Report& report, Instant now)
+{
+    auto* view = viewOf(upstream);
+    if (!view)
+        return;
+    view->heard(report);
+    if (report.load.isDown)
+        pauseLost(*view, now);
+    else if (view->state() == UpstreamState::Lost)
+        revive(upstream, now);
+}
+
+void ServiceRouter::revive(const std::string& upstream, Instant now)
+{
+    m_pauses.erase(upstream);
+    if (auto* view = viewOf(upstream))
+        view->setState(UpstreamState::Active, now);
+}
+
 void ServiceRouter::endPauses(Instant now)
 {
     for (auto& [name, pause] : m_pauses) {
@@ -81,7 +125,7 @@
 }
 
 std::optional<std::string> ServiceRouter::pick(
-    std::span<const std::string> excluded, std::uint32_t group, Instant now, Random& random)
+    std::span<const std::string> excluded, const RouteNeeds& needs, Instant now, Random& random)
 {
     if (now >= m_nextJudgement) {
         m_nextJudgement = now + judgementEvery;
@@ -96,7 +140,9 @@
             m_excluded.push_back(found->second);
     }
     m_ejection.candidates(m_views, m_excluded, now, m_candidates);
-    const auto chosen = choose(m_choice, { m_views, m_candidates, now, group }, random);
+    const auto work = usualWork(needs.callClass, needs.targetLatency);
+    const ChoiceInput input { m_views, m_candidates, now, needs.group, needs.targetLatency, work };
+    const auto chosen = choose(m_choice, input, random);
     if (!chosen)
         return std::nullopt;
     return m_views[*chosen].name();
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -9,9 +9,11 @@
 #include "Routing/UpstreamView.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -22,6 +24,14 @@
     std::string name;
     std::uint32_t slots = 0;
     Duration roundTrip {}; ///< guess until it is measured
+    bool isFar = false; ///< in another data hall
+};
+
+/// \brief What is known of a call when an upstream is chosen for it.
+struct RouteNeeds {
+    std::uint32_t group = 0;
+    std::string_view callClass {};
+    Duration targetLatency {}; ///< what is left of it; 0: none
 };
 
 /// \brief All that one ingress decides about the calls of one service: where to, whether again.
@@ -50,10 +60,25 @@
     /// \brief Changes the budget of retries; groups start anew with it if it is another one.
     void setRetryFraction(double fraction);
 
+    /// \brief Changes how many retries a group may save up.
+    void setRetryBurst(double burst);
+
     /// \brief Chooses an upstream for a call. \param excluded names already tried.
     /// \returns its name, or nothing if none is left.
     std::optional<std::string> pick(
-        std::span<const std::string> excluded, std::uint32_t group, Instant now, Random& random);
+        std::span<const std::string> excluded, const RouteNeeds& needs, Instant now, Random& random);
+
+    /// \brief A call of \a callClass held its slot for \a held, while work took \a slowdown times as long.
+    void measuredWork(std::string_view callClass, Duration held, double slowdown);
+
+    /// \returns the usual slot time of \a callClass; a part of \a targetLatency before any was measured.
+    Duration usualWork(std::string_view callClass, Duration targetLatency) const;
+
+    /// \brief The owner told its load by itself.
+    void heard(const std::string& upstream, const Report& report, Instant now);
+
+    /// \brief Whatever kept calls from \a upstream is over: its node lives again.
+    void revive(const std::string& upstream, Instant now);
 
     /// \brief Counts the first attempt of a call, which earns its group a part of a retry.
     void firstAttempt(std::uint32_t group) { budgetOf(group).firstAttempt(); }
@@ -116,6 +141,7 @@
     Options m_options;
     Choice m_choice;
     LatencySketch m_latency;
+    std::map<std::string, Ewma, std::less<>> m_work; ///< seconds, by class
     Ejection m_ejection;
     std::vector<UpstreamView> m_views;
     std::unordered_map<std::string, std::size_t> m_index;
--- a/src/Routing/UpstreamView.cpp
+++ b/src/Routing/UpstreamView.cpp
@@ -12,10 +12,11 @@
 
 } // namespace
 
-UpstreamView::UpstreamView(std::string name, std::uint32_t slots, Duration roundTrip)
+UpstreamView::UpstreamView(std::string name, std::uint32_t slots, Duration roundTrip, bool isFar)
     : m_name(std::move(name))
     , m_slots(slots)
     , m_roundTrip(roundTrip)
+    , m_isFar(isFar)
     , m_errors(errorSampleWeight)
 {
     m_errors.add(0); // one failure among few calls is no share of 1
--- a/src/Routing/UpstreamView.h
+++ b/src/Routing/UpstreamView.h
@@ -38,7 +38,8 @@
 class UpstreamView {
 public:
     /// \param roundTrip network time to the upstream's node and back.
-    UpstreamView(std::string name, std::uint32_t slots, Duration roundTrip);
+    /// \param isFar in another data hall: bytes there and back cost more.
+    UpstreamView(std::string name, std::uint32_t slots, Duration roundTrip, bool isFar = false);
 
     /// \brief A call was sent.
     void sent(std::uint32_t group)
@@ -51,6 +52,9 @@
     /// server.
     void answered(std::uint32_t group, const Report& report, bool isFailure, Instant now);
 
+    /// \brief The owner tells its load by itself, without an answer.
+    void heard(const Report& report) { m_report = report; }
+
     /// \brief No answer came in time, or the node is gone.
     void gotNoAnswer(std::uint32_t group, Instant now);
 
@@ -88,6 +92,7 @@
     const std::string& name() const { return m_name; }
     std::uint32_t slots() const { return m_slots; }
     Duration roundTrip() const { return m_roundTrip; }
+    bool isFar() const { return m_isFar; }
     std::uint32_t inFlight() const { return m_inFlight; }
     /// \returns own calls of one group that are out.
     std::uint32_t inFlightOf(std::uint32_t group) const;
@@ -114,6 +119,7 @@
     std::string m_name;
     std::uint32_t m_slots;
     Duration m_roundTrip;
+    bool m_isFar;
     std::uint32_t m_inFlight = 0;
     UpstreamState m_state = UpstreamState::Active;
     std::optional<Report> m_report;
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -7,18 +7,56 @@
     constexpr std::uint64_t kibi = 1024;
     constexpr std::uint64_t mebi = 1024 * kibi;
 
+    using Standard = std::optional<std::string>;
+
+    /// \returns the standard of an address that may be left out if \a isOptional.
+    Standard noneIf(bool isOptional)
+    {
+        return isOptional ? Standard("") : std::nullopt;
+    }
+
+    void readStore(YamlReader reader, NodeSettings& out)
+    {
+        out.store.address = reader.address("address", "");
+        out.store.writesPerSecond = reader.number("writes_per_second", 0.1, 1e9, 100);
+        out.store.readsPerSecond = reader.number("reads_per_second", 0.1, 1e9, 100);
+        out.store.timeout = reader.duration("timeout", 100ms, 60s, 1s);
+        reader.finish();
+    }
+
     void readListen(YamlReader reader, NodeSettings& out)
     {
+        const bool hasStore = !out.store.address.empty();
         out.listen.callers = reader.address("callers");
-        out.listen.operators = reader.address("operators");
+        out.listen.operators = reader.address("operators", noneIf(hasStore));
         out.listen.peers = reader.address("peers");
+        out.listen.readiness = reader.address("readiness", "");
+        out.listen.announcements = reader.address("announcements", noneIf(!hasStore));
+        out.listen.metrics = reader.address("metrics", "");
+        reader.finish();
+    }
+
+    void readRetries(YamlReader reader, NodeSettings& out)
+    {
+        out.retries.ratio = reader.number("ratio", 0, 1, 0.1);
+        out.retries.slack = reader.number("slack", 0, 1e6, 10);
+        reader.finish();
+    }
+
+    void readPeers(YamlReader reader, NodeSettings& out)
+    {
+        out.peers.heartbeat = reader.duration("heartbeat", 50ms, 60s, 5s);
+        out.peers.longestReconnect = reader.duration("longest_reconnect", 50ms, 60s, 2s);
+        out.peers.contacts = reader.count("contacts", 1, 100, 16);
+        out.peers.contactEvery = reader.duration("contact_every", 100ms, 60s, 2s);
         reader.finish();
     }
 
     void readPlatform(YamlReader reader, NodeSettings& out)
     {
-        out.platform.log = reader.address("log");
-        out.platform.hosts = reader.address("hosts");
+        const bool hasStore = !out.store.address.empty();
+        out.platform.log = reader.address("log", noneIf(hasStore));
+        out.platform.hosts = reader.address("hosts", noneIf(hasStore));
         out.platform.timeout = reader.duration("timeout", 100ms, 60s, 3s);
         reader.finish();
     }
@@ -50,6 +88,12 @@
         reader.finish();
     }
 
+    void readAdmission(YamlReader reader, NodeSettings& out)
+    {
+        out.admission.usableShare = reader.number("usable_share", 0.1, 1, 1);
+        reader.finish();
+    }
+
     void readClaims(YamlReader reader, NodeSettings& out)
     {
         out.claims.partitions = reader.count("partitions", 1, 4096, 8);
@@ -92,13 +136,20 @@
     out.dataHall = reader.text("data_hall");
     out.region = reader.text("region");
     out.upstream = reader.text("upstream", "");
+    out.service = reader.text("service", "");
+    out.backend = reader.address("backend", "");
     out.chartsFolder = reader.text("charts", "charts");
     out.drainTimeout = reader.duration("drain_timeout", 0us, 1h, 30s);
+    out.lameDuck = reader.duration("lame_duck", 0us, 60s, 0s);
+    readStore(reader.section("store"), out);
     readListen(reader.section("listen"), out);
     readPlatform(reader.section("platform"), out);
     readLog(reader.section("log"), out);
     readLimits(reader.section("limits"), out);
     readChoice(reader.section("choice"), out);
+    readRetries(reader.section("retries"), out);
+    readPeers(reader.section("peers"), out);
+    readAdmission(reader.section("admission"), out);
     readClaims(reader.section("claims"), out);
     readControl(reader.section("control"), out);
     readTokens(reader, out);
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -20,12 +20,16 @@
     std::string dataHall;
     std::string region;
     std::string upstream; ///< id of the upstream this node owns; "" for a node that owns none
+    std::string service; ///< of that upstream, where it is known beforehand; ""
     std::string chartsFolder;
 
     struct {
         std::string callers;
         std::string operators;
         std::string peers;
+        std::string readiness; ///< "" where nobody asks
+        std::string announcements; ///< of the backend server beside this node
+        std::string metrics; ///< "" for none but those of the operators' port
     } listen;
 
     struct {
@@ -34,6 +38,29 @@
         Duration timeout {};
     } platform;
 
+    /// A keyed store in which nodes meet. With one, there is no host list and no log of changes.
+    struct {
+        std::string address; ///< "" for none
+        double writesPerSecond = 0; ///< of all nodes together
+        double readsPerSecond = 0;
+        Duration timeout {};
+    } store;
+
+    std::string backend; ///< address of the backend server beside this node, where it announces itself
+
+    /// What all nodes together may send again, as the deployment bounds it.
+    struct {
+        double ratio = 0; ///< retries for each call to a service
+        double slack = 0; ///< on top of it, in each window
+    } retries;
+
+    struct {
+        Duration heartbeat {}; ///< on links; two that stay out end one
+        Duration longestReconnect {};
+        std::uint64_t contacts = 0; ///< peers that are told of changes at once
+        Duration contactEvery {};
+    } peers;
+
     std::map<std::string, std::string> operatorTokens; ///< name: SHA-256 of the token, hex
 
     struct {
@@ -57,6 +84,10 @@
         Duration attemptTimeout {}; ///< after which a repeatable call may be sent to another upstream
     } choice;
 
+    struct {
+        double usableShare = 1; ///< of a backend server's slots: near full ones may slow all of them
+    } admission;
+
     struct {
         std::uint64_t partitions = 0; ///< claim streams; the same on all nodes
         double appendsPerSecond = 0; ///< of this node
@@ -75,6 +106,7 @@
     } control;
 
     Duration drainTimeout {};
+    Duration lameDuck {}; ///< after a stop is asked for, calls are still taken: callers learn of it late
 
     /// \brief Reads and checks \a file whole. The error side holds every error, in the order of the file's
     /// sections.
--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -8,26 +8,34 @@
 namespace robinrun {
 namespace {
 
-    /// A link whose peer is gone without a word is noticed after this long, and tried anew as often.
-    constexpr int heartbeatMs = 5000;
-    constexpr int heartbeatTimeoutMs = 10000;
+    /// A link whose peer is gone without a word ends after this many heartbeats, and is tried anew.
+    constexpr int missedHeartbeats = 2;
     constexpr int reconnectMs = 50;
-    constexpr int reconnectMaxMs = 2000;
+
+    int toMs(Duration d)
+    {
+        return static_cast<int>(toMilliseconds(d));
+    }
 
 } // namespace
 
 struct PeerSocket::Link {
     PeerSocket* owner;
+    std::string address;
     zmq::socket_t socket;
+    zmq::socket_t monitor; ///< tells when the connection ends
     event* watcher = nullptr;
+    event* monitorWatcher = nullptr;
     Instant opened {};
     Instant lastUsed {};
     bool hasStood = false;
     bool isDirty = false;
 
-    Link(PeerSocket* peers, zmq::context_t& context)
+    Link(PeerSocket* peers, std::string peerAddress, zmq::context_t& context)
         : owner(peers)
+        , address(std::move(peerAddress))
         , socket(context, zmq::socket_type::dealer)
+        , monitor(context, zmq::socket_type::pair)
     {
     }
     Link(const Link&) = delete;
@@ -36,6 +44,8 @@
     {
         if (watcher)
             event_free(watcher);
+        if (monitorWatcher)
+            event_free(monitorWatcher);
     }
 };
 
@@ -89,7 +99,7 @@
 {
     auto& link = m_links[address];
     if (!link) {
-        link = std::make_unique<Link>(this, *m_context);
+        link = std::make_unique<Link>(this, address, *m_context);
         link->opened = now;
         auto& socket = link->socket;
         socket.set(zmq::sockopt::linger, 0);
@@ -97,11 +107,13 @@
         socket.set(zmq::sockopt::sndhwm, m_options.highWaterMark);
         socket.set(zmq::sockopt::rcvhwm, m_options.highWaterMark);
         socket.set(zmq::sockopt::maxmsgsize, m_options.maxMessage);
-        socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMs);
-        socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMs);
+        socket.set(zmq::sockopt::heartbeat_ivl, toMs(m_options.heartbeat));
+        socket.set(zmq::sockopt::heartbeat_timeout, missedHeartbeats * toMs(m_options.heartbeat));
+        socket.set(zmq::sockopt::connect_timeout, toMs(m_options.longestReconnect));
         socket.set(zmq::sockopt::reconnect_ivl, reconnectMs);
-        socket.set(zmq::sockopt::reconnect_ivl_max, reconnectMaxMs);
+        socket.set(zmq::sockopt::reconnect_ivl_max, toMs(m_options.longestReconnect));
         socket.set(zmq::sockopt::routing_id, m_options.node + "/" + std::to_string(m_options.incarnation));
+        watchEnd(*link);
         socket.connect("tcp://" + address);
         const auto onReadable = [](evutil_socket_t, short, void* self) {
             auto* readable = static_cast<Link*>(self);
@@ -204,6 +216,40 @@
     }
 }
 
+void PeerSocket::watchEnd(Link& link)
+{
+    const auto name = "inproc://end-of-" + link.address;
+    if (zmq_socket_monitor(link.socket.handle(), name.c_str(), ZMQ_EVENT_DISCONNECTED) != 0) {
+        log(LogLevel::Warning, "peer-link-unwatched",
+            { { "peer", link.address }, { "error", zmq_strerror(errno) } });
+        return;
+    }
+    link.monitor.set(zmq::sockopt::linger, 0);
+    link.monitor.connect(name);
+    const auto onReadable = [](evutil_socket_t, short, void* self) {
+        auto* watched = static_cast<Link*>(self);
+        watched->owner->drainMonitor(*watched);
+    };
+    link.monitorWatcher
+        = event_new(m_base, link.monitor.get(zmq::sockopt::fd), EV_READ | EV_PERSIST, onReadable, &link);
+    event_add(link.monitorWatcher, nullptr);
+}
+
+void PeerSocket::drainMonitor(Link& link)
+{
+    bool hasEnded = false;
+    while (link.monitor.get(zmq::sockopt::events) & ZMQ_POLLIN) {
+        zmq::message_t part;
+        if (!link.monitor.recv(part, zmq::recv_flags::dontwait))
+            break;
+        hasEnded = true;
+    }
+    // Answers that had come before it ended count.
+    drainLink(link);
+    if (hasEnded && m_lost)
+        m_lost(std::string(link.address));
+}
+
 void PeerSocket::deliver(const std::string& route, const zmq::message_t& payload)
 {
     proto::PeerMessage message;
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -55,6 +55,7 @@
         std::string route; ///< ZeroMQ's name of the incoming link; "" if it came as an answer on our own link
     };
     using Handler = std::function<void(const Sender&, proto::PeerMessage&)>;
+    using Lost = std::function<void(const std::string& address)>;
 
     struct Options {
         std::string bindAddress; ///< ip:port
@@ -63,6 +64,8 @@
         int highWaterMark = 5000; ///< messages queued to one peer
         std::int64_t maxMessage = 80LL << 20; ///< bytes
         Duration idleTimeout = 120s;
+        Duration heartbeat = 5s; ///< between two on a link; two that stay out end it
+        Duration longestReconnect = 2s; ///< between two tries to connect; the first comes after 50 ms
         Duration connectPatience = 500ms; ///< a link that has never stood is `Connecting` for so long
     };
 
@@ -76,6 +79,9 @@
     /// is gone.
     SendResult send(const std::string& address, proto::PeerMessage& message, Instant now);
 
+    /// \brief Runs \a f when a link of our own ends: answers to what was sent over it don't come any more.
+    void onLost(Lost f) { m_lost = std::move(f); }
+
     /// \brief Answers along the link that a message came by. \returns false if the link is gone.
     bool answer(const Sender& to, proto::PeerMessage& message, Instant now);
 
@@ -96,12 +102,15 @@
     void drainDirty();
     void drainRouter();
     void drainLink(Link& link);
+    void drainMonitor(Link& link);
+    void watchEnd(Link& link);
     void deliver(const std::string& route, const zmq::message_t& payload);
     void drainSoon(Link* link);
 
     event_base* m_base;
     Options m_options;
     Handler m_handler;
+    Lost m_lost;
     std::unique_ptr<zmq::context_t> m_context;
     std::unique_ptr<zmq::socket_t> m_router;
     event* m_routerEvent = nullptr;
--- /dev/null
+++ b/tools/CommandLine.h
@@ -0,0 +1,130 @@
+#pragma once
+
+/// \file What the programs of a node have in common: command line, settings, signals.
+
+#include "Core/Log.h"
+#include "Core/Loop.h"
+#include "Settings/NodeSettings.h"
+
+#include <csignal>
+#include <event2/event.h>
+#include <functional>
+#include <getopt.h>
+#include <iostream>
+#include <memory>
+#include <string>
+
+namespace robinrun::tools {
+
+inline constexpr int badUsage = 2;
+
+struct CommandLine {
+    std::string settings;
+    bool isCheck = false;
+    int exitStatus = -1; ///< set when there is nothing more to do
+};
+
+/// \brief Reads the options that all nodes take. \param program its name, for messages.
+inline CommandLine parseCommandLine(int argc, char** argv, const std::string& program)
+{
+    const std::string usage = "usage: " + program + R"( --settings FILE [--check-settings]
+
+  -s, --settings FILE   settings of this node (YAML; see docs/OPERATING.md)
+  -c, --check-settings  check the settings and charts, start nothing
+  -h, --help            print this
+  -V, --version         print the version
+
+Signals: SIGTERM and SIGINT drain, then end with status 0; SIGHUP reads the settings again.
+Exit status: 0 stopped in order, 1 could not start, 2 bad command line or settings.
+)";
+    static const option options[] = { { "settings", required_argument, nullptr, 's' },
+        { "check-settings", no_argument, nullptr, 'c' }, { "help", no_argument, nullptr, 'h' },
+        { "version", no_argument, nullptr, 'V' }, { nullptr, 0, nullptr, 0 } };
+    CommandLine line;
+    const auto end = [&](int status) {
+        line.exitStatus = status;
+        return line;
+    };
+    int c = 0;
+    while ((c = getopt_long(argc, argv, "s:chV", options, nullptr)) != -1) {
+        switch (c) {
+        case 's':
+            line.settings = optarg;
+            break;
+        case 'c':
+            line.isCheck = true;
+            break;
+        case 'h':
+            std::cout << usage;
+            return end(0);
+        case 'V':
+            std::cout << program << " 0.1.0\n";
+            return end(0);
+        default:
+            std::cerr << usage;
+            return end(badUsage);
+        }
+    }
+    if (!line.settings.empty() && optind >= argc)
+        return line;
+    std::cerr << (optind < argc ? "unexpected argument: " + std::string(argv[optind]) : "--settings is missing")
+              << "\n"
+              << usage;
+    return end(badUsage);
+}
+
+/// \returns a number that differs from that of every earlier start of the node.
+inline std::uint64_t makeIncarnation()
+{
+    using namespace std::chrono;
+    return static_cast<std::uint64_t>(
+        duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
+}
+
+/// \brief Handlers of signals on a loop, while it lives.
+class Signals {
+public:
+    Signals(event_base* base, std::function<void()> stop, std::function<void()> reload)
+        : m_stop(std::move(stop))
+        , m_reload(std::move(reload))
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        watch(base, SIGTERM, &m_stop);
+        watch(base, SIGINT, &m_stop);
+        watch(base, SIGHUP, &m_reload);
+    }
+    Signals(const Signals&) = delete;
+    Signals& operator=(const Signals&) = delete;
+
+private:
+    using EventPtr = std::unique_ptr<event, decltype(&event_free)>;
+
+    void watch(event_base* base, int signal, std::function<void()>* f)
+    {
+        const auto run
+            = [](evutil_socket_t, short, void* arg) { (*static_cast<std::function<void()>*>(arg))(); };
+        m_events.emplace_back(evsignal_new(base, signal, run, f), &event_free);
+        event_add(m_events.back().get(), nullptr);
+    }
+
+    std::function<void()> m_stop;
+    std::function<void()> m_reload;
+    std::vector<EventPtr> m_events;
+};
+
+/// \brief Reads the settings anew. Bad ones are logged, field by field, and \a apply does not run: the old
+/// ones stay in force.
+inline void reloadSettings(const std::string& file, const std::function<void(const NodeSettings&)>& apply)
+{
+    const auto settings = NodeSettings::load(file);
+    if (!settings) {
+        for (const auto& it : settings.error())
+            log(LogLevel::Error, "reload-refused", { { "field", it.field }, { "error", it.text() } });
+        return;
+    }
+    setLogLevel(settings.value().log.level);
+    apply(settings.value());
+    log(LogLevel::Info, "reloaded", { { "file", file } });
+}
+
+} // namespace robinrun::tools
--- /dev/null
+++ b/tools/robinrun-mesh.cpp
@@ -0,0 +1,86 @@
+/// \file The node on the users' machines: backend servers announce themselves, nodes meet in the store.
+
+#include "Chart/Charts.h"
+#include "Core/Log.h"
+#include "Core/Loop.h"
+#include "Mesh/MeshNode.h"
+#include "Settings/NodeSettings.h"
+#include "platform/AnnouncementReader.h"
+#include "platform/ConfigurationReader.h"
+#include "platform/Names.h"
+#include "platform/StoreClient.h"
+#include "tools/CommandLine.h"
+
+#include <event2/event.h>
+#include <iostream>
+#include <string>
+
+namespace {
+
+using namespace robinrun;
+
+MeshFormats platformFormats()
+{
+    MeshFormats formats;
+    formats.headers = platform::callHeaders();
+    formats.configurationTopic = platform::configurationTopic;
+    formats.configurationKey = platform::configurationKey;
+    formats.nodesTopic = platform::nodesTopic;
+    formats.readinessPath = platform::readinessPath;
+    formats.metricsPath = platform::metricsPath;
+    formats.readConfiguration = platform::readConfiguration;
+    formats.readAnnouncement = platform::readAnnouncement;
+    return formats;
+}
+
+int run(const std::string& file, NodeSettings settings, Charts charts)
+{
+    startLog(settings.log.level, settings.log.format, settings.name);
+    const auto base = makeLoop();
+    const auto incarnation = tools::makeIncarnation();
+    auto store = std::make_unique<platform::StoreClient>(
+        base.get(), settings.store.address, settings.store.timeout);
+    auto node = MeshNode::start(base.get(), std::move(settings), std::move(charts), incarnation,
+        platformFormats(), std::move(store));
+    if (!node) {
+        log(LogLevel::Error, "start-failed", { { "error", node.error() } });
+        return EXIT_FAILURE;
+    }
+    const tools::Signals signals(
+        base.get(), [&] { node.value()->stop(); },
+        [&] { tools::reloadSettings(file, [&](const NodeSettings& it) { node.value()->reload(it); }); });
+    log(LogLevel::Info, "started", { { "incarnation", incarnation } });
+    event_base_dispatch(base.get());
+    log(LogLevel::Info, "stopped");
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        const auto line = tools::parseCommandLine(argc, argv, "robinrun-mesh");
+        if (line.exitStatus >= 0)
+            return line.exitStatus;
+        auto settings = NodeSettings::load(line.settings);
+        if (!settings) {
+            for (const auto& it : settings.error())
+                std::cerr << it.text() << "\n";
+            return tools::badUsage;
+        }
+        auto charts = Charts::load(settings.value().chartsFolder);
+        if (!charts) {
+            std::cerr << charts.error().text() << "\n";
+            return tools::badUsage;
+        }
+        if (line.isCheck) {
+            std::cout << "settings and charts are good\n";
+            return EXIT_SUCCESS;
+        }
+        return run(line.settings, std::move(settings.value()), std::move(charts.value()));
+    } catch (const std::exception& ex) {
+        std::cerr << "robinrun-mesh: " << ex.what() << "\n";
+        return EXIT_FAILURE;
+    }
+}
