--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -62,9 +62,6 @@
     /// \brief Sets or clears a sign of leaving.
     void setSign(LeavingSign sign, bool isSet, Instant now);
 
-    /// \brief Asks the backend server for its health now. \a done gets what it said.
-    void probe(std::function<void(const ProbeNews&)> done, Instant now);
-
     /// \brief Something else than a call shows that the backend server lives.
     void heardFromBackend(Instant now) { setDown(false, now); }
     bool isBackendDown() const { return m_isDown; }
@@ -124,12 +121,16 @@
     void setDown(bool isDown, Instant now);
     void tellLoad(Instant now);
     void probeBackend(Instant now);
+    /// \brief Asks the backend server for its health now. Needs a pool.
+    void probe(Instant now);
     void ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now);
     void refuse(const Refusal& refusal, Instant now);
     void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
         bool isNotRun, Instant now);
     void answerAll(CallRecord& record, const proto::Answer& answer, Instant now);
-    void fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now);
+    /// \returns the load as a node with \a senderIncarnation and calls of \a group meets it.
+    proto::Load loadNews(std::uint64_t senderIncarnation, const std::string& group, Instant now) const;
+    void fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const;
     void recordTicket(const CallRecord& record, const proto::Answer& answer);
     void lifeChanged(LifeState state, Instant now);
     const ServiceInfo* service() const;
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -130,10 +130,10 @@
         record.call.request_id(), record.sender.node, m_context->settings.log.sampleOneIn, now);
 }
 
-void Owner::fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now)
+proto::Load Owner::loadNews(std::uint64_t senderIncarnation, const std::string& group, Instant now) const
 {
     const auto load = m_admission.loadFor(m_context->directory.groupNumber(group), now);
-    auto& out = *answer.mutable_load();
+    proto::Load out;
     out.set_slots(load.slots);
     out.set_in_use(load.inUse);
     out.set_waiting(load.waiting);
@@ -143,9 +143,15 @@
         static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
     out.set_slowdown_permille(static_cast<std::uint32_t>(load.slowdown * permille));
     out.set_down(m_isDown);
-    const auto it = m_bySender.find({ sender.incarnation, group });
+    const auto it = m_bySender.find({ senderIncarnation, group });
     out.set_yours(it == m_bySender.end() ? 0 : it->second);
     out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
+    return out;
+}
+
+void Owner::fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const
+{
+    *answer.mutable_load() = loadNews(sender.incarnation, group, now);
     answer.set_incarnation(m_context->incarnation);
     answer.set_caller_incarnation(sender.incarnation);
     answer.set_owner_now_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -38,13 +38,11 @@
         if (now < m_nextProbe)
             return;
         m_nextProbe = now + probeWhileDown;
-        probe([](const ProbeNews&) {}, now);
-        return;
+        return probe(now);
     }
     const auto load = m_admission.load(now);
     if (load.slowdown >= slowFrom && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow)) {
-        probe([](const ProbeNews&) {}, now);
-        return;
+        return probe(now);
     }
     const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
     const bool isStarted
@@ -60,18 +58,14 @@
     m_context->metrics.count("robinrun_probes_total");
 }
 
-void Owner::probe(std::function<void(const ProbeNews&)> done, Instant now)
+void Owner::probe(Instant now)
 {
-    if (!m_pool)
-        return;
-    const bool isStarted
-        = m_prober.probe(*m_pool, now, [this, done = std::move(done)](const ProbeNews& news, Duration) {
-              const auto end = monotonicNow();
-              setDown(!news.isReachable, end);
-              if (news.slowdown)
-                  setSlowdown(*news.slowdown, end);
-              done(news);
-          });
+    const bool isStarted = m_prober.probe(*m_pool, now, [this](const ProbeNews& news, Duration) {
+        const auto end = monotonicNow();
+        setDown(!news.isReachable, end);
+        if (news.slowdown)
+            setSlowdown(*news.slowdown, end);
+    });
     if (isStarted)
         m_context->metrics.count("robinrun_probes_total");
 }
@@ -110,12 +104,10 @@
             continue;
         if (++told > maxTold)
             return;
-        proto::Answer answer;
-        fillNews(answer, { node, ingress.address, ingress.incarnation }, ingress.group, now);
         proto::LoadNews news;
         news.set_upstream(upstream());
         news.set_incarnation(m_context->incarnation);
-        news.mutable_load()->Swap(answer.mutable_load());
+        *news.mutable_load() = loadNews(ingress.incarnation, ingress.group, now);
         m_tellLoad(ingress.address, news);
     }
 }
--- a/src/Routing/Choice.cpp
+++ b/src/Routing/Choice.cpp
@@ -181,21 +181,6 @@
     return view.roundTrip() + fromSeconds(wait + work * cold);
 }
 
-double TimelyChoice::slownessOf(const UpstreamView& view, const ChoiceInput& in) const
-{
-    std::vector<double> services;
-    for (const auto& it : in.views) {
-        if (it.report())
-            services.push_back(reportedService(it));
-    }
-    if (!view.report() || services.size() < 2)
-        return 1;
-    const auto middle = services.begin() + static_cast<std::ptrdiff_t>((services.size() - 1) / 2);
-    std::nth_element(services.begin(), middle, services.end());
-    const double slowness = *middle > 0 ? reportedService(view) / *middle : 1;
-    return slowness > options.alike ? std::min(slowness, options.maxSlowness) : 1;
-}
-
 double TimelyChoice::loss(const UpstreamView& view, const ChoiceInput& in) const
 {
     const double seconds = toSeconds(expected(view, in));
--- a/src/Routing/Choice.h
+++ b/src/Routing/Choice.h
@@ -105,18 +105,15 @@
 /// \brief The least expected loss of credit, for calls with a target latency.
 ///
 /// An answer in time is worth 1, a late one next to nothing; so what counts is the chance to be late, not the
-////// delay itself: a near upstream that is in time goes before a faster one far away. The expected time is
-/// round
-/// trip + wait for a slot + slot time under the slow-down that the owner last told of; owners tell of each
-/// change. An upstream that is slow without telling is known by its mean slot time. Calls without a target go
-/// by the time alone.
+/// delay itself: a near upstream that is in time goes before a faster one far away. The expected time is
+/// round trip + wait for a slot + calm slot time x the slow-down that the owner last told of; owners tell of
+/// each change. An upstream that is slow without telling is not known by this. Calls without a target go by
+/// the time alone.
 /// Cost: O(candidates).
 /// \sa docs/DESIGN-platform.md
 struct TimelyChoice {
     struct Options {
         Duration slowdownMemory = 1s; ///< time constant, in case that the news of its end is lost
-        double alike = 1.5; ///< mean slot times within this factor of the median differ by chance
-        double maxSlowness = 20; ///< bound of how much slower one upstream is taken to be
         Duration loadMemory = 500ms; ///< time constant for others' calls
         double latePoint = 0.85; ///< part of the target latency at which an answer is late half of the time
         double lateSpread = 0.12; ///< width of that estimate: work varies by a third
@@ -132,7 +129,6 @@
     Duration expected(const UpstreamView& view, const ChoiceInput& in) const;
 
 private:
-    double slownessOf(const UpstreamView& view, const ChoiceInput& in) const;
     double loss(const UpstreamView& view, const ChoiceInput& in) const;
 };
 
