--- a/src/Mesh/FollowShare.cpp
+++ b/src/Mesh/FollowShare.cpp
@@ -16,22 +16,28 @@
     m_heard[address] = { hash64(address), isFollowing, now };
 }
 
-template <class Counts> bool FollowShare::hasEnough(Instant now, Counts counts) const
+template <class Counts> std::size_t FollowShare::countBefore(Instant now, Counts counts) const
 {
     std::size_t n = 0;
     for (const auto& [address, it] : m_heard)
         n += it.rank < m_rank && now - it.at <= m_options.memory && counts(it);
-    return n >= m_options.enough;
+    return n;
 }
 
 bool FollowShare::mayRest(Instant now) const
 {
-    return hasEnough(now, [](const Heard& it) { return it.isFollowing; });
+    return countBefore(now, [](const Heard& it) { return it.isFollowing; }) >= m_options.enough;
 }
 
 bool FollowShare::mayLag(Instant now) const
 {
-    return hasEnough(now, [](const Heard&) { return true; });
+    return countBefore(now, [](const Heard&) { return true; }) >= m_options.enough;
+}
+
+Duration FollowShare::takeOverDelay(Instant now) const
+{
+    const auto before = countBefore(now, [](const Heard&) { return true; });
+    return static_cast<std::int64_t>(before / m_options.enough) * m_options.stagger;
 }
 
 } // namespace robinrun
--- a/src/Mesh/FollowShare.h
+++ b/src/Mesh/FollowShare.h
@@ -2,6 +2,7 @@
 
 #include "Core/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -21,6 +22,8 @@
     struct Options {
         std::size_t enough = 4; ///< nodes that follow, heard by each; their loss together is rare
         Duration memory = 1300ms; ///< a peer that was not heard for so long does not count
+        /// Those that go first by hash take over first; each further `enough` nodes wait so much longer.
+        Duration stagger = 150ms;
     };
 
     /// \param self address of this node's peer socket.
@@ -35,6 +38,10 @@
     /// \returns whether enough nodes follow that go before this one.
     bool mayRest(Instant now) const;
 
+    /// \returns how long to wait before following where too few others do: longer, the more nodes that live
+    /// go before this one.
+    Duration takeOverDelay(Instant now) const;
+
     /// \returns whether enough nodes that go before this one live, whatever the store answers them: if the
     /// store is away, they notice its return first.
     bool mayLag(Instant now) const;
@@ -46,7 +53,8 @@
         Instant at {};
     };
 
-    template <class Counts> bool hasEnough(Instant now, Counts counts) const;
+    /// \returns the nodes heard of late that go before this one and of which \a counts holds.
+    template <class Counts> std::size_t countBefore(Instant now, Counts counts) const;
 
     Options m_options;
     std::uint64_t m_rank;
--- a/src/Mesh/Gossip.h
+++ b/src/Mesh/Gossip.h
@@ -14,10 +14,10 @@
 
 /// \brief Spreads the records of nodes from contact to contact, and repairs what got lost on the way.
 ///
-/// A node sends its own changed record to all its contacts, and each node passes what is news to it on to a few
-/// of its own, once; so it reaches nearly all in about log(nodes) steps over links that stand anyway. Contacts tell each other a digest of all they know; where it differs, they compare
-/// digests of buckets and exchange the records of those that differ, both ways. The store is read for nodes
-/// that no contact knows.
+/// A node sends its own changed record to all its contacts, and each node passes what is news to it on to a
+/// few of its own, once; so it reaches nearly all in about log(nodes) steps over links that stand anyway.
+/// Contacts tell each other a digest of all they know; where it differs, they compare digests of buckets and
+/// exchange the records of those that differ, both ways. The store is read for nodes that no contact knows.
 /// Cost: a change is contacts + relays x nodes small messages in all; without changes nothing beyond the
 /// regular contact.
 /// \sa docs/DESIGN-platform.md
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -9,6 +9,7 @@
 #include "Mesh/Gossip.h"
 #include "Mesh/MeshFormats.h"
 #include "Mesh/NodeRegistry.h"
+#include "Mesh/PullPlan.h"
 #include "Mesh/RecordWriter.h"
 #include "Mesh/TopicFollower.h"
 #include "Node/Ingress.h"
@@ -86,7 +87,10 @@
     void upstreamChanged(Instant now);
 
     void offerConfiguration(std::string_view text, std::string_view source, Instant now);
-    void pullSoon(const std::string& address, std::uint64_t version);
+    /// \brief Ends the rest from following the configuration if too few others follow it.
+    void followIfNeeded(Instant now);
+    /// \brief Asks a peer for a newer configuration, if it is time.
+    void pullIfDue(Instant now);
     void rebuildSoon();
     void rebuild();
     /// \returns this node's share of the retries that the deployment's nodes may save up.
@@ -123,10 +127,10 @@
     NodeRegistry m_registry;
     Gossip m_gossip;
     FollowShare m_share;
+    PullPlan m_pulls;
     AnnouncedUpstream m_announced;
     proto::NodeRecord m_record; ///< of this node, as last published
     bool m_isRebuildPending = false;
-    bool m_isPullPending = false;
     bool m_isRelayPending = false;
     bool m_isContactOpening = false; ///< a link to a contact was opened a moment ago
     bool m_hasReadConfiguration = false;
@@ -134,9 +138,9 @@
     bool m_isStopping = false;
     std::set<std::string> m_lostPeers; ///< addresses of links that have ended and were not heard since
     Instant m_nextContact {};
+    Instant m_restUntil {}; ///< from following the configuration, though too few others do
     Instant m_lastBusy {};
     Timer m_rebuildTimer;
-    Timer m_pullTimer;
     Timer m_relayTimer;
     Timer m_tickTimer;
     Timer m_lameDuckTimer;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -33,6 +33,7 @@
 {
     if (!m_config.offer(text, source, m_formats))
         return;
+    m_pulls.got(m_config.version());
     const auto& limits = m_config.current()->limits;
     m_callers->setLimits(limits.maxHeaders, limits.maxBody, limits.headerTimeout, limits.idleTimeout);
     rebuild();
@@ -99,7 +100,8 @@
     flushLog();
     if (now >= m_nextContact)
         tellContacts(now);
-    m_configFeed->wake();
+    followIfNeeded(now);
+    pullIfDue(now);
     if (m_ingress->inProgress() || !m_owner->isIdle())
         m_lastBusy = now;
     // Only the word that the node is gone has to be written first: a store that is down must not hold a
@@ -109,6 +111,18 @@
         step(NodeEvent::Drained);
 }
 
+void MeshNode::followIfNeeded(Instant now)
+{
+    if (!m_configFeed->isResting() || m_share.mayRest(now)) {
+        m_restUntil = now + m_share.takeOverDelay(now);
+        return;
+    }
+    if (now < m_restUntil)
+        return;
+    m_configFeed->wake();
+    tellContacts(now); // so that the next ones need not
+}
+
 void MeshNode::reload(const NodeSettings& settings)
 {
     m_context.settings.log = settings.log;
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -7,9 +7,6 @@
 namespace robinrun {
 namespace {
 
-    /// After a peer says that it has a newer configuration, the store has so long to deliver it first to a
-    /// node that reads there itself.
-    constexpr Duration pullDelay = 150ms;
     /// News of nodes that come together are passed on together.
     constexpr Duration relayDelay = 10ms;
     /// A contact whose link has just been opened is tried again after so long.
@@ -117,8 +114,12 @@
     m_share.heard(sender.address, contact.follows_configuration(), now);
     m_gossip.heardDigest(
         contact.registry_digest(), isNewLife(sender.node, sender.incarnation), replyTo(sender, now), now);
-    if (contact.config_version() > m_config.version())
-        pullSoon(sender.address, contact.config_version());
+    if (contact.config_version() <= m_config.version())
+        return;
+    const auto* known = m_registry.find(sender.node);
+    const bool isNear = known && known->data_hall() == m_context.settings.dataHall;
+    m_pulls.heard(sender.address, contact.config_version(), isNear, now);
+    pullIfDue(now);
 }
 
 void MeshNode::takeRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now)
@@ -193,21 +194,14 @@
     m_peers->answer(sender, message, now);
 }
 
-void MeshNode::pullSoon(const std::string& address, std::uint64_t version)
+void MeshNode::pullIfDue(Instant now)
 {
-    if (m_isPullPending)
+    const auto address = m_pulls.due(m_config.hasAny() && m_configFeed->isFollowing(), now);
+    if (!address)
         return;
-    m_isPullPending = true;
-    const bool isStoreFirst = m_config.hasAny() && m_configFeed->isFollowing();
-    const auto delay = isStoreFirst ? pullDelay : Duration::zero();
-    m_pullTimer = Timer::once(m_context.base, delay, [this, address, version] {
-        m_isPullPending = false;
-        if (m_config.version() >= version)
-            return;
-        proto::PeerMessage message;
-        message.mutable_config_request()->set_newer_than(m_config.version());
-        m_peers->send(address, message, monotonicNow());
-    });
+    proto::PeerMessage message;
+    message.mutable_config_request()->set_newer_than(m_config.version());
+    m_peers->send(*address, message, now);
 }
 
 } // namespace robinrun
--- /dev/null
+++ b/src/Mesh/PullPlan.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Core/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace robinrun {
+
+/// \brief Decides when to ask which peer for a newer configuration.
+///
+/// A configuration may be large and bytes between data halls are dear, so one peer is asked at a time, one of
+/// the own data hall if such a one has it soon, and a node that reads the store itself gives the store some
+/// time to deliver. Cost: O(1).
+class PullPlan {
+public:
+    struct Options {
+        Duration storeFirst = 150ms; ///< for a node that reads the store, which usually answers before
+        Duration nearFirst = 100ms; ///< for a peer of the own data hall to have it too
+        Duration patience = 1s; ///< for an answer, before another peer is asked
+    };
+
+    PullPlan() = default;
+    explicit PullPlan(Options options)
+        : m_options(options)
+    {
+    }
+
+    /// \brief The peer at \a address has \a version, newer than the own one.
+    void heard(const std::string& address, std::uint64_t version, bool isNear, Instant now);
+
+    /// \brief \a version is in force here now.
+    void got(std::uint64_t version);
+
+    /// \param readsStore whether this node waits for news at the store itself.
+    /// \returns the address of the peer to ask now; each is returned once for each time it is to be asked.
+    std::optional<std::string> due(bool readsStore, Instant now);
+
+private:
+    Options m_options;
+    std::uint64_t m_version = 0; ///< newest that a peer has; 0: nothing to ask for
+    std::string m_near; ///< peers that have it; "" for none
+    std::string m_far;
+    Instant m_firstHeard {};
+    Instant m_askedUntil {}; ///< an answer may still come
+};
+
+} // namespace robinrun
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -3,6 +3,7 @@
 #include "Core/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace robinrun {
 namespace {
@@ -48,20 +49,17 @@
 void TopicFollower::readAgain()
 {
     m_isPausing = false;
-    m_isResting = false;
     if (!m_isCaughtUp)
         return readNewest();
-    if (m_options.mayRest && m_options.mayRest()) {
-        m_isResting = true;
-        return;
-    }
-    readOn();
+    m_isResting = m_options.mayRest && m_options.mayRest();
+    if (!m_isResting)
+        readOn();
 }
 
 void TopicFollower::wake()
 {
-    if (m_isResting && !m_options.mayRest())
-        readAgain();
+    if (std::exchange(m_isResting, false))
+        readOn();
 }
 
 bool TopicFollower::readWithin(Duration delay)
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -46,8 +46,9 @@
     /// \brief Ends a pause after \a delay. \returns whether there was one.
     bool readWithin(Duration delay);
 
-    /// \brief To be called now and then: ends a rest that may not go on.
+    /// \brief Ends a rest: reads at once.
     void wake();
+    bool isResting() const { return m_isResting; }
 
     /// \returns whether a read is out and the store answered the last one.
     bool isFollowing() const { return m_isConnected && !m_isResting; }
