Tests of calls by route use the choice they are meant to test

Cause of a test that failed once ("A busy upstream that is still the best choice is not asked twice"): the fixture set the kind of choice after its routers had been made, so the old choice decided, by measured round trips of some microseconds; equal ones are drawn by lot. Ruled out: a stalled machine (no timer runs between the lines of the test). Answers come at the fixture's time, too.

--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -17,8 +17,8 @@
     ConfigState config = support::exampleConfig(backend);
 
     RouteFixture()
+        : IngressFixture(ChoiceKind::Timely)
     {
-        context.settings.choice.kind = ChoiceKind::Timely;
         for (const bool isOnce : { false, true }) {
             proto::Resource route;
             route.set_name(isOnce ? "routes/pay" : "routes/read");
--- a/test/support/IngressFixture.h
+++ b/test/support/IngressFixture.h
@@ -33,8 +33,10 @@
     std::optional<HttpReply> reply;
     Duration ahead {}; ///< of the real time, the time at which requests come
 
-    IngressFixture()
+    /// \param kind how upstreams are chosen: a router keeps to the kind it was made with.
+    explicit IngressFixture(ChoiceKind kind = ChoiceKind::ExpectedDelay)
     {
+        context.settings.choice.kind = kind;
         ingress.configure(monotonicNow());
         server
             = std::move(HttpServer::listen(base.get(), { address, 1000, 10000, 10s }, [this](auto exchange) {
@@ -81,7 +83,7 @@
 
     void give(const std::string& node, proto::Answer answer)
     {
-        ingress.takeAnswer(node, answer, monotonicNow());
+        ingress.takeAnswer(node, answer, monotonicNow() + ahead);
     }
 
     std::string outcome()
