Digests and answers of the control plane are no longer lost with links that are being opened

The model of the control plane had links that always stand, so it could not show it. Now: what meets a link that is being opened goes out with the next tick; answers go back along the link of the question; a node tells its offset every 300 ms for its first 4 s. Ruled out: ZeroMQ's reconnect interval alone (tried earlier).

--- a/src/Control/Spread.cpp
+++ b/src/Control/Spread.cpp
@@ -16,6 +16,7 @@
     , m_hallRanks(m_self.name, m_self.dataHall)
     , m_random(seed)
     , m_ownReads(options.ownReadsPerSecond, 1, 1, now)
+    , m_started(now)
     , m_lastHeard(now)
     , m_nextDigest(now)
     , m_nextHosts(now)
@@ -66,7 +67,8 @@
     if (isReading && isLogRead)
         m_lastHeard = now;
     if (now >= m_nextDigest) {
-        m_nextDigest = now + jittered(nextOffset ? m_options.digestEvery : m_options.digestAtStart);
+        const bool isStarting = !nextOffset || now - m_started < m_options.startPhase;
+        m_nextDigest = now + jittered(isStarting ? m_options.digestAtStart : m_options.digestEvery);
         auto peer = randomPeer(members, now);
         if (!peer.empty())
             step.digests.push_back(std::move(peer));
--- a/src/Control/Spread.h
+++ b/src/Control/Spread.h
@@ -41,11 +41,11 @@
         std::size_t readers = 2; ///< per data hall
         std::size_t fanOut = 8;
         Duration digestEvery = 2s;
-        Duration digestAtStart = 300ms; ///< while this node has no configuration at all
+        Duration digestAtStart = 300ms; ///< while this node has no configuration, and in `startPhase`
+        /// After its start a node tells its offset more often: until links to it stand again, what is passed
+        /// down the trees doesn't arrive. Twice the peer links' longest reconnect interval.
+        Duration startPhase = 4s;
         double digestAbroad = 0.1; ///< share of digests to another data hall
-        Duration helloFor
-            = 3s; ///< after its start a node makes itself known to those above it in the readers' trees
-        Duration helloEvery = 500ms;
         Duration quietLimit = 8s; ///< silence after which a node reads the log itself
         double ownReadsPerSecond = 0.1; ///< budget of those reads
         Duration hostsEvery = 2s; ///< readers' interval between fetches of the host list
@@ -81,6 +81,7 @@
     HallRanks m_hallRanks;
     Random m_random;
     TokenBucket m_ownReads;
+    Instant m_started;
     Instant m_lastHeard;
     Instant m_nextDigest;
     Instant m_nextHosts;
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -4,6 +4,7 @@
 #include "Core/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace robinrun {
 namespace {
@@ -19,6 +20,10 @@
     /// again.
     constexpr double snapshotSpreadSeconds = 20;
 
+    /// Messages kept while their links are being opened, half a second at most: a node talks to fewer peers
+    /// that are new to it.
+    constexpr std::size_t maxOpening = 64;
+
     /// Bytes of a message beside its body: sender, incarnation, framing.
     constexpr double envelopeBytes = 60;
     constexpr double budgetBurstSeconds = 10;
@@ -66,11 +71,11 @@
 } // namespace
 
 ControlPlane::ControlPlane(
-    NodeContext& context, AppendLog& log, HostList& hosts, SendToPeer send, Instant now)
+    NodeContext& context, AppendLog& log, HostList& hosts, PeerLinks peers, Instant now)
     : m_context(&context)
     , m_log(&log)
     , m_hosts(&hosts)
-    , m_send(std::move(send))
+    , m_peers(std::move(peers))
     , m_members(Membership::Options {})
     , m_spread(spreadOptions(context.settings), selfOf(context.settings), context.incarnation, now)
     , m_inForce(reportLife)
@@ -81,18 +86,42 @@
 {
 }
 
-SendResult ControlPlane::post(const std::string& address, proto::PeerMessage& message, Instant now)
+bool ControlPlane::payFor(const proto::PeerMessage& message, Instant now)
 {
     const auto bytes = static_cast<double>(message.ByteSizeLong()) + envelopeBytes;
     const bool isNeeded = message.has_records() || message.has_pull() || message.has_in_force_reply();
-    if (isNeeded) {
-        // Configuration goes out on credit; the rest waits until that is paid, but not for ever.
+    // Configuration goes out on credit; the rest waits until that is paid, but not for ever.
+    if (isNeeded)
         m_budget.takeAnyway(std::min(bytes, budgetBurst(m_context->settings)), now);
-    } else if (!m_budget.tryTake(bytes, now)) {
+    else if (!m_budget.tryTake(bytes, now)) {
         m_context->metrics.count("robinrun_control_held_back_total");
+        return false;
+    }
+    return true;
+}
+
+SendResult ControlPlane::post(const std::string& address, proto::PeerMessage& message, Instant now)
+{
+    if (!payFor(message, now))
         return SendResult::Connecting;
+    const auto result = m_peers.send(address, message, now);
+    if (result == SendResult::Connecting && m_opening.size() < maxOpening)
+        m_opening.push_back({ address, std::move(message) });
+    return result;
+}
+
+void ControlPlane::sendOpening(Instant now)
+{
+    for (auto& it : std::exchange(m_opening, {})) {
+        if (m_peers.send(it.address, it.message, now) == SendResult::Connecting)
+            m_opening.push_back(std::move(it));
     }
-    return m_send(address, message, now);
+}
+
+void ControlPlane::reply(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now)
+{
+    if (payFor(message, now))
+        m_peers.answer(sender, message, now);
 }
 
 bool ControlPlane::sendToNode(const std::string& name, proto::PeerMessage& message, Instant now)
@@ -177,7 +206,7 @@
     const auto from = m_follower.nextOffset();
     const auto progress = m_follower.takeRecords(records);
     if (progress == ConfigFollower::Progress::NeedsEarlier)
-        pull(sender.address, now);
+        pull(sender, now);
     m_spread.heard(now);
     const auto first = records.records_size() ? records.records(0).offset() : from;
     if (progress == ConfigFollower::Progress::Advanced)
@@ -188,29 +217,29 @@
             sendRecords(it.peer, it.root, it.from, now);
 }
 
-void ControlPlane::pull(const std::string& address, Instant now)
+void ControlPlane::pull(const PeerSocket::Sender& sender, Instant now)
 {
     proto::PeerMessage message;
     message.mutable_pull()->set_next_offset(m_follower.nextOffset());
-    post(address, message, now);
+    reply(sender, message, now);
 }
 
 void ControlPlane::takeDigest(const PeerSocket::Sender& sender, const proto::Digest& digest, Instant now)
 {
     if (digest.hosts_version() < m_members.version())
-        sendHosts(sender.address, digest.hosts_version(), now);
+        sendHosts(sender, digest.hosts_version(), now);
     if (!digest.log_id().empty() && !m_follower.logId().empty() && digest.log_id() != m_follower.logId()) {
         log(LogLevel::Warning, "peer-follows-other-log", { { "peer", sender.node } });
         return;
     }
     if (digest.next_offset() > m_follower.nextOffset())
-        return pull(sender.address, now);
+        return pull(sender, now);
     m_spread.heard(now);
     if (digest.next_offset() == m_follower.nextOffset())
         return;
     proto::PeerMessage message;
     *message.mutable_records() = m_follower.recordsFrom(digest.next_offset());
-    post(sender.address, message, now);
+    reply(sender, message, now);
 }
 
 bool ControlPlane::take(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now)
@@ -227,7 +256,7 @@
     case proto::PeerMessage::kPull: {
         proto::PeerMessage out;
         *out.mutable_records() = m_follower.recordsFrom(message.pull().next_offset());
-        post(sender.address, out, now);
+        reply(sender, out, now);
         return true;
     }
     case proto::PeerMessage::kInForce:
@@ -236,11 +265,11 @@
     case proto::PeerMessage::kInForceRequest: {
         const auto number = message.in_force_request().number();
         countInForce(
-            [this, number, address = sender.address](const proto::InForce& total) {
+            [this, number, sender](const proto::InForce& total) {
                 proto::PeerMessage out;
                 out.mutable_in_force_reply()->set_number(number);
                 *out.mutable_in_force_reply()->mutable_total() = total;
-                post(address, out, m_context->clock());
+                reply(sender, out, m_context->clock());
             },
             now);
         return true;
@@ -286,6 +315,7 @@
 void ControlPlane::tick(Instant now)
 {
     const TimeSpent timeSpent(*m_context);
+    sendOpening(now);
     const auto step = m_spread.tick(m_members, m_follower.nextOffset(), m_isLogAnswering, now);
     const bool isBehindGap = m_follower.standing() == LogStanding::Gap;
     if (step.readLog || m_readWanted || isBehindGap)
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -28,7 +28,7 @@
     using Changed = std::function<void()>;
     using Counted = std::function<void(const proto::InForce&)>;
 
-    ControlPlane(NodeContext& context, AppendLog& log, HostList& hosts, SendToPeer send, Instant now);
+    ControlPlane(NodeContext& context, AppendLog& log, HostList& hosts, PeerLinks peers, Instant now);
 
     /// \brief Runs \a f after the configuration or the members have changed, at most once a turn of the loop.
     void onChanged(Changed f) { m_changed = std::move(f); }
@@ -58,9 +58,9 @@
     void sendRecords(const std::string& peer, const std::string& root, std::uint64_t from, Instant now);
     void takeRecords(const PeerSocket::Sender& sender, const proto::Records& records, Instant now);
     void takeDigest(const PeerSocket::Sender& sender, const proto::Digest& digest, Instant now);
-    void pull(const std::string& address, Instant now);
+    void pull(const PeerSocket::Sender& sender, Instant now);
     void fetchHosts(Instant now);
-    void sendHosts(const std::string& address, std::uint64_t since, Instant now);
+    void sendHosts(const PeerSocket::Sender& sender, std::uint64_t since, Instant now);
     void takeHosts(const proto::HostChanges& changes);
     /// \returns the node that this one reports to; "" if it is the top of the counting tree.
     std::string countingParent(Instant now);
@@ -68,14 +68,24 @@
     void appendSnapshot(Instant now);
     void expireCounts(Instant now);
     proto::InForce ownSum(Instant now);
-    /// \brief Sends inside the budget of control traffic.
+    /// \returns whether the budget of control traffic has room for \a message.
+    bool payFor(const proto::PeerMessage& message, Instant now);
+    /// \brief Sends inside the budget. What meets a link that is being opened goes out when that stands.
     SendResult post(const std::string& address, proto::PeerMessage& message, Instant now);
+    /// \brief Answers inside the budget, along the link that the question came by.
+    void reply(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now);
+    void sendOpening(Instant now);
     bool sendToNode(const std::string& name, proto::PeerMessage& message, Instant now);
 
     NodeContext* m_context;
     AppendLog* m_log;
     HostList* m_hosts;
-    SendToPeer m_send;
+    PeerLinks m_peers;
+    struct Opening {
+        std::string address;
+        proto::PeerMessage message;
+    };
+    std::deque<Opening> m_opening; ///< paid for; their links are being opened
     Changed m_changed;
     Membership m_members;
     Spread m_spread;
--- a/src/Node/ControlPlaneHosts.cpp
+++ b/src/Node/ControlPlaneHosts.cpp
@@ -12,7 +12,7 @@
     });
 }
 
-void ControlPlane::sendHosts(const std::string& address, std::uint64_t since, Instant now)
+void ControlPlane::sendHosts(const PeerSocket::Sender& sender, std::uint64_t since, Instant now)
 {
     const auto page = m_members.pageSince(since);
     if (!page)
@@ -31,7 +31,7 @@
     }
     for (const auto& it : page->gone)
         out.add_gone(it);
-    post(address, message, now);
+    reply(sender, message, now);
 }
 
 void ControlPlane::takeHosts(const proto::HostChanges& changes)
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -62,7 +62,11 @@
     m_peers = std::move(peers.value());
     m_log = std::make_unique<HttpAppendLog>(base, settings.platform.log, settings.platform.timeout);
     m_hosts = std::make_unique<HttpHostList>(base, settings.platform.hosts, settings.platform.timeout);
-    m_control = std::make_unique<ControlPlane>(m_context, *m_log, *m_hosts, sender(), now);
+    const auto answer = [this](const PeerSocket::Sender& to, proto::PeerMessage& message, Instant at) {
+        return m_peers->answer(to, message, at);
+    };
+    m_control = std::make_unique<ControlPlane>(
+        m_context, *m_log, *m_hosts, PeerLinks { sender(), answer }, now);
     m_owner = std::make_unique<Owner>(m_context, now);
     m_claims = std::make_unique<ClaimService>(m_context, *m_log, m_control->members(), sender(), now);
     m_ingress
--- a/src/Node/PeerLinks.h
+++ b/src/Node/PeerLinks.h
@@ -13,4 +13,14 @@
 using SendToPeer
     = std::function<SendResult(const std::string& address, proto::PeerMessage& message, Instant now)>;
 
+/// \brief Answers along the link that a message came by. \returns whether it went out.
+using AnswerPeer
+    = std::function<bool(const PeerSocket::Sender& to, proto::PeerMessage& message, Instant now)>;
+
+/// \brief Both ways in which a node sends to its peers.
+struct PeerLinks {
+    SendToPeer send;
+    AnswerPeer answer;
+};
+
 } // namespace robinrun
--- a/test/ControlTest.cpp
+++ b/test/ControlTest.cpp
@@ -173,6 +173,28 @@
     }
 }
 
+TEST_CASE("A change made while a node restarts is in force there before links to it stand again", "[control]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ControlModel::Options options;
+        options.regions = 1;
+        options.hallsPerRegion = 2;
+        options.nodesPerHall = 50;
+        ControlModel model(seed, options);
+        model.run(5s);
+        model.write(1, "services/a", 0);
+        model.run(30s);
+        const std::size_t victim = seed % model.size();
+        model.stop(victim);
+        model.start(victim);
+        model.run(500ms);
+        model.write((victim + 1) % model.size(), "services/b", 0);
+        model.run(1500ms);
+        INFO("seed " << seed);
+        REQUIRE(model.plane(victim).follower().nextOffset() == 2);
+    }
+}
+
 TEST_CASE("Those below a suspected host are served in its place, and it is tried all the same", "[control]")
 {
     Membership members({});
--- a/test/support/ControlModel.cpp
+++ b/test/support/ControlModel.cpp
@@ -5,6 +5,10 @@
 
     constexpr Duration tickEvery = 100ms;
     constexpr const char* stream = "config";
+    /// A new link stands after three ways of the network.
+    constexpr Duration linkOpensWithin = 3ms;
+    /// ZeroMQ's longest pause between two tries to connect to a node that was away.
+    constexpr double longestReconnectSeconds = 2;
 
     proto::Resource exampleService(const std::string& name, std::uint32_t deadline)
     {
@@ -114,6 +118,7 @@
 {
     auto& node = m_nodes[index];
     node.life = std::make_shared<bool>(true);
+    std::erase_if(m_links, [index](const auto& it) { return it.first.first == index; });
     node.applied = 0;
     node.appliedAt.clear();
     static const auto charts = loadCharts();
@@ -130,12 +135,20 @@
     settings.control.bytesPerSecond = m_options.bytesPerSecond;
     node.log = std::make_unique<LifeLog>(m_log, node.life, m_logReads);
     node.hosts = std::make_unique<LifeHosts>(*this, node.life);
-    node.plane = std::make_unique<ControlPlane>(
-        *node.context, *node.log, *node.hosts,
-        [this, index](const std::string& address, proto::PeerMessage& message, Instant) {
-            return send(index, address, message);
-        },
-        m_loop.now());
+    PeerLinks peers;
+    peers.send = [this, index](const std::string& address, proto::PeerMessage& message, Instant) {
+        return send(index, address, message);
+    };
+    peers.answer = [this, index](const PeerSocket::Sender& to, proto::PeerMessage& message, Instant) {
+        const auto asker = m_byAddress.at(to.address);
+        const bool isSameLife
+            = isLive(asker) && m_nodes[asker].context->incarnation == to.incarnation;
+        if (isSameLife)
+            transmit(index, asker, message);
+        return isSameLife;
+    };
+    node.plane
+        = std::make_unique<ControlPlane>(*node.context, *node.log, *node.hosts, peers, m_loop.now());
     node.plane->onChanged([this, index] { changed(index); });
     const auto life = node.life;
     m_loop.after(fromSeconds(m_random.unit() * toSeconds(tickEvery)), [this, index, life] {
@@ -176,20 +189,43 @@
     const auto it = m_byAddress.find(address);
     if (it == m_byAddress.end() || !isLive(it->second))
         return SendResult::Unreachable;
+    const auto state = linkState(from, it->second);
+    if (state == SendResult::Sent)
+        transmit(from, it->second, message);
+    return state;
+}
+
+SendResult ControlModel::linkState(std::size_t from, std::size_t to)
+{
+    const auto now = m_loop.now();
+    const auto& life = m_nodes[to].life;
+    auto& link = m_links[{ from, to }];
+    const bool isNew = link.standsFrom == Instant {};
+    if (isNew)
+        link.standsFrom = now + linkOpensWithin;
+    else if (link.life && link.life != life && link.standsFrom < now)
+        link.standsFrom = now + fromSeconds(m_random.unit() * longestReconnectSeconds);
+    if (now < link.standsFrom)
+        return link.life ? SendResult::Unreachable : SendResult::Connecting;
+    link.life = life;
+    return SendResult::Sent;
+}
+
+void ControlModel::transmit(std::size_t from, std::size_t to, const proto::PeerMessage& message)
+{
     const auto& sender = m_nodes[from];
-    const auto& target = m_nodes[it->second];
+    const auto& target = m_nodes[to];
     const bool isCut = sender.region != target.region
         && (m_loop.now() < m_cutUntil[sender.region] || m_loop.now() < m_cutUntil[target.region]);
     ++m_messages;
     m_bytes += message.ByteSizeLong();
     m_bytesByNode[from] += message.ByteSizeLong();
     if (isCut || m_random.chance(m_options.loss))
-        return SendResult::Sent; // it is gone, and nobody knows
-    const PeerSocket::Sender who { sender.name, sender.address, sender.context->incarnation, "" };
+        return; // it is gone, and nobody knows
+    const PeerSocket::Sender who { sender.name, sender.address, sender.context->incarnation, sender.name };
     const auto arrival
         = m_loop.now() + fromSeconds(m_random.exponential(sender.region == target.region ? 0.001 : 0.03));
-    m_loop.at(arrival, [this, to = it->second, who, message] { deliver(to, who, message); });
-    return SendResult::Sent;
+    m_loop.at(arrival, [this, to, who, message] { deliver(to, who, message); });
 }
 
 void ControlModel::deliver(
--- a/test/support/ControlModel.h
+++ b/test/support/ControlModel.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace robinrun::support {
@@ -80,7 +81,16 @@
         std::map<std::uint64_t, Instant> appliedAt; ///< next offset: first time
     };
 
+    /// \brief The link of one node to another: its first message comes too early, and so do those after a
+    /// restart of the other one until the link has noticed.
+    struct Link {
+        std::shared_ptr<bool> life; ///< of the other node, when it stood last; null if never
+        Instant standsFrom {};
+    };
+
     SendResult send(std::size_t from, const std::string& address, const proto::PeerMessage& message);
+    SendResult linkState(std::size_t from, std::size_t to);
+    void transmit(std::size_t from, std::size_t to, const proto::PeerMessage& message);
     void deliver(std::size_t to, const PeerSocket::Sender& sender, const proto::PeerMessage& message);
     void tick(std::size_t index);
     void changed(std::size_t index);
@@ -92,6 +102,7 @@
     FakeLog m_log;
     std::vector<Node> m_nodes;
     std::map<std::string, std::size_t> m_byAddress;
+    std::map<std::pair<std::size_t, std::size_t>, Link> m_links; ///< by sender and receiver
     std::vector<Instant> m_cutUntil;
     std::map<std::string, HostEntry> m_listed;
     std::uint64_t m_hostsVersion = 1;
