Those below a node that turns out to be gone are passed records at once

Cause of the other half of late changes during restarts: a node whose child in a tree was gone learnt so only by the failed send, and those below the child had to wait for a digest (2 s). Now they are served in its place in the same turn.

--- a/src/Control/Spread.cpp
+++ b/src/Control/Spread.cpp
@@ -92,6 +92,13 @@
     }
 }
 
+std::vector<PassOn> Spread::below(const Membership& members, const PassOn& unreached, Instant now)
+{
+    std::vector<PassOn> out;
+    passTo(members, unreached.peer, unreached, out, now);
+    return out;
+}
+
 std::vector<PassOn> Spread::advanced(const Membership& members, const std::string& root, std::uint64_t from,
     std::uint64_t nextOffset, Instant now)
 {
--- a/src/Control/Spread.h
+++ b/src/Control/Spread.h
@@ -62,6 +62,9 @@
     std::vector<PassOn> advanced(const Membership& members, const std::string& root, std::uint64_t from,
         std::uint64_t nextOffset, Instant now);
 
+    /// \returns what to pass on in place of \a unreached, a child that turned out to be gone.
+    std::vector<PassOn> below(const Membership& members, const PassOn& unreached, Instant now);
+
     /// \brief Something was heard that shows this node to be up to date: records, or a digest no higher than
     /// its own.
     void heard(Instant now) { m_lastHeard = now; }
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -124,15 +124,15 @@
         m_peers.answer(sender, message, now);
 }
 
-bool ControlPlane::sendToNode(const std::string& name, proto::PeerMessage& message, Instant now)
+SendResult ControlPlane::sendToNode(const std::string& name, proto::PeerMessage& message, Instant now)
 {
     const auto* host = m_members.find(name);
     if (!host)
-        return false;
+        return SendResult::Unreachable;
     const auto result = post(host->peerAddress, message, now);
     if (result == SendResult::Unreachable)
         m_members.suspect(name, now);
-    return result == SendResult::Sent;
+    return result;
 }
 
 void ControlPlane::readSoon(Instant now)
@@ -186,19 +186,29 @@
 
 void ControlPlane::advanced(const std::string& root, std::uint64_t from, Instant now)
 {
-    for (const auto& it : m_spread.advanced(m_members, root, from, m_follower.nextOffset(), now))
-        sendRecords(it.peer, it.root, it.from, now);
+    passOn(m_spread.advanced(m_members, root, from, m_follower.nextOffset(), now), now);
     if (m_changed)
         m_changed();
 }
 
-void ControlPlane::sendRecords(
-    const std::string& peer, const std::string& root, std::uint64_t from, Instant now)
+void ControlPlane::passOn(std::vector<PassOn> list, Instant now)
+{
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        const auto it = list[i];
+        const bool isSuspected = m_members.isSuspected(it.peer, now); // then those below it are in the list
+        if (sendRecords(it, now) != SendResult::Unreachable || isSuspected)
+            continue;
+        const auto below = m_spread.below(m_members, it, now);
+        list.insert(list.end(), below.begin(), below.end());
+    }
+}
+
+SendResult ControlPlane::sendRecords(const PassOn& what, Instant now)
 {
     proto::PeerMessage message;
-    *message.mutable_records() = m_follower.recordsFrom(from);
-    message.mutable_records()->set_root(root);
-    sendToNode(peer, message, now);
+    *message.mutable_records() = m_follower.recordsFrom(what.from);
+    message.mutable_records()->set_root(what.root);
+    return sendToNode(what.peer, message, now);
 }
 
 void ControlPlane::takeRecords(const PeerSocket::Sender& sender, const proto::Records& records, Instant now)
@@ -212,9 +222,7 @@
     if (progress == ConfigFollower::Progress::Advanced)
         advanced(records.root(), std::min(first, from), now);
     else if (!records.root().empty())
-        for (const auto& it :
-            m_spread.advanced(m_members, records.root(), first, m_follower.nextOffset(), now))
-            sendRecords(it.peer, it.root, it.from, now);
+        passOn(m_spread.advanced(m_members, records.root(), first, m_follower.nextOffset(), now), now);
 }
 
 void ControlPlane::pull(const PeerSocket::Sender& sender, Instant now)
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -55,7 +55,9 @@
     void readLog(Instant now);
     void takePage(const LogPage& page, Instant now);
     void advanced(const std::string& root, std::uint64_t from, Instant now);
-    void sendRecords(const std::string& peer, const std::string& root, std::uint64_t from, Instant now);
+    /// \brief Passes records on; those below a child that turns out to be gone are served in its place.
+    void passOn(std::vector<PassOn> list, Instant now);
+    SendResult sendRecords(const PassOn& what, Instant now);
     void takeRecords(const PeerSocket::Sender& sender, const proto::Records& records, Instant now);
     void takeDigest(const PeerSocket::Sender& sender, const proto::Digest& digest, Instant now);
     void pull(const PeerSocket::Sender& sender, Instant now);
@@ -75,7 +77,7 @@
     /// \brief Answers inside the budget, along the link that the question came by.
     void reply(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now);
     void sendOpening(Instant now);
-    bool sendToNode(const std::string& name, proto::PeerMessage& message, Instant now);
+    SendResult sendToNode(const std::string& name, proto::PeerMessage& message, Instant now);
 
     NodeContext* m_context;
     AppendLog* m_log;
--- a/src/Node/ControlPlaneCounts.cpp
+++ b/src/Node/ControlPlaneCounts.cpp
@@ -59,7 +59,7 @@
     proto::PeerMessage message;
     const auto number = ++m_lastCount;
     message.mutable_in_force_request()->set_number(number);
-    if (parent.empty() || !sendToNode(parent, message, now))
+    if (parent.empty() || sendToNode(parent, message, now) == SendResult::Unreachable)
         return done(ownSum(now));
     m_counts.push_back({ number, std::move(done), now });
 }
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -65,8 +65,8 @@
     const auto answer = [this](const PeerSocket::Sender& to, proto::PeerMessage& message, Instant at) {
         return m_peers->answer(to, message, at);
     };
-    m_control = std::make_unique<ControlPlane>(
-        m_context, *m_log, *m_hosts, PeerLinks { sender(), answer }, now);
+    m_control
+        = std::make_unique<ControlPlane>(m_context, *m_log, *m_hosts, PeerLinks { sender(), answer }, now);
     m_owner = std::make_unique<Owner>(m_context, now);
     m_claims = std::make_unique<ClaimService>(m_context, *m_log, m_control->members(), sender(), now);
     m_ingress
--- a/test/ControlTest.cpp
+++ b/test/ControlTest.cpp
@@ -195,6 +195,27 @@
     }
 }
 
+TEST_CASE("Those below a host that turns out to be gone are served at once", "[control]")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        ControlModel::Options options;
+        options.regions = 1;
+        options.hallsPerRegion = 1;
+        options.nodesPerHall = 60;
+        options.loss = 0;
+        ControlModel model(seed, options);
+        model.run(5s);
+        model.write(1, "services/a", 0);
+        model.run(30s);
+        for (std::size_t i = seed; i < model.size(); i += 10)
+            model.stop(i);
+        model.write(0, "services/b", 0);
+        model.run(300ms);
+        INFO("seed " << seed);
+        REQUIRE(model.isSettled());
+    }
+}
+
 TEST_CASE("Those below a suspected host are served in its place, and it is tried all the same", "[control]")
 {
     Membership members({});
--- a/test/support/ControlModel.cpp
+++ b/test/support/ControlModel.cpp
@@ -141,14 +141,12 @@
     };
     peers.answer = [this, index](const PeerSocket::Sender& to, proto::PeerMessage& message, Instant) {
         const auto asker = m_byAddress.at(to.address);
-        const bool isSameLife
-            = isLive(asker) && m_nodes[asker].context->incarnation == to.incarnation;
+        const bool isSameLife = isLive(asker) && m_nodes[asker].context->incarnation == to.incarnation;
         if (isSameLife)
             transmit(index, asker, message);
         return isSameLife;
     };
-    node.plane
-        = std::make_unique<ControlPlane>(*node.context, *node.log, *node.hosts, peers, m_loop.now());
+    node.plane = std::make_unique<ControlPlane>(*node.context, *node.log, *node.hosts, peers, m_loop.now());
     node.plane->onChanged([this, index] { changed(index); });
     const auto life = node.life;
     m_loop.after(fromSeconds(m_random.unit() * toSeconds(tickEvery)), [this, index, life] {
