Nodes that start in the same microsecond are told apart by owners

Cause: an owner knew senders by their incarnation alone, the wall-clock time of their start in microseconds. Of two nodes that had started in the same one, the second's calls were taken for doubles of the first's and got no answer, and its cancels hit the first's calls. Their random numbers were the same, too. Ruled out: lost wake-ups of ZeroMQ's descriptors; connections that are reset. Now senders are known by a hash of name and incarnation, and it seeds the random numbers. Owner::Sender was PeerSocket::Sender less one field; it is that now. Test: OwnerTest.

--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -112,7 +112,7 @@
     case proto::PeerMessage::kAnswer:
         return m_ingress->takeAnswer(sender.node, *message.mutable_answer(), now);
     case proto::PeerMessage::kCancel:
-        return m_owner->cancel(sender.incarnation, message.cancel().number(), now);
+        return m_owner->cancel(sender, message.cancel().number(), now);
     case proto::PeerMessage::kLeaving:
         return m_ingress->takeLeaving(message.leaving(), now);
     case proto::PeerMessage::kLoadNews:
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -327,6 +327,11 @@
         = Timer::once(m_context->base, patience, [this, id, number] { attemptTimedOut(id, number); });
 }
 
+Owner::Sender Ingress::selfAsSender() const
+{
+    return { m_context->settings.name, m_context->settings.listen.peers, m_context->incarnation };
+}
+
 SendResult Ingress::sendTo(CallId id, Call& call, const std::string& upstream, Instant now)
 {
     const auto* info = upstreamOf(call.request.service, upstream);
@@ -352,11 +357,9 @@
     step(call, CallEvent::Sent);
     if (isOwn) {
         watchAttempt(id, call, number);
-        const Owner::Sender self { m_context->settings.name, m_context->settings.listen.peers,
-            m_context->incarnation };
         const auto& node = m_context->settings.name;
         m_owner->take(
-            message.call(), self,
+            message.call(), selfAsSender(),
             [this, node](proto::Answer answer) { takeAnswer(node, answer, monotonicNow()); }, now);
         return SendResult::Sent;
     }
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -138,6 +138,8 @@
     void watchAttempt(CallId id, Call& call, std::uint64_t number);
     void proceed(CallId id, Instant now);
     SendResult sendTo(CallId id, Call& call, const std::string& upstream, Instant now);
+    /// \returns this node as the owner beside it knows it.
+    Owner::Sender selfAsSender() const;
     /// \returns an upstream for the call; nothing if there is none. \param connecting those passed over.
     std::optional<std::string> pickFor(Call& call, const std::vector<std::string>& connecting, Instant now);
     /// \returns whether to wait for the link to \a upstream, which was opened a moment ago.
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -44,7 +44,7 @@
         else
             router.abandoned(it.upstream, call.request.groupNumber);
         if (it.upstream == m_owner->upstream()) {
-            m_owner->cancel(m_context->incarnation, it.number, now);
+            m_owner->cancel(selfAsSender(), it.number, now);
             continue;
         }
         const auto* info = upstreamOf(call.request.service, it.upstream);
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -20,8 +20,7 @@
 } // namespace
 
 Node::Node(event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation)
-    : m_context { std::move(settings), std::move(charts), base, incarnation, {}, {}, Random(incarnation),
-        monotonicNow, wallClockMs }
+    : m_context(NodeContext::forNode(std::move(settings), std::move(charts), base, incarnation))
     , m_state(m_context.charts.node.initial())
 {
 }
@@ -141,7 +140,7 @@
     case proto::PeerMessage::kAnswer:
         return m_ingress->takeAnswer(sender.node, *message.mutable_answer(), now);
     case proto::PeerMessage::kCancel:
-        return m_owner->cancel(sender.incarnation, message.cancel().number(), now);
+        return m_owner->cancel(sender, message.cancel().number(), now);
     case proto::PeerMessage::kClaimRequest:
         return takeClaim(sender, message.claim_request(), now);
     case proto::PeerMessage::kClaimReply:
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Chart/Charts.h"
+#include "Core/Hash.h"
 #include "Core/Random.h"
 #include "Core/Time.h"
 #include "Node/CallHeaders.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <event2/event.h>
 #include <functional>
+#include <utility>
 
 namespace robinrun {
 
@@ -28,6 +30,15 @@
     std::function<std::int64_t()> wallClock = wallClockMs;
     CallHeaders headers {};
     std::uint64_t configVersion = 0; ///< of the directory, for the log
+
+    /// \brief For a real node. Its random numbers differ from those of nodes that start at the same instant.
+    static NodeContext forNode(NodeSettings settings, Charts charts, event_base* base,
+        std::uint64_t incarnation, CallHeaders headers = {})
+    {
+        const auto seed = hash64(settings.name, incarnation);
+        return { std::move(settings), std::move(charts), base, incarnation, {}, {}, Random(seed),
+            monotonicNow, wallClockMs, std::move(headers) };
+    }
 };
 
 } // namespace robinrun
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -125,7 +125,7 @@
         return Reason::WrongOwner;
     if (call.owner_incarnation() && call.owner_incarnation() != m_context->incarnation)
         return Reason::WrongIncarnation;
-    if (!m_seen.isNew(sender.incarnation, call.number(), now))
+    if (!m_seen.isNew(sender.life(), call.number(), now))
         return Reason::Duplicate;
     if (!service())
         return Reason::WrongOwner;
@@ -141,7 +141,7 @@
 
 void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
-    m_ingresses[sender.node] = { sender.address, now, sender.incarnation, call.group() };
+    m_ingresses[sender.node] = { sender.address, now, sender.life(), call.group() };
     const auto fault = faultOf(call, sender, now);
     if (fault == Reason::Duplicate) {
         // The first delivery is answered under the same number; an answer to the double could overtake it.
@@ -221,8 +221,8 @@
     const auto offer = offerOf(id, record, now);
     noteQueued(record, offer, now);
     m_calls.emplace(id, std::move(record));
-    m_idByKey[{ sender.incarnation, call.number() }] = id;
-    ++m_bySender[{ sender.incarnation, call.group() }];
+    m_idByKey[{ sender.life(), call.number() }] = id;
+    ++m_bySender[{ sender.life(), call.group() }];
     act(m_admission.offer(offer, now), now);
 }
 
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -9,6 +9,7 @@
 #include "Once/TicketTable.h"
 #include "Queueing/Admission.h"
 #include "Routing/WorkClock.h"
+#include "Wire/PeerSocket.h"
 #include "Wire/SeenCalls.h"
 #include "peer.pb.h"
 
@@ -30,12 +31,8 @@
 /// left, and calls meant for the former incarnation are refused.
 class Owner {
 public:
-    /// \brief Who sent a call; answers, cancels and doubles are matched by it.
-    struct Sender {
-        std::string node;
-        std::string address;
-        std::uint64_t incarnation = 0;
-    };
+    /// \brief Who sent a call; answers, cancels and doubles are matched by its life.
+    using Sender = PeerSocket::Sender;
     using Reply = std::function<void(proto::Answer)>;
     /// \brief Tells an ingress that the upstream is leaving or stays.
     using Announce = std::function<void(const std::string& address, bool isLeaving)>;
@@ -54,7 +51,7 @@
     void take(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
 
     /// \brief The caller gave a call up: frees its place, and its slot if it may be cut off.
-    void cancel(std::uint64_t senderIncarnation, std::uint64_t number, Instant now);
+    void cancel(const Sender& sender, std::uint64_t number, Instant now);
 
     /// \brief The configuration has changed.
     void configure(Instant now);
@@ -82,7 +79,7 @@
     const std::string& upstream() const { return m_context->settings.upstream; }
 
 private:
-    using CallKey = std::pair<std::uint64_t, std::uint64_t>; ///< sender's incarnation, its number of the call
+    using CallKey = std::pair<std::uint64_t, std::uint64_t>; ///< sender's life, its number of the call
 
     struct CallRecord {
         proto::Call call;
@@ -133,8 +130,8 @@
     void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
         bool isNotRun, Instant now);
     void answerAll(CallRecord& record, const proto::Answer& answer, Instant now);
-    /// \returns the load as a node with \a senderIncarnation and calls of \a group meets it.
-    proto::Load loadNews(std::uint64_t senderIncarnation, const std::string& group, Instant now) const;
+    /// \returns the load as a node in \a senderLife with calls of \a group meets it.
+    proto::Load loadNews(std::uint64_t senderLife, const std::string& group, Instant now) const;
     void fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const;
     void recordTicket(const CallRecord& record, const proto::Answer& answer);
     void lifeChanged(LifeState state, Instant now);
@@ -167,7 +164,7 @@
     struct Ingress {
         std::string address;
         Instant lastCall {};
-        std::uint64_t incarnation = 0;
+        std::uint64_t life = 0;
         std::string group;
     };
     std::unordered_map<std::string, Ingress> m_ingresses; ///< by node; told when this upstream leaves
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -85,7 +85,7 @@
 
 void Owner::answerAll(CallRecord& record, const proto::Answer& answer, Instant now)
 {
-    const auto key = CallKey { record.sender.incarnation, record.call.number() };
+    const auto key = CallKey { record.sender.life(), record.call.number() };
     const auto replies = std::move(record.replies);
     const auto numbers = std::move(record.numbers);
     const auto id = m_idByKey.find(key);
@@ -95,7 +95,7 @@
     const auto running = std::find_if(begin, end, [&](const auto& it) { return it.second == id->second; });
     if (running != end)
         m_runningRequests.erase(running);
-    const auto bySender = m_bySender.find({ record.sender.incarnation, group });
+    const auto bySender = m_bySender.find({ record.sender.life(), group });
     if (--bySender->second == 0)
         m_bySender.erase(bySender);
     m_calls.erase(id->second);
@@ -133,7 +133,7 @@
         record.call.request_id(), record.sender.node, m_context->settings.log.sampleOneIn, now);
 }
 
-proto::Load Owner::loadNews(std::uint64_t senderIncarnation, const std::string& group, Instant now) const
+proto::Load Owner::loadNews(std::uint64_t senderLife, const std::string& group, Instant now) const
 {
     const auto load = m_admission.loadFor(m_context->directory.groupNumber(group), now);
     proto::Load out;
@@ -146,7 +146,7 @@
         static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
     out.set_slowdown_permille(static_cast<std::uint32_t>(load.slowdown * permille));
     out.set_down(m_isDown);
-    const auto it = m_bySender.find({ senderIncarnation, group });
+    const auto it = m_bySender.find({ senderLife, group });
     out.set_yours(it == m_bySender.end() ? 0 : it->second);
     out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
     return out;
@@ -154,7 +154,7 @@
 
 void Owner::fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const
 {
-    *answer.mutable_load() = loadNews(sender.incarnation, group, now);
+    *answer.mutable_load() = loadNews(sender.life(), group, now);
     answer.set_incarnation(m_context->incarnation);
     answer.set_caller_incarnation(sender.incarnation);
     answer.set_owner_now_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
--- a/src/Node/OwnerMessages.cpp
+++ b/src/Node/OwnerMessages.cpp
@@ -8,7 +8,7 @@
     Owner& owner, PeerSocket& peers, const PeerSocket::Sender& sender, const proto::Call& call, Instant now)
 {
     owner.take(
-        call, { sender.node, sender.address, sender.incarnation },
+        call, sender,
         [&peers, sender](proto::Answer answer) {
             proto::PeerMessage message;
             *message.mutable_answer() = std::move(answer);
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -106,7 +106,7 @@
         proto::LoadNews news;
         news.set_upstream(upstream());
         news.set_incarnation(m_context->incarnation);
-        *news.mutable_load() = loadNews(ingress.incarnation, ingress.group, now);
+        *news.mutable_load() = loadNews(ingress.life, ingress.group, now);
         m_tellLoad(ingress.address, news);
     }
 }
@@ -201,9 +201,9 @@
     act(next, now);
 }
 
-void Owner::cancel(std::uint64_t senderIncarnation, std::uint64_t number, Instant now)
+void Owner::cancel(const Sender& sender, std::uint64_t number, Instant now)
 {
-    const auto found = m_idByKey.find({ senderIncarnation, number });
+    const auto found = m_idByKey.find({ sender.life(), number });
     if (found == m_idByKey.end())
         return;
     const auto id = found->second;
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/EnumNames.h"
+#include "Core/Hash.h"
 #include "Core/Result.h"
 #include "Core/Time.h"
 #include "peer.pb.h"
@@ -52,7 +53,11 @@
         std::string node;
         std::string address;
         std::uint64_t incarnation = 0;
-        std::string route; ///< ZeroMQ's name of the incoming link; "" if it came as an answer on our own link
+        std::string route {}; ///< ZeroMQ's name of the incoming link; "" if it came as an answer on our own link
+
+        /// \returns one number for this life of this node. The incarnation alone is none: nodes that start
+        /// in the same microsecond have the same.
+        std::uint64_t life() const { return hash64(node, incarnation); }
     };
     using Handler = std::function<void(const Sender&, proto::PeerMessage&)>;
     using Lost = std::function<void(const std::string& address)>;
--- a/src/Wire/SeenCalls.h
+++ b/src/Wire/SeenCalls.h
@@ -8,7 +8,7 @@
 
 namespace robinrun {
 
-/// \brief Refuses a call that is delivered twice or far out of order, by sender incarnation and call number.
+/// \brief Refuses a call that is delivered twice or far out of order, by the sender's life and call number.
 ///
 /// Each sender numbers its calls to this owner from 1 on; the last `window` numbers are remembered, older
 /// ones are refused unseen. A sender that was silent for `forgetAfter` is dropped: by then its calls are past
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -46,10 +46,15 @@
         return out;
     }
 
-    void take(const proto::Call& it, std::uint64_t sender = 1)
+    static Owner::Sender ingress(const std::string& node = "ingress")
+    {
+        return { node, "10.0.0.9:1", 1 };
+    }
+
+    void take(const proto::Call& it, const std::string& node = "ingress")
     {
         owner.take(
-            it, { "ingress", "10.0.0.9:1", sender },
+            it, ingress(node),
             [this](proto::Answer answer) { answers.push_back(answer); }, monotonicNow());
     }
 
@@ -83,6 +88,22 @@
     REQUIRE(f.owner.isIdle());
 }
 
+TEST_CASE("Nodes that started in the same microsecond are told apart", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1), "a");
+    f.take(f.call(1), "b"); // no double of the first
+    f.waitRunning(1);
+    f.owner.cancel(OwnerFixture::ingress("c"), 1, monotonicNow());
+    f.owner.cancel(OwnerFixture::ingress("b"), 1, monotonicNow());
+    REQUIRE(f.answers.size() == 1);
+    REQUIRE(f.reason(0) == Reason::Cancelled);
+    f.running[0]->reply({ 200, {}, "one" });
+    f.waitAnswers(2);
+    REQUIRE(f.answers[1].body() == "one");
+    REQUIRE(f.answers[1].load().yours() == 0);
+}
+
 TEST_CASE("Doubled, misdirected, damaged, former and late calls are refused before they run", "[node]")
 {
     OwnerFixture f;
@@ -137,7 +158,7 @@
     for (std::uint64_t number = 2; number <= 4; ++number) {
         auto call = f.call(number, "/buy/1");
         *call.mutable_ticket() = ticket;
-        f.take(call, number);
+        f.take(call, "ingress-" + std::to_string(number));
     }
     f.waitRunning(1);
     f.running[0]->reply({ 200, {}, "bought" });
@@ -159,16 +180,16 @@
     f.take(f.call(1));
     f.take(f.call(2));
     f.waitRunning(1);
-    f.owner.cancel(1, 2, monotonicNow());
+    f.owner.cancel(OwnerFixture::ingress(), 2, monotonicNow());
     REQUIRE(f.reason(0) == Reason::Cancelled);
     REQUIRE(f.answers[0].outcome() == proto::NOT_RUN);
-    f.owner.cancel(1, 1, monotonicNow());
+    f.owner.cancel(OwnerFixture::ingress(), 1, monotonicNow());
     REQUIRE(f.answers[1].outcome() == proto::UNKNOWN);
     REQUIRE(f.owner.isIdle());
     REQUIRE(runUntil(f.base.get(), [&] { return f.hungUp == 1; }));
     f.take(f.call(3, "/buy/1"));
     f.waitRunning(2);
-    f.owner.cancel(1, 3, monotonicNow());
+    f.owner.cancel(OwnerFixture::ingress(), 3, monotonicNow());
     REQUIRE(f.answers.size() == 2);
     f.running[1]->reply({ 200, {}, "bought" });
     f.waitAnswers(3);
