A node whose clock has gone back between two lives is heard in the second

Cause: of two records of a node the one of the later incarnation counts, and an incarnation is the wall-clock time of the start. A node that was restarted just after its clock was set back published records that nobody took: its backend server was not known anywhere for all of that life. Now a node that hears of a later life of itself makes its records count as later still, and logs clock-went-back. Test: MeshTest, failed before (no read is served in 4 s).

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -38,6 +38,8 @@
             "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
         LogEventInfo { "announcement-refused", "target error", "an announcement can't be read" },
         LogEventInfo { "node-record-malformed", "key", "a record in the store is none" },
+        LogEventInfo { "clock-went-back", "former_incarnation incarnation",
+            "a former life of this node says that it started later; this one counts as later still" },
         LogEventInfo { "upstream-sign", "upstream sign set", "a reason to leave came or went" },
         LogEventInfo { "upstream-life", "upstream state", "the own upstream's life moved on" },
         LogEventInfo { "backend-down", "upstream unreached", "connections can't be made" },
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -36,8 +36,8 @@
 
 MeshNode::MeshNode(event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation,
     MeshFormats formats, std::unique_ptr<RecordStore> store)
-    : m_context(NodeContext::forNode(
-          std::move(settings), std::move(charts), base, incarnation, formats.headers))
+    : m_context(
+        NodeContext::forNode(std::move(settings), std::move(charts), base, incarnation, formats.headers))
     , m_formats(std::move(formats))
     , m_state(m_context.charts.node.initial())
     , m_started(monotonicNow())
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -80,6 +80,9 @@
     /// \returns what a record of the store says of its node; nothing if it is malformed or says nothing new.
     std::optional<proto::NodeRecord> readStoredNode(const KeyedRecord& stored) const;
     bool takeOwnRecord(const proto::NodeRecord& record, Instant now);
+    /// \brief A former life of this node seems to be later, since the clock went back: makes this one's
+    /// records count as later ones.
+    void outrank(const proto::NodeRecord& former, Instant now);
     /// \returns whether \a node, or this start of it, is not known yet.
     bool isNewLife(const std::string& node, std::uint64_t incarnation) const;
 
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -197,7 +197,9 @@
 {
     const bool isNews = m_registry.take(record) != NodeRegistry::Change::None;
     // What a former life of this node has acknowledged binds this one too.
-    const bool isFormer = record.incarnation() != m_context.incarnation;
+    const bool isFormer = record.incarnation() != m_record.incarnation();
+    if (isFormer && NodeRegistry::isLater(record, m_record))
+        outrank(record, now);
     if (isFormer && record.leaving() && m_announced.hasLeftBefore(record.upstream()))
         upstreamChanged(now);
     // Somebody took this node for gone.
@@ -206,6 +208,14 @@
     return isNews;
 }
 
+void MeshNode::outrank(const proto::NodeRecord& former, Instant now)
+{
+    log(LogLevel::Warning, "clock-went-back",
+        { { "former_incarnation", former.incarnation() }, { "incarnation", m_record.incarnation() } });
+    m_record.set_incarnation(former.incarnation() + 1);
+    publish(now);
+}
+
 void MeshNode::takeStoredNode(const KeyedRecord& stored, Instant now)
 {
     // Not passed on: others read it too, and contacts find by their digests what they lack.
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -53,7 +53,8 @@
         std::string node;
         std::string address;
         std::uint64_t incarnation = 0;
-        std::string route {}; ///< ZeroMQ's name of the incoming link; "" if it came as an answer on our own link
+        std::string
+            route {}; ///< ZeroMQ's name of the incoming link; "" if it came as an answer on our own link
 
         /// \returns one number for this life of this node. The incarnation alone is none: nodes that start
         /// in the same microsecond have the same.
--- a/test/MeshTest.cpp
+++ b/test/MeshTest.cpp
@@ -122,6 +122,26 @@
     REQUIRE(f.places[1].backend->requests.size() == before);
 }
 
+TEST_CASE("A node whose clock has gone back is heard in its new life all the same", "[mesh]")
+{
+    MeshFixture f;
+    f.store.put("keyed.op", "config", MeshFixture::configuration(1));
+    f.lastIncarnation = 1000;
+    const auto ingress = f.add("other");
+    const auto owner = f.add("shop");
+    REQUIRE(f.announce(owner, "ready", 1) == 200);
+    f.untilServed(ingress);
+    f.places[owner].node.reset();
+    f.places[owner].backend->id = "i-after";
+    f.lastIncarnation = 10;
+    f.startNode(owner);
+    REQUIRE(f.announce(owner, "ready", 1) == 200);
+    f.untilServed(ingress);
+    REQUIRE(f.places[owner].backend->requests.back().target == "/read/x");
+    REQUIRE(findHeader(f.places[owner].backend->requests.back().headers, "X-Robinrun-Target-Instance")
+        == "i-after");
+}
+
 TEST_CASE("A node that the store turns away gets configuration and peers from its peers", "[mesh]")
 {
     ShopFixture f;
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -46,16 +46,12 @@
         return out;
     }
 
-    static Owner::Sender ingress(const std::string& node = "ingress")
-    {
-        return { node, "10.0.0.9:1", 1 };
-    }
+    static Owner::Sender ingress(const std::string& node = "ingress") { return { node, "10.0.0.9:1", 1 }; }
 
     void take(const proto::Call& it, const std::string& node = "ingress")
     {
         owner.take(
-            it, ingress(node),
-            [this](proto::Answer answer) { answers.push_back(answer); }, monotonicNow());
+            it, ingress(node), [this](proto::Answer answer) { answers.push_back(answer); }, monotonicNow());
     }
 
     void waitRunning(std::size_t n)
