--- a/src/Routing/Ejection.cpp
+++ b/src/Routing/Ejection.cpp
@@ -72,8 +72,10 @@
     if (!isPanic && !out.empty())
         return;
     out.clear();
+    // Where all are lost, the news may be old: after a cut their links stand again before they were heard.
+    const auto eligible = active ? UpstreamState::Active : UpstreamState::Lost;
     for (std::size_t i = 0; i < views.size(); ++i) {
-        if (views[i].state() == UpstreamState::Active && !contains(excluded, i))
+        if (views[i].state() == eligible && !contains(excluded, i))
             out.push_back(i);
     }
 }
--- a/src/Routing/Ejection.h
+++ b/src/Routing/Ejection.h
@@ -34,7 +34,8 @@
     /// \brief Judges all upstreams by their errors. \returns indexes that came back now and must warm up.
     std::vector<std::size_t> update(std::span<const UpstreamView> views, Instant now);
 
-    /// \brief Fills \a out with the upstreams that may get new calls: active, not ejected, not \a excluded.
+    /// \brief Fills \a out with the upstreams that may get new calls: active, not ejected, not \a excluded;
+    /// where there are none, all active ones that are not excluded, or the lost ones if none is active.
     void candidates(std::span<const UpstreamView> views, std::span<const std::size_t> excluded, Instant now,
         std::vector<std::size_t>& out) const;
 
--- a/test/RoutingTest.cpp
+++ b/test/RoutingTest.cpp
@@ -156,6 +156,24 @@
     REQUIRE(spread(router, 50, now + 10s, random)["u0"] > 0);
 }
 
+TEST_CASE("When all upstreams are lost they are tried all the same, but none that leaves", "[routing]")
+{
+    ServiceRouter router({});
+    Random random(1);
+    router.setUpstreams(targets(3), {});
+    for (const std::string it : { "u0", "u1" }) {
+        router.sent(it, group);
+        router.lost(it, group, {});
+    }
+    REQUIRE(router.pick({}, { group }, {}, random) == "u2");
+    REQUIRE_FALSE(router.pick(std::vector<std::string> { "u2" }, { group }, {}, random));
+    router.setLeaving("u2", true, {});
+    const std::vector<std::string> tried { "u0" };
+    REQUIRE(router.pick(tried, { group }, {}, random) == "u1");
+    const std::vector<std::string> both { "u0", "u1" };
+    REQUIRE_FALSE(router.pick(both, { group }, {}, random));
+}
+
 TEST_CASE("A leaving upstream gets nothing, until it stays after all or a while has passed", "[routing]")
 {
     ServiceRouter router({});
