--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -141,7 +141,7 @@
         return;
     ++host.life;
     host.isStopping = false;
-    host.node = ChildProcess(
+    host.node = support::ChildProcess(
         { m_options.program, "--settings", host.settingsFile }, m_options.folder + "/" + host.name + ".log");
     host.keptConnections = std::make_unique<HttpPool>(m_base, callerOptions(host.callers));
 }
--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -2,10 +2,10 @@
 
 #include "Core/Loop.h"
 #include "Core/Random.h"
-#include "soak/ChildProcess.h"
 #include "soak/FaultProxy.h"
 #include "soak/Ledger.h"
 #include "soak/SoakBackend.h"
+#include "support/ChildProcess.h"
 #include "support/FakeStore.h"
 
 #include <cstdint>
@@ -38,7 +38,7 @@
         std::unique_ptr<FaultProxy> toStore;
         std::unique_ptr<FaultProxy> toBackend;
         std::unique_ptr<SoakBackend> backend;
-        ChildProcess node;
+        support::ChildProcess node;
         std::uint64_t life = 0;
         bool isStopping = false; ///< was asked to end
         bool isReady = false; ///< as it last said
--- a/test/soak/ChildProcess.cpp
+++ b/test/support/ChildProcess.cpp
@@ -1,4 +1,4 @@
-#include "soak/ChildProcess.h"
+#include "support/ChildProcess.h"
 
 #include <cerrno>
 #include <csignal>
@@ -11,7 +11,7 @@
 #include <unistd.h>
 #include <utility>
 
-namespace robinrun::soak {
+namespace robinrun::support {
 
 ChildProcess::ChildProcess(const std::vector<std::string>& argv, const std::string& logFile)
 {
@@ -20,8 +20,8 @@
         throw std::runtime_error("can't start " + argv.front() + ": " + std::strerror(errno));
     if (m_pid > 0)
         return;
-    close_range(STDERR_FILENO + 1, ~0U, 0); // the soak's own sockets are not the node's
-    prctl(PR_SET_PDEATHSIG, SIGKILL); // nothing is left over if the soak itself is killed
+    close_range(STDERR_FILENO + 1, ~0U, 0); // the own sockets are not the program's
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // nothing is left over if the test itself is killed
     const int fd = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
@@ -68,4 +68,4 @@
     return m_pid > 0;
 }
 
-} // namespace robinrun::soak
+} // namespace robinrun::support
--- a/test/soak/ChildProcess.h
+++ b/test/support/ChildProcess.h
@@ -4,9 +4,9 @@
 #include <sys/types.h>
 #include <vector>
 
-namespace robinrun::soak {
+namespace robinrun::support {
 
-/// \brief A program started by the soak, known by its process id. Killed when destroyed.
+/// \brief A program started by a test, known by its process id. Killed when destroyed.
 class ChildProcess {
 public:
     ChildProcess() = default;
@@ -30,4 +30,4 @@
     int m_status = 0;
 };
 
-} // namespace robinrun::soak
+} // namespace robinrun::support
