Second attempts wait for their links and pay only when sent; one place for what counts as slow; buckets named twice are walked once

Causes: a second attempt whose link had to be opened was not sent and its retry was spent; a peer could name any number of buckets, each a walk over the registry. Tests: RoutedCallsTest and GossipTest, failed before (retries 0 for 1; 100 records for 1). Two parts of a test that held whatever the code did (both upstreams were told slow, so none was worth a second attempt) now tell one.

--- a/src/Mesh/Gossip.cpp
+++ b/src/Mesh/Gossip.cpp
@@ -1,6 +1,7 @@
 #include "Mesh/Gossip.h"
 
 #include <algorithm>
+#include <bitset>
 #include <unordered_map>
 #include <utility>
 
@@ -97,7 +98,11 @@
         told[it.node()] = &it;
     proto::PeerMessage message;
     auto& out = *message.mutable_node_records();
+    std::bitset<NodeRegistry::bucketCount> done; // the peer may name any, and some twice
     for (const auto bucket : records.whole_buckets()) {
+        if (bucket >= done.size() || done.test(bucket))
+            continue;
+        done.set(bucket);
         for (auto& it : m_registry->recordsIn(bucket)) {
             const auto known = told.find(it.node());
             if (known == told.end() || NodeRegistry::isLater(it, *known->second))
--- a/src/Node/ClaimService.cpp
+++ b/src/Node/ClaimService.cpp
@@ -14,7 +14,6 @@
     constexpr Duration readRetry = 200ms;
     constexpr Duration homeLife = 60s;
     constexpr Duration homeNamesLife = 1s;
-    constexpr Duration connectRetry = 3ms;
     constexpr double appendBurst = 5;
 
     /// How many homes are asked in turn when one doesn't answer.
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -16,7 +16,6 @@
     constexpr std::uint32_t drainingRetryMs = 100;
     /// A node that has just started usually has its configuration within so long.
     constexpr std::uint32_t notReadyRetryMs = 200;
-    constexpr Duration connectRetry = 2ms;
     /// A link stands after three round trips or so; a worse upstream whose link stands costs more than that.
     constexpr Duration linkPatience = 12ms;
     /// Owners asked to run a call at once before it may wait in a queue. What an ingress knows of loads is as
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -116,6 +116,7 @@
         Timer deadlineTimer;
         Timer attemptTimer;
         Timer connectTimer;
+        Timer secondTimer; ///< of a second attempt whose link is being opened
     };
     using CallId = std::uint64_t;
 
@@ -150,7 +151,13 @@
     /// \returns whether the budgets allow one more attempt, which is then paid for: at the service, and at
     /// those that its backend servers call for it.
     bool mayTryAgain(Call& call);
-    /// \brief Gives back what mayTryAgain() has spent.
+    /// \brief mayTryAgain(), not counted yet.
+    bool payRetry(Call& call);
+    /// \brief Sends a second attempt beside the one that is out, if the budgets allow; it waits for a link
+    /// that is being opened as long as it is worthwhile.
+    void sendSecond(CallId id, Call& call, const std::string& upstream, Instant now);
+    void secondAgain(CallId id, const std::string& upstream);
+    /// \brief Gives back what mayTryAgain() or payRetry() has spent.
     void takeBackRetry(Call& call);
     /// \brief Charges the services that a run of \a call calls in turn with \a times the calls it makes
     /// there.
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -101,9 +101,9 @@
     call.out.erase(it);
     m_callByNumber.erase(found);
     auto& router = *m_routers.at(call.request.service);
-    const bool wasSlow = router.slowdownOf(attempt.upstream) >= WorkClock::slowFrom;
+    const bool wasSlow = isSlow(router.slowdownOf(attempt.upstream));
     learn(call, attempt, answer, now);
-    if (!wasSlow && router.slowdownOf(attempt.upstream) >= WorkClock::slowFrom)
+    if (!wasSlow && isSlow(router.slowdownOf(attempt.upstream)))
         upstreamSlowed(attempt.upstream, now);
     if (answer.outcome() == proto::NOT_RUN)
         return refused(id, call, attempt, answer, now);
@@ -282,7 +282,7 @@
         router->heard(news.upstream(), report, now);
         router->setLeaving(news.upstream(), isLeaving, now);
     }
-    if (report.load.slowdown >= WorkClock::slowFrom)
+    if (isSlow(report.load.slowdown))
         upstreamSlowed(news.upstream(), now);
 }
 
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -17,6 +17,14 @@
 } // namespace
 
 bool Ingress::mayTryAgain(Call& call)
+{
+    const bool isPaid = payRetry(call);
+    if (isPaid)
+        m_context->metrics.count("robinrun_retries_total");
+    return isPaid;
+}
+
+bool Ingress::payRetry(Call& call)
 {
     if (call.attemptsLeft <= 1)
         return false;
@@ -31,7 +39,6 @@
         return false;
     chargeNested(call, 1);
     --call.attemptsLeft;
-    m_context->metrics.count("robinrun_retries_total");
     return true;
 }
 
@@ -76,8 +83,7 @@
     const auto upstream = router.pick(call.tried, needsOf(call, now), now, m_context->random);
     if (!upstream || (call.request.isByRoute && !isWorthwhile(call, *upstream, now)))
         return;
-    if (mayTryAgain(call))
-        sendTo(id, call, *upstream, now);
+    sendSecond(id, call, *upstream, now);
 }
 
 Duration Ingress::workDone(const Call& call, const Attempt& attempt, Instant now) const
@@ -101,6 +107,27 @@
     return isRepeatable(call) && !call.isMinting && call.attemptsLeft > 1 && now < call.deadline;
 }
 
+void Ingress::sendSecond(CallId id, Call& call, const std::string& upstream, Instant now)
+{
+    if (!payRetry(call))
+        return;
+    const auto result = sendTo(id, call, upstream, now);
+    if (result == SendResult::Sent)
+        return m_context->metrics.count("robinrun_retries_total");
+    takeBackRetry(call);
+    if (result == SendResult::Connecting)
+        call.secondTimer
+            = Timer::once(m_context->base, connectRetry, [this, id, upstream] { secondAgain(id, upstream); });
+}
+
+void Ingress::secondAgain(CallId id, const std::string& upstream)
+{
+    auto& call = m_calls.at(id);
+    const auto now = monotonicNow();
+    if (call.out.size() == 1 && mayHedge(call, now) && isWorthwhile(call, upstream, now))
+        sendSecond(id, call, upstream, now);
+}
+
 void Ingress::upstreamSlowed(const std::string& upstream, Instant now)
 {
     std::vector<std::pair<CallId, std::uint64_t>> slowed;
@@ -132,8 +159,7 @@
         { { "expected_ms", here.count() / 1000 }, { "work_done_ms", done.count() / 1000 },
             { "target_left_ms", needs.targetLatency.count() / 1000 },
             { "attempts_left", call.attemptsLeft } } });
-    if (mayTryAgain(call))
-        sendTo(id, call, *upstream, now);
+    sendSecond(id, call, *upstream, now);
 }
 
 } // namespace robinrun
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -161,7 +161,7 @@
 
 bool Owner::isReadyAtOnce(Instant now) const
 {
-    return m_admission.hasFreeSlot() && m_admission.load(now).slowdown < WorkClock::slowFrom;
+    return m_admission.hasFreeSlot() && !isSlow(m_admission.load(now).slowdown);
 }
 
 void Owner::mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now)
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -40,7 +40,7 @@
         return probe(now);
     }
     const auto load = m_admission.load(now);
-    if (load.slowdown >= WorkClock::slowFrom && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow)) {
+    if (isSlow(load.slowdown) && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow)) {
         return probe(now);
     }
     const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
--- a/src/Node/PeerLinks.h
+++ b/src/Node/PeerLinks.h
@@ -9,6 +9,9 @@
 
 namespace robinrun {
 
+/// Between two tries to send over a link that is being opened; it stands after three ways of the network.
+inline constexpr Duration connectRetry = 2ms;
+
 /// \brief Sends one message to the node at an address.
 using SendToPeer
     = std::function<SendResult(const std::string& address, proto::PeerMessage& message, Instant now)>;
--- a/src/Queueing/WorkEstimate.h
+++ b/src/Queueing/WorkEstimate.h
@@ -2,6 +2,7 @@
 
 #include "Core/Ewma.h"
 #include "Core/Time.h"
+#include "Queueing/Slowdown.h"
 
 #include <array>
 #include <optional>
@@ -32,9 +33,7 @@
 
 private:
     static constexpr double sampleWeight = 0.05;
-    /// From this factor on a slow-down is told apart from chance.
-    static constexpr double slowFrom = 1.5;
-    static std::size_t bucketOf(double slowdown) { return slowdown >= slowFrom ? 1 : 0; }
+    static std::size_t bucketOf(double slowdown) { return isSlow(slowdown) ? 1 : 0; }
 
     std::array<Ewma, 2> m_means { Ewma(sampleWeight), Ewma(sampleWeight) };
 };
--- a/src/Routing/RemainingTime.cpp
+++ b/src/Routing/RemainingTime.cpp
@@ -31,7 +31,7 @@
         return Duration::zero();
     const double usual = it->second.value();
     const double left = std::max(usual - toSeconds(done), leastPartLeft * usual);
-    if (slowdown < WorkClock::slowFrom)
+    if (!isSlow(slowdown))
         return fromSeconds(left);
     const double phase = m_slowPhase.isSet() ? m_slowPhase.value() : guessedSlowPhaseSeconds;
     const double doneInPhase = phase / slowdown;
--- a/src/Routing/WorkClock.h
+++ b/src/Routing/WorkClock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Time.h"
+#include "Queueing/Slowdown.h"
 
 #include <optional>
 
@@ -13,9 +14,6 @@
 /// only as far as slow-downs are told, and told soon. Cost: O(1).
 class WorkClock {
 public:
-    /// From this factor on a slow-down is told apart from chance.
-    static constexpr double slowFrom = 1.5;
-
     /// \brief From \a now on work takes \a slowdown times as long.
     /// \returns the length of the slow phase that has ended with this; nothing if none has.
     std::optional<Duration> told(double slowdown, Instant now)
@@ -38,7 +36,7 @@
     }
 
     double slowdown() const { return m_slowdown; }
-    bool isSlow() const { return m_slowdown >= slowFrom; }
+    bool isSlow() const { return robinrun::isSlow(m_slowdown); }
 
 private:
     double m_slowdown = 1;
--- a/test/GossipTest.cpp
+++ b/test/GossipTest.cpp
@@ -144,6 +144,25 @@
 
 } // namespace
 
+TEST_CASE("A bucket that a peer names many times, or that there is none of, is walked once or not at all",
+    "[gossip]")
+{
+    NodeRegistry registry;
+    proto::NodeRecord record;
+    record.set_node("n1");
+    record.set_incarnation(1);
+    registry.take(record);
+    const Gossip gossip(registry, "self", {}, [](const std::string&, proto::PeerMessage&, Instant) {});
+    proto::NodeRecords asked;
+    for (int i = 0; i < 100; ++i)
+        asked.add_whole_buckets(static_cast<std::uint32_t>(NodeRegistry::bucketOf("n1")));
+    asked.add_whole_buckets(NodeRegistry::bucketCount);
+    int records = 0;
+    gossip.complete(
+        asked, [&](const proto::PeerMessage& reply) { records = reply.node_records().records_size(); });
+    REQUIRE(records == 1);
+}
+
 TEST_CASE("A changed record reaches nearly all nodes at once, and all after a few contacts", "[gossip]")
 {
     constexpr std::size_t nodes = 200;
--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -121,18 +121,15 @@
     REQUIRE(f.calls().empty());
     f.tellSlow(nearlyDone.upstream(), 1);
     // Too late for a second one.
-    f.routed("/read/x");
+    const auto lateOne = f.routed("/read/x");
     f.pass(350ms);
-    f.tellSlow("u1", 8);
-    f.tellSlow("u2", 8);
+    f.tellSlow(lateOne.upstream(), 8);
     REQUIRE(f.calls().empty());
-    for (const std::string it : { "u1", "u2" })
-        f.tellSlow(it, 1);
+    f.tellSlow(lateOne.upstream(), 1);
     // May not repeat.
-    f.routed("/pay/x");
+    const auto once = f.routed("/pay/x");
     f.pass(20ms);
-    f.tellSlow("u1", 8);
-    f.tellSlow("u2", 8);
+    f.tellSlow(once.upstream(), 8);
     REQUIRE(f.calls().empty());
 }
 
@@ -261,6 +258,26 @@
     REQUIRE(f.reply->body == "body");
 }
 
+TEST_CASE("A second attempt waits for its link, and costs no retry if that doesn't come", "[node]")
+{
+    RouteFixture f;
+    const auto first = f.routed("/read/x");
+    const auto& router = *f.ingress.routers().at("s");
+    const auto saved = router.savedRetries();
+    f.pass(50ms);
+    f.isReachable = false;
+    f.whenNot = SendResult::Connecting;
+    f.tellSlow(first.upstream(), 8);
+    REQUIRE(f.calls().empty());
+    REQUIRE(router.savedRetries() == Approx(saved));
+    f.isReachable = true;
+    const auto second = f.nextCall();
+    REQUIRE(second.upstream() != first.upstream());
+    REQUIRE(router.savedRetries() == Approx(saved - 1));
+    f.answer(second, 1);
+    REQUIRE(f.reply->body == "body");
+}
+
 TEST_CASE("A call that waits for a link goes elsewhere when the upstream is taken away", "[node]")
 {
     RouteFixture f;
