--- a/test/e2e.sh
+++ b/test/e2e.sh
@@ -51,6 +51,8 @@
 refused 1 build/robinrunctl -t wrong get services
 expect "a wrong token" "401" "$refused_text"
 refused 2 build/robinrunctl -s nowhere get services
+refused 1 build/robinrunctl -s "$(nth_backend 1)" apply -f "$folder/change.yaml"
+expect "a server of another kind" "what the server answers for services/penalties is no resource" "$refused_text"
 refused 2 build/robinrun-node --settings "$folder/no-such-file.yaml"
 expect "settings" "settings and charts are good" "$(build/robinrun-node -c -s "$folder/node-refunds-1.yaml")"
 curl -s -o "$folder/answer" -w '%{http_code}' -X PUT -H "Authorization: Bearer demo-operator" -d '{}' \
--- a/tools/ctl/CtlApply.cpp
+++ b/tools/ctl/CtlApply.cpp
@@ -67,7 +67,9 @@
             return std::nullopt;
         const auto shown = show(reply, options);
         proto::Resource resource;
-        isBad = !shown || !google::protobuf::util::JsonStringToMessage(shown->body, &resource).ok();
+        isBad = !shown;
+        if (shown && !google::protobuf::util::JsonStringToMessage(shown->body, &resource).ok())
+            isBad = fail("what the server answers for " + name + " is no resource: " + shown->body) != 0;
         return resource;
     }
 
