Connections to servers that keep them for a second are used again

Cause: a server says whole seconds, and a second was taken off for safety; of one second nothing was left, so each call opened a connection. Now half of what a server says is used where that is one second. Test: HttpTest.

--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -1,9 +1,9 @@
 #include "Http/internal/ClientConnection.h"
 
+#include "Http/internal/KeepAlive.h"
 #include "Http/internal/Timeval.h"
 
 #include <arpa/inet.h>
-#include <charconv>
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -12,22 +12,6 @@
 namespace robinrun::internal {
 namespace {
 
-    /// \returns for how long the server says it keeps the connection (`Keep-Alive: timeout=5`); less a
-    /// second, since it says whole ones.
-    Duration keptFor(const HttpReply& reply, Duration standard)
-    {
-        const auto field = findHeader(reply.headers, "Keep-Alive");
-        if (!field)
-            return standard;
-        const auto at = field->find("timeout=");
-        if (at == std::string_view::npos)
-            return standard;
-        int seconds = 0;
-        const auto text = field->substr(at + std::string_view("timeout=").size());
-        std::from_chars(text.data(), text.data() + text.size(), seconds);
-        return std::min(standard, std::max(Duration(std::chrono::seconds(seconds)) - 1s, Duration::zero()));
-    }
-
     /// \brief Lets the connection end when the other host is silent for \a deadAfter, also while nothing is
     /// sent.
     void watchHost(evutil_socket_t fd, Duration deadAfter)
