--- a/src/Core/Log.cpp
+++ b/src/Core/Log.cpp
@@ -95,6 +95,14 @@
         return out.str();
     }
 
+    void startBudget()
+    {
+        state().budget.reset();
+        const auto perSecond = state().options.linesPerSecond;
+        if (perSecond > 0)
+            state().budget.emplace(perSecond, perSecond, perSecond, monotonicNow());
+    }
+
     bool isInBudget(LogLevel level)
     {
         auto& budget = state().budget;
@@ -114,19 +122,22 @@
 void startLog(const LogOptions& options)
 {
     state().options = options;
-    state().budget.reset();
-    if (options.linesPerSecond > 0)
-        state().budget.emplace(
-            options.linesPerSecond, options.linesPerSecond, options.linesPerSecond, monotonicNow());
+    startBudget();
     bl::core::get()->remove_all_sinks();
     state().sink
         = boost::make_shared<Sink>(boost::make_shared<internal::BoundedSink>(options.fd, options.isBuffered));
     bl::core::get()->add_sink(state().sink);
 }
 
-void setLogLevel(LogLevel level)
+void changeLog(LogLevel level, LogFormat format, double linesPerSecond)
 {
-    state().options.level = level;
+    auto& options = state().options;
+    options.level = level;
+    options.format = format;
+    if (options.linesPerSecond == linesPerSecond)
+        return;
+    options.linesPerSecond = linesPerSecond;
+    startBudget();
 }
 
 bool logs(LogLevel level)
--- a/src/Core/Log.h
+++ b/src/Core/Log.h
@@ -99,8 +99,9 @@
 /// \returns lines dropped so far: over the bound, or not taken by the reader.
 std::uint64_t droppedLogLines();
 
-/// \brief Changes the least severity that is written.
-void setLogLevel(LogLevel level);
+/// \brief Changes the least severity that is written, the format and the bound; where lines go stays. The
+/// bound begins anew if it is another one.
+void changeLog(LogLevel level, LogFormat format, double linesPerSecond);
 
 /// \returns whether records of \a level are written; saves building fields that nobody reads.
 bool logs(LogLevel level);
--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -148,6 +148,27 @@
     REQUIRE(pipe.read().find("start-failed") != std::string::npos);
 }
 
+TEST_CASE("The bound, the format and the severity of lines can be changed while a program runs", "[log]")
+{
+    LogPipe pipe(10);
+    const auto before = droppedLogLines(); // of other tests
+    changeLog(LogLevel::Info, LogFormat::Json, 1000);
+    for (int i = 0; i < 100; ++i)
+        log(LogLevel::Info, "peer-lost", { { "peer", "p" } });
+    REQUIRE(droppedLogLines() == before);
+    changeLog(LogLevel::Warning, LogFormat::Text, 1000);
+    pipe.read();
+    log(LogLevel::Info, "peer-lost", { { "peer", "quiet" } });
+    log(LogLevel::Warning, "peer-lost", { { "peer", "loud" } });
+    const auto text = pipe.read();
+    REQUIRE(text.find("quiet") == std::string::npos);
+    REQUIRE(text.find(" peer-lost peer=loud") != std::string::npos);
+    changeLog(LogLevel::Info, LogFormat::Json, 5);
+    for (int i = 0; i < 100; ++i)
+        log(LogLevel::Info, "peer-lost", { { "peer", "p" } });
+    REQUIRE(droppedLogLines() >= before + 90);
+}
+
 TEST_CASE("Of requests that went well a sample is kept, of all others all", "[log]")
 {
     LogPipe pipe;
--- a/tools/CommandLine.h
+++ b/tools/CommandLine.h
@@ -192,7 +192,8 @@
             log(LogLevel::Error, "reload-refused", { { "field", it.field }, { "error", it.text() } });
         return;
     }
-    setLogLevel(settings.value().log.level);
+    const auto& logging = settings.value().log;
+    changeLog(logging.level, logging.format, logging.linesPerSecond);
     apply(settings.value());
     log(LogLevel::Info, "reloaded", { { "file", file } });
 }
