Waiting calls that can no longer end before their deadline are given up at once

Cause: a hopeless call in an owner's queue was refused only when a slot came free. While all slots were slow it stayed to its deadline, and its caller got 504, outcome unknown, for a call that had never run; a parent waiting on such a nested call held its own slot as long. Now owners look at their queues with each tick, and judge by how fast the server is now: the cost of a call was that of the moment it came. Tests: AdmissionTest, with the property test of all ends.

--- a/bench/policy/PolicyRunOwners.cpp
+++ b/bench/policy/PolicyRunOwners.cpp
@@ -133,6 +133,8 @@
         return;
     m_loop.after(probeEvery, [this, index] { probeTick(index); });
     auto& upstream = *m_upstreams[index];
+    if (!upstream.isDead)
+        act(index, upstream.admission.giveUpHopeless(m_loop.now()));
     const auto load = upstream.admission.load(m_loop.now());
     if (upstream.isDead || upstream.isProbing || load.inUse >= load.slots
         || !upstream.probes.tryStart(load.waiting, m_loop.now()))
--- a/bench/shared/SharedRun.cpp
+++ b/bench/shared/SharedRun.cpp
@@ -16,6 +16,7 @@
     /// Nested calls go first: their parents hold slots.
     constexpr std::uint32_t priorityOfNested = 0;
     constexpr std::uint32_t priorityOfCallers = 1;
+    constexpr Duration tickEvery = 50ms;
 
 } // namespace
 
@@ -278,9 +279,18 @@
     }
 }
 
+void SharedRun::tick(std::size_t index)
+{
+    act(m_upstreams[index].admission.giveUpHopeless(m_loop.now()));
+    if (m_loop.now() < Instant(m_options.length))
+        m_loop.after(tickEvery, [this, index] { tick(index); });
+}
+
 SharedTally SharedRun::run()
 {
     nextArrival();
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i)
+        tick(i);
     constexpr Duration rest = 10s; // for what is out at the end
     m_loop.run(Instant(m_options.length + rest));
     return m_tally;
--- a/bench/shared/SharedRun.h
+++ b/bench/shared/SharedRun.h
@@ -92,6 +92,8 @@
     void finish(CallId id, std::optional<Reason> refusal);
     /// \brief The owner hears how fast its server is now.
     void learn(std::size_t upstream);
+    /// \brief The owner's timed work.
+    void tick(std::size_t upstream);
     void tell(std::size_t upstream);
     Report reportOf(const Upstream& upstream) const;
     RouteNeeds needsOf(const Call& call) const;
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -115,6 +115,7 @@
     m_seen.forgetSilent(now);
     std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
+    act(m_admission.giveUpHopeless(now), now);
     if (m_pool)
         probeBackend(now);
 }
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -80,7 +80,7 @@
 
 Reason Admission::reasonToDrop(const QueuedCall& call, Instant now)
 {
-    const auto end = now + call.expectedCost;
+    const auto end = now + costNow(call);
     if (end > call.deadline)
         return now >= call.deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline;
     if (call.inTimeUntil == Instant::max())
@@ -88,6 +88,22 @@
     return end > call.inTimeUntil && !m_queue.isEmpty() ? Reason::WouldBeLate : Reason::None;
 }
 
+Duration Admission::costNow(const QueuedCall& call) const
+{
+    return m_service.of(m_waiting.at(call.id).callClass);
+}
+
+Dispatch Admission::giveUpHopeless(Instant now)
+{
+    Dispatch out;
+    const auto isHopeless = [&](const QueuedCall& call) { return now + costNow(call) > call.deadline; };
+    for (const auto& it : m_queue.removeIf(isHopeless)) {
+        refuse(it, reasonToDrop(it, now), out, now);
+        m_waiting.erase(it.id);
+    }
+    return out;
+}
+
 Dispatch Admission::finished(std::uint64_t id, Instant now)
 {
     const auto it = m_running.find(id);
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -81,6 +81,10 @@
     /// running).
     bool cancelWaiting(std::uint64_t id);
 
+    /// \brief Gives up waiting calls that can no longer end before their deadlines: their callers may do
+    /// better elsewhere, and need not wait for the end. To be called now and then. Cost: O(waiting calls).
+    Dispatch giveUpHopeless(Instant now);
+
     /// \brief While leaving, nothing is taken in and all that waits is refused, to go elsewhere.
     Dispatch setLeaving(bool isLeaving, Instant now);
 
@@ -116,6 +120,8 @@
     bool hasStood(const QueuedCall& call, Instant now);
     Reason reasonToRefuse(const QueuedCall& call, Duration wait, Instant now) const;
     Reason reasonToDrop(const QueuedCall& call, Instant now);
+    /// \returns the slot time that a waiting call is likely to hold, as the server is now.
+    Duration costNow(const QueuedCall& call) const;
 
     Options m_options;
     FairQueue m_queue;
--- a/src/Queueing/FairQueue.cpp
+++ b/src/Queueing/FairQueue.cpp
@@ -145,6 +145,20 @@
     return all;
 }
 
+std::vector<QueuedCall> FairQueue::removeIf(const std::function<bool(const QueuedCall&)>& isOut)
+{
+    std::vector<QueuedCall> out;
+    for (auto& [group, flow] : m_flows) {
+        for (std::size_t priority = 0; priority < priorityCount; ++priority) {
+            for (std::size_t i = flow.calls[priority].size(); i-- > 0;) {
+                if (isOut(flow.calls[priority][i]))
+                    out.push_back(take(group, flow, priority, i));
+            }
+        }
+    }
+    return out;
+}
+
 std::size_t FairQueue::sizeOf(std::uint32_t group) const
 {
     const auto it = m_flows.find(group);
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -71,6 +72,9 @@
     /// \brief Removes and returns all waiting calls.
     std::vector<QueuedCall> clear();
 
+    /// \brief Removes and returns the waiting calls for which \a isOut is true. Cost: O(waiting calls).
+    std::vector<QueuedCall> removeIf(const std::function<bool(const QueuedCall&)>& isOut);
+
     std::size_t size() const { return m_size; }
     bool isEmpty() const { return !m_size; }
     std::size_t sizeOf(std::uint32_t group) const;
--- a/test/AdmissionTest.cpp
+++ b/test/AdmissionTest.cpp
@@ -71,6 +71,8 @@
                 RC_ASSERT(admission.cancelWaiting(id2));
                 waiting.erase(id2);
                 over.insert(id2);
+            } else if (dice < 0.94) {
+                act(admission.giveUpHopeless(now));
             } else if (dice < 0.95) {
                 act(admission.setLeaving(!admission.isLeaving(), now));
                 RC_ASSERT(!admission.isLeaving() || waiting.empty());
@@ -103,6 +105,45 @@
     REQUIRE(next.refused.at(0).id == 2);
 }
 
+TEST_CASE("A waiting call that can no longer end in time is given up before its deadline", "[admission]")
+{
+    Admission admission(options(1));
+    const Instant now {};
+    REQUIRE(admission.offer(offer(1, 1, now + 1s), now).run.size() == 1); // of 10 ms, but it takes longer
+    REQUIRE(admission.offer(offer(2, 1, now + 60ms), now).refused.empty());
+    REQUIRE(admission.offer(offer(3, 2, now + 500ms), now).refused.empty());
+    REQUIRE(admission.giveUpHopeless(now + 49ms).refused.empty());
+    const auto swept = admission.giveUpHopeless(now + 51ms);
+    REQUIRE(swept.refused.size() == 1);
+    REQUIRE(swept.refused.at(0).id == 2);
+    REQUIRE(swept.refused.at(0).reason == Reason::WouldMissDeadline);
+    REQUIRE(admission.load(now).waiting == 1);
+    REQUIRE(admission.finished(1, now + 100ms).run == std::vector<std::uint64_t> { 3 });
+}
+
+TEST_CASE("What a waiting call will take is judged by how fast the server is now", "[admission]")
+{
+    Admission admission(options(1));
+    Instant now {};
+    const auto runOne = [&](std::uint64_t id, Duration held) {
+        admission.offer(offer(id, 1, now + 9s), now);
+        now += held;
+        admission.finished(id, now);
+    };
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        runOne(id, 10ms);
+    admission.setSlowdown(4);
+    for (std::uint64_t id = 21; id <= 40; ++id)
+        runOne(id, 40ms);
+    admission.setSlowdown(1);
+    admission.offer(offer(50, 1, now + 9s), now);
+    REQUIRE(admission.offer(offer(51, 1, now + 70ms), now).refused.empty());
+    now += 35ms;
+    REQUIRE(admission.giveUpHopeless(now).refused.empty());
+    admission.setSlowdown(4);
+    REQUIRE(admission.giveUpHopeless(now).refused.size() == 1);
+}
+
 TEST_CASE("Queues are bounded in time: a call that would wait too long is refused at once", "[admission]")
 {
     auto wide = options(2);
