--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -84,6 +84,21 @@
     REQUIRE(f.owner.isIdle());
 }
 
+TEST_CASE("A waiting call that has become hopeless is answered as not run before its deadline", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.take(f.call(2));
+    f.waitRunning(1);
+    constexpr Duration nearlyAll = 2999ms; // of the 3 s that the call is given
+    f.owner.tick(monotonicNow());
+    REQUIRE(f.answers.empty());
+    f.owner.tick(monotonicNow() + nearlyAll);
+    REQUIRE(f.answers.size() == 1);
+    REQUIRE(f.answers[0].number() == 2);
+    REQUIRE(f.answers[0].outcome() == proto::NOT_RUN);
+}
+
 TEST_CASE("Nodes that started in the same microsecond are told apart", "[node]")
 {
     OwnerFixture f;
