--- a/test/FairQueueTest.cpp
+++ b/test/FairQueueTest.cpp
@@ -112,6 +112,23 @@
     REQUIRE(queue.push(call(102, 1))->id == 102);
 }
 
+TEST_CASE("Calls are removed by what they are, of whatever group and priority", "[fairness]")
+{
+    FairQueue queue(10, 100ms);
+    queue.push(call(1, 1, 0));
+    queue.push(call(2, 1, 3));
+    queue.push(call(3, 2, 1));
+    queue.push(call(4, 2, 3));
+    const auto removed = queue.removeIf([](const QueuedCall& it) { return it.id % 2 == 0; });
+    REQUIRE(removed.size() == 2);
+    REQUIRE(queue.size() == 2);
+    REQUIRE(queue.sizeOf(1) == 1);
+    REQUIRE(queue.costAhead(1, 3) == 10ms);
+    REQUIRE(queue.pop()->id == 1);
+    REQUIRE(queue.pop()->id == 3);
+    REQUIRE(queue.isEmpty());
+}
+
 TEST_CASE("Classes inside a group go by priority, then age")
 {
     FairQueue queue(10, 100ms);
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -9,18 +9,22 @@
 namespace {
 
     using support::FakeStore;
+    using support::FaultProxy;
+    using support::LinkFault;
 
     constexpr Duration shortestGap = 50ms;
     constexpr Duration longestGap = 700ms;
     constexpr Duration shortestFault = 100ms;
     constexpr Duration longestFault = 3s;
     constexpr double slowFactor = 6;
+    constexpr double shareOfForgotten = 0.4; ///< of the faults of links between nodes
 
 } // namespace
 
 FaultPlan::FaultPlan(SoakSite& site, std::uint64_t seed)
     : m_site(&site)
     , m_random(seed)
+    , m_forgets(seed)
     , m_started(monotonicNow())
 {
 }
@@ -106,7 +110,12 @@
         = { host.toCallers.get(), host.toPeers.get(), host.toStore.get(), host.toBackend.get() };
     constexpr std::string_view names[] = { "callers", "peers", "store", "backend" };
     const auto i = m_random.below(std::size(links));
-    const auto fault = static_cast<LinkFault>(1 + m_random.below(countOf<LinkFault>() - 1));
+    // None is no fault. Forgotten connections are drawn apart, so that seeds of before draw what they drew;
+    // only peers notice them by themselves, as the relay's own system goes on acknowledging what is sent.
+    constexpr auto faults = countOf<LinkFault>() - 2;
+    auto fault = static_cast<LinkFault>(1 + m_random.below(faults));
+    if (links[i] == host.toPeers.get() && m_forgets.chance(shareOfForgotten))
+        fault = LinkFault::Forget;
     note("  its link to " + std::string(names[i]) + ": " + std::string(nameOf(fault)));
     auto* link = links[i];
     link->set(fault);
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -65,6 +65,7 @@
 
     SoakSite* m_site;
     Random m_random;
+    Random m_forgets; ///< which links forget their connections
     Instant m_started;
     Instant m_end {};
     Timer m_next;
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -92,9 +92,9 @@
     auto host = std::make_unique<Host>();
     host->name = "n" + std::to_string(i);
     host->settingsFile = m_options.folder + "/" + host->name + ".yaml";
-    const auto behind = [&](std::unique_ptr<FaultProxy>& proxy, const std::string& target) {
+    const auto behind = [&](std::unique_ptr<support::FaultProxy>& proxy, const std::string& target) {
         auto address = freeAddress();
-        proxy = std::make_unique<FaultProxy>(m_base, address, target);
+        proxy = std::make_unique<support::FaultProxy>(m_base, address, target);
         return address;
     };
     const auto callers = freeAddress();
--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -2,7 +2,7 @@
 
 #include "Core/Loop.h"
 #include "Core/Random.h"
-#include "soak/FaultProxy.h"
+#include "support/FaultProxy.h"
 #include "soak/Ledger.h"
 #include "soak/SoakBackend.h"
 #include "support/ChildProcess.h"
@@ -33,10 +33,10 @@
         std::string settingsFile;
         std::string callers; ///< address of the node for its callers, by way of a proxy
         std::string readiness;
-        std::unique_ptr<FaultProxy> toCallers;
-        std::unique_ptr<FaultProxy> toPeers;
-        std::unique_ptr<FaultProxy> toStore;
-        std::unique_ptr<FaultProxy> toBackend;
+        std::unique_ptr<support::FaultProxy> toCallers;
+        std::unique_ptr<support::FaultProxy> toPeers;
+        std::unique_ptr<support::FaultProxy> toStore;
+        std::unique_ptr<support::FaultProxy> toBackend;
         std::unique_ptr<SoakBackend> backend;
         support::ChildProcess node;
         std::uint64_t life = 0;
--- a/test/soak/FaultProxy.cpp
+++ b/test/support/FaultProxy.cpp
@@ -1,4 +1,4 @@
-#include "soak/FaultProxy.h"
+#include "support/FaultProxy.h"
 
 #include "Http/HttpTypes.h"
 #include "Node/Timer.h"
@@ -11,7 +11,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace robinrun::soak {
+namespace robinrun::support {
 namespace {
 
     constexpr Duration delayOfBytes = 80ms;
@@ -42,6 +42,7 @@
     bufferevent* server = nullptr;
     Timer late;
     bool isEnding = false; ///< one side has ended; the other still gets what came before
+    bool isForgotten = false;
 
     explicit Relay(FaultProxy* owner)
         : proxy(owner)
@@ -59,7 +60,7 @@
     {
         auto* from = isUp ? client : server;
         auto* to = isUp ? server : client;
-        if (!proxy->isSilent(isUp))
+        if (!isForgotten && !proxy->isSilent(isUp))
             bufferevent_write_buffer(to, bufferevent_get_input(from));
     }
 
@@ -119,6 +120,7 @@
         return m_relays.clear();
     }
     for (auto& [raw, relay] : m_relays) {
+        relay->isForgotten = relay->isForgotten || fault == LinkFault::Forget;
         relay->move(true);
         relay->move(false);
     }
@@ -162,4 +164,4 @@
     m_relays.emplace(raw, std::move(relay));
 }
 
-} // namespace robinrun::soak
+} // namespace robinrun::support
--- a/test/soak/FaultProxy.h
+++ b/test/support/FaultProxy.h
@@ -10,7 +10,7 @@
 
 struct evconnlistener;
 
-namespace robinrun::soak {
+namespace robinrun::support {
 
 /// \brief What a proxy does with the bytes that pass it.
 enum class LinkFault {
@@ -20,16 +20,17 @@
     Silence, ///< passes nothing on; connections stay
     SilenceUp, ///< passes nothing on towards the server
     SilenceDown, ///< passes nothing on towards the client
+    Forget, ///< passes nothing on, now or later, along the connections there are; new ones work
 };
 
-} // namespace robinrun::soak
+} // namespace robinrun::support
 
-template <> struct robinrun::EnumNames<robinrun::soak::LinkFault> {
-    static constexpr std::array<std::string_view, 6> names { "none", "delay", "reset", "silence",
-        "silence-up", "silence-down" };
+template <> struct robinrun::EnumNames<robinrun::support::LinkFault> {
+    static constexpr std::array<std::string_view, 7> names { "none", "delay", "reset", "silence",
+        "silence-up", "silence-down", "forget" };
 };
 
-namespace robinrun::soak {
+namespace robinrun::support {
 
 /// \brief A relay of TCP connections on loopback that can be told to harm them.
 class FaultProxy {
@@ -57,4 +58,4 @@
     std::unordered_map<Relay*, std::unique_ptr<Relay>> m_relays;
 };
 
-} // namespace robinrun::soak
+} // namespace robinrun::support
