--- a/test/PeerSocketTest.cpp
+++ b/test/PeerSocketTest.cpp
@@ -85,6 +85,26 @@
         f.base.get(), [&] { return f.one->send(bound, message, monotonicNow()) == SendResult::Sent; }));
 }
 
+TEST_CASE("The end of a link is noticed, also of one that was closed and opened again at once", "[wire]")
+{
+    PeerFixture f;
+    std::vector<std::string> lost;
+    f.one->onLost([&](const std::string& address) { lost.push_back(address); });
+    proto::PeerMessage message;
+    message.mutable_node_contact();
+    for (int i = 0; i < 20; ++i) {
+        f.send(*f.one, message, monotonicNow());
+        REQUIRE(runUntil(f.base.get(), [&] { // a link with something to read is not closed yet
+            f.one->closeIdle(monotonicNow() + 1h);
+            return f.one->links() == 0;
+        }));
+    }
+    f.send(*f.one, message, monotonicNow());
+    REQUIRE(lost.empty());
+    f.two.reset();
+    REQUIRE(runUntil(f.base.get(), [&] { return !lost.empty(); }));
+}
+
 namespace {
 
 /// \brief Peers that all end at the same moment, on a thread of their own.
