The end of a link is noticed, also of one that was opened just after another to the same peer was closed

Cause: the monitor of a link had its name from the peer's address. ZeroMQ frees such a name a moment after it is told to stop, so the monitor of a link that was closed and opened again could not be set up (peer-link-unwatched): its end was not noticed, and calls along it waited to their deadlines.

--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -230,7 +230,8 @@
 
 void PeerSocket::watchEnd(Link& link)
 {
-    const auto name = "inproc://end-of-" + link.address;
+    // A name of its own: that of a link to the same peer which was closed a moment ago may still be taken.
+    const auto name = "inproc://end-of-link-" + std::to_string(++m_watchedLinks);
     if (zmq_socket_monitor(link.socket.handle(), name.c_str(), ZMQ_EVENT_DISCONNECTED) != 0) {
         log(LogLevel::Warning, "peer-link-unwatched",
             { { "peer", link.address }, { "error", zmq_strerror(errno) } });
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -125,6 +125,7 @@
     event* m_drainEvent = nullptr;
     std::unordered_map<std::string, std::unique_ptr<Link>> m_links;
     std::vector<Link*> m_dirty; ///< links sent on since they were last drained
+    std::uint64_t m_watchedLinks = 0; ///< so far
     std::unordered_map<int, Traffic> m_sent;
     std::unordered_map<int, Traffic> m_received;
 };
