--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -184,72 +184,6 @@
         readLog(now);
 }
 
-void ControlPlane::advanced(const std::string& root, std::uint64_t from, Instant now)
-{
-    passOn(m_spread.advanced(m_members, root, from, m_follower.nextOffset(), now), now);
-    if (m_changed)
-        m_changed();
-}
-
-void ControlPlane::passOn(std::vector<PassOn> list, Instant now)
-{
-    for (std::size_t i = 0; i < list.size(); ++i) {
-        const auto it = list[i];
-        const bool isSuspected = m_members.isSuspected(it.peer, now); // then those below it are in the list
-        if (sendRecords(it, now) != SendResult::Unreachable || isSuspected)
-            continue;
-        const auto below = m_spread.below(m_members, it, now);
-        list.insert(list.end(), below.begin(), below.end());
-    }
-}
-
-SendResult ControlPlane::sendRecords(const PassOn& what, Instant now)
-{
-    proto::PeerMessage message;
-    *message.mutable_records() = m_follower.recordsFrom(what.from);
-    message.mutable_records()->set_root(what.root);
-    return sendToNode(what.peer, message, now);
-}
-
-void ControlPlane::takeRecords(const PeerSocket::Sender& sender, const proto::Records& records, Instant now)
-{
-    const auto from = m_follower.nextOffset();
-    const auto progress = m_follower.takeRecords(records);
-    if (progress == ConfigFollower::Progress::NeedsEarlier)
-        pull(sender, now);
-    m_spread.heard(now);
-    const auto first = records.records_size() ? records.records(0).offset() : from;
-    if (progress == ConfigFollower::Progress::Advanced)
-        advanced(records.root(), std::min(first, from), now);
-    else if (!records.root().empty())
-        passOn(m_spread.advanced(m_members, records.root(), first, m_follower.nextOffset(), now), now);
-}
-
-void ControlPlane::pull(const PeerSocket::Sender& sender, Instant now)
-{
-    proto::PeerMessage message;
-    message.mutable_pull()->set_next_offset(m_follower.nextOffset());
-    reply(sender, message, now);
-}
-
-void ControlPlane::takeDigest(const PeerSocket::Sender& sender, const proto::Digest& digest, Instant now)
-{
-    if (digest.hosts_version() < m_members.version())
-        sendHosts(sender, digest.hosts_version(), now);
-    if (!digest.log_id().empty() && !m_follower.logId().empty() && digest.log_id() != m_follower.logId()) {
-        log(LogLevel::Warning, "peer-follows-other-log", { { "peer", sender.node } });
-        return;
-    }
-    if (digest.next_offset() > m_follower.nextOffset())
-        return pull(sender, now);
-    m_spread.heard(now);
-    if (digest.next_offset() == m_follower.nextOffset())
-        return;
-    proto::PeerMessage message;
-    *message.mutable_records() = m_follower.recordsFrom(digest.next_offset());
-    reply(sender, message, now);
-}
-
 bool ControlPlane::take(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now)
 {
     const TimeSpent timeSpent(*m_context);
@@ -261,37 +195,18 @@
     case proto::PeerMessage::kDigest:
         takeDigest(sender, message.digest(), now);
         return true;
-    case proto::PeerMessage::kPull: {
-        proto::PeerMessage out;
-        *out.mutable_records() = m_follower.recordsFrom(message.pull().next_offset());
-        reply(sender, out, now);
+    case proto::PeerMessage::kPull:
+        answerRecords(sender, message.pull().next_offset(), now);
         return true;
-    }
     case proto::PeerMessage::kInForce:
         m_inForce.take(sender.node, message.in_force(), now);
         return true;
-    case proto::PeerMessage::kInForceRequest: {
-        const auto number = message.in_force_request().number();
-        countInForce(
-            [this, number, sender](const proto::InForce& total) {
-                proto::PeerMessage out;
-                out.mutable_in_force_reply()->set_number(number);
-                *out.mutable_in_force_reply()->mutable_total() = total;
-                reply(sender, out, m_context->clock());
-            },
-            now);
+    case proto::PeerMessage::kInForceRequest:
+        answerCount(sender, message.in_force_request().number(), now);
         return true;
-    }
-    case proto::PeerMessage::kInForceReply: {
-        const auto it = std::find_if(m_counts.begin(), m_counts.end(),
-            [&](const auto& count) { return count.number == message.in_force_reply().number(); });
-        if (it != m_counts.end()) {
-            const auto done = std::move(it->done);
-            m_counts.erase(it);
-            done(message.in_force_reply().total());
-        }
+    case proto::PeerMessage::kInForceReply:
+        takeCount(message.in_force_reply());
         return true;
-    }
     case proto::PeerMessage::kHostChanges:
         takeHosts(message.host_changes());
         return true;
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -54,12 +54,17 @@
 private:
     void readLog(Instant now);
     void takePage(const LogPage& page, Instant now);
+    /// \brief The configuration has moved on from the offset \a from: passes the new records on down the tree
+    /// of \a root ("": this node) and runs the function given to onChanged().
     void advanced(const std::string& root, std::uint64_t from, Instant now);
     /// \brief Passes records on; those below a child that turns out to be gone are served in its place.
     void passOn(std::vector<PassOn> list, Instant now);
     SendResult sendRecords(const PassOn& what, Instant now);
     void takeRecords(const PeerSocket::Sender& sender, const proto::Records& records, Instant now);
     void takeDigest(const PeerSocket::Sender& sender, const proto::Digest& digest, Instant now);
+    /// \brief Answers a node whose configuration ends at the offset \a from with the records after it.
+    void answerRecords(const PeerSocket::Sender& sender, std::uint64_t from, Instant now);
+    /// \brief Asks \a sender for the records that this node lacks.
     void pull(const PeerSocket::Sender& sender, Instant now);
     void fetchHosts(Instant now);
     void sendHosts(const PeerSocket::Sender& sender, std::uint64_t since, Instant now);
@@ -68,6 +73,9 @@
     std::string countingParent(Instant now);
     void reportUp(Instant now);
     void appendSnapshot(Instant now);
+    /// \brief Answers the question \a number of a node below for the sum over all nodes.
+    void answerCount(const PeerSocket::Sender& sender, std::uint64_t number, Instant now);
+    void takeCount(const proto::InForceReply& answer);
     void expireCounts(Instant now);
     proto::InForce ownSum(Instant now);
     /// \returns whether the budget of control traffic has room for \a message.
--- a/src/Node/ControlPlaneCounts.cpp
+++ b/src/Node/ControlPlaneCounts.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-/// \file Counting what is in force: reports up the tree of nodes, and questions to its top.
+/// \file Counting what is in force: reports up the tree of nodes, and questions to its top and their answers.
 
 namespace robinrun {
 namespace {
@@ -64,6 +64,29 @@
     m_counts.push_back({ number, std::move(done), now });
 }
 
+void ControlPlane::answerCount(const PeerSocket::Sender& sender, std::uint64_t number, Instant now)
+{
+    countInForce(
+        [this, number, sender](const proto::InForce& total) {
+            proto::PeerMessage message;
+            message.mutable_in_force_reply()->set_number(number);
+            *message.mutable_in_force_reply()->mutable_total() = total;
+            reply(sender, message, m_context->clock());
+        },
+        now);
+}
+
+void ControlPlane::takeCount(const proto::InForceReply& answer)
+{
+    const auto it = std::find_if(
+        m_counts.begin(), m_counts.end(), [&](const auto& count) { return count.number == answer.number(); });
+    if (it == m_counts.end())
+        return;
+    const auto done = std::move(it->done);
+    m_counts.erase(it);
+    done(answer.total());
+}
+
 void ControlPlane::expireCounts(Instant now)
 {
     while (!m_counts.empty() && now - m_counts.front().since > countPatience) {
