Bench of shared hosts: ingresses are added by their own function; the capacity takes no share

The constructor built upstreams and ingresses in nested loops, and capacity() had a parameter that was always 1.

--- a/bench/shared/SharedRun.cpp
+++ b/bench/shared/SharedRun.cpp
@@ -16,6 +16,7 @@
     /// Nested calls go first: their parents hold slots.
     constexpr std::uint32_t priorityOfNested = 0;
     constexpr std::uint32_t priorityOfCallers = 1;
+    /// As the timer of a node.
     constexpr Duration tickEvery = 50ms;
 
 } // namespace
@@ -27,22 +28,26 @@
 {
     addUpstreams(0, site.upstreams);
     addUpstreams(1, site.nestedUpstreams);
-    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
-        Ingress ingress { m_upstreams[i].hall, {}, Random(options.seed * 100 + i) };
-        for (std::size_t service = 0; service < classNames.size(); ++service) {
-            ServiceRouter::Options routing;
-            routing.kind = options.kind;
-            std::vector<RouteTarget> targets;
-            for (const auto& it : m_upstreams) {
-                const bool isFar = it.hall != ingress.hall;
-                if (it.service == service)
-                    targets.push_back({ it.name, site.slots, 2 * oneWay(it.hall, ingress.hall), isFar });
-            }
-            ingress.routers.emplace_back(routing);
-            ingress.routers.back().setUpstreams(targets, {});
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i)
+        addIngress(m_upstreams[i].hall, options.seed * 100 + i);
+}
+
+void SharedRun::addIngress(std::uint32_t hall, std::uint64_t seed)
+{
+    Ingress ingress { hall, {}, Random(seed) };
+    for (std::size_t service = 0; service < classNames.size(); ++service) {
+        ServiceRouter::Options routing;
+        routing.kind = m_options.kind;
+        std::vector<RouteTarget> targets;
+        for (const auto& it : m_upstreams) {
+            const bool isFar = it.hall != hall;
+            if (it.service == service)
+                targets.push_back({ it.name, m_site.slots, 2 * oneWay(it.hall, hall), isFar });
         }
-        m_ingresses.push_back(std::move(ingress));
+        ingress.routers.emplace_back(routing);
+        ingress.routers.back().setUpstreams(targets, {});
     }
+    m_ingresses.push_back(std::move(ingress));
 }
 
 void SharedRun::addUpstreams(std::size_t service, std::uint32_t n)
@@ -65,7 +70,7 @@
 
 void SharedRun::nextArrival()
 {
-    const double rate = m_options.load * m_site.capacity(1);
+    const double rate = m_options.load * m_site.capacity();
     m_loop.after(fromSeconds(m_random.exponential(1 / rate)), [this] {
         if (m_loop.now() >= Instant(m_options.length))
             return;
--- a/bench/shared/SharedRun.h
+++ b/bench/shared/SharedRun.h
@@ -78,6 +78,7 @@
     };
 
     void addUpstreams(std::size_t service, std::uint32_t n);
+    void addIngress(std::uint32_t hall, std::uint64_t seed);
     void nextArrival();
     CallId begin(std::size_t service, std::size_t ingress, CallId parent, Instant deadline, Duration target);
     void proceed(CallId id);
--- a/bench/shared/SharedSite.h
+++ b/bench/shared/SharedSite.h
@@ -49,12 +49,12 @@
     double kneeFactor = 1.7; ///< ... a run takes so many times as long
 
     /// \returns calls/s of callers at which all slots are in use, at the mean speed.
-    double capacity(double usableShare) const
+    double capacity() const
     {
         const double meanFactor = 1 + slowShare * (slowFactor - 1);
         const double nested = nestedUpstreams ? nestedShare * toSeconds(nestedWork) : 0;
         const double held = (toSeconds(work) + nested) * meanFactor;
-        return upstreams * slots * usableShare / held;
+        return static_cast<double>(upstreams) * slots / held;
     }
 };
 
