Places of mesh nodes are laid out in one place, for nodes on the loop and as processes

OperationsPageTest repeated how MeshFixture lays a place out and wrote some addresses into the settings alone, so that they could not be asked for. A request is waited for by its whole id, not by the beginning of one.

--- a/test/OperationsPageTest.cpp
+++ b/test/OperationsPageTest.cpp
@@ -15,7 +15,6 @@
 
 using namespace robinrun;
 using support::FakeBackend;
-using support::freeAddress;
 using support::MeshFixture;
 
 namespace {
@@ -96,7 +95,7 @@
 
     void untilRequestLogged(std::size_t i)
     {
-        untilLogged(i, R"("request":"q)" + std::to_string(lastRequest));
+        untilLogged(i, R"("request":"q)" + std::to_string(lastRequest) + '"');
     }
 
     /// \returns what the page's commands under \a heading print for the last request.
@@ -126,20 +125,17 @@
 
     void addProcess(const std::string& service)
     {
-        const auto name = "n" + std::to_string(places.size());
-        Place place;
-        place.backend = std::make_unique<FakeBackend>(base.get(), "i-" + name);
-        auto& listen = place.settings.listen;
-        place.settings.service = service;
-        listen.callers = freeAddress();
-        listen.announcements = freeAddress();
-        const auto file = m_folder / (name + ".yaml");
-        std::ofstream(file) << "node: " << name << "\ndata_hall: h\nregion: r\nservice: " << service
-                            << "\nbackend: " << place.backend->address << "\ncharts: " << SOURCE_FOLDER
+        auto place = newPlace(service);
+        const auto& s = place.settings;
+        const auto file = m_folder / (s.name + ".yaml");
+        std::ofstream(file) << "node: " << s.name << "\ndata_hall: " << s.dataHall << "\nregion: " << s.region
+                            << "\nservice: " << s.service << "\nbackend: " << s.backend
+                            << "\ncharts: " << SOURCE_FOLDER
                             << "/charts\ndrain_timeout: 1s\nlame_duck: 50ms\nlisten: {callers: '"
-                            << listen.callers << "', readiness: '" << freeAddress() << "', announcements: '"
-                            << listen.announcements << "', peers: '" << freeAddress() << "', metrics: '"
-                            << freeAddress() << "'}\nstore: {address: '" << store.address
+                            << s.listen.callers << "', readiness: '" << s.listen.readiness
+                            << "', announcements: '" << s.listen.announcements << "', peers: '"
+                            << s.listen.peers << "', metrics: '" << s.listen.metrics
+                            << "'}\nstore: {address: '" << store.address
                             << "', timeout: 1s}\nretries: {ratio: 0.2, slack: 20}\npeers: {heartbeat: 300ms, "
                                "contact_every: 200ms}\nchoice: {policy: timely}\nlog: {format: json, "
                                "sample_one_in: 1}\n";
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -134,14 +134,13 @@
             + R"("header_timeout_ms":3000,"idle_timeout_ms":15000}}]})";
     }
 
-    /// \brief Adds a place with a backend server and starts its node.
-    std::size_t add(const std::string& service, const std::string& hall = "h1")
+    /// \returns a place with a backend server, and the addresses of a node that is yet to be started.
+    Place newPlace(const std::string& service, const std::string& hall = "h1")
     {
-        const auto name = "n" + std::to_string(places.size());
         Place place;
-        place.backend = std::make_unique<FakeBackend>(base.get(), "i-" + name);
         auto& s = place.settings;
-        s.name = name;
+        s.name = "n" + std::to_string(places.size());
+        place.backend = std::make_unique<FakeBackend>(base.get(), "i-" + s.name);
         s.dataHall = hall;
         s.region = "r";
         s.service = service;
@@ -151,6 +150,14 @@
         s.listen.readiness = freeAddress();
         s.listen.announcements = freeAddress();
         s.listen.metrics = freeAddress();
+        return place;
+    }
+
+    /// \brief Adds a place with a backend server and starts its node.
+    std::size_t add(const std::string& service, const std::string& hall = "h1")
+    {
+        auto place = newPlace(service, hall);
+        auto& s = place.settings;
         s.limits.calls = 1000;
         s.limits.ticketMemory = 100000;
         s.choice.kind = ChoiceKind::Timely;
