--- a/src/Node/PeerLinks.h
+++ b/src/Node/PeerLinks.h
@@ -9,7 +9,7 @@
 
 namespace robinrun {
 
-/// Between two tries to send over a link that is being opened; it stands after three ways of the network.
+/// Between two tries to send over a link that is being opened, which takes about three round trips.
 inline constexpr Duration connectRetry = 2ms;
 
 /// \brief Sends one message to the node at an address.
