--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -151,11 +151,12 @@
     /// \returns whether the budgets allow one more attempt, which is then paid for: at the service, and at
     /// those that its backend servers call for it.
     bool mayTryAgain(Call& call);
-    /// \brief mayTryAgain(), not counted yet.
+    /// \brief As mayTryAgain(), but leaves it to the caller to count the retry once it is sent.
     bool payRetry(Call& call);
     /// \brief Sends a second attempt beside the one that is out, if the budgets allow; it waits for a link
     /// that is being opened as long as it is worthwhile.
     void sendSecond(CallId id, Call& call, const std::string& upstream, Instant now);
+    /// \brief The link to \a upstream may stand now: sends the second attempt, if it is still worthwhile.
     void secondAgain(CallId id, const std::string& upstream);
     /// \brief Gives back what mayTryAgain() or payRetry() has spent.
     void takeBackRetry(Call& call);
