--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -81,6 +81,7 @@
     /// \returns whether the budget of control traffic has room for \a message.
     bool payFor(const proto::PeerMessage& message, Instant now);
     /// \brief Sends inside the budget. What meets a link that is being opened goes out when that stands.
+    /// \returns Connecting also for a message that the budget has no room for, which is dropped.
     SendResult post(const std::string& address, proto::PeerMessage& message, Instant now);
     /// \brief Answers inside the budget, along the link that the question came by.
     void reply(const PeerSocket::Sender& sender, proto::PeerMessage& message, Instant now);
