--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -2,11 +2,11 @@
 
 #include "Core/Loop.h"
 #include "Core/Random.h"
-#include "support/FaultProxy.h"
 #include "soak/Ledger.h"
 #include "soak/SoakBackend.h"
 #include "support/ChildProcess.h"
 #include "support/FakeStore.h"
+#include "support/FaultProxy.h"
 
 #include <cstdint>
 #include <memory>
--- a/test/support/ControlModel.h
+++ b/test/support/ControlModel.h
@@ -85,6 +85,7 @@
     /// restart of the other one until the link has noticed.
     struct Link {
         std::shared_ptr<bool> life; ///< of the other node, when it stood last; null if never
+        std::shared_ptr<bool> awaited; ///< life of the other node that it is connecting to; null if none yet
         Instant standsFrom {};
     };
 
