Ports that tests use are reserved as long as their process lives

Ruled out: ports of outgoing connections (they lie above), the end-to-end test. Change: a process reserves blocks of 60 ports by a datagram socket at the first of each, which stays open until it ends; an address is never given twice. No check was changed.

--- a/test/support/Loopback.h
+++ b/test/support/Loopback.h
@@ -13,29 +13,75 @@
 
 namespace robinrun::support {
 
-/// \returns a loopback address on which nothing listens right now.
+/// \brief Ports of loopback that no other process of the tests is given while this one lives.
 ///
-/// Its port lies below those that the system gives to outgoing connections: one of these could take it before
-/// it is bound, or even connect to itself while nothing listens there.
-inline std::string freeAddress()
-{
-    constexpr unsigned firstPort = 10000;
-    constexpr unsigned ports = 12000; // the end-to-end test uses those from 23000 on
-    constexpr unsigned stride = 7919; // prime: test processes with neighbouring ids begin far apart
-    static unsigned next = static_cast<unsigned>(getpid()) * stride;
-    for (unsigned tries = 0; tries < ports; ++tries) {
-        const auto port = static_cast<std::uint16_t>(firstPort + next++ % ports);
-        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+/// They lie below those that the system gives to outgoing connections: one of these could take a port before
+/// it is bound, or even connect to itself while nothing listens there. They are reserved in blocks, by a
+/// datagram socket at the first port of each that stays open: a node that is killed finds its port free when
+/// it starts again, whatever runs beside.
+class ReservedPorts {
+public:
+    /// \throws std::runtime_error if no port is left.
+    static std::uint16_t next()
+    {
+        static ReservedPorts ports;
+        while (true) {
+            if (ports.m_next == ports.m_end)
+                ports.reserveBlock();
+            const auto port = static_cast<std::uint16_t>(ports.m_next++);
+            if (isFree(SOCK_STREAM, port))
+                return port;
+        }
+    }
+
+    static constexpr unsigned firstPort = 10000;
+    static constexpr unsigned blockSize = 60; ///< a soak of six nodes, the usual user of many, takes 54
+    static constexpr unsigned blockCount = 200; ///< the end-to-end test uses the ports from 23000 on
+
+private:
+    static int bound(int kind, unsigned port)
+    {
+        const int fd = socket(AF_INET, kind | SOCK_CLOEXEC, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        address.sin_port = htons(port);
-        const bool isFree = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0)
+            return fd;
         close(fd);
-        if (isFree)
-            return "127.0.0.1:" + std::to_string(port);
+        return -1;
+    }
+
+    static bool isFree(int kind, unsigned port)
+    {
+        const int fd = bound(kind, port);
+        if (fd >= 0)
+            close(fd);
+        return fd >= 0;
     }
-    throw std::runtime_error("no port is free");
+
+    void reserveBlock()
+    {
+        const auto start = static_cast<unsigned>(getpid());
+        for (unsigned i = 0; i < blockCount; ++i) {
+            const unsigned first = firstPort + (start + i) % blockCount * blockSize;
+            if (bound(SOCK_DGRAM, first) < 0) // stays open as long as the process runs
+                continue;
+            m_next = first;
+            m_end = first + blockSize;
+            return;
+        }
+        throw std::runtime_error("no port is free");
+    }
+
+    unsigned m_next = 0;
+    unsigned m_end = 0;
+};
+
+/// \returns a loopback address on which nothing listens, and that no other process of the tests is given.
+inline std::string freeAddress()
+{
+    return "127.0.0.1:" + std::to_string(ReservedPorts::next());
 }
 
 /// \brief Runs \a base until \a isDone, but no longer than some seconds. \returns whether it is done.
