--- a/src/Control/Spread.h
+++ b/src/Control/Spread.h
@@ -25,7 +25,6 @@
     bool readLog = false; ///< keep a read of the log open
     bool fetchHosts = false; ///< ask the platform for the host list
     std::vector<std::string> digests; ///< peers to tell the applied offset
-    std::vector<PassOn> passOn;
 };
 
 /// \brief Decides how configuration reaches this node and goes on from it.
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -1,6 +1,6 @@
 #include "Core/Log.h"
 #include "Mesh/MeshNode.h"
-#include "Node/OwnerMessages.h"
+#include "Node/CallMessages.h"
 
 #include <utility>
 
@@ -106,15 +106,9 @@
     const auto now = monotonicNow();
     if (m_lostPeers.erase(sender.address))
         log(LogLevel::Info, "peer-back", { { "peer", sender.address } });
+    if (takeCallMessage(*m_owner, *m_ingress, *m_peers, sender, message, now))
+        return;
     switch (message.body_case()) {
-    case proto::PeerMessage::kCall:
-        return handToOwner(*m_owner, *m_peers, sender, message.call(), now);
-    case proto::PeerMessage::kAnswer:
-        return m_ingress->takeAnswer(sender.node, *message.mutable_answer(), now);
-    case proto::PeerMessage::kCancel:
-        return m_owner->cancel(sender, message.cancel().number(), now);
-    case proto::PeerMessage::kLeaving:
-        return m_ingress->takeLeaving(message.leaving(), now);
     case proto::PeerMessage::kLoadNews:
         return m_ingress->takeLoad(message.load_news(), now);
     case proto::PeerMessage::kNodeContact:
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -96,7 +96,7 @@
         std::string address;
         proto::PeerMessage message;
     };
-    std::deque<Opening> m_opening; ///< paid for; their links are being opened
+    std::vector<Opening> m_opening; ///< paid for; their links are being opened
     Changed m_changed;
     Membership m_members;
     Spread m_spread;
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -1,7 +1,7 @@
 #include "Node/Node.h"
 
 #include "Core/Log.h"
-#include "Node/OwnerMessages.h"
+#include "Node/CallMessages.h"
 #include "Platform/HttpPlatform.h"
 
 namespace robinrun {
@@ -134,19 +134,13 @@
 void Node::takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
 {
     const auto now = monotonicNow();
+    if (takeCallMessage(*m_owner, *m_ingress, *m_peers, sender, message, now))
+        return;
     switch (message.body_case()) {
-    case proto::PeerMessage::kCall:
-        return handToOwner(*m_owner, *m_peers, sender, message.call(), now);
-    case proto::PeerMessage::kAnswer:
-        return m_ingress->takeAnswer(sender.node, *message.mutable_answer(), now);
-    case proto::PeerMessage::kCancel:
-        return m_owner->cancel(sender, message.cancel().number(), now);
     case proto::PeerMessage::kClaimRequest:
         return takeClaim(sender, message.claim_request(), now);
     case proto::PeerMessage::kClaimReply:
         return m_claims->takeReply(message.claim_reply());
-    case proto::PeerMessage::kLeaving:
-        return m_ingress->takeLeaving(message.leaving(), now);
     default:
         m_control->take(sender, message, now);
     }
