Set-ups of tests that stood several times are in one place

Cause: four cases of the log and three of the control plane laid out the same nodes line by line. Change: ShopMesh and oneRegion().

--- a/test/ControlTest.cpp
+++ b/test/ControlTest.cpp
@@ -13,6 +13,15 @@
 /// In force everywhere within this, from the append or from the end of what stood in the way.
 constexpr Duration inForceBound = 9s;
 
+ControlModel::Options oneRegion(int halls, int nodesPerHall)
+{
+    ControlModel::Options options;
+    options.regions = 1;
+    options.hallsPerRegion = halls;
+    options.nodesPerHall = nodesPerHall;
+    return options;
+}
+
 } // namespace
 
 TEST_CASE("A change is in force everywhere within seconds, by few readers", "[control]")
@@ -153,11 +162,7 @@
 TEST_CASE("A restarted node is passed new records again within a second or two", "[control]")
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        ControlModel::Options options;
-        options.regions = 1;
-        options.hallsPerRegion = 1;
-        options.nodesPerHall = 60; // so that random digests alone rarely reach its parents
-        ControlModel model(seed, options);
+        ControlModel model(seed, oneRegion(1, 60)); // so that random digests alone rarely reach its parents
         model.run(5s);
         const std::size_t victim = seed % model.size();
         model.stop(victim);
@@ -176,11 +181,7 @@
 TEST_CASE("A change made while a node restarts is in force there before links to it stand again", "[control]")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        ControlModel::Options options;
-        options.regions = 1;
-        options.hallsPerRegion = 2;
-        options.nodesPerHall = 50;
-        ControlModel model(seed, options);
+        ControlModel model(seed, oneRegion(2, 50));
         model.run(5s);
         model.write(1, "services/a", 0);
         model.run(30s);
@@ -198,10 +199,7 @@
 TEST_CASE("Those below a host that turns out to be gone are served at once", "[control]")
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        ControlModel::Options options;
-        options.regions = 1;
-        options.hallsPerRegion = 1;
-        options.nodesPerHall = 60;
+        auto options = oneRegion(1, 60);
         options.loss = 0;
         ControlModel model(seed, options);
         model.run(5s);
--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -54,6 +54,19 @@
     int m_ends[2] = { -1, -1 };
 };
 
+/// \brief Two nodes: callers call at the first, whose service is `other`; the one upstream of `shop` is
+/// beside the second. Made after the LogPipe that gets its lines.
+struct ShopMesh : MeshFixture {
+    /// \param target latency of the routes in ms.
+    explicit ShopMesh(const std::string& target = "5000")
+    {
+        store.put("keyed.op", "config", configuration(1, "shop", target));
+        add("other");
+        add("shop");
+        untilServed(0);
+    }
+};
+
 std::set<std::string> words(std::string_view text)
 {
     std::istringstream in { std::string(text) };
@@ -193,11 +206,7 @@
 TEST_CASE("The lines of a troubled mesh are all known", "[log]")
 {
     LogPipe pipe(0, true);
-    MeshFixture f;
-    f.store.put("keyed.op", "config", MeshFixture::configuration(1));
-    f.add("other");
-    f.add("shop");
-    f.untilServed(0);
+    ShopMesh f;
     f.places[1].backend->hangsUp = true;
     f.call(0, "POST", "/buy/x");
     f.places[1].backend->hangsUp = false;
@@ -218,11 +227,7 @@
 TEST_CASE("The story of a request refused though capacity seemed free leads to the leaving upstream", "[log]")
 {
     LogPipe pipe(0, true);
-    MeshFixture f;
-    f.store.put("keyed.op", "config", MeshFixture::configuration(1));
-    f.add("other");
-    f.add("shop");
-    f.untilServed(0);
+    ShopMesh f;
     REQUIRE(f.announce(1, "draining", 10) == 200);
     REQUIRE(f.call(0, "POST", "/buy/x").status == 503);
     const auto id = "q" + std::to_string(f.lastRequest);
@@ -236,11 +241,7 @@
 TEST_CASE("The story of an unknown outcome leads to the owner that died", "[log]")
 {
     LogPipe pipe(0, true);
-    MeshFixture f;
-    f.store.put("keyed.op", "config", MeshFixture::configuration(1));
-    f.add("other");
-    f.add("shop");
-    f.untilServed(0);
+    ShopMesh f;
     f.places[1].backend->holds = true;
     f.start(f.places[0].settings.listen.callers, f.request("POST", "/buy/x"));
     f.until([&] { return f.places[1].backend->held.size() == 1; });
@@ -258,11 +259,7 @@
 TEST_CASE("The story of a late request leads to the slow backend server", "[log]")
 {
     LogPipe pipe(0, true);
-    MeshFixture f;
-    f.store.put("keyed.op", "config", MeshFixture::configuration(1, "shop", "500"));
-    f.add("other");
-    f.add("shop");
-    f.untilServed(0);
+    ShopMesh f("500");
     f.places[1].backend->holds = true;
     f.start(f.places[0].settings.listen.callers, f.request("POST", "/buy/x"));
     f.until([&] { return f.places[1].backend->held.size() == 1; });
