Owners learn how many calls their backend server should run at once

Cause: admission.usable_share was 0.8 on the users' machines, the very share from which their servers slow down.

Change: LearntLimit fits, at each owner, by how much calls take longer that start beside so many others (isotonic, each call against those that ended shortly before it), and runs as many as get most done in time. Calls during which a slow-down was told teach nothing. Fixed share, gradient and additive increase stay beside it as variants (ConcurrencyLimit). A class whose estimate had passed its deadline was refused for good; one call at a time now shows whether the server still is so slow (test failed before).

--- a/bench/decisions/decisions-main.cpp
+++ b/bench/decisions/decisions-main.cpp
@@ -71,7 +71,7 @@
         offer();
         const auto done = running.back();
         running.pop_back();
-        for (const auto started : admission.finished(done, now).run)
+        for (const auto started : admission.finished(done, RunEnd::Answered, now).run)
             running.push_back(started);
     }
 }
--- a/bench/policy/OracleRun.cpp
+++ b/bench/policy/OracleRun.cpp
@@ -123,7 +123,7 @@
         tally.slotTime += held;
         tally.latencyUs.push_back((m_loop.now() - call.arrived + 2 * bestDelay).count());
         m_calls.erase(id);
-        const auto next = m_queue.finished(id, m_loop.now());
+        const auto next = m_queue.finished(id, RunEnd::Answered, m_loop.now());
         updateSlots();
         act(next);
     });
--- a/bench/policy/PolicyRunOwners.cpp
+++ b/bench/policy/PolicyRunOwners.cpp
@@ -49,7 +49,7 @@
             if (owner.isDead)
                 return;
             owner.errors.add(1);
-            const auto next = owner.admission.finished(attemptId, m_loop.now());
+            const auto next = owner.admission.finished(attemptId, RunEnd::Answered, m_loop.now());
             answer(attemptId, End::Refused, Reason::BackendUnreachable, {});
             act(index, next);
         });
@@ -67,7 +67,7 @@
     if (upstream.isDead || attempt.isOver)
         return;
     upstream.errors.add(run.isFailure ? 1 : 0);
-    const auto next = upstream.admission.finished(attemptId, m_loop.now());
+    const auto next = upstream.admission.finished(attemptId, RunEnd::Answered, m_loop.now());
     answer(attemptId, run.isFailure ? End::Failed : End::Answered, Reason::None, run.held);
     act(index, next);
 }
@@ -124,7 +124,7 @@
     if (!attempt.isRunning || upstream.backend.isDown)
         return;
     attempt.isOver = true;
-    act(index, upstream.admission.finished(attemptId, m_loop.now()));
+    act(index, upstream.admission.finished(attemptId, RunEnd::Answered, m_loop.now()));
 }
 
 void PolicyRun::probeTick(std::size_t index)
--- a/bench/shared/SharedBackend.h
+++ b/bench/shared/SharedBackend.h
@@ -31,6 +31,8 @@
         double left = m_random.logNormal(toSeconds(work), m_site->sigma);
         if (inUse > m_site->knee * m_site->slots)
             left *= m_site->kneeFactor;
+        if (now < Instant(m_site->coldFor))
+            left *= m_site->coldFactor;
         auto at = now;
         while (true) {
             const auto phaseEnd = Instant(m_site->slowEvery * (phaseOf(at) + 1));
--- a/bench/shared/SharedRun.cpp
+++ b/bench/shared/SharedRun.cpp
@@ -55,7 +55,9 @@
     for (std::uint32_t i = 0; i < n; ++i) {
         const auto index = m_upstreams.size();
         Admission::Options admission;
-        admission.slots = std::max(1U, static_cast<std::uint32_t>(m_site.slots * m_options.usableShare));
+        admission.slots = m_site.slots;
+        admission.limit = m_options.limit;
+        admission.share = m_options.usableShare;
         admission.initialService = service ? m_site.nestedWork : m_site.work;
         m_upstreams.push_back({ "u" + std::to_string(index), service, i % m_site.halls, Admission(admission),
             SharedBackend(m_site, m_options.seed * 1000 + index) });
@@ -154,14 +156,17 @@
     auto& upstream = m_upstreams[call.upstream];
     call.started = m_loop.now();
     const auto work = call.service ? m_site.nestedWork : m_site.work;
-    m_loop.after(
-        upstream.backend.run(work, upstream.admission.inUse(), m_loop.now()), [this, id] { workDone(id); });
+    const auto takes = upstream.backend.run(work, upstream.admission.inUse(), m_loop.now());
+    const auto left = call.deadline - m_loop.now();
+    call.hasFailed = takes > left;
+    m_loop.after(std::min(takes, left), [this, id] { workDone(id); });
 }
 
 void SharedRun::workDone(CallId id)
 {
     auto& call = m_calls.at(id);
-    const bool callsOn = !call.parent && m_site.nestedUpstreams && m_random.chance(m_site.nestedShare);
+    const bool callsOn
+        = !call.parent && !call.hasFailed && m_site.nestedUpstreams && m_random.chance(m_site.nestedShare);
     if (!callsOn)
         return ended(id);
     call.nestedLeft = m_site.nestedCalls;
@@ -175,10 +180,12 @@
 
 void SharedRun::ended(CallId id)
 {
-    const auto upstream = m_calls.at(id).upstream;
+    const auto& call = m_calls.at(id);
+    const auto upstream = call.upstream;
+    const auto end = call.hasFailed ? RunEnd::Failed : RunEnd::Answered;
     learn(upstream);
-    answer(id, m_calls.at(id).hasFailed ? Reason::BackendFailed : Reason::None);
-    act(m_upstreams[upstream].admission.finished(id, m_loop.now()));
+    answer(id, call.hasFailed ? Reason::BackendFailed : Reason::None);
+    act(m_upstreams[upstream].admission.finished(id, end, m_loop.now()));
 }
 
 Report SharedRun::reportOf(const Upstream& upstream) const
@@ -251,8 +258,8 @@
 void SharedRun::learn(std::size_t index)
 {
     auto& upstream = m_upstreams[index];
-    const double slowdown = upstream.backend.slowdown(m_loop.now());
-    upstream.admission.setSlowdown(slowdown);
+    const double slowdown = m_site.tellsSlowdown ? upstream.backend.slowdown(m_loop.now()) : 1;
+    upstream.admission.setSlowdown(slowdown, m_loop.now());
     if (slowdown != upstream.told) {
         upstream.told = slowdown;
         tell(index);
--- a/bench/shared/SharedRun.h
+++ b/bench/shared/SharedRun.h
@@ -34,7 +34,8 @@
         ChoiceKind kind = ChoiceKind::Timely;
         News news = News::ToldAndAsked;
         double load = 0.75; ///< of the capacity at full use of all slots
-        double usableShare = 0.8; ///< of the slots that owners use
+        LimitKind limit = LimitKind::Learnt; ///< on the calls that an owner runs at once
+        double usableShare = 1; ///< of the slots that owners use, with a fixed limit
         Duration probeEvery = 50ms; ///< while an owner believes that its server is slow; 0: never
         Duration length = 30s;
         std::uint64_t seed = 1;
--- a/bench/shared/SharedSite.h
+++ b/bench/shared/SharedSite.h
@@ -45,6 +45,9 @@
     double slowShare = 0.25; ///< of the time that a server is slow
     double slowFactor = 4;
     Duration slowEvery = 300ms; ///< length of a phase
+    bool tellsSlowdown = true; ///< servers say with each answer how slow they are
+    Duration coldFor {}; ///< after the start of the run, work takes longer ...
+    double coldFactor = 1; ///< ... by this factor
     double knee = 0.8; ///< beyond this share of slots in use ...
     double kneeFactor = 1.7; ///< ... a run takes so many times as long
 
--- a/bench/shared/shared-main.cpp
+++ b/bench/shared/shared-main.cpp
@@ -34,7 +34,8 @@
     const auto share = [&](std::uint64_t n) { return show(double(n) / double(tally.calls())); };
     std::cout << "{\"bench\":\"shared\",\"site\":\"" << site.name << "\",\"policy\":\""
               << nameOf(options.kind) << "\",\"news\":\"" << nameOf(options.news)
-              << "\",\"load\":" << show(options.load) << ",\"usable\":" << show(options.usableShare)
+              << "\",\"limit\":\"" << nameOf(options.limit) << "\",\"load\":" << show(options.load)
+              << ",\"usable\":" << show(options.usableShare)
               << ",\"probe_ms\":" << toMilliseconds(options.probeEvery) << ",\"calls\":" << tally.calls()
               << ",\"in_time\":" << share(tally.inTime) << ",\"late\":" << share(tally.late)
               << ",\"refused\":" << share(tally.refused) << ",\"failed\":" << share(tally.failed)
@@ -61,8 +62,9 @@
         it.news = static_cast<News>(i);
         out.push_back(it);
     }
-    for (const double usable : { 0.7, 0.9, 1.0 }) {
+    for (const double usable : { 0.7, 0.8, 0.9, 1.0 }) {
         auto it = usual;
+        it.limit = LimitKind::Fixed;
         it.usableShare = usable;
         out.push_back(it);
     }
--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -44,6 +44,8 @@
         LogEventInfo { "upstream-life", "upstream state", "the own upstream's life moved on" },
         LogEventInfo { "backend-down", "upstream unreached", "connections can't be made" },
         LogEventInfo { "backend-up", "upstream unreached", "it answers again" },
+        LogEventInfo { "limit-changed", "upstream limit before in_use",
+            "so many calls may run at once on the backend server from now on" },
         LogEventInfo { "applied", "offset", "records of the log are in force" },
         LogEventInfo { "log-standing", "standing", "the log answers, or doesn't" },
         LogEventInfo { "peer-follows-other-log", "peer", "a peer has records of another log" },
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -54,26 +54,26 @@
     m_serviceId = info->config.service();
     const auto& serviceInfo = *service();
     const auto slots = info->config.slots();
-    const double usable = m_context->settings.admission.usableShare * slots;
-    m_admission.setSlots(std::max(static_cast<std::uint32_t>(usable), 1U));
+    m_admission.setSlots(slots);
+    m_admission.setLimit(m_context->settings.admission.limit, m_context->settings.admission.usableShare);
     m_admission.setQueueLimit(serviceInfo.config.queue_limit());
     for (const auto& it : m_context->directory.groups())
         m_admission.setWeight(it.number, it.weightIn(m_serviceId));
     if (m_backendAddress != info->config.address() || m_boundUpstream != info->id)
-        turnTo(*info);
+        turnTo(*info, now);
     m_prober.setPath(serviceInfo.config.health_path(), m_context->headers);
     m_prober.setOptions(
         { serviceInfo.config.probes_per_s(), serviceInfo.config.probe_slot_share(), slots }, now);
     setSign(LeavingSign::Operator, info->config.leaving(), now);
 }
 
-void Owner::turnTo(const UpstreamInfo& info)
+void Owner::turnTo(const UpstreamInfo& info, Instant now)
 {
     m_backendAddress = info.config.address();
     m_boundUpstream = info.id;
     m_isDown = false;
     m_unreached = 0;
-    m_admission.setSlowdown(m_toldSlowdown = 1);
+    m_admission.setSlowdown(m_toldSlowdown = 1, now);
     HttpPool::Options options;
     options.address = m_backendAddress;
     options.maxConnections = info.config.connections();
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -8,7 +8,7 @@
 #include "Node/Timer.h"
 #include "Once/TicketTable.h"
 #include "Queueing/Admission.h"
-#include "Routing/WorkClock.h"
+#include "Queueing/WorkClock.h"
 #include "Wire/PeerSocket.h"
 #include "Wire/SeenCalls.h"
 #include "peer.pb.h"
@@ -100,7 +100,7 @@
     };
 
     /// \brief The backend server has another address, or another start of it has come.
-    void turnTo(const UpstreamInfo& info);
+    void turnTo(const UpstreamInfo& info, Instant now);
     Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
     /// \returns whether a call would run at once, on a backend server that isn't slowed down.
     bool isReadyAtOnce(Instant now) const;
@@ -121,6 +121,8 @@
     void learn(const HttpReply& reply, Instant now);
     void setSlowdown(double slowdown, Instant now);
     void setDown(bool isDown, Instant now);
+    /// \brief Logs the limit on calls that run at once, if it has changed.
+    void noteLimit();
     void tellLoad(Instant now);
     void probeBackend(Instant now);
     /// \brief Asks the backend server for its health now. Needs a pool.
@@ -153,6 +155,7 @@
     bool m_isDown = false;
     unsigned m_unreached = 0; ///< connections in a row that could not be made
     double m_toldSlowdown = 1;
+    std::uint32_t m_loggedLimit = 0;
     Instant m_nextProbe {};
     std::optional<Instant> m_loadHeard; ///< when the backend server last told its slow-down
     std::string m_serviceId;
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -82,10 +82,21 @@
     tellLoad(now);
 }
 
+void Owner::noteLimit()
+{
+    const auto limit = m_admission.limit();
+    if (limit == m_loggedLimit)
+        return;
+    log(LogLevel::Info, "limit-changed",
+        { { "upstream", upstream() }, { "limit", limit }, { "before", m_loggedLimit },
+            { "in_use", m_admission.inUse() } });
+    m_loggedLimit = limit;
+}
+
 void Owner::setSlowdown(double slowdown, Instant now)
 {
     m_loadHeard = now;
-    m_admission.setSlowdown(slowdown);
+    m_admission.setSlowdown(slowdown, now);
     const double change = slowdown / m_toldSlowdown;
     if (change < tellFactor && change > 1 / tellFactor)
         return;
@@ -185,11 +196,12 @@
         && ++m_unreached >= unreachedLimit)
         setDown(true, now);
     auto& record = m_calls.at(id);
-    const auto next = m_admission.finished(id, now);
-    answer.set_queued_us(static_cast<std::uint32_t>((record.started - record.arrived).count()));
-    answer.set_held_us(static_cast<std::uint32_t>((now - record.started).count()));
     const bool isFailure = answer.outcome() != proto::ANSWERED
         || answer.status() >= static_cast<std::uint32_t>(firstServerError);
+    const auto next = m_admission.finished(id, isFailure ? RunEnd::Failed : RunEnd::Answered, now);
+    noteLimit();
+    answer.set_queued_us(static_cast<std::uint32_t>((record.started - record.arrived).count()));
+    answer.set_held_us(static_cast<std::uint32_t>((now - record.started).count()));
     m_errors.add(isFailure ? 1 : 0);
     for (const auto& [service, n] : record.nested) {
         auto& nested = *answer.add_nested();
@@ -215,7 +227,7 @@
     if (!record.isRepeatable)
         return; // what must not be repeated is not cut off either
     record.pool->cancel(record.request);
-    const auto next = m_admission.finished(id, now);
+    const auto next = m_admission.finished(id, RunEnd::Failed, now);
     proto::Answer answer;
     answer.set_outcome(proto::UNKNOWN);
     answer.set_reason(static_cast<std::uint32_t>(Reason::Cancelled));
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -10,15 +10,53 @@
     /// A refused caller is asked to stay away at least this long: shorter repeats only add load.
     constexpr Duration minRetryAfter = 20ms;
 
+    /// A server stops at the deadline that it was told in whole milliseconds, and its answer crosses the
+    /// network: a call that fails so shortly before its deadline, or later, ran out of time.
+    constexpr Duration deadlineSlack = 20ms;
+
+    /// Runs during which the server told of a slow-down teach nothing: only a part of what a call does is
+    /// slowed, and news of the slow-down is old. A run is calm if its work took this part of its time at
+    /// least.
+    constexpr double calmShare = 0.95;
+
 } // namespace
 
 Admission::Admission(Options options)
     : m_options(options)
+    , m_limit(makeLimit(options.limit, options.slots, options.share))
     , m_queue(options.queueLimit, options.maxElsewhere)
     , m_service(options.initialService)
 {
 }
 
+void Admission::setSlots(std::uint32_t slots)
+{
+    if (slots == m_options.slots)
+        return;
+    m_options.slots = slots;
+    m_limit = makeLimit(m_options.limit, slots, m_options.share);
+}
+
+void Admission::setLimit(LimitKind kind, double share)
+{
+    if (kind == m_options.limit && share == m_options.share)
+        return;
+    m_options.limit = kind;
+    m_options.share = share;
+    m_limit = makeLimit(kind, m_options.slots, share);
+}
+
+void Admission::setSlowdown(double factor, Instant now)
+{
+    m_service.setSlowdown(factor);
+    m_workClock.told(factor, now);
+}
+
+std::uint32_t Admission::limit() const
+{
+    return std::visit([](const auto& it) { return it.limit(); }, m_limit);
+}
+
 bool Admission::hasStood(const QueuedCall& call, Instant now)
 {
     const auto service = m_service.mean();
@@ -30,11 +68,11 @@
 
 Duration Admission::expectedWait(std::uint32_t group, std::uint32_t priority, Instant now) const
 {
-    if (inUse() < m_options.slots && m_queue.isEmpty())
+    if (inUse() < limit() && m_queue.isEmpty())
         return Duration::zero();
     const double share = m_queue.shareOf(group);
     const double ahead = toSeconds(m_queue.costAhead(group, priority));
-    const double slots = std::max<double>(m_options.slots, 1);
+    const double slots = limit();
     // The next slot comes free after about one slot time over the number of slots.
     const double firstFree = toSeconds(m_service.overall(now)) / slots;
     return fromSeconds(firstFree + ahead / (slots * share));
@@ -49,7 +87,7 @@
         offer.inTimeUntil };
     m_queue.chargeElsewhere(offer.group, offer.elsewhere);
     const auto wait = expectedWait(offer.group, offer.priority, now);
-    if (const auto reason = reasonToRefuse(call, wait, now); reason != Reason::None) {
+    if (const auto reason = reasonToRefuse(call, offer.callClass, wait, now); reason != Reason::None) {
         refuse(call, reason, out, now);
         return out;
     }
@@ -63,7 +101,14 @@
     return out;
 }
 
-Reason Admission::reasonToRefuse(const QueuedCall& call, Duration wait, Instant now) const
+bool Admission::isTrial(std::uint32_t callClass) const
+{
+    const auto it = m_runningOf.find(callClass);
+    return it == m_runningOf.end() || !it->second;
+}
+
+Reason Admission::reasonToRefuse(
+    const QueuedCall& call, std::uint32_t callClass, Duration wait, Instant now) const
 {
     if (m_isLeaving)
         return Reason::Leaving;
@@ -71,7 +116,7 @@
         return Reason::DeadlinePassed;
     const auto end = now + wait + call.expectedCost;
     if (end > call.deadline)
-        return Reason::WouldMissDeadline;
+        return wait > Duration::zero() || !isTrial(callClass) ? Reason::WouldMissDeadline : Reason::None;
     if (call.inTimeUntil == Instant::max())
         return wait > m_options.maxWait * m_service.mean() ? Reason::QueueFull : Reason::None;
     // With a slot free it is served, late or not; a place in the queue goes to those that can be in time.
@@ -81,8 +126,11 @@
 Reason Admission::reasonToDrop(const QueuedCall& call, Instant now)
 {
     const auto end = now + costNow(call);
-    if (end > call.deadline)
-        return now >= call.deadline ? Reason::DeadlinePassed : Reason::WouldMissDeadline;
+    const bool isTrialOfNew = call.arrived == now && isTrial(m_waiting.at(call.id).callClass);
+    if (now >= call.deadline)
+        return Reason::DeadlinePassed;
+    if (end > call.deadline && !isTrialOfNew)
+        return Reason::WouldMissDeadline;
     if (call.inTimeUntil == Instant::max())
         return hasStood(call, now) ? Reason::StoodTooLong : Reason::None;
     return end > call.inTimeUntil && !m_queue.isEmpty() ? Reason::WouldBeLate : Reason::None;
@@ -104,18 +152,34 @@
     return out;
 }
 
-Dispatch Admission::finished(std::uint64_t id, Instant now)
+Dispatch Admission::finished(std::uint64_t id, RunEnd end, Instant now)
 {
     const auto it = m_running.find(id);
     require(it != m_running.end(), "Admission::finished: the call was running");
     const auto held = m_service.ended(id, it->second.callClass, now);
     m_queue.settle(it->second.group, it->second.expected, held);
+    teachLimit(it->second, end, now);
+    --m_runningOf[it->second.callClass];
     m_running.erase(it);
     Dispatch out;
     fill(out, now);
     return out;
 }
 
+void Admission::teachLimit(const Running& call, RunEnd end, Instant now)
+{
+    const bool isOutOfTime = end == RunEnd::Failed && now + deadlineSlack >= call.deadline;
+    if (end == RunEnd::Failed && !isOutOfTime)
+        return;
+    const auto work = m_workClock.read(now) - call.workClock;
+    const auto held = now - call.started;
+    if (toSeconds(work) < calmShare * toSeconds(held))
+        return;
+    const auto result = isOutOfTime ? RunResult::OutOfTime : RunResult::Answered;
+    const RunSample sample { call.callClass, call.inUse, call.limit, work, call.timely, result };
+    std::visit([&](auto& it) { it.ended(sample); }, m_limit);
+}
+
 bool Admission::cancelWaiting(std::uint64_t id)
 {
     const auto it = m_waiting.find(id);
@@ -149,7 +213,7 @@
 
 LoadReport Admission::load(Instant now) const
 {
-    return { m_options.slots, inUse(), static_cast<std::uint32_t>(m_queue.size()), m_service.overall(now),
+    return { limit(), inUse(), static_cast<std::uint32_t>(m_queue.size()), m_service.overall(now),
         m_service.slowdown() };
 }
 
@@ -163,7 +227,7 @@
 
 void Admission::fill(Dispatch& out, Instant now)
 {
-    while (inUse() < m_options.slots) {
+    while (inUse() < limit()) {
         const auto call = m_queue.pop();
         if (!call)
             return;
@@ -181,7 +245,11 @@
 void Admission::start(const QueuedCall& call, Dispatch& out, Instant now)
 {
     const auto waiting = m_waiting.find(call.id);
-    m_running.emplace(call.id, Running { call.group, waiting->second.callClass, call.expectedCost });
+    const auto timely = call.inTimeUntil == Instant::max() ? Duration::max() : call.inTimeUntil - now;
+    const Running running { call.group, waiting->second.callClass, call.expectedCost, now,
+        m_workClock.read(now), timely, call.deadline, inUse() + 1, limit() };
+    ++m_runningOf[running.callClass];
+    m_running.emplace(call.id, running);
     m_waiting.erase(waiting);
     m_service.started(call.id, now);
     out.run.push_back(call.id);
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "Queueing/ConcurrencyLimit.h"
 #include "Queueing/FairQueue.h"
 #include "Queueing/Refusal.h"
 #include "Queueing/ServiceEstimate.h"
 #include "Queueing/SojournControl.h"
+#include "Queueing/WorkClock.h"
 
 #include <cstdint>
 #include <unordered_map>
@@ -22,6 +24,12 @@
     Instant inTimeUntil = Instant::max(); ///< an answer after this is late
 };
 
+/// \brief How a call that ran has ended, for what is learnt from it.
+enum class RunEnd {
+    Answered,
+    Failed, ///< or was cut off: how long it took says nothing, unless it was up to its deadline
+};
+
 /// \brief What to do after a step: calls to hand to the backend server, and calls given up as not run.
 struct Dispatch {
     std::vector<std::uint64_t> run;
@@ -30,7 +38,7 @@
 
 /// \brief The state of an upstream at a moment, exact at its owner.
 struct LoadReport {
-    std::uint32_t slots = 0;
+    std::uint32_t slots = 0; ///< that the owner uses at most
     std::uint32_t inUse = 0;
     std::uint32_t waiting = 0;
     Duration service {};
@@ -47,7 +55,9 @@
 class Admission {
 public:
     struct Options {
-        std::uint32_t slots = 12;
+        std::uint32_t slots = 12; ///< of the backend server
+        LimitKind limit = LimitKind::Fixed; ///< how many of them are used at most
+        double share = 1; ///< of the slots, for LimitKind::Fixed
         std::size_t queueLimit = 256;
         Duration initialService = 10ms;
         /// Bounds on waiting, in slot times as they are now: a few calls in turn are a burst, more stand.
@@ -62,11 +72,18 @@
 
     void setWeight(std::uint32_t group, double weight) { m_queue.setWeight(group, weight); }
 
-    /// \brief Changes the slots; fewer than in use means that none starts until enough have ended.
-    void setSlots(std::uint32_t slots) { m_options.slots = slots; }
+    /// \brief Changes the slots; fewer than in use means that none starts until enough have ended. What was
+    /// learnt of the limit is kept as long as the slots stay the same.
+    void setSlots(std::uint32_t slots);
+
+    /// \brief Changes how the limit is found, or the share of the slots of one that is fixed.
+    void setLimit(LimitKind kind, double share);
 
     /// \brief Work takes \a factor times as long as usual from now on.
-    void setSlowdown(double factor) { m_service.setSlowdown(factor); }
+    void setSlowdown(double factor, Instant now);
+
+    /// \returns how many calls may run at once.
+    std::uint32_t limit() const;
 
     /// \brief Changes how many calls may wait; those that wait beyond it stay.
     void setQueueLimit(std::size_t limit) { m_queue.setLimit(limit); }
@@ -75,7 +92,7 @@
     Dispatch offer(const Offer& offer, Instant now);
 
     /// \brief A call that ran has ended (answered, failed or been cancelled at the backend server).
-    Dispatch finished(std::uint64_t id, Instant now);
+    Dispatch finished(std::uint64_t id, RunEnd end, Instant now);
 
     /// \brief Gives up a waiting call for its caller. \returns false when it isn't waiting (it may be
     /// running).
@@ -96,7 +113,7 @@
     Dispatch releaseSlot(Instant now);
 
     /// \returns whether a call that came now would get a slot at once.
-    bool hasFreeSlot() const { return !m_isLeaving && inUse() < m_options.slots && m_queue.isEmpty(); }
+    bool hasFreeSlot() const { return !m_isLeaving && inUse() < limit() && m_queue.isEmpty(); }
 
     LoadReport load(Instant now) const;
 
@@ -112,22 +129,36 @@
         std::uint32_t group;
         std::uint32_t callClass;
         Duration expected;
+        Instant started;
+        Duration workClock; ///< as it was read at the start
+        Duration timely; ///< at the start, until it is late
+        Instant deadline;
+        std::uint32_t inUse; ///< calls that ran at the start, with it
+        std::uint32_t limit; ///< at the start
     };
 
     void fill(Dispatch& out, Instant now);
     void start(const QueuedCall& call, Dispatch& out, Instant now);
+    /// \brief Tells the limit what a call that ran to its end, or not, says of it.
+    void teachLimit(const Running& call, RunEnd end, Instant now);
     void refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now) const;
     bool hasStood(const QueuedCall& call, Instant now);
-    Reason reasonToRefuse(const QueuedCall& call, Duration wait, Instant now) const;
+    Reason reasonToRefuse(const QueuedCall& call, std::uint32_t callClass, Duration wait, Instant now) const;
+    /// \returns whether a call of the class that comes to a free slot runs though it seems to have no chance,
+    /// as the only one of its class: if none did, nothing would show that the server is faster again.
+    bool isTrial(std::uint32_t callClass) const;
     Reason reasonToDrop(const QueuedCall& call, Instant now);
     /// \returns the slot time that a waiting call is likely to hold, as the server is now.
     Duration costNow(const QueuedCall& call) const;
 
     Options m_options;
+    ConcurrencyLimit m_limit;
+    WorkClock m_workClock;
     FairQueue m_queue;
     ServiceEstimate m_service;
     std::unordered_map<std::uint32_t, SojournControl> m_sojourn;
     std::unordered_map<std::uint64_t, Running> m_running;
+    std::unordered_map<std::uint32_t, std::uint32_t> m_runningOf; ///< by class
     struct Waiting {
         std::uint32_t group;
         std::uint32_t callClass;
--- /dev/null
+++ b/src/Queueing/ConcurrencyLimit.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "Core/EnumNames.h"
+#include "Core/Ewma.h"
+#include "Queueing/LearntLimit.h"
+#include "Queueing/RunSample.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <variant>
+
+namespace robinrun {
+
+/// \brief The ways to bound the calls that run on a backend server at once. All but the last are kept as
+/// baselines to measure against.
+enum class LimitKind {
+    Fixed,
+    Gradient,
+    Aimd,
+    Learnt,
+};
+
+template <> struct EnumNames<LimitKind> {
+    static constexpr std::array<std::string_view, 4> names { "fixed", "gradient", "aimd", "learnt" };
+};
+
+/// \brief A share of the slots that never changes.
+class FixedLimit {
+public:
+    /// \param share of the slots, in (0, 1].
+    FixedLimit(std::uint32_t slots, double share);
+
+    std::uint32_t limit() const { return m_limit; }
+    void ended(const RunSample&) { }
+
+private:
+    std::uint32_t m_limit;
+};
+
+/// \brief Follows the gradient of work time, as TCP Vegas does: the limit shrinks by the ratio of the long-term
+/// to the present work time, and grows by the square root of itself.
+class GradientLimit {
+public:
+    explicit GradientLimit(std::uint32_t slots);
+
+    std::uint32_t limit() const { return static_cast<std::uint32_t>(m_limit); }
+    void ended(const RunSample& sample);
+
+private:
+    double m_slots;
+    double m_limit;
+    Ewma m_short;
+    Ewma m_long;
+};
+
+/// \brief Additive increase while calls at the limit end in time, multiplicative decrease when one is late.
+class AimdLimit {
+public:
+    explicit AimdLimit(std::uint32_t slots);
+
+    std::uint32_t limit() const { return static_cast<std::uint32_t>(m_limit); }
+    void ended(const RunSample& sample);
+
+private:
+    double m_slots;
+    double m_limit;
+};
+
+/// \brief A way to bound concurrency, with its state.
+using ConcurrencyLimit = std::variant<FixedLimit, GradientLimit, AimdLimit, LearntLimit>;
+
+/// \returns the limit of \a kind for a backend server of \a slots. \param share of FixedLimit.
+ConcurrencyLimit makeLimit(LimitKind kind, std::uint32_t slots, double share);
+
+} // namespace robinrun
--- a/src/Routing/RemainingTime.cpp
+++ b/src/Routing/RemainingTime.cpp
@@ -1,6 +1,6 @@
 #include "Routing/RemainingTime.h"
 
-#include "Routing/WorkClock.h"
+#include "Queueing/WorkClock.h"
 
 #include <algorithm>
 
--- a/src/Routing/UpstreamView.h
+++ b/src/Routing/UpstreamView.h
@@ -4,7 +4,7 @@
 #include "Core/Ewma.h"
 #include "Core/Time.h"
 #include "Queueing/Admission.h"
-#include "Routing/WorkClock.h"
+#include "Queueing/WorkClock.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -96,6 +96,7 @@
 
     void readAdmission(YamlReader reader, NodeSettings& out)
     {
+        out.admission.limit = reader.choice("limit", LimitKind::Learnt);
         out.admission.usableShare = reader.number("usable_share", 0.1, 1, 1);
         reader.finish();
     }
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -91,7 +91,8 @@
     } choice;
 
     struct {
-        double usableShare = 1; ///< of a backend server's slots: near full ones may slow all of them
+        LimitKind limit {}; ///< how the node finds out how many calls its backend server should run at once
+        double usableShare = 1; ///< of the slots, where the limit is fixed
     } admission;
 
     struct {
--- a/test/AdmissionTest.cpp
+++ b/test/AdmissionTest.cpp
@@ -65,7 +65,7 @@
                 const auto done = *running.begin();
                 running.erase(done);
                 over.insert(done);
-                act(admission.finished(done, now));
+                act(admission.finished(done, RunEnd::Answered, now));
             } else if (dice < 0.93 && !waiting.empty()) {
                 const auto id2 = *waiting.begin();
                 RC_ASSERT(admission.cancelWaiting(id2));
@@ -100,7 +100,7 @@
     REQUIRE(late.refused.at(0).reason == Reason::WouldMissDeadline);
     const auto past = admission.offer(offer(4, 1, now), now);
     REQUIRE(past.refused.at(0).reason == Reason::DeadlinePassed);
-    const auto next = admission.finished(1, now + 999ms);
+    const auto next = admission.finished(1, RunEnd::Answered, now + 999ms);
     REQUIRE(next.run.empty());
     REQUIRE(next.refused.at(0).id == 2);
 }
@@ -118,7 +118,7 @@
     REQUIRE(swept.refused.at(0).id == 2);
     REQUIRE(swept.refused.at(0).reason == Reason::WouldMissDeadline);
     REQUIRE(admission.load(now).waiting == 1);
-    REQUIRE(admission.finished(1, now + 100ms).run == std::vector<std::uint64_t> { 3 });
+    REQUIRE(admission.finished(1, RunEnd::Answered, now + 100ms).run == std::vector<std::uint64_t> { 3 });
 }
 
 TEST_CASE("What a waiting call will take is judged by how fast the server is now", "[admission]")
@@ -128,19 +128,19 @@
     const auto runOne = [&](std::uint64_t id, Duration held) {
         admission.offer(offer(id, 1, now + 9s), now);
         now += held;
-        admission.finished(id, now);
+        admission.finished(id, RunEnd::Answered, now);
     };
     for (std::uint64_t id = 1; id <= 20; ++id)
         runOne(id, 10ms);
-    admission.setSlowdown(4);
+    admission.setSlowdown(4, now);
     for (std::uint64_t id = 21; id <= 40; ++id)
         runOne(id, 40ms);
-    admission.setSlowdown(1);
+    admission.setSlowdown(1, now);
     admission.offer(offer(50, 1, now + 9s), now);
     REQUIRE(admission.offer(offer(51, 1, now + 70ms), now).refused.empty());
     now += 35ms;
     REQUIRE(admission.giveUpHopeless(now).refused.empty());
-    admission.setSlowdown(4);
+    admission.setSlowdown(4, now);
     REQUIRE(admission.giveUpHopeless(now).refused.size() == 1);
 }
 
@@ -169,7 +169,7 @@
     REQUIRE(moved.refused.at(0).reason == Reason::Leaving);
     REQUIRE(admission.offer(offer(3, 1, now + 1s), now).refused.at(0).reason == Reason::Leaving);
     REQUIRE_FALSE(admission.isIdle());
-    REQUIRE(admission.finished(1, now + 5ms).run.empty());
+    REQUIRE(admission.finished(1, RunEnd::Answered, now + 5ms).run.empty());
     REQUIRE(admission.isIdle());
     admission.setLeaving(false, now);
     REQUIRE(admission.offer(offer(4, 1, now + 1s), now).run.size() == 1);
@@ -203,3 +203,24 @@
     REQUIRE(estimate.of(7) == 50ms);
     REQUIRE(estimate.of(8) > 10ms);
 }
+
+TEST_CASE("After a server was slow for long, one call at a time shows whether it still is", "[admission]")
+{
+    // Without it the estimate stays where it is, and the class is refused for good.
+    Admission admission(options(2));
+    Instant now {};
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        admission.offer(offer(id, 1, now + 60s), now);
+        now += 5s;
+        admission.finished(id, RunEnd::Answered, now);
+    }
+    REQUIRE(admission.offer(offer(201, 1, now + 1s), now).run.size() == 1);
+    const auto second = admission.offer(offer(202, 1, now + 1s), now);
+    REQUIRE(second.refused.at(0).reason == Reason::WouldMissDeadline);
+    for (std::uint64_t id = 201; id < 400; ++id) {
+        now += 10ms;
+        admission.finished(id, RunEnd::Answered, now);
+        REQUIRE(admission.offer(offer(id + 1, 1, now + 1s), now).run.size() == 1);
+    }
+    REQUIRE(admission.offer(offer(9001, 1, now + 1s), now).run.size() == 1);
+}
--- a/test/TimelyTest.cpp
+++ b/test/TimelyTest.cpp
@@ -1,9 +1,9 @@
 #include "Node/BackendReply.h"
 #include "Queueing/Admission.h"
+#include "Queueing/WorkClock.h"
 #include "Queueing/WorkEstimate.h"
 #include "Routing/RemainingTime.h"
 #include "Routing/ServiceRouter.h"
-#include "Routing/WorkClock.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -72,7 +72,7 @@
     auto admission = busyAdmission();
     REQUIRE(admission.offer(offer(2, 1, 250ms), start).refused.empty());
     REQUIRE(admission.offer(offer(3, 1, 900ms), start).refused.empty());
-    const auto next = admission.finished(1, start + 200ms);
+    const auto next = admission.finished(1, RunEnd::Answered, start + 200ms);
     REQUIRE(next.refused.at(0).id == 2);
     REQUIRE(next.run == std::vector<std::uint64_t> { 3 });
 }
@@ -82,7 +82,7 @@
     auto admission = busyAdmission();
     admission.offer(offer(2, 2, 900ms), start);
     admission.offer(offer(3, 0, 900ms), start);
-    REQUIRE(admission.finished(1, start + 100ms).run == std::vector<std::uint64_t> { 3 });
+    REQUIRE(admission.finished(1, RunEnd::Answered, start + 100ms).run == std::vector<std::uint64_t> { 3 });
 }
 
 TEST_CASE("Slot times are kept apart for calm and slow starts", "[timely]")
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -112,7 +112,8 @@
         << behind(host->toPeers, peers) << "', peers_bind: '" << peers << "', metrics: '" << freeAddress()
         << "'}\nstore: {address: '" << behind(host->toStore, m_store.address)
         << "', timeout: 1s}\nretries: {ratio: 0.2, slack: 20}\npeers: {heartbeat: 300ms, longest_reconnect: "
-           "300ms, contact_every: 500ms}\nadmission: {usable_share: 1}\nchoice: {policy: timely, subset: "
+           "300ms, contact_every: 500ms}\nadmission: {limit: fixed, usable_share: 1}\nchoice: {policy: "
+           "timely, subset: "
            "24}\n";
     out.close();
     writeSettings(*host, fewLines);
