robinrunctl losses tells where and why calls were lost; a node whose server's slots are unknown no longer ends; cold start's constants go

Losses: for each cause and route the calls, the worst second, the upstream with most and an id to explain; exact unless lines were dropped.

Test failed before.

--- a/bench/shared/LimitGrid.h
+++ b/bench/shared/LimitGrid.h
@@ -41,8 +41,8 @@
     SharedSite site() const;
 };
 
-/// \returns all cells: the full grid of knees, noise, slots and loads without a cold start, and the cold starts
-/// with each knee and load at the middle of the others.
+/// \returns all cells: the full grid of knees, noise, slots and loads without a cold start, and the cold
+/// starts with each knee and load at the middle of the others.
 std::vector<LimitCell> limitGrid();
 
 inline constexpr std::array knees { Knee { "none", 1, 1 }, Knee { "0.3x1.5", 0.3, 1.5 },
--- a/bench/shared/limits-main.cpp
+++ b/bench/shared/limits-main.cpp
@@ -1,5 +1,5 @@
-/// \file Compares the ways to bound concurrency with the best fixed limit of each cell of a grid of loads; one
-/// JSON line a cell and seed; the same output every run.
+/// \file Compares the ways to bound concurrency with the best fixed limit of each cell of a grid of loads;
+/// one JSON line a cell and seed; the same output every run.
 
 #include "LimitGrid.h"
 
--- a/bench/shared/shared-main.cpp
+++ b/bench/shared/shared-main.cpp
@@ -33,8 +33,8 @@
     const auto tally = SharedRun(site, options).run();
     const auto share = [&](std::uint64_t n) { return show(double(n) / double(tally.calls())); };
     std::cout << "{\"bench\":\"shared\",\"site\":\"" << site.name << "\",\"policy\":\""
-              << nameOf(options.kind) << "\",\"news\":\"" << nameOf(options.news)
-              << "\",\"limit\":\"" << nameOf(options.limit) << "\",\"load\":" << show(options.load)
+              << nameOf(options.kind) << "\",\"news\":\"" << nameOf(options.news) << "\",\"limit\":\""
+              << nameOf(options.limit) << "\",\"load\":" << show(options.load)
               << ",\"usable\":" << show(options.usableShare)
               << ",\"probe_ms\":" << toMilliseconds(options.probeEvery) << ",\"calls\":" << tally.calls()
               << ",\"in_time\":" << share(tally.inTime) << ",\"late\":" << share(tally.late)
--- a/src/Client/Explain.cpp
+++ b/src/Client/Explain.cpp
@@ -1,70 +1,24 @@
 #include "Client/Explain.h"
 
+#include "Client/LogLine.h"
 #include "Core/LogEvents.h"
 
 #include <algorithm>
-#include <cstdio>
-#include <ctime>
 #include <iomanip>
 #include <map>
-#include <nlohmann/json.hpp>
-#include <optional>
 #include <sstream>
 #include <utility>
 
 namespace robinrun {
 namespace {
 
-    using Json = nlohmann::ordered_json;
-
-    struct Line {
-        std::int64_t atMs = 0; ///< by the clock of its node
-        std::string node;
-        std::string event;
-        std::uint64_t attempt = 0; ///< 0: none
-        std::string from; ///< node that asked; "" for lines of an ingress
-        Json fields;
-    };
-
-    /// \brief Reads `2026-12-02T10:11:12.123Z`. \returns milliseconds since 1970.
-    std::optional<std::int64_t> parseTime(const std::string& text)
-    {
-        std::tm tm {};
-        int ms = 0;
-        const int n = std::sscanf(text.c_str(), "%d-%d-%dT%d:%d:%d.%dZ", &tm.tm_year, &tm.tm_mon, &tm.tm_mday,
-            &tm.tm_hour, &tm.tm_min, &tm.tm_sec, &ms);
-        if (n != 7)
-            return std::nullopt;
-        tm.tm_year -= 1900;
-        tm.tm_mon -= 1;
-        return std::int64_t { timegm(&tm) } * 1000 + ms;
-    }
-
-    std::optional<Line> parseLine(const std::string& text, const std::string& request)
-    {
-        const auto brace = text.find('{');
-        if (brace == std::string::npos || text.find(request) == std::string::npos)
-            return std::nullopt;
-        const auto json = Json::parse(text.substr(brace), nullptr, false);
-        if (!json.is_object() || json.value("request", "") != request)
-            return std::nullopt;
-        const auto at = parseTime(json.value("time", ""));
-        if (!at)
-            return std::nullopt;
-        Line line { *at, json.value("source", "?"), json.value("event", "?"), json.value("attempt", 0ULL),
-            json.value("from", ""), json };
-        for (const auto* it : { "time", "level", "source", "event", "request", "attempt", "from" })
-            line.fields.erase(it);
-        return line;
-    }
-
     /// The span of one attempt by the clock of the ingress.
     struct Span {
         std::int64_t begin = 0;
         std::int64_t end = 0;
     };
 
-    std::map<std::uint64_t, Span> spansOf(const std::vector<Line>& lines)
+    std::map<std::uint64_t, Span> spansOf(const std::vector<LogLine>& lines)
     {
         std::map<std::uint64_t, Span> spans;
         std::int64_t last = 0;
@@ -85,7 +39,7 @@
     }
 
     /// \brief Moves an owner's lines of one attempt into its span, all by the same difference. \returns it.
-    std::int64_t shiftInto(const Span& span, std::vector<Line*>& lines)
+    std::int64_t shiftInto(const Span& span, std::vector<LogLine*>& lines)
     {
         std::int64_t first = lines.front()->atMs;
         std::int64_t last = first;
@@ -103,7 +57,7 @@
         return shift;
     }
 
-    void writeLine(std::ostream& out, const Line& line, std::int64_t origin)
+    void writeLine(std::ostream& out, const LogLine& line, std::int64_t origin)
     {
         out << std::setw(7) << line.atMs - origin << " ms  " << std::left << std::setw(22) << line.node << ' '
             << std::setw(16) << line.event << std::right;
@@ -116,14 +70,16 @@
         out << '\n';
     }
 
-    std::vector<Line> linesOf(const std::string& request, const std::vector<std::string>& logs)
+    std::vector<LogLine> linesOf(const std::string& request, const std::vector<std::string>& logs)
     {
-        std::vector<Line> lines;
+        std::vector<LogLine> lines;
         for (const auto& log : logs) {
             std::istringstream in(log);
             std::string text;
             while (std::getline(in, text)) {
-                if (auto line = parseLine(text, request))
+                if (text.find(request) == std::string::npos)
+                    continue;
+                if (auto line = parseLogLine(text); line && line->request == request)
                     lines.push_back(std::move(*line));
             }
         }
@@ -131,10 +87,10 @@
     }
 
     /// \brief Moves the lines of each owner into the spans of their attempts; writes to \a out how far.
-    void alignOwners(std::vector<Line>& lines, std::ostream& out)
+    void alignOwners(std::vector<LogLine>& lines, std::ostream& out)
     {
         const auto spans = spansOf(lines);
-        std::map<std::pair<std::uint64_t, std::string>, std::vector<Line*>> ofOwners;
+        std::map<std::pair<std::uint64_t, std::string>, std::vector<LogLine*>> ofOwners;
         for (auto& it : lines) {
             if (!it.from.empty())
                 ofOwners[{ it.attempt, it.node }].push_back(&it);
@@ -158,7 +114,7 @@
     std::ostringstream out;
     alignOwners(lines, out);
     std::stable_sort(
-        lines.begin(), lines.end(), [](const Line& a, const Line& b) { return a.atMs < b.atMs; });
+        lines.begin(), lines.end(), [](const LogLine& a, const LogLine& b) { return a.atMs < b.atMs; });
     for (const auto& it : lines)
         writeLine(out, it, lines.front().atMs);
     return out.str();
--- a/src/Queueing/ConcurrencyLimit.cpp
+++ b/src/Queueing/ConcurrencyLimit.cpp
@@ -58,6 +58,7 @@
 
 ConcurrencyLimit makeLimit(LimitKind kind, std::uint32_t slots, double share)
 {
+    slots = std::max(slots, 1U);
     switch (kind) {
     case LimitKind::Fixed:
         return FixedLimit(slots, share);
--- a/src/Queueing/ConcurrencyLimit.h
+++ b/src/Queueing/ConcurrencyLimit.h
@@ -38,8 +38,8 @@
     std::uint32_t m_limit;
 };
 
-/// \brief Follows the gradient of work time, as TCP Vegas does: the limit shrinks by the ratio of the long-term
-/// to the present work time, and grows by the square root of itself.
+/// \brief Follows the gradient of work time, as TCP Vegas does: the limit shrinks by the ratio of the
+/// long-term to the present work time, and grows by the square root of itself.
 class GradientLimit {
 public:
     explicit GradientLimit(std::uint32_t slots);
@@ -70,7 +70,9 @@
 /// \brief A way to bound concurrency, with its state.
 using ConcurrencyLimit = std::variant<FixedLimit, GradientLimit, AimdLimit, LearntLimit>;
 
-/// \returns the limit of \a kind for a backend server of \a slots. \param share of FixedLimit.
+/// \returns the limit of \a kind for a backend server.
+/// \param slots of the server; 0 if they are not known yet: then one call runs at a time.
+/// \param share of the slots, for FixedLimit.
 ConcurrencyLimit makeLimit(LimitKind kind, std::uint32_t slots, double share);
 
 } // namespace robinrun
--- a/src/Queueing/LearntLimit.cpp
+++ b/src/Queueing/LearntLimit.cpp
@@ -26,14 +26,16 @@
     /// What is unexplained counts up to this much: some calls end at once or hang for other reasons.
     constexpr double mostUnexplained = 1;
     constexpr double varianceWeight = 0.02;
-    constexpr double startVariance = 0.16; ///< work varies by a third, and some by what is slow without telling
+    constexpr double startVariance
+        = 0.16; ///< work varies by a third, and some by what is slow without telling
     /// Bound of the curve, in standard errors.
     constexpr double boundWidth = 0.5;
     /// Each level is taken to have seen so many calls of the usual length.
     constexpr double priorCalls = 0.5;
     /// An answer that is late is worth next to nothing; it tells which way is better where all are late.
     constexpr double lateWorth = 0.1;
-    /// Where fewer calls than this part are in time, fewer at once are tried, each time so many of those before.
+    /// Where fewer calls than this part are in time, fewer at once are tried, each time so many of those
+    /// before.
     constexpr double fewInTime = 0.5;
     constexpr double stepBelow = 0.7;
     /// Bins of the slack: from this logarithm on, each so wide.
@@ -105,7 +107,9 @@
     for (auto& it : m_slack)
         it *= 1 - 1 / memory;
     const double work = toSeconds(std::max(sample.work, leastWork));
-    const double slack = sample.timely == Duration::max() ? bins : std::log(std::max(toSeconds(sample.timely), 1e-6) / work) + longer;
+    const double slack = sample.timely == Duration::max()
+        ? bins
+        : std::log(std::max(toSeconds(sample.timely), 1e-6) / work) + longer;
     const double bin = std::clamp((slack - firstBin) / binWidth, 0.0, double(bins - 1));
     ++m_slack[static_cast<std::size_t>(bin)];
 }
@@ -135,7 +139,8 @@
 
 void LearntLimit::fitBounds()
 {
-    // Pool adjacent violators: levels at which calls seem to take less long than at a lower one share their mean.
+    // Pool adjacent violators: levels at which calls seem to take less long than at a lower one share their
+    // mean.
     struct Block {
         double seen;
         double longer;
--- a/src/Queueing/LearntLimit.h
+++ b/src/Queueing/LearntLimit.h
@@ -14,19 +14,19 @@
 /// \brief Finds how many calls a backend server should run at once: as many as get the most done in time.
 ///
 /// Some servers slow down when close to full, others don't, and the best limit may lie before that
-/// point, beyond it or at all slots. So no rise of work time is a reason by itself. What is learnt is a curve:
-/// by how much calls take longer that start beside so many others. Each call gives one sample. A server on a
-/// shared host is slow for some time whatever runs on it, and then more calls run on it as well; so a call is
-/// compared with those that ended shortly before it, not with all. The curve never falls (isotonic regression).
+/// point, beyond it or at all slots. So no rise of work time is a reason by itself. What is learnt is a
+/// curve: by how much calls take longer that start beside so many others. Each call gives one sample. A
+/// server on a shared host is slow for some time whatever runs on it, and then more calls run on it as well;
+/// so a call is compared with those that ended shortly before it, not with all. The curve never falls
+/// (isotonic regression).
 ///
 /// The limit is the one with the most calls in time, by the lower bound of the curve: limit / work x share of
-/// calls that would be in time with that work. Beyond what was seen the curve is taken for flat, and the limit goes
-/// up one step at a time until that is disproved. What was seen counts less with each call, so that a curve
-/// that has changed is found. Nothing changes while no calls run.
+/// calls that would be in time with that work. Beyond what was seen the curve is taken for flat, and the
+/// limit goes up one step at a time until that is disproved. What was seen counts less with each call, so
+/// that a curve that has changed is found. Nothing changes while no calls run.
 ///
-/// Caveat: a server that slows all its running calls at once when one more starts is seen less well than one that
-/// slows those which start then.
-/// Cost: O(1) a call, and O(levels + bins) every few calls; about 1 KB.
+/// Caveat: a server that slows all its running calls at once when one more starts is seen less well than one
+/// that slows those which start then. Cost: O(1) a call, and O(levels + bins) every few calls; about 1 KB.
 class LearntLimit {
 public:
     /// \param slots of the backend server, at least 1.
@@ -58,7 +58,8 @@
     double inTime(double longer) const;
     double meanLonger() const;
     void fitBounds();
-    /// \returns a level below that is to be tried because most calls are late at \a level; nothing if none is.
+    /// \returns a level below that is to be tried because most calls are late at \a level; nothing if none
+    /// is.
     std::optional<std::size_t> lookBelow(std::size_t level) const;
     void choose();
 
--- a/src/Routing/Choice.cpp
+++ b/src/Routing/Choice.cpp
@@ -174,11 +174,10 @@
         slowdown += (report->load.slowdown - 1) * freshness(age, options.slowdownMemory);
         service = report->load.service;
     }
-    const double cold = 1 + (options.coldSlowdown - 1) * (1 - view.warmth(options.warmUp, in.now));
     const double load = view.inFlight() + others;
     const double wait = toSeconds(service) * std::max(0.0, load + 1 - usable) / usable;
     const double work = toSeconds(in.work.of(1).value_or(Duration::zero())) * slowdown;
-    return view.roundTrip() + fromSeconds(wait + work * cold);
+    return view.roundTrip() + fromSeconds(wait + work);
 }
 
 double TimelyChoice::loss(const UpstreamView& view, const ChoiceInput& in) const
--- a/src/Routing/Choice.h
+++ b/src/Routing/Choice.h
@@ -119,8 +119,6 @@
         double lateSpread = 0.12; ///< width of that estimate: work varies by a third
         double farLoss = 0.15; ///< credit that the bytes of a call to another data hall cost
         double delayLoss = 0.1; ///< credit for each target latency that passes, among those in time
-        Duration warmUp = 3s; ///< a new upstream is slower for so long
-        double coldSlowdown = 2; ///< how much, at its start
     };
     Options options {};
     std::size_t operator()(const ChoiceInput& in, Random& random);
--- a/test/AdmissionTest.cpp
+++ b/test/AdmissionTest.cpp
@@ -224,3 +224,19 @@
     }
     REQUIRE(admission.offer(offer(9001, 1, now + 1s), now).run.size() == 1);
 }
+
+TEST_CASE("While the slots of a server are not known, one call runs at a time", "[admission]")
+{
+    // A node that starts beside a running server has asked for its health before it is told of its slots.
+    for (std::size_t i = 0; i < countOf<LimitKind>(); ++i) {
+        auto withLimit = options(12);
+        withLimit.limit = static_cast<LimitKind>(i);
+        Admission admission(withLimit);
+        admission.setSlots(0);
+        const Instant now {};
+        REQUIRE(admission.offer(offer(1, 1, now + 1s), now).run.size() == 1);
+        REQUIRE(admission.offer(offer(2, 1, now + 1s), now).run.empty());
+        admission.setSlots(12);
+        REQUIRE(admission.limit() > 1);
+    }
+}
--- a/test/LearntLimitTest.cpp
+++ b/test/LearntLimitTest.cpp
@@ -1,6 +1,7 @@
-/// \file Limits on concurrency on the loads that they are meant for: servers that slow down when close to full, or
-/// not at all, beside noise. Figures: a knee in the middle and near the top of the slots, with factors that make
-/// the near side or the far side the better one; work of 100 ms that varies by a third, as in the users' sheets.
+/// \file Limits on concurrency on the loads that they are meant for: servers that slow down when close to
+/// full, or not at all, beside noise. Figures: a knee in the middle and near the top of the slots, with
+/// factors that make the near side or the far side the better one; work of 100 ms that varies by a third, as
+/// in the users' sheets.
 
 #include "Core/Random.h"
 #include "Queueing/ConcurrencyLimit.h"
--- a/tools/ctl/CtlOptions.cpp
+++ b/tools/ctl/CtlOptions.cpp
@@ -18,6 +18,7 @@
   status                what is in force, and which nodes are behind
   watch [FROM]          print changes as they come into force
   explain ID LOG...     tell from nodes' logs what became of the request ID
+  losses LOG...         tell from nodes' logs where and why calls were lost
 
 options:
   -s, --server IP:PORT  operator port of any node (default: $ROBINRUN_SERVER)
@@ -26,6 +27,8 @@
   -o, --output FORM     table, json or yaml (default: table)
   -v, --version-match N change only this version (default: the present one)
   -n, --dry-run         check, change nothing
+  -b, --begin TIME      losses: of calls that ended from then on (2026-12-02T10:11:12.000Z)
+  -e, --end TIME        losses: of calls that ended before
   -h, --help            print this
   -V, --version         print the version
 
@@ -56,12 +59,13 @@
     static const option options[] = { { "server", required_argument, nullptr, 's' },
         { "token", required_argument, nullptr, 't' }, { "file", required_argument, nullptr, 'f' },
         { "output", required_argument, nullptr, 'o' }, { "version-match", required_argument, nullptr, 'v' },
+        { "begin", required_argument, nullptr, 'b' }, { "end", required_argument, nullptr, 'e' },
         { "dry-run", no_argument, nullptr, 'n' }, { "help", no_argument, nullptr, 'h' },
         { "version", no_argument, nullptr, 'V' }, { nullptr, 0, nullptr, 0 } };
     out.server = fromEnvironment("ROBINRUN_SERVER");
     out.token = fromEnvironment("ROBINRUN_TOKEN");
     int c = 0;
-    while ((c = getopt_long(argc, argv, "s:t:f:o:v:nhV", options, nullptr)) != -1) {
+    while ((c = getopt_long(argc, argv, "s:t:f:o:v:b:e:nhV", options, nullptr)) != -1) {
         switch (c) {
         case 's':
             out.server = optarg;
@@ -78,6 +82,12 @@
         case 'v':
             out.version = optarg;
             break;
+        case 'b':
+            out.begin = optarg;
+            break;
+        case 'e':
+            out.end = optarg;
+            break;
         case 'n':
             out.isDryRun = true;
             break;
@@ -95,7 +105,8 @@
     out.words.assign(argv + optind, argv + argc);
     if (out.output != "table" && out.output != "json" && out.output != "yaml")
         return fail("--output: '" + out.output + "' is not one of table, json, yaml", badUsage);
-    const bool needsServer = out.words.empty() || out.words[0] != "explain";
+    const bool readsLogs = !out.words.empty() && (out.words[0] == "explain" || out.words[0] == "losses");
+    const bool needsServer = !readsLogs;
     if (needsServer && !isAddress(out.server))
         return fail("--server: '" + out.server + "' is not an IPv4 address and port", badUsage);
     return std::nullopt;
--- a/tools/ctl/CtlOptions.h
+++ b/tools/ctl/CtlOptions.h
@@ -18,6 +18,8 @@
     std::string file; ///< resources to apply
     std::string output = "table"; ///< table, json or yaml
     std::string version; ///< only this one is changed; "" for the present one
+    std::string begin; ///< of the span of time for losses; "" for all
+    std::string end;
     bool isDryRun = false;
     std::vector<std::string> words; ///< the command and its arguments
 };
--- a/tools/robinrunctl.cpp
+++ b/tools/robinrunctl.cpp
@@ -1,6 +1,8 @@
 /// \file The operators' command line.
 
 #include "Client/Explain.h"
+#include "Client/LogLine.h"
+#include "Client/Losses.h"
 #include "Client/OperatorClient.h"
 #include "ctl/CtlApply.h"
 #include "ctl/CtlOptions.h"
@@ -12,6 +14,7 @@
 #include <iostream>
 #include <sstream>
 #include <string>
+#include <tuple>
 #include <vector>
 #include <yaml-cpp/yaml.h>
 
@@ -78,18 +81,50 @@
     }
 }
 
-int explainRequest(const CtlOptions& options)
+/// \returns the texts of the files named from word \a first on; the error is a message.
+Result<std::vector<std::string>, std::string> readLogs(const CtlOptions& options, std::size_t first)
 {
     std::vector<std::string> logs;
-    for (auto it = options.words.begin() + 2; it != options.words.end(); ++it) {
-        std::ifstream in(*it);
+    for (std::size_t i = first; i < options.words.size(); ++i) {
+        std::ifstream in(options.words[i]);
         if (!in)
-            return fail("can't read " + *it, badUsage);
+            return failure("can't read " + options.words[i]);
         std::ostringstream text;
         text << in.rdbuf();
         logs.push_back(text.str());
     }
-    const auto story = explain(options.words[1], logs);
+    return logs;
+}
+
+int losses(const CtlOptions& options)
+{
+    LossSpan span;
+    for (const auto& [name, text, ms] : { std::tuple { "--begin", options.begin, &span.beginMs },
+             std::tuple { "--end", options.end, &span.endMs } }) {
+        if (text.empty())
+            continue;
+        const auto at = parseLogTime(text);
+        if (!at)
+            return fail(
+                std::string(name) + ": '" + text + "' is no time like 2026-12-02T10:11:12.000Z", badUsage);
+        *ms = *at;
+    }
+    const auto logs = readLogs(options, 1);
+    if (!logs)
+        return fail(logs.error(), badUsage);
+    const auto found = findLosses(logs.value(), span);
+    if (!found)
+        return fail(options.words[1 + found.error().log] + ": " + found.error().message, badUsage);
+    std::cout << showLosses(found.value());
+    return EXIT_SUCCESS;
+}
+
+int explainRequest(const CtlOptions& options)
+{
+    const auto logs = readLogs(options, 2);
+    if (!logs)
+        return fail(logs.error(), badUsage);
+    const auto story = explain(options.words[1], logs.value());
     if (!story)
         return fail(story.error().message);
     std::cout << story.value();
@@ -102,6 +137,8 @@
     const auto n = options.words.size();
     if (command == "explain" && n >= 3)
         return explainRequest(options);
+    if (command == "losses" && n >= 2)
+        return losses(options);
     OperatorClient client(options.server, options.token);
     if (command == "get" && n == 2)
         return get(client, options);
