The chance of an answer to be late comes from the observed spread of answers

Cause: two constants stood for it (late half of the time at 0.85 of the target, a spread of 0.12), fitted to work that varies by a third and noise of the users' servers. Change: LateChance keeps the ratios of times taken to times expected, by class, at each ingress.

--- a/bench/shared/SharedRun.cpp
+++ b/bench/shared/SharedRun.cpp
@@ -117,6 +117,8 @@
         call.asksLeft = 0;
     call.upstream = m_byName.at(*name);
     call.slowdownWhenSent = router.slowdownOf(*name);
+    call.sent = m_loop.now();
+    call.expected = router.expectedAt(*name, needsOf(call), m_loop.now());
     router.sent(*name, group);
     const auto hall = m_upstreams[call.upstream].hall;
     m_tally.far += hall != ingress.hall;
@@ -217,6 +219,7 @@
     if (reason != Reason::None && reason != Reason::BackendFailed)
         return refused(id, reason);
     router.measuredWork(classNames[call.service], held, call.slowdownWhenSent);
+    router.took(classNames[call.service], m_loop.now() - call.sent, call.expected);
     finish(id, std::nullopt);
 }
 
--- a/bench/shared/SharedRun.h
+++ b/bench/shared/SharedRun.h
@@ -72,6 +72,8 @@
         std::vector<std::string> tried;
         std::size_t upstream = 0; ///< where it is now
         double slowdownWhenSent = 1;
+        Instant sent {};
+        Duration expected {}; ///< as the router expected it when sent
         Instant started {};
         CallId parent = 0; ///< 0: a caller's own
         std::uint32_t nestedLeft = 0;
--- a/src/Client/Losses.cpp
+++ b/src/Client/Losses.cpp
@@ -87,7 +87,8 @@
         if (end.event == "request-refused")
             return causeOfRefusal(end.text("reason"));
         if (end.event == "request-unknown")
-            return end.text("reason") == nameOf(Reason::DeadlinePassed) ? LossCause::OutOfTime : LossCause::CutOff;
+            return end.text("reason") == nameOf(Reason::DeadlinePassed) ? LossCause::OutOfTime
+                                                                        : LossCause::CutOff;
         if (end.number("status") >= firstServerError)
             return end.number("left_ms") <= 0 ? LossCause::OutOfTime : LossCause::ServerFailed;
         if (end.number("late"))
@@ -192,8 +193,8 @@
         const auto worst = clockTime(it.worstSecondMs) + " (" + std::to_string(it.inWorstSecond) + ")";
         out << std::left << std::setw(24) << nameOf(it.cause) << std::setw(28)
             << (it.route + (it.isNested ? " (nested)" : "")) << std::right << std::setw(7) << it.calls << "  "
-            << std::left << std::setw(18) << worst << std::setw(16) << (it.upstream.empty() ? "-" : it.upstream)
-            << it.example << '\n';
+            << std::left << std::setw(18) << worst << std::setw(16)
+            << (it.upstream.empty() ? "-" : it.upstream) << it.example << '\n';
     }
     return out.str();
 }
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -340,6 +340,7 @@
     }
     auto& router = *m_routers.at(call.request.service);
     const auto number = ++m_lastNumber;
+    const auto expected = router.expectedAt(upstream, needsOf(call, now), now);
     const auto elsewhere = router.sent(upstream, call.request.groupNumber);
     proto::PeerMessage message;
     *message.mutable_call() = envelope(call, *info, elsewhere, now);
@@ -348,7 +349,7 @@
     // The owner may answer inside take(): the attempt must stand before that.
     const auto address = isOwn ? std::string() : info->config.node_address();
     call.out.push_back({ number, upstream, info->config.host(), address, message.call().owner_incarnation(),
-        now, router.slowdownOf(upstream), router.workClockOf(upstream, now) });
+        now, router.slowdownOf(upstream), router.workClockOf(upstream, now), expected });
     call.tried.push_back(upstream);
     if (isOwn)
         noteChoice(call, upstream, number, now);
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -90,6 +90,7 @@
         Instant sent {};
         double slowdown = 1; ///< of the upstream, as known when sent
         Duration workClock {}; ///< of the upstream, when sent
+        Duration expected {}; ///< time until the answer, as it was expected when sent
     };
     struct Call {
         std::unique_ptr<HttpExchange> exchange;
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -66,6 +66,7 @@
     if (answer.outcome() == proto::ANSWERED && answer.status() < firstError) {
         const auto& callClass = call.request.callClass.name;
         router.measuredWork(callClass, held, attempt.slowdown);
+        router.took(callClass, now - attempt.sent, attempt.expected);
         // Time in the owner's queue was no work.
         const double ran = toSeconds(held) / std::max(toSeconds(now - attempt.sent), toSeconds(held));
         const double work = toSeconds(workDone(call, attempt, now));
--- a/src/Routing/Choice.cpp
+++ b/src/Routing/Choice.cpp
@@ -1,5 +1,7 @@
 #include "Routing/Choice.h"
 
+#include "Core/Check.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -182,11 +184,12 @@
 
 double TimelyChoice::loss(const UpstreamView& view, const ChoiceInput& in) const
 {
-    const double seconds = toSeconds(expected(view, in));
+    const auto time = expected(view, in);
     if (in.targetLatency <= Duration::zero())
-        return seconds;
-    const double part = seconds / toSeconds(in.targetLatency);
-    const double late = 1 / (1 + std::exp((options.latePoint - part) / options.lateSpread));
+        return toSeconds(time);
+    require(in.lateChance, "TimelyChoice: the chance to be late is known");
+    const double part = toSeconds(time) / toSeconds(in.targetLatency);
+    const double late = in.lateChance->of(time, in.targetLatency);
     const double failed = 1 - (1 - late) * (1 - view.errorShare(in.now));
     return failed + options.delayLoss * part + (view.isFar() ? options.farLoss : 0);
 }
--- a/src/Routing/Choice.h
+++ b/src/Routing/Choice.h
@@ -4,6 +4,7 @@
 #include "Core/Random.h"
 #include "Core/Time.h"
 #include "Queueing/WorkEstimate.h"
+#include "Routing/LateChance.h"
 #include "Routing/UpstreamView.h"
 
 #include <cstddef>
@@ -38,6 +39,7 @@
     std::uint32_t group = 0;
     Duration targetLatency {}; ///< what is left of it; 0: none
     WorkEstimate work {}; ///< slot times of such calls
+    const LateChance* lateChance = nullptr; ///< of such calls; needed where there is a target latency
 };
 
 /// \brief Uniform choice, blind to load.
@@ -115,8 +117,6 @@
     struct Options {
         Duration slowdownMemory = 1s; ///< time constant, in case that the news of its end is lost
         Duration loadMemory = 500ms; ///< time constant for others' calls
-        double latePoint = 0.85; ///< part of the target latency at which an answer is late half of the time
-        double lateSpread = 0.12; ///< width of that estimate: work varies by a third
         double farLoss = 0.15; ///< credit that the bytes of a call to another data hall cost
         double delayLoss = 0.1; ///< credit for each target latency that passes, among those in time
     };
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -88,27 +88,38 @@
 
 void ServiceRouter::measuredWork(std::string_view callClass, Duration held, double slowdown)
 {
-    auto it = m_work.find(callClass);
-    if (it == m_work.end())
-        it = m_work.emplace(std::string(callClass), WorkEstimate()).first;
-    it->second.add(held, slowdown);
+    viewOfClass(callClass).work.add(held, slowdown);
+}
+
+void ServiceRouter::took(std::string_view callClass, Duration actual, Duration expected)
+{
+    viewOfClass(callClass).lateChance.took(actual, expected);
+}
+
+ServiceRouter::ClassView& ServiceRouter::viewOfClass(std::string_view callClass)
+{
+    auto it = m_classes.find(callClass);
+    if (it == m_classes.end())
+        it = m_classes.emplace(std::string(callClass), ClassView()).first;
+    return it->second;
 }
 
 Duration ServiceRouter::usualWork(std::string_view callClass, Duration targetLatency) const
 {
-    const auto it = m_work.find(callClass);
+    const auto it = m_classes.find(callClass);
     const auto guess = fromSeconds(toSeconds(targetLatency) * unknownWorkShare);
-    return it == m_work.end() ? guess : it->second.of(1).value_or(guess);
+    return it == m_classes.end() ? guess : it->second.work.of(1).value_or(guess);
 }
 
 ChoiceInput ServiceRouter::inputFor(const RouteNeeds& needs, Instant now) const
 {
-    const auto it = m_work.find(needs.callClass);
+    const auto it = m_classes.find(needs.callClass);
+    const bool isKnown = it != m_classes.end();
     WorkEstimate work;
-    if (it == m_work.end())
+    if (!isKnown)
         work.add(usualWork(needs.callClass, needs.targetLatency), 1);
-    return { m_views, m_candidates, now, needs.group, needs.targetLatency,
-        it == m_work.end() ? work : it->second };
+    return { m_views, m_candidates, now, needs.group, needs.targetLatency, isKnown ? it->second.work : work,
+        isKnown ? &it->second.lateChance : &m_unknownChance };
 }
 
 Duration ServiceRouter::expectedAt(const std::string& upstream, const RouteNeeds& needs, Instant now)
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -78,6 +78,9 @@
     /// \returns how long a call is expected to take at \a upstream, by the figures of TimelyChoice.
     Duration expectedAt(const std::string& upstream, const RouteNeeds& needs, Instant now);
 
+    /// \brief An answer to a call of \a callClass took \a actual where expectedAt() was \a expected.
+    void took(std::string_view callClass, Duration actual, Duration expected);
+
     /// \returns the slow-down last told of \a upstream.
     double slowdownOf(const std::string& upstream);
 
@@ -160,6 +163,12 @@
 
     UpstreamView* viewOf(const std::string& name);
     ChoiceInput inputFor(const RouteNeeds& needs, Instant now) const;
+    /// \brief What is known of the calls of one class.
+    struct ClassView {
+        WorkEstimate work;
+        LateChance lateChance;
+    };
+    ClassView& viewOfClass(std::string_view callClass);
     RetryBudget& budgetOf(std::uint32_t group);
     void setRetryBounds(double fraction, double burst);
     void endPauses(Instant now);
@@ -171,7 +180,8 @@
     Options m_options;
     Choice m_choice;
     LatencySketch m_latency;
-    std::map<std::string, WorkEstimate, std::less<>> m_work; ///< by class
+    std::map<std::string, ClassView, std::less<>> m_classes;
+    LateChance m_unknownChance; ///< of classes without any answer yet
     RemainingTime m_remaining;
     Ejection m_ejection;
     std::vector<UpstreamView> m_views;
