Mechanisms can be switched off one by one, to measure what each is worth

The settings block `experiments` takes a flag for each of seven mechanisms (asking owners first, telling slow-downs, giving up hopeless calls, second attempts, ejection, nested calls first, probes while slow); all are on by default, and the log says at the start which are not (mechanism-off). A switch that is none, or no flag, is an error with field and line, as for all settings.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -9,6 +9,7 @@
     constexpr std::array events {
         // The process and what it depends on.
         LogEventInfo { "started", "incarnation", "the process serves from now on" },
+        LogEventInfo { "mechanism-off", "mechanism", "switched off by `experiments` in the settings" },
         LogEventInfo { "start-failed", "error", "a socket could not be bound, or settings make no sense" },
         LogEventInfo { "stopped", "", "the process ends in order" },
         LogEventInfo { "stop-asked", "in_progress upstream_leaving", "SIGTERM or SIGINT came" },
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -101,7 +101,7 @@
     call.attemptsLeft = call.request.attempts;
     call.ticket = call.request.ticket;
     if (call.request.isByRoute && call.request.callClass.targetLatency > Duration::zero())
-        call.asksLeft = maxAsks;
+        call.asksLeft = m_context->settings.experiments.isOn(Mechanism::AskFirst) ? maxAsks : 0;
     noteRoute(call, now);
     call.exchange->onHangUp([this, id] { hungUp(id); });
     call.deadlineTimer
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -104,7 +104,8 @@
 
 bool Ingress::mayHedge(const Call& call, Instant now) const
 {
-    return isRepeatable(call) && !call.isMinting && call.attemptsLeft > 1 && now < call.deadline;
+    return m_context->settings.experiments.isOn(Mechanism::SecondAttempts) && isRepeatable(call)
+        && !call.isMinting && call.attemptsLeft > 1 && now < call.deadline;
 }
 
 void Ingress::sendSecond(CallId id, Call& call, const std::string& upstream, Instant now)
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -115,7 +115,8 @@
     m_seen.forgetSilent(now);
     std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
-    act(m_admission.giveUpHopeless(now), now);
+    if (m_context->settings.experiments.isOn(Mechanism::GiveUpHopeless))
+        act(m_admission.giveUpHopeless(now), now);
     if (m_pool)
         probeBackend(now);
 }
@@ -274,7 +275,8 @@
     const auto& terms = call.terms();
     offer.callClass = m_classNumbers(call.call_class());
     // A call made for another one goes first: that one holds a slot while it waits, and its work is done.
-    offer.priority = terms.nested() ? priorityOfNested : terms.priority() + 1;
+    const bool goesFirst = terms.nested() && m_context->settings.experiments.isOn(Mechanism::NestedFirst);
+    offer.priority = goesFirst ? priorityOfNested : terms.priority() + 1;
     if (!terms.nested())
         offer.inTimeUntil = now + Duration(terms.target_latency_us());
     else
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -40,9 +40,9 @@
         return probe(now);
     }
     const auto load = m_admission.load(now);
-    if (isSlow(load.slowdown) && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow)) {
+    const bool asksWhileSlow = m_context->settings.experiments.isOn(Mechanism::ProbeWhileSlow);
+    if (asksWhileSlow && isSlow(load.slowdown) && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow))
         return probe(now);
-    }
     const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
     const bool isStarted
         = m_prober.tryProbe(*m_pool, freeSlots, load.waiting, now, [this](const ProbeNews& news, Duration) {
@@ -106,7 +106,7 @@
 
 void Owner::tellLoad(Instant now)
 {
-    if (!m_tellLoad)
+    if (!m_tellLoad || !m_context->settings.experiments.isOn(Mechanism::TellLoads))
         return;
     std::size_t told = 0;
     for (const auto& [node, ingress] : m_ingresses) {
--- a/src/Routing/LateChance.h
+++ b/src/Routing/LateChance.h
@@ -9,9 +9,9 @@
 
 /// \brief How likely an answer is to be late, from how far earlier ones were off what was expected of them.
 ///
-/// Work varies from call to call, and servers turn slow while a call runs; by how much differs from class to class. Kept
-/// are the ratios of the time that answers took to the time that was expected, in a histogram over their
-/// logarithms in which older ones count less. Before any answer, work is taken to vary by a third.
+/// Work varies from call to call, and servers turn slow while a call runs; by how much differs from class to
+/// class. Kept are the ratios of the time that answers took to the time that was expected, in a histogram
+/// over their logarithms in which older ones count less. Before any answer, work is taken to vary by a third.
 /// Cost: O(bins) an answer, O(bins) a reading; 350 bytes.
 class LateChance {
 public:
@@ -20,7 +20,8 @@
     /// \brief An answer took \a actual where \a expected was expected; both above 0.
     void took(Duration actual, Duration expected);
 
-    /// \returns the chance, in [0, 1], that an answer of which \a expected is expected takes more than \a allowed.
+    /// \returns the chance, in [0, 1], that an answer of which \a expected is expected takes more than \a
+    /// allowed.
     double of(Duration expected, Duration allowed) const;
 
 private:
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -192,8 +192,10 @@
     if (now >= m_nextJudgement) {
         m_nextJudgement = now + judgementEvery;
         endPauses(now);
-        for (const auto i : m_ejection.update(m_views, now))
-            m_views[i].restartWarmUp(now);
+        if (m_options.ejects) {
+            for (const auto i : m_ejection.update(m_views, now))
+                m_views[i].restartWarmUp(now);
+        }
     }
     m_excluded.clear();
     for (const auto& it : excluded) {
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -44,6 +44,7 @@
     struct Options {
         ChoiceKind kind = ChoiceKind::ExpectedDelay;
         Ejection::Options ejection {};
+        bool ejects = true; ///< whether upstreams that fail often are left out
         double retryFraction = 0.1;
         double retryBurst = 10;
         Duration lostFor = 1s; ///< how long an upstream whose node doesn't answer is left out at first
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -101,6 +101,16 @@
         reader.finish();
     }
 
+    void readExperiments(YamlReader reader, NodeSettings& out)
+    {
+        for (std::size_t i = 0; i < countOf<Mechanism>(); ++i) {
+            const auto mechanism = static_cast<Mechanism>(i);
+            if (!reader.flag(std::string(nameOf(mechanism)), true))
+                out.experiments.switchOff(mechanism);
+        }
+        reader.finish();
+    }
+
     void readClaims(YamlReader reader, NodeSettings& out)
     {
         out.claims.partitions = reader.count("partitions", 1, 4096, 8);
@@ -157,6 +167,7 @@
     readRetries(reader.section("retries"), out);
     readPeers(reader.section("peers"), out);
     readAdmission(reader.section("admission"), out);
+    readExperiments(reader.section("experiments"), out);
     readClaims(reader.section("claims"), out);
     readControl(reader.section("control"), out);
     readTokens(reader, out);
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -4,6 +4,7 @@
 #include "Core/Result.h"
 #include "Core/Time.h"
 #include "Routing/Choice.h"
+#include "Settings/Mechanism.h"
 #include "Settings/YamlReader.h"
 
 #include <cstdint>
@@ -112,6 +113,8 @@
         Duration writeWait {}; ///< how long the API waits for the fate of a change
     } control;
 
+    Experiments experiments; ///< mechanisms switched off, to measure what they are worth
+
     Duration drainTimeout {};
     Duration lameDuck {}; ///< after a stop is asked for, calls are still taken: callers learn of it late
 
--- a/test/LateChanceTest.cpp
+++ b/test/LateChanceTest.cpp
@@ -1,8 +1,8 @@
-/// \file The chance to be late, on spreads of work it was not made for: a third, as in the users' sheets, and wider ones
-/// of two kinds of answers. Bounds of half a tenth: the width of the bins.
+/// \file The chance to be late, on spreads of work it was not made for: a third, as in the users' sheets, and
+/// wider ones of two kinds of answers. Bounds of half a tenth: the width of the bins.
 
-#include "Core/Random.h"
 #include "Routing/LateChance.h"
+#include "Core/Random.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -164,3 +164,30 @@
     REQUIRE(leaving.isLeaving());
     REQUIRE(leaving.set(LeavingSign::Operator, false) == LifeState::Active);
 }
+
+TEST_CASE("Mechanisms are on but for those that the block of experiments switches off", "[settings]")
+{
+    auto settings = [] {
+        const TemporaryFile plain(goodNode);
+        return NodeSettings::load(plain.path());
+    }();
+    for (std::size_t i = 0; i < countOf<Mechanism>(); ++i)
+        REQUIRE(settings.value().experiments.isOn(static_cast<Mechanism>(i)));
+    const TemporaryFile changed(goodNode + "experiments: {ask_first: false, ejection: true}\n");
+    settings = NodeSettings::load(changed.path());
+    REQUIRE_FALSE(settings.value().experiments.isOn(Mechanism::AskFirst));
+    REQUIRE(settings.value().experiments.isOn(Mechanism::Ejection));
+}
+
+TEST_CASE(
+    "A switch that is none, or is neither on nor off, is an error with its field and line", "[settings]")
+{
+    const auto unknown = errorsOf(goodNode + "experiments: {ask_last: false}\n");
+    REQUIRE(has(unknown, "experiments.ask_last"));
+    REQUIRE(has(unknown, ":6"));
+    const auto unclear = errorsOf(goodNode + "experiments: {ask_first: perhaps}\n");
+    REQUIRE(has(unclear, "experiments.ask_first"));
+    const auto kind = errorsOf(goodNode + "admission: {limit: guessed}\n");
+    REQUIRE(has(kind, "admission.limit"));
+    REQUIRE(has(kind, "learnt"));
+}
--- a/tools/CommandLine.h
+++ b/tools/CommandLine.h
@@ -139,6 +139,17 @@
     }
 }
 
+/// \brief Starts the log, and says in it which mechanisms are switched off.
+inline void startNodeLog(const NodeSettings& settings)
+{
+    startLog(logOptions(settings));
+    for (std::size_t i = 0; i < countOf<Mechanism>(); ++i) {
+        const auto mechanism = static_cast<Mechanism>(i);
+        if (!settings.experiments.isOn(mechanism))
+            log(LogLevel::Warning, "mechanism-off", { { "mechanism", nameOf(mechanism) } });
+    }
+}
+
 /// \brief Runs the loop of a node that has started until something ends it. \returns the exit status.
 inline int runLoop(event_base* base, std::uint64_t incarnation)
 {
--- a/tools/robinrun-mesh.cpp
+++ b/tools/robinrun-mesh.cpp
@@ -23,7 +23,7 @@
 
 int run(const std::string& file, NodeSettings settings, Charts charts)
 {
-    startLog(tools::logOptions(settings));
+    tools::startNodeLog(settings);
     const auto base = makeLoop();
     const auto incarnation = tools::makeIncarnation();
     auto store
--- a/tools/robinrun-node.cpp
+++ b/tools/robinrun-node.cpp
@@ -17,7 +17,7 @@
 
 int run(const std::string& file, NodeSettings settings, Charts charts)
 {
-    startLog(tools::logOptions(settings));
+    tools::startNodeLog(settings);
     const auto base = makeLoop();
     const auto incarnation = tools::makeIncarnation();
     auto node = Node::start(base.get(), std::move(settings), std::move(charts), incarnation);
