--- a/bench/decisions/decisions-main.cpp
+++ b/bench/decisions/decisions-main.cpp
@@ -43,6 +43,32 @@
         router.answered(name, 1, exampleReport(random, now), 10ms, false, now);
     }
 }
+/// One call that ended, for a limit that is learnt over n slots; every fourth chooses anew.
+void learnLimit(benchmark::State& state)
+{
+    const auto slots = static_cast<std::uint32_t>(state.range(0));
+    LearntLimit limit(slots);
+    Random random(1);
+    for (auto _ : state) {
+        const auto inUse = static_cast<std::uint32_t>(1 + random.below(limit.limit()));
+        limit.ended({ 1, inUse, limit.limit(), Duration(100000 + random.below(50000)), 400ms });
+        benchmark::DoNotOptimize(limit.limit());
+    }
+}
+
+/// The chance of one answer to be late, and one answer learnt from.
+void judgeLateness(benchmark::State& state)
+{
+    LateChance chance;
+    Random random(1);
+    for (auto _ : state) {
+        chance.took(Duration(50000 + random.below(100000)), 100ms);
+        benchmark::DoNotOptimize(chance.of(100ms, 150ms));
+    }
+}
+
+BENCHMARK(learnLimit)->Arg(4)->Arg(18)->Arg(200);
+BENCHMARK(judgeLateness);
 BENCHMARK(choose)->Arg(4)->Arg(20)->Arg(100)->Arg(1000);
 
 /// One call through a full owner with n groups waiting: enqueue, dequeue, settle.
--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -66,6 +66,7 @@
     if (!router) {
         ServiceRouter::Options options;
         options.kind = m_context->settings.choice.kind;
+        options.farLoss = m_context->settings.choice.farLoss;
         options.ejects = m_context->settings.experiments.isOn(Mechanism::Ejection);
         options.retryFraction = service.config.retry_fraction();
         router = std::make_unique<ServiceRouter>(options);
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -18,6 +18,8 @@
     , m_choice(makeChoice(options.kind))
     , m_ejection(options.ejection)
 {
+    if (auto* timely = std::get_if<TimelyChoice>(&m_choice))
+        timely->options.farLoss = options.farLoss;
 }
 
 UpstreamView* ServiceRouter::viewOf(const std::string& name)
--- a/src/Settings/Mechanism.h
+++ b/src/Settings/Mechanism.h
@@ -8,8 +8,8 @@
 
 namespace robinrun {
 
-/// \brief Mechanisms that an experiment can switch off, to measure what each is worth. The names are those of the
-/// settings block `experiments`.
+/// \brief Mechanisms that an experiment can switch off, to measure what each is worth. The names are those of
+/// the settings block `experiments`.
 enum class Mechanism {
     AskFirst, ///< owners are asked to run a call at once before one may wait
     TellLoads, ///< owners tell ingresses of a changed slow-down by themselves
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -88,6 +88,9 @@
         std::uint64_t subset = 0; ///< upstreams of a service to keep connections to
         Duration hallRoundTrip {}; ///< first guess, until measured
         Duration regionRoundTrip {};
+        /// What an answer from another data hall is worth less, as a part of one in time: its bytes have a
+        /// price.
+        double farLoss = 0;
         Duration attemptTimeout {}; ///< after which a repeatable call may be sent to another upstream
     } choice;
 
