--- a/src/Client/Losses.cpp
+++ b/src/Client/Losses.cpp
@@ -176,6 +176,7 @@
         ++count.byUpstream[story.upstream];
     }
     std::vector<Loss> out;
+    out.reserve(counts.size());
     for (const auto& [key, count] : counts)
         out.push_back(summaryOf(count));
     std::stable_sort(out.begin(), out.end(), [](const Loss& a, const Loss& b) { return a.calls > b.calls; });
