--- a/src/Queueing/LearntLimit.h
+++ b/src/Queueing/LearntLimit.h
@@ -27,7 +27,7 @@
 ///
 /// What it buys, in calls answered in time as a part of those with the best fixed limit of the same load,
 /// mean of 392 loads in virtual time (bench/limits): 0.88, where 0.8 of the slots gives 0.78, a gradient of
-/// work time 0.76 and additive increase 0.76. Where the best share is known beforehand it costs 1.5 to 4 %.
+/// work time 0.76 and additive increase 0.76. Where the best share is known beforehand it costs 1.5 to 3.5 %.
 ///
 /// Caveat: a server that slows all its running calls at once when one more starts is seen less well than one
 /// that slows those which start then. Cost: O(1) a call, and O(levels + bins) every few calls; about 1 KB.
