--- a/src/Queueing/LearntLimit.h
+++ b/src/Queueing/LearntLimit.h
@@ -30,7 +30,7 @@
 /// work time 0.76 and additive increase 0.76. Where the best share is known beforehand it costs 1.5 to 3.5 %.
 ///
 /// Caveat: a server that slows all its running calls at once when one more starts is seen less well than one
-/// that slows those which start then. Cost: O(1) a call, and O(levels + bins) every few calls; about 1 KB.
+/// that slows those which start then. Cost: O(levels + bins) a call; about 1 KB.
 class LearntLimit {
 public:
     /// \param slots of the backend server, at least 1.
