Sight: how long a read of the store has been out, and which peer was asked for a copy and what was sent

Change: gauge robinrun_store_read_seconds, read_ms at store-lost and store-reached, events configuration-asked and configuration-sent; no decision is changed. Measured: tests of log events, mesh, gossip and the operations page pass (5 of 5 entries).

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -16,8 +16,8 @@
         LogEventInfo { "node-state", "state cause", "the node's life moved on" },
         LogEventInfo { "reloaded", "file", "the settings were read again" },
         LogEventInfo { "reload-refused", "field error", "the settings are bad; the old ones stay in force" },
-        LogEventInfo { "store-reached", "topic why next", "the store answers (again)" },
-        LogEventInfo { "store-lost", "topic why next", "a read of the store failed" },
+        LogEventInfo { "store-reached", "topic why next read_ms", "the store answers (again)" },
+        LogEventInfo { "store-lost", "topic why next read_ms", "a read of the store failed" },
         LogEventInfo { "topic-forgotten", "topic from", "records were no longer kept; the newest are read" },
         LogEventInfo { "record-not-written", "topic key error message", "a write failed; it is made again" },
         LogEventInfo { "peer-lost", "peer", "a link ended; what was out there gets no answer" },
@@ -34,6 +34,8 @@
             "lines-dropped", "lines over_bound", "lines that were not written since the last such" },
         // What the node believes.
         LogEventInfo { "configuration-adopted", "version before source resources", "in force from now on" },
+        LogEventInfo { "configuration-asked", "peer version", "a peer was asked for its copy" },
+        LogEventInfo { "configuration-sent", "peer version bytes sent", "a peer has asked for the copy" },
         LogEventInfo { "configuration-refused", "source error in_force", "can't be read; the old one stays" },
         LogEventInfo {
             "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -234,6 +234,10 @@
     metrics.gauge("robinrun_store_connected", [this] { return m_configFeed->isConnected() ? 1.0 : 0.0; });
     metrics.gauge(
         "robinrun_follows_configuration", [this] { return m_configFeed->isFollowing() ? 1.0 : 0.0; });
+    metrics.gauge("robinrun_store_read_seconds{kind=\"read-configuration\"}",
+        [this] { return toSeconds(m_configFeed->readingFor(monotonicNow())); });
+    metrics.gauge("robinrun_store_read_seconds{kind=\"read-nodes\"}",
+        [this] { return toSeconds(m_nodesFeed->readingFor(monotonicNow())); });
     addStoreGauges("read-configuration", *m_configFeed);
     addStoreGauges("read-nodes", *m_nodesFeed);
     addStoreGauges("write-node", *m_writer);
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -225,7 +225,10 @@
     proto::PeerMessage message;
     message.mutable_config_copy()->set_version(m_config.version());
     message.mutable_config_copy()->set_text(m_config.text());
-    m_peers->answer(sender, message, now);
+    const auto n = std::uint64_t { m_config.text().size() };
+    const bool isSent = m_peers->answer(sender, message, now);
+    log(LogLevel::Info, "configuration-sent",
+        { { "peer", sender.node }, { "version", m_config.version() }, { "bytes", n }, { "sent", isSent } });
 }
 
 void MeshNode::pullIfDue(Instant now)
@@ -236,8 +239,11 @@
     proto::PeerMessage message;
     message.mutable_config_request()->set_newer_than(m_config.version());
     // Over a link that is just being opened it is sent with the next tick.
-    if (m_peers->send(*address, message, now) != SendResult::Connecting)
-        m_pulls.asked(*address, now);
+    if (m_peers->send(*address, message, now) == SendResult::Connecting)
+        return;
+    log(LogLevel::Info, "configuration-asked",
+        { { "peer", *address }, { "version", m_pulls.newestHeard() } });
+    m_pulls.asked(*address, now);
 }
 
 } // namespace robinrun
--- a/src/Mesh/PullPlan.h
+++ b/src/Mesh/PullPlan.h
@@ -37,6 +37,9 @@
     /// \returns the address of the peer to ask now, until asked() tells that it was.
     std::optional<std::string> due(bool readsStore, Instant now) const;
 
+    /// \returns the newest version that a peer has; 0 if none is newer than the own one.
+    std::uint64_t newestHeard() const { return m_version; }
+
     /// \brief The peer at \a address was asked. If it doesn't answer, the next one that has it is asked.
     void asked(const std::string& address, Instant now);
 
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -28,9 +28,16 @@
     *m_isAlive = false;
 }
 
-void TopicFollower::readNewest()
+void TopicFollower::noteSent()
 {
     ++m_calls;
+    m_isReading = true;
+    m_sent = monotonicNow();
+}
+
+void TopicFollower::readNewest()
+{
+    noteSent();
     m_store->newest(
         m_options.topic, [this, isAlive = m_isAlive](const Result<KeyedPage, PlatformError>& page) {
             if (!*isAlive)
@@ -71,7 +78,7 @@
 
 void TopicFollower::readOn()
 {
-    ++m_calls;
+    noteSent();
     // Nodes that started together don't read together: one of them hears early and tells the others.
     m_store->follow(m_options.topic, m_next, fromSeconds(toSeconds(m_options.wait) * jitter()),
         [this, isAlive = m_isAlive](const Result<KeyedPage, PlatformError>& page) {
@@ -82,6 +89,7 @@
 
 void TopicFollower::handle(const Result<KeyedPage, PlatformError>& page)
 {
+    m_isReading = false;
     if (!page)
         return failed(page.error());
     m_retry = {};
@@ -121,7 +129,8 @@
         return;
     m_hasToldLost = !isConnected;
     log(isConnected ? LogLevel::Info : LogLevel::Warning, isConnected ? "store-reached" : "store-lost",
-        { { "topic", m_options.topic }, { "why", why }, { "next", m_next } });
+        { { "topic", m_options.topic }, { "why", why }, { "next", m_next },
+            { "read_ms", toMilliseconds(monotonicNow() - m_sent) } });
 }
 
 } // namespace robinrun
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -53,6 +53,9 @@
     /// \returns whether a read is out and the store answered the last one.
     bool isFollowing() const { return m_isConnected && !m_isResting; }
 
+    /// \returns how long the read that is out has been; zero if none is.
+    Duration readingFor(Instant now) const { return m_isReading ? now - m_sent : Duration::zero(); }
+
     /// \returns whether everything that was there at the start has been read.
     bool isCaughtUp() const { return m_isCaughtUp; }
     /// \returns whether the last call succeeded.
@@ -63,6 +66,7 @@
     std::uint64_t failures() const { return m_failures; }
 
 private:
+    void noteSent();
     void readNewest();
     void readOn();
     void readAgain();
@@ -85,6 +89,8 @@
     bool m_hasToldLost = false;
     bool m_isResting = false;
     bool m_isPausing = false; ///< between an answer and the next read
+    bool m_isReading = false;
+    Instant m_sent {}; ///< when the last read was
     Duration m_retry {}; ///< the last pause after a failure; zero after a success
     Timer m_again;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
