--- a/test/TestMain.cpp
+++ b/test/TestMain.cpp
@@ -3,10 +3,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <cstdlib>
 
 int main(int argc, char** argv)
 {
+    std::signal(SIGPIPE, SIG_IGN); // as the programs do: peers and proxies end connections at any time
     // Tests bring about what would be logged: nothing is.
     robinrun::startLog({ static_cast<robinrun::LogLevel>(robinrun::countOf<robinrun::LogLevel>()),
         robinrun::LogFormat::Text, "tests" });
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -41,6 +41,14 @@
         wake(topic);
     }
 
+    /// \brief Forgets the reads that wait: their connections stay, but they are never answered.
+    void forgetWaiting()
+    {
+        for (auto& it : m_waiting)
+            m_held.push_back(std::move(it.exchange));
+        m_waiting.clear();
+    }
+
     /// \brief Forgets all records but the newest of each key.
     void compact(const std::string& topic) { m_topics[topic].first = m_topics[topic].records.size(); }
 
--- a/test/support/FaultProxy.cpp
+++ b/test/support/FaultProxy.cpp
@@ -15,6 +15,8 @@
 namespace {
 
     constexpr Duration delayOfBytes = 80ms;
+    /// A bounded link lets its bytes through in steps of this length.
+    constexpr Duration limitStep = 20ms;
 
     sockaddr_in parse(const std::string& address)
     {
@@ -52,6 +54,8 @@
     Relay& operator=(const Relay&) = delete;
     ~Relay()
     {
+        if (proxy->m_limited)
+            bufferevent_remove_from_rate_limit_group(server);
         bufferevent_free(client);
         bufferevent_free(server);
     }
@@ -99,9 +103,22 @@
         throw std::runtime_error("can't listen at " + address);
 }
 
+void FaultProxy::limit(std::size_t bytesPerSecond)
+{
+    const timeval step { 0, static_cast<suseconds_t>(limitStep.count()) };
+    const auto n = static_cast<std::size_t>(static_cast<double>(bytesPerSecond) * toSeconds(limitStep));
+    m_limit = ev_token_bucket_cfg_new(n, n, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &step);
+    m_limited = bufferevent_rate_limit_group_new(m_base, m_limit);
+}
+
 FaultProxy::~FaultProxy()
 {
     evconnlistener_free(m_listener);
+    m_relays.clear(); // before the bound that they share
+    if (m_limited)
+        bufferevent_rate_limit_group_free(m_limited);
+    if (m_limit)
+        ev_token_bucket_cfg_free(m_limit);
 }
 
 bool FaultProxy::isSilent(bool isUp) const
@@ -150,6 +167,8 @@
         if (self->isEnding)
             self->proxy->remove(self);
     };
+    if (m_limited)
+        bufferevent_add_to_rate_limit_group(relay->server, m_limited);
     const auto target = parse(m_target);
     for (auto* it : { relay->client, relay->server }) {
         const auto onRead = [](bufferevent* end, void* arg) {
--- a/test/support/FaultProxy.h
+++ b/test/support/FaultProxy.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <unordered_map>
 
+struct bufferevent_rate_limit_group;
+struct ev_token_bucket_cfg;
 struct evconnlistener;
 
 namespace robinrun::support {
@@ -45,6 +47,9 @@
     void set(LinkFault fault);
     LinkFault fault() const { return m_fault; }
 
+    /// \brief Bounds what all connections made from now on bring from the server to clients together.
+    void limit(std::size_t bytesPerSecond);
+
 private:
     struct Relay;
     void accept(evutil_socket_t fd);
@@ -56,6 +61,8 @@
     evconnlistener* m_listener = nullptr;
     LinkFault m_fault = LinkFault::None;
     std::unordered_map<Relay*, std::unique_ptr<Relay>> m_relays;
+    ev_token_bucket_cfg* m_limit = nullptr;
+    bufferevent_rate_limit_group* m_limited = nullptr;
 };
 
 } // namespace robinrun::support
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "Core/Hash.h"
 #include "FakeStore.h"
+#include "FaultProxy.h"
 #include "Http/HttpPool.h"
 #include "Mesh/MeshNode.h"
 #include "platform/Formats.h"
@@ -103,6 +105,7 @@
 struct MeshFixture {
     struct Place {
         std::unique_ptr<FakeBackend> backend;
+        std::unique_ptr<FaultProxy> link; ///< peers come through it, if its bytes are bounded
         std::unique_ptr<MeshNode> node;
         NodeSettings settings;
     };
@@ -114,6 +117,7 @@
     std::uint64_t lastRequest = 0;
     std::uint64_t followers = 4; ///< see NodeSettings
     Duration forgetAfter = 1h; ///< see NodeSettings
+    std::optional<std::size_t> linkBytesPerSecond; ///< out of each node to its peers; unbounded if not set
     std::optional<HttpReply> reply;
     std::vector<std::unique_ptr<HttpPool>> callers;
 
@@ -134,6 +138,22 @@
             + R"("header_timeout_ms":3000,"idle_timeout_ms":15000}}]})";
     }
 
+    /// \returns a configuration with \a routes more, whose texts have little in common.
+    static std::string largeConfiguration(int version, std::size_t routes)
+    {
+        auto out = configuration(version);
+        std::string entries;
+        for (std::size_t i = 0; i < routes; ++i) {
+            const auto name = std::to_string(hash64(std::to_string(i)));
+            entries += R"({"type":"routes","metadata":{"name":")" + name
+                + R"("},"spec":{"host":"b.example","path_prefix":"/)" + name
+                + R"(/","kind":"idempotent","timeout_ms":9000,"target_latency_ms":5000,"priority":1,)"
+                + R"("service":"shop","attempts":2}},)";
+        }
+        const std::string head = "\"resources\":[";
+        return out.insert(out.find(head) + head.size(), entries);
+    }
+
     /// \returns a place with a backend server, and the addresses of a node that is yet to be started.
     Place newPlace(const std::string& service, const std::string& hall = "h1")
     {
@@ -173,6 +193,11 @@
         s.drainTimeout = 3s;
         s.lameDuck = 50ms;
         s.log.sampleOneIn = 1;
+        if (linkBytesPerSecond) {
+            s.listen.peersBind = freeAddress();
+            place.link = std::make_unique<FaultProxy>(base.get(), s.listen.peers, s.listen.peersBind);
+            place.link->limit(*linkBytesPerSecond);
+        }
         places.push_back(std::move(place));
         startNode(places.size() - 1);
         return places.size() - 1;
