--- a/src/Mesh/ConfigHolder.cpp
+++ b/src/Mesh/ConfigHolder.cpp
@@ -37,10 +37,10 @@
 {
     // After an outage all versions of that time come at once. Each takes 6 to 12 ms of a whole core to read,
     // of which a node may have a tenth: only the newest is worth that.
-    for (auto it = records.rbegin(); it != records.rend(); ++it) {
-        if (it->key != formats.configurationKey)
+    for (auto i = records.size(); i-- > 0;) {
+        if (records[i].key != formats.configurationKey)
             continue;
-        const auto verdict = take(it->value, source, formats);
+        const auto verdict = take(records[i].value, source, formats);
         if (verdict != Verdict::Unreadable)
             return verdict == Verdict::Adopted;
     }
--- a/src/Mesh/StoreWatch.cpp
+++ b/src/Mesh/StoreWatch.cpp
@@ -22,8 +22,8 @@
     /// up after the timeout of 1 s, so with this pause the next one is out in 2.5 s; it has to be in 3 s.
     constexpr Duration pauseOften = 1s;
     constexpr Duration pauseSeldom = 1500ms;
-    /// Tries a second by all nodes together from which on pauses grow (at 600 nodes); a fifth of what a store
-    /// admits.
+    /// Tries a second from which on pauses grow with the nodes (at 600), were each pause the longest; a fifth
+    /// of what a store admits. Pauses are drawn from half of that on, so it is a third more.
     constexpr double triesPerSecond = 400;
     /// Nodes beyond that hear of news from those which may not lag, within milliseconds.
     constexpr Duration longestPauseOfMany = 4s;
