--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -33,8 +33,19 @@
 void MeshNode::offerConfiguration(std::string_view text, std::string_view source, Instant now)
 {
     ConfigText former { m_config.version(), m_config.text() };
-    if (!m_config.offer(text, source, m_formats))
-        return;
+    if (m_config.offer(text, source, m_formats))
+        configurationAdopted(std::move(former), now);
+}
+
+void MeshNode::takeStoredConfiguration(const std::vector<KeyedRecord>& records, Instant now)
+{
+    ConfigText former { m_config.version(), m_config.text() };
+    if (m_config.offerNewest(records, "store", m_formats))
+        configurationAdopted(std::move(former), now);
+}
+
+void MeshNode::configurationAdopted(ConfigText former, Instant now)
+{
     if (former.version)
         m_copies.keepFormer(std::move(former));
     m_fetch.adopted();
@@ -125,8 +136,7 @@
     }
     if (now < m_restUntil)
         return;
-    m_configFeed->wake();
-    tellContacts(now); // so that the next ones need not
+    m_configFeed->wake(); // contacts are told once the store has answered, so that the next ones need not
 }
 
 void MeshNode::reload(const NodeSettings& settings)
