--- a/test/support/FaultProxy.cpp
+++ b/test/support/FaultProxy.cpp
@@ -1,5 +1,6 @@
 #include "support/FaultProxy.h"
 
+#include "Core/Check.h"
 #include "Http/HttpTypes.h"
 #include "Node/Timer.h"
 
@@ -17,6 +18,8 @@
     constexpr Duration delayOfBytes = 80ms;
     /// A bounded link lets its bytes through in steps of this length.
     constexpr Duration limitStep = 20ms;
+    /// Bytes a bounded relay takes from a client ahead of those that it may pass on; the kernel doubles it.
+    constexpr int aheadBytes = 16384;
 
     sockaddr_in parse(const std::string& address)
     {
@@ -36,8 +39,34 @@
         setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
     }
 
+    void takeLittleAhead(evutil_socket_t fd)
+    {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &aheadBytes, sizeof(aheadBytes));
+    }
+
 } // namespace
 
+/// \brief A number of bytes a second that connections share.
+struct FaultProxy::Bound {
+    ev_token_bucket_cfg* rate;
+    bufferevent_rate_limit_group* group;
+
+    Bound(event_base* base, std::size_t bytesPerSecond)
+    {
+        const timeval step { 0, static_cast<suseconds_t>(limitStep.count()) };
+        const auto n = static_cast<std::size_t>(static_cast<double>(bytesPerSecond) * toSeconds(limitStep));
+        rate = ev_token_bucket_cfg_new(n, n, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &step);
+        group = bufferevent_rate_limit_group_new(base, rate);
+    }
+    Bound(const Bound&) = delete;
+    Bound& operator=(const Bound&) = delete;
+    ~Bound()
+    {
+        bufferevent_rate_limit_group_free(group);
+        ev_token_bucket_cfg_free(rate);
+    }
+};
+
 struct FaultProxy::Relay {
     FaultProxy* proxy;
     bufferevent* client = nullptr;
@@ -54,8 +83,10 @@
     Relay& operator=(const Relay&) = delete;
     ~Relay()
     {
-        if (proxy->m_limited)
+        if (proxy->m_down)
             bufferevent_remove_from_rate_limit_group(server);
+        if (proxy->m_up)
+            bufferevent_remove_from_rate_limit_group(client);
         bufferevent_free(client);
         bufferevent_free(server);
     }
@@ -105,20 +136,20 @@
 
 void FaultProxy::limit(std::size_t bytesPerSecond)
 {
-    const timeval step { 0, static_cast<suseconds_t>(limitStep.count()) };
-    const auto n = static_cast<std::size_t>(static_cast<double>(bytesPerSecond) * toSeconds(limitStep));
-    m_limit = ev_token_bucket_cfg_new(n, n, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &step);
-    m_limited = bufferevent_rate_limit_group_new(m_base, m_limit);
+    require(!m_down, "FaultProxy::limit: is bounded already");
+    m_down = std::make_unique<Bound>(m_base, bytesPerSecond);
+}
+
+void FaultProxy::limitUp(std::size_t bytesPerSecond)
+{
+    require(!m_up, "FaultProxy::limitUp: is bounded already");
+    m_up = std::make_unique<Bound>(m_base, bytesPerSecond);
 }
 
 FaultProxy::~FaultProxy()
 {
     evconnlistener_free(m_listener);
-    m_relays.clear(); // before the bound that they share
-    if (m_limited)
-        bufferevent_rate_limit_group_free(m_limited);
-    if (m_limit)
-        ev_token_bucket_cfg_free(m_limit);
+    m_relays.clear(); // before the bounds that they share
 }
 
 bool FaultProxy::isSilent(bool isUp) const
@@ -150,6 +181,7 @@
 
 void FaultProxy::accept(evutil_socket_t fd)
 {
+    ++m_accepted;
     auto relay = std::make_unique<Relay>(this);
     relay->client = bufferevent_socket_new(m_base, fd, BEV_OPT_CLOSE_ON_FREE);
     relay->server = bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE);
@@ -167,8 +199,12 @@
         if (self->isEnding)
             self->proxy->remove(self);
     };
-    if (m_limited)
-        bufferevent_add_to_rate_limit_group(relay->server, m_limited);
+    if (m_down)
+        bufferevent_add_to_rate_limit_group(relay->server, m_down->group);
+    if (m_up) {
+        takeLittleAhead(fd);
+        bufferevent_add_to_rate_limit_group(relay->client, m_up->group);
+    }
     const auto target = parse(m_target);
     for (auto* it : { relay->client, relay->server }) {
         const auto onRead = [](bufferevent* end, void* arg) {
--- a/test/support/FaultProxy.h
+++ b/test/support/FaultProxy.h
@@ -8,8 +8,6 @@
 #include <string>
 #include <unordered_map>
 
-struct bufferevent_rate_limit_group;
-struct ev_token_bucket_cfg;
 struct evconnlistener;
 
 namespace robinrun::support {
@@ -47,11 +45,21 @@
     void set(LinkFault fault);
     LinkFault fault() const { return m_fault; }
 
-    /// \brief Bounds what all connections made from now on bring from the server to clients together.
+    /// \brief Bounds what all connections made from now on bring from the server to clients together. To
+    /// be called once.
     void limit(std::size_t bytesPerSecond);
 
+    /// \brief Bounds what all connections made from now on bring from clients to the server together. What is
+    /// not passed on yet stays in the sender's kernel, but for a few KB, as it does on a slow link. To be
+    /// called once.
+    void limitUp(std::size_t bytesPerSecond);
+
+    /// \returns connections accepted so far.
+    std::size_t accepted() const { return m_accepted; }
+
 private:
     struct Relay;
+    struct Bound;
     void accept(evutil_socket_t fd);
     void remove(Relay* relay);
     bool isSilent(bool isUp) const;
@@ -61,8 +69,9 @@
     evconnlistener* m_listener = nullptr;
     LinkFault m_fault = LinkFault::None;
     std::unordered_map<Relay*, std::unique_ptr<Relay>> m_relays;
-    ev_token_bucket_cfg* m_limit = nullptr;
-    bufferevent_rate_limit_group* m_limited = nullptr;
+    std::unique_ptr<Bound> m_down; ///< none if not bounded
+    std::unique_ptr<Bound> m_up; ///< none if not bounded
+    std::size_t m_accepted = 0;
 };
 
 } // namespace robinrun::support
