--- a/src/Mesh/ConfigCopies.h
+++ b/src/Mesh/ConfigCopies.h
@@ -58,7 +58,8 @@
         std::string bytes;
     };
 
-    const Copy& copyFor(const proto::ConfigPartRequest& request, std::uint64_t version, std::string_view text);
+    const Copy& copyFor(
+        const proto::ConfigPartRequest& request, std::uint64_t version, std::string_view text);
     const Copy* findStarted(const proto::ConfigPartRequest& request) const;
     const ConfigText* findFormer(std::uint64_t version, std::uint64_t digest) const;
 
--- a/src/Wire/DeltaCodec.cpp
+++ b/src/Wire/DeltaCodec.cpp
@@ -10,8 +10,8 @@
 namespace robinrun {
 namespace {
 
-    /// The fastest of the library's levels: the others took up to twice the time for texts of the same size or
-    /// larger ones, on configurations of 2,800 routes.
+    /// The fastest of the library's levels: the others took up to twice the time for texts of the same size
+    /// or larger ones, on configurations of 2,800 routes.
     constexpr int level = 1;
     /// The largest window that decoders take without being told, as a power of two.
     constexpr int maxWindow = 27;
@@ -56,8 +56,7 @@
     const std::unique_ptr<ZSTD_DCtx, FreeContext> context(ZSTD_createDCtx());
     ZSTD_DCtx_refPrefix(context.get(), base.data(), base.size());
     std::string out(size, '\0');
-    const auto n
-        = ZSTD_decompressDCtx(context.get(), out.data(), out.size(), encoded.data(), encoded.size());
+    const auto n = ZSTD_decompressDCtx(context.get(), out.data(), out.size(), encoded.data(), encoded.size());
     if (ZSTD_isError(n))
         return failure(DeltaError { ZSTD_getErrorName(n) });
     if (n != size)
--- a/test/ConfigCopyTest.cpp
+++ b/test/ConfigCopyTest.cpp
@@ -54,7 +54,8 @@
     std::string text; ///< that came of it; "" if nothing did
 };
 
-/// \brief Lets \a to ask \a from until it has a copy or gets no answer. \param mostParts after which the link ends.
+/// \brief Lets \a to ask \a from until it has a copy or gets no answer. \param mostParts after which the link
+/// ends.
 Transfer transfer(Holder& from, Holder& to, std::size_t mostParts = 1000)
 {
     Transfer out;
