--- a/test/IncidentTest.cpp
+++ b/test/IncidentTest.cpp
@@ -1,67 +1,21 @@
-#include "support/FaultProxy.h"
-#include "support/MeshFixture.h"
+#include "support/SixNodes.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <memory>
-#include <vector>
+#include <cstddef>
 
 using namespace robinrun;
 using namespace robinrun::support;
 
-namespace {
-
-/// \brief Six nodes of which one follows the configuration for all.
-struct SixNodes : MeshFixture {
-    static constexpr std::size_t size = 6;
-    static constexpr Duration askEvery = 50ms;
-
-    explicit SixNodes(std::optional<std::size_t> bytesPerSecond = std::nullopt)
-    {
-        followers = 1;
-        linkBytesPerSecond = bytesPerSecond;
-        store.put("keyed.op", "config", configuration(5));
-        for (std::size_t i = 0; i < size; ++i)
-            add(i % 2 ? "other" : "shop");
-        untilAll("robinrun_nodes_known 6");
-        untilAll("robinrun_config_version 5");
-        until([&] { return count("robinrun_follows_configuration 1") == 1; });
-    }
-
-    bool hasMetric(std::size_t i, const std::string& line)
-    {
-        const auto text = send(places[i].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body;
-        return text.find(line + "\n") != std::string::npos;
-    }
-
-    std::size_t count(const std::string& metric)
-    {
-        std::size_t n = 0;
-        for (std::size_t i = 0; i < size; ++i)
-            n += hasMetric(i, metric);
-        return n;
-    }
-
-    /// \brief Waits until \a metric stands at all nodes.
-    void untilAll(const std::string& metric)
-    {
-        INFO(metric);
-        until([&] {
-            pass(askEvery);
-            return count(metric) == size;
-        });
-    }
-};
-
-} // namespace
-
 // Seen: calls on a route that a confirmed change had added got 404 at all nodes, for seven seconds.
+//
 // How: the store had been away for four seconds and was back; the nodes that followed the configuration for
 // all others had sent reads in that time which wait at the store for news, and the store had forgotten them.
+//
 // Cause: a read that waits was taken for a sign that the store answers, for as long as it may wait, 20 s; the
-// others rested because of it. Proof: no node read the configuration between the outage and the end of those
-// reads, though other reads of the same nodes were answered; and 0.1 s after one had read anew, all had the
-// change.
+// others rested because of it.
+//
+// Proof: no node read the configuration between the outage and the end of those reads, though other reads of
+// the same nodes were answered; and 0.1 s after one had read anew, all had the change.
 TEST_CASE("Reads that the store forgets hold up no change", "[mesh]")
 {
     SixNodes f;
@@ -74,13 +28,18 @@
 }
 
 // Seen: hundreds of calls on routes that a confirmed change had added got 404, for five seconds and more
-// after another change. How: the configuration had grown to thousands of routes. The nodes that don't read
-// the store asked those that do for the whole text, several the same one, and its link was full for seconds.
-// Heartbeats waited behind the copies, links were taken for dead and ended with the copies on them, and all
-// was asked for and sent again. Cause: a copy is one message as large as the configuration, on the link that
-// heartbeats and calls need, and what came of it before the link's end is lost. Proof: four times the bytes
-// of the copies that were needed came in; each copy that failed ended with its link, half a second to a
-// second after it was asked for, and was asked for again.
+// after another change.
+//
+// How: the configuration had grown to thousands of routes. The nodes that don't read the store asked those
+// that do for the whole text, several the same one, and its link was full for seconds. Heartbeats waited
+// behind the copies, links were taken for dead and ended with the copies on them, and all was asked for and
+// sent again.
+//
+// Cause: a copy is one message as large as the configuration, on the link that heartbeats and calls need, and
+// what came of it before the link's end is lost.
+//
+// Proof: four times the bytes of the copies that were needed came in; each copy that failed ended with its
+// link, half a second to a second after it was asked for, and was asked for again.
 TEST_CASE("A large configuration reaches all nodes over slow links", "[mesh]")
 {
     constexpr std::size_t linkBytesPerSecond = 250000; // a whole text takes a second, five of them five
--- a/test/StoreWatchTest.cpp
+++ b/test/StoreWatchTest.cpp
@@ -1,7 +1,7 @@
 #include "Mesh/StoreWatch.h"
 #include "Mesh/ConfigHolder.h"
 #include "Mesh/TopicFollower.h"
-#include "support/MeshFixture.h"
+#include "support/SixNodes.h"
 
 #include <catch2/catch.hpp>
 #include <cstdint>
@@ -129,38 +129,6 @@
     return watch.followersOf(nodes) / toSeconds(meanWait(watch, nodes));
 }
 
-/// \brief Six nodes of which one follows the configuration for all.
-struct WatchingNodes : MeshFixture {
-    static constexpr std::size_t size = 6;
-
-    WatchingNodes()
-    {
-        followers = 1;
-        store.put("keyed.op", "config", configuration(5));
-        for (std::size_t i = 0; i < size; ++i)
-            add("shop");
-        untilAll("robinrun_nodes_known 6");
-        untilAll("robinrun_config_version 5");
-    }
-
-    bool hasMetric(std::size_t i, const std::string& line)
-    {
-        const auto text = send(places[i].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body;
-        return text.find(line + "\n") != std::string::npos;
-    }
-
-    /// \brief Waits until \a metric stands at all nodes.
-    void untilAll(const std::string& metric)
-    {
-        INFO(metric);
-        for (std::size_t i = 0; i < size; ++i)
-            until([&] {
-                pass(50ms);
-                return hasMetric(i, metric);
-            });
-    }
-};
-
 } // namespace
 
 TEST_CASE("A read waits briefly where few nodes follow", "[watch]")
@@ -317,7 +285,7 @@
 
 TEST_CASE("After an outage in which the store forgot every read all nodes get a change", "[watch][mesh]")
 {
-    WatchingNodes f;
+    SixNodes f;
     // All that wait are answered and read on, so that the store forgets reads which have just begun.
     f.store.put("keyed.op", "config", MeshFixture::configuration(6));
     f.untilAll("robinrun_config_version 6");
