--- a/src/Http/HttpPool.cpp
+++ b/src/Http/HttpPool.cpp
@@ -132,6 +132,15 @@
         startQueued();
 }
 
+void HttpPool::progressed(std::uint64_t number)
+{
+    const auto it = m_exchanges.find(number);
+    if (it == m_exchanges.end() || it->second->options.silence <= Duration::zero())
+        return;
+    const auto tv = internal::toTimeval(it->second->options.silence);
+    event_add(it->second->timer, &tv);
+}
+
 void HttpPool::restEnded(internal::ClientConnection* connection)
 {
     const auto it = std::find_if(
--- a/src/Http/HttpPool.h
+++ b/src/Http/HttpPool.h
@@ -41,7 +41,10 @@
 
     /// \brief How one request is sent.
     struct SendOptions {
-        Duration timeout = 30s; ///< for the whole exchange
+        Duration timeout = 30s; ///< for the whole exchange, or until the reply begins if `silence` is set
+        /// Once the reply has begun, the longest time between two pieces of it; 0: `timeout` bounds the
+        /// whole. A long reply over a slow link isn't given up, and asked for anew, while it comes.
+        Duration silence {};
         /// The longest a kept connection may have rested to be used: the server may have forgotten it, and a
         /// request that meets that may have run or not.
         Duration longestRest = 1h;
@@ -92,6 +95,8 @@
     void start(std::unique_ptr<Exchange> exchange);
     bool attachConnection(Exchange& exchange);
     void finished(std::uint64_t number, Result<HttpReply, HttpError> result, bool isReusable, Duration rest);
+    /// \brief A piece of the reply came.
+    void progressed(std::uint64_t number);
     void restEnded(internal::ClientConnection* connection);
     void timedOut(std::uint64_t number);
     void startQueued();
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -84,6 +84,7 @@
 {
     if (!m_parser)
         return m_pool->restEnded(this); // bytes that belong to no request
+    m_pool->progressed(m_number);
     auto* in = bufferevent_get_input(m_buffer);
     while (evbuffer_get_length(in) > 0) {
         const auto result = m_parser->feed(in);
