Bound of a link's kernel buffer 64 KB; tests of frames, of older nodes' messages and of the bound on the whole

Cause: five uploads that share 10 Mbit/s ended links still. Part of it was the relay: it took 128 KB ahead on each link. Change: the relay has segments as on Ethernet and takes 32 KB ahead; PeerSocket's send buffer is 32 KB (the kernel doubles it). Tests: small messages are one frame, large ones bounded frames; single frames of 4 MB and frames of any length are read; beyond maxMessage nothing is sent or read and the link stays.

--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -14,8 +14,9 @@
     constexpr int missedHeartbeats = 2;
     constexpr int reconnectMs = 50;
     /// Bytes of the kernel's buffer for what a link sends; Linux takes it twice. A heartbeat waits behind it:
-    /// 0.1 s at 10 Mbit/s, a fifth of the mesh's two heartbeats. By itself the kernel takes up to 4 MB.
-    constexpr int sendBufferBytes = 65536;
+    /// 0.05 s at 10 Mbit/s, and the mesh's two heartbeats (0.5 s) where ten links send all they can over that
+    /// at once. By itself the kernel takes up to 4 MB.
+    constexpr int sendBufferBytes = 32768;
 
     int toMs(Duration d)
     {
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -51,8 +51,9 @@
 /// (MessageFrames.h), each of which is a sign of life where it arrives, and heartbeats pass between them. It
 /// reaches the peer's handler whole or not at all. Messages to one peer keep their order, so that a small
 /// one waits for a long one before it. What the kernel holds of a link that isn't taken yet is bounded: a
-/// heartbeat waits for at most 128 KB of its own link. That bounds the rate of a link, too: to 128 KB in the
-/// time of a way there and back.
+/// heartbeat waits for at most 64 KB of its own link. That bounds the rate of a link to 64 KB in the time of
+/// a way there and back (32 MB/s at 2 ms). Nodes that read only single frames pass long messages over; theirs
+/// are read.
 class PeerSocket {
 public:
     /// \brief Where an answer goes: back along the link the message came by, or to a link of our own.
--- a/test/LargeMessageTest.cpp
+++ b/test/LargeMessageTest.cpp
@@ -7,7 +7,10 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <numeric>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 #include <zmq.hpp>
 
@@ -64,6 +67,7 @@
     std::vector<std::string> bodies; ///< of both
     std::vector<std::string> lost;
     std::size_t answerBytes = 0; ///< of the answer to each call; 0: none is given
+    bool isRefused = false; ///< whether its socket is to refuse the answers
 
     Peer(event_base* base, const std::string& name,
         std::int64_t maxMessage = PeerSocket::Options {}.maxMessage)
@@ -91,7 +95,7 @@
         bodies.push_back(message.call().body());
         auto answer = answerOf(message.call().number(), answerBytes);
         if (answerBytes)
-            REQUIRE(socket->answer(from, answer, monotonicNow()));
+            REQUIRE(socket->answer(from, answer, monotonicNow()) != isRefused);
     }
 
     void send(event_base* base, const std::string& to, proto::PeerMessage message) const
@@ -222,3 +226,108 @@
     for (const auto& it : f.two.bodies)
         REQUIRE((it == bodyOf(largeBytes / 4) || it == bodyOf(10)));
 }
+
+namespace {
+
+/// \brief A bare socket of ZeroMQ that talks to a peer, as a node of another version may.
+struct BareLink {
+    zmq::context_t context;
+    zmq::socket_t socket { context, zmq::socket_type::dealer };
+
+    explicit BareLink(const std::string& address)
+    {
+        socket.set(zmq::sockopt::linger, 0);
+        socket.connect("tcp://" + address);
+    }
+
+    void send(const std::vector<std::string>& frames)
+    {
+        for (const auto& it : frames) {
+            const auto more = &it == &frames.back() ? zmq::send_flags::none : zmq::send_flags::sndmore;
+            REQUIRE(socket.send(zmq::buffer(it), more));
+        }
+    }
+
+    /// \returns the bytes of each frame of the next message.
+    std::vector<std::size_t> receive(event_base* base)
+    {
+        std::vector<std::size_t> sizes;
+        zmq::message_t frame;
+        do {
+            REQUIRE(runUntil(base,
+                [&] { return frame.size() || socket.recv(frame, zmq::recv_flags::dontwait).has_value(); }));
+            sizes.push_back(frame.size());
+        } while (std::exchange(frame, {}).more());
+        return sizes;
+    }
+};
+
+constexpr std::size_t longestFrame = 16384; // which nodes of other versions count on
+
+} // namespace
+
+TEST_CASE("Small messages are one frame, large ones many of a bounded size", "[wire]")
+{
+    LoopPtr base = makeLoop();
+    Peer two(base.get(), "two");
+    BareLink bare(two.address);
+    const auto tick = Timer::repeating(base.get(), 1ms, [] {}); // the bare socket wakes no loop
+    two.answerBytes = 1000;
+    bare.send({ callOf(1, 10).SerializeAsString() });
+    REQUIRE(bare.receive(base.get()).size() == 1);
+    for (const auto bytes : { longestFrame - 100, longestFrame, 3 * longestFrame - 50, 3 * longestFrame }) {
+        two.answerBytes = bytes;
+        bare.send({ callOf(2, 10).SerializeAsString() });
+        const auto sizes = bare.receive(base.get());
+        const auto whole = std::accumulate(sizes.begin(), sizes.end(), std::size_t { 0 });
+        REQUIRE(whole > bytes);
+        REQUIRE(sizes.size() == (whole + longestFrame - 1) / longestFrame);
+        REQUIRE(*std::max_element(sizes.begin(), sizes.end()) <= longestFrame);
+    }
+}
+
+TEST_CASE("A large message is read from one frame, and from frames of any length", "[wire]")
+{
+    LoopPtr base = makeLoop();
+    Peer two(base.get(), "two");
+    BareLink bare(two.address);
+    const auto text = callOf(1, largeBytes).SerializeAsString();
+    bare.send({ text });
+    bare.send({ text.substr(0, 1), "", text.substr(1, 70000), text.substr(70001) });
+    REQUIRE(runUntil(base.get(), [&] { return two.bodies.size() == 2; }));
+    for (const auto& it : two.bodies)
+        REQUIRE((it == bodyOf(largeBytes)));
+}
+
+TEST_CASE("A message beyond the bound is neither sent nor read, in however many frames", "[wire]")
+{
+    constexpr std::int64_t bound = 100000;
+    LoopPtr base = makeLoop();
+    Peer one(base.get(), "one", bound);
+    Peer two(base.get(), "two", bound);
+    one.send(base.get(), two.address, callOf(1, 90000));
+    auto tooLong = callOf(2, 100000);
+    REQUIRE(one.socket->send(two.address, tooLong, monotonicNow()) != SendResult::Sent);
+    BareLink bare(two.address);
+    const auto text = tooLong.SerializeAsString();
+    bare.send({ text.substr(0, 50000), text.substr(50000) });
+    bare.send({ callOf(3, 10).SerializeAsString() });
+    REQUIRE(runUntil(base.get(), [&] { return two.calls.size() == 2; }));
+    REQUIRE(std::set<std::uint64_t>(two.calls.begin(), two.calls.end()) == std::set<std::uint64_t> { 1, 3 });
+}
+
+TEST_CASE("An answer beyond the bound is refused, and the next one comes", "[wire]")
+{
+    LoopPtr base = makeLoop();
+    Peer one(base.get(), "one");
+    Peer two(base.get(), "two", 100000);
+    two.answerBytes = 100000;
+    two.isRefused = true;
+    one.send(base.get(), two.address, callOf(1, 10));
+    REQUIRE(runUntil(base.get(), [&] { return two.calls.size() == 1; }));
+    two.answerBytes = 10;
+    two.isRefused = false;
+    one.send(base.get(), two.address, callOf(2, 10));
+    REQUIRE(runUntil(base.get(), [&] { return one.answers.size() == 1; }));
+    REQUIRE(one.answers.at(0) == 2);
+}
--- a/test/support/FaultProxy.cpp
+++ b/test/support/FaultProxy.cpp
@@ -9,6 +9,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdexcept>
 #include <utility>
 
@@ -19,8 +20,10 @@
     /// A bounded link lets its bytes through in steps of this length.
     constexpr Duration limitStep = 20ms;
     /// Bytes a bounded relay takes from a client ahead of those that it may pass on; the kernel doubles it.
-    /// With less than the 64 KB of a packet on loopback, a sender waits for its timer again and again.
-    constexpr int aheadBytes = 65536;
+    constexpr int aheadBytes = 16384;
+    /// Of a packet to a bounded relay, as on Ethernet. Those of loopback have 64 KB: a sender that finds less
+    /// room waits for its timer again and again.
+    constexpr int segmentBytes = 1448;
 
     sockaddr_in parse(const std::string& address)
     {
@@ -43,6 +46,7 @@
     void takeLittleAhead(evutil_socket_t fd)
     {
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &aheadBytes, sizeof(aheadBytes));
+        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof(segmentBytes));
     }
 
 } // namespace
@@ -145,6 +149,7 @@
 {
     require(!m_up, "FaultProxy::limitUp: is bounded already");
     m_up = std::make_unique<Bound>(m_base, bytesPerSecond);
+    takeLittleAhead(evconnlistener_get_fd(m_listener)); // its connections have it from their first packet on
 }
 
 FaultProxy::~FaultProxy()
@@ -202,10 +207,8 @@
     };
     if (m_down)
         bufferevent_add_to_rate_limit_group(relay->server, m_down->group);
-    if (m_up) {
-        takeLittleAhead(fd);
+    if (m_up)
         bufferevent_add_to_rate_limit_group(relay->client, m_up->group);
-    }
     const auto target = parse(m_target);
     for (auto* it : { relay->client, relay->server }) {
         const auto onRead = [](bufferevent* end, void* arg) {
--- a/test/support/FaultProxy.h
+++ b/test/support/FaultProxy.h
@@ -50,7 +50,7 @@
     void limit(std::size_t bytesPerSecond);
 
     /// \brief Bounds what all connections made from now on bring from clients to the server together. What is
-    /// not passed on yet stays in the sender's kernel, but for 128 KB, as it does on a slow link. To be
+    /// not passed on yet stays in the sender's kernel, but for 32 KB, as it does on a slow link. To be
     /// called once.
     void limitUp(std::size_t bytesPerSecond);
 
