--- a/test/ReviewTest.cpp
+++ b/test/ReviewTest.cpp
@@ -226,15 +226,25 @@
         peer->send(self, message, monotonicNow());
     });
     const auto hasMetric = [&](const std::string& line) {
-        return f.send(f.places[0].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body.find(line + "\n")
+        return f.send(f.places[0].settings.listen.metrics, { "GET", "/metrics", {}, {} })
+                   .body.find(line + "\n")
             != std::string::npos;
     };
-    f.until([&] { f.pass(50ms); return hasMetric("robinrun_config_version 5"); });
-    f.until([&] { f.pass(50ms); return hasMetric("robinrun_follows_configuration 0"); });
+    f.until([&] {
+        f.pass(50ms);
+        return hasMetric("robinrun_config_version 5");
+    });
+    f.until([&] {
+        f.pass(50ms);
+        return hasMetric("robinrun_follows_configuration 0");
+    });
     f.pass(3s); // reads that are out are over, and it rests
     version = 6;
     f.store.put("keyed.op", "config", MeshFixture::configuration(6));
-    const bool has = runUntil(f.base.get(), [&] { f.pass(50ms); return hasMetric("robinrun_config_version 6"); });
+    const bool has = runUntil(f.base.get(), [&] {
+        f.pass(50ms);
+        return hasMetric("robinrun_config_version 6");
+    });
     const auto metrics = f.send(f.places[0].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body;
     const auto at = metrics.find("robinrun_store_calls_total{kind=\"read-configuration\"");
     INFO("asked the peer " << asked << " times; " << metrics.substr(at, 160));
