--- a/test/ReviewTest.cpp
+++ b/test/ReviewTest.cpp
@@ -6,6 +6,7 @@
 #include "Mesh/NodeRegistry.h"
 #include "Mesh/StoreWatch.h"
 #include "Mesh/TopicFollower.h"
+#include "Wire/DeltaCodec.h"
 #include "support/FaultProxy.h"
 #include "support/MeshFixture.h"
 
@@ -170,6 +171,15 @@
     REQUIRE(isWhole);
 }
 
+TEST_CASE("A change of one route costs few bytes where there are tens of thousands", "[review]")
+{
+    const std::size_t routes = GENERATE(2800U, 8400U, 16800U, 28000U);
+    const auto base = MeshFixture::largeConfiguration(6, routes);
+    const auto bytes = encodeDelta(MeshFixture::largeConfiguration(7, routes + 1), base).size();
+    INFO(base.size());
+    REQUIRE(bytes < 1000);
+}
+
 TEST_CASE("What a node that starts is told of the others fits on its link", "[review]")
 {
     constexpr std::size_t nodes = 7200;
