Differences stay small in texts of 4 MB and more: the encoder's table grows with the window

Cause: the level's table keeps too few places of a long base, so that nothing of it was found again.

--- a/src/Wire/DeltaCodec.cpp
+++ b/src/Wire/DeltaCodec.cpp
@@ -16,6 +16,9 @@
     /// The largest window that decoders take without being told, as a power of two.
     constexpr int maxWindow = 27;
     constexpr int minWindow = 10;
+    /// Bytes of the window for each place of the table, and the fewest places; as powers of two.
+    constexpr int bytesPerPlace = 3;
+    constexpr int leastPlaces = 14;
 
     struct FreeContext {
         void operator()(ZSTD_CCtx* it) const { ZSTD_freeCCtx(it); }
@@ -35,8 +38,11 @@
     const std::unique_ptr<ZSTD_CCtx, FreeContext> context(ZSTD_createCCtx());
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, level);
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
-    // What is far back in the base must stay in reach.
-    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, windowFor(text.size() + base.size()));
+    // What is far back in the base must stay in reach, and the table of places must hold a part of all: the
+    // level's own one keeps too few of texts of 4 MB and more.
+    const int window = windowFor(text.size() + base.size());
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, window);
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_hashLog, std::max(window - bytesPerPlace, leastPlaces));
     ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
     std::string out(ZSTD_compressBound(text.size()), '\0');
     const auto n = ZSTD_compress2(context.get(), out.data(), out.size(), text.data(), text.size());
