--- a/src/Mesh/ConfigCopies.cpp
+++ b/src/Mesh/ConfigCopies.cpp
@@ -40,15 +40,23 @@
     return out;
 }
 
-const ConfigCopies::Copy* ConfigCopies::findStarted(const proto::ConfigPartRequest& request) const
+template <class F> const ConfigCopies::Copy* ConfigCopies::use(F isWanted)
+{
+    const auto it = std::find_if(m_copies.begin(), m_copies.end(), isWanted);
+    if (it == m_copies.end())
+        return nullptr;
+    std::rotate(it, it + 1, m_copies.end());
+    return &m_copies.back();
+}
+
+const ConfigCopies::Copy* ConfigCopies::findStarted(const proto::ConfigPartRequest& request)
 {
     if (request.offset() == 0)
         return nullptr;
-    const auto it = std::find_if(m_copies.begin(), m_copies.end(), [&](const auto& copy) {
+    return use([&](const auto& copy) {
         return copy.digest == request.copy_digest() && copy.version > request.own_version()
             && copy.bytes.size() > request.offset();
     });
-    return it == m_copies.end() ? nullptr : &*it;
 }
 
 const ConfigText* ConfigCopies::findFormer(std::uint64_t version, std::uint64_t digest) const
@@ -63,15 +71,18 @@
 {
     const auto* base = findFormer(request.own_version(), request.own_digest());
     const auto baseVersion = base ? base->version : 0;
-    const auto it = std::find_if(m_copies.begin(), m_copies.end(),
-        [&](const auto& copy) { return copy.version == version && copy.baseVersion == baseVersion; });
-    if (it != m_copies.end())
-        return *it;
+    const auto* known
+        = use([&](const auto& copy) { return copy.version == version && copy.baseVersion == baseVersion; });
+    if (known)
+        return *known;
     auto bytes = encodeDelta(text, base ? std::string_view(base->text) : std::string_view());
     const auto digest = hash64(bytes);
+    m_copyBytes += bytes.size();
     m_copies.push_back({ version, baseVersion, digest, std::move(bytes) });
-    if (m_copies.size() > m_options.copies)
+    while (m_copies.size() > 1 && m_copyBytes > m_options.copyBytes) {
+        m_copyBytes -= m_copies.front().bytes.size();
         m_copies.pop_front();
+    }
     return m_copies.back();
 }
 
--- a/src/Mesh/ConfigCopies.h
+++ b/src/Mesh/ConfigCopies.h
@@ -32,7 +32,9 @@
         std::size_t partBytes = 16U << 10U;
         /// Bytes of former texts: hundreds of small ones, or a few of some thousand routes.
         std::size_t formerBytes = 2U << 20U;
-        std::size_t copies = 8; ///< encoded ones that are kept; askers have few different versions
+        /// Bytes of encoded copies that are kept: a hundred whole ones of 2,800 routes, or thousands of
+        /// differences. Those that were asked for last stay.
+        std::size_t copyBytes = 4U << 20U;
     };
 
     ConfigCopies() = default;
@@ -60,13 +62,16 @@
 
     const Copy& copyFor(
         const proto::ConfigPartRequest& request, std::uint64_t version, std::string_view text);
-    const Copy* findStarted(const proto::ConfigPartRequest& request) const;
+    const Copy* findStarted(const proto::ConfigPartRequest& request);
+    /// \returns the first copy of which \a isWanted holds, as the one used last; null if there is none.
+    template <class F> const Copy* use(F isWanted);
     const ConfigText* findFormer(std::uint64_t version, std::uint64_t digest) const;
 
     Options m_options;
     std::deque<ConfigText> m_former; ///< the latest at the end
     std::size_t m_formerBytes = 0;
-    std::deque<Copy> m_copies; ///< the latest at the end
+    std::deque<Copy> m_copies; ///< the one used last at the end
+    std::size_t m_copyBytes = 0;
 };
 
 } // namespace robinrun
--- a/src/Mesh/ConfigHolder.cpp
+++ b/src/Mesh/ConfigHolder.cpp
@@ -2,6 +2,9 @@
 
 #include "Core/Log.h"
 
+#include <algorithm>
+#include <cstdint>
+
 namespace robinrun {
 
 ConfigHolder::Verdict ConfigHolder::take(
@@ -35,12 +38,24 @@
 bool ConfigHolder::offerNewest(
     const std::vector<KeyedRecord>& records, std::string_view source, const MeshFormats& formats)
 {
+    struct Candidate {
+        std::uint64_t version;
+        const std::string* text;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto& it : records) {
+        if (it.key == formats.configurationKey)
+            candidates.push_back({ formats.versionOf(it.value).value_or(UINT64_MAX), &it.value });
+    }
     // After an outage all versions of that time come at once. Each takes 6 to 12 ms of a whole core to read,
-    // of which a node may have a tenth: only the newest is worth that.
-    for (auto i = records.size(); i-- > 0;) {
-        if (records[i].key != formats.configurationKey)
-            continue;
-        const auto verdict = take(records[i].value, source, formats);
+    // of which a node may have a tenth: only the newest is worth that. It is not always the last: a write of
+    // unknown outcome may be done late.
+    std::stable_sort(candidates.begin(), candidates.end(),
+        [](const auto& a, const auto& b) { return a.version > b.version; });
+    for (const auto& it : candidates) {
+        if (it.version <= version())
+            return false;
+        const auto verdict = take(*it.text, source, formats);
         if (verdict != Verdict::Unreadable)
             return verdict == Verdict::Adopted;
     }
--- a/src/Mesh/ConfigHolder.h
+++ b/src/Mesh/ConfigHolder.h
@@ -22,10 +22,9 @@
     /// \returns whether it was taken over. Cost: the text is read whole, unless it equals the one in force.
     bool offer(std::string_view text, std::string_view source, const MeshFormats& formats);
 
-    /// \brief Offers the newest record of the configuration's key that can be read; \a records are in the
-    /// order they were written. \returns whether it was taken over. Caveat: of readable versions that were
-    /// not written in rising order the last one counts, as it does where only the newest record of each key
-    /// is read.
+    /// \brief Offers the record of the highest version that can be read, whatever the order of \a records.
+    /// Texts that name no version are tried first, so that they are logged. \returns whether one was taken
+    /// over.
     bool offerNewest(
         const std::vector<KeyedRecord>& records, std::string_view source, const MeshFormats& formats);
 
--- a/src/Mesh/Gossip.cpp
+++ b/src/Mesh/Gossip.cpp
@@ -6,6 +6,13 @@
 #include <utility>
 
 namespace robinrun {
+namespace {
+
+    /// Bytes after which the rest of an answer goes in another message, so that calls and heartbeats pass in
+    /// between and what came before a link's end counts: at 7,200 nodes all records together are 0.8 MB.
+    constexpr std::size_t messageBytes = 32U << 10U;
+
+} // namespace
 
 Gossip::Gossip(const NodeRegistry& registry, std::string self, Options options, Send send)
     : m_registry(&registry)
@@ -86,6 +93,10 @@
         out.add_whole_buckets(static_cast<std::uint32_t>(i));
         for (auto& it : m_registry->recordsIn(i))
             *out.add_records() = std::move(it);
+        if (out.ByteSizeLong() < messageBytes)
+            continue;
+        reply(message);
+        out.Clear();
     }
     if (out.whole_buckets_size() > 0)
         reply(message);
--- a/src/Mesh/MeshFormats.h
+++ b/src/Mesh/MeshFormats.h
@@ -6,7 +6,9 @@
 #include "Mesh/Configuration.h"
 #include "Node/CallHeaders.h"
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +24,8 @@
     std::string metricsPath; ///< text in the format of Prometheus
     /// \brief Reads a configuration. The error names the field.
     std::function<Result<Configuration, std::string>(std::string_view text)> readConfiguration;
+    /// \returns the version that a configuration names, without reading the rest; nothing if it names none.
+    std::function<std::optional<std::uint64_t>(std::string_view text)> versionOf;
     /// \brief Reads an announcement of the backend server beside this node. The error names the field.
     std::function<Result<Announcement, std::string>(const HttpRequest& request)> readAnnouncement;
 };
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -167,6 +167,7 @@
     Instant m_adopted {}; ///< when the configuration in force was
     Instant m_nextContact {};
     Instant m_restUntil {}; ///< from following the configuration, though too few others do
+    Instant m_nextOverdueRead {};
     Instant m_lastBusy {};
     Timer m_rebuildTimer;
     Timer m_relayTimer;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -16,6 +16,8 @@
     /// A node whose store can't be reached counts as ready this long after its start if it has a
     /// configuration.
     constexpr Duration readyAnyway = 1500ms;
+    /// A claim of a peer that is false costs a read of the store in so long.
+    constexpr Duration betweenOverdueReads = 1s;
     /// Of the deployment's bound on retries, what is planned with: calls that retries make are not seen here.
     constexpr double plannedPart = 0.5;
     /// Retries that a node may save up at least: with fewer it could never send one.
@@ -130,6 +132,11 @@
 
 void MeshNode::followIfNeeded(Instant now)
 {
+    // Peers claim to follow, and to have a version, that none of them gives: the store has it.
+    if (m_configFeed->isResting() && m_pulls.isOverdue(now) && now >= m_nextOverdueRead) {
+        m_nextOverdueRead = now + betweenOverdueReads;
+        return m_configFeed->wake();
+    }
     if (!m_configFeed->isResting() || m_share.mayRest(now)) {
         m_restUntil = now + m_share.takeOverDelay(now);
         return;
--- a/src/Mesh/PullPlan.h
+++ b/src/Mesh/PullPlan.h
@@ -22,6 +22,8 @@
         /// For a part of a copy, before another peer is asked: twice what it takes when 16 peers ask one
         /// whose link has 10 Mbit/s. In 2 s, in which a change is to be in force, four peers can be asked.
         Duration patience = 400ms;
+        Duration overdue
+            = 800ms; ///< for two peers to answer, before the store is asked although others follow
     };
 
     PullPlan() = default;
@@ -49,6 +51,9 @@
     /// \brief The peer at \a address can't be asked now: the next one that has it is.
     void unreachable(const std::string& address);
 
+    /// \returns whether a newer version was heard of so long ago that peers can't be relied on to give it.
+    bool isOverdue(Instant now) const { return m_version != 0 && now - m_firstHeard > m_options.overdue; }
+
     /// \brief A part of a copy came, and the peer that sent it was asked for the next.
     void progressed(Instant now);
 
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -56,16 +56,20 @@
 void TopicFollower::readAgain()
 {
     m_isPausing = false;
-    if (!m_isCaughtUp)
-        return readNewest();
     if (m_options.mayRest && m_options.mayRest())
         return rest();
+    if (!m_isCaughtUp)
+        return readNewest();
     readOn();
 }
 
 void TopicFollower::rest()
 {
     m_isResting = true;
+    // While others read, any number of versions may be written: after the rest the newest record of each key
+    // is read, not all that came. Thirty versions of 600 KB are 14 s of a link of 10 Mbit/s, one is half a
+    // second.
+    m_isCaughtUp = false;
     // Other nodes rest because of what this one claims: an answer from before the rest is no evidence after
     // it.
     setAnswered(false);
@@ -74,7 +78,7 @@
 void TopicFollower::wake()
 {
     if (std::exchange(m_isResting, false))
-        readOn();
+        readNewest();
 }
 
 Duration TopicFollower::nextWait() const
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -62,7 +62,8 @@
     /// \returns how long the read that is out has been; zero if none is.
     Duration readingFor(Instant now) const { return m_isReading ? now - m_sent : Duration::zero(); }
 
-    /// \returns whether everything that was there at the start has been read.
+    /// \returns whether everything that was there at the start, or at the end of the last rest, has been
+    /// read.
     bool isCaughtUp() const { return m_isCaughtUp; }
     /// \returns whether the last call succeeded.
     bool isConnected() const { return m_isConnected; }
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -42,6 +42,17 @@
     REQUIRE(it.limits.idleTimeout == 15s);
 }
 
+TEST_CASE("A configuration's version is found without reading the rest", "[platform]")
+{
+    REQUIRE(platform::versionOf(MeshFixture::configuration(12)) == 12U);
+    REQUIRE(platform::versionOf(R"({"resources":[{"version":"r3"},{"a":{"version":"r4"}}],"version":"r5"})")
+        == 5U);
+    REQUIRE(platform::versionOf(R"({"version":"r6","resources":[ and so on)") == 6U);
+    for (const auto* it : { "", "{", "[]", "7", R"({"version":7})", R"({"version":{"version":"r7"}})",
+             R"({"version":"7"})", R"([{"version":"r7"}])" })
+        REQUIRE_FALSE(platform::versionOf(it));
+}
+
 TEST_CASE("A bad configuration names the field and where it stands", "[platform]")
 {
     REQUIRE(errorOf("no JSON") == "configuration: is no JSON");
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -43,6 +43,9 @@
         wake(topic);
     }
 
+    /// \returns how many reads wait for news.
+    std::size_t waiting() const { return m_waiting.size(); }
+
     /// \brief Forgets the reads that wait: their connections stay, but they are never answered.
     void forgetWaiting()
     {
