A version is overdue only while nothing comes of it

Cause: in a series of changes the time since the first one was heard of let every resting node read the store each second. Change: the span is counted from the last part or version that came; an empty answer of the store copies no text.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -41,6 +41,8 @@
 
 void MeshNode::takeStoredConfiguration(const std::vector<KeyedRecord>& records, Instant now)
 {
+    if (records.empty())
+        return;
     ConfigText former { m_config.version(), m_config.text() };
     if (m_config.offerNewest(records, "store", m_formats))
         configurationAdopted(std::move(former), now);
@@ -52,7 +54,7 @@
         m_copies.keepFormer(std::move(former));
     m_fetch.adopted();
     m_adopted = now;
-    m_pulls.got(m_config.version());
+    m_pulls.got(m_config.version(), now);
     const auto& limits = m_config.current()->limits;
     m_callers->setLimits(limits.maxHeaders, limits.maxBody, limits.headerTimeout, limits.idleTimeout);
     rebuild();
--- a/src/Mesh/PullPlan.cpp
+++ b/src/Mesh/PullPlan.cpp
@@ -8,8 +8,10 @@
         return;
     if (version > m_version) {
         // A peer that has the newer one is asked even while another answers for an older one.
-        if (m_version == 0)
+        if (m_version == 0) {
             m_firstHeard = now;
+            m_lastCame = now;
+        }
         m_version = version;
         m_near.clear();
         m_far.clear();
@@ -19,10 +21,11 @@
     peers.push_back(address);
 }
 
-void PullPlan::got(std::uint64_t version)
+void PullPlan::got(std::uint64_t version, Instant now)
 {
     // The answer to what was asked has come; what is newer still can be asked for at once.
     m_askedUntil = {};
+    m_lastCame = now;
     if (version < m_version)
         return;
     m_version = 0;
@@ -45,7 +48,7 @@
 
 void PullPlan::asked(const std::string& address, Instant now)
 {
-    progressed(now);
+    m_askedUntil = now + m_options.patience;
     unreachable(address);
 }
 
@@ -58,6 +61,7 @@
 void PullPlan::progressed(Instant now)
 {
     m_askedUntil = now + m_options.patience;
+    m_lastCame = now;
 }
 
 } // namespace robinrun
--- a/src/Mesh/PullPlan.h
+++ b/src/Mesh/PullPlan.h
@@ -22,8 +22,8 @@
         /// For a part of a copy, before another peer is asked: twice what it takes when 16 peers ask one
         /// whose link has 10 Mbit/s. In 2 s, in which a change is to be in force, four peers can be asked.
         Duration patience = 400ms;
-        Duration overdue
-            = 800ms; ///< for two peers to answer, before the store is asked although others follow
+        /// For two peers to answer, before the store is asked although others follow it.
+        Duration overdue = 800ms;
     };
 
     PullPlan() = default;
@@ -36,7 +36,7 @@
     void heard(const std::string& address, std::uint64_t version, bool isNear, Instant now);
 
     /// \brief \a version is in force here now.
-    void got(std::uint64_t version);
+    void got(std::uint64_t version, Instant now);
 
     /// \param readsStore whether this node waits for news at the store itself.
     /// \returns the address of the peer to ask now, until asked() tells that it was.
@@ -51,8 +51,9 @@
     /// \brief The peer at \a address can't be asked now: the next one that has it is.
     void unreachable(const std::string& address);
 
-    /// \returns whether a newer version was heard of so long ago that peers can't be relied on to give it.
-    bool isOverdue(Instant now) const { return m_version != 0 && now - m_firstHeard > m_options.overdue; }
+    /// \returns whether a newer version was heard of, and for so long nothing has come, that peers can't be
+    /// relied on to give it.
+    bool isOverdue(Instant now) const { return m_version != 0 && now - m_lastCame > m_options.overdue; }
 
     /// \brief A part of a copy came, and the peer that sent it was asked for the next.
     void progressed(Instant now);
@@ -63,6 +64,7 @@
     std::vector<std::string> m_near; ///< addresses of peers that have it, the last heard at the end
     std::vector<std::string> m_far;
     Instant m_firstHeard {};
+    Instant m_lastCame {}; ///< the last part or version since m_firstHeard; that if none has come
     Instant m_askedUntil {}; ///< an answer may still come
 };
 
--- a/test/ConfigCopyTest.cpp
+++ b/test/ConfigCopyTest.cpp
@@ -216,7 +216,7 @@
     plan.heard("a", 5, true, now);
     plan.asked("a", now);
     plan.heard("b", 6, true, now);
-    plan.got(5);
+    plan.got(5, now);
     REQUIRE(plan.due(false, now) == "b");
 }
 
@@ -237,3 +237,25 @@
     REQUIRE_FALSE(plan.due(false, now + options.patience / 2));
     REQUIRE(plan.due(false, now + options.patience) == "a");
 }
+
+TEST_CASE("A version is overdue when it was heard of and nothing comes, not while others come", "[mesh]")
+{
+    const PullPlan::Options options;
+    const auto half = options.overdue / 2;
+    PullPlan plan;
+    Instant now {};
+    REQUIRE_FALSE(plan.isOverdue(now + 1h));
+    now += 1h;
+    plan.heard("a", 5, true, now);
+    plan.asked("a", now + half);
+    REQUIRE_FALSE(plan.isOverdue(now + options.overdue));
+    REQUIRE(plan.isOverdue(now + options.overdue + 1ms));
+    plan.progressed(now += half);
+    REQUIRE_FALSE(plan.isOverdue(now + options.overdue));
+    plan.heard("a", 6, true, now);
+    plan.got(5, now += half); // in a series of changes
+    REQUIRE_FALSE(plan.isOverdue(now + options.overdue));
+    REQUIRE(plan.isOverdue(now + options.overdue + 1ms));
+    plan.got(6, now);
+    REQUIRE_FALSE(plan.isOverdue(now + 1h));
+}
--- a/test/GossipTest.cpp
+++ b/test/GossipTest.cpp
@@ -285,7 +285,7 @@
     REQUIRE_FALSE(plan.due(false, now + options.patience / 2));
     REQUIRE(plan.due(false, now + options.patience) == "near-15");
     plan.asked("near-15", now + options.patience);
-    plan.got(5);
+    plan.got(5, now);
     REQUIRE_FALSE(plan.due(false, now + 1h));
 
     now += 1h;
@@ -294,7 +294,7 @@
     REQUIRE(plan.due(true, now + options.storeFirst + options.nearFirst) == "far-1");
     plan.asked("far-1", now + options.storeFirst + options.nearFirst);
     plan.heard("far-2", 7, false, now); // newer still
-    plan.got(6);
+    plan.got(6, now);
     REQUIRE(plan.due(false, now + options.patience * 2) == "far-2");
 }
 
