Tests of long replies over slow links have a file of their own, and one generator of noise

Cause: two files grew and the generator stood twice. Change: cases moved unchanged to test/SlowLinkTest.cpp, noise() to test/support.

--- a/test/ConfigCopyTest.cpp
+++ b/test/ConfigCopyTest.cpp
@@ -1,9 +1,9 @@
-#include "Core/Hash.h"
 #include "Mesh/ConfigCopies.h"
 #include "Mesh/ConfigFetch.h"
 #include "Mesh/PullPlan.h"
 #include "Wire/DeltaCodec.h"
 #include "support/MeshFixture.h"
+#include "support/Noise.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -12,21 +12,12 @@
 
 using namespace robinrun;
 using support::MeshFixture;
+using support::noise;
 
 namespace {
 
 constexpr std::size_t manyRoutes = 2800;
 
-/// \returns a text of \a n bytes that can't be compressed.
-std::string noise(std::size_t n, std::uint64_t seed)
-{
-    std::string out;
-    for (std::uint64_t i = 0; out.size() < n; ++i)
-        out += std::to_string(hash64(std::to_string(i), seed));
-    out.resize(n);
-    return out;
-}
-
 /// \brief A node that has a configuration, or wants one.
 struct Holder {
     ConfigText own;
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -2,7 +2,6 @@
 #include "Http/HttpServer.h"
 #include "Node/Timer.h"
 #include "Platform/HttpPlatform.h"
-#include "support/FaultProxy.h"
 #include "support/Loopback.h"
 
 #include <arpa/inet.h>
@@ -402,34 +401,3 @@
             RC_ASSERT(unframeRecords(std::string_view(body).substr(0, body.size() - 1)) != records);
     });
 }
-
-TEST_CASE(
-    "Pages of the log and lists of hosts come over a slow link, though they take longer than an answer may",
-    "[http]")
-{
-    constexpr Duration timeout = 200ms;
-    constexpr std::size_t linkBytesPerSecond = 250000; // each takes four times the timeout
-    const std::string record(200000, 'x');
-    const auto base = makeLoop();
-    HttpServer::Options options;
-    options.address = support::freeAddress();
-    const auto server = std::move(HttpServer::listen(base.get(), options, [&](auto exchange) {
-        const bool isLog = exchange->request().target.starts_with("/streams");
-        const HttpHeaders headers { { "Log-Id", "l" }, { "From-Offset", "0" }, { "First-Offset", "0" },
-            { "End-Offset", "1" }, { "Kept-Since-Ms", "0" }, { "Version", "1" }, { "Whole", "true" } };
-        exchange->reply({ 200, headers, isLog ? frameRecords({ record }) : record });
-    }).value());
-    const auto slow = support::freeAddress();
-    support::FaultProxy link(base.get(), slow, options.address);
-    link.limit(linkBytesPerSecond);
-    HttpAppendLog log(base.get(), slow, timeout);
-    std::optional<bool> isRead;
-    log.read("s", 0, 1, Duration::zero(), [&](auto page) { isRead = page.has_value(); });
-    REQUIRE(support::runUntil(base.get(), [&] { return isRead.has_value(); }));
-    REQUIRE(*isRead);
-    HttpHostList hosts(base.get(), slow, timeout);
-    std::optional<bool> isFetched;
-    hosts.fetch(0, [&](auto list) { isFetched = list.has_value(); });
-    REQUIRE(support::runUntil(base.get(), [&] { return isFetched.has_value(); }));
-    REQUIRE(*isFetched);
-}
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -151,38 +151,3 @@
     REQUIRE(support::runUntil(base.get(), [&] { return kind.has_value(); }));
     REQUIRE(*kind == PlatformErrorKind::Unreachable);
 }
-
-// Not seen, found by looking for the same cause: a whole answer had to come within the time in which the
-// store is to answer, so a configuration of some thousand routes was given up half way, and read anew from
-// its start.
-TEST_CASE(
-    "A long record comes over a slow link, though all of it takes longer than an answer may", "[platform]")
-{
-    constexpr Duration timeout = 300ms;
-    constexpr std::size_t linkBytesPerSecond = 250000; // the record takes four times the timeout
-    const auto base = makeLoop();
-    FakeStore store(base.get());
-    const auto slow = support::freeAddress();
-    support::FaultProxy link(base.get(), slow, store.address);
-    link.limit(linkBytesPerSecond);
-    platform::StoreClient client(base.get(), slow, timeout);
-    const auto text = MeshFixture::largeConfiguration(7, 1400);
-    store.put("keyed.op", "config", text);
-    std::vector<Result<KeyedPage, PlatformError>> pages;
-    const auto take = [&](auto page) { pages.push_back(std::move(page)); };
-    client.newest("keyed.op", take);
-    client.follow("keyed.op", 0, Duration::zero(), take);
-    REQUIRE(support::runUntil(base.get(), [&] { return pages.size() == 2; }));
-    for (const auto& it : pages) {
-        REQUIRE(it);
-        REQUIRE((it.value().records.front().value == text));
-    }
-    // One that falls silent half way is still given up.
-    client.follow("keyed.op", 0, Duration::zero(), take);
-    bool isUnderWay = false;
-    const auto underWay = Timer::once(base.get(), timeout / 2, [&] { isUnderWay = true; });
-    REQUIRE(support::runUntil(base.get(), [&] { return isUnderWay; }));
-    link.set(support::LinkFault::Silence);
-    REQUIRE(support::runUntil(base.get(), [&] { return pages.size() == 3; }));
-    REQUIRE_FALSE(pages.back());
-}
--- a/test/StaleNodeTest.cpp
+++ b/test/StaleNodeTest.cpp
@@ -9,6 +9,7 @@
 #include "Wire/DeltaCodec.h"
 #include "support/FaultProxy.h"
 #include "support/MeshFixture.h"
+#include "support/Noise.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -23,15 +24,6 @@
 
 namespace {
 
-std::string noise(std::size_t n, std::uint64_t seed)
-{
-    std::string out;
-    for (std::uint64_t i = 0; out.size() < n; ++i)
-        out += std::to_string(hash64(std::to_string(i), seed));
-    out.resize(n);
-    return out;
-}
-
 /// \brief One follower of the store behind a link of 10 Mbit/s, with the deployment's timeout.
 struct FarStore {
     static constexpr std::size_t bytesPerSecond = 1250000;
