--- a/test/support/Noise.h
+++ b/test/support/Noise.h
@@ -8,7 +8,8 @@
 
 namespace robinrun::support {
 
-/// \returns \a n digits that have little in common with those of another \a seed, and compress to half at best.
+/// \returns \a n digits that have little in common with those of another \a seed, and compress to half at
+/// best.
 inline std::string noise(std::size_t n, std::uint64_t seed)
 {
     std::string out;
