--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -44,8 +44,12 @@
         LogEventInfo { "configuration-refused", "source error in_force", "can't be read; the old one stays" },
         LogEventInfo {
             "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
-        LogEventInfo { "announcement-refused", "target error", "an announcement can't be read" },
-        LogEventInfo { "node-record-malformed", "key", "a record in the store is none" },
+        LogEventInfo { "foreign-entry", "kind entry fault",
+            "an announcement or a record that no part of this deployment can have written; passed over" },
+        LogEventInfo { "store-entries-unreadable", "topic entries next", "passed over; the others hold" },
+        LogEventInfo { "stood-still", "for_ms in_progress",
+            "this process did nothing for so long, as when its host is frozen; what waited is judged by the "
+            "time since" },
         LogEventInfo { "clock-went-back", "former_incarnation incarnation",
             "a former life of this node says that it started later; this one counts as later still" },
         LogEventInfo { "upstream-sign", "upstream sign set", "a reason to leave came or went" },
--- a/src/Mesh/AnnouncedUpstream.cpp
+++ b/src/Mesh/AnnouncedUpstream.cpp
@@ -7,26 +7,44 @@
 namespace {
 
     /// An announcement may be seconds late, not longer than so many starts of a server.
-    constexpr std::size_t rememberedStarts = 64;
+    constexpr std::size_t rememberedLives = 64;
 
 } // namespace
 
 bool AnnouncedUpstream::take(const Announcement& announcement)
 {
-    if (isFormer(announcement.upstream))
+    if (!m_current || m_current->life == announcement.life)
+        return m_current ? takeOfCurrent(announcement) : takeNext(announcement);
+    const bool isLastWord = announcement.state == AnnouncedState::Gone && !announcement.life.hasBorn();
+    if (isLastWord && announcement.life.id() == m_current->life.id())
+        return takeOfCurrent(announcement);
+    return takeNext(announcement);
+}
+
+bool AnnouncedUpstream::takeNext(const Announcement& announcement)
+{
+    if (isOver(announcement.life))
+        return false;
+    const bool isGone = announcement.state == AnnouncedState::Gone;
+    if (isGone && !(m_current && m_current->life.isBefore(announcement.life))) {
+        // The last word of a life that was never known: nothing of it may come later.
+        addFormer(announcement.life);
         return false;
-    if (!m_current || m_current->upstream != announcement.upstream) {
-        if (announcement.state == AnnouncedState::Gone) {
-            // The last word of a start that was never known: nothing of it may come later.
-            addFormer(announcement.upstream);
-            return false;
-        }
-        if (m_current)
-            addFormer(m_current->upstream);
-        m_current = announcement;
-        m_isGuess = false;
-        return true;
     }
+    const auto former = std::exchange(m_current, announcement);
+    m_isGuess = false;
+    if (former)
+        addFormer(former->life);
+    if (isGone) {
+        // A last word names nothing but its life.
+        m_current->address = former->address;
+        m_current->slots = former->slots;
+    }
+    return true;
+}
+
+bool AnnouncedUpstream::takeOfCurrent(const Announcement& announcement)
+{
     const bool wasGuess = std::exchange(m_isGuess, false);
     if (announcement.state == AnnouncedState::Gone) {
         const bool wasLeaving = isLeaving();
@@ -48,38 +66,45 @@
 
 bool AnnouncedUpstream::found(const Announcement& guess)
 {
-    if (m_current || isFormer(guess.upstream))
+    if (m_current || isOver(guess.life))
         return false;
     m_current = guess;
     m_isGuess = true;
     return true;
 }
 
-bool AnnouncedUpstream::hasLeftBefore(const std::string& upstream)
+bool AnnouncedUpstream::hasLeftBefore(const BackendLife& life)
 {
-    if (!m_current || m_current->upstream != upstream) {
-        addFormer(upstream);
+    if (!m_current || !(m_current->life == life || m_current->life.isBefore(life))) {
+        addFormer(life);
         return false;
     }
-    if (isLeaving() && !m_isGuess)
+    if (m_current->life == life && isLeaving() && !m_isGuess)
         return false;
     m_isGuess = false;
+    m_current->life = life;
     m_current->state = AnnouncedState::Draining;
     return true;
 }
 
-void AnnouncedUpstream::addFormer(const std::string& upstream)
+bool AnnouncedUpstream::isOver(const BackendLife& life) const
 {
-    if (isFormer(upstream))
-        return;
-    m_former.push_back(upstream);
-    if (m_former.size() > rememberedStarts)
-        m_former.pop_front();
+    if (m_current && life.isBefore(m_current->life))
+        return true;
+    // One that says no start, where the present life says one, is of another writer.
+    if (m_current && m_current->life.hasBorn() && !life.hasBorn())
+        return true;
+    return std::any_of(
+        m_former.begin(), m_former.end(), [&](const auto& it) { return it == life || life.isBefore(it); });
 }
 
-bool AnnouncedUpstream::isFormer(const std::string& upstream) const
+void AnnouncedUpstream::addFormer(const BackendLife& life)
 {
-    return std::find(m_former.begin(), m_former.end(), upstream) != m_former.end();
+    if (std::find(m_former.begin(), m_former.end(), life) != m_former.end())
+        return;
+    m_former.push_back(life);
+    if (m_former.size() > rememberedLives)
+        m_former.pop_front();
 }
 
 } // namespace robinrun
--- a/src/Mesh/AnnouncedUpstream.h
+++ b/src/Mesh/AnnouncedUpstream.h
@@ -4,42 +4,47 @@
 
 #include <deque>
 #include <optional>
-#include <string>
 
 namespace robinrun {
 
 /// \brief The backend server beside this node, as it announces itself; late and repeated announcements change
 /// nothing.
 ///
-/// A start of the server that has said it leaves does not come back: an announcement that says otherwise was
-/// held up on its way. A new start takes the place of the former one at once.
-/// Cost: O(log former starts); their ids are kept for the life of the process.
+/// The latest life (BackendLife) counts, whatever its counts and in whichever order lives are heard. Lives
+/// that say no start can't be ordered: there the one heard last counts, and one that was replaced does not
+/// come back. A life that has said it leaves does not come back either: an announcement that says otherwise
+/// was held up on its way. A last word that names no start is taken for the present life of its id, since
+/// sending to a server that is gone costs more than leaving one out until it starts again.
+/// Cost: O(former lives); the last 64 are kept.
 class AnnouncedUpstream {
 public:
     /// \returns whether anything has changed.
     bool take(const Announcement& announcement);
 
-    /// \brief The server's health answer tells which start of it runs, before any announcement has come. If
-    /// it says unwell, the next announcement decides whether it leaves.
+    /// \brief The server's health answer tells which id it goes by, before any announcement has come. If it
+    /// says unwell, the next announcement decides whether it leaves.
     /// \returns whether anything has changed.
     bool found(const Announcement& guess);
 
-    /// \brief A former life of this node has acknowledged that the start \a upstream leaves.
+    /// \brief A former life of this node has acknowledged that \a life leaves.
     /// \returns whether anything has changed.
-    bool hasLeftBefore(const std::string& upstream);
+    bool hasLeftBefore(const BackendLife& life);
 
-    /// \returns what is known of the present start; nothing if the server was not heard of yet.
+    /// \returns what is known of the present life; nothing if the server was not heard of yet.
     const std::optional<Announcement>& current() const { return m_current; }
     bool isLeaving() const { return m_current && m_current->state != AnnouncedState::Ready; }
 
 private:
-    std::optional<Announcement> m_current;
-    bool m_isGuess = false; ///< no announcement of the present start has come yet
-    /// \brief Remembers a start that has left or was replaced; the last ones are kept.
-    void addFormer(const std::string& upstream);
-    bool isFormer(const std::string& upstream) const;
+    /// \returns whether \a life is known to be over.
+    bool isOver(const BackendLife& life) const;
+    bool takeNext(const Announcement& announcement);
+    bool takeOfCurrent(const Announcement& announcement);
+    /// \brief Remembers a life that has left or was replaced; the last ones are kept.
+    void addFormer(const BackendLife& life);
 
-    std::deque<std::string> m_former;
+    std::optional<Announcement> m_current;
+    bool m_isGuess = false; ///< no announcement of the present life has come yet
+    std::deque<BackendLife> m_former;
 };
 
 } // namespace robinrun
--- a/src/Mesh/Announcement.h
+++ b/src/Mesh/Announcement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/BackendLife.h"
 #include "Core/EnumNames.h"
 
 #include <array>
@@ -22,7 +23,7 @@
 
 /// \brief One announcement of a backend server.
 struct Announcement {
-    std::string upstream; ///< id of this start of the server
+    BackendLife life; ///< which start of the server says this
     std::string service;
     std::string address; ///< ip:port
     std::uint32_t slots = 0; ///< calls it works on at a time
--- a/src/Mesh/BackendFinder.cpp
+++ b/src/Mesh/BackendFinder.cpp
@@ -54,7 +54,7 @@
     }
     stop();
     Announcement out;
-    out.upstream = news.upstream;
+    out.life = BackendLife(news.upstream); // its health answer names no start
     out.address = m_address;
     out.slots = news.slots;
     out.state = news.isWell ? AnnouncedState::Ready : AnnouncedState::Draining;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -243,6 +243,8 @@
         [this] { return toSeconds(m_configFeed->readingFor(monotonicNow())); });
     metrics.gauge("robinrun_store_read_seconds{kind=\"read-nodes\"}",
         [this] { return toSeconds(m_nodesFeed->readingFor(monotonicNow())); });
+    metrics.gauge("robinrun_store_entries_unreadable",
+        [this] { return double(m_configFeed->unreadable() + m_nodesFeed->unreadable()); });
     addStoreGauges("read-configuration", *m_configFeed);
     addStoreGauges("read-nodes", *m_nodesFeed);
     addStoreGauges("write-node", *m_writer);
@@ -261,19 +263,28 @@
     exchange.reply({ ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.text() });
 }
 
+Result<Announcement, std::string> MeshNode::readAnnouncement(const HttpRequest& request) const
+{
+    auto out = m_formats.readAnnouncement(request);
+    const auto& own = m_context.settings.service;
+    const bool isOther = out && out.value().state != AnnouncedState::Gone && out.value().service != own;
+    if (isOther)
+        return failure("service: '" + out.value().service + "' is not that of this host, '" + own + "'");
+    return out;
+}
+
 void MeshNode::takeAnnouncement(HttpExchange& exchange)
 {
     const auto now = monotonicNow();
-    const auto read = m_formats.readAnnouncement(exchange.request());
+    const auto read = readAnnouncement(exchange.request());
     if (!read) {
-        log(LogLevel::Warning, "announcement-refused",
-            { { "target", exchange.request().target }, { "error", read.error() } });
+        noteForeign("announcement", exchange.request().target, read.error());
         return exchange.reply({ badRequest, {}, read.error() + "\n" });
     }
     m_finder->stop();
     if (m_announced.take(read.value()))
         upstreamChanged(now);
-    if (read.value().upstream == m_owner->upstream())
+    if (read.value().life.key() == m_owner->upstream())
         m_owner->heardFromBackend(now);
     // Only now: from here on nothing new goes to a server that has said it leaves.
     exchange.reply({ ok, { { "Content-Type", "application/json" } }, "{}" });
@@ -283,11 +294,12 @@
 {
     const auto& current = *m_announced.current();
     log(LogLevel::Info, "upstream-announced",
-        { { "upstream", current.upstream }, { "state", nameOf(current.state) }, { "slots", current.slots },
+        { { "upstream", current.life.key() }, { "state", nameOf(current.state) }, { "slots", current.slots },
             { "sequence", current.sequence } });
-    const bool isNew = m_context.settings.upstream != current.upstream;
-    m_context.settings.upstream = current.upstream;
-    m_record.set_upstream(current.upstream);
+    const bool isNew = m_context.settings.upstream != current.life.key();
+    m_context.settings.upstream = current.life.key();
+    m_record.set_upstream(current.life.id());
+    m_record.set_born(current.life.born());
     m_record.set_slots(current.slots);
     m_record.set_leaving(m_announced.isLeaving());
     publish(now);
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -85,7 +85,10 @@
     proto::PeerMessage partRequest() const;
     void takeStoredNode(const KeyedRecord& stored, Instant now);
     /// \returns what a record of the store says of its node; nothing if it is malformed or says nothing new.
-    std::optional<proto::NodeRecord> readStoredNode(const KeyedRecord& stored) const;
+    std::optional<proto::NodeRecord> readStoredNode(const KeyedRecord& stored);
+    /// \brief Counts and logs what no part of this deployment can have written.
+    /// \param kind of entry. \param what names it. \param fault with the field.
+    void noteForeign(std::string_view kind, std::string_view what, std::string_view fault);
     bool takeOwnRecord(const proto::NodeRecord& record, Instant now);
     /// \brief A former life of this node seems to be later, since the clock went back: makes this one's
     /// records count as later ones.
@@ -95,6 +98,8 @@
 
     void answerReadiness(HttpExchange& exchange) const;
     void answerMetrics(HttpExchange& exchange) const;
+    /// \returns an announcement of the backend server beside this node. The error names the field.
+    Result<Announcement, std::string> readAnnouncement(const HttpRequest& request) const;
     void takeAnnouncement(HttpExchange& exchange);
     void upstreamChanged(Instant now);
 
@@ -126,6 +131,7 @@
     std::size_t livingNodes() const;
 
     void tick();
+    void noteStandstill(Instant now);
     void step(NodeEvent event);
     void beginLeaving();
 
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -113,9 +113,22 @@
     return std::max(leastRetryBurst, plannedPart * m_context.settings.retries.slack / nodes);
 }
 
+void MeshNode::noteStandstill(Instant now)
+{
+    m_context.standstill.tick(now);
+    const auto standstill = m_context.standstill.wakingFrom(now);
+    if (!standstill || standstill->ended != now)
+        return;
+    log(LogLevel::Warning, "stood-still",
+        { { "for_ms", toMilliseconds(standstill->length()) },
+            { "in_progress", std::uint64_t { m_ingress->inProgress() } } });
+    m_context.metrics.count("robinrun_standstills_total");
+}
+
 void MeshNode::tick()
 {
     const auto now = monotonicNow();
+    noteStandstill(now);
     m_owner->tick(now);
     m_peers->closeIdle(now);
     flushLog();
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -13,6 +13,8 @@
     constexpr Duration relayDelay = 10ms;
     /// A contact whose link has just been opened is tried again after so long.
     constexpr Duration connectingAgain = 100ms;
+    /// What other writers send is logged up to so many bytes of a text.
+    constexpr std::size_t loggedBytes = 128;
 
 } // namespace
 
@@ -158,6 +160,10 @@
 
 bool MeshNode::takeRecord(const proto::NodeRecord& record, Instant now)
 {
+    if (const auto fault = faultOf(record); !fault.empty()) {
+        noteForeign("node-record", record.node(), fault);
+        return false;
+    }
     if (record.node() == m_context.settings.name)
         return takeOwnRecord(record, now);
     const bool isNew = isNewLife(record.node(), record.incarnation());
@@ -165,17 +171,19 @@
     if (change == NodeRegistry::Change::Changed)
         rebuildSoon();
     if (isNew && !record.upstream().empty())
-        m_ingress->revive(record.upstream(), now);
+        m_ingress->revive(lifeOf(record).key(), now);
     return change != NodeRegistry::Change::None;
 }
 
-std::optional<proto::NodeRecord> MeshNode::readStoredNode(const KeyedRecord& stored) const
+std::optional<proto::NodeRecord> MeshNode::readStoredNode(const KeyedRecord& stored)
 {
     proto::NodeRecord record;
     if (!stored.value.empty()) {
-        if (record.ParseFromString(stored.value) && record.node() == stored.key)
+        const bool isRecord = record.ParseFromString(stored.value) && record.node() == stored.key;
+        const auto fault = isRecord ? faultOf(record) : "is no record of this key";
+        if (fault.empty())
             return record;
-        log(LogLevel::Error, "node-record-malformed", { { "key", stored.key } });
+        noteForeign("node-record", stored.key, fault);
         return std::nullopt;
     }
     // Taken away: the node said that it will not be back.
@@ -187,6 +195,14 @@
     return record;
 }
 
+void MeshNode::noteForeign(std::string_view kind, std::string_view what, std::string_view fault)
+{
+    log(LogLevel::Warning, "foreign-entry",
+        { { "kind", kind }, { "entry", what.substr(0, loggedBytes) },
+            { "fault", fault.substr(0, loggedBytes) } });
+    m_context.metrics.count("robinrun_foreign_entries_total{kind=\"" + std::string(kind) + "\"}");
+}
+
 bool MeshNode::takeOwnRecord(const proto::NodeRecord& record, Instant now)
 {
     const bool isNews = m_registry.take(record) != NodeRegistry::Change::None;
@@ -194,7 +210,7 @@
     const bool isFormer = record.incarnation() != m_record.incarnation();
     if (isFormer && NodeRegistry::isLater(record, m_record))
         outrank(record, now);
-    if (isFormer && record.leaving() && m_announced.hasLeftBefore(record.upstream()))
+    if (isFormer && record.leaving() && m_announced.hasLeftBefore(lifeOf(record)))
         upstreamChanged(now);
     // Somebody took this node for gone.
     if (!isFormer && record.gone() && !m_record.gone())
@@ -215,6 +231,8 @@
     // Not passed on: others read it too, and contacts find by their digests what they lack.
     if (const auto record = readStoredNode(stored))
         takeRecord(*record, now);
+    else if (stored.key == m_context.settings.name && !stored.value.empty())
+        publish(now); // another writer has put something in the place of this node's record
 }
 
 void MeshNode::takePartRequest(
--- a/src/Mesh/NodeRegistry.cpp
+++ b/src/Mesh/NodeRegistry.cpp
@@ -1,9 +1,13 @@
 #include "Mesh/NodeRegistry.h"
 
 #include "Core/Hash.h"
+#include "Http/HttpTypes.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
+#include <utility>
 
 namespace robinrun {
 namespace {
@@ -18,7 +22,7 @@
     bool isAlike(const proto::NodeRecord& a, const proto::NodeRecord& b)
     {
         return a.incarnation() == b.incarnation() && a.peer_address() == b.peer_address()
-            && a.data_hall() == b.data_hall() && a.service() == b.service() && a.upstream() == b.upstream()
+            && a.data_hall() == b.data_hall() && a.service() == b.service() && lifeOf(a) == lifeOf(b)
             && a.slots() == b.slots() && a.leaving() == b.leaving() && a.gone() == b.gone();
     }
 
@@ -39,8 +43,66 @@
         return hash64(pair);
     }
 
+    /// Numbers of records are times in us and counts from 1; 2^53 us are 285 years.
+    constexpr std::uint64_t largestNumber = std::uint64_t { 1 } << 53U;
+    constexpr std::size_t longestText = 255;
+
+    bool isAddress(const std::string& text)
+    {
+        std::string ip;
+        std::uint16_t port = 0;
+        return splitAddress(text, ip, port);
+    }
+
+    /// \returns whether \a a names a later start of their server than \a b, or the same one and is the later
+    /// record.
+    bool isLaterOfId(const proto::NodeRecord& a, const proto::NodeRecord& b)
+    {
+        return std::make_pair(a.born(), a.incarnation()) > std::make_pair(b.born(), b.incarnation());
+    }
+
+    proto::Resource resourceOf(const proto::NodeRecord& record)
+    {
+        proto::Resource out;
+        out.set_name("upstreams/" + lifeOf(record).key());
+        auto& upstream = *out.mutable_upstream();
+        upstream.set_service(record.service());
+        upstream.set_address(record.address());
+        upstream.set_node_address(record.peer_address());
+        upstream.set_host(record.node());
+        upstream.set_data_hall(record.data_hall());
+        upstream.set_region(record.region());
+        upstream.set_slots(record.slots());
+        upstream.set_leaving(record.leaving());
+        return out;
+    }
+
 } // namespace
 
+std::string faultOf(const proto::NodeRecord& record)
+{
+    const std::pair<const char*, const std::string&> names[]
+        = { { "node", record.node() }, { "data_hall", record.data_hall() }, { "region", record.region() },
+              { "service", record.service() }, { "upstream", record.upstream() } };
+    for (const auto& [field, text] : names) {
+        if (text.size() > longestText)
+            return std::string(field) + ": has more than " + std::to_string(longestText) + " bytes";
+    }
+    if (record.node().empty())
+        return "node: is empty";
+    if (!isAddress(record.peer_address()))
+        return "peer_address: must be ip:port";
+    if (!record.address().empty() && !isAddress(record.address()))
+        return "address: must be ip:port";
+    const std::pair<const char*, std::uint64_t> numbers[] = { { "incarnation", record.incarnation() },
+        { "sequence", record.sequence() }, { "born", record.born() } };
+    for (const auto& [field, number] : numbers) {
+        if (number > largestNumber)
+            return std::string(field) + ": must be at most 2^53";
+    }
+    return "";
+}
+
 NodeRegistry::Change NodeRegistry::take(const proto::NodeRecord& record)
 {
     const auto it = m_nodes.find(record.node());
@@ -99,22 +161,19 @@
 
 std::vector<proto::Resource> NodeRegistry::upstreams() const
 {
-    std::vector<proto::Resource> out;
+    std::unordered_map<std::string_view, const proto::NodeRecord*> byId;
     for (const auto& [name, record] : m_nodes) {
         if (record.upstream().empty() || record.gone())
             continue;
-        proto::Resource resource;
-        resource.set_name("upstreams/" + record.upstream());
-        auto& upstream = *resource.mutable_upstream();
-        upstream.set_service(record.service());
-        upstream.set_address(record.address());
-        upstream.set_node_address(record.peer_address());
-        upstream.set_host(name);
-        upstream.set_data_hall(record.data_hall());
-        upstream.set_region(record.region());
-        upstream.set_slots(record.slots());
-        upstream.set_leaving(record.leaving());
-        out.push_back(std::move(resource));
+        const auto [it, isFirst] = byId.try_emplace(record.upstream(), &record);
+        if (!isFirst && isLaterOfId(record, *it->second))
+            it->second = &record;
+    }
+    std::vector<proto::Resource> out;
+    for (const auto& [name, record] : m_nodes) {
+        const auto it = byId.find(record.upstream());
+        if (it != byId.end() && it->second == &record)
+            out.push_back(resourceOf(record));
     }
     return out;
 }
--- a/src/Mesh/NodeRegistry.h
+++ b/src/Mesh/NodeRegistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/BackendLife.h"
 #include "peer.pb.h"
 
 #include <array>
@@ -11,6 +12,16 @@
 
 namespace robinrun {
 
+/// \returns which start of its backend server a node's record is about; an empty id if none is known.
+inline BackendLife lifeOf(const proto::NodeRecord& record)
+{
+    return BackendLife(record.upstream(), record.born());
+}
+
+/// \returns why a record can't be one that a node has written, with the field; "" if it can. Other writers
+/// may use the store, and a number no clock shows would hide all that the node itself says later.
+std::string faultOf(const proto::NodeRecord& record);
+
 /// \brief What this node knows of all nodes and the upstreams beside them, from the store and from peers.
 ///
 /// Of two records of a node the one of the later incarnation counts, then the one with the higher sequence,
@@ -38,7 +49,8 @@
     const std::map<std::string, proto::NodeRecord>& nodes() const { return m_nodes; }
 
     /// \returns the upstreams of all nodes that are not gone, leaving ones too, as resources of the
-    /// directory. Cost: O(nodes).
+    /// directory, named by their lives. Of two nodes that name the same id, the one with the later life
+    /// counts. Cost: O(nodes log nodes).
     std::vector<proto::Resource> upstreams() const;
 
     /// \brief Up to \a n peers of \a self, the same pairs seen from both ends as far as the bound allows:
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -113,6 +113,7 @@
         return failed(page.error());
     m_retry = {};
     m_next = page.value().next;
+    noteUnreadable(page.value());
     m_handler(page.value().records);
     setConnected(true, "");
     setAnswered(true);
@@ -122,6 +123,15 @@
     readLater(m_options.pause());
 }
 
+void TopicFollower::noteUnreadable(const KeyedPage& page)
+{
+    if (!page.unreadable)
+        return;
+    m_unreadable += page.unreadable;
+    log(LogLevel::Warning, "store-entries-unreadable",
+        { { "topic", m_options.topic }, { "entries", page.unreadable }, { "next", page.next } });
+}
+
 void TopicFollower::failed(const PlatformError& error)
 {
     if (error.kind == PlatformErrorKind::Forgotten) {
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -71,6 +71,8 @@
     std::uint64_t calls() const { return m_calls; }
     /// \returns how many of them failed.
     std::uint64_t failures() const { return m_failures; }
+    /// \returns how many entries could not be read and were passed over.
+    std::uint64_t unreadable() const { return m_unreadable; }
 
 private:
     void noteSent();
@@ -84,6 +86,7 @@
     double jitter();
     void handle(const Result<KeyedPage, PlatformError>& page);
     void failed(const PlatformError& error);
+    void noteUnreadable(const KeyedPage& page);
     void setConnected(bool isConnected, const std::string& why);
 
     event_base* m_base;
@@ -94,6 +97,7 @@
     std::uint64_t m_next = 0; ///< offset to read on from
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
+    std::uint64_t m_unreadable = 0;
     bool m_isCaughtUp = false;
     bool m_isConnected = false;
     bool m_isAnswered = false; ///< the last read, since the last rest
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -97,22 +97,29 @@
     call.exchange = std::move(exchange);
     call.state = m_context->charts.call.initial();
     call.arrived = now;
-    call.deadline = now + call.request.allowed;
+    // A request that waited unread while this node stood still may have been there from the beginning.
+    const auto age = m_context->standstill.backlogAge(now);
+    const auto allowed = std::max(call.request.allowed - age, Duration::zero());
+    call.deadline = now + allowed;
     call.attemptsLeft = call.request.attempts;
     call.ticket = call.request.ticket;
     if (call.request.isByRoute && call.request.callClass.targetLatency > Duration::zero())
         call.asksLeft = m_context->settings.experiments.isOn(Mechanism::AskFirst) ? maxAsks : 0;
     noteRoute(call, now);
     call.exchange->onHangUp([this, id] { hungUp(id); });
-    call.deadlineTimer
-        = Timer::once(m_context->base, call.request.allowed, [this, id] { deadlineReached(id); });
+    call.deadlineTimer = Timer::once(m_context->base, allowed, [this, id] { deadlineReached(id); });
     if (m_isDraining) {
         call.retryAfterMs = drainingRetryMs;
         return finishNotRun(id, call, Reason::Leaving, now);
     }
+    if (allowed == Duration::zero())
+        return finishNotRun(id, call, Reason::DeadlinePassed, now);
     m_routers.at(call.request.service)->firstAttempt(call.request.groupNumber);
     call.isMinting = call.request.key || call.request.wantsTicket;
     step(call, call.request.key ? CallEvent::NeedsClaim : CallEvent::NeedsNoClaim);
+    // Its caller may have left meanwhile, which the next turn of the loop shows.
+    if (age > Duration::zero())
+        return tryAgainSoon(id, call);
     proceed(id, now);
 }
 
@@ -135,6 +142,11 @@
 void Ingress::proceed(CallId id, Instant now)
 {
     auto& call = m_calls.at(id);
+    if (now >= call.deadline)
+        return deadlineReached(id);
+    // After a standstill, what ended meanwhile is noticed before anything is sent.
+    if (m_context->standstill.isFirstTurn(now))
+        return tryAgainSoon(id, call);
     auto& router = *m_routers.at(call.request.service);
     if (call.ticket && !call.isMinting) {
         // A ticket is good at one owner only.
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -43,15 +43,13 @@
             router.lost(it.upstream, call.request.groupNumber, now);
         else
             router.abandoned(it.upstream, call.request.groupNumber);
-        if (it.upstream == m_owner->upstream()) {
+        if (it.address.empty()) {
             m_owner->cancel(selfAsSender(), it.number, now);
             continue;
         }
-        const auto* info = upstreamOf(call.request.service, it.upstream);
         proto::PeerMessage message;
         message.mutable_cancel()->set_number(it.number);
-        if (info)
-            m_send(info->config.node_address(), message, now);
+        m_send(it.address, message, now);
     }
 }
 
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -3,6 +3,7 @@
 #include "Chart/Charts.h"
 #include "Core/Hash.h"
 #include "Core/Random.h"
+#include "Core/StandstillWatch.h"
 #include "Core/Time.h"
 #include "Node/CallHeaders.h"
 #include "Node/Directory.h"
@@ -30,6 +31,7 @@
     std::function<std::int64_t()> wallClock = wallClockMs;
     CallHeaders headers {};
     std::uint64_t configVersion = 0; ///< of the directory, for the log
+    StandstillWatch standstill {}; ///< given the node's ticks
 
     /// \brief For a real node. Its random numbers differ from those of nodes that start at the same instant.
     static NodeContext forNode(NodeSettings settings, Charts charts, event_base* base,
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -5,6 +5,8 @@
 #include "Wire/TicketCodec.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace robinrun {
 namespace {
@@ -69,19 +71,45 @@
 
 void Owner::turnTo(const UpstreamInfo& info, Instant now)
 {
-    m_backendAddress = info.config.address();
-    m_boundUpstream = info.id;
+    const auto former = BackendLife::fromKey(std::exchange(m_boundUpstream, info.id));
+    const bool isSameAddress
+        = std::exchange(m_backendAddress, info.config.address()) == info.config.address();
+    // Its id was known before its start was: the same life.
+    if (m_pool && isSameAddress && BackendLife::fromKey(info.id).isMeantBy(former))
+        return;
     m_isDown = false;
     m_unreached = 0;
+    m_admission.restart();
     m_admission.setSlowdown(m_toldSlowdown = 1, now);
+    m_loadHeard.reset();
+    m_errors = Ewma(errorSampleWeight);
     HttpPool::Options options;
     options.address = m_backendAddress;
     options.maxConnections = info.config.connections();
     options.connectTimeout = connectTimeout;
-    // Calls that run at the former address end there.
+    // Calls that run at a former address end there.
     if (m_pool)
         m_formerPools.push_back(std::move(m_pool));
     m_pool = std::make_unique<HttpPool>(m_context->base, options);
+    if (isSameAddress && !m_formerPools.empty())
+        endRuns(*m_formerPools.back(), now);
+}
+
+void Owner::endRuns(HttpPool& pool, Instant now)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, record] : m_calls) {
+        if (record.isRunning && record.pool == &pool)
+            ids.push_back(id);
+    }
+    for (const auto id : ids) {
+        // Ending one may have ended others that ran beside it.
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end())
+            continue;
+        pool.cancel(it->second.request);
+        ended(id, HttpError { HttpErrorKind::Broken }, now);
+    }
 }
 
 void Owner::setSign(LeavingSign sign, bool isSet, Instant now)
@@ -112,6 +140,7 @@
         if (const auto state = m_leaving.idle())
             lifeChanged(*state, now);
     }
+    refuseGivenUp(now);
     m_seen.forgetSilent(now);
     std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
@@ -123,7 +152,7 @@
 
 Reason Owner::faultOf(const proto::Call& call, const Sender& sender, Instant now)
 {
-    if (call.upstream() != upstream() || !m_pool)
+    if (!isMeantBy(call.upstream()) || !m_pool)
         return Reason::WrongOwner;
     if (call.owner_incarnation() && call.owner_incarnation() != m_context->incarnation)
         return Reason::WrongIncarnation;
@@ -138,7 +167,49 @@
     const Instant deadline { Duration(static_cast<std::int64_t>(call.owner_deadline_us())) };
     if (call.owner_deadline_us() && now >= deadline)
         return Reason::DeadlinePassed;
-    return Reason::None;
+    return isGivenUp(call, sender, now) ? Reason::GivenUpMeanwhile : Reason::None;
+}
+
+bool Owner::isMeantBy(const std::string& key) const
+{
+    return key == upstream() || BackendLife::fromKey(upstream()).isMeantBy(BackendLife::fromKey(key));
+}
+
+std::optional<Standstill> Owner::lostLinksIn(Instant now) const
+{
+    const auto out = m_context->standstill.wakingFrom(now);
+    const auto linkLife = PeerSocket::missedHeartbeats * m_context->settings.peers.heartbeat;
+    return out && out->length() >= linkLife ? out : std::nullopt;
+}
+
+bool Owner::isGivenUp(const proto::Call& call, const Sender& sender, Instant now) const
+{
+    const auto standstill = lostLinksIn(now);
+    if (!standstill || sender.node == m_context->settings.name)
+        return false;
+    // Where its sender doesn't know this node's clock yet, nothing shows when the call was sent.
+    if (!call.owner_deadline_us())
+        return true;
+    const Instant sent { Duration(
+        static_cast<std::int64_t>(call.owner_deadline_us()) - call.remaining_us()) };
+    return sent < standstill->ended;
+}
+
+void Owner::refuseGivenUp(Instant now)
+{
+    const auto standstill = lostLinksIn(now);
+    if (!standstill)
+        return;
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, record] : m_calls) {
+        const bool isForeign = record.sender.node != m_context->settings.name;
+        if (isForeign && !record.isRunning && record.arrived <= standstill->began)
+            ids.push_back(id);
+    }
+    for (const auto id : ids) {
+        if (m_admission.cancelWaiting(id))
+            refuse({ id, Reason::GivenUpMeanwhile, {} }, now);
+    }
 }
 
 void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Chart/Leaving.h"
+#include "Core/BackendLife.h"
 #include "Http/HttpPool.h"
 #include "Node/NodeContext.h"
 #include "Node/Prober.h"
@@ -99,9 +100,21 @@
         std::uint64_t request = 0; ///< its number there
     };
 
-    /// \brief The backend server has another address, or another start of it has come.
+    /// \returns whether this owner's backend server is the life that \a key names, or any of its id.
+    bool isMeantBy(const std::string& key) const;
+    /// \brief The backend server has another address, or another life of it has come: nothing that was learnt
+    /// of the former one counts.
     void turnTo(const UpstreamInfo& info, Instant now);
     Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
+    /// \returns the standstill that this node wakes from, if it was so long that peers have given its links
+    /// up, and with them all calls that were out to it.
+    std::optional<Standstill> lostLinksIn(Instant now) const;
+    /// \returns whether \a call was under way when its sender gave the link up.
+    bool isGivenUp(const proto::Call& call, const Sender& sender, Instant now) const;
+    /// \brief Refuses calls that waited here while their senders gave the links up: nobody waits for them.
+    void refuseGivenUp(Instant now);
+    /// \brief Calls that run at a life which is over get no answer any more: ends them as unknown.
+    void endRuns(HttpPool& pool, Instant now);
     /// \returns whether a call would run at once, on a backend server that isn't slowed down.
     bool isReadyAtOnce(Instant now) const;
     void mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now);
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -133,7 +133,7 @@
     const auto& names = m_context->headers;
     request.headers.emplace_back(names.deadline, std::to_string(left));
     if (record.isByRoute) {
-        request.headers.emplace_back(names.expectedUpstream, upstream());
+        request.headers.emplace_back(names.expectedUpstream, BackendLife::fromKey(upstream()).id());
         request.headers.emplace_back(names.callerService, record.call.caller_service());
     } else {
         request.headers.emplace_back(headers::attempts, std::to_string(record.call.attempts_left()));
@@ -190,6 +190,7 @@
 
 void Owner::ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now)
 {
+    refuseGivenUp(now);
     // First of all: a drain told with this answer must stop the call that would get its slot.
     auto answer = result.has_value() ? answerOf(result.value(), now) : answerOf(result.error());
     if (!result.has_value() && result.error().kind == HttpErrorKind::NotConnected
--- a/src/Platform/RecordStore.h
+++ b/src/Platform/RecordStore.h
@@ -21,6 +21,7 @@
 struct KeyedPage {
     std::vector<KeyedRecord> records;
     std::uint64_t next = 0; ///< offset to read on from
+    std::uint64_t unreadable = 0; ///< entries that were passed over: no key, or a value that can't be read
 };
 
 /// \brief A store in which nodes meet and the configuration lies: topics that keep the newest record of each
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -37,6 +37,11 @@
     m_limit = makeLimit(m_options.limit, slots, m_options.share);
 }
 
+void Admission::restart()
+{
+    m_limit = makeLimit(m_options.limit, m_options.slots, m_options.share);
+}
+
 void Admission::setLimit(LimitKind kind, double share)
 {
     if (kind == m_options.limit && share == m_options.share)
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -76,6 +76,10 @@
     /// learnt of the limit is kept as long as the slots stay the same.
     void setSlots(std::uint32_t slots);
 
+    /// \brief Another life of the backend server has come: what was learnt of the former one's limit is
+    /// forgotten. How long calls of a class take is kept: that is the service's, not the life's.
+    void restart();
+
     /// \brief Changes how the limit is found, or the share of the slots of one that is fixed.
     void setLimit(LimitKind kind, double share);
 
--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -11,7 +11,6 @@
 namespace {
 
     /// A link whose peer is gone without a word ends after this many heartbeats, and is tried anew.
-    constexpr int missedHeartbeats = 2;
     constexpr int reconnectMs = 50;
     /// Bytes of the kernel's buffer for what a link sends; Linux takes it twice. A heartbeat waits behind it:
     /// 0.05 s at 10 Mbit/s, and the mesh's two heartbeats (0.5 s) where ten links send all they can over that
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -56,6 +56,9 @@
 /// are read.
 class PeerSocket {
 public:
+    /// Heartbeats that stay out before a link ends.
+    static constexpr int missedHeartbeats = 2;
+
     /// \brief Where an answer goes: back along the link the message came by, or to a link of our own.
     struct Sender {
         std::string node;
--- /dev/null
+++ b/test/BackendLifeTest.cpp
@@ -0,0 +1,230 @@
+#include "Core/BackendLife.h"
+#include "Mesh/AnnouncedUpstream.h"
+#include "Mesh/NodeRegistry.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck/catch.h>
+#include <string>
+#include <vector>
+
+/// \file Which life of a backend server counts, in whatever order lives are heard, at one node and at many.
+
+using namespace robinrun;
+
+namespace {
+
+Announcement announcement(const BackendLife& life, std::uint64_t sequence, AnnouncedState state)
+{
+    Announcement out;
+    out.life = life;
+    out.slots = 4;
+    out.sequence = sequence;
+    out.state = state;
+    return out;
+}
+
+/// \brief All that one life of a server says, in order: ready, then perhaps that it drains, then perhaps that
+/// it is gone.
+std::vector<Announcement> wordsOf(const BackendLife& life)
+{
+    std::vector<Announcement> out;
+    const auto ready = *rc::gen::inRange<std::uint64_t>(1, 6);
+    for (std::uint64_t i = 1; i <= ready; ++i)
+        out.push_back(announcement(life, i, AnnouncedState::Ready));
+    const auto draining = *rc::gen::inRange<std::uint64_t>(0, 3);
+    for (std::uint64_t i = 1; i <= draining; ++i)
+        out.push_back(announcement(life, ready + i, AnnouncedState::Draining));
+    if (*rc::gen::arbitrary<bool>())
+        out.push_back(announcement(life, 0, AnnouncedState::Gone));
+    return out;
+}
+
+/// \brief What is heard of \a said: some of it lost, some twice, in any order.
+template <class T> std::vector<T> heardOf(const std::vector<T>& said)
+{
+    std::vector<T> out;
+    for (const auto& it : said) {
+        const auto times = *rc::gen::inRange(0, 3);
+        out.insert(out.end(), static_cast<std::size_t>(times), it);
+    }
+    for (std::size_t i = out.size(); i > 1; --i)
+        std::swap(out[i - 1], out[*rc::gen::inRange<std::size_t>(0, i)]);
+    return out;
+}
+
+/// \returns the latest life of which anything was heard, stated apart from the code under test.
+std::uint64_t latestBorn(const std::vector<Announcement>& heard)
+{
+    std::uint64_t out = 0;
+    for (const auto& it : heard)
+        out = std::max(out, it.life.born());
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("A life's name is read back, and text that names no start is an id", "[life]")
+{
+    rc::prop("key", [](std::uint64_t born) {
+        const BackendLife life("i-7f3a", born);
+        RC_ASSERT(BackendLife::fromKey(life.key()) == life);
+    });
+    REQUIRE(BackendLife("i-1", 5).key() == "i-1#5");
+    REQUIRE(BackendLife("i-1").key() == "i-1");
+    for (const char* it : { "", "#", "a#", "a#x", "a#1x", "#99999999999999999999999" })
+        REQUIRE(BackendLife::fromKey(it) == BackendLife(it));
+    REQUIRE(BackendLife::fromKey("a#1#2") == BackendLife("a#1", 2));
+}
+
+TEST_CASE("Lives are ordered by their starts; one without is before those of its id", "[life]")
+{
+    const BackendLife first("a", 1);
+    const BackendLife second("a", 2);
+    const BackendLife other("b", 2);
+    REQUIRE(first.isBefore(second));
+    REQUIRE_FALSE(second.isBefore(first));
+    REQUIRE(first.isBefore(other));
+    REQUIRE_FALSE(other.isBefore(second));
+    REQUIRE(BackendLife("a").isBefore(first));
+    REQUIRE_FALSE(BackendLife("b").isBefore(first));
+    REQUIRE_FALSE(first.isBefore(BackendLife("a")));
+    REQUIRE(first.isMeantBy(first));
+    REQUIRE(first.isMeantBy(BackendLife("a")));
+    REQUIRE_FALSE(first.isMeantBy(second));
+    REQUIRE_FALSE(BackendLife("a").isMeantBy(first));
+}
+
+TEST_CASE("Of all that was heard, the latest life holds, and it leaves if it ever said so", "[life]")
+{
+    rc::prop("order, loss and repeats", [] {
+        std::vector<Announcement> said;
+        const auto lives = *rc::gen::inRange<std::uint64_t>(1, 5);
+        for (std::uint64_t i = 1; i <= lives; ++i) {
+            // Some lives go by the id of the one before.
+            const BackendLife life(*rc::gen::arbitrary<bool>() ? "same" : "i-" + std::to_string(i), i);
+            const auto words = wordsOf(life);
+            said.insert(said.end(), words.begin(), words.end());
+        }
+        const auto heard = heardOf(said);
+        AnnouncedUpstream upstream;
+        for (const auto& it : heard)
+            upstream.take(it);
+        const auto latest = latestBorn(heard);
+        const auto isWordOfLatest = [&](const auto& it) { return it.life.born() == latest; };
+        const bool hasLeft = std::any_of(heard.begin(), heard.end(),
+            [&](const auto& it) { return isWordOfLatest(it) && it.state != AnnouncedState::Ready; });
+        const bool wasReady = std::any_of(heard.begin(), heard.end(),
+            [&](const auto& it) { return isWordOfLatest(it) && it.state == AnnouncedState::Ready; });
+        // Of a life that was heard to leave, nothing is known to be usable; any other is the latest one.
+        if (wasReady && !hasLeft) {
+            RC_ASSERT(upstream.current().has_value());
+            RC_ASSERT(upstream.current()->life.born() == latest);
+            RC_ASSERT(!upstream.isLeaving());
+        } else {
+            RC_ASSERT(
+                !upstream.current() || upstream.isLeaving() || upstream.current()->life.born() < latest);
+        }
+        if (hasLeft)
+            RC_ASSERT(!upstream.current() || upstream.isLeaving());
+    });
+}
+
+TEST_CASE("A last word of an earlier life changes nothing, also seconds after the next one came", "[life]")
+{
+    AnnouncedUpstream upstream;
+    REQUIRE(upstream.take(announcement(BackendLife("a", 1), 900, AnnouncedState::Ready)));
+    REQUIRE(upstream.take(announcement(BackendLife("a", 2), 1, AnnouncedState::Ready)));
+    REQUIRE_FALSE(upstream.take(announcement(BackendLife("a", 1), 0, AnnouncedState::Gone)));
+    REQUIRE_FALSE(upstream.take(announcement(BackendLife("a", 1), 901, AnnouncedState::Draining)));
+    REQUIRE_FALSE(upstream.isLeaving());
+    // A writer that names no start, where the server does, is another one.
+    REQUIRE_FALSE(upstream.take(announcement(BackendLife("a"), 999, AnnouncedState::Draining)));
+    REQUIRE_FALSE(upstream.take(announcement(BackendLife("b"), 999, AnnouncedState::Ready)));
+    REQUIRE(upstream.current()->life == BackendLife("a", 2));
+    REQUIRE_FALSE(upstream.isLeaving());
+}
+
+TEST_CASE("A server whose id was found by its health keeps its place once it says its start", "[life]")
+{
+    AnnouncedUpstream upstream;
+    REQUIRE(upstream.found(announcement(BackendLife("a"), 0, AnnouncedState::Ready)));
+    REQUIRE(upstream.take(announcement(BackendLife("a", 7), 3, AnnouncedState::Ready)));
+    REQUIRE(upstream.current()->life == BackendLife("a", 7));
+    AnnouncedUpstream second;
+    REQUIRE(second.found(announcement(BackendLife("a"), 0, AnnouncedState::Ready)));
+    REQUIRE(second.hasLeftBefore(BackendLife("a", 7)));
+    REQUIRE_FALSE(second.take(announcement(BackendLife("a", 7), 9, AnnouncedState::Ready)));
+    REQUIRE(second.isLeaving());
+    REQUIRE(second.take(announcement(BackendLife("a", 8), 1, AnnouncedState::Ready)));
+    REQUIRE_FALSE(second.isLeaving());
+}
+
+TEST_CASE("Nodes that heard the same records in any order name the same latest lives", "[life]")
+{
+    rc::prop("nodes, lives, losses and repeats", [] {
+        std::vector<proto::NodeRecord> said;
+        const auto nodes = *rc::gen::inRange(1, 4);
+        for (int node = 0; node < nodes; ++node) {
+            const auto starts = *rc::gen::inRange<std::uint64_t>(1, 5);
+            for (std::uint64_t i = 1; i <= starts; ++i) {
+                proto::NodeRecord record;
+                record.set_node("n" + std::to_string(node));
+                record.set_incarnation(1 + i / 3);
+                record.set_sequence(i);
+                // A server may start again under its id beside another node.
+                record.set_upstream("u" + std::to_string(*rc::gen::inRange(0, 2)));
+                record.set_born(*rc::gen::inRange<std::uint64_t>(0, 4));
+                record.set_slots(4);
+                said.push_back(record);
+            }
+        }
+        const auto heard = heardOf(said);
+        NodeRegistry registry;
+        for (const auto& it : heard)
+            registry.take(it);
+        // Stated apart: each node's last record, and of those that name one id the latest start.
+        std::map<std::string, proto::NodeRecord> last;
+        for (const auto& it : heard) {
+            auto& known = last[it.node()];
+            if (known.node().empty()
+                || std::pair(it.incarnation(), it.sequence())
+                    > std::pair(known.incarnation(), known.sequence()))
+                known = it;
+        }
+        std::map<std::string, std::uint64_t> latest;
+        for (const auto& [node, it] : last) {
+            auto& born = latest.try_emplace(it.upstream(), it.born()).first->second;
+            born = std::max(born, it.born());
+        }
+        std::map<std::string, std::uint64_t> named;
+        for (const auto& it : registry.upstreams()) {
+            const auto life = BackendLife::fromKey(it.name().substr(std::string("upstreams/").size()));
+            RC_ASSERT(named.emplace(life.id(), life.born()).second);
+        }
+        RC_ASSERT(named == latest);
+    });
+}
+
+TEST_CASE("A record that no node can have written names its field", "[life]")
+{
+    proto::NodeRecord good;
+    good.set_node("n");
+    good.set_peer_address("10.0.0.1:7");
+    REQUIRE(faultOf(good).empty());
+    const auto faultWith = [&](auto change) {
+        auto it = good;
+        change(it);
+        return faultOf(it);
+    };
+    REQUIRE(faultWith([](auto& it) { it.set_node(""); }) == "node: is empty");
+    REQUIRE(faultWith([](auto& it) { it.set_peer_address("x"); }) == "peer_address: must be ip:port");
+    REQUIRE(faultWith([](auto& it) { it.set_address("x"); }) == "address: must be ip:port");
+    REQUIRE(
+        faultWith([](auto& it) { it.set_incarnation(UINT64_MAX); }) == "incarnation: must be at most 2^53");
+    REQUIRE(faultWith([](auto& it) { it.set_sequence(UINT64_MAX); }) == "sequence: must be at most 2^53");
+    REQUIRE(faultWith([](auto& it) { it.set_born(UINT64_MAX); }) == "born: must be at most 2^53");
+    REQUIRE(faultWith([](auto& it) { it.set_upstream(std::string(256, 'x')); })
+        == "upstream: has more than 255 bytes");
+}
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -79,7 +79,7 @@
 {
     const auto read = platform::readAnnouncement(put(
         R"({"address":"1.2.3.4:5","info":{"service":"s","slots":6},"status":{"state":"draining","seq":4}})"));
-    REQUIRE(read.value().upstream == "i-1");
+    REQUIRE(read.value().life == BackendLife("i-1"));
     REQUIRE(read.value().state == AnnouncedState::Draining);
     REQUIRE(read.value().slots == 6);
     REQUIRE(read.value().sequence == 4);
@@ -91,17 +91,18 @@
         == "method: POST is not taken");
     const auto state = [](const std::string& word) {
         return platform::readAnnouncement(
-            put(R"({"address":"a","info":{"service":"s","slots":1},"status":{"state":")" + word
+            put(R"({"address":"1.2.3.4:5","info":{"service":"s","slots":1},"status":{"state":")" + word
                 + R"(","seq":1}})"));
     };
     REQUIRE(state("ready").value().state == AnnouncedState::Ready);
     REQUIRE(state("redy").error() == "body.status.state: 'redy' is not known");
     REQUIRE(
         platform::readAnnouncement(
-            put(R"({"address":"a","info":{"service":"s","slots":1e300},"status":{"state":"ready","seq":1}})"))
+            put(R"({"address":"1.2.3.4:5","info":{"service":"s","slots":1e300},"status":{"state":"ready","seq":1}})"))
             .error()
         == "body.info.slots: must be a whole number up to 4294967295");
-    REQUIRE(platform::readAnnouncement(put(R"({"address":"a","info":{"service":"s"},"status":{}})")).error()
+    REQUIRE(platform::readAnnouncement(put(R"({"address":"1.2.3.4:5","info":{"service":"s"},"status":{}})"))
+                .error()
         == "body.info.slots: is missing");
 }
 
--- a/test/RegistryTest.cpp
+++ b/test/RegistryTest.cpp
@@ -25,7 +25,7 @@
 Announcement announcement(const std::string& upstream, std::uint64_t sequence, AnnouncedState state)
 {
     Announcement out;
-    out.upstream = upstream;
+    out.life = BackendLife(upstream);
     out.slots = 4;
     out.sequence = sequence;
     out.state = state;
@@ -100,7 +100,7 @@
     REQUIRE(upstream.take(announcement("b", 1, AnnouncedState::Ready))); // a new start
     REQUIRE_FALSE(upstream.isLeaving());
     REQUIRE_FALSE(upstream.take(announcement("a", 9, AnnouncedState::Ready))); // of the former one
-    REQUIRE(upstream.current()->upstream == "b");
+    REQUIRE(upstream.current()->life.id() == "b");
     REQUIRE(upstream.take(announcement("b", 0, AnnouncedState::Gone))); // leaves without draining first
     REQUIRE(upstream.isLeaving());
 }
@@ -115,7 +115,7 @@
     REQUIRE_FALSE(upstream.found(announcement("b", 0, AnnouncedState::Ready)));
     AnnouncedUpstream second;
     REQUIRE(second.found(announcement("a", 0, AnnouncedState::Ready)));
-    REQUIRE(second.hasLeftBefore("a")); // a former life of the node has acknowledged it
+    REQUIRE(second.hasLeftBefore(BackendLife("a"))); // a former life of the node has acknowledged it
     REQUIRE_FALSE(second.take(announcement("a", 5, AnnouncedState::Ready)));
     REQUIRE(second.isLeaving());
 }
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <openssl/evp.h>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,6 +44,13 @@
         wake(topic);
     }
 
+    /// \brief Appends bytes that need not hold a key and a value.
+    void putRaw(const std::string& topic, const std::string& bytes)
+    {
+        m_topics[topic].records.push_back({ "", "", bytes });
+        wake(topic);
+    }
+
     /// \returns how many reads wait for news.
     std::size_t waiting() const { return m_waiting.size(); }
 
@@ -80,6 +88,7 @@
     struct Record {
         std::string key;
         std::string value;
+        std::optional<std::string> raw {}; ///< the record as it is read, if it isn't key and value
     };
     struct Log {
         std::vector<Record> records;
@@ -163,8 +172,10 @@
     std::string newestText(const std::string& topic)
     {
         std::map<std::string, std::string> values;
-        for (const auto& it : m_topics[topic].records)
-            values[it.key] = it.value;
+        for (const auto& it : m_topics[topic].records) {
+            if (!it.raw)
+                values[it.key] = it.value;
+        }
         std::string items;
         for (const auto& [key, value] : values) {
             if (!value.empty())
@@ -187,7 +198,8 @@
                 std::vector<std::string> raw;
                 for (auto i = it.from; i < log.records.size(); ++i) {
                     const auto& record = log.records[i];
-                    raw.push_back(static_cast<char>(record.key.size()) + record.key + record.value);
+                    raw.push_back(record.raw.value_or(
+                        static_cast<char>(record.key.size()) + record.key + record.value));
                 }
                 std::exchange(it.exchange, nullptr)
                     ->reply({ 200, {}, std::string(16, '\0') + frameRecords(raw) });
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -264,11 +264,32 @@
         return send(place.settings.listen.announcements, { "PUT", "/instances/" + id, {}, body }).status;
     }
 
-    int sayGone(std::size_t i)
+    /// \brief Announces the start of the backend server that began at \a born, in ms.
+    int announceLife(std::size_t i, const std::string& state, int sequence, std::uint64_t born)
+    {
+        const auto& place = places[i];
+        const auto body = R"({"address":")" + place.backend->address + R"(","born":)" + std::to_string(born)
+            + R"(,"info":{"service":")" + place.settings.service
+            + R"(","version":"v1","zone":"z","slots":4},"status":{"state":")" + state + R"(","seq":)"
+            + std::to_string(sequence) + R"(,"warmup_left_ms":0}})";
+        return sendAnnouncement(i, body);
+    }
+
+    /// \brief Sends any bytes as an announcement of the backend server. \returns the status.
+    int sendAnnouncement(std::size_t i, const std::string& body)
+    {
+        const auto& place = places[i];
+        return send(
+            place.settings.listen.announcements, { "PUT", "/instances/" + place.backend->id, {}, body })
+            .status;
+    }
+
+    /// \param body of the last word; "" says nothing of the start that it is about.
+    int sayGone(std::size_t i, const std::string& body = "")
     {
         const auto& place = places[i];
         return send(
-            place.settings.listen.announcements, { "DELETE", "/instances/" + place.backend->id, {}, "" })
+            place.settings.listen.announcements, { "DELETE", "/instances/" + place.backend->id, {}, body })
             .status;
     }
 
