A lost call waits a moment for the next life of its backend server; a record reaches contacts at once

Cause: a call that may repeat, lost where its service had no other upstream, ended as unknown although the server had just started again: the loss was known before the news. And a node's own record, published over links that were only just opened, reached no contact until digests were compared, up to a second later.

Change: such a call tries again for 50 ms, within the budget of retries as before; a record that met links being opened is sent once more 20 ms later.

--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -177,6 +177,7 @@
     Instant m_lastBusy {};
     Timer m_rebuildTimer;
     Timer m_relayTimer;
+    Timer m_publishAgain;
     Timer m_tickTimer;
     Timer m_lameDuckTimer;
     Timer m_drainLimit;
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -13,6 +13,8 @@
     constexpr Duration relayDelay = 10ms;
     /// A contact whose link has just been opened is tried again after so long.
     constexpr Duration connectingAgain = 100ms;
+    /// A link that was opened stands within so long: a few ways of the network.
+    constexpr Duration linkOpening = 20ms;
     /// What other writers send is logged up to so many bytes of a text.
     constexpr std::size_t loggedBytes = 128;
 
@@ -24,7 +26,12 @@
     m_registry.take(m_record);
     m_writer->set(m_record.SerializeAsString());
     rebuildSoon();
+    m_isContactOpening = false;
     m_gossip.publish(m_record, now);
+    // Contacts whose links were only just opened have heard nothing.
+    if (m_isContactOpening)
+        m_publishAgain = Timer::once(
+            m_context.base, linkOpening, [this] { m_gossip.publish(m_record, monotonicNow()); });
 }
 
 void MeshNode::tellContacts(Instant now)
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -18,6 +18,9 @@
     constexpr std::uint32_t notReadyRetryMs = 200;
     /// A link stands after three round trips or so; a worse upstream whose link stands costs more than that.
     constexpr Duration linkPatience = 12ms;
+    /// News of a backend server that has started again is at all nodes within so long: a few ways of the
+    /// network, and the changes that are applied together.
+    constexpr Duration nextLifePatience = 50ms;
     /// Owners asked to run a call at once before it may wait in a queue. What an ingress knows of loads is as
     /// old as its last answer from there; an owner knows, and asking costs a round trip.
     constexpr std::uint32_t maxAsks = 2;
@@ -177,7 +180,9 @@
         router.lost(*upstream, call.request.groupNumber, now);
         call.tried.push_back(*upstream);
     }
-    if (!connecting.empty())
+    // Lost where there was no other, it may go to the next life of the same backend server.
+    const bool awaitsNextLife = call.wasLost && isRepeatable(call) && now - call.lostAt < nextLifePatience;
+    if (!connecting.empty() || awaitsNextLife)
         return tryAgainSoon(id, call);
     finishNotRun(id, call, call.lastReason == Reason::None ? Reason::NoUpstream : call.lastReason, now);
 }
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -107,6 +107,7 @@
         std::string awaitedLink; ///< upstream that is waited for while its link is opened; "" for none
         Instant linkAwaitedUntil {};
         bool wasLost = false; ///< an attempt was lost: the outcome may be unknown
+        Instant lostAt {}; ///< when the last one was
         Reason lastReason = Reason::None;
         std::uint32_t retryAfterMs = 0;
         std::unique_ptr<proto::Answer>
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -135,6 +135,7 @@
 void Ingress::attemptLost(CallId id, Call& call, Reason reason, Instant now)
 {
     call.wasLost = true;
+    call.lostAt = now;
     call.lastReason = reason;
     call.trail.setNotable();
     call.trail.add({ RequestEvent::AttemptLost, now, {}, 0, reason,
--- a/test/LifeTest.cpp
+++ b/test/LifeTest.cpp
@@ -104,6 +104,8 @@
     LifeFixture f;
     REQUIRE(f.announceLife(f.owner, "ready", 5, firstBorn) == 200);
     f.untilServed(f.ingress);
+    for (int i = 0; i < 30; ++i) // which earn the budget of a retry
+        REQUIRE(f.isServed());
     auto& backend = *f.places[f.owner].backend;
     backend.holds = true;
     HttpPool::Options options;
