Sixteen nodes watch the store for all, whatever the number of nodes

Cause: a node rested from reading the configuration only while it heard four that follow among its 16 contacts, so a quarter of all nodes followed: 15 at 61, 74 at 295; and while the store was away all nodes tried it.

Change: WatchGroup. The 16 nodes whose addresses hash least keep the watch and tell each other; FollowShare decides among them, as in a system of 16 nodes, and reads wait as there. The others leave the store alone while they know that members live, by an age that contacts pass on; without it they take over, at a bounded rate. A node that knows more peers than it has contacts doesn't read the nodes' topic again after its first record.

Measured: WatchGroupTest, in virtual time, up to 7,200 nodes (members and agreement) and 1,000 (all members ended at once, a tenth of the messages lost): always watched before, all notice within 6 s after. 36 test programs pass.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -43,6 +43,7 @@
           })
     , m_share(m_context.settings.listen.peers, { m_context.settings.peers.followers })
     , m_watch({ m_context.settings.peers.followers, m_context.settings.peers.contacts })
+    , m_group(m_context.settings.listen.peers, { .contacts = m_context.settings.peers.contacts })
     , m_reach(m_context.settings.peers.forgetAfter)
 {
     const auto& own = m_context.settings;
@@ -160,14 +161,15 @@
 void MeshNode::startFeeds()
 {
     auto* base = m_context.base;
-    const auto longestRetry
-        = [this] { return StoreWatch::longestPause(livingNodes(), m_share.mayLag(monotonicNow())); };
+    const auto longestRetry = [this] {
+        return StoreWatch::longestPause(livingNodes(), m_share.mayLag(monotonicNow()) || !m_group.isMember());
+    };
     TopicFollower::Options config;
     config.topic = m_formats.configurationTopic;
-    config.wait = [this] { return m_watch.wait(livingNodes(), m_context.random.unit()); };
+    config.wait = [this] { return m_watch.wait(m_group.members(), m_context.random.unit()); };
     config.pause
         = [this] { return std::exchange(m_hasReadConfiguration, true) ? Duration::zero() : firstContacts; };
-    config.mayRest = [this] { return m_config.hasAny() && m_share.mayRest(monotonicNow()); };
+    config.mayRest = [this] { return m_config.hasAny() && isWatched(monotonicNow()); };
     config.longestRetry = longestRetry;
     config.changed = [this] { tellContacts(monotonicNow()); };
     m_configFeed = std::make_unique<TopicFollower>(
@@ -186,6 +188,9 @@
         },
         m_context.random);
     m_writer->onWritten([this] {
+        // Where so many others are known already, one of them tells this node what it lacks.
+        if (livingNodes() > m_context.settings.peers.contacts)
+            m_hasReadNodesSince = true;
         if (!m_hasReadNodesSince)
             m_hasReadNodesSince = m_nodesFeed->readWithin(nodesAfterWrite);
     });
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -16,6 +16,7 @@
 #include "Mesh/RecordWriter.h"
 #include "Mesh/StoreWatch.h"
 #include "Mesh/TopicFollower.h"
+#include "Mesh/WatchGroup.h"
 #include "Node/Ingress.h"
 #include "Node/NodeContext.h"
 #include "Node/Owner.h"
@@ -107,6 +108,11 @@
     void takeStoredConfiguration(const std::vector<KeyedRecord>& records, Instant now);
     /// \brief Puts the configuration that was adopted just now in force. \param former in force before.
     void configurationAdopted(ConfigText former, Instant now);
+    /// \returns whether others watch the store for this node.
+    bool isWatched(Instant now) const { return m_share.mayRest(now) || m_group.isWatched(now); }
+    /// \brief Tells the other members of the watch, who are no contacts of each other, what contacts are
+    /// told.
+    void tellWatchGroup(const proto::NodeContact& contact, Instant now);
     /// \brief Ends the rest from following the configuration if too few others follow it.
     void followIfNeeded(Instant now);
     /// \brief Asks a peer for a newer configuration, if it is time.
@@ -156,6 +162,7 @@
     Gossip m_gossip;
     FollowShare m_share;
     StoreWatch m_watch;
+    WatchGroup m_group;
     PullPlan m_pulls;
     ConfigFetch m_fetch;
     ConfigCopies m_copies;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -74,6 +74,12 @@
 {
     m_isRebuildPending = false;
     m_rebuildTimer = Timer();
+    std::vector<std::string> addresses;
+    for (const auto& [name, record] : m_registry.nodes()) {
+        if (!record.gone())
+            addresses.push_back(record.peer_address());
+    }
+    m_group.setNodes(addresses);
     if (!m_config.hasAny())
         return;
     const auto now = monotonicNow();
@@ -152,8 +158,8 @@
         m_nextOverdueRead = now + betweenOverdueReads;
         return m_configFeed->wake();
     }
-    if (!m_configFeed->isResting() || m_share.mayRest(now)) {
-        m_restUntil = now + m_share.takeOverDelay(now);
+    if (!m_configFeed->isResting() || isWatched(now)) {
+        m_restUntil = now + (m_group.isMember() ? m_share.takeOverDelay(now) : m_group.takeOverDelay());
         return;
     }
     if (now < m_restUntil)
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -40,12 +40,31 @@
     contact.set_config_version(m_config.version());
     contact.set_registry_digest(m_registry.digest());
     contact.set_follows_configuration(m_configFeed->isFollowing());
+    const auto watched = m_configFeed->isFollowing() ? Duration::zero() : m_group.age(now);
+    if (watched)
+        contact.set_watch_age_ms(1 + static_cast<std::uint32_t>(toMilliseconds(*watched)));
     m_isContactOpening = false;
     m_gossip.tellContacts(contact, now);
+    if (m_group.isMember())
+        tellWatchGroup(contact, now);
     m_nextContact = now + (m_isContactOpening ? connectingAgain : m_context.settings.peers.contactEvery);
     forgetLost(now);
 }
 
+void MeshNode::tellWatchGroup(const proto::NodeContact& contact, Instant now)
+{
+    std::set<std::string> told;
+    for (const auto& it : m_registry.contactsOf(m_context.settings.name, m_context.settings.peers.contacts))
+        told.insert(m_registry.find(it)->peer_address());
+    for (const auto& it : m_group.others()) {
+        if (told.contains(it))
+            continue;
+        proto::PeerMessage message;
+        *message.mutable_node_contact() = contact;
+        m_peers->send(it, message, now);
+    }
+}
+
 void MeshNode::sendToContact(const std::string& address, proto::PeerMessage& message, Instant now)
 {
     // What can't be sent now is not kept: contacts compare what they know every second.
@@ -145,6 +164,8 @@
 void MeshNode::takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now)
 {
     m_share.heard(sender.address, contact.follows_configuration(), now);
+    if (contact.watch_age_ms())
+        m_group.heard(std::chrono::milliseconds(contact.watch_age_ms() - 1), now);
     m_gossip.heardDigest(
         contact.registry_digest(), isNewLife(sender.node, sender.incarnation), replyTo(sender, now), now);
     if (contact.config_version() <= m_config.version())
