The soak's servers start again under their id, other writers meddle, freezes come in series

Cause: each start of a server had a new id, nobody else wrote, and a pause came alone.

Change: two thirds of the servers keep their id over all starts and say when they began; beside the other faults, drawn apart so that kept seeds draw what they drew, entries of other writers come to nodes and to the store (one that is taken breaks a promise), and a node is frozen three times in a row, 0.2 to 10 s each.

--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -18,6 +18,18 @@
     constexpr Duration longestFault = 3s;
     constexpr double slowFactor = 6;
     constexpr double shareOfForgotten = 0.4; ///< of the faults of links between nodes
+    constexpr Duration shortestGapBeside = 300ms;
+    constexpr Duration longestGapBeside = 2s;
+    constexpr double shareOfFreezes = 0.3; ///< of what comes beside
+    constexpr Duration shortestFreeze = 200ms;
+    constexpr Duration longestFreeze = 10s;
+    constexpr int freezes = 3; ///< of one series
+    /// Entries that no server or node of this site writes.
+    constexpr std::string_view foreignEntries[] = {
+        "", "{", "[]", R"({"address":7})", "\xff\xfe",
+        R"({"address":"a","born":"x","info":{"service":"shop","slots":-1},"status":{"state":"odd","seq":1e99}})",
+        R"({"address":"10.0.0.1:1","born":1,"info":{"service":"nowhere","slots":4},"status":{"state":"ready","seq":1}})"
+    };
 
 } // namespace
 
@@ -25,6 +37,7 @@
     : m_site(&site)
     , m_random(seed)
     , m_forgets(seed)
+    , m_beside(seed)
     , m_started(monotonicNow())
 {
 }
@@ -33,6 +46,7 @@
 {
     m_end = monotonicNow() + length;
     next();
+    nextBeside();
 }
 
 void FaultPlan::next()
@@ -136,6 +150,40 @@
     later(length, [&host] { host.node.signal(SIGCONT); });
 }
 
+void FaultPlan::nextBeside()
+{
+    if (monotonicNow() >= m_end)
+        return;
+    auto& host = *m_site->hosts()[m_beside.below(m_site->hosts().size())];
+    if (m_beside.chance(shareOfFreezes))
+        freezeInSeries(host);
+    else
+        writeForeign(host);
+    const auto gap
+        = shortestGapBeside + fromSeconds(toSeconds(longestGapBeside - shortestGapBeside) * m_beside.unit());
+    m_nextBeside = Timer::once(m_site->base(), gap, [this] { nextBeside(); });
+}
+
+void FaultPlan::writeForeign(SoakSite::Host& host)
+{
+    const std::string entry(foreignEntries[m_beside.below(std::size(foreignEntries))]);
+    note("another writer at " + host.name + ": " + entry);
+    host.backend->announceForeign(entry);
+    m_site->store().put("keyed.nodes", host.name + "-foreign", entry);
+    m_site->store().putRaw("keyed.nodes", entry.substr(0, 1));
+}
+
+void FaultPlan::freezeInSeries(SoakSite::Host& host)
+{
+    // Most are short: each is as likely to be under a second as over it.
+    const double draw = m_beside.unit();
+    const auto length
+        = shortestFreeze + fromSeconds(toSeconds(longestFreeze - shortestFreeze) * draw * draw * draw);
+    note("freezes of " + host.name + " for " + std::to_string(toMilliseconds(length)) + " ms");
+    for (int i = 0; i < freezes; ++i)
+        later(2 * i * length, [this, &host, length] { pause(host, length); });
+}
+
 void FaultPlan::undoAll()
 {
     note("all faults end");
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -57,6 +57,10 @@
     void harmLink(SoakSite::Host& host, Duration length);
     void harmStore(Duration length);
     void pause(SoakSite::Host& host, Duration length);
+    /// \brief Other writers and freezes in series come beside the other faults, drawn apart from them.
+    void nextBeside();
+    void writeForeign(SoakSite::Host& host);
+    void freezeInSeries(SoakSite::Host& host);
     void undoAll();
     void later(Duration delay, std::function<void()> f);
     void note(const std::string& text);
@@ -66,9 +70,11 @@
     SoakSite* m_site;
     Random m_random;
     Random m_forgets; ///< which links forget their connections
+    Random m_beside; ///< other writers and freezes in series
     Instant m_started;
     Instant m_end {};
     Timer m_next;
+    Timer m_nextBeside;
     std::vector<Timer> m_later;
     std::vector<std::string> m_story;
 };
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -1,5 +1,6 @@
 #include "soak/SoakBackend.h"
 
+#include "Core/Time.h"
 #include "Http/HttpStatus.h"
 
 #include <algorithm>
@@ -38,7 +39,9 @@
 void SoakBackend::start()
 {
     crash(); // whatever was there
-    m_upstream = "i-" + m_options.name + "-" + std::to_string(++m_starts);
+    ++m_starts;
+    m_upstream = "i-" + m_options.name + (m_options.keepsId ? "" : "-" + std::to_string(m_starts));
+    m_born = std::max(m_born + 1, wallClockMs());
     m_sequence = 0;
     m_running = 0;
     m_isLeaving = false;
@@ -80,18 +83,28 @@
 void SoakBackend::announce()
 {
     const std::string state = m_isLeaving ? "draining" : "ready";
-    const auto body = R"({"address":")" + m_options.address + R"(","info":{"service":")" + m_options.service
-        + R"(","version":"v1","zone":"z","slots":)" + std::to_string(m_options.slots)
+    const auto born = m_options.keepsId ? R"("born":)" + std::to_string(m_born) + "," : "";
+    const auto body = "{" + born + R"("address":")" + m_options.address + R"(","info":{"service":")"
+        + m_options.service + R"(","version":"v1","zone":"z","slots":)" + std::to_string(m_options.slots)
         + R"(},"status":{"state":")" + state + R"(","seq":)" + std::to_string(++m_sequence)
         + R"(,"warmup_left_ms":0}})";
     m_pool.send({ "PUT", "/instances/" + m_upstream, {}, body }, acknowledgedWithin,
-        [this, upstream = m_upstream, isLeaving = m_isLeaving](const Result<HttpReply, HttpError>& reply) {
+        [this, start = m_starts, isLeaving = m_isLeaving](const Result<HttpReply, HttpError>& reply) {
             const bool isAcknowledged = reply && reply.value().status < firstRedirect;
-            if (isAcknowledged && isLeaving && upstream == m_upstream && !m_leaveAcknowledged)
+            if (isAcknowledged && isLeaving && start == m_starts && !m_leaveAcknowledged)
                 m_leaveAcknowledged = monotonicNow();
         });
 }
 
+void SoakBackend::announceForeign(const std::string& body)
+{
+    m_pool.send(
+        { "PUT", "/instances/" + m_upstream, {}, body }, acknowledgedWithin, [this](const auto& reply) {
+            if (reply && reply.value().status < firstRedirect)
+                m_ledger->broken("an announcement of another writer was taken: " + m_upstream);
+        });
+}
+
 HttpHeaders SoakBackend::loadHeaders(const std::string& requestId) const
 {
     const auto load = std::to_string(m_running) + ",0," + std::to_string(m_options.slots) + ","
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -16,7 +16,7 @@
 namespace robinrun::soak {
 
 /// \brief A backend server of the soak: slots, work, announcements to its node, leaving, crashes and slow
-/// phases. Each start has an id of its own.
+/// phases. Each start has an id of its own, or the same one and says when it began.
 class SoakBackend {
 public:
     struct Options {
@@ -26,17 +26,21 @@
         std::string name; ///< of the place; ids of starts begin with it
         std::uint32_t slots = 4;
         Duration work = 20ms;
+        bool keepsId = false; ///< over all its starts
     };
 
     SoakBackend(event_base* base, Options options, Ledger& ledger);
 
-    /// \brief A new start, with a new id.
+    /// \brief A new start; its counts begin anew.
     void start();
     void crash();
     /// \brief Announces that it leaves; once that is acknowledged it serves on for a while, ends, and another
     /// start takes the address.
     void replace();
 
+    /// \brief Another writer sends \a body to the node as an announcement of this server.
+    void announceForeign(const std::string& body);
+
     /// \brief Work takes \a factor times as long from now on.
     void setSlowdown(double factor) { m_slowdown = factor; }
     /// \brief Whether each request is rejected as not run.
@@ -58,6 +62,7 @@
     std::unique_ptr<HttpServer> m_server;
     std::string m_upstream;
     std::uint64_t m_starts = 0;
+    std::int64_t m_born = 0; ///< Unix ms of this start
     std::uint64_t m_sequence = 0;
     std::uint32_t m_running = 0;
     double m_slowdown = 1;
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -117,8 +117,13 @@
            "24}\n";
     out.close();
     writeSettings(*host, fewLines);
-    host->backend = std::make_unique<SoakBackend>(
-        m_base, SoakBackend::Options { backend, announcements, service, host->name }, m_ledger);
+    host->backend = std::make_unique<SoakBackend>(m_base,
+        SoakBackend::Options { .address = backend,
+            .announcements = announcements,
+            .service = service,
+            .name = host->name,
+            .keepsId = i % 3 != 0 },
+        m_ledger);
     m_hosts.push_back(std::move(host));
     startNode(*m_hosts.back());
 }
