All upstreams of a large service get callers: ingresses place themselves among those of their hall

Cause: a node on the users' machines has no list of members, and with no names on the ring every ingress placed itself at its beginning.

Change: the ingresses of the own hall, known from the upstreams beside them, make the ring (HallSubset, by itself and without network); an ingress that is not on it is placed by its own hash, as the header said.

--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -125,6 +125,9 @@
     /// \returns the upstreams to keep connections to, as places in the list of the service.
     std::vector<std::size_t> subsetOf(
         const ServiceInfo& service, const std::vector<std::string>& hosts) const;
+    /// \returns the names of the ingresses among which upstreams are shared out: all members, or those of the
+    /// own data hall.
+    std::vector<std::string> ingressesBeside() const;
     /// \returns those of them that don't leave, with what their router needs to know.
     std::vector<RouteTarget> targetsOf(
         const ServiceInfo& service, const std::vector<std::string>& hosts) const;
--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -1,6 +1,9 @@
 #include "Node/Ingress.h"
+#include "Routing/HallSubset.h"
 #include "Routing/Subset.h"
 
+#include <set>
+
 /// \file Which upstreams of each service an ingress keeps to, and what it knows of them.
 
 namespace robinrun {
@@ -9,38 +12,38 @@
     /// Clocks of owners that have not answered for so long are forgotten: their upstreams may be gone.
     constexpr Duration clockMemory = 10min;
 
-    /// Of the upstreams that an ingress keeps to, at least one in so many is in another data hall.
-    constexpr std::size_t farPart = 3;
-
 } // namespace
 
 std::vector<std::size_t> Ingress::subsetOf(
     const ServiceInfo& service, const std::vector<std::string>& hosts) const
 {
     const auto& settings = m_context->settings;
-    std::vector<std::size_t> near;
-    std::vector<std::size_t> far;
-    for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
-        const bool isNear = settings.choice.kind != ChoiceKind::Timely
-            || service.upstreams[i].config.data_hall() == settings.dataHall;
-        (isNear ? near : far).push_back(i);
-    }
-    std::vector<std::size_t> out;
-    const auto take = [&](const std::vector<std::size_t>& from, std::size_t size) {
+    if (settings.choice.kind != ChoiceKind::Timely) {
         std::vector<std::string> names;
-        names.reserve(from.size());
-        for (const auto i : from)
-            names.push_back(service.upstreams[i].id);
-        for (const auto i : chooseSubset(names, hosts, settings.name, size))
-            out.push_back(from[i]);
-    };
-    // With some in other halls, for when the own one is full or lost.
-    const auto size = settings.choice.subset;
-    const auto ofNear = far.empty() ? size : size - size / farPart;
-    take(near, ofNear);
-    if (!far.empty())
-        take(far, size - out.size());
-    return out;
+        for (const auto& it : service.upstreams)
+            names.push_back(it.id);
+        return chooseSubset(names, hosts, settings.name, settings.choice.subset);
+    }
+    std::vector<UpstreamPlace> places;
+    for (const auto& it : service.upstreams)
+        places.push_back({ it.id, it.config.data_hall() == settings.dataHall });
+    return chooseByHall(places, hosts, settings.name, settings.choice.subset);
+}
+
+std::vector<std::string> Ingress::ingressesBeside() const
+{
+    if (m_members)
+        return m_members->names();
+    // Each host with an upstream has an ingress.
+    const auto& settings = m_context->settings;
+    std::set<std::string> out { settings.name };
+    for (const auto& [id, service] : m_context->directory.services()) {
+        for (const auto& it : service.upstreams) {
+            if (it.config.data_hall() == settings.dataHall)
+                out.insert(it.config.host());
+        }
+    }
+    return { out.begin(), out.end() };
 }
 
 std::vector<RouteTarget> Ingress::targetsOf(
@@ -76,7 +79,7 @@
 
 void Ingress::configure(Instant now)
 {
-    const auto hosts = m_members ? m_members->names() : std::vector<std::string>();
+    const auto hosts = ingressesBeside();
     for (const auto& [id, info] : m_context->directory.services()) {
         auto& router = routerFor(info);
         router.setRetryFraction(info.config.retry_fraction());
--- a/src/Routing/Subset.cpp
+++ b/src/Routing/Subset.cpp
@@ -3,12 +3,17 @@
 #include "Core/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <numeric>
 
 namespace robinrun {
 namespace {
 
+    /// Of a hash, as many bits as a double holds exactly.
+    constexpr int usedBits = 53;
+    constexpr int unusedBits = 64 - usedBits;
+
     std::vector<std::size_t> orderByHash(const std::vector<std::string>& names)
     {
         std::vector<std::uint64_t> hashes;
@@ -25,10 +30,11 @@
     double placeOf(const std::vector<std::string>& names, const std::string& self)
     {
         const auto own = hash64(self);
+        if (std::find(names.begin(), names.end(), self) == names.end())
+            return static_cast<double>(own >> unusedBits) / std::exp2(usedBits);
         const auto before
             = std::count_if(names.begin(), names.end(), [&](const auto& it) { return hash64(it) < own; });
-        const auto n = static_cast<double>(std::max<std::size_t>(names.size(), 1));
-        return std::min(static_cast<double>(before) / n, 1.0 - 1e-12);
+        return static_cast<double>(before) / static_cast<double>(names.size());
     }
 
 } // namespace
