A known upstream takes over whether it is far

Cause: a router kept what it first knew of an upstream's data hall; with upstreams shared out by place, IngressTest met one that it had known from another configuration as far, and counted nine far ones of eight.

Change: each change of upstreams says it anew.

--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -48,6 +48,7 @@
         index[it.name] = views.size();
         if (auto* known = viewOf(it.name)) {
             known->setSlots(it.slots);
+            known->setFar(it.isFar);
             views.push_back(std::move(*known));
             continue;
         }
--- a/src/Routing/UpstreamView.h
+++ b/src/Routing/UpstreamView.h
@@ -94,6 +94,7 @@
 
     void setState(UpstreamState state, Instant now);
     void setSlots(std::uint32_t slots) { m_slots = slots; }
+    void setFar(bool isFar) { m_isFar = isFar; }
 
     /// \brief Starts the slow start: the upstream is cold from \a now on.
     void restartWarmUp(Instant now) { m_coldSince = now; }
