--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -1,11 +1,9 @@
 #include "Node/Ingress.h"
 
-#include "Core/Hash.h"
 #include "Core/Log.h"
 #include "Http/HttpStatus.h"
 #include "Node/CallHeaders.h"
 #include "Node/CallReply.h"
-#include "Wire/TicketCodec.h"
 
 #include <algorithm>
 
@@ -220,67 +218,6 @@
         = Timer::once(m_context->base, connectRetry, [this, id] { proceed(id, monotonicNow()); });
 }
 
-proto::Call Ingress::envelope(
-    const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const
-{
-    const auto& request = call.exchange->request();
-    proto::Call out;
-    out.set_upstream(upstream.id);
-    const auto left = std::max<std::int64_t>((call.deadline - now).count(), 0);
-    out.set_remaining_us(static_cast<std::uint32_t>(std::min<std::int64_t>(left, UINT32_MAX)));
-    out.set_group(call.request.group);
-    out.set_service(call.request.service);
-    out.set_call_class(call.request.callClass.name);
-    out.set_attempts_left(call.attemptsLeft);
-    out.set_elsewhere_us(static_cast<std::uint32_t>(std::min<std::int64_t>(elsewhere.count(), UINT32_MAX)));
-    const auto clock = m_ownerClocks.find(upstream.id);
-    if (clock != m_ownerClocks.end()) {
-        out.set_owner_incarnation(clock->second.incarnation);
-        const auto since = (now - clock->second.heard).count();
-        out.set_owner_deadline_us(clock->second.ownerUs + static_cast<std::uint64_t>(since + left));
-    }
-    if (call.isMinting) {
-        out.set_mint_ticket(true);
-        out.set_body_hash(hash64(""));
-        return out;
-    }
-    out.set_method(request.method);
-    out.set_target(call.request.target);
-    for (const auto& [name, value] : request.headers) {
-        if (isHopByHop(name) || m_context->headers.isForUs(name))
-            continue;
-        auto& header = *out.add_headers();
-        header.set_name(name);
-        header.set_value(value);
-    }
-    out.set_body(request.body);
-    out.set_body_hash(hash64(request.body));
-    if (call.ticket)
-        encode(*call.ticket, *out.mutable_ticket());
-    if (call.request.isByRoute)
-        addTerms(call, out, now);
-    return out;
-}
-
-void Ingress::addTerms(const Call& call, proto::Call& out, Instant now) const
-{
-    const auto& callClass = call.request.callClass;
-    auto& terms = *out.mutable_terms();
-    terms.set_priority(callClass.priority);
-    terms.set_repeatable(callClass.isRepeatable);
-    const auto left = callClass.targetLatency - (now - call.arrived);
-    terms.set_target_latency_us(static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1)));
-    terms.set_nested(call.request.isNested);
-    terms.set_only_at_once(call.asksLeft > 0);
-    out.set_caller_service(m_context->settings.service);
-    out.set_request_id(call.request.id);
-    if (const auto host = findHeader(call.exchange->request().headers, "Host")) {
-        auto& header = *out.add_headers();
-        header.set_name("Host");
-        header.set_value(std::string(*host));
-    }
-}
-
 bool Ingress::isNested(const CallRequest& request)
 {
     const auto end = request.id.rfind(nestedMark);
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -80,6 +80,9 @@
     const std::string& upstream() const { return m_context->settings.upstream; }
 
 private:
+    /// Of one answer in the share of failed ones: the last 20 or so count.
+    static constexpr double errorSampleWeight = 0.05;
+
     using CallKey = std::pair<std::uint64_t, std::uint64_t>; ///< sender's life, its number of the call
 
     struct CallRecord {
