Ids are signs of ASCII without '#'; protobuf's own lines are off

Cause: an id with other bytes would go into records that no peer can parse, and '#' ends an id in the key of a life. The library writes a line to standard error for each text that is no UTF-8, unbounded and no JSON.

Change: such ids are refused with the field; the library's handler is off in the programs of a node, what can't be read is counted and logged where it is read.

Tests of the reader and of lives pass.

--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-/// \file What an ingress puts into the message to an owner: the request, its terms, and what is left of its time.
+/// \file What an ingress puts into the message to an owner: the request, its terms, and what is left of its
+/// time.
 
 namespace robinrun {
 
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -87,6 +87,14 @@
         == AnnouncedState::Gone);
     REQUIRE(platform::readAnnouncement({ "PUT", "/instances/", {}, "" }).error()
         == "target: must be /instances/ID");
+    for (const auto& id :
+        { std::string("a#1"), std::string("a b"), std::string("\xff"), std::string(256, 'x') })
+        REQUIRE(platform::readAnnouncement({ "DELETE", "/instances/" + id, {}, "" }).error()
+            == "target: an id has 1 to 255 signs, none a '#'");
+    REQUIRE(platform::readAnnouncement({ "DELETE", "/instances/i-1", {}, R"({"born":7})" }).value().life
+        == BackendLife("i-1", 7));
+    REQUIRE(platform::readAnnouncement({ "DELETE", "/instances/i-1", {}, R"({"born":"7"})" }).error()
+        == "body.born: must be a whole number up to 9007199254740992");
     REQUIRE(platform::readAnnouncement({ "POST", "/instances/i", {}, "" }).error()
         == "method: POST is not taken");
     const auto state = [](const std::string& word) {
--- a/test/fuzz/FuzzEntries.cpp
+++ b/test/fuzz/FuzzEntries.cpp
@@ -28,7 +28,8 @@
             upstream.take(read.value());
     }
     // No start that is heard may be one that its key does not name again.
-    if (upstream.current() && BackendLife::fromKey(upstream.current()->life.key()) != upstream.current()->life)
+    if (upstream.current()
+        && BackendLife::fromKey(upstream.current()->life.key()) != upstream.current()->life)
         std::abort();
 }
 
@@ -44,7 +45,7 @@
     }
     WatchGroup group("10.0.0.1:1", {});
     group.setNodes(addresses);
-    const Gossip gossip(registry, "self", {}, [](const std::string&, proto::PeerMessage&, Instant) { });
+    const Gossip gossip(registry, "self", {}, [](const std::string&, proto::PeerMessage&, Instant) {});
     const auto ignore = [](proto::PeerMessage&) {};
     gossip.complete(message.node_records(), ignore);
     gossip.answer(message.registry_digests(), ignore);
--- a/tools/CommandLine.h
+++ b/tools/CommandLine.h
@@ -15,6 +15,7 @@
 #include <filesystem>
 #include <functional>
 #include <getopt.h>
+#include <google/protobuf/stubs/logging.h>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -143,6 +144,9 @@
 inline void startNodeLog(const NodeSettings& settings)
 {
     startLog(logOptions(settings));
+    // What can't be read is counted and logged where it is read. The library's own lines are not bounded, and
+    // no JSON: any writer of the store could fill the log with them.
+    google::protobuf::SetLogHandler(nullptr);
     for (std::size_t i = 0; i < countOf<Mechanism>(); ++i) {
         const auto mechanism = static_cast<Mechanism>(i);
         if (!settings.experiments.isOn(mechanism))
