--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -104,8 +104,8 @@
             "a whole answer came" },
         LogEventInfo { "backend-failed",
             "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
-            "not_run",
-            "no whole answer came, or it says not run" },
+            "not_run content",
+            "no whole answer came, or it says not run; content: the same for the same request sent again" },
         LogEventInfo { "owner-gave-up",
             "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
             "not_run",
--- a/src/Node/CallMessages.cpp
+++ b/src/Node/CallMessages.cpp
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include <algorithm>
+#include <string_view>
+
 namespace robinrun {
 namespace {
 
@@ -50,4 +53,17 @@
     return message;
 }
 
+CallContent contentOf(const proto::Call& call)
+{
+    CallContent out { call.group(), call.method(), call.service(), call.target(), call.body() };
+    if (!call.has_terms())
+        return out;
+    // Of a call by route, the host is part of what was asked for; its service is the route's choice.
+    const auto& headers = call.headers();
+    const auto host = std::find_if(
+        headers.begin(), headers.end(), [](const auto& it) { return equalIgnoringCase(it.name(), "Host"); });
+    out.host = host == headers.end() ? std::string_view() : std::string_view(host->value());
+    return out;
+}
+
 } // namespace robinrun
--- a/src/Node/CallMessages.h
+++ b/src/Node/CallMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Time.h"
+#include "Crashes/CallContent.h"
 #include "Node/Ingress.h"
 #include "Node/Owner.h"
 #include "Wire/PeerSocket.h"
@@ -20,4 +21,7 @@
 /// \param incarnation of the owner's node.
 proto::PeerMessage leavingMessage(const Owner& owner, std::uint64_t incarnation, bool isLeaving);
 
+/// \returns what \a call asks for; holds as long as \a call does.
+CallContent contentOf(const proto::Call& call);
+
 } // namespace robinrun
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -1,6 +1,7 @@
 #include "Core/Hash.h"
 #include "Http/HttpStatus.h"
 #include "Node/BackendReply.h"
+#include "Node/CallMessages.h"
 #include "Node/Owner.h"
 #include "Wire/TicketCodec.h"
 
@@ -124,11 +125,14 @@
         return record.isRunning ? RequestEvent::BackendFailed : RequestEvent::OwnerGaveUp;
     }();
     const auto load = m_admission.load(now);
-    record.trail.add({ event, now, upstream(), record.call.number(), reason,
+    RequestTrail::Entry entry { event, now, upstream(), record.call.number(), reason,
         { { "status", answer.status() }, { "queued_ms", answer.queued_us() / 1000 },
             { "held_ms", answer.held_us() / 1000 }, { "in_use", load.inUse }, { "queued", load.waiting },
             { "retry_after_ms", answer.retry_after_ms() },
-            { "not_run", answer.outcome() == proto::NOT_RUN } } });
+            { "not_run", answer.outcome() == proto::NOT_RUN } } };
+    if (event == RequestEvent::BackendFailed)
+        entry.numbers.emplace_back("content", static_cast<std::int64_t>(contentIdOf(contentOf(record.call))));
+    record.trail.add(std::move(entry));
     record.trail.write(
         record.call.request_id(), record.sender.node, m_context->settings.log.sampleOneIn, now);
 }
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -62,8 +62,32 @@
     std::vector<HttpRequest> requests; ///< that it ran
     std::vector<std::unique_ptr<HttpExchange>> held;
     std::function<std::optional<HttpReply>(const HttpRequest&)> instead; ///< a reply without running
+    /// Whether a request crashes this server `crashAfter` it has begun. Then nothing listens for `downFor`,
+    /// and another start, of another id, comes up at the same address.
+    std::function<bool(const HttpRequest&)> crashesOn;
+    Duration crashAfter = 5ms;
+    Duration downFor = 200ms;
+    int crashes = 0;
     int misdirected = 0;
 
+    bool isUp() const { return m_server != nullptr; }
+
+    /// \brief Ends the server now with all that it runs, as when it is killed.
+    void crash()
+    {
+        if (!m_server)
+            return;
+        ++crashes;
+        m_server.reset();
+        held.clear();
+        m_isCrashing = false;
+        m_crashing = Timer();
+        m_restart = Timer::once(m_base, downFor, [this] {
+            id = id.substr(0, id.find('+')) + "+" + std::to_string(crashes);
+            start();
+        });
+    }
+
 private:
     void take(std::unique_ptr<HttpExchange> exchange)
     {
@@ -80,6 +104,12 @@
                 return exchange->reply(*reply);
         }
         requests.push_back(request);
+        if (crashesOn && crashesOn(request)) {
+            held.push_back(std::move(exchange));
+            if (!std::exchange(m_isCrashing, true))
+                m_crashing = Timer::once(m_base, crashAfter, [this] { crash(); });
+            return;
+        }
         if (hangsUp)
             return drop();
         if (!holds)
@@ -99,6 +129,8 @@
     event_base* m_base;
     std::unique_ptr<HttpServer> m_server;
     Timer m_restart;
+    Timer m_crashing;
+    bool m_isCrashing = false;
 };
 
 /// \brief Mesh nodes on one loop, each with a backend server, and one store.
