Requests under which three servers have crashed are held back by all nodes

Cause: what a run had done to its backend server was told to nobody, so a request that crashes whatever runs it was sent to the next server each time it came. Change: the owner tells a crash from a broken run (nothing listens afterwards, or the next life comes) and reports the contents that ran; reports travel and last with the nodes' records, by gossip and store; the third strike that counts holds a content back at ingresses and owners, also where it waits; a good end anywhere clears strikes. One upstream alone tries it again, after ten minutes, an hour, twelve hours.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -56,6 +56,13 @@
         LogEventInfo { "upstream-life", "upstream state", "the own upstream's life moved on" },
         LogEventInfo { "backend-down", "upstream unreached", "connections can't be made" },
         LogEventInfo { "backend-up", "upstream unreached", "it answers again" },
+        LogEventInfo { "backend-crashed", "upstream report suspects",
+            "it has ended under calls, without notice; suspects: the contents of these calls" },
+        LogEventInfo { "request-held", "content shared reports retry_after_ms",
+            "servers have crashed under this content, as the reports say: it is refused everywhere; shared: "
+            "with others "
+            "that ran at all the same crashes" },
+        LogEventInfo { "request-freed", "content", "it has ended well, or its crashes are forgotten" },
         LogEventInfo { "limit-changed", "upstream limit before in_use",
             "so many calls may run at once on the backend server from now on" },
         LogEventInfo { "applied", "offset", "records of the log are in force" },
--- /dev/null
+++ b/src/Crashes/CrashLedger.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Crashes/CallContent.h"
+#include "peer.pb.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief What a node knows of crashes of backend servers anywhere, and which contents it holds back for it.
+///
+/// Each crash is a strike against all contents that ran there. Strikes count one by one if the runs did not overlap:
+/// servers that are killed together have ended for another cause. A good end of a content anywhere clears its strikes, as
+/// a request that crashes whatever runs it has none; and where a content is held back, crashes under which it ran say
+/// nothing against others. The third strike that counts holds a content back. Contents that had ended well at the owner
+/// before get two more: they are probably other callers' calls that are often in flight, and a request that has turned
+/// bad costs two servers more.
+///
+/// A content that is held back is tried again by one server at a time, the same one for all nodes (trialHostOf()): after
+/// ten minutes, an hour, and then each twelve hours, as a new release may run it well. Where several contents ran at all the
+/// same crashes, any of them may be the cause; each is tried after five seconds.
+///
+/// Nodes that know the same reports and acquittals know the same strikes, in whichever order these came.
+/// Cost: verdictOf() O(log contents); a change O(reports x suspects); memory at most 256 reports, 256 bytes and 50
+/// a suspect each: under a flood of contents that are new each time the oldest reports which hold back nothing go first.
+class CrashLedger {
+public:
+    struct Options {
+        /// Servers that a content may crash before it is held back.
+        std::size_t strikes = 3;
+        /// The same for one that had ended well at an owner beside whose server it struck.
+        std::size_t strikesIfServed = 5;
+        std::size_t reports = 256;
+        /// Strikes are forgotten after it: calls that are in flight at three crashes in a day are rare.
+        Duration memory = 24h;
+        Duration trialIfShared = 5s;
+    };
+
+    enum class Verdict {
+        Free,
+        Trial, ///< held back, but one server may try it now
+        Held,
+    };
+
+    /// \brief A content that is held back, and why.
+    struct Hold {
+        Instant since {};
+        bool isShared = false; ///< with others that ran at all the same crashes
+        std::vector<std::uint64_t> reports; ///< which led to it
+    };
+
+    CrashLedger() = default;
+    explicit CrashLedger(Options options)
+        : m_options(options)
+    {
+    }
+
+    /// \brief A backend server has crashed. \returns whether that was news.
+    bool take(const proto::CrashReport& report, Instant now);
+
+    /// \brief A content has ended well. \returns whether that cleared a strike.
+    bool acquit(const proto::CrashAcquittal& acquittal, Instant now);
+
+    /// \returns an acquittal of all strikes of \a content that are known; nothing if there is none.
+    std::optional<proto::CrashAcquittal> acquittalOf(ContentId content) const;
+
+    /// \brief Forgets what is too old.
+    void tick(Instant now);
+
+    /// \returns whether no report is known, so that no content need be computed.
+    bool isEmpty() const { return m_reports.empty(); }
+    bool holdsAny() const { return !m_holds.empty(); }
+
+    Verdict verdictOf(ContentId content, Instant now) const;
+
+    /// \returns how long until a content that is held back is tried again; zero if it may be now.
+    Duration untilTrial(ContentId content, Instant now) const;
+
+    const std::map<ContentId, Hold>& holds() const { return m_holds; }
+    std::size_t reports() const { return m_reports.size(); }
+
+    /// \returns the strikes against \a content that count at \a now, those that others explain left out.
+    std::size_t strikesOf(ContentId content) const;
+
+private:
+    struct Strike {
+        ContentId content = 0;
+        Duration ran {};
+        bool wasServed = false;
+        bool isCleared = false;
+    };
+    struct Report {
+        std::int64_t atMs = 0;
+        Instant heard {};
+        std::vector<Strike> strikes;
+    };
+    struct Candidate {
+        ContentId content = 0;
+        std::size_t count = 0;
+        bool wasServed = false;
+        std::vector<std::uint64_t> reports;
+    };
+    using Key = std::pair<ContentId, std::uint64_t>; ///< and id of a report
+
+    /// \brief Holds back what has too many strikes by now, and frees what has none.
+    void judge(Instant now);
+    /// \returns whether another content that is held back ran at this crash.
+    bool isExplained(const Report& report, ContentId content) const;
+    /// \returns what has strikes and is not held back.
+    std::vector<Candidate> candidates() const;
+    Candidate candidateOf(ContentId content, bool isHeld) const;
+    void hold(const Candidate& best, const std::vector<Candidate>& all, Instant now);
+    void freeCleared();
+    void makeRoom();
+    /// \returns moments at which the strikes against \a content were heard, in order.
+    std::vector<Instant> strikeTimes(ContentId content) const;
+
+    Options m_options;
+    std::map<std::uint64_t, Report> m_reports; ///< by id
+    std::deque<std::uint64_t> m_order; ///< ids as they came
+    std::set<Key> m_acquittedAhead; ///< of reports that have not come yet
+    std::map<ContentId, Hold> m_holds;
+};
+
+/// \returns which of \a hosts alone may try \a content while it is held back: the same one for all nodes that know
+/// the same hosts; nothing if there is none. Cost: O(hosts).
+std::optional<std::string> trialHostOf(ContentId content, const std::vector<std::string>& hosts);
+
+} // namespace robinrun
--- /dev/null
+++ b/src/Crashes/CrashWatch.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Crashes/CallContent.h"
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace robinrun {
+
+/// \brief A call that ran when its backend server ended.
+struct CrashSuspect {
+    ContentId content = 0;
+    Duration ran {}; ///< until then
+    bool hasEndedWell = false; ///< a call of that content has, at the same owner, a while ago
+};
+
+/// \brief Tells at an owner whether its backend server has crashed, and which calls ran on it.
+///
+/// A run that breaks shows nothing by itself: connections are reset, answers get lost, full servers hang up. The
+/// server has crashed if nothing listens at its address afterwards, or if its next life comes; it has not if it
+/// answers a request that was sent after the break. What runs at the moment of the first break is suspect, and what
+/// was cut off just before, as some servers work on after that. One life of a server crashes once.
+/// Cost: O(suspects) at a break, nothing otherwise.
+class CrashWatch {
+public:
+    /// A server may work on for so long at what was cut off; nearly all drop it within a round trip.
+    static constexpr Duration workOn = 500ms;
+    /// Of a server that neither answers nor refuses for so long after a break, no crash is assumed.
+    static constexpr Duration patience = 5s;
+
+    /// \brief A call was cut off while it ran.
+    void cutOff(const CrashSuspect& call, Instant now);
+
+    /// \brief A run has broken while \a running ran, the broken one among them.
+    void broke(std::vector<CrashSuspect> running, Instant now);
+
+    /// \returns whether a break is not explained yet: then the server should be asked for a sign of life.
+    bool isAsking(Instant now) const;
+
+    /// \brief The server has answered a request that was sent at \a sent.
+    void answered(Instant sent);
+
+    /// \brief Nothing listens at the server's address. \returns the suspects if that shows a crash of this life,
+    /// and is not known yet; never an empty list.
+    std::optional<std::vector<CrashSuspect>> refused(Instant now);
+
+    /// \brief The next life of the server has come: its own breaks count. \returns as refused().
+    std::optional<std::vector<CrashSuspect>> nextLife(Instant now);
+
+private:
+    struct Break {
+        Instant at {};
+        std::vector<CrashSuspect> running;
+    };
+    struct Cut {
+        CrashSuspect call;
+        Instant at {};
+    };
+
+    void forgetCuts(Instant now);
+
+    std::optional<Break> m_break;
+    std::deque<Cut> m_cuts;
+    bool m_isOver = false; ///< the present life's end is known
+};
+
+} // namespace robinrun
--- a/src/Http/HttpTypes.h
+++ b/src/Http/HttpTypes.h
@@ -60,6 +60,7 @@
 /// \brief The HTTP layer's own error.
 struct HttpError {
     HttpErrorKind kind = HttpErrorKind::Broken;
+    bool isRefused = false; ///< not connected, since nothing listens at the address; a silent host is none
 };
 
 } // namespace robinrun
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -127,12 +127,15 @@
                     connection.m_number, std::move(reply), false, Duration::zero());
         }
     }
-    connection.fail(connection.m_isConnected ? HttpErrorKind::Broken : HttpErrorKind::NotConnected);
+    if (connection.m_isConnected)
+        return connection.fail(HttpErrorKind::Broken);
+    const bool isRefused = !(what & BEV_EVENT_TIMEOUT);
+    connection.fail(HttpErrorKind::NotConnected, isRefused);
 }
 
-void ClientConnection::fail(HttpErrorKind kind)
+void ClientConnection::fail(HttpErrorKind kind, bool isRefused)
 {
-    m_pool->finished(m_number, failure(HttpError { kind }), false, Duration::zero());
+    m_pool->finished(m_number, failure(HttpError { kind, isRefused }), false, Duration::zero());
 }
 
 } // namespace robinrun::internal
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -30,7 +30,7 @@
     static void readable(bufferevent*, void* self);
     static void eventCame(bufferevent*, short what, void* self);
     void readOn();
-    void fail(HttpErrorKind kind);
+    void fail(HttpErrorKind kind, bool isRefused = false);
 
     HttpPool* m_pool;
     bufferevent* m_buffer;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -92,6 +92,8 @@
         [this](const std::string& address, bool isLeaving) { tellLeaving(address, isLeaving); });
     m_owner->onLoadChanged(
         [this](const std::string& address, proto::LoadNews& news) { tellLoad(address, news); });
+    m_owner->onCrash([this](const proto::CrashReport& report) { tellCrash(report); });
+    m_owner->onAcquittal([this](const proto::CrashAcquittal& acquittal) { tellAcquittal(acquittal); });
     const auto send = [this](const std::string& address, proto::PeerMessage& message, Instant now) {
         return m_peers->send(address, message, now);
     };
@@ -185,6 +187,7 @@
         [this](const std::vector<KeyedRecord>& records) {
             for (const auto& it : records)
                 takeStoredNode(it, monotonicNow());
+            heardOfCrashes(monotonicNow());
         },
         m_context.random);
     m_writer->onWritten([this] {
@@ -231,6 +234,8 @@
     metrics.gauge("robinrun_retries_saved", [this] { return m_ingress->savedRetries(); });
     metrics.gauge("robinrun_upstream_news_age_seconds",
         [this] { return toSeconds(m_ingress->meanNewsAge(monotonicNow())); });
+    metrics.gauge("robinrun_requests_held", [this] { return double(m_context.crashes.holds().size()); });
+    metrics.gauge("robinrun_crash_reports", [this] { return double(m_context.crashes.reports()); });
     metrics.gauge("robinrun_ready", [this] { return isReady() ? 1.0 : 0.0; });
     metrics.gauge("robinrun_calls_in_progress", [this] { return double(m_ingress->inProgress()); });
     metrics.gauge("robinrun_slots_in_use", [this] { return double(m_owner->load(monotonicNow()).inUse); });
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -8,6 +8,7 @@
 #include "Mesh/ConfigFetch.h"
 #include "Mesh/ConfigHolder.h"
 #include "Mesh/ContactReach.h"
+#include "Mesh/CrashNews.h"
 #include "Mesh/FollowShare.h"
 #include "Mesh/Gossip.h"
 #include "Mesh/MeshFormats.h"
@@ -97,6 +98,16 @@
     /// \returns whether \a node, or this start of it, is not known yet.
     bool isNewLife(const std::string& node, std::uint64_t incarnation) const;
 
+    /// \brief A crash beside this node: all nodes hear of it, and the store keeps it.
+    void tellCrash(const proto::CrashReport& report);
+    /// \brief A good end beside this node has cleared strikes: all nodes hear of it in a moment.
+    void tellAcquittal(const proto::CrashAcquittal& acquittal);
+    /// \brief Crashes that a former life of this node has told of are told on by this one.
+    void keepFormerCrashes(const proto::NodeRecord& former, Instant now);
+    /// \brief Something may have been heard of crashes elsewhere: once it has, calls are taken and the node's
+    /// own record is written.
+    void heardOfCrashes(Instant now);
+
     void answerReadiness(HttpExchange& exchange) const;
     void answerMetrics(HttpExchange& exchange) const;
     /// \returns an announcement of the backend server beside this node. The error names the field.
@@ -129,6 +140,10 @@
     /// \returns this node's share of the retries that the deployment's nodes may save up.
     double retryBurst() const;
     void publish(Instant now);
+    /// \brief Writes this node's record to the store, once what its former life wrote there was read.
+    void writeRecord(Instant now);
+    /// \brief Tells the contacts this node's record, and leaves the store as it is.
+    void tellRecord(Instant now);
     void tellContacts(Instant now);
     void sendToContact(const std::string& address, proto::PeerMessage& message, Instant now);
     /// \brief Contacts that could not be reached for long are marked gone, here, at the peers and in the
@@ -192,6 +207,10 @@
     Timer m_rebuildTimer;
     Timer m_relayTimer;
     Timer m_publishAgain;
+    Timer m_acquittalTimer;
+    bool m_isAcquittalPending = false;
+    bool m_hasComparedRecords = false; ///< with a contact, in this life
+    bool m_isWriteHeld = true; ///< until what a former life of this node wrote has been read
     Timer m_tickTimer;
     Timer m_lameDuckTimer;
     Timer m_drainLimit;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -58,7 +58,7 @@
     const auto& limits = m_config.current()->limits;
     m_callers->setLimits(limits.maxHeaders, limits.maxBody, limits.headerTimeout, limits.idleTimeout);
     rebuild();
-    m_ingress->setConfigured(true);
+    heardOfCrashes(now);
     step(NodeEvent::Configured);
     tellContacts(now);
 }
@@ -146,12 +146,15 @@
         { { "for_ms", toMilliseconds(standstill->length()) },
             { "in_progress", std::uint64_t { m_ingress->inProgress() } } });
     m_context.metrics.count("robinrun_standstills_total");
+    m_nextContact = now; // what happened meanwhile is heard in the answers
 }
 
 void MeshNode::tick()
 {
     const auto now = monotonicNow();
     noteStandstill(now);
+    m_context.crashes.tick(now);
+    heardOfCrashes(now);
     m_owner->tick(now);
     m_peers->closeIdle(now);
     flushLog();
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -15,17 +15,40 @@
     constexpr Duration connectingAgain = 100ms;
     /// A link that was opened stands within so long: a few ways of the network.
     constexpr Duration linkOpening = 20ms;
+    /// A node that starts learns of crashes from the store or a contact before it sends calls; if it hears of
+    /// neither for so long, it serves.
+    constexpr Duration longestUninformed = 1500ms;
+    /// A store that answers no read for so long is written to without one.
+    constexpr Duration longestWriteHold = 5s;
+    /// Acquittals that come together are told together; a few strikes clear no sooner than it takes to
+    /// collect them.
+    constexpr Duration acquittalDelay = 100ms;
     /// What other writers send is logged up to so many bytes of a text.
     constexpr std::size_t loggedBytes = 128;
 
 } // namespace
 
 void MeshNode::publish(Instant now)
+{
+    tellRecord(now);
+    writeRecord(now);
+    rebuildSoon();
+}
+
+void MeshNode::writeRecord(Instant now)
+{
+    // What a former life of this node wrote there is gone once this is: first that is read. A store that
+    // answers no read is written to all the same after a while.
+    if (m_nodesFeed->isCaughtUp() || now - m_started > longestWriteHold)
+        m_isWriteHeld = false;
+    if (!m_isWriteHeld)
+        m_writer->set(m_record.SerializeAsString());
+}
+
+void MeshNode::tellRecord(Instant now)
 {
     m_record.set_sequence(m_record.sequence() + 1);
     m_registry.take(m_record);
-    m_writer->set(m_record.SerializeAsString());
-    rebuildSoon();
     m_isContactOpening = false;
     m_gossip.publish(m_record, now);
     // Contacts whose links were only just opened have heard nothing.
@@ -184,6 +207,8 @@
     }
     m_gossip.complete(records, replyTo(sender, now));
     relaySoon();
+    m_hasComparedRecords = m_hasComparedRecords || records.whole_buckets_size() > 0;
+    heardOfCrashes(now);
 }
 
 bool MeshNode::takeRecord(const proto::NodeRecord& record, Instant now)
@@ -192,6 +217,8 @@
         noteForeign("node-record", record.node(), fault);
         return false;
     }
+    if (crashNews::take(record, m_context.crashes, now))
+        m_owner->crashesChanged(now);
     if (record.node() == m_context.settings.name)
         return takeOwnRecord(record, now);
     const bool isNew = isNewLife(record.node(), record.incarnation());
@@ -238,6 +265,8 @@
     const bool isFormer = record.incarnation() != m_record.incarnation();
     if (isFormer && NodeRegistry::isLater(record, m_record))
         outrank(record, now);
+    if (isFormer)
+        keepFormerCrashes(record, now);
     if (isFormer && record.leaving() && m_announced.hasLeftBefore(lifeOf(record)))
         upstreamChanged(now);
     // Somebody took this node for gone.
@@ -246,6 +275,43 @@
     return isNews;
 }
 
+void MeshNode::keepFormerCrashes(const proto::NodeRecord& former, Instant now)
+{
+    bool isNews = false;
+    for (const auto& it : former.crashes())
+        isNews = crashNews::add(m_record, it) || isNews;
+    if (isNews)
+        publish(now);
+}
+
+void MeshNode::tellCrash(const proto::CrashReport& report)
+{
+    crashNews::add(m_record, report);
+    publish(monotonicNow());
+}
+
+void MeshNode::tellAcquittal(const proto::CrashAcquittal& acquittal)
+{
+    crashNews::add(m_record, acquittal);
+    if (std::exchange(m_isAcquittalPending, true))
+        return;
+    // The store does not need them: without one, a strike counts that a good end clears again.
+    m_acquittalTimer = Timer::once(m_context.base, acquittalDelay, [this] {
+        m_isAcquittalPending = false;
+        tellRecord(monotonicNow());
+    });
+}
+
+void MeshNode::heardOfCrashes(Instant now)
+{
+    if (m_isWriteHeld && m_record.sequence() > 0)
+        writeRecord(now);
+    const bool isInformed
+        = m_nodesFeed->isCaughtUp() || m_hasComparedRecords || now - m_started > longestUninformed;
+    if (m_config.hasAny() && isInformed)
+        m_ingress->setConfigured(true);
+}
+
 void MeshNode::outrank(const proto::NodeRecord& former, Instant now)
 {
     log(LogLevel::Warning, "clock-went-back",
--- a/src/Mesh/NodeRegistry.cpp
+++ b/src/Mesh/NodeRegistry.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Hash.h"
 #include "Http/HttpTypes.h"
+#include "Mesh/CrashNews.h"
 
 #include <algorithm>
 #include <string_view>
@@ -100,7 +101,7 @@
         if (number > largestNumber)
             return std::string(field) + ": must be at most 2^53";
     }
-    return "";
+    return crashNews::faultOf(record);
 }
 
 NodeRegistry::Change NodeRegistry::take(const proto::NodeRecord& record)
--- a/src/Node/Directory.cpp
+++ b/src/Node/Directory.cpp
@@ -1,6 +1,7 @@
 #include "Node/Directory.h"
 
 #include "Core/Hash.h"
+#include "Crashes/CrashLedger.h"
 
 #include <algorithm>
 
@@ -177,4 +178,20 @@
     return group;
 }
 
+std::string Directory::trialUpstream(std::string_view service, ContentId content) const
+{
+    const auto* info = this->service(service);
+    if (!info)
+        return "";
+    std::vector<std::string> hosts;
+    for (const auto& it : info->upstreams) {
+        if (!it.config.leaving())
+            hosts.push_back(it.config.host());
+    }
+    const auto host = trialHostOf(content, hosts);
+    const auto it = std::find_if(info->upstreams.begin(), info->upstreams.end(),
+        [&](const auto& upstream) { return host && upstream.config.host() == *host; });
+    return it == info->upstreams.end() ? "" : it->id;
+}
+
 } // namespace robinrun
--- a/src/Node/Directory.h
+++ b/src/Node/Directory.h
@@ -2,6 +2,7 @@
 
 #include "Config/ConfigState.h"
 #include "Core/Time.h"
+#include "Crashes/CallContent.h"
 
 #include <cstdint>
 #include <map>
@@ -86,6 +87,10 @@
     const GroupInfo* groupByCredential(const std::string& credential);
     const UpstreamInfo* upstream(const std::string& id) const;
 
+    /// \returns the one upstream of \a service that may try \a content while it is held back, the same for
+    /// all nodes that know the same upstreams; "" if there is none. Cost: O(upstreams of the service).
+    std::string trialUpstream(std::string_view service, ContentId content) const;
+
     const std::map<std::string, ServiceInfo, std::less<>>& services() const { return m_services; }
     const std::vector<GroupInfo>& groups() const { return m_groups; }
 
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -148,6 +148,14 @@
     // After a standstill, what ended meanwhile is noticed before anything is sent.
     if (m_context->standstill.isFirstTurn(now))
         return tryAgainSoon(id, call);
+    switch (verdictOf(call, now)) {
+    case CrashLedger::Verdict::Free:
+        break;
+    case CrashLedger::Verdict::Trial:
+        return sendTrial(id, call, now);
+    case CrashLedger::Verdict::Held:
+        return finishHeld(id, call, now);
+    }
     auto& router = *m_routers.at(call.request.service);
     if (call.ticket && !call.isMinting) {
         // A ticket is good at one owner only.
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -115,6 +115,7 @@
         std::optional<Ticket> ticket;
         RequestTrail trail;
         bool isMinting = false; ///< the attempt asks for a ticket only
+        std::optional<ContentId> content; ///< computed where crashes are known
         Timer deadlineTimer;
         Timer attemptTimer;
         Timer connectTimer;
@@ -151,6 +152,11 @@
     /// \returns whether to wait for the link to \a upstream, which was opened a moment ago.
     static bool awaitsLink(Call& call, const std::string& upstream, Instant now);
     void tryAgainSoon(CallId id, Call& call);
+    /// \returns whether crashes of servers that ran the same hold \a call back.
+    CrashLedger::Verdict verdictOf(Call& call, Instant now) const;
+    /// \brief Sends a call that is held back to the one upstream that may try it.
+    void sendTrial(CallId id, Call& call, Instant now);
+    void finishHeld(CallId id, Call& call, Instant now);
     proto::Call envelope(
         const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
     /// \returns whether the budgets allow one more attempt, which is then paid for: at the service, and at
@@ -185,7 +191,7 @@
     /// \returns whether the answer to \a attempt is expected in time.
     bool isOnItsWay(const Call& call, const Attempt& attempt, Instant now) const;
     /// \returns whether \a call may have a second attempt while the first one is out.
-    bool mayHedge(const Call& call, Instant now) const;
+    bool mayHedge(Call& call, Instant now) const;
     Duration patienceFor(const Call& call, const ServiceRouter& router) const;
     bool isRepeatable(const Call& call) const;
     void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
@@ -203,7 +209,7 @@
     void finishNotRun(CallId id, Call& call, Reason reason, Instant now);
     void finishUnknown(CallId id, Call& call, Reason reason, Instant now);
     void noteEnd(Call& call, CallOutcome outcome, Reason reason, int status, Instant now);
-    std::uint32_t retryAfterFor(const Call& call, Instant now) const;
+    std::uint32_t retryAfterFor(const Call& call, Reason reason, Instant now) const;
     void finish(CallId id, Call& call, HttpReply reply, CallOutcome outcome, Reason reason, Instant now,
         const proto::Answer* answer = nullptr);
     void giveUpAttempts(Call& call, Instant now, bool isLost);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -183,13 +183,15 @@
         return ownerBusy(id, call, attempt, now);
     call.lastReason = reason;
     call.trail.setNotable();
+    if (reason == Reason::CrashesServers)
+        call.retryAfterMs = 0; // what other owners said is not the time to come back
     const bool isSooner = !call.retryAfterMs || answer.retry_after_ms() < call.retryAfterMs;
     if (isSooner || !call.request.isByRoute)
         call.retryAfterMs = answer.retry_after_ms();
     if (!call.out.empty())
         return; // another attempt is still out
     step(call, CallEvent::Refused);
-    if (call.ticket && !call.isMinting)
+    if ((call.ticket && !call.isMinting) || reason == Reason::CrashesServers)
         return finishNotRun(id, call, call.lastReason, now);
     // An owner that restarted is as good as before under its new incarnation.
     if (call.lastReason == Reason::WrongIncarnation)
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -64,9 +64,10 @@
     finish(id, call, replies::ticket(*call.ticket), CallOutcome::Answered, Reason::None, now);
 }
 
-std::uint32_t Ingress::retryAfterFor(const Call& call, Instant now) const
+std::uint32_t Ingress::retryAfterFor(const Call& call, Reason reason, Instant now) const
 {
-    if (!call.request.isByRoute)
+    // Until then it is refused everywhere, however little time its caller has left.
+    if (!call.request.isByRoute || reason == Reason::CrashesServers)
         return call.retryAfterMs;
     const auto left = toMilliseconds(std::max(call.deadline - now, Duration::zero()));
     const auto longest = static_cast<std::uint32_t>(left * longestRetryAfterShare);
@@ -83,7 +84,8 @@
     const auto* service = m_context->directory.service(call.request.service);
     const bool advisesTicket
         = reason == Reason::ClaimUndecided && service && service->config.ticket_in_outage();
-    const auto reply = replies::notRun(reason, retryAfterFor(call, now), advisesTicket, m_context->headers);
+    const auto reply
+        = replies::notRun(reason, retryAfterFor(call, reason, now), advisesTicket, m_context->headers);
     finish(id, call, reply, CallOutcome::NotRun, reason, now);
 }
 
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -102,10 +102,11 @@
     return router.remainingAt(attempt.upstream, callClass, done) <= needsOf(call, now).targetLatency;
 }
 
-bool Ingress::mayHedge(const Call& call, Instant now) const
+bool Ingress::mayHedge(Call& call, Instant now) const
 {
     return m_context->settings.experiments.isOn(Mechanism::SecondAttempts) && isRepeatable(call)
-        && !call.isMinting && call.attemptsLeft > 1 && now < call.deadline;
+        && !call.isMinting && call.attemptsLeft > 1 && now < call.deadline
+        && verdictOf(call, now) == CrashLedger::Verdict::Free;
 }
 
 void Ingress::sendSecond(CallId id, Call& call, const std::string& upstream, Instant now)
@@ -132,7 +133,7 @@
 void Ingress::upstreamSlowed(const std::string& upstream, Instant now)
 {
     std::vector<std::pair<CallId, std::uint64_t>> slowed;
-    for (const auto& [id, call] : m_calls) {
+    for (auto& [id, call] : m_calls) {
         const bool isOnly = call.out.size() == 1 && call.out.front().upstream == upstream;
         if (isOnly && call.request.isByRoute && mayHedge(call, now))
             slowed.emplace_back(id, call.out.front().number);
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -5,6 +5,7 @@
 #include "Core/Random.h"
 #include "Core/StandstillWatch.h"
 #include "Core/Time.h"
+#include "Crashes/CrashLedger.h"
 #include "Node/CallHeaders.h"
 #include "Node/Directory.h"
 #include "Node/Metrics.h"
@@ -32,6 +33,7 @@
     CallHeaders headers {};
     std::uint64_t configVersion = 0; ///< of the directory, for the log
     StandstillWatch standstill {}; ///< given the node's ticks
+    CrashLedger crashes {}; ///< of backend servers anywhere, as far as this node has heard
 
     /// \brief For a real node. Its random numbers differ from those of nodes that start at the same instant.
     static NodeContext forNode(NodeSettings settings, Charts charts, event_base* base,
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -99,6 +99,8 @@
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
     if (m_context->settings.experiments.isOn(Mechanism::GiveUpHopeless))
         act(m_admission.giveUpHopeless(now), now);
+    if (m_pool && m_crashWatch.isAsking(now))
+        return probe(now);
     if (m_pool)
         probeBackend(now);
 }
@@ -200,6 +202,11 @@
 
 void Owner::admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
+    if (const auto length = heldBack(call, now)) {
+        if (call.has_ticket())
+            m_tickets.notRun(decode(call.ticket()).nonce);
+        return refuseAtOnce(call, sender, reply, Reason::CrashesServers, true, now, *length);
+    }
     const auto id = ++m_lastId;
     auto record = recordOf(call, sender, std::move(reply), now);
     const auto offer = offerOf(id, record, now);
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -2,6 +2,8 @@
 
 #include "Chart/Leaving.h"
 #include "Core/BackendLife.h"
+#include "Crashes/CrashWatch.h"
+#include "Crashes/GoodEnds.h"
 #include "Http/HttpPool.h"
 #include "Node/NodeContext.h"
 #include "Node/Prober.h"
@@ -19,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +43,11 @@
     /// \brief Tells an ingress of a load that has changed much.
     using TellLoad = std::function<void(const std::string& address, proto::LoadNews& news)>;
 
+    /// \brief Takes the report of a crash of the backend server, which the ledger has already.
+    using TellCrash = std::function<void(const proto::CrashReport& report)>;
+    /// \brief Takes word of a good end that has cleared strikes, in the ledger already.
+    using TellAcquittal = std::function<void(const proto::CrashAcquittal& acquittal)>;
+
     Owner(NodeContext& context, Instant now);
     ~Owner();
     Owner(const Owner&) = delete;
@@ -48,6 +56,12 @@
     void onAnnounce(Announce announce) { m_announce = std::move(announce); }
     void onLoadChanged(TellLoad tell) { m_tellLoad = std::move(tell); }
 
+    void onCrash(TellCrash tell) { m_tellCrash = std::move(tell); }
+    void onAcquittal(TellAcquittal tell) { m_tellAcquittal = std::move(tell); }
+
+    /// \brief The ledger of crashes has changed: what is held back now is logged, and refused where it waits.
+    void crashesChanged(Instant now);
+
     /// \brief A call came. \a reply runs once, perhaps at once.
     void take(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
 
@@ -116,6 +130,23 @@
     bool isGivenUp(const proto::Call& call, const Sender& sender, Instant now) const;
     /// \brief Refuses calls that waited here while their senders gave the links up: nobody waits for them.
     void refuseGivenUp(Instant now);
+    CrashSuspect suspectOf(const CallRecord& record, Instant now) const;
+    /// \returns what runs on the backend server over \a pool.
+    std::vector<CrashSuspect> runningOn(const HttpPool& pool, Instant now) const;
+    /// \brief What the end of a run shows of the backend server, and of other runs of the same content.
+    void noteRunEnd(const CallRecord& record, const Result<HttpReply, HttpError>& result,
+        const proto::Answer& answer, Instant now);
+    /// \brief Calls that wait here and are held back are refused as not run.
+    void refuseHeld(Instant now);
+    void runBroke(const CallRecord& record, Instant now);
+    void endedWell(const CallRecord& record, Instant now);
+    /// \param life of the backend server that has crashed.
+    void reportCrash(const std::string& life, const std::vector<CrashSuspect>& suspects, Instant now);
+    /// \returns how long \a call is held back for crashes of servers that ran the same; nothing if it may run
+    /// here.
+    std::optional<Duration> heldBack(const proto::Call& call, Instant now) const;
+    /// \returns whether this owner is the one that tries \a content, and does not yet.
+    bool mayTry(ContentId content) const;
     /// \brief Calls that run at a life which is over get no answer any more: ends them as unknown.
     void endRuns(HttpPool& pool, Instant now);
     /// \returns whether a call would run at once, on a backend server that isn't slowed down.
@@ -146,7 +177,7 @@
     void ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now);
     void refuse(const Refusal& refusal, Instant now);
     void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
-        bool isNotRun, Instant now);
+        bool isNotRun, Instant now, Duration retryAfter = {});
     void answerAll(CallRecord& record, const proto::Answer& answer, Instant now);
     /// \returns the load as a node in \a senderLife with calls of \a group meets it.
     proto::Load loadNews(std::uint64_t senderLife, const std::string& group, Instant now) const;
@@ -166,6 +197,11 @@
     std::unique_ptr<HttpPool> m_pool;
     std::string m_backendAddress;
     std::string m_boundUpstream; ///< that the pool's connections are meant for
+    CrashWatch m_crashWatch;
+    GoodEnds m_goodEnds;
+    std::set<ContentId> m_loggedHolds;
+    TellCrash m_tellCrash;
+    TellAcquittal m_tellAcquittal;
     Announce m_announce;
     TellLoad m_tellLoad;
     bool m_isDown = false;
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -165,9 +165,10 @@
 }
 
 void Owner::refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
-    bool isNotRun, Instant now)
+    bool isNotRun, Instant now, Duration retryAfter)
 {
     proto::Answer answer;
+    answer.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(retryAfter)));
     answer.set_number(call.number());
     answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
     answer.set_reason(static_cast<std::uint32_t>(reason));
--- /dev/null
+++ b/src/Node/OwnerCrashes.cpp
@@ -0,0 +1,171 @@
+#include "Core/Log.h"
+#include "Http/HttpStatus.h"
+#include "Node/CallMessages.h"
+#include "Node/Owner.h"
+
+#include <algorithm>
+#include <utility>
+
+/// \file What an owner notices of crashes of its backend server, and which calls it holds back for crashes anywhere.
+
+namespace robinrun {
+namespace {
+
+    /// More than any backend server of the users' sites runs at once (12 slots).
+    constexpr int mostSuspects = 64;
+
+    std::string textOf(const proto::CrashReport& report)
+    {
+        std::string out;
+        for (const auto& it : report.suspects())
+            out += (out.empty() ? "" : " ") + std::to_string(it.content());
+        return out;
+    }
+
+} // namespace
+
+CrashSuspect Owner::suspectOf(const CallRecord& record, Instant now) const
+{
+    const auto content = contentOf(record.call);
+    return { contentIdOf(content), now - record.started, m_goodEnds.has(quickHashOf(content), now) };
+}
+
+std::vector<CrashSuspect> Owner::runningOn(const HttpPool& pool, Instant now) const
+{
+    std::vector<CrashSuspect> out;
+    for (const auto& [id, record] : m_calls) {
+        if (record.isRunning && record.pool == &pool)
+            out.push_back(suspectOf(record, now));
+    }
+    return out;
+}
+
+void Owner::noteRunEnd(const CallRecord& record, const Result<HttpReply, HttpError>& result,
+    const proto::Answer& answer, Instant now)
+{
+    if (record.pool != m_pool.get())
+        return;
+    if (!result.has_value()) {
+        if (result.error().kind == HttpErrorKind::Broken)
+            runBroke(record, now);
+        if (result.error().isRefused) {
+            if (const auto suspects = m_crashWatch.refused(now))
+                reportCrash(m_boundUpstream, *suspects, now);
+        }
+        return;
+    }
+    if (answer.outcome() != proto::ANSWERED)
+        return;
+    m_crashWatch.answered(record.started);
+    if (answer.status() < static_cast<std::uint32_t>(httpStatus::firstServerError))
+        endedWell(record, now);
+}
+
+void Owner::runBroke(const CallRecord& record, Instant now)
+{
+    // A server that has said it leaves may end with what it still runs.
+    if (m_crashWatch.isAsking(now) || m_leaving.hasSign(LeavingSign::BackendServer))
+        return;
+    m_crashWatch.broke(runningOn(*record.pool, now), now);
+    probe(now);
+}
+
+void Owner::endedWell(const CallRecord& record, Instant now)
+{
+    const auto content = contentOf(record.call);
+    m_goodEnds.note(quickHashOf(content), now);
+    if (m_context->crashes.isEmpty())
+        return;
+    const auto acquittal = m_context->crashes.acquittalOf(contentIdOf(content));
+    if (!acquittal)
+        return;
+    m_context->crashes.acquit(*acquittal, now);
+    crashesChanged(now);
+    if (m_tellAcquittal)
+        m_tellAcquittal(*acquittal);
+}
+
+void Owner::reportCrash(
+    const std::string& life, const std::vector<CrashSuspect>& suspects, Instant now)
+{
+    proto::CrashReport report;
+    report.set_id(m_context->random.bits());
+    report.set_upstream(life);
+    report.set_at_ms(static_cast<std::uint64_t>(m_context->wallClock()));
+    for (const auto& it : suspects) {
+        if (report.suspects_size() == mostSuspects)
+            break;
+        auto& suspect = *report.add_suspects();
+        suspect.set_content(it.content);
+        suspect.set_ran_ms(static_cast<std::uint32_t>(toMilliseconds(it.ran)));
+        suspect.set_ended_well_before(it.hasEndedWell);
+    }
+    log(LogLevel::Warning, "backend-crashed",
+        { { "upstream", life }, { "report", report.id() }, { "suspects", textOf(report) } });
+    m_context->metrics.count("robinrun_backend_crashes_total");
+    m_context->crashes.take(report, now);
+    if (m_tellCrash)
+        m_tellCrash(report);
+    crashesChanged(now);
+}
+
+void Owner::crashesChanged(Instant now)
+{
+    const auto& ledger = m_context->crashes;
+    for (const auto& [content, hold] : ledger.holds()) {
+        if (!m_loggedHolds.insert(content).second)
+            continue;
+        std::string reports;
+        for (const auto id : hold.reports)
+            reports += (reports.empty() ? "" : " ") + std::to_string(id);
+        log(LogLevel::Warning, "request-held",
+            { { "content", content }, { "shared", hold.isShared }, { "reports", reports },
+                { "retry_after_ms", toMilliseconds(ledger.untilTrial(content, now)) } });
+    }
+    for (auto it = m_loggedHolds.begin(); it != m_loggedHolds.end();) {
+        const bool isHeld = ledger.holds().contains(*it);
+        if (!isHeld)
+            log(LogLevel::Info, "request-freed", { { "content", *it } });
+        it = isHeld ? std::next(it) : m_loggedHolds.erase(it);
+    }
+    refuseHeld(now);
+}
+
+std::optional<Duration> Owner::heldBack(const proto::Call& call, Instant now) const
+{
+    const auto& ledger = m_context->crashes;
+    if (!ledger.holdsAny())
+        return std::nullopt;
+    const auto content = contentIdOf(contentOf(call));
+    const auto verdict = ledger.verdictOf(content, now);
+    const bool isFree = verdict == CrashLedger::Verdict::Free
+        || (verdict == CrashLedger::Verdict::Trial && mayTry(content));
+    return isFree ? std::nullopt : std::optional(ledger.untilTrial(content, now));
+}
+
+bool Owner::mayTry(ContentId content) const
+{
+    if (m_context->directory.trialUpstream(m_serviceId, content) != upstream())
+        return false;
+    return std::none_of(m_calls.begin(), m_calls.end(),
+        [&](const auto& it) { return contentIdOf(contentOf(it.second.call)) == content; });
+}
+
+void Owner::refuseHeld(Instant now)
+{
+    const auto& ledger = m_context->crashes;
+    if (!ledger.holdsAny())
+        return;
+    std::vector<std::pair<std::uint64_t, Duration>> held;
+    for (const auto& [id, record] : m_calls) {
+        const auto content = record.isRunning ? 0 : contentIdOf(contentOf(record.call));
+        if (!record.isRunning && ledger.verdictOf(content, now) == CrashLedger::Verdict::Held)
+            held.emplace_back(id, ledger.untilTrial(content, now));
+    }
+    for (const auto& [id, length] : held) {
+        if (m_admission.cancelWaiting(id))
+            refuse({ id, Reason::CrashesServers, length }, now);
+    }
+}
+
+} // namespace robinrun
--- a/src/Node/OwnerLife.cpp
+++ b/src/Node/OwnerLife.cpp
@@ -21,6 +21,15 @@
     // Its id was known before its start was: the same life.
     if (m_pool && isSameAddress && BackendLife::fromKey(info.id).isMeantBy(former))
         return;
+    if (m_pool) {
+        if (isSameAddress && !m_leaving.hasSign(LeavingSign::BackendServer)) {
+            auto running = runningOn(*m_pool, now);
+            if (!running.empty())
+                m_crashWatch.broke(std::move(running), now);
+        }
+        if (const auto suspects = m_crashWatch.nextLife(now))
+            reportCrash(former.key(), *suspects, now);
+    }
     m_isDown = false;
     m_unreached = 0;
     m_admission.restart();
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -59,9 +59,15 @@
 
 void Owner::probe(Instant now)
 {
-    const bool isStarted = m_prober.probe(*m_pool, now, [this](const ProbeNews& news, Duration) {
+    const bool isStarted = m_prober.probe(*m_pool, now, [this, now](const ProbeNews& news, Duration) {
         const auto end = monotonicNow();
         setDown(!news.isReachable, end);
+        if (news.isReachable)
+            m_crashWatch.answered(now);
+        if (news.isRefused) {
+            if (const auto suspects = m_crashWatch.refused(end))
+                reportCrash(m_boundUpstream, *suspects, end);
+        }
         if (news.slowdown)
             setSlowdown(*news.slowdown, end);
     });
@@ -197,6 +203,7 @@
         && ++m_unreached >= unreachedLimit)
         setDown(true, now);
     auto& record = m_calls.at(id);
+    noteRunEnd(record, result, answer, now);
     const bool isFailure = answer.outcome() != proto::ANSWERED
         || answer.status() >= static_cast<std::uint32_t>(firstServerError);
     const auto next = m_admission.finished(id, isFailure ? RunEnd::Failed : RunEnd::Answered, now);
@@ -228,6 +235,7 @@
     if (!record.isRepeatable)
         return; // what must not be repeated is not cut off either
     record.pool->cancel(record.request);
+    m_crashWatch.cutOff(suspectOf(record, now), now);
     const auto next = m_admission.finished(id, RunEnd::Failed, now);
     proto::Answer answer;
     answer.set_outcome(proto::UNKNOWN);
--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -46,7 +46,9 @@
             m_isOut = false;
             const auto end = monotonicNow();
             m_budget.ended(end - now, end);
-            done(reply.has_value() ? read(reply.value()) : ProbeNews {}, end - now);
+            ProbeNews none;
+            none.isRefused = !reply.has_value() && reply.error().isRefused;
+            done(reply.has_value() ? read(reply.value()) : none, end - now);
         });
     return true;
 }
--- a/src/Node/Prober.h
+++ b/src/Node/Prober.h
@@ -13,6 +13,7 @@
 /// \brief What a probe of the backend server showed. Its counts of calls are not used: they lag or mislead.
 struct ProbeNews {
     bool isReachable = false;
+    bool isRefused = false; ///< nothing listens at the address
     bool isDraining = false;
     bool isWell = false; ///< the server believes so
     std::string upstream; ///< id of the server's present start, if it tells
--- a/test/CrashTest.cpp
+++ b/test/CrashTest.cpp
@@ -4,14 +4,13 @@
 
 /// \file Requests that crash the backend servers which run them, through whole nodes.
 ///
-/// Seen: three waves of a day in which one kind of request was served to a quarter, because all four servers of a
-/// service ended again and again, each within seconds of its start. One request was sent to servers ten times more after
-/// three had ended under it.
-/// How it came about: the request came again with the same content at any node, under another id, and each attempt was
-/// sent to the next server that was up.
-/// Cause: what a run had done to its server was told to nobody: a broken run is retried as one that was lost, and
-/// neither the node nor its peers know the request again.
-/// Proved by: the contents of the calls that broke at the end of each server, in the owners' logs.
+/// Seen: three waves of a day in which one kind of request was served to a quarter, because all four servers
+/// of a service ended again and again, each within seconds of its start. One request was sent to servers ten
+/// times more after three had ended under it. How it came about: the request came again with the same content
+/// at any node, under another id, and each attempt was sent to the next server that was up. Cause: what a run
+/// had done to its server was told to nobody: a broken run is retried as one that was lost, and neither the
+/// node nor its peers know the request again. Proved by: the contents of the calls that broke at the end of
+/// each server, in the owners' logs.
 
 using namespace robinrun;
 using support::CrashFixture;
