Decisions go by a clock that counts while the host is suspended; timers that stood still are brought forward

Cause: deadlines, leases, the age of what is known and the watch for standstills went by the steady clock, which stands still while a host is suspended, and so do the loop's timers. Change: CLOCK_BOOTTIME for what decides; at the first tick after a suspension pending one-time timers come by as much sooner. Tests with both clocks in virtual time.

--- a/src/Core/Time.h
+++ b/src/Core/Time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace robinrun {
 
@@ -47,11 +48,31 @@
     return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
-/// \returns the present on the monotonic clock. Only loops and programs call it.
+namespace internal {
+
+    /// \returns the present on one of the system's clocks.
+    inline Instant read(clockid_t clock)
+    {
+        timespec out {};
+        clock_gettime(clock, &out);
+        return Instant(std::chrono::seconds(out.tv_sec)
+            + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(out.tv_nsec)));
+    }
+
+} // namespace internal
+
+/// \returns the present on the monotonic clock that also counts while the host is suspended: deadlines, leases and
+/// the age of what is known go on then. Only loops and programs call it.
 inline Instant monotonicNow()
 {
-    const auto sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-    return Instant(std::chrono::duration_cast<Duration>(sinceBoot));
+    return internal::read(CLOCK_BOOTTIME);
+}
+
+/// \returns the present on the clock of the loop's timers, which stands still while the host is suspended. \sa
+/// SuspensionWatch
+inline Instant timersNow()
+{
+    return internal::read(CLOCK_MONOTONIC);
 }
 
 /// \returns the wall clock as milliseconds since 1970. Only loops and programs call it.
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -138,7 +138,7 @@
 
 void MeshNode::noteStandstill(Instant now)
 {
-    m_context.standstill.tick(now);
+    m_context.noteTime(now, timersNow());
     const auto standstill = m_context.standstill.wakingFrom(now);
     if (!standstill || standstill->ended != now)
         return;
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -194,7 +194,7 @@
 void Node::tickSlow()
 {
     const auto now = monotonicNow();
-    m_context.standstill.tick(now);
+    m_context.noteTime(now, timersNow());
     m_control->tick(now);
     m_owner->tick(now);
     m_api->tick(now);
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -3,7 +3,9 @@
 #include "Chart/Charts.h"
 #include "Core/Hash.h"
 #include "Core/Random.h"
+#include "Core/Loop.h"
 #include "Core/StandstillWatch.h"
+#include "Core/SuspensionWatch.h"
 #include "Core/Time.h"
 #include "Crashes/CrashLedger.h"
 #include "Node/CallHeaders.h"
@@ -33,8 +35,17 @@
     CallHeaders headers {};
     std::uint64_t configVersion = 0; ///< of the directory, for the log
     StandstillWatch standstill {}; ///< given the node's ticks
+    SuspensionWatch suspension {};
     CrashLedger crashes {}; ///< of backend servers anywhere, as far as this node has heard
 
+    /// \brief A regular tick: notices standstills, and brings timers forward that stood still with their host.
+    void noteTime(Instant now, Instant timers)
+    {
+        standstill.tick(now);
+        if (const auto length = suspension.tick(now, timers); length > Duration::zero())
+            bringTimersForward(base, length);
+    }
+
     /// \brief For a real node. Its random numbers differ from those of nodes that start at the same instant.
     static NodeContext forNode(NodeSettings settings, Charts charts, event_base* base,
         std::uint64_t incarnation, CallHeaders headers = {})
