--- a/src/Core/Loop.h
+++ b/src/Core/Loop.h
@@ -27,9 +27,9 @@
     return loop;
 }
 
-/// \brief Brings all pending one-time timers of \a base forward by \a by, since their clock stood still for so long:
-/// those that are due by now come at once. Repeating ones, and what watches a socket too, keep their pace.
-/// Cost: O(timers).
+/// \brief Brings all pending one-time timers of \a base forward by \a by, since their clock stood still for
+/// so long: those that are due by now come at once. Repeating ones, and what watches a socket too, keep their
+/// pace. Cost: O(timers).
 void bringTimersForward(event_base* base, Duration by);
 
 } // namespace robinrun
--- a/src/Core/SuspensionWatch.h
+++ b/src/Core/SuspensionWatch.h
@@ -9,13 +9,12 @@
 
 /// \brief Tells for how long the host was suspended, by a clock that counts then and one that doesn't.
 ///
-/// The loop's timers go by the second one: what is due at an instant would come later by as long as the host was
-/// suspended. \sa bringTimersForward()
-/// Cost: O(1).
+/// The loop's timers go by the second one: what is due at an instant would come later by as long as the host
+/// was suspended. \sa bringTimersForward() Cost: O(1).
 class SuspensionWatch {
 public:
-    /// The clocks are read one after the other; a process may be held up in between for a tenth of a second when its
-    /// quota is spent.
+    /// The clocks are read one after the other; a process may be held up in between for a tenth of a second
+    /// when its quota is spent.
     static constexpr Duration leastSuspension = 150ms;
 
     /// \returns how long the host was suspended since the last call; zero if it wasn't, and the first time.
@@ -29,7 +28,8 @@
     }
 
 private:
-    std::optional<Duration> m_lead; ///< of the first clock over the second one; less was read where the process was held up
+    std::optional<Duration>
+        m_lead; ///< of the first clock over the second one; less was read where the process was held up
 };
 
 } // namespace robinrun
--- a/src/Core/Time.h
+++ b/src/Core/Time.h
@@ -61,15 +61,15 @@
 
 } // namespace internal
 
-/// \returns the present on the monotonic clock that also counts while the host is suspended: deadlines, leases and
-/// the age of what is known go on then. Only loops and programs call it.
+/// \returns the present on the monotonic clock that also counts while the host is suspended: deadlines,
+/// leases and the age of what is known go on then. Only loops and programs call it.
 inline Instant monotonicNow()
 {
     return internal::read(CLOCK_BOOTTIME);
 }
 
-/// \returns the present on the clock of the loop's timers, which stands still while the host is suspended. \sa
-/// SuspensionWatch
+/// \returns the present on the clock of the loop's timers, which stands still while the host is suspended.
+/// \sa SuspensionWatch
 inline Instant timersNow()
 {
     return internal::read(CLOCK_MONOTONIC);
--- a/src/Crashes/CrashLedger.cpp
+++ b/src/Crashes/CrashLedger.cpp
@@ -39,18 +39,23 @@
         return false;
     Report out { static_cast<std::int64_t>(report.at_ms()), now, {} };
     for (const auto& it : report.suspects()) {
+        const Duration ran = std::chrono::milliseconds(it.ran_ms());
+        const auto same = std::find_if(out.strikes.begin(), out.strikes.end(),
+            [&](const auto& strike) { return strike.content == it.content(); });
+        if (same != out.strikes.end()) {
+            same->ran = std::max(same->ran, ran);
+            continue;
+        }
         const bool isCleared = m_acquittedAhead.erase({ it.content(), report.id() }) > 0;
-        out.strikes.push_back({ it.content(), std::chrono::milliseconds(it.ran_ms()), it.ended_well_before(),
-            isCleared });
+        out.strikes.push_back({ it.content(), ran, it.ended_well_before(), isCleared });
     }
     m_reports.emplace(report.id(), std::move(out));
     m_order.push_back(report.id());
-    judge(now);
     makeRoom();
     return true;
 }
 
-bool CrashLedger::acquit(const proto::CrashAcquittal& acquittal, Instant now)
+bool CrashLedger::acquit(const proto::CrashAcquittal& acquittal)
 {
     bool isNews = false;
     for (const auto id : acquittal.reports()) {
@@ -70,7 +75,6 @@
     // It has ended well: what is left against it counts as for any other.
     if (candidateOf(acquittal.content(), true).count < m_options.strikes)
         m_holds.erase(acquittal.content());
-    judge(now);
     return true;
 }
 
@@ -106,14 +110,14 @@
     });
 }
 
-CrashLedger::Candidate CrashLedger::candidateOf(ContentId content, bool isHeld) const
+CrashLedger::Candidate CrashLedger::candidateOf(ContentId content, bool isAll) const
 {
     Candidate out { content, 0, false, {} };
     std::vector<std::pair<std::int64_t, std::int64_t>> runs;
     for (const auto& [id, report] : m_reports) {
         const auto it = std::find_if(report.strikes.begin(), report.strikes.end(),
             [&](const auto& strike) { return strike.content == content && !strike.isCleared; });
-        if (it == report.strikes.end() || (!isHeld && isExplained(report, content)))
+        if (it == report.strikes.end() || (!isAll && isExplained(report, content)))
             continue;
         out.reports.push_back(id);
         out.wasServed = out.wasServed || it->wasServed;
@@ -165,7 +169,7 @@
             alike.push_back(&it);
     }
     for (const auto* it : alike)
-        m_holds[it->content] = { now, alike.size() > 1, it->reports };
+        m_holds[it->content] = { now, it->reports };
 }
 
 void CrashLedger::freeCleared()
@@ -190,6 +194,11 @@
     }
 }
 
+bool CrashLedger::isShared(ContentId content) const
+{
+    return candidateOf(content, false).count < m_options.strikes;
+}
+
 std::vector<Instant> CrashLedger::strikeTimes(ContentId content) const
 {
     std::vector<Instant> out;
@@ -205,16 +214,14 @@
 
 Duration CrashLedger::untilTrial(ContentId content, Instant now) const
 {
-    const auto found = m_holds.find(content);
-    if (found == m_holds.end())
+    if (!m_holds.contains(content))
         return Duration::zero();
     const auto times = strikeTimes(content);
     std::size_t bouts = 0;
     for (std::size_t i = 1; i < times.size(); ++i)
         bouts += times[i] - times[i - 1] > betweenBouts ? 1 : 0;
-    // Struck again alone since then, it is the cause.
-    const bool isShared = found->second.isShared && times.size() <= found->second.reports.size();
-    const auto length = isShared ? m_options.trialIfShared : holdTimes[std::min(bouts, holdTimes.size() - 1)];
+    const auto usual = holdTimes[std::min(bouts, holdTimes.size() - 1)];
+    const auto length = isShared(content) ? m_options.trialIfShared : usual;
     return std::max(times.back() + length - now, Duration::zero());
 }
 
--- a/src/Crashes/CrashLedger.h
+++ b/src/Crashes/CrashLedger.h
@@ -18,20 +18,22 @@
 
 /// \brief What a node knows of crashes of backend servers anywhere, and which contents it holds back for it.
 ///
-/// Each crash is a strike against all contents that ran there. Strikes count one by one if the runs did not overlap:
-/// servers that are killed together have ended for another cause. A good end of a content anywhere clears its strikes, as
-/// a request that crashes whatever runs it has none; and where a content is held back, crashes under which it ran say
-/// nothing against others. The third strike that counts holds a content back. Contents that had ended well at the owner
-/// before get two more: they are probably other callers' calls that are often in flight, and a request that has turned
-/// bad costs two servers more.
+/// Each crash is a strike against all contents that ran there. Strikes count one by one if the runs did not
+/// overlap: servers that are killed together have ended for another cause. A good end of a content anywhere
+/// clears its strikes, as a request that crashes whatever runs it has none; and where a content is held back,
+/// crashes under which it ran say nothing against others. The third strike that counts holds a content back.
+/// Contents that had ended well at the owner before get two more: they are probably other callers' calls that
+/// are often in flight, and a request that has turned bad costs two servers more.
 ///
-/// A content that is held back is tried again by one server at a time, the same one for all nodes (trialHostOf()): after
-/// ten minutes, an hour, and then each twelve hours, as a new release may run it well. Where several contents ran at all the
-/// same crashes, any of them may be the cause; each is tried after five seconds.
+/// A content that is held back is tried again by one server at a time, the same one for all nodes
+/// (trialHostOf()): after ten minutes, an hour, and then each twelve hours, as a new release may run it well.
+/// Where others that are held back ran at so many of its crashes that the rest would not hold it, either may
+/// be the cause; it is tried after five seconds.
 ///
 /// Nodes that know the same reports and acquittals know the same strikes, in whichever order these came.
-/// Cost: verdictOf() O(log contents); a change O(reports x suspects); memory at most 256 reports, 256 bytes and 50
-/// a suspect each: under a flood of contents that are new each time the oldest reports which hold back nothing go first.
+/// Cost: verdictOf() O(log contents); a change O(reports x suspects); memory at most 256 reports, 256 bytes
+/// and 50 a suspect each: under a flood of contents that are new each time the oldest reports which hold back
+/// nothing go first.
 class CrashLedger {
 public:
     struct Options {
@@ -54,7 +56,6 @@
     /// \brief A content that is held back, and why.
     struct Hold {
         Instant since {};
-        bool isShared = false; ///< with others that ran at all the same crashes
         std::vector<std::uint64_t> reports; ///< which led to it
     };
 
@@ -64,11 +65,15 @@
     {
     }
 
-    /// \brief A backend server has crashed. \returns whether that was news.
+    /// \brief A backend server has crashed. \returns whether that was news; then judge() has to follow.
     bool take(const proto::CrashReport& report, Instant now);
 
-    /// \brief A content has ended well. \returns whether that cleared a strike.
-    bool acquit(const proto::CrashAcquittal& acquittal, Instant now);
+    /// \brief A content has ended well. \returns whether that cleared a strike; then judge() has to follow.
+    bool acquit(const proto::CrashAcquittal& acquittal);
+
+    /// \brief Holds back what has too many strikes by now, and frees what has none. To be called when all
+    /// that came together was taken in: of a part of it, other contents may seem to be the cause.
+    void judge(Instant now);
 
     /// \returns an acquittal of all strikes of \a content that are known; nothing if there is none.
     std::optional<proto::CrashAcquittal> acquittalOf(ContentId content) const;
@@ -86,6 +91,9 @@
     Duration untilTrial(ContentId content, Instant now) const;
 
     const std::map<ContentId, Hold>& holds() const { return m_holds; }
+    /// \returns whether others that are held back ran at so many of the crashes against \a content that these
+    /// alone would not hold it: either may be the cause.
+    bool isShared(ContentId content) const;
     std::size_t reports() const { return m_reports.size(); }
 
     /// \returns the strikes against \a content that count at \a now, those that others explain left out.
@@ -111,13 +119,12 @@
     };
     using Key = std::pair<ContentId, std::uint64_t>; ///< and id of a report
 
-    /// \brief Holds back what has too many strikes by now, and frees what has none.
-    void judge(Instant now);
     /// \returns whether another content that is held back ran at this crash.
     bool isExplained(const Report& report, ContentId content) const;
     /// \returns what has strikes and is not held back.
     std::vector<Candidate> candidates() const;
-    Candidate candidateOf(ContentId content, bool isHeld) const;
+    /// \param isAll strikes that others which are held back explain count too.
+    Candidate candidateOf(ContentId content, bool isAll) const;
     void hold(const Candidate& best, const std::vector<Candidate>& all, Instant now);
     void freeCleared();
     void makeRoom();
@@ -131,8 +138,8 @@
     std::map<ContentId, Hold> m_holds;
 };
 
-/// \returns which of \a hosts alone may try \a content while it is held back: the same one for all nodes that know
-/// the same hosts; nothing if there is none. Cost: O(hosts).
+/// \returns which of \a hosts alone may try \a content while it is held back: the same one for all nodes that
+/// know the same hosts; nothing if there is none. Cost: O(hosts).
 std::optional<std::string> trialHostOf(ContentId content, const std::vector<std::string>& hosts);
 
 } // namespace robinrun
--- a/src/Crashes/CrashWatch.h
+++ b/src/Crashes/CrashWatch.h
@@ -18,11 +18,11 @@
 
 /// \brief Tells at an owner whether its backend server has crashed, and which calls ran on it.
 ///
-/// A run that breaks shows nothing by itself: connections are reset, answers get lost, full servers hang up. The
-/// server has crashed if nothing listens at its address afterwards, or if its next life comes; it has not if it
-/// answers a request that was sent after the break. What runs at the moment of the first break is suspect, and what
-/// was cut off just before, as some servers work on after that. One life of a server crashes once.
-/// Cost: O(suspects) at a break, nothing otherwise.
+/// A run that breaks shows nothing by itself: connections are reset, answers get lost, full servers hang up.
+/// The server has crashed if nothing listens at its address afterwards, or if its next life comes; it has not
+/// if it answers a request that was sent after the break. What runs at the moment of the first break is
+/// suspect, and what was cut off just before, as some servers work on after that. One life of a server
+/// crashes once. Cost: O(suspects) at a break, nothing otherwise.
 class CrashWatch {
 public:
     /// A server may work on for so long at what was cut off; nearly all drop it within a round trip.
@@ -42,8 +42,8 @@
     /// \brief The server has answered a request that was sent at \a sent.
     void answered(Instant sent);
 
-    /// \brief Nothing listens at the server's address. \returns the suspects if that shows a crash of this life,
-    /// and is not known yet; never an empty list.
+    /// \brief Nothing listens at the server's address. \returns the suspects if that shows a crash of this
+    /// life, and is not known yet; never an empty list.
     std::optional<std::vector<CrashSuspect>> refused(Instant now);
 
     /// \brief The next life of the server has come: its own breaks count. \returns as refused().
--- a/src/Mesh/CrashNews.cpp
+++ b/src/Mesh/CrashNews.cpp
@@ -59,7 +59,7 @@
     for (const auto& it : record.crashes())
         isNews = ledger.take(it, now) || isNews;
     for (const auto& it : record.acquittals())
-        isNews = ledger.acquit(it, now) || isNews;
+        isNews = ledger.acquit(it) || isNews;
     return isNews;
 }
 
--- a/src/Mesh/CrashNews.h
+++ b/src/Mesh/CrashNews.h
@@ -8,11 +8,12 @@
 
 namespace robinrun::crashNews {
 
-/// \file What a node's record carries of crashes: reports of its own backend server's last crashes, those of its former
-/// lives too, and acquittals by good ends there. So crashes spread, are compared between contacts and are read in
-/// the store just as records are, and outlast the nodes.
+/// \file What a node's record carries of crashes: reports of its own backend server's last crashes, those of
+/// its former lives too, and acquittals by good ends there. So crashes spread, are compared between contacts
+/// and are read in the store just as records are, and outlast the nodes.
 
-/// Of a server that crashes more often than so many times, the last ones say enough: three hold a content back.
+/// Of a server that crashes more often than so many times, the last ones say enough: three hold a content
+/// back.
 inline constexpr std::size_t keptReports = 8;
 /// More than run at once at a server.
 inline constexpr std::size_t keptSuspects = 64;
@@ -20,17 +21,19 @@
 /// Of one content: more strikes than hold it back.
 inline constexpr std::size_t keptClearings = 32;
 
-/// \brief Adds \a report to \a record unless it is there; beyond the bound the oldest go. \returns whether it did.
+/// \brief Adds \a report to \a record unless it is there; beyond the bound the oldest go. \returns whether it
+/// did.
 bool add(proto::NodeRecord& record, const proto::CrashReport& report);
 
-/// \brief Adds \a acquittal to \a record, to a former one of the same content if there is one; beyond the bounds the
-/// oldest go.
+/// \brief Adds \a acquittal to \a record, to a former one of the same content if there is one; beyond the
+/// bounds the oldest go.
 void add(proto::NodeRecord& record, const proto::CrashAcquittal& acquittal);
 
 /// \brief Takes all that \a record says into \a ledger. \returns whether anything was news.
 bool take(const proto::NodeRecord& record, CrashLedger& ledger, Instant now);
 
-/// \returns why a record's reports and acquittals can't be what a node has written, with the field; "" if they can.
+/// \returns why a record's reports and acquittals can't be what a node has written, with the field; "" if
+/// they can.
 std::string faultOf(const proto::NodeRecord& record);
 
 } // namespace robinrun::crashNews
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -209,6 +209,7 @@
     Timer m_publishAgain;
     Timer m_acquittalTimer;
     bool m_isAcquittalPending = false;
+    bool m_isCrashNews = false; ///< some was taken in and is not judged yet
     bool m_hasComparedRecords = false; ///< with a contact, in this life
     bool m_isWriteHeld = true; ///< until what a former life of this node wrote has been read
     Timer m_tickTimer;
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -217,8 +217,7 @@
         noteForeign("node-record", record.node(), fault);
         return false;
     }
-    if (crashNews::take(record, m_context.crashes, now))
-        m_owner->crashesChanged(now);
+    m_isCrashNews = crashNews::take(record, m_context.crashes, now) || m_isCrashNews;
     if (record.node() == m_context.settings.name)
         return takeOwnRecord(record, now);
     const bool isNew = isNewLife(record.node(), record.incarnation());
@@ -304,6 +303,8 @@
 
 void MeshNode::heardOfCrashes(Instant now)
 {
+    if (std::exchange(m_isCrashNews, false))
+        m_owner->crashesChanged(now);
     if (m_isWriteHeld && m_record.sequence() > 0)
         writeRecord(now);
     const bool isInformed
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -2,8 +2,8 @@
 
 #include "Chart/Charts.h"
 #include "Core/Hash.h"
-#include "Core/Random.h"
 #include "Core/Loop.h"
+#include "Core/Random.h"
 #include "Core/StandstillWatch.h"
 #include "Core/SuspensionWatch.h"
 #include "Core/Time.h"
@@ -38,7 +38,8 @@
     SuspensionWatch suspension {};
     CrashLedger crashes {}; ///< of backend servers anywhere, as far as this node has heard
 
-    /// \brief A regular tick: notices standstills, and brings timers forward that stood still with their host.
+    /// \brief A regular tick: notices standstills, and brings timers forward that stood still with their
+    /// host.
     void noteTime(Instant now, Instant timers)
     {
         standstill.tick(now);
--- a/src/Node/OwnerCrashes.cpp
+++ b/src/Node/OwnerCrashes.cpp
@@ -6,7 +6,8 @@
 #include <algorithm>
 #include <utility>
 
-/// \file What an owner notices of crashes of its backend server, and which calls it holds back for crashes anywhere.
+/// \file What an owner notices of crashes of its backend server, and which calls it holds back for crashes
+/// anywhere.
 
 namespace robinrun {
 namespace {
@@ -79,14 +80,13 @@
     const auto acquittal = m_context->crashes.acquittalOf(contentIdOf(content));
     if (!acquittal)
         return;
-    m_context->crashes.acquit(*acquittal, now);
+    m_context->crashes.acquit(*acquittal);
     crashesChanged(now);
     if (m_tellAcquittal)
         m_tellAcquittal(*acquittal);
 }
 
-void Owner::reportCrash(
-    const std::string& life, const std::vector<CrashSuspect>& suspects, Instant now)
+void Owner::reportCrash(const std::string& life, const std::vector<CrashSuspect>& suspects, Instant now)
 {
     proto::CrashReport report;
     report.set_id(m_context->random.bits());
@@ -111,7 +111,8 @@
 
 void Owner::crashesChanged(Instant now)
 {
-    const auto& ledger = m_context->crashes;
+    auto& ledger = m_context->crashes;
+    ledger.judge(now);
     for (const auto& [content, hold] : ledger.holds()) {
         if (!m_loggedHolds.insert(content).second)
             continue;
@@ -119,7 +120,7 @@
         for (const auto id : hold.reports)
             reports += (reports.empty() ? "" : " ") + std::to_string(id);
         log(LogLevel::Warning, "request-held",
-            { { "content", content }, { "shared", hold.isShared }, { "reports", reports },
+            { { "content", content }, { "shared", ledger.isShared(content) }, { "reports", reports },
                 { "retry_after_ms", toMilliseconds(ledger.untilTrial(content, now)) } });
     }
     for (auto it = m_loggedHolds.begin(); it != m_loggedHolds.end();) {
--- a/test/CrashTest.cpp
+++ b/test/CrashTest.cpp
@@ -31,3 +31,170 @@
     for (std::size_t i = 0; i < f.places.size(); ++i)
         f.untilServed(i);
 }
+
+namespace {
+
+/// \returns the value of a series at a node; -1 if it has none.
+double metric(CrashFixture& f, std::size_t node, const std::string& name)
+{
+    const auto text = f.send(f.places[node].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body;
+    const auto at = text.find("\n" + name + " ");
+    return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size() + 2));
+}
+
+/// \brief Sends \a path to all nodes in turn. \returns how often it began to run at a server.
+std::size_t deliveriesOf(CrashFixture& f, const std::string& path, std::size_t rounds)
+{
+    const auto before = f.deliveries(path);
+    for (std::size_t i = 0; i < rounds * f.places.size(); ++i)
+        f.call(i % f.places.size(), "GET", path);
+    return f.deliveries(path) - before;
+}
+
+} // namespace
+
+TEST_CASE("A request that is held back is refused at once, with a reason and a time to come back", "[crash]")
+{
+    CrashFixture f;
+    f.crashOn("/poison");
+    f.crashAtLeast(3, "/read/poison");
+    f.pass(CrashFixture::inTouch);
+    const auto reply = f.call(0, "GET", "/read/poison");
+    CHECK(reply.status == 503);
+    CHECK(findHeader(reply.headers, "Robinrun-Outcome") == "not-run");
+    CHECK(findHeader(reply.headers, "Robinrun-Reason") == "crashes-servers");
+    const auto retryAfter = std::stod(std::string(*findHeader(reply.headers, "Retry-After")));
+    CHECK(retryAfter > 500); // ten minutes after the last crash
+    CHECK(retryAfter <= 600);
+}
+
+TEST_CASE("Other requests of the same path and the same request elsewhere are served on", "[crash]")
+{
+    CrashFixture f;
+    f.crashOn("/poison");
+    f.crashAtLeast(3, "/read/poison");
+    f.pass(CrashFixture::inTouch);
+    f.until([&] { return f.areAllUp(); });
+    for (std::size_t i = 0; i < f.places.size(); ++i) {
+        f.untilServed(i);
+        CHECK(f.call(i, "GET", "/read/poison?x=1").status != 503);
+        f.until([&] { return f.areAllUp(); });
+        auto withBody = f.request("GET", "/read/poison");
+        withBody.body = "other";
+        for (auto& it : f.places)
+            it.backend->crashesOn = nullptr;
+        f.untilServed(i);
+        CHECK(f.send(f.places[i].settings.listen.callers, withBody).status == 200);
+    }
+}
+
+TEST_CASE("Nodes that start again, and all at once, still hold back what crashed servers before", "[crash]")
+{
+    CrashFixture f;
+    f.crashOn("/poison");
+    f.crashAtLeast(3, "/read/poison");
+    f.pass(CrashFixture::inTouch);
+    const bool isAll = GENERATE(false, true);
+    INFO(isAll);
+    for (std::size_t i = isAll ? 0 : f.places.size() - 2; i < f.places.size(); ++i)
+        f.places[i].node.reset();
+    for (std::size_t i = 0; i < f.places.size(); ++i) {
+        if (!f.places[i].node)
+            f.startNode(i);
+    }
+    // Also before they are ready.
+    CHECK(deliveriesOf(f, "/read/poison", 3) == 0);
+    f.pass(CrashFixture::inTouch);
+    for (std::size_t i = 0; i < f.places.size(); ++i)
+        f.untilServed(i);
+    CHECK(deliveriesOf(f, "/read/poison", 2) == 0);
+}
+
+TEST_CASE("A node that is new hears of crashes before it sends", "[crash]")
+{
+    CrashFixture f;
+    f.crashOn("/poison");
+    f.crashAtLeast(3, "/read/poison");
+    f.pass(CrashFixture::inTouch);
+    const auto added = f.add("shop", "h2");
+    f.startHeartbeats(added);
+    f.places[added].backend->crashesOn = f.places[1].backend->crashesOn;
+    for (int i = 0; i < 30; ++i) {
+        f.call(added, "GET", "/read/poison");
+        f.pass(5ms);
+    }
+    CHECK(f.deliveries("/read/poison") == f.crashes());
+    f.untilServed(added);
+    f.call(added, "GET", "/read/poison");
+    CHECK(f.deliveries("/read/poison") == f.crashes());
+}
+
+TEST_CASE("Who is blamed when a server ends while calls run on it", "[crash]")
+{
+    CrashFixture f(1);
+    auto& backend = *f.places[1].backend;
+    const auto reportsAfter = [&](const std::function<void()>& cause) {
+        backend.holds = true;
+        const auto before = metric(f, 0, "robinrun_crash_reports");
+        const auto held = backend.held.size();
+        f.sendAside(0, f.request("GET", "/read/harmless"));
+        f.until([&] { return backend.held.size() > held; });
+        cause();
+        backend.holds = false;
+        f.pass(400ms);
+        f.until([&] { return f.areAllUp(); });
+        f.untilServed(0);
+        return metric(f, 0, "robinrun_crash_reports") - before;
+    };
+    SECTION("it is killed: what ran there has one strike, which holds nothing back")
+    {
+        CHECK(reportsAfter([&] { backend.crash(); }) == 1);
+        CHECK(metric(f, 0, "robinrun_requests_held") == 0);
+        CHECK(f.call(0, "GET", "/read/harmless").status == 200);
+    }
+    SECTION("connections are reset: nobody")
+    {
+        CHECK(reportsAfter([&] {
+            backend.stop();
+            backend.held.clear();
+            backend.start();
+        }) == 0);
+    }
+    SECTION("it has said that it leaves: nobody")
+    {
+        CHECK(reportsAfter([&] {
+            REQUIRE(f.announce(1, "draining", 100'000) == 200);
+            backend.crash();
+        }) == 0);
+    }
+    SECTION("the answer is lost: nobody")
+    {
+        backend.hangsUp = true;
+        const auto before = metric(f, 0, "robinrun_crash_reports");
+        f.call(0, "GET", "/read/harmless");
+        backend.hangsUp = false;
+        f.pass(400ms);
+        CHECK(metric(f, 0, "robinrun_crash_reports") == before);
+    }
+}
+
+TEST_CASE("A call that runs well between crashes is served on", "[crash]")
+{
+    CrashFixture f;
+    f.crashOn("/poison");
+    std::vector<Timer> paces;
+    for (std::size_t i = 0; i < f.places.size(); ++i)
+        paces.push_back(Timer::repeating(
+            f.base.get(), 20ms, [&f, i] { f.sendAside(i, f.request("GET", "/read/often")); }));
+    f.crashAtLeast(3, "/read/other/poison");
+    f.pass(CrashFixture::inTouch);
+    f.crashAtLeast(f.crashes() + 3, "/read/poison");
+    f.pass(CrashFixture::inTouch);
+    paces.clear();
+    f.until([&] { return f.areAllUp(); });
+    for (std::size_t i = 0; i < f.places.size(); ++i) {
+        f.untilServed(i);
+        CHECK(f.call(i, "GET", "/read/often").status == 200);
+        CHECK(metric(f, i, "robinrun_requests_held") >= 1);
+    }
+}
