Nodes rest on how old their configuration may be, not on the news that somebody watches the store

Cause: a node left the store alone while the news that a member of the watch lived was younger than 3.9 s at 295 nodes, and waited up to 2.95 s more before it read; neither bound looked at how old its own configuration might be. Nodes cut off from all others went by one that was overtaken 3 s before. Change: contacts pass on with the version when the store confirmed it, and by whom; only what a node that goes before has read counts, so an island's first goes on reading; older than 2 s, or all links lost, a node reads within 0.3 s; while the store is away members alone try it and say so.

--- a/src/Mesh/FollowShare.h
+++ b/src/Mesh/FollowShare.h
@@ -35,6 +35,9 @@
     /// \brief The link to the node at \a address has ended.
     void lost(const std::string& address) { m_heard.erase(address); }
 
+    /// \returns whether any peer was heard whose link has not ended since.
+    bool hearsAny() const { return !m_heard.empty(); }
+
     /// \returns whether enough nodes follow that go before this one.
     bool mayRest(Instant now) const;
 
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -23,6 +23,7 @@
     constexpr Duration leastNodesPause = 3s;
     /// Each link costs heartbeats; one that is needed again stands anew within a millisecond.
     constexpr Duration linkIdle = 5s;
+    constexpr double neverConfirmed = -1; // in the metrics, for an age
     constexpr std::size_t adminBody = 64U << 10U;
     constexpr std::size_t adminHeaders = 16U << 10U;
     constexpr Duration adminIdle = 60s;
@@ -43,7 +44,7 @@
           })
     , m_share(m_context.settings.listen.peers, { m_context.settings.peers.followers })
     , m_watch({ m_context.settings.peers.followers, m_context.settings.peers.contacts })
-    , m_group(m_context.settings.listen.peers, { .contacts = m_context.settings.peers.contacts })
+    , m_group(m_context.settings.listen.peers, {})
     , m_reach(m_context.settings.peers.forgetAfter)
 {
     const auto& own = m_context.settings;
@@ -127,6 +128,8 @@
         if (m_lostPeers.insert(address).second)
             log(LogLevel::Info, "peer-lost", { { "peer", address } });
         m_share.lost(address);
+        if (!m_share.hearsAny())
+            m_group.loseContacts();
         m_ingress->peerLost(address, monotonicNow());
     });
     return boost::outcome_v2::success();
@@ -231,6 +234,10 @@
     auto& metrics = m_context.metrics;
     metrics.gauge("robinrun_config_version", [this] { return double(m_config.version()); });
     metrics.gauge("robinrun_config_age_seconds", [this] { return toSeconds(monotonicNow() - m_adopted); });
+    metrics.gauge("robinrun_config_confirmed_age_seconds", [this] {
+        const auto age = m_group.age(monotonicNow());
+        return age ? toSeconds(*age) : neverConfirmed;
+    });
     metrics.gauge("robinrun_retries_saved", [this] { return m_ingress->savedRetries(); });
     metrics.gauge("robinrun_upstream_news_age_seconds",
         [this] { return toSeconds(m_ingress->meanNewsAge(monotonicNow())); });
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -120,7 +120,12 @@
     /// \brief Puts the configuration that was adopted just now in force. \param former in force before.
     void configurationAdopted(ConfigText former, Instant now);
     /// \returns whether others watch the store for this node.
-    bool isWatched(Instant now) const { return m_share.mayRest(now) || m_group.isWatched(now); }
+    bool isWatched(Instant now) const
+    {
+        return m_group.isMember() ? m_share.mayRest(now) : m_group.isWatched(now);
+    }
+    /// \brief What a contact says of how fresh its configuration is.
+    void takeConfirmation(const proto::NodeContact& contact, Instant now);
     /// \brief Tells the other members of the watch, who are no contacts of each other, what contacts are
     /// told.
     void tellWatchGroup(const proto::NodeContact& contact, Instant now);
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -41,6 +41,10 @@
 
 void MeshNode::takeStoredConfiguration(const std::vector<KeyedRecord>& records, Instant now)
 {
+    // What the store has just confirmed is told while it is fresh: of 300 nodes none has to read for itself
+    // then, and 25 at once had to now and then where followers told it up to a second later.
+    if (m_nextContact - now < m_context.settings.peers.contactEvery / 2)
+        m_nextContact = now;
     if (records.empty())
         return;
     ConfigText former { m_config.version(), m_config.text() };
@@ -55,6 +59,7 @@
     m_fetch.adopted();
     m_adopted = now;
     m_pulls.got(m_config.version(), now);
+    m_group.adopted(m_config.version());
     const auto& limits = m_config.current()->limits;
     m_callers->setLimits(limits.maxHeaders, limits.maxBody, limits.headerTimeout, limits.idleTimeout);
     rebuild();
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -15,6 +15,8 @@
     constexpr Duration connectingAgain = 100ms;
     /// A link that was opened stands within so long: a few ways of the network.
     constexpr Duration linkOpening = 20ms;
+    /// In calm times what is known is confirmed anew before it is so old.
+    constexpr Duration passedOnAtOnce = 1800ms;
     /// A node that starts learns of crashes from the store or a contact before it sends calls; if it hears of
     /// neither for so long, it serves.
     constexpr Duration longestUninformed = 1500ms;
@@ -63,9 +65,18 @@
     contact.set_config_version(m_config.version());
     contact.set_registry_digest(m_registry.digest());
     contact.set_follows_configuration(m_configFeed->isFollowing());
-    const auto watched = m_configFeed->isFollowing() ? Duration::zero() : m_group.age(now);
-    if (watched)
-        contact.set_watch_age_ms(1 + static_cast<std::uint32_t>(toMilliseconds(*watched)));
+    if (const auto confirmed = m_configFeed->confirmed())
+        m_group.read(*confirmed);
+    if (const auto failed = m_configFeed->failedAt())
+        m_group.readFailed(*failed);
+    if (const auto& outage = m_group.outage()) {
+        contact.set_outage_age_ms(1 + static_cast<std::uint32_t>(toMilliseconds(now - outage->at)));
+        contact.set_outage_by(outage->by);
+    }
+    if (const auto known = m_group.confirmation()) {
+        contact.set_confirmed_age_ms(1 + static_cast<std::uint32_t>(toMilliseconds(now - known->at)));
+        contact.set_confirmed_by(known->by);
+    }
     m_isContactOpening = false;
     m_gossip.tellContacts(contact, now);
     if (m_group.isMember())
@@ -187,8 +198,7 @@
 void MeshNode::takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now)
 {
     m_share.heard(sender.address, contact.follows_configuration(), now);
-    if (contact.watch_age_ms())
-        m_group.heard(std::chrono::milliseconds(contact.watch_age_ms() - 1), now);
+    takeConfirmation(contact, now);
     m_gossip.heardDigest(
         contact.registry_digest(), isNewLife(sender.node, sender.incarnation), replyTo(sender, now), now);
     if (contact.config_version() <= m_config.version())
@@ -199,6 +209,22 @@
     pullIfDue(now);
 }
 
+void MeshNode::takeConfirmation(const proto::NodeContact& contact, Instant now)
+{
+    if (contact.outage_age_ms()) {
+        const auto outageAge = std::chrono::milliseconds(contact.outage_age_ms() - 1);
+        m_group.heardOutage({ contact.outage_by(), now - outageAge });
+    }
+    if (!contact.confirmed_age_ms())
+        return;
+    const auto age = std::chrono::milliseconds(contact.confirmed_age_ms() - 1);
+    const auto before = m_group.age(now);
+    const bool isFresher = m_group.heard(contact.config_version(), { contact.confirmed_by(), now - age });
+    // Where all have waited for it, it is passed on at once, before others read too.
+    if (isFresher && before && *before > passedOnAtOnce)
+        m_nextContact = now;
+}
+
 void MeshNode::takeRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now)
 {
     for (const auto& it : records.records()) {
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -28,8 +28,9 @@
     *m_isAlive = false;
 }
 
-void TopicFollower::noteSent()
+void TopicFollower::noteSent(Duration wait)
 {
+    m_wait = wait;
     ++m_calls;
     m_isReading = true;
     m_sent = monotonicNow();
@@ -37,7 +38,7 @@
 
 void TopicFollower::readNewest()
 {
-    noteSent();
+    noteSent(Duration::zero());
     m_store->newest(
         m_options.topic, [this, isAlive = m_isAlive](const Result<KeyedPage, PlatformError>& page) {
             if (!*isAlive)
@@ -98,8 +99,8 @@
 
 void TopicFollower::readOn()
 {
-    noteSent();
-    m_store->follow(m_options.topic, m_next, nextWait(),
+    noteSent(nextWait());
+    m_store->follow(m_options.topic, m_next, m_wait,
         [this, isAlive = m_isAlive](const Result<KeyedPage, PlatformError>& page) {
             if (*isAlive)
                 handle(page);
@@ -112,6 +113,7 @@
     if (!page)
         return failed(page.error());
     m_retry = {};
+    noteConfirmed(page.value(), monotonicNow());
     m_next = page.value().next;
     noteUnreadable(page.value());
     m_handler(page.value().records);
@@ -123,6 +125,12 @@
     readLater(m_options.pause());
 }
 
+void TopicFollower::noteConfirmed(const KeyedPage& page, Instant now)
+{
+    const bool isNews = m_wait > Duration::zero() && !page.records.empty();
+    m_confirmed = isNews ? now : std::min(m_sent + m_wait, now);
+}
+
 void TopicFollower::noteUnreadable(const KeyedPage& page)
 {
     if (!page.unreadable)
@@ -139,6 +147,7 @@
         return readNewest();
     }
     ++m_failures;
+    m_failedAt = monotonicNow();
     setConnected(false, std::string(nameOf(error.kind)) + ": " + error.message);
     setAnswered(false);
     m_retry
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,15 @@
     /// before a rest does not count.
     bool isFollowing() const { return m_isAnswered && !m_isResting; }
 
+    /// \returns the last moment at which the store is known to have had nothing that this node has not read;
+    /// nothing if no read was answered yet. A read that waited in vain tells so of the end of its wait, one
+    /// that did not wait of when it was sent; one that brought news, of its arrival, less than the way of the
+    /// network ago.
+    std::optional<Instant> confirmed() const { return m_confirmed; }
+
+    /// \returns when a read failed last; nothing if none has.
+    std::optional<Instant> failedAt() const { return m_failedAt; }
+
     /// \returns how long the read that is out has been; zero if none is.
     Duration readingFor(Instant now) const { return m_isReading ? now - m_sent : Duration::zero(); }
 
@@ -75,7 +85,7 @@
     std::uint64_t unreadable() const { return m_unreadable; }
 
 private:
-    void noteSent();
+    void noteSent(Duration wait);
     void readNewest();
     void readOn();
     void readAgain();
@@ -86,6 +96,7 @@
     double jitter();
     void handle(const Result<KeyedPage, PlatformError>& page);
     void failed(const PlatformError& error);
+    void noteConfirmed(const KeyedPage& page, Instant now);
     void noteUnreadable(const KeyedPage& page);
     void setConnected(bool isConnected, const std::string& why);
 
@@ -106,6 +117,9 @@
     bool m_isPausing = false; ///< between an answer and the next read
     bool m_isReading = false;
     Instant m_sent {}; ///< when the last read was
+    Duration m_wait {}; ///< that it asked for
+    std::optional<Instant> m_confirmed;
+    std::optional<Instant> m_failedAt;
     Duration m_retry {}; ///< the last pause after a failure; zero after a success
     Timer m_again;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/Mesh/WatchGroup.h
+++ b/src/Mesh/WatchGroup.h
@@ -4,35 +4,58 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
 
 namespace robinrun {
 
-/// \brief The few nodes that keep watch at the store for all, whatever the number of nodes.
+/// \brief What a node has learnt of the store by a read, and when: that there was nothing newer, or that it
+/// failed.
+struct Confirmation {
+    std::uint64_t by = 0; ///< rank of the node that read so
+    Instant at {};
+};
+
+/// \brief The few nodes that keep watch at the store for all, whatever the number of nodes, and how the
+/// others know that what they have is not old.
 ///
 /// Members are the nodes whose addresses hash least; each knows the others from the registry, so nobody
 /// elects anybody, and FollowShare decides among them who reads. All others leave the store alone as long as
-/// they know that members live. They know it from their contacts: each tells how long ago it last knew of one
-/// (a member: now), so that the age is true however many hands it came through. Where no such news comes any
-/// more, the others read the store themselves, one after the other.
+/// they know that their configuration was the newest a moment ago: each contact tells what version it has and
+/// how long ago the store confirmed it, and what is passed on keeps its age, through however many hands. A
+/// node whose confirmation grows too old, for whatever reason, reads for itself, and by that confirms what
+/// the nodes have that hear it.
+///
+/// While the store is away it is tried by members alone: they tell of failed reads in the same way, and the
+/// others leave it alone for that too. Caveat: where the store turns away all members and serves others,
+/// nobody else reads.
 ///
-/// So the reads of the store don't grow with the nodes, and a store that is away is tried by members alone. A
-/// system of no more than `size` nodes has only members.
-/// Cost: setNodes() O(nodes); the rest O(1). A member tells `size` more peers than its contacts.
+/// Only what a node that goes before this one by rank has read counts here. So of an island of nodes that
+/// hear only each other the first one goes on reading, and no two rest on what they have told each other.
+///
+/// The reads of the store don't grow with the nodes: with 16 contacts a second each, what the members read
+/// has reached all of 7,200 nodes within the bound (`WatchGroupTest`). A system of no more than `size` nodes
+/// has only members. Cost: setNodes() O(nodes); the rest O(1). A member tells `size` more peers than its
+/// contacts.
 class WatchGroup {
 public:
     struct Options {
         /// All lost at once is rarer than once in 10,000 losses of half of the nodes (0.55^16).
         std::size_t size = 16;
-        std::size_t contacts = 16; ///< peers that each node tells, each `hop` at most
-        /// From one node to its contacts: the interval between two rounds, 1 s, and what a link may hold up.
-        Duration hop = 1300ms;
-        /// Nodes that miss the members at the same moment begin to read at this rate, so that the first of
-        /// them are heard of before the others have begun.
-        double takeOversPerSecond = 100;
+        /// A configuration confirmed longer ago is read again. With `takeOverSpread` and a read of some ms no
+        /// node that reaches the store goes by one that was overtaken 2.5 s ago.
+        Duration oldest = 2s;
+        /// A member tries a store that is away each 2 s (a timeout of 1 s and a pause), and what it tells
+        /// takes a second and a half to reach all. After an outage a change has to be in force once the store
+        /// was well for 3 s.
+        Duration oldestOutage = 3500ms;
+        /// Nodes that miss the members at the same moment begin to read over so long, so that the first of
+        /// them are heard before most have begun.
+        Duration takeOverSpread = 300ms;
     };
 
     /// \param self address of this node's peer socket.
@@ -49,29 +72,58 @@
     /// \returns how many nodes share the watch: all, where there are few.
     std::size_t members() const { return m_others.size() + (m_isMember ? 1 : 0); }
 
-    /// \brief A contact knew of a member that lived \a age ago.
-    void heard(Duration age, Instant now);
+    /// \brief This node has \a version in force now.
+    void adopted(std::uint64_t version);
+
+    /// \brief A contact tells that the store had nothing newer than \a version at a time. Counts as soon as
+    /// this node has that version. \returns whether what is known is fresher by it.
+    bool heard(std::uint64_t version, const Confirmation& confirmation);
+
+    /// \brief This node has read the store, which had nothing newer at \a at.
+    void read(Instant at);
+
+    /// \brief A contact tells of a read that has failed. Counts only of a member.
+    void heardOutage(const Confirmation& outage);
+
+    /// \brief A read by this node has failed at \a at.
+    void readFailed(Instant at);
+
+    /// \brief No contact is in reach any more: what they said will not be renewed.
+    void loseContacts()
+    {
+        m_heard.reset();
+        m_outage.reset();
+    }
+
+    /// \returns the freshest confirmation of what this node has, to be passed on; nothing if there is none.
+    std::optional<Confirmation> confirmation() const;
+
+    /// \returns the last failed read by a member that is known, to be passed on; nothing if there is none.
+    const std::optional<Confirmation>& outage() const { return m_outage; }
 
-    /// \returns how long ago a member was last known to live; nothing if none ever was.
+    /// \returns how long ago what this node has was confirmed.
     std::optional<Duration> age(Instant now) const;
 
-    /// \returns whether this node may leave the store to the members.
+    /// \returns whether this node may leave the store to others.
     bool isWatched(Instant now) const;
 
-    /// \returns how long this node waits before it reads the store where no member is heard of any more.
+    /// \returns how long this node waits before it reads the store once it is not watched any more.
     Duration takeOverDelay() const;
 
 private:
-    /// \returns how old the news of a member that lives may be at the farthest node.
-    Duration patience() const;
+    void takeHeard(const Confirmation& confirmation);
 
     Options m_options;
     std::string m_self;
     std::uint64_t m_rank;
-    std::size_t m_nodes = 1;
     bool m_isMember = true;
     std::vector<std::string> m_others;
-    std::optional<Instant> m_lastKnown; ///< moment at which a member lived
+    std::set<std::uint64_t> m_memberRanks;
+    std::uint64_t m_version = 0;
+    std::optional<Confirmation> m_heard; ///< from contacts, by a node that goes before this one
+    std::optional<Confirmation> m_read; ///< by this node
+    std::optional<Confirmation> m_outage; ///< by a member
+    std::map<std::uint64_t, Confirmation> m_ahead; ///< of versions that this node does not have yet
 };
 
 } // namespace robinrun
--- a/test/CrashLedgerTest.cpp
+++ b/test/CrashLedgerTest.cpp
@@ -137,7 +137,8 @@
     REQUIRE(f.verdict(often) == Verdict::Free);
 }
 
-TEST_CASE("Two that ran at the same crashes are both held and tried soon, and the good one is freed", "[crash]")
+TEST_CASE(
+    "Two that ran at the same crashes are both held and tried soon, and the good one is freed", "[crash]")
 {
     LedgerFixture f;
     for (int i = 0; i < 3; ++i) {
@@ -221,7 +222,8 @@
     REQUIRE_FALSE(f.ledger.holdsAny());
 }
 
-TEST_CASE("A flood of contents that are new each time keeps to the bound and frees nothing that is held", "[crash]")
+TEST_CASE(
+    "A flood of contents that are new each time keeps to the bound and frees nothing that is held", "[crash]")
 {
     LedgerFixture f;
     for (int i = 0; i < 3; ++i) {
@@ -293,7 +295,8 @@
     });
 }
 
-TEST_CASE("Of a request that crashes servers no more than the bound is sent, and others are served", "[crash]")
+TEST_CASE(
+    "Of a request that crashes servers no more than the bound is sent, and others are served", "[crash]")
 {
     const bool isSlow = GENERATE(false, true);
     const int attempts = GENERATE(1, 2, 3);
@@ -305,7 +308,8 @@
         for (auto t = 5s + Duration(0); t < length; t += pace) {
             loop.at(Instant(t), [&model, attempts] { model.request(poison, std::nullopt, attempts); });
             // Its caller repeats it at once, at another node.
-            loop.at(Instant(t + 150ms), [&model, attempts] { model.request(poison, std::nullopt, attempts); });
+            loop.at(
+                Instant(t + 150ms), [&model, attempts] { model.request(poison, std::nullopt, attempts); });
         }
         for (auto t = Duration(0); t < length + 10s; t += 20ms)
             loop.at(Instant(t), [&model] { model.request(often, 150ms, 2); });
@@ -388,7 +392,10 @@
         REQUIRE_FALSE(watch.isAsking(at + 2ms));
         REQUIRE_FALSE(watch.refused(at + 3s));
     }
-    SECTION("a server that ends idle blames nobody") { REQUIRE_FALSE(watch.refused(at)); }
+    SECTION("a server that ends idle blames nobody")
+    {
+        REQUIRE_FALSE(watch.refused(at));
+    }
     SECTION("what was cut off just before may still have run")
     {
         watch.cutOff({ poison, 30ms, false }, at);
--- a/test/support/CrashModel.h
+++ b/test/support/CrashModel.h
@@ -13,11 +13,12 @@
 
 namespace robinrun::support {
 
-/// \brief Nodes with their ledgers, and servers that some requests crash, in virtual time over a network that loses news.
+/// \brief Nodes with their ledgers, and servers that some requests crash, in virtual time over a network that
+/// loses news.
 ///
-/// Reports and acquittals reach a node after a way of the network, or by the comparison that contacts make each second
-/// if they were lost. A node that starts again, or was cut off, hears all when it is back. The same seed gives the same
-/// run.
+/// Reports and acquittals reach a node after a way of the network, or by the comparison that contacts make
+/// each second if they were lost. A node that starts again, or was cut off, hears all when it is back. The
+/// same seed gives the same run.
 class CrashModel {
 public:
     struct Options {
@@ -160,11 +161,11 @@
     {
         auto& at = m_servers[server];
         const auto verdict = m_nodes[server].ledger.verdictOf(run.content, now()); // the owner's node
-        const bool isTried = std::any_of(at.running.begin(), at.running.end(),
-            [&](const auto& it) { return it.content == run.content; });
+        const bool isTried = std::any_of(
+            at.running.begin(), at.running.end(), [&](const auto& it) { return it.content == run.content; });
         const bool mayTry = std::to_string(server) == *trialHostOf(run.content, hosts()) && !isTried;
-        const bool isHeld = verdict == CrashLedger::Verdict::Held
-            || (verdict == CrashLedger::Verdict::Trial && !mayTry);
+        const bool isHeld
+            = verdict == CrashLedger::Verdict::Held || (verdict == CrashLedger::Verdict::Trial && !mayTry);
         if (!at.isUp || isHeld)
             return;
         at.running.push_back(run);
