--- a/test/LossesTest.cpp
+++ b/test/LossesTest.cpp
@@ -55,6 +55,7 @@
     REQUIRE(onlyCause(refused("a", "01", "would-be-late")) == LossCause::NoRoom);
     REQUIRE(onlyCause(refused("a", "01", "queue-full")) == LossCause::NoRoom);
     REQUIRE(onlyCause(refused("a", "01", "would-miss-deadline")) == LossCause::Hopeless);
+    REQUIRE(onlyCause(refused("a", "01", "crashes-servers")) == LossCause::HeldBack);
     REQUIRE(onlyCause(refused("a", "01", "no-upstream")) == LossCause::NoUpstream);
     REQUIRE(onlyCause(refused("a", "01", "leaving")) == LossCause::NotReady);
     REQUIRE(onlyCause(late("a", "01", 100, 60)) == LossCause::LateWaited);
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -9,6 +9,10 @@
 
     using namespace httpStatus;
 
+    /// The users' bound: three retries after the third crash.
+    constexpr std::size_t crashesUntilHeld = 3;
+    constexpr std::size_t crashesAfterwards = 3;
+
     bool mayRepeat(const HttpRequest& request)
     {
         return request.method == "GET";
@@ -43,6 +47,16 @@
         broken("ran after the answer that it had not and would not: " + id + " at " + upstream);
 }
 
+void Ledger::crashed(const std::string& target, bool isCalm)
+{
+    ++m_crashes;
+    if (!isCalm || m_crashes <= crashesUntilHeld)
+        return;
+    if (++m_crashesInCalm > crashesAfterwards)
+        broken("a request that had crashed " + std::to_string(m_crashes - 1)
+            + " servers crashed one more: " + target);
+}
+
 void Ledger::answered(const std::string& id, const HttpReply& reply)
 {
     auto& entry = m_requests.at(id);
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -38,6 +38,11 @@
     /// \brief A request came to \a upstream so long after its node had acknowledged that it leaves.
     void ranAfterLeave(const std::string& id, const std::string& upstream, Duration after);
 
+    /// \brief A request with \a target has crashed the server that ran it. Under three such, few more may
+    /// reach servers while nothing is wrong (\a isCalm).
+    void crashed(const std::string& target, bool isCalm);
+    std::size_t crashes() const { return m_crashes; }
+
     /// \brief From now on \a service may run calls of the route "/which/", by configuration \a version.
     void allow(const std::string& service) { m_allowed.insert(service); }
 
@@ -78,6 +83,8 @@
     std::size_t m_served = 0;
     std::size_t m_refused = 0;
     std::size_t m_runs = 0;
+    std::size_t m_crashes = 0;
+    std::size_t m_crashesInCalm = 0; ///< of those that come after the third
 };
 
 } // namespace robinrun::soak
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -16,6 +16,7 @@
     constexpr Duration drainBound = 2s;
     constexpr Duration servesOn = 3s;
     constexpr Duration untilNextStart = 200ms;
+    constexpr Duration downAfterCrash = 600ms;
 
     HttpPool::Options poolOptions(const std::string& address)
     {
@@ -68,6 +69,16 @@
     m_server.reset();
 }
 
+void SoakBackend::crashUnder()
+{
+    m_ledger->crashed(poisonTarget, m_isCalm);
+    // Not from within its own timer.
+    m_end = Timer::once(m_base, Duration::zero(), [this] {
+        crash();
+        m_end = Timer::once(m_base, downAfterCrash, [this] { start(); });
+    });
+}
+
 void SoakBackend::replace()
 {
     if (std::exchange(m_isLeaving, true) || !m_server)
@@ -141,6 +152,8 @@
     m_work.emplace_back(
         number, Timer::once(m_base, fromSeconds(toSeconds(m_options.work) * m_slowdown), [=, this] {
             --m_running;
+            if (held->request().target == poisonTarget)
+                return crashUnder();
             const auto id = headerOf(held->request().headers, "X-Robinrun-Request-Id");
             auto headers = loadHeaders(id);
             headers.emplace_back("X-Robinrun-Server-Signature", "s." + m_upstream);
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -46,18 +46,27 @@
     /// \brief Whether each request is rejected as not run.
     void setFull(bool isFull) { m_isFull = isFull; }
 
+    /// Of requests that crash the server which runs them.
+    static constexpr const char* poisonTarget = "/read/poison";
+
+    /// \brief From now on no crash is allowed for.
+    void setCalm(bool isCalm) { m_isCalm = isCalm; }
+
     bool isRunning() const { return m_server != nullptr; }
     const std::string& upstream() const { return m_upstream; }
 
 private:
     void take(std::unique_ptr<HttpExchange> exchange);
     void run(std::unique_ptr<HttpExchange> exchange);
+    /// \brief A request has crashed this server; the next start comes after a while.
+    void crashUnder();
     void announce();
     HttpHeaders loadHeaders(const std::string& requestId) const;
 
     event_base* m_base;
     Options m_options;
     Ledger* m_ledger;
+    bool m_isCalm = false;
     HttpPool m_pool; ///< to the node
     std::unique_ptr<HttpServer> m_server;
     std::string m_upstream;
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -21,6 +21,7 @@
     constexpr Duration graceInCalm = 30s;
     constexpr Duration watchEvery = 20ms;
     constexpr Duration readinessEvery = 500ms;
+    constexpr Duration poisonEvery = 700ms;
     constexpr Duration probeEvery = 300ms;
     constexpr Duration readinessTimeout = 400ms;
     constexpr double shareOfWrites = 0.4;
@@ -82,6 +83,7 @@
         for (std::size_t i = 0; i < m_hosts.size(); ++i)
             probeVersion(i);
     });
+    m_poison = Timer::repeating(base, poisonEvery, [this] { sendPoison(); });
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
         m_traffic.push_back(
             Timer::repeating(base, fromSeconds(1 / m_options.callsPerSecond), [this, i] { callOnce(i); }));
@@ -243,6 +245,18 @@
         });
 }
 
+void SoakSite::sendPoison()
+{
+    send(m_random.below(m_hosts.size()), { "GET", SoakBackend::poisonTarget, {}, "" }, false);
+}
+
+void SoakSite::setCalm(bool isCalm)
+{
+    m_isCalm = isCalm;
+    for (auto& it : m_hosts)
+        it->backend->setCalm(isCalm);
+}
+
 bool SoakSite::isAllInForce() const
 {
     for (const auto& it : m_hosts) {
--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -65,7 +65,7 @@
     void reloadNode(Host& host);
 
     /// \brief From now on nothing is harmed: a request without an answer breaks a promise.
-    void setCalm(bool isCalm) { m_isCalm = isCalm; }
+    void setCalm(bool isCalm);
 
     /// \returns whether each node that should run serves and has the newest configuration in force.
     bool isAllInForce() const;
@@ -78,6 +78,8 @@
     void callOnce(std::size_t i);
     void send(std::size_t i, HttpRequest request, bool isProbe);
     void probeVersion(std::size_t i);
+    /// \brief The request that crashes servers comes again, at any node.
+    void sendPoison();
     std::string lifeOf(const Host& host) const { return host.name + "/" + std::to_string(host.life); }
 
     event_base* m_base;
@@ -92,6 +94,7 @@
     Timer m_watch;
     Timer m_ask;
     Timer m_probe;
+    Timer m_poison;
     std::vector<Timer> m_traffic;
 };
 
--- a/test/soak/soak-main.cpp
+++ b/test/soak/soak-main.cpp
@@ -88,8 +88,8 @@
         std::cout << "BROKEN: " << it << "\n";
     std::cout << "seed " << options.seed << ": " << ledger.requests() << " requests, " << ledger.served()
               << " served, " << ledger.refused() << " refused, " << ledger.runs() << " runs, "
-              << plan.story().size() << " lines of faults, " << ledger.brokenPromises().size()
-              << " promises broken\n";
+              << ledger.crashes() << " crashes under one request, " << plan.story().size()
+              << " lines of faults, " << ledger.brokenPromises().size() << " promises broken\n";
     const bool isGood = ledger.brokenPromises().empty() && ledger.served() > 0;
     if (!isGood)
         std::cout << "logs of the nodes: " << options.site.folder << "\n";
--- a/test/support/WatchModel.h
+++ b/test/support/WatchModel.h
@@ -23,8 +23,8 @@
     return out;
 }
 
-/// \brief Nodes that watch a store for each other, in virtual time in steps of 50 ms: reads that wait, rests, rounds of
-/// contact, links that are cut and messages that get lost.
+/// \brief Nodes that watch a store for each other, in virtual time in steps of 50 ms: reads that wait, rests,
+/// rounds of contact, links that are cut and messages that get lost.
 ///
 /// The store's state is a version that rises; a node that hears of a newer one has it a moment later. What is
 /// checked is told from outside: the time since the store last had no newer version than a node has.
@@ -88,8 +88,8 @@
     std::uint64_t mostReadsAtOnce() const { return m_mostReads; }
     void forgetReads() { m_totalReads = m_mostReads = 0; }
 
-    /// \brief Runs for \a length. \returns the longest that a node which reaches the store, and is awake, went by a
-    /// version that was overtaken; nodes of which \a counts does not hold are left out.
+    /// \brief Runs for \a length. \returns the longest that a node which reaches the store, and is awake,
+    /// went by a version that was overtaken; nodes of which \a counts does not hold are left out.
     Duration run(Duration length, const std::function<bool(std::size_t)>& counts = nullptr)
     {
         Duration oldest {};
@@ -167,7 +167,7 @@
         // A waiting read is answered when there is news.
         const auto isNews = versionAt(m_now) > node.version;
         const auto news = m_options.changeEvery > Duration::zero() ? m_changes.back() + m_options.changeEvery
-                                                                  : Instant::max();
+                                                                   : Instant::max();
         node.readEnds = (isNews ? m_now : std::min(m_now + wait, std::max(news, m_now))) + m_options.answer;
     }
 
--- a/tools/ctl/CtlOptions.cpp
+++ b/tools/ctl/CtlOptions.cpp
@@ -18,6 +18,7 @@
   status                what is in force, and which nodes are behind
   watch [FROM]          print changes as they come into force
   explain ID LOG...     tell from nodes' logs what became of the request ID
+  held LOG...           tell from nodes' logs which requests are held back, and the crashes under them
   losses LOG...         tell from nodes' logs where and why calls were lost
 
 options:
@@ -105,7 +106,8 @@
     out.words.assign(argv + optind, argv + argc);
     if (out.output != "table" && out.output != "json" && out.output != "yaml")
         return fail("--output: '" + out.output + "' is not one of table, json, yaml", badUsage);
-    const bool readsLogs = !out.words.empty() && (out.words[0] == "explain" || out.words[0] == "losses");
+    const auto command = out.words.empty() ? std::string() : out.words[0];
+    const bool readsLogs = command == "explain" || command == "losses" || command == "held";
     const bool needsServer = !readsLogs;
     if (needsServer && !isAddress(out.server))
         return fail("--server: '" + out.server + "' is not an IPv4 address and port", badUsage);
--- a/tools/robinrunctl.cpp
+++ b/tools/robinrunctl.cpp
@@ -1,6 +1,7 @@
 /// \file The operators' command line.
 
 #include "Client/Explain.h"
+#include "Client/HeldRequests.h"
 #include "Client/LogLine.h"
 #include "Client/Losses.h"
 #include "Client/OperatorClient.h"
@@ -119,6 +120,15 @@
     return EXIT_SUCCESS;
 }
 
+int held(const CtlOptions& options)
+{
+    const auto logs = readLogs(options, 1);
+    if (!logs)
+        return fail(logs.error(), badUsage);
+    std::cout << heldRequests(logs.value());
+    return EXIT_SUCCESS;
+}
+
 int explainRequest(const CtlOptions& options)
 {
     const auto logs = readLogs(options, 2);
@@ -137,6 +147,8 @@
     const auto n = options.words.size();
     if (command == "explain" && n >= 3)
         return explainRequest(options);
+    if (command == "held" && n >= 2)
+        return held(options);
     if (command == "losses" && n >= 2)
         return losses(options);
     OperatorClient client(options.server, options.token);
