--- a/src/Crashes/CrashLedger.cpp
+++ b/src/Crashes/CrashLedger.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <tuple>
+#include <unordered_map>
 
 namespace robinrun {
 namespace {
@@ -47,7 +49,7 @@
             continue;
         }
         const bool isCleared = m_acquittedAhead.erase({ it.content(), report.id() }) > 0;
-        out.strikes.push_back({ it.content(), ran, it.ended_well_before(), isCleared });
+        out.strikes.push_back({ it.content(), ran, it.quick_hash(), it.ended_well_before(), isCleared });
     }
     m_reports.emplace(report.id(), std::move(out));
     m_order.push_back(report.id());
@@ -100,7 +102,7 @@
         isOlder = true;
     }
     if (isOlder)
-        freeCleared();
+        judge(now);
 }
 
 bool CrashLedger::isExplained(const Report& report, ContentId content) const
@@ -129,15 +131,16 @@
 
 std::vector<CrashLedger::Candidate> CrashLedger::candidates() const
 {
-    std::set<ContentId> contents;
+    // Of a flood of contents that are new each time hardly any has enough strikes to be looked at.
+    std::unordered_map<ContentId, std::size_t> strikes;
     for (const auto& [id, report] : m_reports) {
-        for (const auto& it : report.strikes) {
-            if (!it.isCleared && !m_holds.contains(it.content))
-                contents.insert(it.content);
-        }
+        for (const auto& it : report.strikes)
+            strikes[it.content] += it.isCleared ? 0 : 1;
     }
     std::vector<Candidate> out;
-    for (const auto it : contents) {
+    for (const auto& [it, n] : strikes) {
+        if (n < m_options.strikes || m_holds.contains(it))
+            continue;
         auto candidate = candidateOf(it, false);
         const auto enough = candidate.wasServed ? m_options.strikesIfServed : m_options.strikes;
         if (candidate.count >= enough)
@@ -149,13 +152,34 @@
 void CrashLedger::judge(Instant now)
 {
     freeCleared();
+    holdAll(now);
+    collectHashes();
+}
+
+void CrashLedger::collectHashes()
+{
+    m_struckHashes.clear();
+    m_heldHashes.clear();
+    for (const auto& [id, report] : m_reports) {
+        for (const auto& it : report.strikes) {
+            if (!it.isCleared)
+                m_struckHashes.insert(it.quickHash);
+            if (m_holds.contains(it.content))
+                m_heldHashes.insert(it.quickHash);
+        }
+    }
+}
+
+void CrashLedger::holdAll(Instant now)
+{
     while (true) {
         const auto all = candidates();
         if (all.empty())
             return;
         // What never ended well goes first, then what ran at most crashes.
         const auto isBetter = [](const Candidate& a, const Candidate& b) {
-            return a.wasServed != b.wasServed ? !a.wasServed : a.count > b.count;
+            return std::make_tuple(a.wasServed, b.count, a.content)
+                < std::make_tuple(b.wasServed, a.count, b.content);
         };
         hold(*std::min_element(all.begin(), all.end(), isBetter), all, now);
     }
--- a/src/Crashes/CrashLedger.h
+++ b/src/Crashes/CrashLedger.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -81,8 +82,10 @@
     /// \brief Forgets what is too old.
     void tick(Instant now);
 
-    /// \returns whether no report is known, so that no content need be computed.
-    bool isEmpty() const { return m_reports.empty(); }
+    /// \returns whether a content that hashes to \a quickHash may have strikes, or may be held back; if not,
+    /// its id need not be computed: about 20 ns in place of 2 us for each call.
+    bool mayBeStruck(std::uint64_t quickHash) const { return m_struckHashes.contains(quickHash); }
+    bool mayBeHeld(std::uint64_t quickHash) const { return m_heldHashes.contains(quickHash); }
     bool holdsAny() const { return !m_holds.empty(); }
 
     Verdict verdictOf(ContentId content, Instant now) const;
@@ -103,6 +106,7 @@
     struct Strike {
         ContentId content = 0;
         Duration ran {};
+        std::uint64_t quickHash = 0;
         bool wasServed = false;
         bool isCleared = false;
     };
@@ -127,6 +131,10 @@
     Candidate candidateOf(ContentId content, bool isAll) const;
     void hold(const Candidate& best, const std::vector<Candidate>& all, Instant now);
     void freeCleared();
+    /// \brief Holds back one content after the other until none has too many strikes.
+    void holdAll(Instant now);
+    /// \brief Collects the hashes of what has strikes and of what is held back.
+    void collectHashes();
     void makeRoom();
     /// \returns moments at which the strikes against \a content were heard, in order.
     std::vector<Instant> strikeTimes(ContentId content) const;
@@ -136,6 +144,8 @@
     std::deque<std::uint64_t> m_order; ///< ids as they came
     std::set<Key> m_acquittedAhead; ///< of reports that have not come yet
     std::map<ContentId, Hold> m_holds;
+    std::unordered_set<std::uint64_t> m_struckHashes;
+    std::unordered_set<std::uint64_t> m_heldHashes;
 };
 
 /// \returns which of \a hosts alone may try \a content while it is held back: the same one for all nodes that
--- a/src/Crashes/CrashWatch.h
+++ b/src/Crashes/CrashWatch.h
@@ -14,6 +14,7 @@
     ContentId content = 0;
     Duration ran {}; ///< until then
     bool hasEndedWell = false; ///< a call of that content has, at the same owner, a while ago
+    std::uint64_t quickHash = 0; ///< of the content
 };
 
 /// \brief Tells at an owner whether its backend server has crashed, and which calls ran on it.
--- a/src/Node/IngressCrashes.cpp
+++ b/src/Node/IngressCrashes.cpp
@@ -19,6 +19,8 @@
             request.body };
         if (call.request.isByRoute)
             content.host = findHeader(request.headers, "Host").value_or("");
+        if (!ledger.mayBeHeld(quickHashOf(content)))
+            return CrashLedger::Verdict::Free;
         call.content = contentIdOf(content);
     }
     return ledger.verdictOf(*call.content, now);
--- a/src/Node/OwnerCrashes.cpp
+++ b/src/Node/OwnerCrashes.cpp
@@ -28,7 +28,8 @@
 CrashSuspect Owner::suspectOf(const CallRecord& record, Instant now) const
 {
     const auto content = contentOf(record.call);
-    return { contentIdOf(content), now - record.started, m_goodEnds.has(quickHashOf(content), now) };
+    const auto hash = quickHashOf(content);
+    return { contentIdOf(content), now - record.started, m_goodEnds.has(hash, now), hash };
 }
 
 std::vector<CrashSuspect> Owner::runningOn(const HttpPool& pool, Instant now) const
@@ -74,8 +75,9 @@
 void Owner::endedWell(const CallRecord& record, Instant now)
 {
     const auto content = contentOf(record.call);
-    m_goodEnds.note(quickHashOf(content), now);
-    if (m_context->crashes.isEmpty())
+    const auto hash = quickHashOf(content);
+    m_goodEnds.note(hash, now);
+    if (!m_context->crashes.mayBeStruck(hash))
         return;
     const auto acquittal = m_context->crashes.acquittalOf(contentIdOf(content));
     if (!acquittal)
@@ -99,6 +101,7 @@
         suspect.set_content(it.content);
         suspect.set_ran_ms(static_cast<std::uint32_t>(toMilliseconds(it.ran)));
         suspect.set_ended_well_before(it.hasEndedWell);
+        suspect.set_quick_hash(it.quickHash);
     }
     log(LogLevel::Warning, "backend-crashed",
         { { "upstream", life }, { "report", report.id() }, { "suspects", textOf(report) } });
@@ -135,7 +138,7 @@
 std::optional<Duration> Owner::heldBack(const proto::Call& call, Instant now) const
 {
     const auto& ledger = m_context->crashes;
-    if (!ledger.holdsAny())
+    if (!ledger.holdsAny() || !ledger.mayBeHeld(quickHashOf(contentOf(call))))
         return std::nullopt;
     const auto content = contentIdOf(contentOf(call));
     const auto verdict = ledger.verdictOf(content, now);
@@ -159,8 +162,10 @@
         return;
     std::vector<std::pair<std::uint64_t, Duration>> held;
     for (const auto& [id, record] : m_calls) {
-        const auto content = record.isRunning ? 0 : contentIdOf(contentOf(record.call));
-        if (!record.isRunning && ledger.verdictOf(content, now) == CrashLedger::Verdict::Held)
+        if (record.isRunning || !ledger.mayBeHeld(quickHashOf(contentOf(record.call))))
+            continue;
+        const auto content = contentIdOf(contentOf(record.call));
+        if (ledger.verdictOf(content, now) == CrashLedger::Verdict::Held)
             held.emplace_back(id, ledger.untilTrial(content, now));
     }
     for (const auto& [id, length] : held) {
