--- a/test/CrashTest.cpp
+++ b/test/CrashTest.cpp
@@ -198,3 +198,35 @@
         CHECK(metric(f, i, "robinrun_requests_held") >= 1);
     }
 }
+
+TEST_CASE("Of two that ran at the same crashes the good one is freed by its trial, the other one is held",
+    "[crash]")
+{
+    CrashFixture f(1);
+    f.crashOn("/poison");
+    auto& backend = *f.places[1].backend;
+    for (int i = 0; i < 3; ++i) {
+        backend.holds = true;
+        f.until([&] {
+            f.sendAside(0, f.request("GET", "/read/beside"));
+            f.pass(20ms);
+            return !backend.held.empty();
+        });
+        f.sendAside(0, f.request("GET", "/read/poison"));
+        f.until([&] { return backend.crashes > i; });
+        f.until([&] { return backend.isUp(); });
+        f.pass(4 * CrashFixture::heartbeat);
+    }
+    backend.holds = false;
+    REQUIRE(metric(f, 0, "robinrun_requests_held") == 2);
+    CHECK(f.call(0, "GET", "/read/beside").status == 503);
+    const auto limit = CrashLedger::Options().trialIfShared;
+    f.pass(limit + 100ms);
+    CHECK(f.call(0, "GET", "/read/beside").status == 200);
+    CHECK(f.call(0, "GET", "/read/beside").status == 200);
+    f.pass(CrashFixture::inTouch);
+    // With that, only the other one is left as the cause: it is not tried so soon.
+    CHECK(f.call(0, "GET", "/read/poison").status == 503);
+    CHECK(backend.crashes == 3);
+    CHECK(metric(f, 0, "robinrun_requests_held") == 1);
+}
