What was written twice around crashes, watch and logs stands once

Cause, read in the change: each verdict on a request that is held back looked through all reports; the bound of 64 suspects stood in the owner and in the check of records, which refuse what exceeds it; the search for a content's strike stood four times, what a refused connection means twice, the conversion to timeval three times, and the reader of held requests read the time out of the raw line again. No assertion is changed.

--- a/src/Client/HeldRequests.cpp
+++ b/src/Client/HeldRequests.cpp
@@ -27,13 +27,11 @@
         std::set<std::string> freedBy;
     };
 
-    /// \returns a field as text, also where it is a number or a flag.
-    std::string textOf(const LogLine& line, const char* name)
+    /// \returns a field that is no text as it was written: ids need all of 64 bits.
+    std::string writtenOf(const LogLine& line, const char* name)
     {
         const auto it = line.fields.find(name);
-        if (it == line.fields.end())
-            return "";
-        return it->is_string() ? it->get<std::string>() : it->dump();
+        return it == line.fields.end() ? "" : it->dump();
     }
 
     class Evidence {
@@ -43,14 +41,13 @@
             const auto line = parseLogLine(text);
             if (!line)
                 return;
-            const auto time = timeOf(text);
             if (line->event == "backend-crashed")
-                m_crashes[textOf(*line, "report")]
-                    = { time, line->node, textOf(*line, "upstream"), textOf(*line, "suspects") };
+                m_crashes[writtenOf(*line, "report")]
+                    = { line->time, line->node, line->text("upstream"), line->text("suspects") };
             if (line->event == "request-held")
-                takeHold(*line, time);
+                takeHold(*line);
             if (line->event == "request-freed")
-                m_held[textOf(*line, "content")].freedBy.insert(line->node);
+                m_held[writtenOf(*line, "content")].freedBy.insert(line->node);
         }
 
         std::string print() const
@@ -62,26 +59,18 @@
         }
 
     private:
-        static std::string timeOf(const std::string& text)
+        void takeHold(const LogLine& line)
         {
-            const std::string mark = "\"time\":\"";
-            const auto at = text.find(mark);
-            const auto begin = at == std::string::npos ? text.size() : at + mark.size();
-            return text.substr(begin, text.find('"', begin) - begin);
-        }
-
-        void takeHold(const LogLine& line, const std::string& time)
-        {
-            auto& held = m_held[textOf(line, "content")];
+            auto& held = m_held[writtenOf(line, "content")];
             held.nodes.insert(line.node);
             held.freedBy.erase(line.node);
             if (held.sinceMs && held.sinceMs <= line.atMs)
                 return;
             held.sinceMs = line.atMs;
-            held.since = time;
-            held.reports = textOf(line, "reports");
-            held.retryAfterMs = static_cast<std::int64_t>(std::atof(textOf(line, "retry_after_ms").c_str()));
-            held.isShared = textOf(line, "shared") == "true" || textOf(line, "shared") == "1";
+            held.since = line.time;
+            held.reports = line.text("reports");
+            held.retryAfterMs = line.number("retry_after_ms");
+            held.isShared = writtenOf(line, "shared") == "true";
         }
 
         void print(std::ostringstream& out, const std::string& content, const Held& held) const
--- a/src/Client/LogLine.cpp
+++ b/src/Client/LogLine.cpp
@@ -39,7 +39,8 @@
     line.fields = LogLine::Json::parse(text.substr(brace), nullptr, false);
     if (!line.fields.is_object())
         return std::nullopt;
-    const auto at = parseLogTime(line.text("time"));
+    line.time = line.text("time");
+    const auto at = parseLogTime(line.time);
     if (!at)
         return std::nullopt;
     line.atMs = *at;
--- a/src/Client/LogLine.h
+++ b/src/Client/LogLine.h
@@ -12,6 +12,7 @@
     using Json = nlohmann::ordered_json;
 
     std::int64_t atMs = 0; ///< since 1970, by the clock of its node
+    std::string time; ///< the same as it was logged
     std::string node;
     std::string event;
     std::string request; ///< "" for lines about none
--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -62,8 +62,7 @@
             "it has ended under calls, without notice; suspects: the contents of these calls" },
         LogEventInfo { "request-held", "content shared reports retry_after_ms",
             "servers have crashed under this content, as the reports say: it is refused everywhere; shared: "
-            "with others "
-            "that ran at all the same crashes" },
+            "others that are held back ran at most of these crashes" },
         LogEventInfo { "request-freed", "content", "it has ended well, or its crashes are forgotten" },
         LogEventInfo { "limit-changed", "upstream limit before in_use",
             "so many calls may run at once on the backend server from now on" },
--- a/src/Core/Loop.cpp
+++ b/src/Core/Loop.cpp
@@ -1,14 +1,13 @@
 #include "Core/Loop.h"
 
-#include <algorithm>
+#include "Core/internal/Timeval.h"
+
 #include <sys/time.h>
 #include <vector>
 
 namespace robinrun {
 namespace {
 
-    constexpr std::int64_t microsPerSecond = 1'000'000;
-
     Duration toDuration(const timeval& tv)
     {
         return std::chrono::seconds(tv.tv_sec) + Duration(tv.tv_usec);
@@ -38,8 +37,7 @@
     for (auto* it : timers) {
         timeval due {};
         event_pending(it, EV_TIMEOUT, &due); // told as time of day
-        const auto left = std::max(toDuration(due) - toDuration(now) - by, Duration::zero());
-        const timeval tv { left.count() / microsPerSecond, left.count() % microsPerSecond };
+        const auto tv = internal::toTimeval(toDuration(due) - toDuration(now) - by);
         event_add(it, &tv);
     }
 }
--- a/src/Crashes/CrashLedger.cpp
+++ b/src/Crashes/CrashLedger.cpp
@@ -33,8 +33,22 @@
         return out;
     }
 
+    /// \returns the one of \a strikes that is against \a content; null if there is none.
+    template <class Strikes> auto* findContent(Strikes& strikes, ContentId content)
+    {
+        const auto it = std::find_if(
+            strikes.begin(), strikes.end(), [&](const auto& strike) { return strike.content == content; });
+        return it == strikes.end() ? nullptr : &*it;
+    }
+
 } // namespace
 
+const CrashLedger::Strike* CrashLedger::strikeOf(const Report& report, ContentId content)
+{
+    const auto* out = findContent(report.strikes, content);
+    return out && !out->isCleared ? out : nullptr;
+}
+
 bool CrashLedger::take(const proto::CrashReport& report, Instant now)
 {
     if (m_reports.contains(report.id()))
@@ -42,9 +56,7 @@
     Report out { static_cast<std::int64_t>(report.at_ms()), now, {} };
     for (const auto& it : report.suspects()) {
         const Duration ran = std::chrono::milliseconds(it.ran_ms());
-        const auto same = std::find_if(out.strikes.begin(), out.strikes.end(),
-            [&](const auto& strike) { return strike.content == it.content(); });
-        if (same != out.strikes.end()) {
+        if (auto* same = findContent(out.strikes, it.content())) {
             same->ran = std::max(same->ran, ran);
             continue;
         }
@@ -67,10 +79,9 @@
                 m_acquittedAhead.insert({ acquittal.content(), id });
             continue;
         }
-        for (auto& it : report->second.strikes) {
-            if (it.content == acquittal.content() && !std::exchange(it.isCleared, true))
-                isNews = true;
-        }
+        auto* strike = findContent(report->second.strikes, acquittal.content());
+        if (strike && !std::exchange(strike->isCleared, true))
+            isNews = true;
     }
     if (!isNews)
         return false;
@@ -85,10 +96,8 @@
     proto::CrashAcquittal out;
     out.set_content(content);
     for (const auto& [id, report] : m_reports) {
-        for (const auto& it : report.strikes) {
-            if (it.content == content && !it.isCleared)
-                out.add_reports(id);
-        }
+        if (strikeOf(report, content))
+            out.add_reports(id);
     }
     return out.reports_size() > 0 ? std::optional(out) : std::nullopt;
 }
@@ -102,7 +111,7 @@
         isOlder = true;
     }
     if (isOlder)
-        judge(now);
+        judge();
 }
 
 bool CrashLedger::isExplained(const Report& report, ContentId content) const
@@ -117,13 +126,12 @@
     Candidate out { content, 0, false, {} };
     std::vector<std::pair<std::int64_t, std::int64_t>> runs;
     for (const auto& [id, report] : m_reports) {
-        const auto it = std::find_if(report.strikes.begin(), report.strikes.end(),
-            [&](const auto& strike) { return strike.content == content && !strike.isCleared; });
-        if (it == report.strikes.end() || (!isAll && isExplained(report, content)))
+        const auto* strike = strikeOf(report, content);
+        if (!strike || (!isAll && isExplained(report, content)))
             continue;
         out.reports.push_back(id);
-        out.wasServed = out.wasServed || it->wasServed;
-        runs.emplace_back(report.atMs - it->ran.count() / 1000, report.atMs);
+        out.wasServed = out.wasServed || strike->wasServed;
+        runs.emplace_back(report.atMs - strike->ran.count() / 1000, report.atMs);
     }
     out.count = countDisjoint(std::move(runs));
     return out;
@@ -149,10 +157,11 @@
     return out;
 }
 
-void CrashLedger::judge(Instant now)
+void CrashLedger::judge()
 {
     freeCleared();
-    holdAll(now);
+    holdAll();
+    setTrials();
     collectHashes();
 }
 
@@ -170,7 +179,7 @@
     }
 }
 
-void CrashLedger::holdAll(Instant now)
+void CrashLedger::holdAll()
 {
     while (true) {
         const auto all = candidates();
@@ -181,11 +190,11 @@
             return std::make_tuple(a.wasServed, b.count, a.content)
                 < std::make_tuple(b.wasServed, a.count, b.content);
         };
-        hold(*std::min_element(all.begin(), all.end(), isBetter), all, now);
+        hold(*std::min_element(all.begin(), all.end(), isBetter), all);
     }
 }
 
-void CrashLedger::hold(const Candidate& best, const std::vector<Candidate>& all, Instant now)
+void CrashLedger::hold(const Candidate& best, const std::vector<Candidate>& all)
 {
     std::vector<const Candidate*> alike;
     for (const auto& it : all) {
@@ -193,7 +202,7 @@
             alike.push_back(&it);
     }
     for (const auto* it : alike)
-        m_holds[it->content] = { now, it->reports };
+        m_holds[it->content].reports = it->reports;
 }
 
 void CrashLedger::freeCleared()
@@ -218,35 +227,34 @@
     }
 }
 
-bool CrashLedger::isShared(ContentId content) const
-{
-    return candidateOf(content, false).count < m_options.strikes;
-}
-
 std::vector<Instant> CrashLedger::strikeTimes(ContentId content) const
 {
     std::vector<Instant> out;
     for (const auto& [id, report] : m_reports) {
-        for (const auto& it : report.strikes) {
-            if (it.content == content && !it.isCleared)
-                out.push_back(report.heard);
-        }
+        if (strikeOf(report, content))
+            out.push_back(report.heard);
     }
     std::sort(out.begin(), out.end());
     return out;
 }
 
+void CrashLedger::setTrials()
+{
+    for (auto& [content, hold] : m_holds) {
+        hold.isShared = candidateOf(content, false).count < m_options.strikes;
+        const auto times = strikeTimes(content);
+        std::size_t bouts = 0;
+        for (std::size_t i = 1; i < times.size(); ++i)
+            bouts += times[i] - times[i - 1] > betweenBouts ? 1 : 0;
+        const auto usual = holdTimes[std::min(bouts, holdTimes.size() - 1)];
+        hold.trialAt = times.back() + (hold.isShared ? m_options.trialIfShared : usual);
+    }
+}
+
 Duration CrashLedger::untilTrial(ContentId content, Instant now) const
 {
-    if (!m_holds.contains(content))
-        return Duration::zero();
-    const auto times = strikeTimes(content);
-    std::size_t bouts = 0;
-    for (std::size_t i = 1; i < times.size(); ++i)
-        bouts += times[i] - times[i - 1] > betweenBouts ? 1 : 0;
-    const auto usual = holdTimes[std::min(bouts, holdTimes.size() - 1)];
-    const auto length = isShared(content) ? m_options.trialIfShared : usual;
-    return std::max(times.back() + length - now, Duration::zero());
+    const auto it = m_holds.find(content);
+    return it == m_holds.end() ? Duration::zero() : std::max(it->second.trialAt - now, Duration::zero());
 }
 
 CrashLedger::Verdict CrashLedger::verdictOf(ContentId content, Instant now) const
--- a/src/Crashes/CrashLedger.h
+++ b/src/Crashes/CrashLedger.h
@@ -56,10 +56,16 @@
 
     /// \brief A content that is held back, and why.
     struct Hold {
-        Instant since {};
+        /// Others that are held back ran at so many of its crashes that the rest would not hold it: either may
+        /// be the cause.
+        bool isShared = false;
+        Instant trialAt {}; ///< from then on one server may try it
         std::vector<std::uint64_t> reports; ///< which led to it
     };
 
+    /// Suspects that a report names: more than any backend server of the users' sites runs at once (12 slots).
+    static constexpr std::size_t mostSuspects = 64;
+
     CrashLedger() = default;
     explicit CrashLedger(Options options)
         : m_options(options)
@@ -74,7 +80,7 @@
 
     /// \brief Holds back what has too many strikes by now, and frees what has none. To be called when all
     /// that came together was taken in: of a part of it, other contents may seem to be the cause.
-    void judge(Instant now);
+    void judge();
 
     /// \returns an acquittal of all strikes of \a content that are known; nothing if there is none.
     std::optional<proto::CrashAcquittal> acquittalOf(ContentId content) const;
@@ -94,9 +100,6 @@
     Duration untilTrial(ContentId content, Instant now) const;
 
     const std::map<ContentId, Hold>& holds() const { return m_holds; }
-    /// \returns whether others that are held back ran at so many of the crashes against \a content that these
-    /// alone would not hold it: either may be the cause.
-    bool isShared(ContentId content) const;
     std::size_t reports() const { return m_reports.size(); }
 
     /// \returns the strikes against \a content that count at \a now, those that others explain left out.
@@ -123,16 +126,21 @@
     };
     using Key = std::pair<ContentId, std::uint64_t>; ///< and id of a report
 
+    /// \returns the strike against \a content that counts; null if there is none.
+    static const Strike* strikeOf(const Report& report, ContentId content);
     /// \returns whether another content that is held back ran at this crash.
     bool isExplained(const Report& report, ContentId content) const;
     /// \returns what has strikes and is not held back.
     std::vector<Candidate> candidates() const;
     /// \param isAll strikes that others which are held back explain count too.
     Candidate candidateOf(ContentId content, bool isAll) const;
-    void hold(const Candidate& best, const std::vector<Candidate>& all, Instant now);
+    void hold(const Candidate& best, const std::vector<Candidate>& all);
     void freeCleared();
     /// \brief Holds back one content after the other until none has too many strikes.
-    void holdAll(Instant now);
+    void holdAll();
+    /// \brief Sets when each content that is held back is tried again. A change of what is held back or struck
+    /// moves it, the passage of time does not, so verdictOf() need not look at reports.
+    void setTrials();
     /// \brief Collects the hashes of what has strikes and of what is held back.
     void collectHashes();
     void makeRoom();
--- a/src/Crashes/GoodEnds.h
+++ b/src/Crashes/GoodEnds.h
@@ -11,7 +11,7 @@
 /// \brief Remembers which contents have ended well at one owner lately.
 ///
 /// A table of a fixed size in which a content takes the place of another one now and then: what is forgotten
-/// makes a call look new, no worse. Cost: O(1), no memory beyond 16 KB.
+/// makes a call look new, no worse. Cost: O(1), no memory beyond 24 KB.
 class GoodEnds {
 public:
     static constexpr std::size_t places = 1024;
--- a/src/Http/HttpPool.cpp
+++ b/src/Http/HttpPool.cpp
@@ -1,8 +1,8 @@
 #include "Http/HttpPool.h"
 
+#include "Core/internal/Timeval.h"
 #include "Core/Check.h"
 #include "Http/internal/ClientConnection.h"
-#include "Http/internal/Timeval.h"
 
 #include <algorithm>
 
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -1,7 +1,7 @@
 #include "Http/internal/ClientConnection.h"
 
+#include "Core/internal/Timeval.h"
 #include "Http/internal/KeepAlive.h"
-#include "Http/internal/Timeval.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -1,7 +1,7 @@
 #include "Http/internal/ServerConnection.h"
 
+#include "Core/internal/Timeval.h"
 #include "Http/HttpStatus.h"
-#include "Http/internal/Timeval.h"
 
 #include <event2/buffer.h>
 #include <netinet/in.h>
--- a/src/Mesh/CrashNews.cpp
+++ b/src/Mesh/CrashNews.cpp
@@ -68,8 +68,8 @@
     if (isMoreThan(record.crashes(), keptReports))
         return tooMany("crashes", keptReports);
     for (const auto& it : record.crashes()) {
-        if (isMoreThan(it.suspects(), keptSuspects))
-            return tooMany("crashes.suspects", keptSuspects);
+        if (isMoreThan(it.suspects(), CrashLedger::mostSuspects))
+            return tooMany("crashes.suspects", CrashLedger::mostSuspects);
         if (it.at_ms() > latestMs)
             return "crashes.at_ms: must be at most 2^53";
     }
--- a/src/Mesh/CrashNews.h
+++ b/src/Mesh/CrashNews.h
@@ -15,8 +15,6 @@
 /// Of a server that crashes more often than so many times, the last ones say enough: three hold a content
 /// back.
 inline constexpr std::size_t keptReports = 8;
-/// More than run at once at a server.
-inline constexpr std::size_t keptSuspects = 64;
 inline constexpr std::size_t keptAcquittals = 16;
 /// Of one content: more strikes than hold it back.
 inline constexpr std::size_t keptClearings = 32;
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -17,14 +17,6 @@
     constexpr Duration linkOpening = 20ms;
     /// In calm times what is known is confirmed anew before it is so old.
     constexpr Duration passedOnAtOnce = 1800ms;
-    /// A node that starts learns of crashes from the store or a contact before it sends calls; if it hears of
-    /// neither for so long, it serves.
-    constexpr Duration longestUninformed = 1500ms;
-    /// A store that answers no read for so long is written to without one.
-    constexpr Duration longestWriteHold = 5s;
-    /// Acquittals that come together are told together; a few strikes clear no sooner than it takes to
-    /// collect them.
-    constexpr Duration acquittalDelay = 100ms;
     /// What other writers send is logged up to so many bytes of a text.
     constexpr std::size_t loggedBytes = 128;
 
@@ -37,16 +29,6 @@
     rebuildSoon();
 }
 
-void MeshNode::writeRecord(Instant now)
-{
-    // What a former life of this node wrote there is gone once this is: first that is read. A store that
-    // answers no read is written to all the same after a while.
-    if (m_nodesFeed->isCaughtUp() || now - m_started > longestWriteHold)
-        m_isWriteHeld = false;
-    if (!m_isWriteHeld)
-        m_writer->set(m_record.SerializeAsString());
-}
-
 void MeshNode::tellRecord(Instant now)
 {
     m_record.set_sequence(m_record.sequence() + 1);
@@ -300,45 +282,6 @@
     return isNews;
 }
 
-void MeshNode::keepFormerCrashes(const proto::NodeRecord& former, Instant now)
-{
-    bool isNews = false;
-    for (const auto& it : former.crashes())
-        isNews = crashNews::add(m_record, it) || isNews;
-    if (isNews)
-        publish(now);
-}
-
-void MeshNode::tellCrash(const proto::CrashReport& report)
-{
-    crashNews::add(m_record, report);
-    publish(monotonicNow());
-}
-
-void MeshNode::tellAcquittal(const proto::CrashAcquittal& acquittal)
-{
-    crashNews::add(m_record, acquittal);
-    if (std::exchange(m_isAcquittalPending, true))
-        return;
-    // The store does not need them: without one, a strike counts that a good end clears again.
-    m_acquittalTimer = Timer::once(m_context.base, acquittalDelay, [this] {
-        m_isAcquittalPending = false;
-        tellRecord(monotonicNow());
-    });
-}
-
-void MeshNode::heardOfCrashes(Instant now)
-{
-    if (std::exchange(m_isCrashNews, false))
-        m_owner->crashesChanged(now);
-    if (m_isWriteHeld && m_record.sequence() > 0)
-        writeRecord(now);
-    const bool isInformed
-        = m_nodesFeed->isCaughtUp() || m_hasComparedRecords || now - m_started > longestUninformed;
-    if (m_config.hasAny() && isInformed)
-        m_ingress->setConfigured(true);
-}
-
 void MeshNode::outrank(const proto::NodeRecord& former, Instant now)
 {
     log(LogLevel::Warning, "clock-went-back",
--- a/src/Mesh/WatchGroup.cpp
+++ b/src/Mesh/WatchGroup.cpp
@@ -56,11 +56,8 @@
 {
     if (confirmation.by >= m_rank)
         return false;
-    if (version <= m_version) {
-        const auto before = m_heard;
-        takeHeard(confirmation);
-        return !before || m_heard->at > before->at;
-    }
+    if (version <= m_version)
+        return takeHeard(confirmation);
     auto& ahead = m_ahead[version];
     if (confirmation.at > ahead.at)
         ahead = confirmation;
@@ -69,10 +66,12 @@
     return false;
 }
 
-void WatchGroup::takeHeard(const Confirmation& confirmation)
+bool WatchGroup::takeHeard(const Confirmation& confirmation)
 {
-    if (!m_heard || confirmation.at > m_heard->at)
+    const bool isFresher = !m_heard || confirmation.at > m_heard->at;
+    if (isFresher)
         m_heard = confirmation;
+    return isFresher;
 }
 
 void WatchGroup::read(Instant at)
--- a/src/Mesh/WatchGroup.h
+++ b/src/Mesh/WatchGroup.h
@@ -111,7 +111,8 @@
     Duration takeOverDelay() const;
 
 private:
-    void takeHeard(const Confirmation& confirmation);
+    /// \returns whether it is fresher than what was heard before.
+    bool takeHeard(const Confirmation& confirmation);
 
     Options m_options;
     std::string m_self;
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -99,8 +99,6 @@
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
     if (m_context->settings.experiments.isOn(Mechanism::GiveUpHopeless))
         act(m_admission.giveUpHopeless(now), now);
-    if (m_pool && m_crashWatch.isAsking(now))
-        return probe(now);
     if (m_pool)
         probeBackend(now);
 }
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -139,6 +139,8 @@
     /// \brief Calls that wait here and are held back are refused as not run.
     void refuseHeld(Instant now);
     void runBroke(const CallRecord& record, Instant now);
+    /// \brief Nothing listens at the backend server's address.
+    void backendRefused(Instant now);
     void endedWell(const CallRecord& record, Instant now);
     /// \param life of the backend server that has crashed.
     void reportCrash(const std::string& life, const std::vector<CrashSuspect>& suspects, Instant now);
--- a/src/Node/OwnerCrashes.cpp
+++ b/src/Node/OwnerCrashes.cpp
@@ -12,14 +12,12 @@
 namespace robinrun {
 namespace {
 
-    /// More than any backend server of the users' sites runs at once (12 slots).
-    constexpr int mostSuspects = 64;
-
-    std::string textOf(const proto::CrashReport& report)
+    /// \returns the numbers that \a numberOf makes of \a items, separated by blanks.
+    template <class Items, class F> std::string textOf(const Items& items, F numberOf)
     {
         std::string out;
-        for (const auto& it : report.suspects())
-            out += (out.empty() ? "" : " ") + std::to_string(it.content());
+        for (const auto& it : items)
+            out += (out.empty() ? "" : " ") + std::to_string(numberOf(it));
         return out;
     }
 
@@ -50,10 +48,8 @@
     if (!result.has_value()) {
         if (result.error().kind == HttpErrorKind::Broken)
             runBroke(record, now);
-        if (result.error().isRefused) {
-            if (const auto suspects = m_crashWatch.refused(now))
-                reportCrash(m_boundUpstream, *suspects, now);
-        }
+        if (result.error().isRefused)
+            backendRefused(now);
         return;
     }
     if (answer.outcome() != proto::ANSWERED)
@@ -72,6 +68,12 @@
     probe(now);
 }
 
+void Owner::backendRefused(Instant now)
+{
+    if (const auto suspects = m_crashWatch.refused(now))
+        reportCrash(m_boundUpstream, *suspects, now);
+}
+
 void Owner::endedWell(const CallRecord& record, Instant now)
 {
     const auto content = contentOf(record.call);
@@ -95,7 +97,7 @@
     report.set_upstream(life);
     report.set_at_ms(static_cast<std::uint64_t>(m_context->wallClock()));
     for (const auto& it : suspects) {
-        if (report.suspects_size() == mostSuspects)
+        if (static_cast<std::size_t>(report.suspects_size()) == CrashLedger::mostSuspects)
             break;
         auto& suspect = *report.add_suspects();
         suspect.set_content(it.content);
@@ -104,7 +106,7 @@
         suspect.set_quick_hash(it.quickHash);
     }
     log(LogLevel::Warning, "backend-crashed",
-        { { "upstream", life }, { "report", report.id() }, { "suspects", textOf(report) } });
+        { { "upstream", life }, { "report", report.id() }, { "suspects", textOf(report.suspects(), [](const auto& it) { return it.content(); }) } });
     m_context->metrics.count("robinrun_backend_crashes_total");
     m_context->crashes.take(report, now);
     if (m_tellCrash)
@@ -115,15 +117,13 @@
 void Owner::crashesChanged(Instant now)
 {
     auto& ledger = m_context->crashes;
-    ledger.judge(now);
+    ledger.judge();
     for (const auto& [content, hold] : ledger.holds()) {
         if (!m_loggedHolds.insert(content).second)
             continue;
-        std::string reports;
-        for (const auto id : hold.reports)
-            reports += (reports.empty() ? "" : " ") + std::to_string(id);
+        const auto reports = textOf(hold.reports, [](std::uint64_t id) { return id; });
         log(LogLevel::Warning, "request-held",
-            { { "content", content }, { "shared", ledger.isShared(content) }, { "reports", reports },
+            { { "content", content }, { "shared", hold.isShared }, { "reports", reports },
                 { "retry_after_ms", toMilliseconds(ledger.untilTrial(content, now)) } });
     }
     for (auto it = m_loggedHolds.begin(); it != m_loggedHolds.end();) {
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -33,6 +33,8 @@
 
 void Owner::probeBackend(Instant now)
 {
+    if (m_crashWatch.isAsking(now))
+        return probe(now);
     if (m_isDown) {
         if (now < m_nextProbe)
             return;
@@ -64,10 +66,8 @@
         setDown(!news.isReachable, end);
         if (news.isReachable)
             m_crashWatch.answered(now);
-        if (news.isRefused) {
-            if (const auto suspects = m_crashWatch.refused(end))
-                reportCrash(m_boundUpstream, *suspects, end);
-        }
+        if (news.isRefused)
+            backendRefused(end);
         if (news.slowdown)
             setSlowdown(*news.slowdown, end);
     });
--- a/src/Node/Timer.h
+++ b/src/Node/Timer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Time.h"
+#include "Core/internal/Timeval.h"
 
 #include <event2/event.h>
 #include <functional>
@@ -62,8 +63,7 @@
             g();
         };
         m_state->raw = event_new(base, -1, flags, run, m_state.get());
-        const auto micros = std::max<std::int64_t>(delay.count(), 0);
-        const timeval tv { micros / 1000000, micros % 1000000 };
+        const auto tv = internal::toTimeval(delay);
         event_add(m_state->raw, &tv);
     }
 
--- a/test/CrashLedgerTest.cpp
+++ b/test/CrashLedgerTest.cpp
@@ -48,14 +48,14 @@
         }
         REQUIRE(ledger.take(report, now));
         REQUIRE_FALSE(ledger.take(report, now)); // heard again
-        ledger.judge(now);
+        ledger.judge();
     }
 
     void endWell(ContentId content)
     {
         if (const auto acquittal = ledger.acquittalOf(content))
             ledger.acquit(*acquittal);
-        ledger.judge(now);
+        ledger.judge();
     }
 
     Verdict verdict(ContentId content) const { return ledger.verdictOf(content, now); }
@@ -193,7 +193,7 @@
         acquittal.add_reports(it.id());
     for (const auto& it : reports)
         f.ledger.take(it, f.now);
-    f.ledger.judge(f.now);
+    f.ledger.judge();
     REQUIRE(f.verdict(poison) == Verdict::Held);
     REQUIRE(f.ledger.acquit(acquittal));
     REQUIRE(f.verdict(poison) == Verdict::Free);
@@ -202,7 +202,7 @@
     other.acquit(acquittal);
     for (const auto& it : reports)
         other.take(it, f.now);
-    other.judge(f.now);
+    other.judge();
     REQUIRE(other.verdictOf(poison, f.now) == Verdict::Free);
 }
 
@@ -282,8 +282,8 @@
             give(first, i);
             give(second, order[i]);
         }
-        first.judge(Instant(1h));
-        second.judge(Instant(1h));
+        first.judge();
+        second.judge();
         for (ContentId content = 1; content <= 3; ++content) {
             const auto a = first.acquittalOf(content);
             const auto b = second.acquittalOf(content);
--- a/test/support/CrashFixture.h
+++ b/test/support/CrashFixture.h
@@ -46,18 +46,13 @@
         }
     }
 
-    /// \brief Sends a request and does not wait. \returns the place of its answer in `answers`.
-    std::size_t sendAside(std::size_t node, const HttpRequest& request)
+    /// \brief Sends a request and does not wait for its answer.
+    void sendAside(std::size_t node, const HttpRequest& request)
     {
-        answers.emplace_back();
-        const auto at = answers.size() - 1;
         HttpPool::Options options;
         options.address = places[node].settings.listen.callers;
         callers.push_back(std::make_unique<HttpPool>(base.get(), options));
-        callers.back()->send(request, 9s, [this, at](auto result) {
-            answers[at] = result.has_value() ? result.value() : HttpReply { 0, {}, {} };
-        });
-        return at;
+        callers.back()->send(request, 9s, [](const auto&) {});
     }
 
     std::size_t crashes() const
@@ -96,8 +91,6 @@
         REQUIRE(crashes() >= enough);
     }
 
-    std::vector<std::optional<HttpReply>> answers;
-
 private:
     void beat(std::size_t i)
     {
--- a/test/support/CrashModel.h
+++ b/test/support/CrashModel.h
@@ -190,7 +190,7 @@
         at.goodBefore.insert(it->content);
         if (const auto acquittal = m_nodes[server].ledger.acquittalOf(it->content)) {
             m_nodes[server].ledger.acquit(*acquittal);
-            m_nodes[server].ledger.judge(now());
+            m_nodes[server].ledger.judge();
             m_acquittals.push_back(*acquittal);
             spread([acquittal = *acquittal](CrashLedger& ledger) { ledger.acquit(acquittal); });
         }
@@ -218,7 +218,7 @@
         m_reports.push_back(report);
         m_loop.after(3ms, [this, server, report] {
             m_nodes[server].ledger.take(report, now());
-            m_nodes[server].ledger.judge(now());
+            m_nodes[server].ledger.judge();
         });
         spread([this, report](CrashLedger& ledger) { ledger.take(report, now()); });
     }
@@ -232,7 +232,7 @@
                 if (m_nodes[i].cutUntil > now())
                     return;
                 f(m_nodes[i].ledger);
-                m_nodes[i].ledger.judge(now());
+                m_nodes[i].ledger.judge();
             });
         }
     }
@@ -245,7 +245,7 @@
             m_nodes[node].ledger.acquit(it);
         for (const auto& it : m_reports)
             m_nodes[node].ledger.take(it, now());
-        m_nodes[node].ledger.judge(now());
+        m_nodes[node].ledger.judge();
     }
 
     Options m_options;
--- a/test/support/WatchModel.h
+++ b/test/support/WatchModel.h
@@ -6,7 +6,6 @@
 #include "Mesh/WatchGroup.h"
 
 #include <algorithm>
-#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -89,8 +88,8 @@
     void forgetReads() { m_totalReads = m_mostReads = 0; }
 
     /// \brief Runs for \a length. \returns the longest that a node which reaches the store, and is awake,
-    /// went by a version that was overtaken; nodes of which \a counts does not hold are left out.
-    Duration run(Duration length, const std::function<bool(std::size_t)>& counts = nullptr)
+    /// went by a version that was overtaken.
+    Duration run(Duration length)
     {
         Duration oldest {};
         for (const auto end = m_now + length; m_now < end; m_now += step) {
@@ -101,7 +100,7 @@
             m_mostReads = std::max(m_mostReads, m_totalReads - before);
             for (std::size_t i = 0; i < m_nodes.size(); ++i) {
                 const auto& it = m_nodes[i];
-                if (it.reachesStore && it.frozenUntil <= m_now && (!counts || counts(i)))
+                if (it.reachesStore && it.frozenUntil <= m_now)
                     oldest = std::max(oldest, staleness(it));
             }
         }
