--- a/src/Crashes/CrashLedger.h
+++ b/src/Crashes/CrashLedger.h
@@ -56,14 +56,15 @@
 
     /// \brief A content that is held back, and why.
     struct Hold {
-        /// Others that are held back ran at so many of its crashes that the rest would not hold it: either may
-        /// be the cause.
+        /// Others that are held back ran at so many of its crashes that the rest would not hold it: either
+        /// may be the cause.
         bool isShared = false;
         Instant trialAt {}; ///< from then on one server may try it
         std::vector<std::uint64_t> reports; ///< which led to it
     };
 
-    /// Suspects that a report names: more than any backend server of the users' sites runs at once (12 slots).
+    /// Suspects that a report names: more than any backend server of the users' sites runs at once (12
+    /// slots).
     static constexpr std::size_t mostSuspects = 64;
 
     CrashLedger() = default;
@@ -138,8 +139,8 @@
     void freeCleared();
     /// \brief Holds back one content after the other until none has too many strikes.
     void holdAll();
-    /// \brief Sets when each content that is held back is tried again. A change of what is held back or struck
-    /// moves it, the passage of time does not, so verdictOf() need not look at reports.
+    /// \brief Sets when each content that is held back is tried again. A change of what is held back or
+    /// struck moves it, the passage of time does not, so verdictOf() need not look at reports.
     void setTrials();
     /// \brief Collects the hashes of what has strikes and of what is held back.
     void collectHashes();
--- a/src/Http/HttpPool.cpp
+++ b/src/Http/HttpPool.cpp
@@ -1,7 +1,7 @@
 #include "Http/HttpPool.h"
 
-#include "Core/internal/Timeval.h"
 #include "Core/Check.h"
+#include "Core/internal/Timeval.h"
 #include "Http/internal/ClientConnection.h"
 
 #include <algorithm>
--- a/src/Mesh/MeshNodeCrashes.cpp
+++ b/src/Mesh/MeshNodeCrashes.cpp
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-/// \file What a mesh node tells of crashes of backend servers, and what waits until it has heard of those before.
+/// \file What a mesh node tells of crashes of backend servers, and what waits until it has heard of those
+/// before.
 
 namespace robinrun {
 namespace {
--- a/src/Node/OwnerCrashes.cpp
+++ b/src/Node/OwnerCrashes.cpp
@@ -106,7 +106,8 @@
         suspect.set_quick_hash(it.quickHash);
     }
     log(LogLevel::Warning, "backend-crashed",
-        { { "upstream", life }, { "report", report.id() }, { "suspects", textOf(report.suspects(), [](const auto& it) { return it.content(); }) } });
+        { { "upstream", life }, { "report", report.id() },
+            { "suspects", textOf(report.suspects(), [](const auto& it) { return it.content(); }) } });
     m_context->metrics.count("robinrun_backend_crashes_total");
     m_context->crashes.take(report, now);
     if (m_tellCrash)
