--- a/bench/shared/SharedRun.cpp
+++ b/bench/shared/SharedRun.cpp
@@ -132,7 +132,7 @@
     const auto& call = m_calls.at(id);
     auto& upstream = m_upstreams[call.upstream];
     const bool isReady
-        = upstream.admission.hasFreeSlot() && !isSlow(upstream.admission.load(m_loop.now()).slowdown);
+        = upstream.admission.hasFreeSlot(m_loop.now()) && !isSlow(upstream.admission.load(m_loop.now()).slowdown);
     if (onlyAtOnce && !isReady)
         return answer(id, Reason::Busy);
     Offer offer;
--- a/src/Config/Validator.cpp
+++ b/src/Config/Validator.cpp
@@ -51,6 +51,8 @@
             checkShare(it.probe_slot_share(), "service.probe_slot_share");
             check(std::isfinite(it.probes_per_s()) && it.probes_per_s() >= 0, "service.probes_per_s",
                 "must not be negative");
+            check(std::isfinite(it.warm_up_per_s()) && it.warm_up_per_s() >= 0, "service.warm_up_per_s",
+                "must not be negative");
             check(it.queue_limit() > 0, "service.queue_limit", "must be above 0");
             std::set<std::string> names;
             for (int i = 0; i < it.classes_size(); ++i) {
@@ -159,8 +161,11 @@
         checker.check(hasKind(resource, "routes"), "name", "a route is named routes/<id>");
         checker.route(resource.route());
         break;
+    case proto::Resource::kDataHall:
+        checker.check(hasKind(resource, "halls"), "name", "a data hall is named halls/<id>");
+        break;
     case proto::Resource::BODY_NOT_SET:
-        checker.check(false, "body", "one of service, upstream, group, route must be set");
+        checker.check(false, "body", "one of service, upstream, group, route, data_hall must be set");
         break;
     }
     return checker.errors;
--- a/src/Mesh/Announcement.h
+++ b/src/Mesh/Announcement.h
@@ -2,9 +2,11 @@
 
 #include "Core/BackendLife.h"
 #include "Core/EnumNames.h"
+#include "Core/Time.h"
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +31,7 @@
     std::uint32_t slots = 0; ///< calls it works on at a time
     std::uint64_t sequence = 0; ///< rises with each announcement of one start; 0 with the last word
     AnnouncedState state = AnnouncedState::Ready;
+    std::optional<Duration> coldFor {}; ///< how long the server stays cold; nothing if it doesn't say
 };
 
 } // namespace robinrun
--- a/src/Mesh/BackendFinder.cpp
+++ b/src/Mesh/BackendFinder.cpp
@@ -57,6 +57,7 @@
     out.life = BackendLife(news.upstream); // its health answer names no start
     out.address = m_address;
     out.slots = news.slots;
+    out.coldFor = news.coldFor;
     out.state = news.isWell ? AnnouncedState::Ready : AnnouncedState::Draining;
     m_found(out);
 }
--- /dev/null
+++ b/src/Mesh/EmptiedHalls.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Platform/RecordStore.h"
+#include "peer.pb.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace robinrun {
+
+/// \brief Which data halls the operator has emptied: nothing more is sent to the backend servers there.
+///
+/// The newest record of each hall counts, by its place in the store's topic, whichever way it came: read from
+/// the store or told by a contact. So all nodes come to the same, in any order, and nothing falls back. After
+/// the store has come back from an older copy, a hall stays emptied until a record of the new era, or the end
+/// of the time in which the operator writes again, says otherwise: to leave servers out for a moment costs
+/// less than to send to those that are being taken away.
+/// Cost: O(halls) a step; at most 256 halls are kept, those that are emptied first.
+class EmptiedHalls {
+public:
+    /// \returns the hall that a record's key is about; nothing if it is about something else.
+    using HallOf = std::function<std::optional<std::string>(std::string_view key)>;
+
+    /// \brief Takes in what the store has answered. \returns whether something has changed.
+    bool take(const KeyedPage& page, const HallOf& hallOf, Instant now);
+
+    /// \brief A contact tells what it knows. \returns whether something has changed.
+    bool heard(const proto::NodeContact& contact, Instant now);
+
+    /// \brief Ends what nobody has written again since the store came back. \returns whether anything has.
+    bool tick(std::uint64_t era, Instant now);
+
+    /// \brief Adds what is known to what a contact is told.
+    void tell(proto::NodeContact& contact) const;
+
+    bool isEmptied(const std::string& hall) const;
+    std::set<std::string> emptied() const;
+    /// \returns since when this node knows that a hall is emptied; nothing if it isn't.
+    std::optional<Instant> since(const std::string& hall) const;
+
+private:
+    struct Record {
+        StorePosition at;
+        bool isEmptied = false;
+        Instant heard {};
+    };
+
+    bool put(const std::string& hall, const Record& record);
+    bool takeAbsent(const KeyedPage& page, const std::set<std::string>& present, Instant now);
+    void keepFew();
+
+    std::map<std::string, Record> m_halls;
+    std::uint64_t m_era = 0;
+    Instant m_eraBegan {}; ///< when it was noticed here
+};
+
+} // namespace robinrun
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -103,8 +103,11 @@
     m_writer = std::make_unique<RecordWriter>(base, *m_store, m_formats.nodesTopic, m_context.settings.name);
     m_finder = std::make_unique<BackendFinder>(
         base, m_context.settings.backend, [this](const Announcement& found) {
+            const auto now = monotonicNow();
             if (m_announced.found(found))
-                upstreamChanged(monotonicNow());
+                upstreamChanged(now);
+            if (found.coldFor && found.life.key() == m_owner->upstream())
+                m_owner->answeredWarmUp(*found.coldFor, now, now);
         });
 }
 
@@ -179,7 +182,7 @@
     config.changed = [this] { tellContacts(monotonicNow()); };
     m_configFeed = std::make_unique<TopicFollower>(
         base, *m_store, config,
-        [this](const std::vector<KeyedRecord>& records) { takeStoredConfiguration(records, monotonicNow()); },
+        [this](const KeyedPage& page) { takeStoredConfiguration(page, monotonicNow()); },
         m_context.random);
     TopicFollower::Options nodes;
     nodes.topic = m_formats.nodesTopic;
@@ -187,8 +190,8 @@
     nodes.longestRetry = longestRetry;
     m_nodesFeed = std::make_unique<TopicFollower>(
         base, *m_store, nodes,
-        [this](const std::vector<KeyedRecord>& records) {
-            for (const auto& it : records)
+        [this](const KeyedPage& page) {
+            for (const auto& it : page.records)
                 takeStoredNode(it, monotonicNow());
             heardOfCrashes(monotonicNow());
         },
@@ -200,6 +203,7 @@
         if (!m_hasReadNodesSince)
             m_hasReadNodesSince = m_nodesFeed->readWithin(nodesAfterWrite);
     });
+    m_store->onReturn([this] { storeReturned(monotonicNow()); });
     m_configFeed->start();
     m_nodesFeed->start();
 }
@@ -238,6 +242,18 @@
         const auto age = m_group.age(monotonicNow());
         return age ? toSeconds(*age) : neverConfirmed;
     });
+    metrics.gauge("robinrun_store_era", [this] { return double(m_store->era().era()); });
+    metrics.gauge("robinrun_store_era_age_seconds", [this] {
+        const auto since = m_store->era().since();
+        return since ? toSeconds(monotonicNow() - *since) : neverConfirmed;
+    });
+    metrics.gauge(
+        "robinrun_store_era_faults_total", [this] { return double(m_store->era().faults()); });
+    metrics.gauge("robinrun_halls_emptied", [this] { return double(m_halls.emptied().size()); });
+    metrics.gauge("robinrun_own_hall_emptied",
+        [this] { return m_halls.isEmptied(m_context.settings.dataHall) ? 1.0 : 0.0; });
+    metrics.gauge("robinrun_backend_cold_seconds",
+        [this] { return toSeconds(m_owner->load(monotonicNow()).coldFor); });
     metrics.gauge("robinrun_retries_saved", [this] { return m_ingress->savedRetries(); });
     metrics.gauge("robinrun_upstream_news_age_seconds",
         [this] { return toSeconds(m_ingress->meanNewsAge(monotonicNow())); });
@@ -301,8 +317,13 @@
     m_finder->stop();
     if (m_announced.take(read.value()))
         upstreamChanged(now);
-    if (read.value().life.key() == m_owner->upstream())
+    const auto& told = read.value();
+    if (told.life.key() == m_owner->upstream()) {
         m_owner->heardFromBackend(now);
+        const bool isLatest = told.sequence == m_announced.current()->sequence;
+        if (told.coldFor && isLatest)
+            m_owner->heardWarmUp(*told.coldFor, now);
+    }
     // Only now: from here on nothing new goes to a server that has said it leaves.
     exchange.reply({ ok, { { "Content-Type", "application/json" } }, "{}" });
 }
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -9,6 +9,7 @@
 #include "Mesh/ConfigHolder.h"
 #include "Mesh/ContactReach.h"
 #include "Mesh/CrashNews.h"
+#include "Mesh/EmptiedHalls.h"
 #include "Mesh/FollowShare.h"
 #include "Mesh/Gossip.h"
 #include "Mesh/MeshFormats.h"
@@ -116,7 +117,13 @@
     void upstreamChanged(Instant now);
 
     void offerConfiguration(std::string_view text, std::string_view source, Instant now);
-    void takeStoredConfiguration(const std::vector<KeyedRecord>& records, Instant now);
+    void takeStoredConfiguration(const KeyedPage& page, Instant now);
+    /// \brief Halls were emptied or taken back: routing hears of it now, and the contacts.
+    void hallsChanged(Instant now);
+    /// \brief The store is back from an older copy: what this node wrote there may be gone.
+    void storeReturned(Instant now);
+    /// \returns a share of the time in which all nodes may write at once, within the store's rates.
+    Duration rewriteDelay();
     /// \brief Puts the configuration that was adopted just now in force. \param former in force before.
     void configurationAdopted(ConfigText former, Instant now);
     /// \returns whether others watch the store for this node.
@@ -185,6 +192,7 @@
     std::unique_ptr<RecordWriter> m_writer;
     std::unique_ptr<BackendFinder> m_finder;
     ConfigHolder m_config;
+    EmptiedHalls m_halls;
     NodeRegistry m_registry;
     Gossip m_gossip;
     FollowShare m_share;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -18,6 +18,10 @@
     constexpr Duration readyAnyway = 1500ms;
     /// A claim of a peer that is false costs a read of the store in so long.
     constexpr Duration betweenOverdueReads = 1s;
+    /// Of the writes that the store takes a second, what records that are written again may use.
+    constexpr double rewriteShare = 0.5;
+    /// Entries have to be back two seconds after the store is; half of that is for the news and the write.
+    constexpr Duration longestRewriteDelay = 1s;
     /// Of the deployment's bound on retries, what is planned with: calls that retries make are not seen here.
     constexpr double plannedPart = 0.5;
     /// Retries that a node may save up at least: with fewer it could never send one.
@@ -39,8 +43,12 @@
         configurationAdopted(std::move(former), now);
 }
 
-void MeshNode::takeStoredConfiguration(const std::vector<KeyedRecord>& records, Instant now)
+void MeshNode::takeStoredConfiguration(const KeyedPage& page, Instant now)
 {
+    // Before the configuration: a node that gets its first one must know which halls it may use.
+    if (m_halls.take(page, m_formats.emptiedHallOf, now))
+        hallsChanged(now);
+    const auto& records = page.records;
     // What the store has just confirmed is told while it is fresh: of 300 nodes none has to read for itself
     // then, and 25 at once had to now and then where followers told it up to a second later.
     if (m_nextContact - now < m_context.settings.peers.contactEvery / 2)
@@ -68,6 +76,26 @@
     tellContacts(now);
 }
 
+void MeshNode::hallsChanged(Instant now)
+{
+    rebuildUpstreams();
+    tellContacts(now);
+}
+
+void MeshNode::storeReturned(Instant now)
+{
+    m_context.metrics.count("robinrun_store_returns_total");
+    m_writer->writeAgain(rewriteDelay());
+    tellContacts(now);
+}
+
+Duration MeshNode::rewriteDelay()
+{
+    const auto rate = rewriteShare * m_context.settings.store.writesPerSecond;
+    const auto all = fromSeconds(static_cast<double>(livingNodes()) / std::max(rate, 1.0));
+    return fromSeconds(toSeconds(std::min(all, longestRewriteDelay)) * m_context.random.unit());
+}
+
 void MeshNode::rebuildSoon()
 {
     if (std::exchange(m_isRebuildPending, true))
@@ -122,6 +150,7 @@
     if (!m_config.hasAny())
         return;
     const auto now = monotonicNow();
+    m_context.directory.setEmptiedHalls(m_halls.emptied());
     m_context.directory.replaceUpstreams(usableUpstreams());
     m_ingress->setRetryBurst(retryBurst());
     m_owner->configure(now);
@@ -153,6 +182,7 @@
         { { "for_ms", toMilliseconds(standstill->length()) },
             { "in_progress", std::uint64_t { m_ingress->inProgress() } } });
     m_context.metrics.count("robinrun_standstills_total");
+    m_owner->doubtWarmth(now);
     m_nextContact = now; // what happened meanwhile is heard in the answers
 }
 
@@ -163,6 +193,8 @@
     m_context.crashes.tick(now);
     heardOfCrashes(now);
     m_owner->tick(now);
+    if (m_halls.tick(m_store->era().era(), now))
+        hallsChanged(now);
     m_peers->closeIdle(now);
     flushLog();
     if (now >= m_nextContact)
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -59,6 +59,8 @@
         contact.set_confirmed_age_ms(1 + static_cast<std::uint32_t>(toMilliseconds(now - known->at)));
         contact.set_confirmed_by(known->by);
     }
+    m_halls.tell(contact);
+    contact.set_store_era(m_store->era().era());
     m_isContactOpening = false;
     m_gossip.tellContacts(contact, now);
     if (m_group.isMember())
@@ -179,6 +181,9 @@
 
 void MeshNode::takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now)
 {
+    m_store->heardEra(contact.store_era(), now);
+    if (m_halls.heard(contact, now))
+        hallsChanged(now);
     m_share.heard(sender.address, contact.follows_configuration(), now);
     takeConfirmation(contact, now);
     m_gossip.heardDigest(
--- a/src/Mesh/RecordWriter.cpp
+++ b/src/Mesh/RecordWriter.cpp
@@ -29,11 +29,22 @@
 void RecordWriter::set(std::string value)
 {
     m_value = std::move(value);
+    m_hasValue = true;
     m_isWanted = true;
     if (!m_isOut && m_pause == Duration::zero())
         write();
 }
 
+void RecordWriter::writeAgain(Duration spread)
+{
+    if (!m_hasValue)
+        return;
+    m_isWanted = true;
+    if (m_isOut || m_pause > Duration::zero())
+        return; // it is written once that call has ended
+    m_again = Timer::once(m_base, std::max(spread, Duration(1)), [this] { write(); });
+}
+
 void RecordWriter::write()
 {
     if (m_isOut || !m_isWanted)
--- a/src/Mesh/RecordWriter.h
+++ b/src/Mesh/RecordWriter.h
@@ -27,6 +27,9 @@
     /// \brief Sets the value; empty takes the key away.
     void set(std::string value);
 
+    /// \brief The store may have lost what was written: writes the value once more, within \a spread.
+    void writeAgain(Duration spread);
+
     /// \returns whether the last value that was set is in the store.
     bool isWritten() const { return !m_isWanted && !m_isOut; }
     /// \returns writes made so far, failed ones too.
@@ -44,6 +47,7 @@
     std::string m_topic;
     std::string m_key;
     std::string m_value;
+    bool m_hasValue = false; ///< one was set
     bool m_isWanted = false;
     bool m_isOut = false;
     Duration m_pause {}; ///< the last one after a failure; zero after a success
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -116,7 +116,7 @@
     noteConfirmed(page.value(), monotonicNow());
     m_next = page.value().next;
     noteUnreadable(page.value());
-    m_handler(page.value().records);
+    m_handler(page.value());
     setConnected(true, "");
     setAnswered(true);
     if (!m_options.pause)
@@ -137,13 +137,13 @@
         return;
     m_unreadable += page.unreadable;
     log(LogLevel::Warning, "store-entries-unreadable",
-        { { "topic", m_options.topic }, { "entries", page.unreadable }, { "next", page.next } });
+        { { "topic", m_options.topic }, { "entries", page.unreadable }, { "next", page.next.offset } });
 }
 
 void TopicFollower::failed(const PlatformError& error)
 {
     if (error.kind == PlatformErrorKind::Forgotten) {
-        log(LogLevel::Info, "topic-forgotten", { { "topic", m_options.topic }, { "from", m_next } });
+        log(LogLevel::Info, "topic-forgotten", { { "topic", m_options.topic }, { "from", m_next.offset }, { "why", error.message } });
         return readNewest();
     }
     ++m_failures;
@@ -174,7 +174,7 @@
         return;
     m_hasToldLost = !isConnected;
     log(isConnected ? LogLevel::Info : LogLevel::Warning, isConnected ? "store-reached" : "store-lost",
-        { { "topic", m_options.topic }, { "why", why }, { "next", m_next },
+        { { "topic", m_options.topic }, { "why", why }, { "next", m_next.offset },
             { "read_ms", toMilliseconds(monotonicNow() - m_sent) } });
 }
 
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -37,7 +37,7 @@
         /// The longest time between two tries, so that a store which is back is noticed in time.
         std::function<Duration()> longestRetry = [] { return Duration(1s); };
     };
-    using Handler = std::function<void(const std::vector<KeyedRecord>&)>;
+    using Handler = std::function<void(const KeyedPage&)>;
 
     /// \param handler gets the records of each answer together, in the order they were written. \param random
     /// for the jitter. The store and \a random must outlive the follower.
@@ -105,7 +105,7 @@
     Options m_options;
     Handler m_handler;
     Random* m_random;
-    std::uint64_t m_next = 0; ///< offset to read on from
+    StorePosition m_next; ///< to read on from
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
     std::uint64_t m_unreadable = 0;
--- a/src/Node/BackendReply.cpp
+++ b/src/Node/BackendReply.cpp
@@ -13,6 +13,7 @@
     constexpr double usualPercent = 100;
     /// Beyond this a figure is taken for a mistake.
     constexpr double maxSlowdown = 100;
+    constexpr Duration longestCold = 1h;
 
 } // namespace
 
@@ -46,4 +47,14 @@
         std::clamp(fields[3] / usualPercent, 1.0, maxSlowdown) };
 }
 
+std::optional<Duration> parseColdFor(std::string_view text)
+{
+    std::uint32_t ms = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    const Duration out = std::chrono::milliseconds(ms);
+    if (text.empty() || ec != std::errc() || end != text.data() + text.size() || out > longestCold)
+        return std::nullopt;
+    return out;
+}
+
 } // namespace robinrun
--- a/src/Node/BackendReply.h
+++ b/src/Node/BackendReply.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Time.h"
 #include "Http/HttpTypes.h"
 #include "Node/CallHeaders.h"
 
@@ -31,4 +32,8 @@
 /// \brief Parses `running,waiting,slots[,percent]`. \returns nothing if it isn't that.
 std::optional<BackendLoad> parseLoad(std::string_view text);
 
+/// \brief Parses how long a backend server stays cold, in whole ms. \returns nothing if it isn't that, or more
+/// than an hour: no server takes so long.
+std::optional<Duration> parseColdFor(std::string_view text);
+
 } // namespace robinrun
--- a/src/Node/Directory.cpp
+++ b/src/Node/Directory.cpp
@@ -86,6 +86,7 @@
     m_groups.clear();
     m_groupByHash.clear();
     m_groupByCredential.clear();
+    m_emptiedByResource.clear();
 }
 
 void Directory::add(const proto::Resource& resource)
@@ -97,13 +98,20 @@
         addGroup(id, resource.group());
     else if (resource.has_route())
         addRoute(id, resource.route());
+    else if (resource.has_data_hall() && resource.data_hall().emptied())
+        m_emptiedByResource.insert(id);
 }
 
 void Directory::addUpstream(const proto::Resource& resource)
 {
     const auto it = m_services.find(resource.upstream().service());
-    if (it != m_services.end())
-        it->second.upstreams.push_back({ idOf(resource.name()), resource.upstream() });
+    if (it == m_services.end())
+        return;
+    it->second.upstreams.push_back({ idOf(resource.name()), resource.upstream() });
+    auto& config = it->second.upstreams.back().config;
+    const auto& hall = config.data_hall();
+    if (m_emptiedHalls.contains(hall) || m_emptiedByResource.contains(hall))
+        config.set_leaving(true);
 }
 
 void Directory::rebuild(const ConfigState& state)
--- a/src/Node/Directory.h
+++ b/src/Node/Directory.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -79,6 +80,10 @@
     /// ms for 300 upstreams.
     void replaceUpstreams(std::span<const proto::Resource> upstreams);
 
+    /// \brief The operator has emptied \a halls: their upstreams count as leaving from the next change of
+    /// upstreams on, beside those that resources name.
+    void setEmptiedHalls(std::set<std::string> halls) { m_emptiedHalls = std::move(halls); }
+
     /// \returns the route of a call to \a host (without a port) and \a path: the longest prefix that fits.
     const RouteInfo* route(std::string_view host, std::string_view path) const;
     bool hasRoutes() const { return !m_routes.empty(); }
@@ -113,6 +118,8 @@
     std::map<std::string, ServiceInfo, std::less<>> m_services;
     std::map<std::string, std::vector<RouteInfo>, std::less<>> m_routes; ///< by host, longest prefix first
     std::vector<GroupInfo> m_groups;
+    std::set<std::string> m_emptiedHalls; ///< as they were told
+    std::set<std::string> m_emptiedByResource;
     std::unordered_map<std::string, std::size_t> m_groupByHash;
     std::unordered_map<std::string, const GroupInfo*> m_groupByCredential;
 };
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -89,6 +89,34 @@
     finish(id, call, reply, CallOutcome::NotRun, reason, now);
 }
 
+bool Ingress::isHopelesslyCold(const Call& call, const std::string& upstream, Instant now)
+{
+    auto& router = *m_routers.at(call.request.service);
+    const auto* view = router.find(upstream);
+    if (!view || view->coldWait(now) == Duration::zero() || !call.request.isByRoute)
+        return false;
+    const auto end = now + router.expectedAt(upstream, needsOf(call, now), now);
+    const auto target = call.request.callClass.targetLatency;
+    const bool isTimely = call.request.isNested || target == Duration::zero();
+    return end > (isTimely ? call.deadline : std::min(call.arrived + target, call.deadline));
+}
+
+void Ingress::finishCold(CallId id, Call& call, const std::string& upstream, Instant now)
+{
+    const auto* view = m_routers.at(call.request.service)->find(upstream);
+    const auto& report = *view->report();
+    const auto wait = view->coldWait(now);
+    const auto coldLeft = std::max(report.load.coldFor - (now - report.heard), wait);
+    call.trail.setNotable();
+    call.trail.add({ RequestEvent::UpstreamCold, now, upstream, 0, Reason::WarmingUp,
+        { { "wait_ms", wait.count() / 1000 }, { "cold_ms", coldLeft.count() / 1000 },
+            { "news_age_ms", (now - report.heard).count() / 1000 } } });
+    // Spread over what is left, so that those who come back don't meet the same pace together.
+    const auto spread = fromSeconds(toSeconds(coldLeft - wait) * m_context->random.unit());
+    call.retryAfterMs = static_cast<std::uint32_t>(toMilliseconds(wait + spread));
+    finishNotRun(id, call, Reason::WarmingUp, now);
+}
+
 void Ingress::finishUnknown(CallId id, Call& call, Reason reason, Instant now)
 {
     if (finishWithFailure(id, call, now))
--- a/src/Node/OperatorApi.cpp
+++ b/src/Node/OperatorApi.cpp
@@ -18,7 +18,7 @@
     constexpr Duration watchWait = 25s;
     constexpr std::size_t maxWatches = 1000;
     constexpr std::string_view bearer = "Bearer ";
-    const std::array<std::string, 4> kinds { "services", "upstreams", "groups", "routes" };
+    const std::array<std::string, 5> kinds { "services", "upstreams", "groups", "routes", "halls" };
 
     HttpReply jsonReply(int status, std::string body)
     {
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -15,6 +15,18 @@
     constexpr double percent = 100;
     constexpr std::int64_t neverHeard = -1; // in the log, for an age
 
+    /// Of what the deployment allows on top of a cold server's pace: questions for its health may count too.
+    constexpr double spareStarts = 2;
+
+    WarmUpTerms warmUpTerms(const proto::Service& service, double factor, double burst)
+    {
+        WarmUpTerms out;
+        out.length = std::chrono::milliseconds(service.warm_up_ms());
+        out.bound.perSecond = factor * service.warm_up_per_s();
+        out.bound.burst = std::max(burst - spareStarts, 0.0);
+        return out;
+    }
+
     Hash128 fingerprintOf(const proto::Call& call)
     {
         return hash128(call.group() + '\n' + call.method() + '\n' + call.target() + '\n' + call.body());
@@ -51,14 +63,20 @@
     }
     m_serviceId = info->config.service();
     const auto& serviceInfo = *service();
+    const bool isFirst = !m_pool;
     const auto slots = info->config.slots();
     m_admission.setSlots(slots);
     m_admission.setLimit(m_context->settings.admission.limit, m_context->settings.admission.usableShare);
     m_admission.setQueueLimit(serviceInfo.config.queue_limit());
+    const auto& admission = m_context->settings.admission;
+    m_admission.warmUp().setKind(admission.coldPace);
+    m_admission.warmUp().setTerms(warmUpTerms(serviceInfo.config, admission.coldFactor, admission.coldBurst));
     for (const auto& it : m_context->directory.groups())
         m_admission.setWeight(it.number, it.weightIn(m_serviceId));
     if (m_backendAddress != info->config.address() || m_boundUpstream != info->id)
         turnTo(*info, now);
+    if (isFirst)
+        doubtWarmth(now);
     m_prober.setPath(serviceInfo.config.health_path(), m_context->headers);
     m_prober.setOptions(
         { serviceInfo.config.probes_per_s(), serviceInfo.config.probe_slot_share(), slots }, now);
@@ -71,6 +89,9 @@
         return;
     log(LogLevel::Info, "upstream-sign",
         { { "upstream", upstream() }, { "sign", nameOf(sign) }, { "set", isSet } });
+    // A hall is given back while its servers may have turned cold.
+    if (sign == LeavingSign::Operator && !isSet)
+        doubtWarmth(now);
     if (const auto state = m_leaving.set(sign, isSet))
         lifeChanged(*state, now);
 }
@@ -94,6 +115,7 @@
             lifeChanged(*state, now);
     }
     refuseGivenUp(now);
+    noteWarmUp(now);
     m_seen.forgetSilent(now);
     std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
@@ -145,7 +167,7 @@
 
 bool Owner::isReadyAtOnce(Instant now) const
 {
-    return m_admission.hasFreeSlot() && !isSlow(m_admission.load(now).slowdown);
+    return m_admission.hasFreeSlot(now) && !isSlow(m_admission.load(now).slowdown);
 }
 
 void Owner::mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now)
@@ -277,6 +299,24 @@
         refuse(it, now);
     for (const auto id : dispatch.run)
         run(id, now);
+    resumeInTime(now);
+}
+
+void Owner::resumeInTime(Instant now)
+{
+    const auto next = m_admission.nextStart(now);
+    if (next == m_resumesAt)
+        return;
+    m_resumesAt = next;
+    m_resumeTimer = Timer();
+    if (!next)
+        return;
+    const auto delay = std::max(*next - now, Duration(1));
+    m_resumeTimer = Timer::once(m_context->base, delay, [this] {
+        const auto then = monotonicNow();
+        m_resumesAt.reset();
+        act(m_admission.resume(then), then);
+    });
 }
 
 } // namespace robinrun
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -76,6 +76,12 @@
 
     /// \brief Something else than a call shows that the backend server lives.
     void heardFromBackend(Instant now) { setDown(false, now); }
+    /// \brief An announcement of the present life says that the server is cold for \a left; zero: it is warm.
+    void heardWarmUp(Duration left, Instant now);
+    /// \brief As heardWarmUp(), from a health answer that was asked for at \a asked.
+    void answeredWarmUp(Duration left, Instant asked, Instant now);
+    /// \brief The server may have turned cold unseen: it counts as cold until it says otherwise, and is asked.
+    void doubtWarmth(Instant now);
     bool isBackendDown() const { return m_isDown; }
 
     /// \returns connections to the backend server opened so far.
@@ -170,6 +176,12 @@
     void learn(const HttpReply& reply, Instant now);
     void setSlowdown(double slowdown, Instant now);
     void setDown(bool isDown, Instant now);
+    /// \brief Logs that the server has turned cold or warm, tells ingresses and starts what may start.
+    void noteWarmUp(Instant now);
+    /// \brief Sees to it that what waits for a cold server starts when it may.
+    void resumeInTime(Instant now);
+    /// \returns whether the server's health is to be asked because nothing else tells how it is.
+    bool asksHealth(const LoadReport& load, Instant now) const;
     /// \brief Logs the limit on calls that run at once, if it has changed.
     void noteLimit();
     void tellLoad(Instant now);
@@ -211,6 +223,9 @@
     double m_toldSlowdown = 1;
     std::uint32_t m_loggedLimit = 0;
     Instant m_nextProbe {};
+    bool m_loggedCold = false;
+    Timer m_resumeTimer; ///< until a call that waits for a cold server may start
+    std::optional<Instant> m_resumesAt;
     std::optional<Instant> m_loadHeard; ///< when the backend server last told its slow-down
     std::string m_serviceId;
     std::uint64_t m_lastId = 0;
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -150,6 +150,9 @@
         static_cast<std::uint32_t>(m_leaving.isLeaving() ? UpstreamState::Leaving : UpstreamState::Active));
     out.set_slowdown_permille(static_cast<std::uint32_t>(load.slowdown * permille));
     out.set_down(m_isDown);
+    out.set_cold_ms(static_cast<std::uint32_t>(toMilliseconds(load.coldFor)));
+    out.set_cold_per_s(load.coldPerSecond);
+    out.set_next_start_us(static_cast<std::uint32_t>(load.nextStart.count()));
     const auto it = m_bySender.find({ senderLife, group });
     out.set_yours(it == m_bySender.end() ? 0 : it->second);
     out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -5,6 +5,7 @@
 #include "Node/Owner.h"
 
 #include <algorithm>
+#include <utility>
 
 /// \file An owner and its backend server: how calls are sent there and what is learnt from it.
 
@@ -42,9 +43,10 @@
         return probe(now);
     }
     const auto load = m_admission.load(now);
-    const bool asksWhileSlow = m_context->settings.experiments.isOn(Mechanism::ProbeWhileSlow);
-    if (asksWhileSlow && isSlow(load.slowdown) && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow))
+    if (asksHealth(load, now))
         return probe(now);
+    if (m_leaving.hasSign(LeavingSign::Operator))
+        return; // nothing that a server might count as work
     const auto freeSlots = load.slots > load.inUse ? load.slots - load.inUse : 0;
     const bool isStarted
         = m_prober.tryProbe(*m_pool, freeSlots, load.waiting, now, [this](const ProbeNews& news, Duration) {
@@ -59,6 +61,51 @@
     m_context->metrics.count("robinrun_probes_total");
 }
 
+bool Owner::asksHealth(const LoadReport& load, Instant now) const
+{
+    if (m_leaving.hasSign(LeavingSign::Operator))
+        return false;
+    if (m_admission.warmUp().isInDoubt(now))
+        return true;
+    // A cold server is slow, as it has said; calls are few then, and each answer tells its slow-down.
+    const bool isSlowUnexplained = isSlow(load.slowdown) && load.coldFor == Duration::zero();
+    return m_context->settings.experiments.isOn(Mechanism::ProbeWhileSlow) && isSlowUnexplained
+        && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow);
+}
+
+void Owner::heardWarmUp(Duration left, Instant now)
+{
+    m_admission.warmUp().announced(left, now);
+    noteWarmUp(now);
+}
+
+void Owner::answeredWarmUp(Duration left, Instant asked, Instant now)
+{
+    m_admission.warmUp().answered(left, asked, now);
+    noteWarmUp(now);
+}
+
+void Owner::doubtWarmth(Instant now)
+{
+    m_admission.warmUp().doubt(now);
+    if (m_pool && asksHealth(m_admission.load(now), now))
+        probe(now);
+    noteWarmUp(now);
+}
+
+void Owner::noteWarmUp(Instant now)
+{
+    const auto& warmUp = m_admission.warmUp();
+    if (std::exchange(m_loggedCold, warmUp.isCold(now)) == warmUp.isCold(now))
+        return;
+    log(LogLevel::Info, m_loggedCold ? "backend-cold" : "backend-warm",
+        { { "upstream", upstream() }, { "cold_for_ms", toMilliseconds(warmUp.left(now)) },
+            { "in_doubt", warmUp.isInDoubt(now) }, { "calls_per_s", warmUp.perSecond() },
+            { "in_use", m_admission.inUse() } });
+    act(m_admission.resume(now), now);
+    tellLoad(now);
+}
+
 void Owner::probe(Instant now)
 {
     const bool isStarted = m_prober.probe(*m_pool, now, [this, now](const ProbeNews& news, Duration) {
@@ -70,6 +117,8 @@
             backendRefused(end);
         if (news.slowdown)
             setSlowdown(*news.slowdown, end);
+        if (news.coldFor)
+            answeredWarmUp(*news.coldFor, now, end);
     });
     if (isStarted)
         m_context->metrics.count("robinrun_probes_total");
--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -33,6 +33,8 @@
             news.slots = load->slots;
         }
     }
+    if (const auto text = findHeader(reply.headers, m_names.coldFor))
+        news.coldFor = parseColdFor(*text);
     return news;
 }
 
--- a/src/Node/Prober.h
+++ b/src/Node/Prober.h
@@ -19,6 +19,7 @@
     std::string upstream; ///< id of the server's present start, if it tells
     std::uint32_t slots = 0; ///< if it tells
     std::optional<double> slowdown;
+    std::optional<Duration> coldFor; ///< how long the server stays cold; zero if it is warm
 };
 
 /// \brief Asks the backend server's health endpoint, inside the budget and only on a free slot.
--- a/src/Platform/AppendLog.h
+++ b/src/Platform/AppendLog.h
@@ -18,11 +18,12 @@
     Refused, ///< the service answered that it won't
     Malformed, ///< the reply makes no sense
     Forgotten, ///< what was asked for is no longer kept
+    FormerEra, ///< the answer is of a time before the store came back from an older copy
 };
 
 template <> struct EnumNames<PlatformErrorKind> {
-    static constexpr std::array<std::string_view, 5> names { "unreachable", "uncertain", "refused",
-        "malformed", "forgotten" };
+    static constexpr std::array<std::string_view, 6> names { "unreachable", "uncertain", "refused",
+        "malformed", "forgotten", "former-era" };
 };
 
 /// \brief The platform layer's own error.
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -74,13 +74,35 @@
 Duration Admission::expectedWait(std::uint32_t group, std::uint32_t priority, Instant now) const
 {
     if (inUse() < limit() && m_queue.isEmpty())
-        return Duration::zero();
+        return coldWait(Duration::zero(), now);
     const double share = m_queue.shareOf(group);
-    const double ahead = toSeconds(m_queue.costAhead(group, priority));
+    const double ahead = toSeconds(m_queue.costAhead(group, priority)) / share;
     const double slots = limit();
     // The next slot comes free after about one slot time over the number of slots.
-    const double firstFree = toSeconds(m_service.overall(now)) / slots;
-    return fromSeconds(firstFree + ahead / (slots * share));
+    const double firstFree = inUse() < limit() ? 0 : toSeconds(m_service.overall(now)) / slots;
+    return std::max(fromSeconds(firstFree + ahead / slots), coldWait(fromSeconds(ahead), now));
+}
+
+Duration Admission::coldWait(Duration ahead, Instant now) const
+{
+    if (!m_warmUp.isPaced(now))
+        return Duration::zero();
+    const auto first = std::max(m_warmUp.nextStart(now) - now, Duration::zero());
+    const double calls = toSeconds(ahead) / std::max(toSeconds(m_service.mean()), toSeconds(Duration(1)));
+    return std::min(first + fromSeconds(calls / m_warmUp.perSecond()), m_warmUp.left(now));
+}
+
+std::optional<Instant> Admission::nextStart(Instant now) const
+{
+    const bool isHeldBack = !m_queue.isEmpty() && inUse() < limit() && m_warmUp.isPaced(now);
+    return isHeldBack ? std::optional(m_warmUp.nextStart(now)) : std::nullopt;
+}
+
+Dispatch Admission::resume(Instant now)
+{
+    Dispatch out;
+    fill(out, now);
+    return out;
 }
 
 Dispatch Admission::offer(const Offer& offer, Instant now)
@@ -218,8 +240,15 @@
 
 LoadReport Admission::load(Instant now) const
 {
-    return { limit(), inUse(), static_cast<std::uint32_t>(m_queue.size()), m_service.overall(now),
+    LoadReport out { limit(), inUse(), static_cast<std::uint32_t>(m_queue.size()), m_service.overall(now),
         m_service.slowdown() };
+    out.coldFor = m_warmUp.left(now);
+    if (!m_warmUp.isPaced(now))
+        return out;
+    out.coldPerSecond = m_warmUp.perSecond();
+    const auto waiting = fromSeconds(double(out.waiting) / out.coldPerSecond);
+    out.nextStart = std::max(m_warmUp.nextStart(now) - now, Duration::zero()) + waiting;
+    return out;
 }
 
 LoadReport Admission::loadFor(std::uint32_t group, Instant now) const
@@ -232,7 +261,7 @@
 
 void Admission::fill(Dispatch& out, Instant now)
 {
-    while (inUse() < limit()) {
+    while (inUse() < limit() && m_warmUp.nextStart(now) <= now) {
         const auto call = m_queue.pop();
         if (!call)
             return;
@@ -257,6 +286,7 @@
     m_running.emplace(call.id, running);
     m_waiting.erase(waiting);
     m_service.started(call.id, now);
+    m_warmUp.started(now);
     out.run.push_back(call.id);
 }
 
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -5,9 +5,11 @@
 #include "Queueing/Refusal.h"
 #include "Queueing/ServiceEstimate.h"
 #include "Queueing/SojournControl.h"
+#include "Queueing/WarmUp.h"
 #include "Queueing/WorkClock.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -44,6 +46,9 @@
     Duration service {};
     double slowdown = 1; ///< how much longer work takes at this moment, as the backend server says
     bool isDown = false; ///< the backend server can't be reached
+    Duration coldFor {}; ///< how long the backend server stays cold; zero if it is warm
+    double coldPerSecond = 0; ///< calls that are started a second while it is; 0: as many as there are slots
+    Duration nextStart {}; ///< while it is paced: until a call that came now could start
 };
 
 /// \brief Decides at the owner which calls run on the backend server, which wait and which are refused.
@@ -83,6 +88,18 @@
     /// \brief Changes how the limit is found, or the share of the slots of one that is fixed.
     void setLimit(LimitKind kind, double share);
 
+    /// \brief What is known of the backend server's warm-up, to be told of news. What it holds back shows in
+    /// the next step; \sa nextStart().
+    WarmUp& warmUp() { return m_warmUp; }
+    const WarmUp& warmUp() const { return m_warmUp; }
+
+    /// \returns when a waiting call may start that is held back only for the server's warm-up; nothing if
+    /// there is none.
+    std::optional<Instant> nextStart(Instant now) const;
+
+    /// \brief Starts what may start by now. To be called at nextStart().
+    Dispatch resume(Instant now);
+
     /// \brief Work takes \a factor times as long as usual from now on.
     void setSlowdown(double factor, Instant now);
 
@@ -117,7 +134,10 @@
     Dispatch releaseSlot(Instant now);
 
     /// \returns whether a call that came now would get a slot at once.
-    bool hasFreeSlot() const { return !m_isLeaving && inUse() < limit() && m_queue.isEmpty(); }
+    bool hasFreeSlot(Instant now) const
+    {
+        return !m_isLeaving && inUse() < limit() && m_queue.isEmpty() && m_warmUp.nextStart(now) <= now;
+    }
 
     LoadReport load(Instant now) const;
 
@@ -142,6 +162,8 @@
     };
 
     void fill(Dispatch& out, Instant now);
+    /// \returns how long a call with \a ahead of slot time before it waits for the server's warm-up.
+    Duration coldWait(Duration ahead, Instant now) const;
     void start(const QueuedCall& call, Dispatch& out, Instant now);
     /// \brief Tells the limit what a call that ran to its end, or not, says of it.
     void teachLimit(const Running& call, RunEnd end, Instant now);
@@ -158,6 +180,7 @@
     Options m_options;
     ConcurrencyLimit m_limit;
     WorkClock m_workClock;
+    WarmUp m_warmUp;
     FairQueue m_queue;
     ServiceEstimate m_service;
     std::unordered_map<std::uint32_t, SojournControl> m_sojourn;
--- a/src/Routing/Choice.cpp
+++ b/src/Routing/Choice.cpp
@@ -179,7 +179,7 @@
     const double load = view.inFlight() + others;
     const double wait = toSeconds(service) * std::max(0.0, load + 1 - usable) / usable;
     const double work = toSeconds(in.work.of(1).value_or(Duration::zero())) * slowdown;
-    return view.roundTrip() + fromSeconds(wait + work);
+    return view.roundTrip() + std::max(fromSeconds(wait), view.coldWait(in.now)) + fromSeconds(work);
 }
 
 double TimelyChoice::loss(const UpstreamView& view, const ChoiceInput& in) const
--- a/src/Routing/UpstreamView.cpp
+++ b/src/Routing/UpstreamView.cpp
@@ -89,6 +89,19 @@
     return std::max(own, m_report->errorShare * freshness(now - m_report->heard, errorMemory));
 }
 
+Duration UpstreamView::coldWait(Instant now) const
+{
+    if (!m_report || m_report->load.coldPerSecond <= 0)
+        return Duration::zero();
+    const auto age = now - m_report->heard;
+    const auto coldLeft = m_report->load.coldFor - age;
+    if (coldLeft <= Duration::zero())
+        return Duration::zero();
+    const double unheard = std::max(double(m_inFlight) - m_report->yours, 0.0);
+    const auto wait = m_report->load.nextStart - age + fromSeconds(unheard / m_report->load.coldPerSecond);
+    return std::clamp(wait, Duration::zero(), coldLeft);
+}
+
 double UpstreamView::warmth(Duration warmUp, Instant now) const
 {
     if (!m_coldSince || warmUp <= Duration::zero())
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -127,13 +127,13 @@
     client.newest("keyed.t", [&](auto page) { newest = page.value(); });
     REQUIRE(support::runUntil(base.get(), [&] { return newest.has_value(); }));
     REQUIRE(newest->records.at(0).value == value);
-    REQUIRE(newest->next == 1);
+    REQUIRE(newest->next.offset == 1);
     std::optional<KeyedPage> followed;
-    client.follow("keyed.t", 1, 5s, [&](auto page) { followed = page.value(); });
+    client.follow("keyed.t", { 0, 1 }, 5s, [&](auto page) { followed = page.value(); });
     const auto later = Timer::once(base.get(), 20ms, [&] { store.put("keyed.t", "k", "second"); });
     REQUIRE(support::runUntil(base.get(), [&] { return followed.has_value(); }));
     REQUIRE(followed->records.at(0).value == "second");
-    REQUIRE(followed->next == 2);
+    REQUIRE(followed->next.offset == 2);
 }
 
 TEST_CASE("A call of the store is done, not done or unknown, and says which", "[platform]")
--- a/test/SlowLinkTest.cpp
+++ b/test/SlowLinkTest.cpp
@@ -36,14 +36,14 @@
     std::vector<Result<KeyedPage, PlatformError>> pages;
     const auto take = [&](auto page) { pages.push_back(std::move(page)); };
     client.newest("keyed.op", take);
-    client.follow("keyed.op", 0, Duration::zero(), take);
+    client.follow("keyed.op", {}, Duration::zero(), take);
     REQUIRE(support::runUntil(base.get(), [&] { return pages.size() == 2; }));
     for (const auto& it : pages) {
         REQUIRE(it);
         REQUIRE((it.value().records.front().value == text));
     }
     // One that falls silent half way is still given up.
-    client.follow("keyed.op", 0, Duration::zero(), take);
+    client.follow("keyed.op", {}, Duration::zero(), take);
     bool isUnderWay = false;
     const auto underWay = Timer::once(base.get(), timeout / 2, [&] { isUnderWay = true; });
     REQUIRE(support::runUntil(base.get(), [&] { return isUnderWay; }));
--- a/test/StaleNodeTest.cpp
+++ b/test/StaleNodeTest.cpp
@@ -38,8 +38,8 @@
         options.mayRest = [this] { return mayRest; };
         follower = std::make_unique<TopicFollower>(
             base.get(), client, options,
-            [this](const auto& records) {
-                for (const auto& it : records)
+            [this](const KeyedPage& page) {
+                for (const auto& it : page.records)
                     value = it.value;
             },
             random);
@@ -92,11 +92,11 @@
     f.proxy.limit(FarStore::bytesPerSecond);
     f.store.put("keyed.op", "config", noise(2400000, 1));
     std::optional<bool> isRead;
-    f.client.follow("keyed.op", 0, 10s, [&](const auto& page) { isRead = page.has_value(); });
+    f.client.follow("keyed.op", {}, 10s, [&](const auto& page) { isRead = page.has_value(); });
     REQUIRE(runUntil(f.base.get(), [&] { return isRead.has_value(); }));
     REQUIRE(*isRead);
     isRead.reset();
-    f.client.follow("keyed.op", 0, 0s, [&](const auto& page) { isRead = page.has_value(); });
+    f.client.follow("keyed.op", {}, 0s, [&](const auto& page) { isRead = page.has_value(); });
     REQUIRE(runUntil(f.base.get(), [&] { return isRead.has_value(); }));
     REQUIRE(*isRead);
 }
--- a/test/StoreWatchTest.cpp
+++ b/test/StoreWatchTest.cpp
@@ -30,9 +30,9 @@
     {
         reads.push_back({ true, 0, {}, std::move(done) });
     }
-    void follow(const std::string&, std::uint64_t from, Duration wait, Paged done) override
+    void follow(const std::string&, StorePosition from, Duration wait, Paged done) override
     {
-        reads.push_back({ false, from, wait, std::move(done) });
+        reads.push_back({ false, from.offset, wait, std::move(done) });
     }
     void write(const std::string&, const std::string&, const std::string&, Written) override { }
 
@@ -53,7 +53,7 @@
         options.firstRetry = 1ms;
         options.longestRetry = [] { return Duration(2ms); };
         follower = std::make_unique<TopicFollower>(
-            base.get(), store, options, [this](const auto& records) { pages.push_back(records); }, random);
+            base.get(), store, options, [this](const KeyedPage& page) { pages.push_back(page.records); }, random);
         follower->start();
     }
 
@@ -62,7 +62,7 @@
     {
         const auto next = last().from + records.size();
         const auto done = std::move(store.reads.back().done);
-        done(KeyedPage { std::move(records), next });
+        done(KeyedPage { std::move(records), { 0, next } });
     }
 
     /// \brief The last read failed; waits for the next one.
