Cold backend servers get their calls at a pace, emptied halls nothing, and a store that is back from a copy is noticed

The operator's wish to empty a hall was not read. A store that came back from an older copy was read on from an offset that stood for something else.

Change: WarmUp and ColdPace hold at the owner what any second allows, through doubts, restarts and late news; loads tell how long a server stays cold and when it could start a call; an ingress refuses at once what even the best server would start too late. EmptiedHalls keeps the newest record of each hall, from the store or from contacts; servers there count as leaving. StoreEra stands in each position; on a change waiting reads are given up, topics are read anew and the own record is written again, spread within the store's rate.

--- a/bench/shared/SharedRun.cpp
+++ b/bench/shared/SharedRun.cpp
@@ -131,8 +131,8 @@
 {
     const auto& call = m_calls.at(id);
     auto& upstream = m_upstreams[call.upstream];
-    const bool isReady
-        = upstream.admission.hasFreeSlot(m_loop.now()) && !isSlow(upstream.admission.load(m_loop.now()).slowdown);
+    const bool isReady = upstream.admission.hasFreeSlot(m_loop.now())
+        && !isSlow(upstream.admission.load(m_loop.now()).slowdown);
     if (onlyAtOnce && !isReady)
         return answer(id, Reason::Busy);
     Offer offer;
--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -18,7 +18,12 @@
         LogEventInfo { "reload-refused", "field error", "the settings are bad; the old ones stay in force" },
         LogEventInfo { "store-reached", "topic why next read_ms", "the store answers (again)" },
         LogEventInfo { "store-lost", "topic why next read_ms", "a read of the store failed" },
-        LogEventInfo { "topic-forgotten", "topic from", "records were no longer kept; the newest are read" },
+        LogEventInfo { "store-era", "era before first",
+            "the store is back from an older copy; all is read anew, and the own record written again" },
+        LogEventInfo { "store-era-unreadable", "fault value era",
+            "an answer's era makes no sense; the store is taken to be back from a copy" },
+        LogEventInfo {
+            "topic-forgotten", "topic from why", "records were no longer kept; the newest are read" },
         LogEventInfo { "record-not-written", "topic key error message", "a write failed; it is made again" },
         LogEventInfo { "peer-lost", "peer", "a link ended; what was out there gets no answer" },
         LogEventInfo { "peer-back", "peer", "a lost peer is heard again" },
@@ -56,6 +61,13 @@
             "a former life of this node says that it started later; this one counts as later still" },
         LogEventInfo { "upstream-sign", "upstream sign set", "a reason to leave came or went" },
         LogEventInfo { "upstream-life", "upstream state", "the own upstream's life moved on" },
+        LogEventInfo {
+            "hall-emptied", "hall era offset", "nothing more is sent to the backend servers there" },
+        LogEventInfo { "hall-taken-back", "hall era offset", "its backend servers get calls again" },
+        LogEventInfo { "backend-cold", "upstream cold_for_ms in_doubt calls_per_s in_use",
+            "it gets calls at this pace; in_doubt: until it says whether it is cold" },
+        LogEventInfo { "backend-warm", "upstream cold_for_ms in_doubt calls_per_s in_use",
+            "it gets as many calls as it has slots" },
         LogEventInfo { "backend-down", "upstream unreached", "connections can't be made" },
         LogEventInfo { "backend-up", "upstream unreached", "it answers again" },
         LogEventInfo { "backend-crashed", "upstream report suspects",
@@ -122,6 +134,8 @@
             "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
             "not_run",
             "the ingress took it back" },
+        LogEventInfo { "upstream-cold", "request attempt upstream reason wait_ms cold_ms news_age_ms",
+            "even the best upstream is cold and would start the call too late" },
     };
 
 } // namespace
--- a/src/Mesh/MeshFormats.h
+++ b/src/Mesh/MeshFormats.h
@@ -19,8 +19,8 @@
     CallHeaders headers;
     std::string configurationTopic; ///< of the store; the configuration is one record in it
     std::string configurationKey;
-    /// \returns the data hall that a record beside the configuration empties by its key; nothing if it is about
-    /// something else.
+    /// \returns the data hall that a record beside the configuration empties by its key; nothing if it is
+    /// about something else.
     std::function<std::optional<std::string>(std::string_view key)> emptiedHallOf;
     std::string nodesTopic; ///< of the store; the nodes' own
     std::string readinessPath; ///< 200 if the node is ready, else 503
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -182,8 +182,7 @@
     config.changed = [this] { tellContacts(monotonicNow()); };
     m_configFeed = std::make_unique<TopicFollower>(
         base, *m_store, config,
-        [this](const KeyedPage& page) { takeStoredConfiguration(page, monotonicNow()); },
-        m_context.random);
+        [this](const KeyedPage& page) { takeStoredConfiguration(page, monotonicNow()); }, m_context.random);
     TopicFollower::Options nodes;
     nodes.topic = m_formats.nodesTopic;
     nodes.pause = [this] { return nodesPause(); };
@@ -247,13 +246,12 @@
         const auto since = m_store->era().since();
         return since ? toSeconds(monotonicNow() - *since) : neverConfirmed;
     });
-    metrics.gauge(
-        "robinrun_store_era_faults_total", [this] { return double(m_store->era().faults()); });
+    metrics.gauge("robinrun_store_era_faults_total", [this] { return double(m_store->era().faults()); });
     metrics.gauge("robinrun_halls_emptied", [this] { return double(m_halls.emptied().size()); });
     metrics.gauge("robinrun_own_hall_emptied",
         [this] { return m_halls.isEmptied(m_context.settings.dataHall) ? 1.0 : 0.0; });
-    metrics.gauge("robinrun_backend_cold_seconds",
-        [this] { return toSeconds(m_owner->load(monotonicNow()).coldFor); });
+    metrics.gauge(
+        "robinrun_backend_cold_seconds", [this] { return toSeconds(m_owner->load(monotonicNow()).coldFor); });
     metrics.gauge("robinrun_retries_saved", [this] { return m_ingress->savedRetries(); });
     metrics.gauge("robinrun_upstream_news_age_seconds",
         [this] { return toSeconds(m_ingress->meanNewsAge(monotonicNow())); });
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -143,7 +143,8 @@
 void TopicFollower::failed(const PlatformError& error)
 {
     if (error.kind == PlatformErrorKind::Forgotten) {
-        log(LogLevel::Info, "topic-forgotten", { { "topic", m_options.topic }, { "from", m_next.offset }, { "why", error.message } });
+        log(LogLevel::Info, "topic-forgotten",
+            { { "topic", m_options.topic }, { "from", m_next.offset }, { "why", error.message } });
         return readNewest();
     }
     ++m_failures;
--- a/src/Node/BackendReply.h
+++ b/src/Node/BackendReply.h
@@ -32,8 +32,8 @@
 /// \brief Parses `running,waiting,slots[,percent]`. \returns nothing if it isn't that.
 std::optional<BackendLoad> parseLoad(std::string_view text);
 
-/// \brief Parses how long a backend server stays cold, in whole ms. \returns nothing if it isn't that, or more
-/// than an hour: no server takes so long.
+/// \brief Parses how long a backend server stays cold, in whole ms. \returns nothing if it isn't that, or
+/// more than an hour: no server takes so long.
 std::optional<Duration> parseColdFor(std::string_view text);
 
 } // namespace robinrun
--- a/src/Node/CallHeaders.h
+++ b/src/Node/CallHeaders.h
@@ -35,7 +35,8 @@
     std::string upstream = "Backend-Id"; ///< id of the backend server's start that answers
     std::string notRun = "Backend-Not-Run"; ///< on answers to calls that the backend server didn't run
     std::string load = "Backend-Load"; ///< running, waiting, slots, and how long work takes in % of the usual
-    std::string coldFor = "Backend-Cold-Ms"; ///< on health answers: how long the backend server stays cold, ms
+    std::string coldFor
+        = "Backend-Cold-Ms"; ///< on health answers: how long the backend server stays cold, ms
     std::string signature; ///< by which its own answers are known; "": they aren't signed
     bool hasFractionalRetryAfter = false; ///< whether callers understand parts of a second there
 
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -196,8 +196,8 @@
     bool isRepeatable(const Call& call) const;
     void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
     /// \brief An owner that was to run the call at once or not at all could not: the next one is asked.
-    /// \returns whether \a upstream, the best there is, is cold and bears so few calls that this one would come
-    /// too late: then no owner need be asked.
+    /// \returns whether \a upstream, the best there is, is cold and bears so few calls that this one would
+    /// come too late: then no owner need be asked.
     bool isHopelesslyCold(const Call& call, const std::string& upstream, Instant now);
     void finishCold(CallId id, Call& call, const std::string& upstream, Instant now);
     void ownerBusy(CallId id, Call& call, const Attempt& attempt, Instant now);
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -80,7 +80,8 @@
     void heardWarmUp(Duration left, Instant now);
     /// \brief As heardWarmUp(), from a health answer that was asked for at \a asked.
     void answeredWarmUp(Duration left, Instant asked, Instant now);
-    /// \brief The server may have turned cold unseen: it counts as cold until it says otherwise, and is asked.
+    /// \brief The server may have turned cold unseen: it counts as cold until it says otherwise, and is
+    /// asked.
     void doubtWarmth(Instant now);
     bool isBackendDown() const { return m_isDown; }
 
--- a/src/Node/RequestTrail.h
+++ b/src/Node/RequestTrail.h
@@ -39,8 +39,7 @@
     static constexpr std::array<std::string_view, 17> names { "route-chosen", "upstream-chosen",
         "owner-refused", "attempt-late", "attempt-slowed", "attempt-lost", "request-refused",
         "request-unknown", "request-answered", "caller-gone", "queued", "sent-to-backend", "backend-answered",
-        "backend-failed", "owner-gave-up", "cancel-taken",
-        "upstream-cold" };
+        "backend-failed", "owner-gave-up", "cancel-taken", "upstream-cold" };
 };
 
 /// \brief What a node decided about one request, kept until the request ends here.
--- a/src/Platform/StoreEra.cpp
+++ b/src/Platform/StoreEra.cpp
@@ -54,8 +54,7 @@
     return Verdict::Changed;
 }
 
-StoreEra::Verdict StoreEra::doubt(
-    std::string_view fault, const std::optional<std::string>& text, Instant now)
+StoreEra::Verdict StoreEra::doubt(std::string_view fault, const std::optional<std::string>& text, Instant now)
 {
     ++m_faults;
     if (m_doubted && now - *m_doubted < betweenDoubts)
--- a/src/Queueing/ColdPace.h
+++ b/src/Queueing/ColdPace.h
@@ -92,8 +92,8 @@
     }
 };
 
-/// \brief A way to pace, with its state. `useUp` takes for granted that another process has just started all that
-/// the bound allows at once.
+/// \brief A way to pace, with its state. `useUp` takes for granted that another process has just started all
+/// that the bound allows at once.
 using ColdPace = std::variant<WindowPace, SmoothPace>;
 
 inline ColdPace makeColdPace(ColdPaceKind kind)
--- a/src/Queueing/WarmUp.cpp
+++ b/src/Queueing/WarmUp.cpp
@@ -47,7 +47,8 @@
 {
     if (!isPaced(now))
         return now;
-    const auto next = std::visit([&](const auto& it) { return it.nextStart(m_terms.bound, m_starts); }, m_pace);
+    const auto next
+        = std::visit([&](const auto& it) { return it.nextStart(m_terms.bound, m_starts); }, m_pace);
     return std::min(next, m_coldUntil);
 }
 
--- a/src/Routing/UpstreamView.h
+++ b/src/Routing/UpstreamView.h
@@ -61,8 +61,8 @@
         return m_workClock.told(report.load.slowdown, report.heard);
     }
 
-    /// \returns how long a call that is sent now waits there because the server is cold and gets its calls at a
-    /// pace; zero if it doesn't. Calls that were sent since the last news go before it.
+    /// \returns how long a call that is sent now waits there because the server is cold and gets its calls at
+    /// a pace; zero if it doesn't. Calls that were sent since the last news go before it.
     Duration coldWait(Instant now) const;
 
     /// \returns the clock of the work that a call gets done there.
--- /dev/null
+++ b/test/EmptiedHallTest.cpp
@@ -0,0 +1,211 @@
+#include "Mesh/EmptiedHalls.h"
+#include "support/MeshFixture.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace robinrun;
+using support::MeshFixture;
+
+namespace {
+
+std::optional<std::string> hallOf(std::string_view key)
+{
+    return key.starts_with("hall/") ? std::optional(std::string(key.substr(5))) : std::nullopt;
+}
+
+KeyedPage page(std::vector<KeyedRecord> records, StorePosition next, bool isWhole = false)
+{
+    return { std::move(records), next, 0, isWhole };
+}
+
+const Instant now { 100s };
+
+/// \brief Two halls with a backend server each, and what of the halls' servers has run.
+struct TwoHalls : MeshFixture {
+    std::size_t near;
+    std::size_t far;
+
+    TwoHalls()
+    {
+        store.put("keyed.op", "config", configuration(1));
+        near = add("shop", "h1");
+        far = add("shop", "h2");
+        untilServed(near);
+        untilServed(far);
+        until([&] { return servedBy(far, far); });
+    }
+
+    /// \returns whether a call to node \a i is served by the server beside node \a server.
+    bool servedBy(std::size_t i, std::size_t server)
+    {
+        return call(i, "GET", "/read/x").body == "body of " + places[server].backend->id;
+    }
+
+    bool hasMetric(std::size_t i, const std::string& line)
+    {
+        const auto text = send(places[i].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body;
+        return text.find(line + "\n") != std::string::npos;
+    }
+
+    void untilEmptied(std::size_t i, int halls)
+    {
+        const auto line = "robinrun_halls_emptied " + std::to_string(halls);
+        until([&] {
+            pass(10ms);
+            return hasMetric(i, line);
+        });
+    }
+};
+
+} // namespace
+
+TEST_CASE("The newest record of a hall counts, whichever way and in whichever order it comes", "[halls]")
+{
+    EmptiedHalls read;
+    REQUIRE(read.take(page({ { "config", "x", { 1, 4 } }, { "hall/a", "{}", { 1, 5 } } }, { 1, 6 }), hallOf, now));
+    REQUIRE(read.isEmptied("a"));
+    proto::NodeContact early;
+    read.tell(early);
+    REQUIRE(read.take(page({ { "hall/a", "", { 1, 6 } } }, { 1, 7 }), hallOf, now));
+    REQUIRE_FALSE(read.heard(early, now));
+    REQUIRE_FALSE(read.isEmptied("a"));
+    EmptiedHalls other;
+    proto::NodeContact late;
+    read.tell(late);
+    REQUIRE_FALSE(other.heard(late, now));
+    REQUIRE_FALSE(other.heard(early, now));
+    REQUIRE_FALSE(other.isEmptied("a"));
+}
+
+TEST_CASE("A whole read without a hall takes it back, a part of the log does not", "[halls]")
+{
+    EmptiedHalls halls;
+    halls.take(page({ { "hall/a", "{}", { 1, 5 } } }, { 1, 6 }), hallOf, now);
+    halls.take(page({ { "config", "x", { 1, 6 } } }, { 1, 7 }), hallOf, now);
+    REQUIRE(halls.isEmptied("a"));
+    REQUIRE(halls.take(page({ { "config", "x", { 1, 6 } } }, { 1, 7 }, true), hallOf, now));
+    REQUIRE_FALSE(halls.isEmptied("a"));
+}
+
+TEST_CASE("After the store is back from an older copy a hall stays emptied until it is written of again", "[halls]")
+{
+    EmptiedHalls halls;
+    halls.take(page({ { "hall/a", "{}", { 1, 5 } }, { "hall/b", "{}", { 1, 6 } } }, { 1, 7 }), hallOf, now);
+    halls.tick(1, now);
+    halls.take(page({ { "config", "x", { 2, 1 } } }, { 2, 2 }, true), hallOf, now);
+    REQUIRE(halls.isEmptied("a"));
+    halls.tick(2, now);
+    REQUIRE(halls.take(page({ { "hall/a", "", { 2, 2 } } }, { 2, 3 }), hallOf, now));
+    REQUIRE_FALSE(halls.isEmptied("a"));
+    REQUIRE(halls.isEmptied("b"));
+    REQUIRE_FALSE(halls.tick(2, now + 29s));
+    REQUIRE(halls.tick(2, now + 30s));
+    REQUIRE_FALSE(halls.isEmptied("b"));
+}
+
+TEST_CASE("Names of other writers are bounded, and emptied halls are kept first", "[halls]")
+{
+    EmptiedHalls halls;
+    halls.take(page({ { "hall/a", "{}", { 1, 1 } } }, { 1, 2 }), hallOf, now);
+    halls.take(page({ { "hall/" + std::string(300, 'x'), "{}", { 1, 2 } } }, { 1, 3 }), hallOf, now);
+    REQUIRE(halls.emptied() == std::set<std::string> { "a" });
+    for (std::uint64_t i = 0; i < 1000; ++i)
+        halls.take(page({ { "hall/n" + std::to_string(i), "", { 1, 3 + i } } }, { 1, 4 + i }), hallOf, now);
+    REQUIRE(halls.isEmptied("a"));
+    proto::NodeContact contact;
+    halls.tell(contact);
+    REQUIRE(contact.halls_size() <= 256);
+}
+
+// Seen on a day with an emptied hall: 6,959 requests reached servers there, as nothing read the operator's
+// wish.
+TEST_CASE("Nothing more reaches the servers of an emptied hall, and callers there are served elsewhere", "[halls][mesh]")
+{
+    TwoHalls f;
+    f.store.put("keyed.op", "evacuate/h2", "{}");
+    f.untilEmptied(f.near, 1);
+    f.untilEmptied(f.far, 1);
+    f.places[f.far].backend->requests.clear();
+    for (int i = 0; i < 10; ++i) {
+        REQUIRE(f.servedBy(f.far, f.near));
+        REQUIRE(f.call(f.far, "POST", "/buy/x").status == 200);
+        REQUIRE(f.call(f.near, "GET", "/read/x").status == 200);
+    }
+    REQUIRE(f.places[f.far].backend->requests.empty());
+    // A node that starts meanwhile knows it before it takes its first call.
+    f.places[f.far].node.reset();
+    f.startNode(f.far);
+    f.untilServed(f.far);
+    REQUIRE(f.servedBy(f.far, f.near));
+    REQUIRE(f.places[f.far].backend->requests.empty());
+    f.store.put("keyed.op", "evacuate/h2", "");
+    f.untilEmptied(f.far, 0);
+    f.until([&] { return f.servedBy(f.far, f.far); });
+}
+
+TEST_CASE("A node that doesn't read the store hears of an emptied hall from its contacts", "[halls][mesh]")
+{
+    TwoHalls f;
+    const auto third = f.add("shop", "h1");
+    f.untilServed(third);
+    f.store.put("keyed.op", "evacuate/h2", "{}");
+    for (const auto i : { f.near, f.far, third })
+        f.untilEmptied(i, 1);
+    // The store is away, and the record isn't there to be read.
+    f.store.mode = support::FakeStore::Mode::Refusing;
+    const auto fourth = f.add("shop", "h1");
+    f.untilEmptied(f.far, 1);
+    f.store.mode = support::FakeStore::Mode::Up;
+    f.untilEmptied(fourth, 1);
+}
+
+// Seen after power was back: a cold server got 36 calls in a second where 32 are allowed, fell over and started
+// again, cold.
+TEST_CASE("A cold server gets its calls at a pace, from the first one on", "[warm-up][mesh]")
+{
+    MeshFixture f;
+    auto config = MeshFixture::configuration(1);
+    const std::string plain = R"("spec":{"health_path":"/healthz"})";
+    const std::string paced
+        = R"("spec":{"health_path":"/healthz","warmup_s":30.0,"warmup_per_s":16.0})";
+    for (auto at = config.find(plain); at != std::string::npos; at = config.find(plain, at + 1))
+        config.replace(at, plain.size(), paced);
+    f.store.put("keyed.op", "config", config);
+    const auto i = f.places.size();
+    auto place = f.newPlace("shop");
+    place.backend->coldMs = 30000;
+    f.add("shop");
+    f.places[i].backend->coldMs = 30000;
+    f.places[i].settings.admission.coldFactor = 1.5;
+    f.places[i].settings.admission.coldBurst = 8;
+    f.places[i].node.reset();
+    f.startNode(i);
+    f.untilServed(i);
+    std::vector<std::chrono::steady_clock::time_point> began;
+    f.places[i].backend->instead = [&](const HttpRequest&) -> std::optional<HttpReply> {
+        began.push_back(std::chrono::steady_clock::now());
+        return std::nullopt;
+    };
+    std::vector<int> statuses;
+    std::vector<std::unique_ptr<HttpPool>> callers;
+    HttpPool::Options options;
+    options.address = f.places[i].settings.listen.callers;
+    options.maxConnections = 100;
+    HttpPool pool(f.base.get(), options);
+    constexpr std::size_t calls = 90;
+    for (std::size_t n = 0; n < calls; ++n)
+        pool.send(f.request("GET", "/read/x"), 9s,
+            [&](const auto& result) { statuses.push_back(result.has_value() ? result.value().status : 0); });
+    f.until([&] { return statuses.size() == calls; });
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < began.size(); ++last) {
+        while (began[last] - began[first] >= 1s)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    REQUIRE(most <= 32);
+    REQUIRE(began.size() >= 60);
+    const auto isHonest = [](int status) { return status == 200 || status == 503; };
+    REQUIRE(std::all_of(statuses.begin(), statuses.end(), isHonest));
+}
--- a/test/StoreWatchTest.cpp
+++ b/test/StoreWatchTest.cpp
@@ -53,7 +53,8 @@
         options.firstRetry = 1ms;
         options.longestRetry = [] { return Duration(2ms); };
         follower = std::make_unique<TopicFollower>(
-            base.get(), store, options, [this](const KeyedPage& page) { pages.push_back(page.records); }, random);
+            base.get(), store, options, [this](const KeyedPage& page) { pages.push_back(page.records); },
+            random);
         follower->start();
     }
 
--- /dev/null
+++ b/test/WarmUpTest.cpp
@@ -0,0 +1,281 @@
+#include "Queueing/WarmUp.h"
+#include "Core/Random.h"
+#include "Queueing/Admission.h"
+#include "Routing/ServiceRouter.h"
+#include "support/VirtualLoop.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
+#include <rapidcheck/catch.h>
+#include <string>
+#include <vector>
+
+using namespace robinrun;
+using support::VirtualLoop;
+
+namespace {
+
+constexpr Duration warmUpLength = 3s;
+
+WarmUpTerms terms()
+{
+    return { warmUpLength, { 24, 6 } };
+}
+
+/// \returns the most of \a starts that lie in one second.
+std::size_t mostInOneSecond(const std::vector<Instant>& starts)
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < starts.size(); ++i) {
+        while (starts[i] - starts[first] >= 1s)
+            ++first;
+        most = std::max(most, i - first + 1);
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("A cold server gets no more in any second than it bears, whoever owns it meanwhile", "[warm-up]")
+{
+    rc::prop("over arrivals, news that is late or lost, doubts and restarts of its owner",
+        [](std::uint64_t seed) {
+            Random random(seed);
+            const auto kind = random.chance(0.5) ? ColdPaceKind::Smooth : ColdPaceKind::Window;
+            const double rate = 5 + 395 * random.unit();
+            Instant now { 100s };
+            auto coldUntil = now + warmUpLength;
+            WarmUp owner(kind);
+            owner.setTerms(terms());
+            owner.doubt(now);
+            std::vector<Instant> whileCold;
+            for (int i = 0; i < 2000; ++i) {
+                now += Duration(static_cast<std::int64_t>(random.exponential(1e6 / rate)) + 1);
+                const auto dice = random.unit();
+                if (dice < 0.005) {
+                    // The owner is killed; the next one knows nothing, and comes up a moment later.
+                    owner = WarmUp(kind);
+                    owner.setTerms(terms());
+                    owner.doubt(now += 5ms);
+                } else if (dice < 0.01) {
+                    // The server turns cold unseen, and something makes the owner doubt before it sends.
+                    coldUntil = now + warmUpLength;
+                    owner.doubt(now);
+                } else if (dice < 0.03) {
+                    owner.announced(std::max(coldUntil - now, Duration::zero()), now);
+                } else if (dice < 0.05) {
+                    owner.answered(std::max(coldUntil - now, Duration::zero()), now, now);
+                }
+                if (owner.nextStart(now) > now)
+                    continue;
+                owner.started(now);
+                if (now < coldUntil)
+                    whileCold.push_back(now);
+            }
+            RC_ASSERT(mostInOneSecond(whileCold) <= 30U);
+        });
+}
+
+TEST_CASE("A pace serves what the bound allows, and ends with the warm-up", "[warm-up]")
+{
+    const auto kind = GENERATE(ColdPaceKind::Smooth, ColdPaceKind::Window);
+    WarmUp owner(kind);
+    owner.setTerms(terms());
+    Instant now { 100s };
+    const auto begin = now;
+    owner.announced(warmUpLength, now);
+    int started = 0;
+    for (; now < begin + warmUpLength; now += 1ms) {
+        if (owner.nextStart(now) > now)
+            continue;
+        owner.started(now);
+        ++started;
+    }
+    REQUIRE(started >= 72); // 24 a second
+    REQUIRE_FALSE(owner.isCold(now));
+    REQUIRE(owner.nextStart(now) <= now);
+}
+
+TEST_CASE("Only an answer to a question of later ends a doubt; a late announcement doesn't", "[warm-up]")
+{
+    WarmUp owner;
+    owner.setTerms(terms());
+    const Instant now { 100s };
+    owner.announced(Duration::zero(), now);
+    REQUIRE_FALSE(owner.isCold(now));
+    owner.doubt(now + 1s);
+    owner.announced(Duration::zero(), now + 1100ms); // sent before it turned cold
+    owner.answered(Duration::zero(), now + 900ms, now + 1100ms);
+    REQUIRE(owner.isInDoubt(now + 1200ms));
+    owner.answered(2s, now + 1100ms, now + 1200ms);
+    REQUIRE_FALSE(owner.isInDoubt(now + 1200ms));
+    REQUIRE(owner.left(now + 1200ms) == 2s);
+    owner.announced(Duration::zero(), now + 1300ms);
+    REQUIRE_FALSE(owner.isCold(now + 1300ms));
+}
+
+TEST_CASE("A service that says nothing of warm-ups is served as before", "[warm-up]")
+{
+    WarmUp owner;
+    const Instant now { 100s };
+    owner.doubt(now);
+    REQUIRE_FALSE(owner.isCold(now));
+    owner.announced(3s, now); // told, but without a bound
+    REQUIRE(owner.nextStart(now) <= now);
+    REQUIRE_FALSE(owner.isPaced(now));
+}
+
+namespace {
+
+/// \brief All servers of a service come back cold at once, and callers ask for two and a half times what those
+/// bear. A server that gets more than it bears in one second falls over and starts again, cold: before calls
+/// were paced, six servers kept each other down for 16 s, and 0.58 of the calls were served.
+struct ColdService {
+    static constexpr std::size_t servers = 6;
+    static constexpr std::uint32_t slots = 8;
+    static constexpr double perSecond = 2.5 * servers * 24;
+    static constexpr Duration work = 64ms;
+    static constexpr Duration target = 200ms;
+    static constexpr Duration deadline = 600ms;
+    static constexpr Duration comeBackAfter = 150ms;
+    static constexpr Duration length = 8s;
+    static constexpr std::uint32_t group = 1;
+
+    struct Server {
+        std::string name;
+        std::unique_ptr<Admission> admission;
+        std::vector<Instant> starts;
+    };
+    struct Call {
+        std::size_t server = 0;
+        Instant first {};
+        bool isSecondTry = false;
+    };
+
+    explicit ColdService(ColdPaceKind kind)
+    {
+        ServiceRouter::Options routing;
+        routing.kind = ChoiceKind::Timely;
+        router = std::make_unique<ServiceRouter>(routing);
+        std::vector<RouteTarget> targets;
+        for (std::size_t i = 0; i < servers; ++i) {
+            Admission::Options options;
+            options.slots = slots;
+            options.initialService = work;
+            Server server { "s" + std::to_string(i), std::make_unique<Admission>(options), {} };
+            server.admission->warmUp().setKind(kind);
+            server.admission->warmUp().setTerms(terms());
+            server.admission->warmUp().announced(warmUpLength, loop.now());
+            targets.push_back({ server.name, slots, 1ms, false });
+            all.push_back(std::move(server));
+        }
+        router->setUpstreams(targets, loop.now());
+        nextArrival();
+        loop.run(Instant(length));
+    }
+
+    void nextArrival()
+    {
+        loop.after(fromSeconds(random.exponential(1 / perSecond)), [this] {
+            if (loop.now() >= Instant(length - deadline))
+                return;
+            ++(loop.now() < Instant(warmUpLength + 1s) ? askedEarly : askedLater);
+            ask({ 0, loop.now(), false });
+            nextArrival();
+        });
+    }
+
+    void ask(Call call)
+    {
+        const RouteNeeds needs { group, "read", std::max(call.first + target - loop.now(), Duration(1)) };
+        const auto name = router->pick({}, needs, loop.now(), random);
+        call.server = static_cast<std::size_t>(name->back() - '0');
+        router->sent(*name, group);
+        const auto id = ++lastId;
+        calls[id] = call;
+        Offer offer;
+        offer.id = id;
+        offer.group = group;
+        offer.deadline = call.first + deadline;
+        offer.inTimeUntil = call.first + target;
+        act(call.server, all[call.server].admission->offer(offer, loop.now()));
+    }
+
+    void act(std::size_t i, const Dispatch& dispatch)
+    {
+        auto& server = all[i];
+        for (const auto& it : dispatch.refused)
+            refused(it.id);
+        for (const auto id : dispatch.run) {
+            server.starts.push_back(loop.now());
+            const bool isCold = loop.now() < Instant(warmUpLength);
+            loop.after(work * (isCold ? 2 : 1), [this, id] { ended(id); });
+        }
+        if (const auto next = server.admission->nextStart(loop.now()))
+            loop.after(std::max(*next - loop.now(), Duration(1)),
+                [this, i] { act(i, all[i].admission->resume(loop.now())); });
+    }
+
+    void told(const Call& call, Duration held)
+    {
+        Report report;
+        report.load = all[call.server].admission->load(loop.now());
+        report.queued = report.load.waiting;
+        report.heard = loop.now();
+        router->answered(all[call.server].name, group, report, held, false, loop.now());
+    }
+
+    void refused(std::uint64_t id)
+    {
+        const auto call = calls.at(id);
+        calls.erase(id);
+        told(call, {});
+        if (call.isSecondTry)
+            return;
+        loop.after(comeBackAfter, [this, call] { ask({ 0, call.first, true }); });
+    }
+
+    void ended(std::uint64_t id)
+    {
+        const auto call = calls.at(id);
+        calls.erase(id);
+        const bool isInTime = loop.now() <= call.first + target;
+        ++(call.first < Instant(warmUpLength + 1s) ? servedEarly : servedLater);
+        late += !isInTime;
+        act(call.server, all[call.server].admission->finished(id, RunEnd::Answered, loop.now()));
+        told(call, work);
+    }
+
+    VirtualLoop loop;
+    Random random { 7 };
+    std::unique_ptr<ServiceRouter> router;
+    std::vector<Server> all;
+    std::map<std::uint64_t, Call> calls;
+    std::uint64_t lastId = 0;
+    int askedEarly = 0;
+    int askedLater = 0;
+    int servedEarly = 0;
+    int servedLater = 0;
+    int late = 0;
+};
+
+} // namespace
+
+TEST_CASE("A service that comes back cold under 2.5 times its pace is not driven down again", "[warm-up]")
+{
+    const auto kind = GENERATE(ColdPaceKind::Smooth, ColdPaceKind::Window);
+    ColdService f(kind);
+    for (const auto& it : f.all) {
+        std::vector<Instant> whileCold;
+        for (const auto at : it.starts) {
+            if (at < Instant(warmUpLength))
+                whileCold.push_back(at);
+        }
+        CHECK(mostInOneSecond(whileCold) <= 30);
+    }
+    // What the pace allows is used, and from a second after the warm-up on all are served.
+    CHECK(f.servedEarly >= 0.9 * ColdService::servers * 24 * toSeconds(warmUpLength));
+    CHECK(f.servedLater >= 0.99 * f.askedLater);
+}
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -79,6 +79,22 @@
         return out;
     }
 
+    /// \brief Keeps a copy of all that is there now, to come back from.
+    void keepCopy() { m_copy = m_topics; }
+
+    /// \brief Comes back from the copy: what was written since is gone, offsets are given out again. Reads
+    /// that wait go on waiting, with the offsets that they named.
+    void comeBack()
+    {
+        m_topics = m_copy;
+        era = era.value_or(0) + 1;
+        const auto topics = m_topics;
+        for (const auto& [topic, log] : topics)
+            wake(topic);
+    }
+
+    std::optional<std::uint64_t> era; ///< named in all answers; nothing for a store that knows none
+    bool mayWaitBeyondEnd = false; ///< whether a read from an offset that isn't there waits for it
     std::string address = freeAddress();
     Mode mode = Mode::Up;
     int calls = 0; ///< of any kind, answered or not
@@ -102,6 +118,11 @@
         Timer limit; ///< of its wait
     };
 
+    HttpHeaders headers() const
+    {
+        return era ? HttpHeaders { { "Store-Era", std::to_string(*era) } } : HttpHeaders {};
+    }
+
     static std::string parameter(const std::string& target, const std::string& name)
     {
         const auto at = target.find(name + "=");
@@ -123,7 +144,7 @@
     {
         ++calls;
         if (mode == Mode::Refusing)
-            return exchange->reply({ 503, {}, {} });
+            return exchange->reply({ 503, headers(), {} });
         const auto target = exchange->request().target;
         const auto topic = parameter(target, "topic");
         if (mode == Mode::Silent) {
@@ -133,7 +154,7 @@
         if (target.starts_with("/log-append"))
             return append(topic, std::move(exchange));
         if (target.starts_with("/log-newest"))
-            return exchange->reply({ 200, {}, newestText(topic) });
+            return exchange->reply({ 200, headers(), newestText(topic) });
         const auto from = std::stoull(parameter(target, "from"));
         const auto wait = Duration(std::stoll(parameter(target, "wait_ms")) * 1000);
         const auto id = ++m_lastWaiting;
@@ -151,7 +172,7 @@
         if (mode == Mode::Silent || mode == Mode::Refusing)
             m_held.push_back(std::move(exchange));
         else
-            exchange->reply({ 200, {}, std::string(16, '\0') });
+            exchange->reply({ 200, headers(), std::string(16, '\0') });
         std::erase_if(m_waiting, [](const auto& waiting) { return !waiting.exchange; });
     }
 
@@ -166,21 +187,23 @@
         if (mode == Mode::Losing)
             m_held.push_back(std::move(exchange));
         else
-            exchange->reply({ 200, {}, "{}" });
+            exchange->reply({ 200, headers(), "{}" });
     }
 
     std::string newestText(const std::string& topic)
     {
-        std::map<std::string, std::string> values;
-        for (const auto& it : m_topics[topic].records) {
+        std::map<std::string, std::pair<std::string, std::size_t>> values;
+        for (std::size_t i = 0; i < m_topics[topic].records.size(); ++i) {
+            const auto& it = m_topics[topic].records[i];
             if (!it.raw)
-                values[it.key] = it.value;
+                values[it.key] = { it.value, i };
         }
         std::string items;
-        for (const auto& [key, value] : values) {
+        for (const auto& [key, newest] : values) {
+            const auto& [value, offset] = newest;
             if (!value.empty())
                 items += (items.empty() ? "" : ",") + std::string("{\"key\":\"") + key + "\",\"value\":\""
-                    + base64(value) + "\",\"offset\":0}";
+                    + base64(value) + "\",\"offset\":" + std::to_string(offset) + "}";
         }
         return "{\"items\":[" + items
             + "],\"more_pages\":false,\"end\":" + std::to_string(m_topics[topic].records.size()) + "}";
@@ -192,8 +215,9 @@
         for (auto& it : m_waiting) {
             if (!it.exchange || it.topic != topic)
                 continue;
-            if (it.from < log.first) {
-                std::exchange(it.exchange, nullptr)->reply({ 410, {}, "{}" });
+            const bool isBeyondEnd = era && it.from > log.records.size() && !mayWaitBeyondEnd;
+            if (it.from < log.first || isBeyondEnd) {
+                std::exchange(it.exchange, nullptr)->reply({ 410, headers(), "{}" });
             } else if (it.from < log.records.size()) {
                 std::vector<std::string> raw;
                 for (auto i = it.from; i < log.records.size(); ++i) {
@@ -202,7 +226,7 @@
                         static_cast<char>(record.key.size()) + record.key + record.value));
                 }
                 std::exchange(it.exchange, nullptr)
-                    ->reply({ 200, {}, std::string(16, '\0') + frameRecords(raw) });
+                    ->reply({ 200, headers(), std::string(16, '\0') + frameRecords(raw) });
             }
         }
         std::erase_if(m_waiting, [](const auto& it) { return !it.exchange; });
@@ -212,6 +236,7 @@
     std::uint64_t m_lastWaiting = 0;
     std::unique_ptr<HttpServer> m_server;
     std::map<std::string, Log> m_topics;
+    std::map<std::string, Log> m_copy;
     std::deque<Waiting> m_waiting;
     std::vector<std::unique_ptr<HttpExchange>> m_held; ///< never answered
 };
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -56,6 +56,7 @@
     std::string address = freeAddress();
     std::string id;
     bool isWell = true;
+    int coldMs = 0; ///< as its health answer says
     bool holds = false;
     bool hangsUp = false; ///< after it has run the request
     int status = 200;
@@ -94,7 +95,9 @@
         const auto& request = exchange->request();
         if (request.target == "/healthz")
             return exchange->reply({ isWell ? 200 : 503,
-                { { "X-Robinrun-Instance-Id", id }, { "X-Robinrun-Server-Load", "0,0,4,100" } }, "" });
+                { { "X-Robinrun-Instance-Id", id }, { "X-Robinrun-Server-Load", "0,0,4,100" },
+                    { "X-Robinrun-Warmup-Ms", std::to_string(coldMs) } },
+                "" });
         if (findHeader(request.headers, "X-Robinrun-Target-Instance") != id) {
             ++misdirected;
             return exchange->reply({ 421, {}, "" });
