--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -23,6 +23,9 @@
     constexpr double shareOfFreezes = 0.3; ///< of what comes beside
     constexpr Duration shortestFreeze = 200ms;
     constexpr Duration longestFreeze = 10s;
+    constexpr double shareOfCopies = 0.3; ///< of what the operator and the store do
+    constexpr double shareOfReturns = 0.3;
+    constexpr double shareOfEmptied = 0.4; ///< of the words on halls; the others take one back
     constexpr int freezes = 3; ///< of one series
     /// Entries that no server or node of this site writes.
     constexpr std::string_view foreignEntries[] = {
@@ -38,6 +41,7 @@
     , m_random(seed)
     , m_forgets(seed)
     , m_beside(seed)
+    , m_operator(seed)
     , m_started(monotonicNow())
 {
 }
@@ -47,6 +51,31 @@
     m_end = monotonicNow() + length;
     next();
     nextBeside();
+    m_site->store().era = 1;
+    m_site->copyStore();
+    nextOfOperator();
+}
+
+void FaultPlan::nextOfOperator()
+{
+    if (monotonicNow() >= m_end)
+        return;
+    auto& host = *m_site->hosts()[m_operator.below(m_site->hosts().size())];
+    const auto dice = m_operator.unit();
+    if (dice < shareOfCopies) {
+        note("the store keeps a copy");
+        m_site->copyStore();
+    } else if (dice < shareOfCopies + shareOfReturns) {
+        note("the store comes back from its copy");
+        m_site->returnStore();
+    } else {
+        const bool isEmptied = m_operator.chance(shareOfEmptied);
+        note(host.hall + (isEmptied ? " is emptied" : " is taken back"));
+        m_site->setEmptied(host, isEmptied);
+    }
+    const auto gap
+        = shortestGapBeside + fromSeconds(toSeconds(longestGapBeside - shortestGapBeside) * m_operator.unit());
+    m_nextOfOperator = Timer::once(m_site->base(), gap, [this] { nextOfOperator(); });
 }
 
 void FaultPlan::next()
@@ -190,6 +219,7 @@
     m_later.clear();
     m_site->store().mode = FakeStore::Mode::Up;
     for (auto& it : m_site->hosts()) {
+        m_site->setEmptied(*it, it->hall == m_site->hosts().front()->hall); // one stays emptied in the calm
         for (auto* link : { it->toCallers.get(), it->toPeers.get(), it->toStore.get(), it->toBackend.get() })
             link->set(LinkFault::None);
         it->node.signal(SIGCONT);
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -61,6 +61,8 @@
     void nextBeside();
     void writeForeign(SoakSite::Host& host);
     void freezeInSeries(SoakSite::Host& host);
+    /// \brief What the operator and the store do, drawn apart from the other faults.
+    void nextOfOperator();
     void undoAll();
     void later(Duration delay, std::function<void()> f);
     void note(const std::string& text);
@@ -74,7 +76,9 @@
     Instant m_started;
     Instant m_end {};
     Timer m_next;
+    Random m_operator;
     Timer m_nextBeside;
+    Timer m_nextOfOperator;
     std::vector<Timer> m_later;
     std::vector<std::string> m_story;
 };
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -145,6 +145,8 @@
 
 void SoakBackend::run(std::unique_ptr<HttpExchange> exchange)
 {
+    if (m_onRun)
+        m_onRun();
     m_ledger->ran(exchange->request(), m_upstream, m_options.service);
     ++m_running;
     const auto number = ++m_lastRun;
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -38,6 +38,9 @@
     /// start takes the address.
     void replace();
 
+    /// \brief Runs \a f each time that a call comes.
+    void onRun(std::function<void()> f) { m_onRun = std::move(f); }
+
     /// \brief Another writer sends \a body to the node as an announcement of this server.
     void announceForeign(const std::string& body);
 
@@ -78,6 +81,7 @@
     bool m_isFull = false;
     bool m_isLeaving = false;
     std::optional<Instant> m_leaveAcknowledged;
+    std::function<void()> m_onRun;
     Timer m_heartbeat;
     Timer m_end;
     std::vector<std::pair<std::uint64_t, Timer>> m_work; ///< by number of the run
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -22,6 +22,8 @@
     constexpr Duration watchEvery = 20ms;
     constexpr Duration readinessEvery = 500ms;
     constexpr Duration poisonEvery = 700ms;
+    /// An emptied hall's servers get nothing more so long after the store has the operator's word.
+    constexpr Duration emptiedWithin = 5s;
     constexpr Duration probeEvery = 300ms;
     constexpr Duration readinessTimeout = 400ms;
     constexpr double shareOfWrites = 0.4;
@@ -93,6 +95,7 @@
 {
     auto host = std::make_unique<Host>();
     host->name = "n" + std::to_string(i);
+    host->hall = "h" + std::to_string(i % 3);
     host->settingsFile = m_options.folder + "/" + host->name + ".yaml";
     const auto behind = [&](std::unique_ptr<support::FaultProxy>& proxy, const std::string& target) {
         auto address = freeAddress();
@@ -107,7 +110,7 @@
     host->readiness = freeAddress();
     const std::string service = i % 2 ? "other" : "shop";
     std::ofstream out(host->settingsFile);
-    out << "node: " << host->name << "\ndata_hall: h" << i % 3 << "\nregion: r\nservice: " << service
+    out << "node: " << host->name << "\ndata_hall: " << host->hall << "\nregion: r\nservice: " << service
         << "\nbackend: " << behind(host->toBackend, backend) << "\ncharts: " << m_options.charts
         << "\ndrain_timeout: 4s\nlame_duck: 600ms\nlisten: {callers: '" << callers << "', readiness: '"
         << host->readiness << "', announcements: '" << announcements << "', peers: '"
@@ -126,6 +129,10 @@
             .name = host->name,
             .keepsId = i % 3 != 0 },
         m_ledger);
+    host->backend->onRun([this, known = host.get()] {
+        if (!mayRun(*known))
+            m_ledger.broken("a call reached a server of an emptied hall, long after: " + known->name);
+    });
     m_hosts.push_back(std::move(host));
     startNode(*m_hosts.back());
 }
@@ -184,6 +191,33 @@
     m_store.put("keyed.op", "config", configuration(m_version));
 }
 
+void SoakSite::setEmptied(const Host& host, bool isEmptied)
+{
+    m_store.put("keyed.op", "evacuate/" + host.hall, isEmptied ? "{}" : "");
+    if (!isEmptied)
+        m_emptied.erase(host.hall);
+    else
+        m_emptied.emplace(host.hall, monotonicNow());
+}
+
+void SoakSite::returnStore()
+{
+    m_store.comeBack();
+    m_store.put("keyed.op", "config", configuration(m_version));
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        const auto& hall = m_hosts[i]->hall;
+        m_store.put("keyed.op", "evacuate/" + hall, m_emptied.contains(hall) ? "{}" : "");
+    }
+}
+
+bool SoakSite::mayRun(const Host& host) const
+{
+    const auto it = m_emptied.find(host.hall);
+    const auto now = monotonicNow();
+    // While links and the store are harmed, a node may not hear of it; from then on it must.
+    return it == m_emptied.end() || !m_isCalm || now - std::max(it->second, m_calmSince) < emptiedWithin;
+}
+
 void SoakSite::reloadNode(Host& host)
 {
     writeSettings(host, m_random.chance(0.5) ? fewLines : manyLines);
@@ -253,6 +287,7 @@
 void SoakSite::setCalm(bool isCalm)
 {
     m_isCalm = isCalm;
+    m_calmSince = monotonicNow();
     for (auto& it : m_hosts)
         it->backend->setCalm(isCalm);
 }
--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -9,6 +9,7 @@
 #include "support/FaultProxy.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,6 +31,7 @@
     /// \brief A host: a node, its backend server and the proxies on its links.
     struct Host {
         std::string name;
+        std::string hall;
         std::string settingsFile;
         std::string callers; ///< address of the node for its callers, by way of a proxy
         std::string readiness;
@@ -61,6 +63,12 @@
     void killNode(Host& host, Duration pause);
     /// \brief Writes a new configuration; the route "/which/" goes to the other service.
     void changeConfiguration();
+    /// \brief The operator empties the data hall of \a host, or takes it back.
+    void setEmptied(const Host& host, bool isEmptied);
+    /// \brief The store keeps a copy, to come back from.
+    void copyStore() { m_store.keepCopy(); }
+    /// \brief The store comes back from its copy; the operator writes what it wants once more.
+    void returnStore();
     /// \brief Changes the settings file of \a host and sends SIGHUP.
     void reloadNode(Host& host);
 
@@ -80,6 +88,8 @@
     void probeVersion(std::size_t i);
     /// \brief The request that crashes servers comes again, at any node.
     void sendPoison();
+    /// \returns whether a call may still reach the backend server of \a host.
+    bool mayRun(const Host& host) const;
     std::string lifeOf(const Host& host) const { return host.name + "/" + std::to_string(host.life); }
 
     event_base* m_base;
@@ -91,6 +101,8 @@
     std::uint64_t m_version = 0;
     std::uint64_t m_lastRequest = 0;
     bool m_isCalm = false;
+    Instant m_calmSince {};
+    std::map<std::string, Instant> m_emptied; ///< halls, and when the store had it
     Timer m_watch;
     Timer m_ask;
     Timer m_probe;
--- a/tools/ctl/CtlApply.cpp
+++ b/tools/ctl/CtlApply.cpp
@@ -120,6 +120,16 @@
     return status;
 }
 
+int setEmptied(OperatorClient& client, const CtlOptions& options, bool isEmptied)
+{
+    proto::Resource hall;
+    hall.set_name("halls/" + options.words[1]);
+    hall.mutable_data_hall()->set_emptied(isEmptied);
+    for (const auto& it : validate(hall))
+        return fail(it.text(), badUsage);
+    return applyOne(client, hall, options);
+}
+
 int remove(OperatorClient& client, const CtlOptions& options)
 {
     bool isBad = false;
--- a/tools/ctl/CtlOptions.cpp
+++ b/tools/ctl/CtlOptions.cpp
@@ -12,13 +12,16 @@
     constexpr const char* usage = R"(usage: robinrunctl [options] COMMAND
 
 commands:
-  get KIND | KIND/ID    show resources (services, upstreams, groups)
+  get KIND | KIND/ID    show resources (services, upstreams, groups, routes, halls)
   apply -f FILE         create or change the resources of a YAML file
   delete KIND/ID        delete a resource
+  empty HALL            send nothing more to the backend servers of a data hall
+  take-back HALL        send to them again
   status                what is in force, and which nodes are behind
   watch [FROM]          print changes as they come into force
   explain ID LOG...     tell from nodes' logs what became of the request ID
   held LOG...           tell from nodes' logs which requests are held back, and the crashes under them
+  halls LOG...          tell from nodes' logs which data halls are emptied, who has heard it and since when
   losses LOG...         tell from nodes' logs where and why calls were lost
 
 options:
@@ -107,7 +110,7 @@
     if (out.output != "table" && out.output != "json" && out.output != "yaml")
         return fail("--output: '" + out.output + "' is not one of table, json, yaml", badUsage);
     const auto command = out.words.empty() ? std::string() : out.words[0];
-    const bool readsLogs = command == "explain" || command == "losses" || command == "held";
+    const bool readsLogs = command == "explain" || command == "losses" || command == "held" || command == "halls";
     const bool needsServer = !readsLogs;
     if (needsServer && !isAddress(out.server))
         return fail("--server: '" + out.server + "' is not an IPv4 address and port", badUsage);
--- a/tools/robinrunctl.cpp
+++ b/tools/robinrunctl.cpp
@@ -1,5 +1,6 @@
 /// \file The operators' command line.
 
+#include "Client/EmptiedHallLog.h"
 #include "Client/Explain.h"
 #include "Client/HeldRequests.h"
 #include "Client/LogLine.h"
@@ -129,6 +130,15 @@
     return EXIT_SUCCESS;
 }
 
+int halls(const CtlOptions& options)
+{
+    const auto logs = readLogs(options, 1);
+    if (!logs)
+        return fail(logs.error(), badUsage);
+    std::cout << emptiedHalls(logs.value());
+    return EXIT_SUCCESS;
+}
+
 int explainRequest(const CtlOptions& options)
 {
     const auto logs = readLogs(options, 2);
@@ -151,6 +161,8 @@
         return held(options);
     if (command == "losses" && n >= 2)
         return losses(options);
+    if (command == "halls" && n >= 2)
+        return halls(options);
     OperatorClient client(options.server, options.token);
     if (command == "get" && n == 2)
         return get(client, options);
@@ -158,6 +170,10 @@
         return apply(client, options);
     if (command == "delete" && n == 2)
         return remove(client, options);
+    if (command == "empty" && n == 2)
+        return setEmptied(client, options, true);
+    if (command == "take-back" && n == 2)
+        return setEmptied(client, options, false);
     if (command == "status" && n == 1)
         return status(client, options);
     if (command == "watch" && n <= 2)
