--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -33,8 +33,11 @@
             news.slots = load->slots;
         }
     }
+    // A server that is well says so only while it is cold.
     if (const auto text = findHeader(reply.headers, m_names.coldFor))
         news.coldFor = parseColdFor(*text);
+    else if (news.isWell)
+        news.coldFor = Duration::zero();
     return news;
 }
 
--- a/src/Node/Prober.h
+++ b/src/Node/Prober.h
@@ -19,7 +19,8 @@
     std::string upstream; ///< id of the server's present start, if it tells
     std::uint32_t slots = 0; ///< if it tells
     std::optional<double> slowdown;
-    std::optional<Duration> coldFor; ///< how long the server stays cold; zero if it is warm
+    std::optional<Duration>
+        coldFor; ///< how long it stays cold; zero if it is warm; nothing if it can't be told
 };
 
 /// \brief Asks the backend server's health endpoint, inside the budget and only on a free slot.
--- a/tools/ctl/CtlOptions.cpp
+++ b/tools/ctl/CtlOptions.cpp
@@ -110,7 +110,8 @@
     if (out.output != "table" && out.output != "json" && out.output != "yaml")
         return fail("--output: '" + out.output + "' is not one of table, json, yaml", badUsage);
     const auto command = out.words.empty() ? std::string() : out.words[0];
-    const bool readsLogs = command == "explain" || command == "losses" || command == "held" || command == "halls";
+    const bool readsLogs
+        = command == "explain" || command == "losses" || command == "held" || command == "halls";
     const bool needsServer = !readsLogs;
     if (needsServer && !isAddress(out.server))
         return fail("--server: '" + out.server + "' is not an IPv4 address and port", badUsage);
