--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -223,8 +223,8 @@
     REQUIRE(f.reply->status == 503);
 }
 
-// In a burst of 1.5 times the usual, 1,000 calls a second asked 6,300 owners, 44 % of them in other halls, each with
-// the whole body; where the best that was left was known to be too late, that bought nothing.
+// In a burst of 1.5 times the usual, 1,000 calls a second asked 6,300 owners, 44 % of them in other halls,
+// each with the whole body; where the best that was left was known to be too late, that bought nothing.
 TEST_CASE("A refused call is not sent on where it is known to be too late", "[node]")
 {
     RouteFixture f;
