--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -204,10 +204,8 @@
 {
     m_store.comeBack();
     m_store.put("keyed.op", "config", configuration(m_version));
-    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-        const auto& hall = m_hosts[i]->hall;
-        m_store.put("keyed.op", "evacuate/" + hall, m_emptied.contains(hall) ? "{}" : "");
-    }
+    for (const auto& it : m_hosts)
+        m_store.put("keyed.op", "evacuate/" + it->hall, m_emptied.contains(it->hall) ? "{}" : "");
 }
 
 bool SoakSite::mayRun(const Host& host) const
