A server is asked for its warm-up at its own address and path, once

Cause: an owner doubted its server's warmth twice when it first turned to it. The first question went out before the health path was set, to a path that the server doesn't know; with another life of the server it went over the pool of the former one, whose answer could have ended the doubt. Change: the path is set first, and turnTo alone doubts, once the new pool stands; the second doubt in configure is gone.

--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -63,7 +63,6 @@
     }
     m_serviceId = info->config.service();
     const auto& serviceInfo = *service();
-    const bool isFirst = !m_pool;
     const auto slots = info->config.slots();
     m_admission.setSlots(slots);
     m_admission.setLimit(m_context->settings.admission.limit, m_context->settings.admission.usableShare);
@@ -73,13 +72,12 @@
     m_admission.warmUp().setTerms(warmUpTerms(serviceInfo.config, admission.coldFactor, admission.coldBurst));
     for (const auto& it : m_context->directory.groups())
         m_admission.setWeight(it.number, it.weightIn(m_serviceId));
-    if (m_backendAddress != info->config.address() || m_boundUpstream != info->id)
-        turnTo(*info, now);
-    if (isFirst)
-        doubtWarmth(now);
+    // Before another life is turned to: that asks the server for its health.
     m_prober.setPath(serviceInfo.config.health_path(), m_context->headers);
     m_prober.setOptions(
         { serviceInfo.config.probes_per_s(), serviceInfo.config.probe_slot_share(), slots }, now);
+    if (m_backendAddress != info->config.address() || m_boundUpstream != info->id)
+        turnTo(*info, now);
     setSign(LeavingSign::Operator, info->config.leaving(), now);
 }
 
--- a/src/Node/OwnerLife.cpp
+++ b/src/Node/OwnerLife.cpp
@@ -33,7 +33,6 @@
     m_isDown = false;
     m_unreached = 0;
     m_admission.restart();
-    doubtWarmth(now);
     m_admission.setSlowdown(m_toldSlowdown = 1, now);
     m_loadHeard.reset();
     m_errors = Ewma(errorSampleWeight);
@@ -45,6 +44,8 @@
     if (m_pool)
         m_formerPools.push_back(std::move(m_pool));
     m_pool = std::make_unique<HttpPool>(m_context->base, options);
+    // Before calls that ran are ended, as those that wait would start then.
+    doubtWarmth(now);
     if (isSameAddress && !m_formerPools.empty())
         endRuns(*m_formerPools.back(), now);
 }
--- a/test/EmptiedHallTest.cpp
+++ b/test/EmptiedHallTest.cpp
@@ -193,6 +193,8 @@
         const auto text = f.send(metrics, { "GET", "/metrics", {}, {} }).body;
         return text.find("robinrun_backend_cold_seconds 0\n") != std::string::npos;
     });
+    // It was asked where it tells its health, and nowhere else.
+    REQUIRE(f.places[0].backend->misdirected == 0);
 }
 
 // Seen after power was back: a cold server got 36 calls in a second where 32 are allowed, fell over and
