--- a/src/Mesh/Gossip.h
+++ b/src/Mesh/Gossip.h
@@ -20,7 +20,7 @@
 /// exchange the records of those that differ, both ways. The store is read for nodes that no contact knows.
 /// Cost: a change is contacts + relays x nodes small messages in all; without changes nothing beyond the
 /// regular contact.
-/// \sa docs/DESIGN-platform.md
+/// \sa docs/design/platform.md
 class Gossip {
 public:
     using Send = std::function<void(const std::string& address, proto::PeerMessage& message, Instant now)>;
--- a/src/Platform/RecordStore.h
+++ b/src/Platform/RecordStore.h
@@ -44,7 +44,7 @@
 /// key for good, and all others for a while.
 ///
 /// Callbacks run on the loop, exactly once each, never inside the call itself. Each call costs; none is made
-/// for a single request of a caller. \sa docs/DESIGN-platform.md
+/// for a single request of a caller. \sa docs/design/platform.md
 class RecordStore {
 public:
     using Paged = std::function<void(Result<KeyedPage, PlatformError>)>;
