--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -237,7 +237,7 @@
 RouteNeeds Ingress::needsOf(const Call& call, Instant now) const
 {
     const auto& callClass = call.request.callClass;
-    RouteNeeds needs { call.request.groupNumber, callClass.name, {} };
+    RouteNeeds needs { call.request.groupNumber, callClass.name, {}, m_callBytes.relative(callClass.name) };
     if (callClass.targetLatency > Duration::zero())
         needs.targetLatency = std::max(callClass.targetLatency - (now - call.arrived), Duration(1));
     return needs;
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -10,6 +10,7 @@
 #include "Node/PeerLinks.h"
 #include "Node/RequestTrail.h"
 #include "Node/Timer.h"
+#include "Routing/CallBytes.h"
 #include "Routing/NestedCalls.h"
 #include "Routing/ServiceRouter.h"
 #include "peer.pb.h"
@@ -227,6 +228,7 @@
     SendToPeer m_send;
     WeightedTurns m_turns;
     NestedCalls m_nestedCalls;
+    CallBytes m_callBytes;
     bool m_isDraining = false;
     bool m_isConfigured = true;
     std::optional<double> m_retryBurst;
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -68,6 +68,7 @@
         router.heard(attempt.upstream, report, now);
     if (answer.outcome() == proto::ANSWERED && answer.status() < firstError) {
         const auto& callClass = call.request.callClass.name;
+        m_callBytes.add(callClass, call.exchange->request().body.size() + answer.body().size());
         router.measuredWork(callClass, held, attempt.slowdown);
         router.took(callClass, now - attempt.sent, attempt.expected);
         // Time in the owner's queue was no work.
--- a/src/Routing/Choice.cpp
+++ b/src/Routing/Choice.cpp
@@ -191,7 +191,8 @@
     const double part = toSeconds(time) / toSeconds(in.targetLatency);
     const double late = in.lateChance->of(time, in.targetLatency);
     const double failed = 1 - (1 - late) * (1 - view.errorShare(in.now));
-    return failed + options.delayLoss * part + (view.isFar() ? options.farLoss : 0);
+    const double bytes = std::clamp(in.relativeBytes, options.leastRelativeBytes, options.mostRelativeBytes);
+    return failed + options.delayLoss * part + (view.isFar() ? options.farLoss * bytes : 0);
 }
 
 std::size_t TimelyChoice::operator()(const ChoiceInput& in, Random& random)
--- a/src/Routing/Choice.h
+++ b/src/Routing/Choice.h
@@ -40,6 +40,7 @@
     Duration targetLatency {}; ///< what is left of it; 0: none
     WorkEstimate work {}; ///< slot times of such calls
     const LateChance* lateChance = nullptr; ///< of such calls; needed where there is a target latency
+    double relativeBytes = 1; ///< of such a call and its answer, over those of a mean call
 };
 
 /// \brief Uniform choice, blind to load.
@@ -76,7 +77,7 @@
 /// upstream counts less and less. Own calls in flight weigh more than they are: they are the one exact
 /// figure, and spread each ingress's calls evenly, so that ingresses with the same news don't all follow it.
 /// Cost: O(candidates); about 15 ns each.
-/// \sa docs/DESIGN-choice.md
+/// \sa docs/design/choice.md
 struct ExpectedDelayChoice {
     struct Options {
         Duration newsMemory = 60ms; ///< time constant for others' calls
@@ -112,12 +113,14 @@
 /// each change. An upstream that is slow without telling is not known by this. Calls without a target go by
 /// the time alone.
 /// Cost: O(candidates).
-/// \sa docs/DESIGN-platform.md
+/// \sa docs/design/platform.md
 struct TimelyChoice {
     struct Options {
         Duration slowdownMemory = 1s; ///< time constant, in case that the news of its end is lost
         Duration loadMemory = 500ms; ///< time constant for others' calls
-        double farLoss = 0.15; ///< credit that the bytes of a call to another data hall cost
+        double farLoss = 0.15; ///< credit that the bytes of a mean call to another data hall cost
+        double leastRelativeBytes = 0.2; ///< a small call costs messages and time on its way all the same
+        double mostRelativeBytes = 4; ///< a large one is not kept where it can't be served for its bytes alone
         double delayLoss = 0.1; ///< credit for each target latency that passes, among those in time
     };
     Options options {};
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -122,7 +122,7 @@
     if (!isKnown)
         work.add(usualWork(needs.callClass, needs.targetLatency), 1);
     return { m_views, m_candidates, now, needs.group, needs.targetLatency, isKnown ? it->second.work : work,
-        isKnown ? &it->second.lateChance : &m_unknownChance };
+        isKnown ? &it->second.lateChance : &m_unknownChance, needs.relativeBytes };
 }
 
 Duration ServiceRouter::expectedAt(const std::string& upstream, const RouteNeeds& needs, Instant now)
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -33,6 +33,7 @@
     std::uint32_t group = 0;
     std::string_view callClass {};
     Duration targetLatency {}; ///< what is left of it; 0: none
+    double relativeBytes = 1; ///< of such a call and its answer, over those of a mean call
 };
 
 /// \brief All that one ingress decides about the calls of one service: where to, whether again.
--- a/test/TimelyTest.cpp
+++ b/test/TimelyTest.cpp
@@ -2,6 +2,7 @@
 #include "Queueing/Admission.h"
 #include "Queueing/WorkClock.h"
 #include "Queueing/WorkEstimate.h"
+#include "Routing/CallBytes.h"
 #include "Routing/RemainingTime.h"
 #include "Routing/ServiceRouter.h"
 
@@ -198,3 +199,30 @@
     REQUIRE(remaining.of("c", 150ms, 4) == 200ms); // ends within the phase
     REQUIRE(remaining.of("c", 0ms, 4) == 500ms); // 100 ms of work in the phase, the rest after it
 }
+
+TEST_CASE("Bytes that a call moves weigh against leaving its hall, by its class", "[timely]")
+{
+    // Near by, the server is slow enough to be late one time in a few; the far one is calm.
+    auto router = routerOf({ { "near", 9, 0ms, false }, { "far", 9, 3ms, true } });
+    router.heard("near", told(1.9, 0), start);
+    router.heard("far", told(1, 0), start);
+    Random random(1);
+    const auto choiceOf = [&](double relativeBytes) {
+        return *router.pick({}, { 0, "c", 210ms, relativeBytes }, start, random);
+    };
+    REQUIRE(choiceOf(0.2) == "far");
+    REQUIRE(choiceOf(4) == "near");
+}
+
+TEST_CASE("A class counts by its bytes over those of a mean call, and as a mean one before any was seen", "[timely]")
+{
+    CallBytes bytes;
+    REQUIRE(bytes.relative("small") == 1);
+    for (int i = 0; i < 300; ++i) {
+        bytes.add("small", 1500);
+        bytes.add("large", 9500);
+    }
+    REQUIRE(bytes.relative("small") == Approx(2000.0 / 6000).epsilon(0.05));
+    REQUIRE(bytes.relative("large") == Approx(10000.0 / 6000).epsilon(0.05));
+    REQUIRE(bytes.relative("unknown") == 1);
+}
