--- a/src/Config/Validator.cpp
+++ b/src/Config/Validator.cpp
@@ -13,6 +13,7 @@
     constexpr std::size_t sha256HexLength = 64;
     constexpr unsigned maxSlots = 100000;
     constexpr unsigned maxPort = 65535;
+    constexpr double maxRate = 1e9; // calls a second
 
     bool isPlainName(std::string_view name)
     {
@@ -44,6 +45,11 @@
             check(std::isfinite(x) && x >= 0 && x <= 1, field, "must be from 0 to 1");
         }
 
+        void checkRate(double x, const std::string& field)
+        {
+            check(std::isfinite(x) && x >= 0 && x <= maxRate, field, "must be from 0 to 1000000000");
+        }
+
         void service(const proto::Service& it)
         {
             check(it.deadline_ms() > 0, "service.deadline_ms", "must be above 0");
@@ -96,14 +102,30 @@
             check(it.target_latency_ms() <= it.timeout_ms(), "route.target_latency_ms",
                 "must not be above timeout_ms");
             check(it.attempts() > 0, "route.attempts", "must be above 0");
+            for (int i = 0; i < it.regions_size(); ++i)
+                checkName(it.regions(i), "route.regions[" + std::to_string(i) + "]");
         }
 
-        void group(const proto::Group& it)
+        void credential(const std::string& hex, const std::string& field)
         {
-            const auto& hex = it.credential_sha256();
             const auto isHex = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
-            check(hex.size() == sha256HexLength && std::all_of(hex.begin(), hex.end(), isHex),
-                "group.credential_sha256", "must be 64 lower-case hex digits");
+            check(hex.size() == sha256HexLength && std::all_of(hex.begin(), hex.end(), isHex), field,
+                "must be 64 lower-case hex digits");
+        }
+
+        void group(const proto::Group& it)
+        {
+            credential(it.credential_sha256(), "group.credential_sha256");
+            std::set<std::string> credentials { it.credential_sha256() };
+            for (int i = 0; i < it.more_credentials_sha256_size(); ++i) {
+                const auto path = "group.more_credentials_sha256[" + std::to_string(i) + "]";
+                credential(it.more_credentials_sha256(i), path);
+                check(credentials.insert(it.more_credentials_sha256(i)).second, path, "stands twice");
+            }
+            checkRate(it.rate_per_s(), "group.rate_per_s");
+            checkRate(it.burst(), "group.burst");
+            for (int i = 0; i < it.regions_size(); ++i)
+                checkName(it.regions(i), "group.regions[" + std::to_string(i) + "]");
             std::set<std::string> services;
             for (int i = 0; i < it.shares_size(); ++i) {
                 const auto path = "group.shares[" + std::to_string(i) + "]";
--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -46,6 +46,8 @@
         LogEventInfo { "configuration-sent", "peer version base bytes sent",
             "the first part of a copy; base: holds what differs from it" },
         LogEventInfo { "configuration-copy-unreadable", "source error in_force", "it is asked for whole" },
+        LogEventInfo { "configuration-entry-refused", "version place error",
+            "an entry can't be read whole: its calls are refused, the others are served" },
         LogEventInfo { "configuration-refused", "source error in_force", "can't be read; the old one stays" },
         LogEventInfo {
             "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
@@ -134,6 +136,8 @@
             "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
             "not_run",
             "the ingress took it back" },
+        LogEventInfo { "rate-refused", "request attempt upstream reason retry_after_ms what",
+            "the caller's group has made as many calls as it may" },
         LogEventInfo { "upstream-cold", "request attempt upstream reason wait_ms cold_ms news_age_ms",
             "even the best upstream is cold and would start the call too late" },
     };
--- a/src/Mesh/ConfigHolder.cpp
+++ b/src/Mesh/ConfigHolder.cpp
@@ -25,6 +25,10 @@
     log(LogLevel::Info, "configuration-adopted",
         { { "version", read.value().version }, { "before", version() }, { "source", source },
             { "resources", std::uint64_t { read.value().resources.size() } } });
+    for (const auto& it : read.value().faults) {
+        log(LogLevel::Error, "configuration-entry-refused",
+            { { "version", read.value().version }, { "place", it.place }, { "error", it.message } });
+    }
     m_current = std::move(read.value());
     m_text = text;
     return Verdict::Adopted;
--- a/src/Mesh/Configuration.h
+++ b/src/Mesh/Configuration.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace robinrun {
@@ -17,11 +18,18 @@
     Duration idleTimeout = 60s; ///< between two requests of a connection
 };
 
+/// \brief An entry that could not be read whole: its calls are refused, or what can't be read is left out.
+struct ConfigurationFault {
+    std::string place; ///< entry and field
+    std::string message;
+};
+
 /// \brief One version of a configuration that is written as a whole.
 struct Configuration {
     std::uint64_t version = 0; ///< rises; in uneven steps
-    std::vector<proto::Resource> resources; ///< services and routes
+    std::vector<proto::Resource> resources; ///< services, routes and groups
     CallerLimits limits;
+    std::vector<ConfigurationFault> faults;
 };
 
 } // namespace robinrun
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -100,6 +100,12 @@
     };
     m_ingress = std::make_unique<Ingress>(m_context, *m_owner, nullptr, nullptr, send);
     m_ingress->setConfigured(false);
+    m_rates = std::make_unique<RateKeeper>(
+        RateKeeper::Options { m_context.settings.name, m_context.incarnation, rateTerms() },
+        [this](const std::string& node, proto::PeerMessage& message, Instant now) {
+            return sendToNode(node, message, now);
+        });
+    m_ingress->keepRates(*m_rates);
     m_writer = std::make_unique<RecordWriter>(base, *m_store, m_formats.nodesTopic, m_context.settings.name);
     m_finder = std::make_unique<BackendFinder>(
         base, m_context.settings.backend, [this](const Announcement& found) {
@@ -236,6 +242,9 @@
 {
     auto& metrics = m_context.metrics;
     metrics.gauge("robinrun_config_version", [this] { return double(m_config.version()); });
+    metrics.gauge("robinrun_config_faults",
+        [this] { return m_config.hasAny() ? double(m_config.current()->faults.size()) : 0.0; });
+    metrics.gauge("robinrun_config_proven", [this] { return m_context.isConfigProven ? 1.0 : 0.0; });
     metrics.gauge("robinrun_config_age_seconds", [this] { return toSeconds(monotonicNow() - m_adopted); });
     metrics.gauge("robinrun_config_confirmed_age_seconds", [this] {
         const auto age = m_group.age(monotonicNow());
@@ -257,6 +266,10 @@
         [this] { return toSeconds(m_ingress->meanNewsAge(monotonicNow())); });
     metrics.gauge("robinrun_requests_held", [this] { return double(m_context.crashes.holds().size()); });
     metrics.gauge("robinrun_crash_reports", [this] { return double(m_context.crashes.reports()); });
+    metrics.gauge("robinrun_rate_groups_held", [this] { return double(m_rates->groups()); });
+    metrics.gauge("robinrun_rate_accounts", [this] { return double(m_rates->accounts()); });
+    metrics.gauge("robinrun_rate_credits_lent", [this] { return m_rates->lent(); });
+    metrics.gauge("robinrun_rate_asks_total", [this] { return double(m_rates->asks()); });
     metrics.gauge("robinrun_ready", [this] { return isReady() ? 1.0 : 0.0; });
     metrics.gauge("robinrun_calls_in_progress", [this] { return double(m_ingress->inProgress()); });
     metrics.gauge("robinrun_slots_in_use", [this] { return double(m_owner->load(monotonicNow()).inUse); });
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -24,6 +24,7 @@
 #include "Node/Owner.h"
 #include "Node/Timer.h"
 #include "Platform/RecordStore.h"
+#include "Rates/RateKeeper.h"
 #include "Settings/NodeSettings.h"
 #include "Wire/PeerSocket.h"
 
@@ -170,7 +171,19 @@
     /// \returns how many nodes are known that are not gone. Cost: O(nodes).
     std::size_t livingNodes() const;
 
+    RateTerms rateTerms() const;
+    bool sendToNode(const std::string& node, proto::PeerMessage& message, Instant now);
+    /// \brief Brings the rates and nodes that are known into the keeping of rates.
+    void setRates();
+    /// \brief Asks that could not go out while links were being opened are sent in a moment.
+    void askForCreditsSoon();
+    /// \returns the part of the contacts that can be reached.
+    double reach() const;
+    void takeCreditAsk(const PeerSocket::Sender& sender, const proto::CreditAsk& ask, Instant now);
+
     void tick();
+    /// \brief Notes whether the configuration is proven to be new enough for credentials to rest on.
+    void noteProof(Instant now);
     void noteStandstill();
     void step(NodeEvent event);
     void beginLeaving();
@@ -181,6 +194,7 @@
     Instant m_started;
     std::unique_ptr<RecordStore> m_store;
     std::unique_ptr<PeerSocket> m_peers;
+    std::unique_ptr<RateKeeper> m_rates;
     std::unique_ptr<Owner> m_owner;
     std::unique_ptr<Ingress> m_ingress;
     std::unique_ptr<HttpServer> m_callers;
@@ -221,6 +235,7 @@
     Timer m_relayTimer;
     Timer m_publishAgain;
     Timer m_acquittalTimer;
+    Timer m_creditTimer;
     bool m_isAcquittalPending = false;
     bool m_isCrashNews = false; ///< some was taken in and is not judged yet
     bool m_hasComparedRecords = false; ///< with a contact, in this life
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -9,6 +9,8 @@
 namespace robinrun {
 namespace {
 
+    /// How old a proof is, is noted with each tick.
+    constexpr Duration proofSlack = 100ms;
     /// Changes that come together are applied together.
     constexpr Duration changeDelay = 3ms;
     /// After its last call is answered a stopping node waits so long for another one on its way.
@@ -155,6 +157,7 @@
     m_ingress->setRetryBurst(retryBurst());
     m_owner->configure(now);
     m_ingress->configure(now);
+    setRates();
     const auto& settings = m_context.settings;
     const auto* own = m_context.directory.service(settings.service);
     if (!m_announced.current() && !m_finder->isRunning() && !settings.backend.empty() && !m_isStopping)
@@ -186,13 +189,21 @@
     m_nextContact = now; // what happened meanwhile is heard in the answers
 }
 
+void MeshNode::noteProof(Instant now)
+{
+    const auto age = m_group.age(now);
+    m_context.isConfigProven = age && *age + proofSlack < m_context.settings.credentials.revokeWithin;
+}
+
 void MeshNode::tick()
 {
     const auto now = monotonicNow();
     noteStandstill();
+    noteProof(now);
     m_context.crashes.tick(now);
     heardOfCrashes(now);
     m_owner->tick(now);
+    m_rates->tick(now);
     if (m_halls.tick(m_store->era().era(), now))
         hallsChanged(now);
     m_peers->closeIdle(now);
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -67,6 +67,7 @@
         tellWatchGroup(contact, now);
     m_nextContact = now + (m_isContactOpening ? connectingAgain : m_context.settings.peers.contactEvery);
     forgetLost(now);
+    m_rates->setReach(reach());
 }
 
 void MeshNode::tellWatchGroup(const proto::NodeContact& contact, Instant now)
@@ -167,6 +168,10 @@
         return takePartRequest(sender, message.config_part_request(), now);
     case proto::PeerMessage::kConfigPart:
         return takePart(sender, message.config_part(), now);
+    case proto::PeerMessage::kCreditAsk:
+        return takeCreditAsk(sender, message.credit_ask(), now);
+    case proto::PeerMessage::kCreditGrants:
+        return m_rates->takeGrants(sender.node, message.credit_grants(), now);
     default:
         log(LogLevel::Warning, "peer-message-unknown",
             { { "from", sender.node }, { "kind", static_cast<int>(message.body_case()) } });
--- a/src/Node/CallHeaders.h
+++ b/src/Node/CallHeaders.h
@@ -2,6 +2,7 @@
 
 #include "Http/HttpTypes.h"
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,10 @@
 /// \brief The names of the fields that a deployment may call otherwise. Those given here are robinrun's own.
 struct CallHeaders {
     std::string credential = "Robinrun-Credential"; ///< names the calling group; "": all are one group
+    std::string credentialScheme; ///< word before the credential in that field; "": none
+    /// Whether calls by route belong to groups only where the configuration has any with a credential.
+    bool hasOptionalGroups = false;
+    std::string group { headers::group }; ///< tells the backend server the calling group
     std::string deadline = "Robinrun-Deadline-Ms"; ///< how long the answer is of use, ms
     std::string requestId = "Robinrun-Request-Id"; ///< one for each attempt of a caller
     std::string callerService = "Robinrun-Caller-Service"; ///< service beside the node where the call began
@@ -45,9 +50,18 @@
     {
         return equalIgnoringCase(name, credential) || equalIgnoringCase(name, deadline)
             || equalIgnoringCase(name, headers::attempts) || equalIgnoringCase(name, headers::ticket)
-            || equalIgnoringCase(name, headers::group) || equalIgnoringCase(name, callerService)
+            || isSpelling(name, group) || equalIgnoringCase(name, callerService)
             || equalIgnoringCase(name, expectedUpstream);
     }
+
+private:
+    /// \returns whether a backend server may take \a name for \a field: many read '_' as '-'.
+    static bool isSpelling(std::string_view name, std::string_view field)
+    {
+        std::string spelt(name);
+        std::replace(spelt.begin(), spelt.end(), '_', '-');
+        return equalIgnoringCase(spelt, field);
+    }
 };
 
 } // namespace robinrun
--- a/src/Node/CallReply.cpp
+++ b/src/Node/CallReply.cpp
@@ -16,6 +16,14 @@
         return { std::string(name), std::string(value) };
     }
 
+    /// \returns the status of a call that was not run for \a reason.
+    int statusOf(Reason reason)
+    {
+        if (reason == Reason::TicketMismatch)
+            return unprocessable;
+        return reason == Reason::OverRate ? tooMany : unavailable;
+    }
+
     std::string retryAfter(std::uint32_t ms, const CallHeaders& names)
     {
         if (!names.hasFractionalRetryAfter)
@@ -48,7 +56,7 @@
 HttpReply notRun(Reason reason, std::uint32_t retryAfterMs, bool advisesTicket, const CallHeaders& names)
 {
     const auto ms = std::max(retryAfterMs, leastRetryMs);
-    HttpReply reply { reason == Reason::TicketMismatch ? unprocessable : unavailable,
+    HttpReply reply { statusOf(reason),
         { field(headers::outcome, "not-run"), field(headers::reason, nameOf(reason)),
             { "Retry-After", retryAfter(ms, names) }, field(headers::retryAfterMs, std::to_string(ms)) },
         "the call was not run: " + std::string(nameOf(reason)) + "\n" };
--- a/src/Node/CallRequest.cpp
+++ b/src/Node/CallRequest.cpp
@@ -19,6 +19,8 @@
     constexpr std::string_view ticketTarget = "/tickets";
     /// The group of all callers where they name none.
     constexpr std::string_view onlyGroup = "all";
+    /// Stands for the regions of a call whose route and group have none in common; no region is called so.
+    constexpr std::string_view nowhere = "-";
 
     std::optional<std::int64_t> parseNumber(std::string_view text)
     {
@@ -42,24 +44,23 @@
     /// \brief Reads one request field by field; each step returns what is wrong, or "".
     class Parser {
     public:
-        Parser(
-            const HttpRequest& request, Directory& directory, const CallHeaders& names, WeightedTurns& turns)
+        Parser(const HttpRequest& request, Directory& directory, const CallHeaders& names,
+            WeightedTurns& turns, const CallerContext& caller)
             : m_request(request)
             , m_directory(directory)
             , m_names(names)
             , m_turns(turns)
+            , m_caller(caller)
         {
         }
 
         Result<CallRequest, CallRequestError> parse()
         {
-            if (!readGroup())
-                return fault(
-                    unauthorized, "the header " + m_names.credential + " names no known calling group");
             m_out.target = m_request.target;
             m_out.id = findHeader(m_request.headers, m_names.requestId).value_or("");
-            if (!readRoute() && !readService())
-                return fault(notFound, "no route fits, and no service is named by the host or the path");
+            const auto found = m_names.hasOptionalGroups ? readRouteThenGroup() : readGroupThenService();
+            if (!found)
+                return failure(found.error());
             for (const auto step : { &Parser::readDeadline, &Parser::readAttempts, &Parser::readOnce }) {
                 auto message = (this->*step)();
                 if (!message.empty())
@@ -75,35 +76,137 @@
                 CallRequestError { status, std::move(message), m_out.group.empty() ? "none" : m_out.group });
         }
 
-        bool readGroup()
+        /// \brief An error that ends with the node's next configuration, or the proof of its own.
+        Result<void, CallRequestError> notNow(Reason reason, std::string message) const
         {
-            if (m_names.credential.empty()) {
-                m_out.group = onlyGroup;
-                m_out.groupNumber = m_directory.groupNumber(onlyGroup);
-                return true;
-            }
-            const auto credential = findHeader(m_request.headers, m_names.credential);
+            return failure(CallRequestError {
+                unavailable, std::move(message), m_out.group.empty() ? "none" : m_out.group, reason });
+        }
+
+        Result<void, CallRequestError> forGood(int status, std::string message) const
+        {
+            return failure(
+                CallRequestError { status, std::move(message), m_out.group.empty() ? "none" : m_out.group });
+        }
+
+        Result<void, CallRequestError> noSuchPlace() const
+        {
+            return forGood(notFound, "no route fits, and no service is named by the host or the path");
+        }
+
+        Result<void, CallRequestError> readGroupThenService()
+        {
+            auto credential = credentialOf(m_request, m_names);
+            if (!credential)
+                return failure(credential.error());
             const auto* group
-                = credential ? m_directory.groupByCredential(std::string(*credential)) : nullptr;
+                = credential.value() ? m_directory.groupByCredential(*credential.value()) : nullptr;
             if (!group)
-                return false;
-            m_out.group = group->id;
-            m_out.groupNumber = group->number;
-            return true;
+                return forGood(
+                    unauthorized, "the header " + m_names.credential + " names no known calling group");
+            setGroup(*group);
+            if (!readRoute() && !readService())
+                return noSuchPlace();
+            return boost::outcome_v2::success();
+        }
+
+        Result<void, CallRequestError> readRouteThenGroup()
+        {
+            const auto* route = readRoute();
+            if (!route && !readService())
+                return noSuchPlace();
+            if (route && route->isWithheld)
+                return notNow(Reason::EntryWithheld, "the entry of the route could not be read");
+            if (!m_directory.hasGroups()) {
+                setNoGroup();
+                return boost::outcome_v2::success();
+            }
+            return readOptionalGroup(route && route->isOpen);
+        }
+
+        /// \param isOpen whether calls without a group are served.
+        Result<void, CallRequestError> readOptionalGroup(bool isOpen)
+        {
+            auto credential = credentialOf(m_request, m_names);
+            if (!credential)
+                return failure(credential.error());
+            const bool isUnproven = m_caller.isStrict && !m_caller.isConfigProven;
+            const GroupInfo* group = nullptr;
+            if (credential.value()) {
+                group = m_directory.groupByCredential(*credential.value());
+                m_out.hasCredential = group != nullptr;
+                if (group && isUnproven && !isOpen)
+                    return notNow(
+                        Reason::CredentialUnproven, "whether the credential still counts is not known");
+            } else if (m_caller.parentGroup) {
+                group = m_directory.group(*m_caller.parentGroup);
+            }
+            if (group && group->isWithheld)
+                return notNow(Reason::EntryWithheld, "the entry of the calling group could not be read");
+            if (group) {
+                setGroup(*group);
+                return boost::outcome_v2::success();
+            }
+            // The call that this one is made for may itself have no group.
+            if (isOpen || (!credential.value() && m_caller.parentGroup)) {
+                setNoGroup();
+                return boost::outcome_v2::success();
+            }
+            if (credential.value() && !m_caller.isConfigProven)
+                return notNow(Reason::CredentialUnproven, "a newer configuration may know the credential");
+            return forGood(
+                unauthorized, "the header " + m_names.credential + " names no known calling group");
+        }
+
+        void setGroup(const GroupInfo& group)
+        {
+            m_out.hasGroup = true;
+            m_out.group = group.id;
+            m_out.groupNumber = group.number;
+            m_out.groupPriority = group.priority;
+            bindRegions(group.regions);
+            if (m_out.hasCredential)
+                m_out.rate = group.rate;
+        }
+
+        /// \brief Where route and group both name regions, both bind.
+        void bindRegions(const std::vector<std::string>& regions)
+        {
+            if (regions.empty())
+                return;
+            if (m_out.regions.empty()) {
+                m_out.regions = regions;
+                return;
+            }
+            const auto isOut = [&](const auto& it) {
+                return std::find(regions.begin(), regions.end(), it) == regions.end();
+            };
+            std::erase_if(m_out.regions, isOut);
+            if (m_out.regions.empty())
+                m_out.regions.emplace_back(nowhere);
         }
 
-        bool readRoute()
+        void setNoGroup()
+        {
+            m_out.group = onlyGroup;
+            m_out.groupNumber = m_directory.groupNumber(onlyGroup);
+        }
+
+        const RouteInfo* readRoute()
         {
             const auto host = findHeader(m_request.headers, "Host");
             const auto path = std::string_view(m_out.target).substr(0, m_out.target.find('?'));
             const auto* route = host ? m_directory.route(withoutPort(*host), path) : nullptr;
             if (!route)
-                return false;
+                return nullptr;
             m_out.isByRoute = true;
             m_out.callClass = route->callClass;
-            m_out.service = m_turns.next(route->callClass.name, route->split);
+            m_out.regions = route->regions;
             m_out.attempts = route->attempts;
-            return m_directory.service(m_out.service) != nullptr;
+            if (route->isWithheld)
+                return route;
+            m_out.service = m_turns.next(route->callClass.name, route->split);
+            return m_directory.service(m_out.service) ? route : nullptr;
         }
 
         bool readService()
@@ -181,15 +284,38 @@
         Directory& m_directory;
         const CallHeaders& m_names;
         WeightedTurns& m_turns;
+        const CallerContext& m_caller;
         CallRequest m_out;
     };
 
 } // namespace
 
-Result<CallRequest, CallRequestError> CallRequest::parse(
-    const HttpRequest& request, Directory& directory, const CallHeaders& names, WeightedTurns& turns)
+Result<CallRequest, CallRequestError> CallRequest::parse(const HttpRequest& request, Directory& directory,
+    const CallHeaders& names, WeightedTurns& turns, const CallerContext& caller)
 {
-    return Parser(request, directory, names, turns).parse();
+    return Parser(request, directory, names, turns, caller).parse();
+}
+
+Result<std::optional<std::string>, CallRequestError> credentialOf(
+    const HttpRequest& request, const CallHeaders& names)
+{
+    std::optional<std::string_view> text;
+    for (const auto& [name, value] : request.headers) {
+        if (!equalIgnoringCase(name, names.credential))
+            continue;
+        if (text)
+            return failure(
+                CallRequestError { badRequest, "the header " + names.credential + " is given twice" });
+        text = value;
+    }
+    if (!text || names.credentialScheme.empty())
+        return text ? std::optional<std::string>(*text) : std::nullopt;
+    const auto blank = text->find(' ');
+    if (blank == std::string_view::npos || !equalIgnoringCase(text->substr(0, blank), names.credentialScheme))
+        return std::optional<std::string>();
+    const auto start = text->find_first_not_of(' ', blank);
+    return start == std::string_view::npos ? std::optional<std::string>()
+                                           : std::optional<std::string>(text->substr(start));
 }
 
 } // namespace robinrun
--- a/src/Node/CallRequest.h
+++ b/src/Node/CallRequest.h
@@ -6,11 +6,14 @@
 #include "Node/CallHeaders.h"
 #include "Node/Directory.h"
 #include "Once/Ticket.h"
+#include "Queueing/Refusal.h"
+#include "Rates/GroupRate.h"
 #include "Routing/WeightedTurns.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace robinrun {
 
@@ -19,6 +22,16 @@
     int status = 0; ///< of the HTTP reply
     std::string message;
     std::string group = "none"; ///< as far as it is known
+    Reason reason = Reason::None; ///< why it is refused as not run for now; None: for good
+};
+
+/// \brief What a node knows of a caller beside the configuration.
+struct CallerContext {
+    /// Of the call that runs on the backend server beside the node and that this one is made for.
+    std::optional<std::string> parentGroup;
+    /// Whether the configuration was confirmed so lately that it tells which credentials there are.
+    bool isConfigProven = true;
+    bool isStrict = false; ///< credentials count for nothing without that proof
 };
 
 /// \brief What a caller's request asks for, checked against the configuration.
@@ -26,6 +39,11 @@
     std::string service;
     std::string group;
     std::uint32_t groupNumber = 0;
+    std::uint32_t groupPriority = 0; ///< goes before that of the class
+    bool hasGroup = false; ///< of the configuration; else the group stands for all that have none
+    bool hasCredential = false; ///< by which the group is known
+    GroupRate rate; ///< of the group, for calls that count towards it
+    std::vector<std::string> regions; ///< where alone it may be run; none: anywhere
     ClassInfo callClass;
     std::string target; ///< without the service's part of the path
     Duration allowed {}; ///< until the deadline
@@ -39,8 +57,13 @@
 
     /// \brief Reads \a request. Errors: unknown credential, service or route, fields that make no sense.
     /// \param turns whose turn it is where a route is split; moves on.
-    static Result<CallRequest, CallRequestError> parse(
-        const HttpRequest& request, Directory& directory, const CallHeaders& names, WeightedTurns& turns);
+    static Result<CallRequest, CallRequestError> parse(const HttpRequest& request, Directory& directory,
+        const CallHeaders& names, WeightedTurns& turns, const CallerContext& caller = {});
 };
 
+/// \returns the one credential that \a request gives by the rules of \a names; nothing if it gives none, or
+/// in another scheme. More than one is an error.
+Result<std::optional<std::string>, CallRequestError> credentialOf(
+    const HttpRequest& request, const CallHeaders& names);
+
 } // namespace robinrun
--- a/src/Node/Directory.cpp
+++ b/src/Node/Directory.cpp
@@ -52,13 +52,37 @@
 
 void Directory::addGroup(const std::string& id, const proto::Group& config)
 {
-    GroupInfo info { id, m_numbers(id), {} };
+    GroupInfo info;
+    info.id = id;
+    info.number = m_numbers(id);
     for (const auto& it : config.shares())
         info.weights[it.service()] = it.weight();
-    m_groupByHash[config.credential_sha256()] = m_groups.size();
+    info.priority = config.priority();
+    info.rate = { config.rate_per_s(), config.burst() };
+    info.isWithheld = config.withheld();
+    info.regions = { config.regions().begin(), config.regions().end() };
+    const auto place = m_groups.size();
+    if (!config.credential_sha256().empty())
+        addCredential(config.credential_sha256(), place);
+    for (const auto& it : config.more_credentials_sha256())
+        addCredential(it, place);
+    m_groupById[id] = place;
     m_groups.push_back(std::move(info));
 }
 
+void Directory::addCredential(const std::string& sha256, std::size_t group)
+{
+    const auto [it, isNew] = m_groupByHash.try_emplace(sha256, group);
+    if (!isNew && it->second != group)
+        it->second.reset();
+}
+
+const GroupInfo* Directory::group(std::string_view id) const
+{
+    const auto it = m_groupById.find(id);
+    return it == m_groupById.end() ? nullptr : &m_groups[it->second];
+}
+
 void Directory::addRoute(const std::string& id, const proto::Route& config)
 {
     RouteInfo info;
@@ -67,6 +91,9 @@
     for (const auto& it : config.split())
         info.split.emplace_back(it.service(), it.weight());
     info.attempts = std::max(config.attempts(), 1U);
+    info.isOpen = config.open();
+    info.isWithheld = config.withheld();
+    info.regions = { config.regions().begin(), config.regions().end() };
     m_routes[config.host()].push_back(std::move(info));
 }
 
@@ -84,8 +111,8 @@
     m_services.clear();
     m_routes.clear();
     m_groups.clear();
+    m_groupById.clear();
     m_groupByHash.clear();
-    m_groupByCredential.clear();
     m_emptiedByResource.clear();
 }
 
@@ -173,17 +200,11 @@
     return nullptr;
 }
 
-const GroupInfo* Directory::groupByCredential(const std::string& credential)
+const GroupInfo* Directory::groupByCredential(const std::string& credential) const
 {
-    const auto known = m_groupByCredential.find(credential);
-    if (known != m_groupByCredential.end())
-        return known->second;
     const auto it = m_groupByHash.find(sha256Hex(credential));
-    const GroupInfo* group = it == m_groupByHash.end() ? nullptr : &m_groups[it->second];
-    if (m_groupByCredential.size() >= rememberedCredentials)
-        m_groupByCredential.clear();
-    m_groupByCredential.emplace(credential, group);
-    return group;
+    const bool isKnown = it != m_groupByHash.end() && it->second;
+    return isKnown ? &m_groups[*it->second] : nullptr;
 }
 
 std::string Directory::trialUpstream(std::string_view service, ContentId content) const
--- a/src/Node/Directory.h
+++ b/src/Node/Directory.h
@@ -3,9 +3,11 @@
 #include "Config/ConfigState.h"
 #include "Core/Time.h"
 #include "Crashes/CallContent.h"
+#include "Rates/GroupRate.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -43,6 +45,9 @@
     ClassInfo callClass; ///< named as the route
     std::vector<std::pair<std::string, double>> split; ///< services and their weights
     std::uint32_t attempts = 1; ///< upstreams that one call may be sent to
+    bool isOpen = false; ///< callers need no credential
+    bool isWithheld = false; ///< its entry could not be read whole
+    std::vector<std::string> regions; ///< where alone its calls may be run; none: anywhere
 };
 
 struct UpstreamInfo {
@@ -63,13 +68,18 @@
     std::string id;
     std::uint32_t number = 0;
     std::map<std::string, double> weights; ///< by service
+    std::uint32_t priority = 0; ///< goes before that of routes; 0 is served first
+    GroupRate rate;
+    bool isWithheld = false; ///< its entry could not be read whole
+    std::vector<std::string> regions; ///< where alone its calls may be run; none: anywhere
 
     /// \returns the group's share of \a service; 1 where none is set.
     double weightIn(const std::string& service) const;
 };
 
 /// \brief The configuration as calls need it: built anew from the folded state when that changes.
-/// Cost: building O(resources); look-ups O(1), the first of a credential one SHA-256.
+/// Credentials are held as digests only. Cost: building O(resources); look-ups O(1), of a credential one
+/// SHA-256.
 class Directory {
 public:
     void rebuild(const ConfigState& state);
@@ -89,7 +99,11 @@
     bool hasRoutes() const { return !m_routes.empty(); }
 
     const ServiceInfo* service(std::string_view id) const;
-    const GroupInfo* groupByCredential(const std::string& credential);
+    /// \returns the group that alone has \a credential; null if none has.
+    const GroupInfo* groupByCredential(const std::string& credential) const;
+    /// \returns the group called \a id; null if the configuration has none.
+    const GroupInfo* group(std::string_view id) const;
+    bool hasGroups() const { return !m_groups.empty(); }
     const UpstreamInfo* upstream(const std::string& id) const;
 
     /// \returns the one upstream of \a service that may try \a content while it is held back, the same for
@@ -103,9 +117,6 @@
     std::uint32_t groupNumber(std::string_view id) { return m_numbers(id); }
 
 private:
-    /// Credentials remembered with their group, right or wrong ones; all are dropped beyond this.
-    static constexpr std::size_t rememberedCredentials = 10000;
-
     void clear();
     void add(const proto::Resource& resource);
     void addUpstream(const proto::Resource& resource);
@@ -120,8 +131,11 @@
     std::vector<GroupInfo> m_groups;
     std::set<std::string> m_emptiedHalls; ///< as they were told
     std::set<std::string> m_emptiedByResource;
-    std::unordered_map<std::string, std::size_t> m_groupByHash;
-    std::unordered_map<std::string, const GroupInfo*> m_groupByCredential;
+    void addCredential(const std::string& sha256, std::size_t group);
+
+    std::map<std::string, std::size_t, std::less<>> m_groupById;
+    std::unordered_map<std::string, std::optional<std::size_t>>
+        m_groupByHash; ///< nothing: more than one has it
 };
 
 } // namespace robinrun
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -14,6 +14,8 @@
     constexpr std::uint32_t drainingRetryMs = 100;
     /// A node that has just started usually has its configuration within so long.
     constexpr std::uint32_t notReadyRetryMs = 200;
+    /// Contacts tell of a newer configuration, and of how fresh it is, within about so long.
+    constexpr std::uint32_t unprovenRetryMs = 500;
     /// A link stands after three round trips or so; a worse upstream whose link stands costs more than that.
     constexpr Duration linkPatience = 12ms;
     /// News of a backend server that has started again is at all nodes within so long: a few ways of the
@@ -57,7 +59,9 @@
 
 void Ingress::reject(HttpExchange& exchange, const CallRequestError& error)
 {
-    reject(exchange, error, replies::rejected(error.status, error.message));
+    if (error.reason == Reason::None)
+        return reject(exchange, error, replies::rejected(error.status, error.message));
+    reject(exchange, error, replies::notRun(error.reason, unprovenRetryMs, false, m_context->headers));
 }
 
 void Ingress::reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply)
@@ -83,7 +87,8 @@
             replies::notRun(Reason::NotReady, notReadyRetryMs, false, m_context->headers));
         return;
     }
-    auto request = CallRequest::parse(exchange->request(), m_context->directory, m_context->headers, m_turns);
+    auto request = CallRequest::parse(exchange->request(), m_context->directory, m_context->headers, m_turns,
+        callerOf(exchange->request()));
     if (!request)
         return reject(*exchange, request.error());
     begin(std::move(exchange), std::move(request.value()), now);
@@ -97,6 +102,7 @@
     call.request.isNested = isNested(call.request);
     call.exchange = std::move(exchange);
     call.state = m_context->charts.call.initial();
+    call.configVersion = m_context->configVersion;
     call.arrived = now;
     // A request that waited unread while this node stood still may have been there from the beginning.
     const auto age = m_context->standstill.backlogAge(now);
@@ -115,11 +121,19 @@
     }
     if (allowed == Duration::zero())
         return finishNotRun(id, call, Reason::DeadlinePassed, now);
+    call.wasUnread = age > Duration::zero();
+    if (m_rates && call.request.rate.isBounded())
+        return passRate(id, call, &RateKeeper::spend, now);
+    letIn(id, call, now);
+}
+
+void Ingress::letIn(CallId id, Call& call, Instant now)
+{
     m_routers.at(call.request.service)->firstAttempt(call.request.groupNumber);
     call.isMinting = call.request.key || call.request.wantsTicket;
     step(call, call.request.key ? CallEvent::NeedsClaim : CallEvent::NeedsNoClaim);
     // Its caller may have left meanwhile, which the next turn of the loop shows.
-    if (age > Duration::zero())
+    if (call.wasUnread)
         return tryAgainSoon(id, call);
     proceed(id, now);
 }
@@ -145,6 +159,8 @@
     auto& call = m_calls.at(id);
     if (now >= call.deadline)
         return deadlineReached(id);
+    if (!isStillCalling(call))
+        return finishUncalled(id, call, now);
     // After a standstill, what ended meanwhile is noticed before anything is sent.
     if (m_context->standstill.isFirstTurn(now))
         return tryAgainSoon(id, call);
@@ -206,6 +222,7 @@
     auto& router = *m_routers.at(call.request.service);
     auto excluded = call.tried;
     excluded.insert(excluded.end(), connecting.begin(), connecting.end());
+    excludeOtherRegions(call, excluded);
     auto upstream = router.pick(excluded, needsOf(call, now), now, m_context->random);
     // Better than any other although it is busy: the call may wait there.
     if (upstream && std::find(call.busy.begin(), call.busy.end(), *upstream) != call.busy.end())
@@ -213,6 +230,18 @@
     return upstream;
 }
 
+void Ingress::excludeOtherRegions(const Call& call, std::vector<std::string>& excluded) const
+{
+    const auto& regions = call.request.regions;
+    const auto* service = m_context->directory.service(call.request.service);
+    if (regions.empty() || !service)
+        return;
+    for (const auto& it : service->upstreams) {
+        if (std::find(regions.begin(), regions.end(), it.config.region()) == regions.end())
+            excluded.push_back(it.id);
+    }
+}
+
 bool Ingress::awaitsLink(Call& call, const std::string& upstream, Instant now)
 {
     if (call.awaitedLink.empty()) {
@@ -231,12 +260,37 @@
         = Timer::once(m_context->base, connectRetry, [this, id] { proceed(id, monotonicNow()); });
 }
 
+CallerContext Ingress::callerOf(const HttpRequest& request) const
+{
+    CallerContext out;
+    out.isConfigProven = m_context->isConfigProven;
+    out.isStrict = m_context->settings.credentials.isStrict;
+    if (!m_context->directory.hasGroups())
+        return out;
+    const auto id = findHeader(request.headers, m_context->headers.requestId).value_or("");
+    const auto end = id.rfind(nestedMark);
+    if (end != std::string_view::npos)
+        out.parentGroup = m_owner->runningGroup(std::string(id.substr(0, end)));
+    return out;
+}
+
 bool Ingress::isNested(const CallRequest& request)
 {
     const auto end = request.id.rfind(nestedMark);
     return end != std::string::npos && m_owner->noteNested(request.id.substr(0, end), request.service);
 }
 
+bool Ingress::isStillCalling(const Call& call) const
+{
+    if (!call.request.hasCredential || call.configVersion == m_context->configVersion)
+        return true;
+    const auto credential = credentialOf(call.exchange->request(), m_context->headers);
+    if (!credential || !credential.value())
+        return false;
+    const auto* group = m_context->directory.groupByCredential(*credential.value());
+    return group && group->id == call.request.group;
+}
+
 RouteNeeds Ingress::needsOf(const Call& call, Instant now) const
 {
     const auto& callClass = call.request.callClass;
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -10,12 +10,15 @@
 #include "Node/PeerLinks.h"
 #include "Node/RequestTrail.h"
 #include "Node/Timer.h"
+#include "Rates/RateKeeper.h"
 #include "Routing/CallBytes.h"
 #include "Routing/NestedCalls.h"
 #include "Routing/ServiceRouter.h"
 #include "peer.pb.h"
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,6 +67,9 @@
     /// \brief Until there is a configuration, calls are refused as not run.
     void setConfigured(bool isConfigured) { m_isConfigured = isConfigured; }
 
+    /// \brief Calls of groups with a rate need a credit from \a rates, which must outlive this.
+    void keepRates(RateKeeper& rates);
+
     /// \brief How many retries one service of this node may save up.
     void setRetryBurst(double burst) { m_retryBurst = burst; }
 
@@ -97,7 +103,9 @@
         std::unique_ptr<HttpExchange> exchange;
         CallState state {};
         CallRequest request;
+        std::uint64_t configVersion = 0; ///< by which it was let in
         Instant arrived {};
+        bool wasUnread = false; ///< it waited unread while this node stood still
         Instant deadline {};
         std::uint32_t attemptsLeft = 0;
         std::vector<std::string> tried;
@@ -114,9 +122,11 @@
         std::unique_ptr<proto::Answer>
             failedAnswer; ///< an error of a backend server, kept while others are tried
         std::optional<Ticket> ticket;
+        std::optional<CreditPurse::Credit> credit; ///< by which its group's rate lets it through
         RequestTrail trail;
         bool isMinting = false; ///< the attempt asks for a ticket only
         std::optional<ContentId> content; ///< computed where crashes are known
+        Timer creditTimer; ///< while it waits for a credit
         Timer deadlineTimer;
         Timer attemptTimer;
         Timer connectTimer;
@@ -136,10 +146,23 @@
     ServiceRouter& routerFor(const ServiceInfo& service);
     /// \brief Starts the life of a call.
     void begin(std::unique_ptr<HttpExchange> exchange, CallRequest request, Instant now);
+    /// \brief Lets the call through if its group's rate allows it; else it waits a moment for a credit, or is
+    /// refused.
+    void passRate(CallId id, Call& call,
+        CreditPurse::Decision (RateKeeper::*decide)(const std::string&, Instant), Instant now);
+    void creditsChanged(const std::vector<std::string>& groups, Instant now);
+    void refuseOverRate(CallId id, Call& call, Duration comeBack, Instant now);
+    /// \brief The call is let in: it goes on to an owner.
+    void letIn(CallId id, Call& call, Instant now);
     void noteRoute(Call& call, Instant now) const;
     void noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now);
     void reject(HttpExchange& exchange, const CallRequestError& error);
     void reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply);
+    CallerContext callerOf(const HttpRequest& request) const;
+    /// \returns whether the credential of \a call still names its group.
+    bool isStillCalling(const Call& call) const;
+    /// \brief The credential of \a call was taken away while it waited.
+    void finishUncalled(CallId id, Call& call, Instant now);
     /// \returns whether the backend server beside this node makes this call for one that it runs.
     bool isNested(const CallRequest& request);
     void addTerms(const Call& call, proto::Call& out, Instant now) const;
@@ -150,6 +173,8 @@
     Owner::Sender selfAsSender() const;
     /// \returns an upstream for the call; nothing if there is none. \param connecting those passed over.
     std::optional<std::string> pickFor(Call& call, const std::vector<std::string>& connecting, Instant now);
+    /// \brief Adds to \a excluded the upstreams in regions where \a call may not be run.
+    void excludeOtherRegions(const Call& call, std::vector<std::string>& excluded) const;
     /// \returns whether to wait for the link to \a upstream, which was opened a moment ago.
     static bool awaitsLink(Call& call, const std::string& upstream, Instant now);
     void tryAgainSoon(CallId id, Call& call);
@@ -181,6 +206,8 @@
     void answered(CallId id, Call& call, proto::Answer& answer, Instant now);
     void attemptLost(CallId id, Call& call, Reason reason, Instant now);
     RouteNeeds needsOf(const Call& call, Instant now) const;
+    /// \returns an upstream for a second attempt; nothing if there is none.
+    std::optional<std::string> pickSecond(const Call& call, Instant now);
     /// \returns whether a second attempt at \a upstream is likely to be in time.
     bool isWorthwhile(const Call& call, const std::string& upstream, Instant now);
     /// \brief An upstream has become slow: calls that run there and will be late for it may get a second
@@ -238,6 +265,8 @@
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<std::uint64_t, CallId> m_callByNumber;
     std::unordered_map<std::string, std::unique_ptr<ServiceRouter>> m_routers;
+    RateKeeper* m_rates = nullptr;
+    std::map<std::string, std::deque<CallId>> m_awaitingCredit; ///< by group
     /// What the last answer of an owner told of its clock, to pass deadlines that a late delivery can't
     /// outlive.
     struct OwnerClock {
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -89,6 +89,18 @@
     finish(id, call, reply, CallOutcome::NotRun, reason, now);
 }
 
+void Ingress::finishUncalled(CallId id, Call& call, Instant now)
+{
+    if (finishWithFailure(id, call, now))
+        return;
+    if (call.wasLost)
+        return finishUnknown(id, call, Reason::OwnerLost, now);
+    step(call, CallEvent::GivenUp);
+    const auto reply
+        = replies::rejected(httpStatus::unauthorized, "the credential was taken away while the call waited");
+    finish(id, call, reply, CallOutcome::Rejected, Reason::None, now);
+}
+
 bool Ingress::isHopeless(const Call& call, const std::string& upstream, Instant now)
 {
     auto& router = *m_routers.at(call.request.service);
@@ -156,6 +168,9 @@
     const proto::Answer* answer)
 {
     giveUpAttempts(call, now, false);
+    const bool hasNotRun = outcome == CallOutcome::NotRun || outcome == CallOutcome::Rejected;
+    if (call.credit && hasNotRun)
+        m_rates->giveBack(call.request.group, *call.credit, now);
     CallSample sample;
     sample.group = call.request.group;
     sample.callClass = call.request.callClass.name;
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -57,6 +57,8 @@
     const auto& callClass = call.request.callClass;
     auto& terms = *out.mutable_terms();
     terms.set_priority(callClass.priority);
+    terms.set_group_priority(call.request.groupPriority);
+    terms.set_ranked(m_context->directory.hasGroups());
     terms.set_repeatable(callClass.isRepeatable);
     const auto left = callClass.targetLatency - (now - call.arrived);
     terms.set_target_latency_us(static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1)));
@@ -64,6 +66,11 @@
     terms.set_only_at_once(call.asksLeft > 0);
     out.set_caller_service(m_context->settings.service);
     out.set_request_id(call.request.id);
+    if (call.request.hasGroup) {
+        auto& header = *out.add_headers();
+        header.set_name(m_context->headers.group);
+        header.set_value(call.request.group);
+    }
     if (const auto host = findHeader(call.exchange->request().headers, "Host")) {
         auto& header = *out.add_headers();
         header.set_name("Host");
--- /dev/null
+++ b/src/Node/IngressRates.cpp
@@ -0,0 +1,77 @@
+#include "Node/Ingress.h"
+
+#include <algorithm>
+
+/// \file Calls of groups with a rate: each needs a credit before it goes on.
+
+namespace robinrun {
+namespace {
+
+    /// A lender answers within a few ways of the network; a call whose credit takes longer is refused, to come back.
+    constexpr Duration creditPatience = 60ms;
+
+} // namespace
+
+void Ingress::keepRates(RateKeeper& rates)
+{
+    m_rates = &rates;
+    rates.onChanged([this](const auto& groups, Instant now) { creditsChanged(groups, now); });
+}
+
+void Ingress::passRate(CallId id, Call& call,
+    CreditPurse::Decision (RateKeeper::*decide)(const std::string&, Instant), Instant now)
+{
+    const auto decision = (m_rates->*decide)(call.request.group, now);
+    switch (decision.verdict) {
+    case CreditPurse::Verdict::Spent:
+        call.credit = decision.credit;
+        call.creditTimer = Timer();
+        return letIn(id, call, now);
+    case CreditPurse::Verdict::Refused:
+        return refuseOverRate(id, call, decision.comeBack, now);
+    case CreditPurse::Verdict::Wait:
+        break;
+    }
+    m_awaitingCredit[call.request.group].push_back(id);
+    if (call.creditTimer.isSet())
+        return;
+    m_context->metrics.count("robinrun_credit_waits_total");
+    call.creditTimer = Timer::once(m_context->base, creditPatience, [this, id] {
+        auto& late = m_calls.at(id);
+        refuseOverRate(id, late, creditPatience, monotonicNow());
+    });
+}
+
+void Ingress::creditsChanged(const std::vector<std::string>& groups, Instant now)
+{
+    for (const auto& group : groups) {
+        const auto found = m_awaitingCredit.find(group);
+        if (found == m_awaitingCredit.end())
+            continue;
+        const auto waiting = std::move(found->second);
+        m_awaitingCredit.erase(found);
+        for (const auto id : waiting) {
+            const auto it = m_calls.find(id);
+            if (it != m_calls.end() && !it->second.credit)
+                passRate(id, it->second, &RateKeeper::retry, now);
+        }
+    }
+}
+
+void Ingress::refuseOverRate(CallId id, Call& call, Duration comeBack, Instant now)
+{
+    // Spread, so that those who come back don't meet the same few credits together.
+    const auto spread = fromSeconds(toSeconds(comeBack) * m_context->random.unit());
+    call.retryAfterMs = static_cast<std::uint32_t>(toMilliseconds(comeBack + spread));
+    call.trail.add({ RequestEvent::RateRefused, now, {}, 0, Reason::OverRate,
+        { { "retry_after_ms", call.retryAfterMs } }, call.request.group });
+    const auto waiting = m_awaitingCredit.find(call.request.group);
+    if (waiting != m_awaitingCredit.end()) {
+        std::erase(waiting->second, id);
+        if (waiting->second.empty())
+            m_awaitingCredit.erase(waiting);
+    }
+    finishNotRun(id, call, Reason::OverRate, now);
+}
+
+} // namespace robinrun
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -57,6 +57,15 @@
     ++call.attemptsLeft;
 }
 
+std::optional<std::string> Ingress::pickSecond(const Call& call, Instant now)
+{
+    if (!isStillCalling(call))
+        return std::nullopt;
+    auto excluded = call.tried;
+    excludeOtherRegions(call, excluded);
+    return m_routers.at(call.request.service)->pick(excluded, needsOf(call, now), now, m_context->random);
+}
+
 bool Ingress::isWorthwhile(const Call& call, const std::string& upstream, Instant now)
 {
     const auto needs = needsOf(call, now);
@@ -80,7 +89,7 @@
     if (!mayHedge(call, now) || (call.request.isByRoute && isOnItsWay(call, *it, now)))
         return;
     // The late attempt stays out; the first whole answer is taken.
-    const auto upstream = router.pick(call.tried, needsOf(call, now), now, m_context->random);
+    const auto upstream = pickSecond(call, now);
     if (!upstream || (call.request.isByRoute && !isWorthwhile(call, *upstream, now)))
         return;
     sendSecond(id, call, *upstream, now);
@@ -153,7 +162,7 @@
     const auto here = router.remainingAt(attempt.upstream, call.request.callClass.name, done);
     if (here <= needs.targetLatency)
         return;
-    const auto upstream = router.pick(call.tried, needs, now, m_context->random);
+    const auto upstream = pickSecond(call, now);
     if (!upstream || !isWorthwhile(call, *upstream, now))
         return;
     call.trail.setNotable();
--- a/src/Node/Metrics.cpp
+++ b/src/Node/Metrics.cpp
@@ -7,6 +7,8 @@
 
     namespace acc = boost::accumulators;
 
+    constexpr std::string_view otherGroups = "others";
+
     const acc::extractor<internal::FixedHistogramTag> bucketsOf;
 
     void writeHistogram(
@@ -35,9 +37,19 @@
 
 } // namespace
 
+std::string_view Metrics::seriesOf(std::string_view group)
+{
+    if (m_groups.contains(group))
+        return group;
+    if (m_groups.size() >= mostGroups)
+        return otherGroups;
+    m_groups.emplace(group);
+    return group;
+}
+
 void Metrics::call(const CallSample& sample)
 {
-    const Key key { std::string(sample.group), std::string(sample.callClass) };
+    const Key key { std::string(seriesOf(sample.group)), std::string(sample.callClass) };
     auto& series = m_calls[key];
     ++series.outcomes[static_cast<std::size_t>(sample.outcome)];
     if (sample.reason != Reason::None)
--- a/src/Node/Metrics.h
+++ b/src/Node/Metrics.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -86,7 +87,8 @@
 
 /// \brief Counts and histograms, written out in Prometheus' text form.
 ///
-/// Cost: a call about 0.3 us; a pair of group and class about 1 KB.
+/// Groups beyond the first that were seen share the series of the group "others", so that what is held and
+/// told stays bounded. Cost: a call about 0.3 us; a pair of group and class about 1 KB.
 class Metrics {
 public:
     void call(const CallSample& sample);
@@ -112,6 +114,12 @@
         std::array<std::uint64_t, countOf<CallOutcome>()> outcomes {};
     };
     using Key = std::pair<std::string, std::string>;
+    static constexpr std::size_t mostGroups = 20;
+
+    /// \returns the name under which \a group is counted.
+    std::string_view seriesOf(std::string_view group);
+
+    std::set<std::string, std::less<>> m_groups; ///< that have series of their own
 
     std::map<Key, Series, std::less<>> m_calls;
     std::array<std::uint64_t, countOf<Reason>()> m_reasons {};
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -34,7 +34,9 @@
     std::function<Instant()> clock = monotonicNow;
     std::function<std::int64_t()> wallClock = wallClockMs;
     CallHeaders headers {};
-    std::uint64_t configVersion = 0; ///< of the directory, for the log
+    std::uint64_t configVersion = 0; ///< of the directory
+    /// Whether the configuration was confirmed within `credentials.revoke_within`.
+    bool isConfigProven = true;
     StandstillWatch standstill {}; ///< given the node's ticks
     SuspensionWatch suspension {};
     CrashLedger crashes {}; ///< of backend servers anywhere, as far as this node has heard
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -11,6 +11,7 @@
 
     constexpr Duration forgetSenders = 120s;
     constexpr std::uint32_t priorityOfNested = 0;
+    constexpr std::uint32_t mostPriorities = 256; // lower ones share the last place
     constexpr Duration ingressMemory = 30s;
     constexpr double percent = 100;
     constexpr std::int64_t neverHeard = -1; // in the log, for an age
@@ -27,6 +28,15 @@
         return out;
     }
 
+    /// \returns the place over all groups of a call that isn't nested: the group's priority goes before the
+    /// route's.
+    std::uint32_t rankOf(const proto::RouteTerms& terms)
+    {
+        const auto group = std::min(terms.group_priority(), mostPriorities - 1);
+        const auto route = std::min(terms.priority(), mostPriorities - 1);
+        return 1 + group * mostPriorities + route;
+    }
+
     Hash128 fingerprintOf(const proto::Call& call)
     {
         return hash128(call.group() + '\n' + call.method() + '\n' + call.target() + '\n' + call.body());
@@ -284,6 +294,8 @@
     // A call made for another one goes first: that one holds a slot while it waits, and its work is done.
     const bool goesFirst = terms.nested() && m_context->settings.experiments.isOn(Mechanism::NestedFirst);
     offer.priority = goesFirst ? priorityOfNested : terms.priority() + 1;
+    if (terms.ranked())
+        offer.rank = goesFirst ? priorityOfNested : rankOf(terms);
     if (!terms.nested())
         offer.inTimeUntil = now + Duration(terms.target_latency_us());
     else
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -223,6 +223,14 @@
         [this, id](Result<HttpReply, HttpError> result) { ended(id, std::move(result), monotonicNow()); });
 }
 
+std::optional<std::string> Owner::runningGroup(const std::string& requestId) const
+{
+    const auto running = m_runningRequests.find(requestId);
+    if (running == m_runningRequests.end())
+        return std::nullopt;
+    return m_calls.at(running->second).call.group();
+}
+
 bool Owner::noteNested(const std::string& requestId, const std::string& service)
 {
     const auto running = m_runningRequests.find(requestId);
--- a/src/Node/Timer.h
+++ b/src/Node/Timer.h
@@ -38,6 +38,8 @@
     Timer& operator=(const Timer&) = delete;
     ~Timer() = default;
 
+    bool isSet() const { return m_state != nullptr; }
+
 private:
     struct State {
         event* raw = nullptr;
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -71,12 +71,12 @@
     return m_sojourn[call.group].shouldRefuse(options, now - call.arrived, isLast, now);
 }
 
-Duration Admission::expectedWait(std::uint32_t group, std::uint32_t priority, Instant now) const
+Duration Admission::expectedWait(
+    std::uint32_t group, std::uint32_t rank, std::uint32_t priority, Instant now) const
 {
     if (inUse() < limit() && m_queue.isEmpty())
         return coldWait(Duration::zero(), now);
-    const double share = m_queue.shareOf(group);
-    const double ahead = toSeconds(m_queue.costAhead(group, priority)) / share;
+    const double ahead = toSeconds(m_queue.timeAhead(group, rank, priority));
     const double slots = limit();
     // The next slot comes free after about one slot time over the number of slots.
     const double firstFree = inUse() < limit() ? 0 : toSeconds(m_service.overall(now)) / slots;
@@ -110,10 +110,10 @@
     require(!m_waiting.contains(offer.id) && !m_running.contains(offer.id), "Admission::offer: id is new");
     Dispatch out;
     const auto cost = m_service.of(offer.callClass);
-    const QueuedCall call { offer.id, offer.group, offer.priority, now, offer.deadline, cost,
+    const QueuedCall call { offer.id, offer.group, offer.rank, offer.priority, now, offer.deadline, cost,
         offer.inTimeUntil };
     m_queue.chargeElsewhere(offer.group, offer.elsewhere);
-    const auto wait = expectedWait(offer.group, offer.priority, now);
+    const auto wait = expectedWait(offer.group, offer.rank, offer.priority, now);
     if (const auto reason = reasonToRefuse(call, offer.callClass, wait, now); reason != Reason::None) {
         refuse(call, reason, out, now);
         return out;
@@ -292,7 +292,7 @@
 
 void Admission::refuse(const QueuedCall& call, Reason reason, Dispatch& out, Instant now) const
 {
-    const auto wait = expectedWait(call.group, call.priority, now);
+    const auto wait = expectedWait(call.group, call.rank, call.priority, now);
     out.refused.push_back({ call.id, reason, std::max(wait, minRetryAfter) });
 }
 
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -20,7 +20,8 @@
     std::uint64_t id = 0;
     std::uint32_t group = 0;
     std::uint32_t callClass = 0;
-    std::uint32_t priority = 0;
+    std::uint32_t rank = 0; ///< over all groups, 0 first
+    std::uint32_t priority = 0; ///< inside the group and rank
     Instant deadline {};
     Duration elsewhere {};
     Instant inTimeUntil = Instant::max(); ///< an answer after this is late
@@ -146,7 +147,7 @@
     std::uint32_t inUse() const { return static_cast<std::uint32_t>(m_running.size()) + m_heldSlots; }
 
     /// \returns how long a call of the group is likely to wait if it came now.
-    Duration expectedWait(std::uint32_t group, std::uint32_t priority, Instant now) const;
+    Duration expectedWait(std::uint32_t group, std::uint32_t rank, std::uint32_t priority, Instant now) const;
 
 private:
     struct Running {
--- a/src/Queueing/FairQueue.cpp
+++ b/src/Queueing/FairQueue.cpp
@@ -3,6 +3,8 @@
 #include "Core/Check.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 
 namespace robinrun {
 
@@ -19,9 +21,15 @@
     m_limit = limit;
 }
 
-std::size_t FairQueue::level(std::uint32_t priority)
+FairQueue::Level FairQueue::levelOf(const QueuedCall& call)
 {
-    return std::min<std::size_t>(priority, priorityCount - 1);
+    return { call.rank, std::min(call.priority, priorityCount - 1) };
+}
+
+bool FairQueue::Flow::hasRank(std::uint32_t rank) const
+{
+    const auto it = lanes.lower_bound({ rank, 0 });
+    return it != lanes.end() && it->first.rank == rank;
 }
 
 void FairQueue::setWeight(std::uint32_t group, double weight)
@@ -29,16 +37,41 @@
     require(weight > 0, "FairQueue::setWeight: weight above 0");
     auto& flow = m_flows[group];
     if (flow.waiting)
-        m_backloggedWeight += weight - flow.weight;
+        m_waitingWeight += weight - flow.weight;
+    for (auto& [rank, backlog] : m_backlogs) {
+        if (flow.hasRank(rank))
+            backlog.weight += weight - flow.weight;
+    }
     flow.weight = weight;
 }
 
+void FairQueue::enlist(std::uint32_t group, const Flow& flow, std::uint32_t rank)
+{
+    auto& backlog = m_backlogs[rank];
+    backlog.groups.emplace(flow.tag, group);
+    backlog.weight += flow.weight;
+}
+
+void FairQueue::delist(std::uint32_t group, const Flow& flow, std::uint32_t rank)
+{
+    const auto it = m_backlogs.find(rank);
+    it->second.groups.erase({ flow.tag, group });
+    it->second.weight -= flow.weight;
+    if (it->second.groups.empty())
+        m_backlogs.erase(it);
+}
+
 void FairQueue::charge(std::uint32_t group, Flow& flow, double slotSeconds)
 {
     const double tag = std::max(flow.tag + slotSeconds / flow.weight, 0.0);
-    if (flow.waiting) {
-        m_backlogged.erase({ flow.tag, group });
-        m_backlogged.emplace(tag, group);
+    std::optional<std::uint32_t> last;
+    for (const auto& [level, lane] : flow.lanes) {
+        if (last == level.rank)
+            continue;
+        last = level.rank;
+        auto& groups = m_backlogs.at(level.rank).groups;
+        groups.erase({ flow.tag, group });
+        groups.emplace(tag, group);
     }
     flow.tag = tag;
 }
@@ -53,12 +86,15 @@
     auto& flow = m_flows[call.group];
     if (!flow.waiting) {
         flow.tag = std::max(flow.tag, m_virtualTime);
-        m_backlogged.emplace(flow.tag, call.group);
-        m_backloggedWeight += flow.weight;
+        m_waitingWeight += flow.weight;
     }
-    const auto priority = level(call.priority);
-    flow.calls[priority].push_back(call);
-    flow.cost[priority] += call.expectedCost;
+    const auto level = levelOf(call);
+    if (!flow.hasRank(level.rank))
+        enlist(call.group, flow, level.rank);
+    auto& lane = flow.lanes[level];
+    lane.calls.push_back(call);
+    lane.cost += call.expectedCost;
+    m_backlogs.at(level.rank).cost += call.expectedCost;
     ++flow.waiting;
     ++m_size;
     if (m_size <= m_limit)
@@ -66,19 +102,24 @@
     return evict();
 }
 
-QueuedCall FairQueue::take(std::uint32_t group, Flow& flow, std::size_t priority, std::size_t index)
+QueuedCall FairQueue::take(std::uint32_t group, Flow& flow, Level level, std::size_t index)
 {
-    auto& calls = flow.calls[priority];
-    const auto it = calls.begin() + static_cast<std::ptrdiff_t>(index);
+    const auto found = flow.lanes.find(level);
+    auto& lane = found->second;
+    const auto it = lane.calls.begin() + static_cast<std::ptrdiff_t>(index);
     const QueuedCall call = *it;
-    calls.erase(it);
-    flow.cost[priority] -= call.expectedCost;
+    lane.calls.erase(it);
+    lane.cost -= call.expectedCost;
+    m_backlogs.at(level.rank).cost -= call.expectedCost;
     --flow.waiting;
     --m_size;
-    if (!flow.waiting) {
-        m_backlogged.erase({ flow.tag, group });
-        m_backloggedWeight = m_backlogged.empty() ? 0 : m_backloggedWeight - flow.weight;
+    if (lane.calls.empty()) {
+        flow.lanes.erase(found);
+        if (!flow.hasRank(level.rank))
+            delist(group, flow, level.rank);
     }
+    if (!flow.waiting)
+        m_waitingWeight = m_size ? m_waitingWeight - flow.weight : 0;
     return call;
 }
 
@@ -88,27 +129,24 @@
         const auto& flow = m_flows.at(key.second);
         return static_cast<double>(flow.waiting) / flow.weight;
     };
-    const auto worst = std::max_element(m_backlogged.begin(), m_backlogged.end(),
-        [&](const Key& a, const Key& b) { return crowding(a) < crowding(b); });
+    const auto& groups = m_backlogs.rbegin()->second.groups;
+    const auto worst = std::max_element(
+        groups.begin(), groups.end(), [&](const Key& a, const Key& b) { return crowding(a) < crowding(b); });
     const auto group = worst->second;
     auto& flow = m_flows.at(group);
-    std::size_t priority = priorityCount - 1;
-    while (flow.calls[priority].empty())
-        --priority;
-    return take(group, flow, priority, flow.calls[priority].size() - 1);
+    const auto& [level, lane] = *std::prev(flow.lanes.end());
+    return take(group, flow, level, lane.calls.size() - 1);
 }
 
 std::optional<QueuedCall> FairQueue::pop()
 {
-    if (m_backlogged.empty())
+    if (m_backlogs.empty())
         return std::nullopt;
-    const auto [tag, group] = *m_backlogged.begin();
+    const auto [tag, group] = *m_backlogs.begin()->second.groups.begin();
     m_virtualTime = std::max(m_virtualTime, tag);
     auto& flow = m_flows.at(group);
-    std::size_t priority = 0;
-    while (flow.calls[priority].empty())
-        ++priority;
-    const auto call = take(group, flow, priority, 0);
+    const auto level = flow.lanes.begin()->first;
+    const auto call = take(group, flow, level, 0);
     charge(group, flow, toSeconds(call.expectedCost));
     return call;
 }
@@ -124,12 +162,11 @@
     if (found == m_flows.end())
         return std::nullopt;
     auto& flow = found->second;
-    for (std::size_t priority = 0; priority < priorityCount; ++priority) {
-        const auto& calls = flow.calls[priority];
-        const auto it
-            = std::find_if(calls.begin(), calls.end(), [id](const auto& call) { return call.id == id; });
-        if (it != calls.end())
-            return take(group, flow, priority, static_cast<std::size_t>(it - calls.begin()));
+    for (const auto& [level, lane] : flow.lanes) {
+        const auto it = std::find_if(
+            lane.calls.begin(), lane.calls.end(), [id](const auto& call) { return call.id == id; });
+        if (it != lane.calls.end())
+            return take(group, flow, level, static_cast<std::size_t>(it - lane.calls.begin()));
     }
     return std::nullopt;
 }
@@ -147,15 +184,18 @@
 
 std::vector<QueuedCall> FairQueue::removeIf(const std::function<bool(const QueuedCall&)>& isOut)
 {
-    std::vector<QueuedCall> out;
-    for (auto& [group, flow] : m_flows) {
-        for (std::size_t priority = 0; priority < priorityCount; ++priority) {
-            for (std::size_t i = flow.calls[priority].size(); i-- > 0;) {
-                if (isOut(flow.calls[priority][i]))
-                    out.push_back(take(group, flow, priority, i));
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> ids;
+    for (const auto& [group, flow] : m_flows) {
+        for (const auto& [level, lane] : flow.lanes) {
+            for (const auto& it : lane.calls) {
+                if (isOut(it))
+                    ids.emplace_back(group, it.id);
             }
         }
     }
+    std::vector<QueuedCall> out;
+    for (const auto& [group, id] : ids)
+        out.push_back(*cancel(group, id));
     return out;
 }
 
@@ -165,15 +205,21 @@
     return it == m_flows.end() ? 0 : it->second.waiting;
 }
 
-Duration FairQueue::costAhead(std::uint32_t group, std::uint32_t priority) const
+Duration FairQueue::timeAhead(std::uint32_t group, std::uint32_t rank, std::uint32_t priority) const
 {
-    const auto it = m_flows.find(group);
-    if (it == m_flows.end())
-        return Duration::zero();
-    Duration sum {};
-    for (std::size_t i = 0; i <= level(priority); ++i)
-        sum += it->second.cost[i];
-    return sum;
+    Duration before {};
+    for (auto it = m_backlogs.begin(); it != m_backlogs.end() && it->first < rank; ++it)
+        before += it->second.cost;
+    const auto found = m_flows.find(group);
+    if (found == m_flows.end() || !found->second.hasRank(rank))
+        return before;
+    const auto& flow = found->second;
+    const Level own { rank, std::min(priority, priorityCount - 1) };
+    Duration inGroup {};
+    for (auto it = flow.lanes.lower_bound({ rank, 0 }); it != flow.lanes.end() && it->first <= own; ++it)
+        inGroup += it->second.cost;
+    const double share = flow.weight / m_backlogs.at(rank).weight;
+    return before + fromSeconds(toSeconds(inGroup) / share);
 }
 
 double FairQueue::shareOf(std::uint32_t group) const
@@ -181,7 +227,7 @@
     const auto it = m_flows.find(group);
     const double weight = it == m_flows.end() ? 1 : it->second.weight;
     const bool isCounted = it != m_flows.end() && it->second.waiting;
-    const double total = m_backloggedWeight + (isCounted ? 0 : weight);
+    const double total = m_waitingWeight + (isCounted ? 0 : weight);
     return std::min(1.0, weight / total);
 }
 
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -2,10 +2,10 @@
 
 #include "Core/Time.h"
 
-#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -18,7 +18,8 @@
 struct QueuedCall {
     std::uint64_t id = 0;
     std::uint32_t group = 0;
-    std::uint32_t priority = 0; ///< class priority inside the group, 0 first
+    std::uint32_t rank = 0; ///< over all groups, 0 first
+    std::uint32_t priority = 0; ///< class priority inside the group and rank, 0 first
     Instant arrived {};
     Instant deadline {};
     Duration expectedCost {}; ///< slot time it is likely to hold
@@ -36,11 +37,14 @@
 /// Wang and Merchant, FAST 2007), so that shares hold over a whole service when calls are skewed to one of
 /// its upstreams. That charge is bounded, so that old use can't shut a group out.
 ///
-/// Cost: push, pop and settle are O(log groups); cancel is O(calls of the group).
+/// Where calls have ranks, the lowest rank goes first, whatever its groups have had, and groups share inside
+/// each rank.
+///
+/// Cost: push, pop and settle are O(ranks of the group x log groups); cancel is O(calls of the group).
 class FairQueue {
 public:
     /// Classes beyond the last priority share it.
-    static constexpr std::size_t priorityCount = 4;
+    static constexpr std::uint32_t priorityCount = 4;
 
     /// \param limit of waiting calls over all groups; above 0.
     /// \param maxElsewhere bound of one call's charge for use elsewhere.
@@ -60,7 +64,7 @@
     /// gives way. \returns the call that gave way: perhaps \a call itself.
     std::optional<QueuedCall> push(const QueuedCall& call);
 
-    /// \brief Takes the next call by fair share, and inside its group by priority, then age.
+    /// \brief Takes the next call by rank, then fair share, and inside its group by priority, then age.
     std::optional<QueuedCall> pop();
 
     /// \brief Corrects the charge of a taken call once it is known what it held.
@@ -79,35 +83,55 @@
     bool isEmpty() const { return !m_size; }
     std::size_t sizeOf(std::uint32_t group) const;
 
-    /// \returns the expected slot time of the group's waiting calls that would run before a new one of \a
-    /// priority.
-    Duration costAhead(std::uint32_t group, std::uint32_t priority) const;
+    /// \returns the slot time that waiting calls are expected to get before a new call of the group, if those
+    /// that wait now go on waiting. Cost: O(ranks).
+    Duration timeAhead(std::uint32_t group, std::uint32_t rank, std::uint32_t priority) const;
 
-    /// \returns the part of the slots, in (0, 1], that \a group gets while all that wait now go on waiting.
+    /// \returns the part of the slots, in (0, 1], that \a group gets while all that wait now go on waiting
+    /// and no rank goes first.
     double shareOf(std::uint32_t group) const;
 
 private:
+    /// Place of a call in the order of its group.
+    struct Level {
+        std::uint32_t rank = 0;
+        std::uint32_t priority = 0;
+        auto operator<=>(const Level&) const = default;
+    };
+    struct Lane {
+        std::deque<QueuedCall> calls; ///< never empty
+        Duration cost {};
+    };
     struct Flow {
         double weight = 1;
         double tag = 0;
         std::size_t waiting = 0;
-        std::array<std::deque<QueuedCall>, priorityCount> calls;
-        std::array<Duration, priorityCount> cost {};
+        std::map<Level, Lane> lanes;
+
+        bool hasRank(std::uint32_t rank) const;
+    };
+    using Key = std::pair<double, std::uint32_t>; ///< tag, group
+    /// What waits in one rank.
+    struct Backlog {
+        std::set<Key> groups;
+        Duration cost {};
+        double weight = 0; ///< of its groups
     };
-    using Key = std::pair<double, std::uint32_t>;
 
-    static std::size_t level(std::uint32_t priority);
+    static Level levelOf(const QueuedCall& call);
     void charge(std::uint32_t group, Flow& flow, double slotSeconds);
-    QueuedCall take(std::uint32_t group, Flow& flow, std::size_t priority, std::size_t index);
+    void enlist(std::uint32_t group, const Flow& flow, std::uint32_t rank);
+    void delist(std::uint32_t group, const Flow& flow, std::uint32_t rank);
+    QueuedCall take(std::uint32_t group, Flow& flow, Level level, std::size_t index);
     QueuedCall evict();
 
     std::size_t m_limit;
     Duration m_maxElsewhere;
     std::size_t m_size = 0;
     double m_virtualTime = 0;
-    double m_backloggedWeight = 0;
+    double m_waitingWeight = 0; ///< of the groups that wait
     std::unordered_map<std::uint32_t, Flow> m_flows;
-    std::set<Key> m_backlogged;
+    std::map<std::uint32_t, Backlog> m_backlogs; ///< by rank; never empty
 };
 
 } // namespace robinrun
--- /dev/null
+++ b/src/Rates/CreditPurse.cpp
@@ -0,0 +1,241 @@
+#include "Rates/CreditPurse.h"
+
+#include "Core/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace robinrun {
+namespace {
+
+    /// Over which the demand of a group is averaged.
+    constexpr double demandMemorySeconds = 1;
+    /// Of what a group should hold, less than this part left is a reason to ask.
+    constexpr double lowPart = 0.5;
+
+} // namespace
+
+CreditPurse::CreditPurse(std::string self, CreditHomes& homes, CreditTiming timing)
+    : m_self(std::move(self))
+    , m_homes(&homes)
+    , m_timing(timing)
+{
+}
+
+std::size_t CreditPurse::firstPart(const std::string& group) const
+{
+    return hash64(m_self, hash64(group)) % ratePartCount;
+}
+
+void CreditPurse::count(Group& group, Instant now) const
+{
+    const double age = toSeconds(now - group.counted);
+    group.demand = group.demand * std::exp(-age / demandMemorySeconds) + 1 / demandMemorySeconds;
+    group.counted = now;
+    group.lastCall = now;
+}
+
+double CreditPurse::demandOf(const std::string& group, Instant now) const
+{
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end())
+        return 0;
+    return it->second.demand * std::exp(-toSeconds(now - it->second.counted) / demandMemorySeconds);
+}
+
+void CreditPurse::reopen(Account& account, const std::string& home)
+{
+    account = {};
+    account.home = home;
+    account.opened = ++m_lastOpened;
+}
+
+void CreditPurse::refresh(const std::string& name, Group& group, Instant now)
+{
+    for (std::uint32_t part = 0; part < ratePartCount; ++part) {
+        auto& account = group.accounts[part];
+        const auto& home = m_homes->homeOf(name, part);
+        const bool isTooOld = !account.isEmpty() && now - account.proven >= m_timing.term;
+        if (!account.opened || account.home != home || isTooOld)
+            reopen(account, home);
+    }
+}
+
+bool CreditPurse::mayAnswer(const Account& account, Instant now) const
+{
+    if (account.home.empty() || now < account.shortUntil)
+        return false;
+    return account.ask ? now - account.asked < m_timing.homePatience : !account.isSilent;
+}
+
+CreditPurse::Decision CreditPurse::decide(const std::string& name, Group& group, Instant now)
+{
+    refresh(name, group, now);
+    const auto first = firstPart(name);
+    bool maySomeAnswer = false;
+    auto next = now + m_timing.askAgain;
+    for (std::size_t i = 0; i < ratePartCount; ++i) {
+        const auto part = (first + i) % ratePartCount;
+        auto& account = group.accounts[part];
+        if (account.held() > 0) {
+            const auto number = ++m_lastCredit;
+            account.unsettled.emplace_back(number, now);
+            return { Verdict::Spent, { static_cast<std::uint32_t>(part), account.opened, number }, {} };
+        }
+        maySomeAnswer = maySomeAnswer || mayAnswer(account, now);
+        if (account.shortUntil > now)
+            next = std::min(next, account.shortUntil);
+    }
+    return { maySomeAnswer ? Verdict::Wait : Verdict::Refused, {}, next - now };
+}
+
+CreditPurse::Decision CreditPurse::spend(const std::string& group, Instant now)
+{
+    auto& entry = m_groups[group];
+    count(entry, now);
+    auto out = decide(group, entry, now);
+    if (out.verdict == Verdict::Wait)
+        ++entry.waiting;
+    return out;
+}
+
+CreditPurse::Decision CreditPurse::retry(const std::string& group, Instant now)
+{
+    return decide(group, m_groups[group], now);
+}
+
+void CreditPurse::giveBack(const std::string& group, const Credit& credit, Instant now)
+{
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end())
+        return;
+    auto& account = it->second.accounts[credit.part];
+    if (account.opened != credit.opened || now - account.proven >= m_timing.term)
+        return;
+    std::erase_if(account.unsettled, [&](const auto& entry) { return entry.first == credit.number; });
+}
+
+void CreditPurse::settle(Account& account, Instant now) const
+{
+    while (!account.unsettled.empty() && now - account.unsettled.front().second >= m_timing.settleAfter) {
+        account.unsettled.pop_front();
+        ++account.used;
+    }
+}
+
+std::uint32_t CreditPurse::wantedBy(const Group& group, Instant now) const
+{
+    if (now - group.lastCall >= m_timing.idleAfter)
+        return 0;
+    const double demand = group.demand * std::exp(-toSeconds(now - group.counted) / demandMemorySeconds);
+    return 1 + group.waiting + static_cast<std::uint32_t>(demand * toSeconds(m_timing.horizon));
+}
+
+bool CreditPurse::isDue(const Account& account, std::uint32_t wanted, Instant now) const
+{
+    if (account.home.empty())
+        return false;
+    if (account.ask && now - account.asked < m_timing.askAgain)
+        return false;
+    if (!account.isEmpty() && now - account.proven >= m_timing.renewEvery)
+        return true;
+    if (!wanted)
+        return account.held() > 0;
+    const bool isLow = static_cast<double>(account.held()) < lowPart * wanted;
+    return isLow && now >= account.shortUntil;
+}
+
+void CreditPurse::addAsk(std::map<std::string, Ask>& out, const std::string& name, std::uint32_t part,
+    Account& account, std::uint32_t wanted, Instant now)
+{
+    settle(account, now);
+    if (!wanted)
+        account.returned += account.held();
+    auto& ask = out[account.home];
+    if (ask.home.empty()) {
+        ask.home = account.home;
+        ask.message.set_number(++m_lastAsk);
+    }
+    account.isSilent = account.isSilent || account.ask;
+    account.ask = ask.message.number();
+    account.asked = now;
+    auto& told = *ask.message.add_accounts();
+    told.set_group(name);
+    told.set_part(part);
+    told.set_opened(account.opened);
+    told.set_used(account.used);
+    told.set_returned(account.returned);
+    told.set_wanted(wanted ? wanted + static_cast<std::uint32_t>(account.unsettled.size()) : 0);
+}
+
+std::vector<CreditPurse::Ask> CreditPurse::asks(Instant now)
+{
+    std::map<std::string, Ask> out;
+    for (auto it = m_groups.begin(); it != m_groups.end();) {
+        auto& [name, group] = *it;
+        refresh(name, group, now);
+        const auto wanted = wantedBy(group, now);
+        const auto first = firstPart(name);
+        bool isEnough = false;
+        for (std::size_t i = 0; i < ratePartCount; ++i) {
+            const auto part = static_cast<std::uint32_t>((first + i) % ratePartCount);
+            auto& account = group.accounts[part];
+            const auto share = isEnough ? 0 : wanted;
+            const bool isWeak = now < account.weakUntil || account.isSilent
+                || (account.ask && now - account.asked >= m_timing.homePatience);
+            if (isDue(account, share, now))
+                addAsk(out, name, part, account, share, now);
+            isEnough = isEnough || !isWeak;
+        }
+        const bool isDone = !wanted
+            && std::all_of(group.accounts.begin(), group.accounts.end(),
+                [](const Account& account) { return account.isEmpty(); });
+        it = isDone ? m_groups.erase(it) : std::next(it);
+    }
+    std::vector<Ask> asks;
+    asks.reserve(out.size());
+    for (auto& [home, ask] : out)
+        asks.push_back(std::move(ask));
+    return asks;
+}
+
+void CreditPurse::unsent(const Ask& ask, Instant)
+{
+    for (const auto& told : ask.message.accounts()) {
+        const auto it = m_groups.find(told.group());
+        if (it == m_groups.end())
+            continue;
+        auto& account = it->second.accounts[told.part()];
+        if (account.ask == ask.message.number())
+            account.ask = 0;
+    }
+}
+
+std::vector<std::string> CreditPurse::take(
+    const std::string& home, const proto::CreditGrants& grants, Instant now)
+{
+    std::vector<std::string> out;
+    for (const auto& grant : grants.grants()) {
+        const auto it = m_groups.find(grant.group());
+        if (it == m_groups.end() || grant.part() >= ratePartCount)
+            continue;
+        auto& account = it->second.accounts[grant.part()];
+        if (account.home != home || account.opened != grant.opened())
+            continue;
+        account.isSilent = false;
+        if (grants.number() == account.ask) {
+            account.ask = 0;
+            account.proven = account.asked;
+            const auto pause = std::chrono::milliseconds(grant.next_ms());
+            account.shortUntil = grant.next_ms() ? now + pause : Instant {};
+            if (grant.next_ms())
+                account.weakUntil = now + m_timing.mostShort;
+        }
+        account.lent = std::max(account.lent, grant.lent());
+        it->second.waiting = 0;
+        out.push_back(grant.group());
+    }
+    return out;
+}
+
+} // namespace robinrun
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -105,6 +105,21 @@
         reader.finish();
     }
 
+    void readCredentials(YamlReader reader, NodeSettings& out)
+    {
+        out.credentials.isStrict = reader.flag("strict", false);
+        out.credentials.revokeWithin = reader.duration("revoke_within", 100ms, 24h, 5s);
+        reader.finish();
+    }
+
+    void readRates(YamlReader reader, NodeSettings& out)
+    {
+        out.rates.window = reader.duration("window", 100ms, 1h, 5s);
+        out.rates.over = reader.number("over", 0, 1, 0.1);
+        out.rates.slack = reader.number("slack", 0, 1e6, 20);
+        reader.finish();
+    }
+
     void readExperiments(YamlReader reader, NodeSettings& out)
     {
         for (std::size_t i = 0; i < countOf<Mechanism>(); ++i) {
@@ -171,6 +186,8 @@
     readRetries(reader.section("retries"), out);
     readPeers(reader.section("peers"), out);
     readAdmission(reader.section("admission"), out);
+    readCredentials(reader.section("credentials"), out);
+    readRates(reader.section("rates"), out);
     readExperiments(reader.section("experiments"), out);
     readClaims(reader.section("claims"), out);
     readControl(reader.section("control"), out);
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -66,6 +66,19 @@
         Duration forgetAfter {}; ///< a contact that could not be reached for so long is taken for gone
     } peers;
 
+    /// How credentials of calling groups are taken away, as the deployment bounds it.
+    struct {
+        bool isStrict = false; ///< a node that can't prove that a credential still counts refuses it
+        Duration revokeWithin {}; ///< how old the proof of a configuration may be that credentials rest on
+    } credentials;
+
+    /// How exactly the rates of calling groups are kept over all nodes, as the deployment bounds it.
+    struct {
+        Duration window {}; ///< any of this length counts
+        double over = 0; ///< part of what a group may make in it, on top of that
+        double slack = 0; ///< calls on top of that
+    } rates;
+
     std::map<std::string, std::string> operatorTokens; ///< name: SHA-256 of the token, hex
 
     struct {
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -230,6 +230,8 @@
         s.peers.followers = followers;
         s.peers.forgetAfter = forgetAfter;
         s.peers.contactEvery = 200ms;
+        s.credentials = { false, 5s };
+        s.rates = { 5s, 0.1, 20 };
         s.drainTimeout = 3s;
         s.lameDuck = 50ms;
         s.log.sampleOneIn = 1;
