--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -171,6 +171,8 @@
     const bool hasNotRun = outcome == CallOutcome::NotRun || outcome == CallOutcome::Rejected;
     if (call.credit && hasNotRun)
         m_rates->giveBack(call.request.group, *call.credit, now);
+    else if (call.credit)
+        m_rates->ran(call.request.group, *call.credit);
     CallSample sample;
     sample.group = call.request.group;
     sample.callClass = call.request.callClass.name;
--- a/src/Rates/CreditLender.cpp
+++ b/src/Rates/CreditLender.cpp
@@ -10,6 +10,8 @@
     constexpr double smallSide = 0.5;
     /// Credits in a part when its lender starts: few enough that all may start a few times in a window.
     constexpr double firstCredits = 1;
+    /// Of what a part can save up, kept for calls that wait.
+    constexpr double reservedPart = 0.3;
 
 } // namespace
 
@@ -85,11 +87,14 @@
         account.heard = now;
         settle(account, told, bucket);
         const double wanted = std::max(double(told.wanted()) - double(account.out()), 0.0);
-        const double lends = std::min(wanted, std::floor(std::max(bucket.level, 0.0)));
+        const double waiting = std::min(wanted, double(told.waiting()));
+        // What calls wait for comes before what ingresses hold for calls to come.
+        const double ahead = std::floor(bucket.level - reservedPart * part.most);
+        const double lends = std::clamp(ahead, std::min(waiting, std::floor(bucket.level)), wanted);
         bucket.level -= lends;
         bucket.lent += lends;
         account.lent += static_cast<std::uint64_t>(lends);
-        if (lends < wanted)
+        if (lends < waiting || (lends < wanted && bucket.level < 1))
             out.set_next_ms(nextIn(part, bucket));
     }
     out.set_lent(account.lent);
--- a/src/Rates/CreditPurse.cpp
+++ b/src/Rates/CreditPurse.cpp
@@ -12,6 +12,8 @@
     constexpr double demandMemorySeconds = 1;
     /// Of what a group should hold, less than this part left is a reason to ask.
     constexpr double lowPart = 0.5;
+    /// A group with calls here holds so many for the next ones, if there are enough.
+    constexpr std::uint32_t leastHeld = 2;
 
 } // namespace
 
@@ -22,9 +24,9 @@
 {
 }
 
-std::size_t CreditPurse::firstPart(const std::string& group) const
+std::uint32_t CreditPurse::firstPart(const std::string& name, const Group& group) const
 {
-    return hash64(m_self, hash64(group)) % ratePartCount;
+    return static_cast<std::uint32_t>(hash64(m_self, hash64(name)) % group.parts);
 }
 
 void CreditPurse::count(Group& group, Instant now) const
@@ -52,7 +54,7 @@
 
 void CreditPurse::refresh(const std::string& name, Group& group, Instant now)
 {
-    for (std::uint32_t part = 0; part < ratePartCount; ++part) {
+    for (std::uint32_t part = 0; part < group.parts; ++part) {
         auto& account = group.accounts[part];
         const auto& home = m_homes->homeOf(name, part);
         const bool isTooOld = !account.isEmpty() && now - account.proven >= m_timing.term;
@@ -71,16 +73,16 @@
 CreditPurse::Decision CreditPurse::decide(const std::string& name, Group& group, Instant now)
 {
     refresh(name, group, now);
-    const auto first = firstPart(name);
+    const auto first = firstPart(name, group);
     bool maySomeAnswer = false;
     auto next = now + m_timing.askAgain;
-    for (std::size_t i = 0; i < ratePartCount; ++i) {
-        const auto part = (first + i) % ratePartCount;
+    for (std::uint32_t i = 0; i < group.parts; ++i) {
+        const auto part = (first + i) % group.parts;
         auto& account = group.accounts[part];
         if (account.held() > 0) {
             const auto number = ++m_lastCredit;
             account.unsettled.emplace_back(number, now);
-            return { Verdict::Spent, { static_cast<std::uint32_t>(part), account.opened, number }, {} };
+            return { Verdict::Spent, { part, account.opened, number }, {} };
         }
         maySomeAnswer = maySomeAnswer || mayAnswer(account, now);
         if (account.shortUntil > now)
@@ -89,19 +91,32 @@
     return { maySomeAnswer ? Verdict::Wait : Verdict::Refused, {}, next - now };
 }
 
-CreditPurse::Decision CreditPurse::spend(const std::string& group, Instant now)
+CreditPurse::Decision CreditPurse::spend(const std::string& group, std::uint32_t parts, Instant now)
 {
     auto& entry = m_groups[group];
+    entry.parts = parts;
     count(entry, now);
+    return retry(group, now);
+}
+
+CreditPurse::Decision CreditPurse::retry(const std::string& group, Instant now)
+{
+    auto& entry = m_groups[group];
     auto out = decide(group, entry, now);
     if (out.verdict == Verdict::Wait)
         ++entry.waiting;
     return out;
 }
 
-CreditPurse::Decision CreditPurse::retry(const std::string& group, Instant now)
+void CreditPurse::ran(const std::string& group, const Credit& credit)
 {
-    return decide(group, m_groups[group], now);
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end())
+        return;
+    auto& account = it->second.accounts[credit.part];
+    const auto isIt = [&](const auto& entry) { return entry.first == credit.number; };
+    if (isOf(account, credit) && std::erase_if(account.unsettled, isIt))
+        ++account.used;
 }
 
 void CreditPurse::giveBack(const std::string& group, const Credit& credit, Instant now)
@@ -110,7 +125,7 @@
     if (it == m_groups.end())
         return;
     auto& account = it->second.accounts[credit.part];
-    if (account.opened != credit.opened || now - account.proven >= m_timing.term)
+    if (!isOf(account, credit) || now - account.proven >= m_timing.term)
         return;
     std::erase_if(account.unsettled, [&](const auto& entry) { return entry.first == credit.number; });
 }
@@ -128,10 +143,11 @@
     if (now - group.lastCall >= m_timing.idleAfter)
         return 0;
     const double demand = group.demand * std::exp(-toSeconds(now - group.counted) / demandMemorySeconds);
-    return 1 + group.waiting + static_cast<std::uint32_t>(demand * toSeconds(m_timing.horizon));
+    return leastHeld + group.waiting + static_cast<std::uint32_t>(demand * toSeconds(m_timing.horizon));
 }
 
-bool CreditPurse::isDue(const Account& account, std::uint32_t wanted, Instant now) const
+bool CreditPurse::isDue(
+    const Account& account, std::uint32_t wanted, std::uint32_t waiting, Instant now) const
 {
     if (account.home.empty())
         return false;
@@ -142,11 +158,12 @@
     if (!wanted)
         return account.held() > 0;
     const bool isLow = static_cast<double>(account.held()) < lowPart * wanted;
-    return isLow && now >= account.shortUntil;
+    const bool isWorthAsking = waiting || now - account.asked >= m_timing.leastBetween;
+    return isLow && isWorthAsking && now >= account.shortUntil;
 }
 
 void CreditPurse::addAsk(std::map<std::string, Ask>& out, const std::string& name, std::uint32_t part,
-    Account& account, std::uint32_t wanted, Instant now)
+    Account& account, std::uint32_t wanted, std::uint32_t waiting, Instant now)
 {
     settle(account, now);
     if (!wanted)
@@ -156,7 +173,6 @@
         ask.home = account.home;
         ask.message.set_number(++m_lastAsk);
     }
-    account.isSilent = account.isSilent || account.ask;
     account.ask = ask.message.number();
     account.asked = now;
     auto& told = *ask.message.add_accounts();
@@ -166,6 +182,7 @@
     told.set_used(account.used);
     told.set_returned(account.returned);
     told.set_wanted(wanted ? wanted + static_cast<std::uint32_t>(account.unsettled.size()) : 0);
+    told.set_waiting(waiting);
 }
 
 std::vector<CreditPurse::Ask> CreditPurse::asks(Instant now)
@@ -175,16 +192,18 @@
         auto& [name, group] = *it;
         refresh(name, group, now);
         const auto wanted = wantedBy(group, now);
-        const auto first = firstPart(name);
+        const auto first = firstPart(name, group);
         bool isEnough = false;
-        for (std::size_t i = 0; i < ratePartCount; ++i) {
-            const auto part = static_cast<std::uint32_t>((first + i) % ratePartCount);
+        for (std::uint32_t i = 0; i < group.parts; ++i) {
+            const auto part = (first + i) % group.parts;
             auto& account = group.accounts[part];
             const auto share = isEnough ? 0 : wanted;
-            const bool isWeak = now < account.weakUntil || account.isSilent
-                || (account.ask && now - account.asked >= m_timing.homePatience);
-            if (isDue(account, share, now))
-                addAsk(out, name, part, account, share, now);
+            const auto waiting = isEnough ? 0 : group.waiting;
+            account.isSilent
+                = account.isSilent || (account.ask && now - account.asked >= m_timing.homePatience);
+            const bool isWeak = now < account.weakUntil || account.isSilent;
+            if (isDue(account, share, waiting, now))
+                addAsk(out, name, part, account, share, waiting, now);
             isEnough = isEnough || !isWeak;
         }
         const bool isDone = !wanted
@@ -217,7 +236,7 @@
     std::vector<std::string> out;
     for (const auto& grant : grants.grants()) {
         const auto it = m_groups.find(grant.group());
-        if (it == m_groups.end() || grant.part() >= ratePartCount)
+        if (it == m_groups.end() || grant.part() >= mostRateParts)
             continue;
         auto& account = it->second.accounts[grant.part()];
         if (account.home != home || account.opened != grant.opened())
--- a/src/Rates/CreditPurse.h
+++ b/src/Rates/CreditPurse.h
@@ -48,11 +48,16 @@
     /// \param self name of this node, which spreads ingresses over lenders.
     CreditPurse(std::string self, CreditHomes& homes, CreditTiming timing = {});
 
-    /// \brief Lets a call of \a group through if there is a credit for it.
-    Decision spend(const std::string& group, Instant now);
+    /// \brief Lets a call of \a group through if there is a credit for it. \param parts of the group's rate.
+    Decision spend(const std::string& group, std::uint32_t parts, Instant now);
 
-    /// \brief As spend(), for a call that has been told to wait.
+    /// \brief As spend(), for a call that has been told to wait, and has waited until a lender answered.
     Decision retry(const std::string& group, Instant now);
+    /// \brief As retry(), just after lenders have been asked for the call.
+    Decision again(const std::string& group, Instant now) { return decide(group, m_groups[group], now); }
+
+    /// \brief The call has run.
+    void ran(const std::string& group, const Credit& credit);
 
     /// \brief The call was refused and has not run: its credit serves another one, if it still counts.
     void giveBack(const std::string& group, const Credit& credit, Instant now);
@@ -87,14 +92,17 @@
         bool isEmpty() const { return lent == used + returned; }
     };
     struct Group {
-        std::array<Account, ratePartCount> accounts;
+        std::uint32_t parts = 0;
+        std::array<Account, mostRateParts> accounts; ///< `parts` of them are used
         double demand = 0; ///< calls a second, as of `counted`
         Instant counted {};
         Instant lastCall {};
         std::uint32_t waiting = 0; ///< calls that came and found no credit, since the last grant
     };
 
-    std::size_t firstPart(const std::string& group) const;
+    std::uint32_t firstPart(const std::string& name, const Group& group) const;
+    /// \returns whether \a credit is of an account that still stands.
+    static bool isOf(const Account& account, const Credit& credit) { return account.opened == credit.opened; }
     void count(Group& group, Instant now) const;
     /// \brief Throws away what the account can no longer rely on.
     void refresh(const std::string& name, Group& group, Instant now);
@@ -103,10 +111,10 @@
     bool mayAnswer(const Account& account, Instant now) const;
     /// \returns the credits that the group should hold here.
     std::uint32_t wantedBy(const Group& group, Instant now) const;
-    bool isDue(const Account& account, std::uint32_t wanted, Instant now) const;
+    bool isDue(const Account& account, std::uint32_t wanted, std::uint32_t waiting, Instant now) const;
     void settle(Account& account, Instant now) const;
     void addAsk(std::map<std::string, Ask>& out, const std::string& name, std::uint32_t part, Account& account,
-        std::uint32_t wanted, Instant now);
+        std::uint32_t wanted, std::uint32_t waiting, Instant now);
 
     std::string m_self;
     CreditHomes* m_homes;
--- a/src/Rates/RateKeeper.cpp
+++ b/src/Rates/RateKeeper.cpp
@@ -20,11 +20,14 @@
 
 CreditPurse::Decision RateKeeper::spend(const std::string& group, Instant now)
 {
-    auto out = m_purse.spend(group, now);
+    const auto rate = m_rates.find(group);
+    if (rate == m_rates.end())
+        return {};
+    auto out = m_purse.spend(group, ratePartsOf(rate->second), now);
     if (out.verdict != CreditPurse::Verdict::Wait)
         return out;
     ask(now);
-    return m_purse.retry(group, now); // this node itself may be a lender
+    return m_purse.again(group, now); // this node itself may have lent some
 }
 
 void RateKeeper::giveBack(const std::string& group, const CreditPurse::Credit& credit, Instant now)
@@ -39,7 +42,7 @@
     for (const auto& it : ask.accounts()) {
         const auto rate = m_rates.find(it.group());
         // Who knows other nodes asks another one soon.
-        const bool isHome = it.part() < ratePartCount && m_homes.homeOf(it.group(), it.part()) == m_options.node;
+        const bool isHome = it.part() < mostRateParts && m_homes.homeOf(it.group(), it.part()) == m_options.node;
         if (isHome && rate != m_rates.end())
             *out.add_grants() = m_lender.take(life, it, rate->second, now);
     }
@@ -49,8 +52,10 @@
 void RateKeeper::takeGrants(const std::string& node, const proto::CreditGrants& grants, Instant now)
 {
     const auto groups = m_purse.take(node, grants, now);
-    if (!groups.empty() && m_changed)
-        m_changed(groups, now);
+    if (groups.empty() || !m_changed)
+        return;
+    m_changed(groups, now);
+    ask(now); // for those that wait still
 }
 
 void RateKeeper::tick(Instant now)
--- a/src/Rates/RateKeeper.h
+++ b/src/Rates/RateKeeper.h
@@ -43,6 +43,8 @@
     bool isBounded(const std::string& group) const;
     /// \brief Lets a call of \a group through if there is a credit; else a lender is asked.
     CreditPurse::Decision spend(const std::string& group, Instant now);
+    /// \brief The call has run.
+    void ran(const std::string& group, const CreditPurse::Credit& credit) { m_purse.ran(group, credit); }
     CreditPurse::Decision retry(const std::string& group, Instant now) { return m_purse.retry(group, now); }
     void giveBack(const std::string& group, const CreditPurse::Credit& credit, Instant now);
 
--- a/src/Rates/RateTerms.h
+++ b/src/Rates/RateTerms.h
@@ -21,23 +21,32 @@
     }
 };
 
-/// \brief The rate of each group is divided into so many equal parts, each lent by a node of its own: where one is
-/// lost, three quarters are left, which is still more than what a group usually asks for.
-inline constexpr std::uint32_t ratePartCount = 4;
+/// \brief The rate of a group is divided into at most so many equal parts, each lent by a node of its own: where one
+/// is lost, three quarters are left, which is still more than what a group usually asks for.
+inline constexpr std::uint32_t mostRateParts = 4;
+
+/// \returns the parts that the rate of a group is divided into. Small ones have fewer, as credits are whole.
+inline std::uint32_t ratePartsOf(const GroupRate& rate)
+{
+    constexpr double smallPerSecond = 40;
+    constexpr std::uint32_t smallParts = 2;
+    return rate.perSecond < smallPerSecond ? smallParts : mostRateParts;
+}
 
 /// \brief One part of a group's rate, as its lender keeps it.
 struct RatePart {
     double perSecond = 0;
     double most = 0; ///< credits saved up and lent together, at most
 
-    /// \brief Half of what the terms allow on top is lent; the rest is for lenders that change and start anew.
+    /// \brief What the terms allow on top is lent but for a part, which is for lenders that change and start anew.
     static RatePart of(const GroupRate& rate, const RateTerms& terms)
     {
         constexpr double lentOver = 0.5;
-        constexpr double lentSlack = 0.25;
+        constexpr double lentSlack = 0.7;
         const double extra = lentOver * terms.over * rate.perSecond * toSeconds(terms.window);
-        const double most = (rate.burst + extra + lentSlack * terms.slack) / ratePartCount;
-        return { rate.perSecond / ratePartCount, std::max(most, 1.0) };
+        const double parts = ratePartsOf(rate);
+        const double most = (rate.burst + extra + lentSlack * terms.slack) / parts;
+        return { rate.perSecond / parts, std::max(most, 1.0) };
     }
 };
 
