Rates: lenders are the most capable hosts and are asked for all groups together; one retry budget where all groups share it; overdue servers are asked how slow they are

Budgets of retries were counted by group, so that 79 groups might have saved up more than the deployment's slack. A server that turns slow tells so with its next answer, which is what is late.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -55,6 +55,7 @@
     m_record.set_incarnation(incarnation);
     m_record.set_service(own.service);
     m_record.set_address(own.backend);
+    m_record.set_capacity(own.capacity);
 }
 
 MeshNode::~MeshNode() = default;
--- a/src/Mesh/MeshNodeRates.cpp
+++ b/src/Mesh/MeshNodeRates.cpp
@@ -46,18 +46,17 @@
         rates.emplace(it.id, it.rate);
     m_rates->setRates(std::move(rates));
     m_rates->setTerms(rateTerms());
-    std::vector<std::string> names;
+    std::vector<CreditHomes::Node> nodes;
     for (const auto& [name, record] : m_registry.nodes()) {
         if (!record.gone())
-            names.push_back(name);
+            nodes.push_back({ name, record.capacity() });
     }
-    m_rates->setNodes(std::move(names));
+    m_rates->setNodes(std::move(nodes));
 }
 
 double MeshNode::reach() const
 {
-    const auto contacts
-        = m_registry.contactsOf(m_context.settings.name, m_context.settings.peers.contacts);
+    const auto contacts = m_registry.contactsOf(m_context.settings.name, m_context.settings.peers.contacts);
     if (contacts.empty())
         return 1;
     const auto isReached = [this](const std::string& it) {
--- a/src/Node/IngressRates.cpp
+++ b/src/Node/IngressRates.cpp
@@ -7,7 +7,8 @@
 namespace robinrun {
 namespace {
 
-    /// A lender answers within a few ways of the network; a call whose credit takes longer is refused, to come back.
+    /// A lender answers within a few ways of the network; a call whose credit takes longer is refused, to
+    /// come back.
     constexpr Duration creditPatience = 100ms;
 
 } // namespace
--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -72,6 +72,7 @@
         options.farLoss = m_context->settings.choice.farLoss;
         options.ejects = m_context->settings.experiments.isOn(Mechanism::Ejection);
         options.retryFraction = service.config.retry_fraction();
+        options.sharesRetries = m_retryBurst.has_value();
         router = std::make_unique<ServiceRouter>(options);
     }
     return *router;
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -23,6 +23,9 @@
     constexpr Duration probeWhileDown = 250ms;
     /// While a backend server is slow it gets few calls, and so would not be heard to be well again.
     constexpr Duration probeWhileSlow = 60ms;
+    /// A server may turn slow from one moment to the next; its calls can be begun anew elsewhere as long as
+    /// little of their time is gone.
+    constexpr Duration probeWhileOverdue = 40ms;
     /// Ingresses are told of a slow-down that has changed by this factor.
     constexpr double tellFactor = 1.5;
     /// Ingresses that sent a call within this time are told of a changed load.
@@ -67,9 +70,14 @@
         return false;
     if (m_admission.warmUp().isInDoubt(now))
         return true;
+    const auto& experiments = m_context->settings.experiments;
+    // Its answers would tell, but they are what is late.
+    const bool isNewsOld = m_loadHeard && now - *m_loadHeard >= probeWhileOverdue;
+    if (isNewsOld && experiments.isOn(Mechanism::ProbeOverdue) && m_admission.hasOverdue(now))
+        return true;
     // A cold server is slow, as it has said; calls are few then, and each answer tells its slow-down.
     const bool isSlowUnexplained = isSlow(load.slowdown) && load.coldFor == Duration::zero();
-    return m_context->settings.experiments.isOn(Mechanism::ProbeWhileSlow) && isSlowUnexplained
+    return experiments.isOn(Mechanism::ProbeWhileSlow) && isSlowUnexplained
         && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow);
 }
 
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -19,6 +19,9 @@
     /// least.
     constexpr double calmShare = 0.95;
 
+    /// Work varies by a third: a run that takes longer than that is unusual.
+    constexpr double overdueFactor = 1.3;
+
 } // namespace
 
 Admission::Admission(Options options)
@@ -238,6 +241,13 @@
     return out;
 }
 
+bool Admission::hasOverdue(Instant now) const
+{
+    return std::any_of(m_running.begin(), m_running.end(), [now](const auto& it) {
+        return toSeconds(now - it.second.started) > overdueFactor * toSeconds(it.second.expected);
+    });
+}
+
 LoadReport Admission::load(Instant now) const
 {
     LoadReport out { limit(), inUse(), static_cast<std::uint32_t>(m_queue.size()), m_service.overall(now),
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -140,6 +140,10 @@
         return !m_isLeaving && inUse() < limit() && m_queue.isEmpty() && m_warmUp.nextStart(now) <= now;
     }
 
+    /// \returns whether a call has run well beyond what was expected when it began: the server may have
+    /// turned slow since it last told its load. Cost: O(running calls).
+    bool hasOverdue(Instant now) const;
+
     LoadReport load(Instant now) const;
 
     /// \returns the load as a call of \a group meets it: `waiting` counts only what would go before it.
--- a/src/Rates/CreditLender.h
+++ b/src/Rates/CreditLender.h
@@ -15,8 +15,9 @@
 /// \brief Lends the credits of the parts of rates that this node is the home of.
 ///
 /// What is saved up in a part and what is lent out of it and not yet settled together never exceed the part's
-/// burst and grow by its rate alone. So what all ingresses use in any window is at most rate x window + burst, in
-/// whatever order their word comes. No I/O. Cost: O(log accounts) an account that asks; about 200 bytes each.
+/// burst and grow by its rate alone. So what all ingresses use in any window is at most rate x window +
+/// burst, in whatever order their word comes. No I/O. Cost: O(log accounts) an account that asks; about 200
+/// bytes each.
 class CreditLender {
 public:
     explicit CreditLender(RateTerms terms, CreditTiming timing = {});
@@ -24,12 +25,13 @@
     void setTerms(RateTerms terms) { m_terms = terms; }
 
     /// \brief An ingress tells how its account stands, and is lent what there is.
-    /// \param life of the ingress; each has accounts of its own. \param rate of the group, as this node knows it.
+    /// \param life of the ingress; each has accounts of its own. \param rate of the group, as this node knows
+    /// it.
     proto::CreditGrant take(
         std::uint64_t life, const proto::CreditAccount& account, const GroupRate& rate, Instant now);
 
-    /// \brief Part of the nodes that this one hears. Below a half it is on the small side of a cut, where another
-    /// lender may take its place: it then lends that part of its rate.
+    /// \brief Part of the nodes that this one hears. Below a half it is on the small side of a cut, where
+    /// another lender may take its place: it then lends that part of its rate.
     void setReach(double share) { m_reach = share; }
 
     /// \brief Closes accounts that have been silent for the term; what they held is lost.
--- a/src/Rates/CreditPurse.cpp
+++ b/src/Rates/CreditPurse.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace robinrun {
 namespace {
@@ -158,15 +159,14 @@
     if (!wanted)
         return account.held() > 0;
     const bool isLow = static_cast<double>(account.held()) < lowPart * wanted;
-    const bool isWorthAsking = waiting || now - account.asked >= m_timing.leastBetween;
-    return isLow && isWorthAsking && now >= account.shortUntil;
+    return (waiting || isLow) && now >= account.shortUntil;
 }
 
-void CreditPurse::addAsk(std::map<std::string, Ask>& out, const std::string& name, std::uint32_t part,
-    Account& account, std::uint32_t wanted, std::uint32_t waiting, Instant now)
+void CreditPurse::addAsk(std::map<std::string, Ask>& out, const Need& need, Instant now)
 {
+    auto& account = *need.account;
     settle(account, now);
-    if (!wanted)
+    if (!need.wanted)
         account.returned += account.held();
     auto& ask = out[account.home];
     if (ask.home.empty()) {
@@ -176,20 +176,19 @@
     account.ask = ask.message.number();
     account.asked = now;
     auto& told = *ask.message.add_accounts();
-    told.set_group(name);
-    told.set_part(part);
+    told.set_group(*need.group);
+    told.set_part(need.part);
     told.set_opened(account.opened);
     told.set_used(account.used);
     told.set_returned(account.returned);
-    told.set_wanted(wanted ? wanted + static_cast<std::uint32_t>(account.unsettled.size()) : 0);
-    told.set_waiting(waiting);
+    told.set_wanted(need.wanted ? need.wanted + static_cast<std::uint32_t>(account.unsettled.size()) : 0);
+    told.set_waiting(need.waiting);
 }
 
-std::vector<CreditPurse::Ask> CreditPurse::asks(Instant now)
+std::vector<CreditPurse::Need> CreditPurse::needs(Instant now)
 {
-    std::map<std::string, Ask> out;
-    for (auto it = m_groups.begin(); it != m_groups.end();) {
-        auto& [name, group] = *it;
+    std::vector<Need> out;
+    for (auto& [name, group] : m_groups) {
         refresh(name, group, now);
         const auto wanted = wantedBy(group, now);
         const auto first = firstPart(name, group);
@@ -203,21 +202,43 @@
                 = account.isSilent || (account.ask && now - account.asked >= m_timing.homePatience);
             const bool isWeak = now < account.weakUntil || account.isSilent;
             if (isDue(account, share, waiting, now))
-                addAsk(out, name, part, account, share, waiting, now);
+                out.push_back({ &name, part, &account, share, waiting });
             isEnough = isEnough || !isWeak;
         }
-        const bool isDone = !wanted
-            && std::all_of(group.accounts.begin(), group.accounts.end(),
-                [](const Account& account) { return account.isEmpty(); });
-        it = isDone ? m_groups.erase(it) : std::next(it);
     }
+    return out;
+}
+
+std::vector<CreditPurse::Ask> CreditPurse::asks(Instant now)
+{
+    // A lender is told of all groups together, at its time or when a call waits.
+    const auto all = needs(now);
+    std::set<std::string> lenders;
+    for (const auto& it : all) {
+        if (it.waiting || now - m_lastAsked[it.account->home] >= m_timing.askEvery)
+            lenders.insert(it.account->home);
+    }
+    std::map<std::string, Ask> out;
+    for (const auto& it : all) {
+        if (lenders.contains(it.account->home))
+            addAsk(out, it, now);
+    }
+    std::erase_if(m_groups, [&](const auto& it) { return isOver(it.second, now); });
     std::vector<Ask> asks;
     asks.reserve(out.size());
-    for (auto& [home, ask] : out)
+    for (auto& [home, ask] : out) {
+        m_lastAsked[home] = now;
         asks.push_back(std::move(ask));
+    }
     return asks;
 }
 
+bool CreditPurse::isOver(const Group& group, Instant now) const
+{
+    const auto isEmpty = [](const Account& account) { return account.isEmpty(); };
+    return !wantedBy(group, now) && std::all_of(group.accounts.begin(), group.accounts.end(), isEmpty);
+}
+
 void CreditPurse::unsent(const Ask& ask, Instant)
 {
     for (const auto& told : ask.message.accounts()) {
--- a/src/Rates/CreditPurse.h
+++ b/src/Rates/CreditPurse.h
@@ -18,9 +18,9 @@
 
 /// \brief The credits that an ingress holds, by group, and from whom it asks for more.
 ///
-/// It asks one lender for each group, another for each ingress, and the others only while that one lends too little or is
-/// silent. It asks ahead, so that a call finds a credit; only the first call of a group for a while waits for one.
-/// No I/O. Cost: O(parts) a call.
+/// It asks one lender for each group, another for each ingress, and the others only while that one lends too
+/// little or is silent. It asks ahead, so that a call finds a credit; only the first call of a group for a
+/// while waits for one. No I/O. Cost: O(parts) a call.
 class CreditPurse {
 public:
     /// \brief A credit that a call was let through for.
@@ -80,7 +80,8 @@
         std::uint64_t lent = 0;
         std::uint64_t used = 0;
         std::uint64_t returned = 0;
-        std::deque<std::pair<std::uint64_t, Instant>> unsettled; ///< credits of calls that may still be refused
+        std::deque<std::pair<std::uint64_t, Instant>>
+            unsettled; ///< credits of calls that may still be refused
         std::uint64_t ask = 0; ///< number of the one that is out; 0: none
         Instant asked {};
         Instant proven {}; ///< when the last one that was answered was sent
@@ -113,13 +114,24 @@
     std::uint32_t wantedBy(const Group& group, Instant now) const;
     bool isDue(const Account& account, std::uint32_t wanted, std::uint32_t waiting, Instant now) const;
     void settle(Account& account, Instant now) const;
-    void addAsk(std::map<std::string, Ask>& out, const std::string& name, std::uint32_t part, Account& account,
-        std::uint32_t wanted, std::uint32_t waiting, Instant now);
+    /// What the lender of one account is to be told.
+    struct Need {
+        const std::string* group;
+        std::uint32_t part;
+        Account* account;
+        std::uint32_t wanted;
+        std::uint32_t waiting;
+    };
+    std::vector<Need> needs(Instant now);
+    void addAsk(std::map<std::string, Ask>& out, const Need& need, Instant now);
+    /// \returns whether nothing is left to be kept of the group.
+    bool isOver(const Group& group, Instant now) const;
 
     std::string m_self;
     CreditHomes* m_homes;
     CreditTiming m_timing;
     std::map<std::string, Group> m_groups;
+    std::map<std::string, Instant> m_lastAsked; ///< by lender
     std::uint64_t m_lastOpened = 0;
     std::uint64_t m_lastCredit = 0;
     std::uint64_t m_lastAsk = 0;
--- a/src/Rates/CreditTiming.h
+++ b/src/Rates/CreditTiming.h
@@ -13,7 +13,7 @@
     Duration homePatience = 30ms; ///< a lender that has not answered for so long counts as silent
     Duration askAgain = 300ms; ///< a silent lender is asked again
     Duration settleAfter = 1s; ///< a call that is still under way counts as run
-    Duration leastBetween = 100ms; ///< two asks, while no call waits
+    Duration askEvery = 300ms; ///< a lender is told on, for all groups in one message, while no call waits
     Duration leastShort = 50ms; ///< between two asks of a lender that lends too little
     Duration mostShort = 1s;
 };
--- a/src/Rates/RateKeeper.cpp
+++ b/src/Rates/RateKeeper.cpp
@@ -42,7 +42,8 @@
     for (const auto& it : ask.accounts()) {
         const auto rate = m_rates.find(it.group());
         // Who knows other nodes asks another one soon.
-        const bool isHome = it.part() < mostRateParts && m_homes.homeOf(it.group(), it.part()) == m_options.node;
+        const bool isHome
+            = it.part() < mostRateParts && m_homes.homeOf(it.group(), it.part()) == m_options.node;
         if (isHome && rate != m_rates.end())
             *out.add_grants() = m_lender.take(life, it, rate->second, now);
     }
--- a/src/Rates/RateKeeper.h
+++ b/src/Rates/RateKeeper.h
@@ -15,8 +15,8 @@
 
 namespace robinrun {
 
-/// \brief A node's part in keeping the rates of groups over all nodes: it holds credits for its callers, and lends those
-/// that it is the home of. Messages go out through a function. \sa docs/design/rates.md
+/// \brief A node's part in keeping the rates of groups over all nodes: it holds credits for its callers, and
+/// lends those that it is the home of. Messages go out through a function. \sa docs/design/rates.md
 class RateKeeper {
 public:
     /// \returns whether \a message went out to the node called \a node.
@@ -37,7 +37,7 @@
     void setTerms(RateTerms terms) { m_lender.setTerms(terms); }
     /// \brief The rates of the configuration in force, by group; others are not bounded.
     void setRates(std::map<std::string, GroupRate> rates) { m_rates = std::move(rates); }
-    void setNodes(std::vector<std::string> names) { m_homes.setNodes(std::move(names)); }
+    void setNodes(std::vector<CreditHomes::Node> nodes) { m_homes.setNodes(std::move(nodes)); }
     void setReach(double share) { m_lender.setReach(share); }
 
     bool isBounded(const std::string& group) const;
--- a/src/Rates/RateTerms.h
+++ b/src/Rates/RateTerms.h
@@ -21,8 +21,8 @@
     }
 };
 
-/// \brief The rate of a group is divided into at most so many equal parts, each lent by a node of its own: where one
-/// is lost, three quarters are left, which is still more than what a group usually asks for.
+/// \brief The rate of a group is divided into at most so many equal parts, each lent by a node of its own:
+/// where one is lost, three quarters are left, which is still more than what a group usually asks for.
 inline constexpr std::uint32_t mostRateParts = 4;
 
 /// \returns the parts that the rate of a group is divided into. Small ones have fewer, as credits are whole.
@@ -38,7 +38,8 @@
     double perSecond = 0;
     double most = 0; ///< credits saved up and lent together, at most
 
-    /// \brief What the terms allow on top is lent but for a part, which is for lenders that change and start anew.
+    /// \brief What the terms allow on top is lent but for a part, which is for lenders that change and start
+    /// anew.
     static RatePart of(const GroupRate& rate, const RateTerms& terms)
     {
         constexpr double lentOver = 0.5;
--- a/src/Routing/ServiceRouter.cpp
+++ b/src/Routing/ServiceRouter.cpp
@@ -5,6 +5,8 @@
 namespace robinrun {
 namespace {
 
+    constexpr std::uint32_t allGroups = 0; // pays for retries where groups share them
+
     /// How often errors are judged and pauses ended; decisions between use the last judgement.
     constexpr Duration judgementEvery = 20ms;
     constexpr int maxPauseDoublings = 4;
@@ -36,7 +38,8 @@
 
 RetryBudget& ServiceRouter::budgetOf(std::uint32_t group)
 {
-    return m_budgets.try_emplace(group, m_options.retryFraction, m_options.retryBurst).first->second;
+    const auto payer = m_options.sharesRetries ? allGroups : group;
+    return m_budgets.try_emplace(payer, m_options.retryFraction, m_options.retryBurst).first->second;
 }
 
 void ServiceRouter::setUpstreams(const std::vector<RouteTarget>& targets, Instant now)
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -49,6 +49,7 @@
         bool ejects = true; ///< whether upstreams that fail often are left out
         double retryFraction = 0.1;
         double retryBurst = 10;
+        bool sharesRetries = false; ///< among all groups, where what a service gets in all is bounded
         Duration lostFor = 1s; ///< how long an upstream whose node doesn't answer is left out at first
         bool hedges = true; ///< whether late answers are acted upon
         Duration leastHedge = 5ms; ///< no answer is late before
--- a/src/Settings/Mechanism.h
+++ b/src/Settings/Mechanism.h
@@ -18,11 +18,12 @@
     Ejection, ///< upstreams that fail much more often than others are left out
     NestedFirst, ///< calls that backend servers make for calls they run go first
     ProbeWhileSlow, ///< a server that is slow is asked for its health until it is not
+    ProbeOverdue, ///< a server that should have answered by now is asked whether it has turned slow
 };
 
 template <> struct EnumNames<Mechanism> {
-    static constexpr std::array<std::string_view, 7> names { "ask_first", "tell_loads", "give_up_hopeless",
-        "second_attempts", "ejection", "nested_first", "probe_while_slow" };
+    static constexpr std::array<std::string_view, 8> names { "ask_first", "tell_loads", "give_up_hopeless",
+        "second_attempts", "ejection", "nested_first", "probe_while_slow", "probe_overdue" };
 };
 
 /// \brief Which mechanisms are switched off; none is by default.
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -174,6 +174,7 @@
     out.upstream = reader.text("upstream", "");
     out.service = reader.text("service", "");
     out.backend = reader.address("backend", "");
+    out.capacity = reader.number("capacity", 0, 1e4, 0);
     out.chartsFolder = reader.text("charts", "charts");
     out.drainTimeout = reader.duration("drain_timeout", 0us, 1h, 30s);
     out.lameDuck = reader.duration("lame_duck", 0us, 60s, 0s);
--- a/test/CallersTest.cpp
+++ b/test/CallersTest.cpp
@@ -26,10 +26,7 @@
 }
 
 struct CallersFixture : ShopFixture {
-    CallersFixture()
-    {
-        configure(20, R"("k-first")");
-    }
+    CallersFixture() { configure(20, R"("k-first")"); }
 
     void configure(int version, const std::string& keys, const std::string& isOpen = "false")
     {
@@ -38,7 +35,8 @@
             pass(20ms);
             for (const auto& it : places) {
                 const auto reply = send(it.settings.listen.metrics, { "GET", "/metrics", {}, "" });
-                if (reply.body.find("robinrun_config_version " + std::to_string(version)) == std::string::npos)
+                if (reply.body.find("robinrun_config_version " + std::to_string(version))
+                    == std::string::npos)
                     return false;
             }
             return true;
@@ -77,7 +75,8 @@
 TEST_CASE("A backend server gets the group's name and never the key", "[callers]")
 {
     CallersFixture f;
-    for (const auto* spelling : { "X-Robinrun-Tenant", "x-robinrun-tenant", "X_Robinrun_Tenant", "X-ROBINRUN_TENANT" }) {
+    for (const auto* spelling :
+        { "X-Robinrun-Tenant", "x-robinrun-tenant", "X_Robinrun_Tenant", "X-ROBINRUN_TENANT" }) {
         const auto reply = f.callWith({ { "authorization", "bearer   k-first" }, { spelling, "second" } });
         REQUIRE(reply.status == 200);
         const auto names = namesOf(f.lastRun());
@@ -104,7 +103,8 @@
              "Bearer K-FIRST", "Bearer k-first, Bearer k-second", "Bearer \xc3\xa4\xff" })
         REQUIRE(f.statusWith(it) == 401);
     REQUIRE(f.statusWith("Bearer " + std::string(8192, 'k')) == 401);
-    REQUIRE(f.callWith({ { "Authorization", "Bearer k-first" }, { "authorization", "Bearer k-first" } }).status
+    REQUIRE(
+        f.callWith({ { "Authorization", "Bearer k-first" }, { "authorization", "Bearer k-first" } }).status
         == 400);
     REQUIRE(f.callWith({ { "Authorization", "Bearer k-first" } }, "/nowhere/").status == 404);
     REQUIRE(f.ran() == before);
@@ -231,7 +231,8 @@
     });
 }
 
-TEST_CASE("Without a fresh proof a strict node refuses keys as not run, another one only unknown ones", "[callers]")
+TEST_CASE(
+    "Without a fresh proof a strict node refuses keys as not run, another one only unknown ones", "[callers]")
 {
     CallersFixture f;
     const auto proofOf = [](bool isStrict, bool isProven, const std::string& key) {
@@ -256,7 +257,8 @@
         CallerContext caller;
         caller.isStrict = isStrict;
         caller.isConfigProven = isProven;
-        const HttpRequest request { "GET", "/x", { { "Host", "h" }, { "Authorization", "Bearer " + key } }, "" };
+        const HttpRequest request { "GET", "/x", { { "Host", "h" }, { "Authorization", "Bearer " + key } },
+            "" };
         const auto parsed = CallRequest::parse(request, directory, names, turns, caller);
         return parsed ? 200 : parsed.error().status;
     };
--- a/test/RatesTest.cpp
+++ b/test/RatesTest.cpp
@@ -23,7 +23,8 @@
     }
 
     /// \brief Lets \a length pass with \a perSecond calls of \a group at the nodes from \a first on.
-    void pass(const std::string& group, double perSecond, std::size_t first, std::size_t count, Duration length)
+    void pass(
+        const std::string& group, double perSecond, std::size_t first, std::size_t count, Duration length)
     {
         const auto end = m_model->now + length;
         while (m_model->now < end) {
@@ -48,7 +49,8 @@
 TEST_CASE("No window holds more calls than the rate allows, whatever fails", "[rates]")
 {
     rc::prop("losses, cuts, restarts, freezes, changed rates", [] {
-        const GroupRate rate { *rc::gen::element(0.0, 2.0, 20.0, 100.0) + 0.5, *rc::gen::element(0.0, 2.0, 100.0) };
+        const GroupRate rate { *rc::gen::element(0.0, 2.0, 20.0, 100.0) + 0.5,
+            *rc::gen::element(0.0, 2.0, 100.0) };
         const auto n = *rc::gen::inRange<std::size_t>(1, 12);
         RatesModel model(n, { { "g", rate } }, *rc::gen::inRange(1, 1000));
         model.loss = *rc::gen::element(0.0, 0.05, 0.5);
@@ -144,7 +146,7 @@
     Demand demand(model, 12);
     demand.pass("g", 60, 0, hosts, 8s);
     CreditHomes homes;
-    homes.setNodes(model.names());
+    homes.setNodes(model.known());
     const auto& home = homes.homeOf("g", 0);
     for (auto& it : model.nodes)
         it.isFrozen = it.name == home;
@@ -159,12 +161,12 @@
 {
     CreditHomes a;
     CreditHomes b;
-    std::vector<std::string> names;
+    std::vector<CreditHomes::Node> nodes;
     for (std::size_t i = 0; i < 40; ++i)
-        names.push_back("n" + std::to_string(i));
-    a.setNodes(names);
-    std::reverse(names.begin(), names.end());
-    b.setNodes(names);
+        nodes.push_back({ "n" + std::to_string(i), 1 });
+    a.setNodes(nodes);
+    std::reverse(nodes.begin(), nodes.end());
+    b.setNodes(nodes);
     std::map<std::string, int> load;
     for (int g = 0; g < 100; ++g) {
         for (std::uint32_t part = 0; part < mostRateParts; ++part) {
@@ -175,11 +177,19 @@
     }
     REQUIRE(load.size() == 40);
     const auto lost = a.homeOf("g0", 0);
-    std::erase(names, lost);
-    b.setNodes(names);
+    std::erase_if(nodes, [&](const auto& it) { return it.name == lost; });
+    b.setNodes(nodes);
     for (int g = 0; g < 100; ++g) {
         const auto name = "g" + std::to_string(g);
-        REQUIRE((a.homeOf(name, 1) == b.homeOf(name, 1) || a.homeOf(name, 1) == lost));
+        REQUIRE((a.homeOf(name, 0) == b.homeOf(name, 0) || a.homeOf(name, 0) == lost));
+    }
+    for (std::size_t i = 0; i < 8; ++i)
+        nodes[i].capacity = 5; // these have more room than the others
+    b.setNodes(nodes);
+    for (int g = 0; g < 40; ++g) {
+        const auto& home = b.homeOf("g" + std::to_string(g), 1);
+        REQUIRE(
+            std::any_of(nodes.begin(), nodes.begin() + 8, [&](const auto& it) { return it.name == home; }));
     }
     b.setNodes({});
     REQUIRE(b.homeOf("g0", 0).empty());
@@ -189,15 +199,16 @@
 {
     CreditLender lender { RateTerms {} };
     const GroupRate rate { 40, 40 };
-    const auto told = [](std::uint64_t opened, std::uint64_t used, std::uint64_t returned, std::uint32_t wanted) {
-        proto::CreditAccount out;
-        out.set_group("g");
-        out.set_opened(opened);
-        out.set_used(used);
-        out.set_returned(returned);
-        out.set_wanted(wanted);
-        return out;
-    };
+    const auto told
+        = [](std::uint64_t opened, std::uint64_t used, std::uint64_t returned, std::uint32_t wanted) {
+              proto::CreditAccount out;
+              out.set_group("g");
+              out.set_opened(opened);
+              out.set_used(used);
+              out.set_returned(returned);
+              out.set_wanted(wanted);
+              return out;
+          };
     Instant now { 100s };
     (void)lender.take(1, told(1, 0, 0, 0), rate, now);
     now += 1s;
--- a/test/support/RatesModel.h
+++ b/test/support/RatesModel.h
@@ -13,8 +13,8 @@
 
 namespace robinrun::support {
 
-/// \brief Nodes that keep rates, in virtual time, with messages that are late, lost or cut off. Calls that are let
-/// through are noted with their time; that is all that the checks know.
+/// \brief Nodes that keep rates, in virtual time, with messages that are late, lost or cut off. Calls that
+/// are let through are noted with their time; that is all that the checks know.
 struct RatesModel {
     struct Node {
         std::string name;
@@ -41,6 +41,7 @@
         bool isRefused;
     };
 
+    static constexpr std::size_t capable = 8;
     static constexpr Duration patience = 100ms;
 
     RatesModel(std::size_t n, std::map<std::string, GroupRate> rates, std::uint64_t seed)
@@ -55,11 +56,12 @@
             restart(i);
     }
 
-    std::vector<std::string> names() const
+    /// \brief The first of the nodes have more capacity than the others, where there are many.
+    std::vector<CreditHomes::Node> known() const
     {
-        std::vector<std::string> out;
-        for (const auto& it : nodes)
-            out.push_back(it.name);
+        std::vector<CreditHomes::Node> out;
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+            out.push_back({ nodes[i].name, i < capable ? 0.5 : 0.1 });
         return out;
     }
 
@@ -80,7 +82,7 @@
                 return true;
             });
         node.keeper->setRates(rates);
-        node.keeper->setNodes(names());
+        node.keeper->setNodes(known());
         node.keeper->onChanged([this, i](const auto&, Instant) { retryWaiting(i); });
     }
 
@@ -115,8 +117,7 @@
         decide(i, group, now + patience, nodes[i].keeper->spend(group, now));
     }
 
-    void decide(
-        std::size_t i, const std::string& group, Instant until, const CreditPurse::Decision& decision)
+    void decide(std::size_t i, const std::string& group, Instant until, const CreditPurse::Decision& decision)
     {
         switch (decision.verdict) {
         case CreditPurse::Verdict::Spent:
