--- a/src/Node/Directory.h
+++ b/src/Node/Directory.h
@@ -26,6 +26,13 @@
         return m_ids.try_emplace(std::string(name), static_cast<std::uint32_t>(m_ids.size())).first->second;
     }
 
+    /// \returns the number of \a name; one that nothing has, if it was never used.
+    std::uint32_t find(std::string_view name) const
+    {
+        const auto it = m_ids.find(std::string(name));
+        return it == m_ids.end() ? UINT32_MAX : it->second;
+    }
+
 private:
     std::unordered_map<std::string, std::uint32_t> m_ids;
 };
@@ -115,6 +122,8 @@
 
     /// \returns the number of a group by name, known or not.
     std::uint32_t groupNumber(std::string_view id) { return m_numbers(id); }
+    /// \returns the number of a group that had one before; else one that no group has.
+    std::uint32_t knownGroupNumber(std::string_view id) const { return m_numbers.find(id); }
 
 private:
     void clear();
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -111,7 +111,7 @@
     call.attemptsLeft = call.request.attempts;
     call.ticket = call.request.ticket;
     if (call.request.isByRoute && call.request.callClass.targetLatency > Duration::zero())
-        call.asksLeft = m_context->settings.experiments.isOn(Mechanism::AskFirst) ? maxAsks : 0;
+        call.asksLeft = asksFor(call);
     noteRoute(call, now);
     call.exchange->onHangUp([this, id] { hungUp(id); });
     call.deadlineTimer = Timer::once(m_context->base, allowed, [this, id] { deadlineReached(id); });
@@ -138,6 +138,16 @@
     proceed(id, now);
 }
 
+std::uint32_t Ingress::asksFor(const Call& call)
+{
+    const auto& experiments = m_context->settings.experiments;
+    if (!experiments.isOn(Mechanism::AskFirst))
+        return 0;
+    if (!experiments.isOn(Mechanism::AskWhereWorth))
+        return maxAsks;
+    return m_routers.at(call.request.service)->askWorth().asks(maxAsks, m_context->random);
+}
+
 void Ingress::noteRoute(Call& call, Instant now) const
 {
     call.trail.add({ RequestEvent::RouteChosen, now, {}, 0, Reason::None,
@@ -370,7 +380,7 @@
     // The owner may answer inside take(): the attempt must stand before that.
     const auto address = isOwn ? std::string() : info->config.node_address();
     call.out.push_back({ number, upstream, info->config.host(), address, message.call().owner_incarnation(),
-        now, router.slowdownOf(upstream), router.workClockOf(upstream, now), expected });
+        now, router.slowdownOf(upstream), router.workClockOf(upstream, now), expected, call.asksLeft > 0 });
     call.tried.push_back(upstream);
     if (isOwn)
         noteChoice(call, upstream, number, now);
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -98,6 +98,7 @@
         double slowdown = 1; ///< of the upstream, as known when sent
         Duration workClock {}; ///< of the upstream, when sent
         Duration expected {}; ///< time until the answer, as it was expected when sent
+        bool isAsk = false; ///< to run at once or not at all
     };
     struct Call {
         std::unique_ptr<HttpExchange> exchange;
@@ -154,6 +155,8 @@
     void refuseOverRate(CallId id, Call& call, Duration comeBack, Instant now);
     /// \brief The call is let in: it goes on to an owner.
     void letIn(CallId id, Call& call, Instant now);
+    /// \returns how many owners to ask to run the call at once.
+    std::uint32_t asksFor(const Call& call);
     void noteRoute(Call& call, Instant now) const;
     void noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now);
     void reject(HttpExchange& exchange, const CallRequestError& error);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -106,6 +106,8 @@
     call.out.erase(it);
     m_callByNumber.erase(found);
     auto& router = *m_routers.at(call.request.service);
+    if (attempt.isAsk)
+        router.askWorth().answered(answer.outcome() == proto::NOT_RUN && reasonOf(answer) == Reason::Busy);
     const bool wasSlow = isSlow(router.slowdownOf(attempt.upstream));
     learn(call, attempt, answer, now);
     if (!wasSlow && isSlow(router.slowdownOf(attempt.upstream)))
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -168,7 +168,7 @@
         return mint(call, sender, reply, now);
     if (call.has_ticket())
         return takeTicket(call, sender, std::move(reply), now);
-    if (call.terms().only_at_once() && !isReadyAtOnce(now))
+    if (call.terms().only_at_once() && !isReadyAtOnce(now) && !goesNext(call, now))
         return refuseAtOnce(call, sender, reply, Reason::Busy, true, now);
     admit(call, sender, std::move(reply), now);
 }
@@ -178,6 +178,20 @@
     return m_admission.hasFreeSlot(now) && !isSlow(m_admission.load(now).slowdown);
 }
 
+bool Owner::goesNext(const proto::Call& call, Instant now) const
+{
+    if (!m_context->settings.experiments.isOn(Mechanism::NextInLine)
+        || isSlow(m_admission.load(now).slowdown))
+        return false;
+    const auto& terms = call.terms();
+    if (terms.nested())
+        return m_admission.goesNext(
+            m_context->directory.knownGroupNumber(call.group()), priorityOfNested, priorityOfNested);
+    return terms.ranked()
+        && m_admission.goesNext(
+            m_context->directory.knownGroupNumber(call.group()), rankOf(terms), terms.priority() + 1);
+}
+
 void Owner::mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now)
 {
     if (m_leaving.isLeaving())
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -164,6 +164,10 @@
     void endRuns(HttpPool& pool, Instant now);
     /// \returns whether a call would run at once, on a backend server that isn't slowed down.
     bool isReadyAtOnce(Instant now) const;
+    /// \returns whether a call that is to run at once or not at all is better off with the next slot that
+    /// comes free here than asked for elsewhere: nothing goes before it, while others would get the slot
+    /// meanwhile.
+    bool goesNext(const proto::Call& call, Instant now) const;
     void mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now);
     void takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
     /// \brief Answers a repeated ticket with what its call got.
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -144,6 +144,12 @@
     /// turned slow since it last told its load. Cost: O(running calls).
     bool hasOverdue(Instant now) const;
 
+    /// \returns whether a call that came now would get the next slot that comes free.
+    bool goesNext(std::uint32_t group, std::uint32_t rank, std::uint32_t priority) const
+    {
+        return !m_isLeaving && m_queue.timeAhead(group, rank, priority) == Duration::zero();
+    }
+
     LoadReport load(Instant now) const;
 
     /// \returns the load as a call of \a group meets it: `waiting` counts only what would go before it.
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -2,6 +2,7 @@
 
 #include "Core/Random.h"
 #include "Core/Time.h"
+#include "Routing/AskWorth.h"
 #include "Routing/Choice.h"
 #include "Routing/Ejection.h"
 #include "Routing/LatencySketch.h"
@@ -149,6 +150,9 @@
     /// \brief A round trip was measured: total time less queueing and service.
     void measuredRoundTrip(const std::string& upstream, Duration roundTrip);
 
+    /// \brief Whether owners are worth asking to run calls at once.
+    AskWorth& askWorth() { return m_askWorth; }
+
     std::span<const UpstreamView> views() const { return m_views; }
     const UpstreamView* find(const std::string& upstream) const;
     const Ejection& ejection() const { return m_ejection; }
@@ -187,6 +191,7 @@
     std::map<std::string, ClassView, std::less<>> m_classes;
     LateChance m_unknownChance; ///< of classes without any answer yet
     RemainingTime m_remaining;
+    AskWorth m_askWorth;
     Ejection m_ejection;
     std::vector<UpstreamView> m_views;
     std::unordered_map<std::string, std::size_t> m_index;
--- a/src/Settings/Mechanism.h
+++ b/src/Settings/Mechanism.h
@@ -18,12 +18,15 @@
     Ejection, ///< upstreams that fail much more often than others are left out
     NestedFirst, ///< calls that backend servers make for calls they run go first
     ProbeWhileSlow, ///< a server that is slow is asked for its health until it is not
+    AskWhereWorth, ///< owners are asked only while enough of them are free
+    NextInLine, ///< a call that is to run at once waits where it gets the next slot
     ProbeOverdue, ///< a server that should have answered by now is asked whether it has turned slow
 };
 
 template <> struct EnumNames<Mechanism> {
-    static constexpr std::array<std::string_view, 8> names { "ask_first", "tell_loads", "give_up_hopeless",
-        "second_attempts", "ejection", "nested_first", "probe_while_slow", "probe_overdue" };
+    static constexpr std::array<std::string_view, 10> names { "ask_first", "tell_loads", "give_up_hopeless",
+        "second_attempts", "ejection", "nested_first", "probe_while_slow", "ask_where_worth", "next_in_line",
+        "probe_overdue" };
 };
 
 /// \brief Which mechanisms are switched off; none is by default.
--- a/test/AdmissionTest.cpp
+++ b/test/AdmissionTest.cpp
@@ -240,3 +240,46 @@
         REQUIRE(admission.limit() > 1);
     }
 }
+
+TEST_CASE("A call that goes before all that wait gets the next slot, whichever group asks", "[admission]")
+{
+    // The load: one server is full, the least urgent calls of many groups wait, and a call comes for a run
+    // that holds a slot elsewhere.
+    Admission admission(options(1));
+    Instant now { 1s };
+    const auto ranked = [&](std::uint64_t id, std::uint32_t group, std::uint32_t rank) {
+        auto out = offer(id, group, now + 10s);
+        out.rank = rank;
+        out.inTimeUntil = now + 5s;
+        return out;
+    };
+    REQUIRE(admission.offer(ranked(1, 1, 5), now).run.size() == 1);
+    REQUIRE(admission.goesNext(7, 0, 0));
+    for (std::uint64_t id = 2; id < 6; ++id)
+        admission.offer(ranked(id, static_cast<std::uint32_t>(id), 5), now);
+    REQUIRE(admission.goesNext(7, 0, 0));
+    REQUIRE_FALSE(admission.goesNext(7, 6, 0));
+    admission.offer(ranked(9, 7, 0), now);
+    REQUIRE_FALSE(admission.goesNext(7, 0, 0));
+    now += 10ms;
+    REQUIRE(admission.finished(1, RunEnd::Answered, now).run == std::vector<std::uint64_t> { 9 });
+    (void)admission.setLeaving(true, now);
+    REQUIRE_FALSE(admission.goesNext(7, 0, 0));
+}
+
+TEST_CASE("A run is overdue well beyond what its class took so far, not before", "[admission]")
+{
+    Admission admission(options(4));
+    Instant now { 1s };
+    for (std::uint64_t id = 1; id <= 50; ++id) {
+        admission.offer(offer(id, 1, now + 10s), now);
+        now += 100ms;
+        (void)admission.finished(id, RunEnd::Answered, now);
+    }
+    REQUIRE_FALSE(admission.hasOverdue(now));
+    admission.offer(offer(99, 1, now + 10s), now);
+    REQUIRE_FALSE(admission.hasOverdue(now + 120ms));
+    REQUIRE(admission.hasOverdue(now + 150ms));
+    (void)admission.finished(99, RunEnd::Answered, now + 200ms);
+    REQUIRE_FALSE(admission.hasOverdue(now + 200ms));
+}
