--- a/src/Node/CallRequest.cpp
+++ b/src/Node/CallRequest.cpp
@@ -58,6 +58,7 @@
         {
             m_out.target = m_request.target;
             m_out.id = findHeader(m_request.headers, m_names.requestId).value_or("");
+            m_out.parent = m_caller.parent;
             const auto found = m_names.hasOptionalGroups ? readRouteThenGroup() : readGroupThenService();
             if (!found)
                 return failure(found.error());
@@ -138,8 +139,8 @@
                 if (group && isUnproven && !isOpen)
                     return notNow(
                         Reason::CredentialUnproven, "whether the credential still counts is not known");
-            } else if (m_caller.parentGroup) {
-                group = m_directory.group(*m_caller.parentGroup);
+            } else if (m_caller.parent) {
+                group = m_directory.group(m_caller.parent->group);
             }
             if (group && group->isWithheld)
                 return notNow(Reason::EntryWithheld, "the entry of the calling group could not be read");
@@ -148,7 +149,7 @@
                 return boost::outcome_v2::success();
             }
             // The call that this one is made for may itself have no group.
-            if (isOpen || (!credential.value() && m_caller.parentGroup)) {
+            if (isOpen || (!credential.value() && m_caller.parent)) {
                 setNoGroup();
                 return boost::outcome_v2::success();
             }
--- a/src/Node/CallRequest.h
+++ b/src/Node/CallRequest.h
@@ -27,8 +27,13 @@
 
 /// \brief What a node knows of a caller beside the configuration.
 struct CallerContext {
-    /// Of the call that runs on the backend server beside the node and that this one is made for.
-    std::optional<std::string> parentGroup;
+    /// The call that runs on the backend server beside the node and that this one is made for.
+    struct Parent {
+        std::string group;
+        std::uint32_t groupPriority = 0;
+        std::uint32_t priority = 0; ///< of its route
+    };
+    std::optional<Parent> parent;
     /// Whether the configuration was confirmed so lately that it tells which credentials there are.
     bool isConfigProven = true;
     bool isStrict = false; ///< credentials count for nothing without that proof
@@ -54,6 +59,7 @@
     std::string id; ///< the caller's own name of this attempt; ""
     bool isByRoute = false;
     bool isNested = false; ///< made by the backend server beside this node, for a call that it runs
+    std::optional<CallerContext::Parent> parent; ///< that call, if it is one
 
     /// \brief Reads \a request. Errors: unknown credential, service or route, fields that make no sense.
     /// \param turns whose turn it is where a route is split; moves on.
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -275,12 +275,12 @@
     CallerContext out;
     out.isConfigProven = m_context->isConfigProven;
     out.isStrict = m_context->settings.credentials.isStrict;
-    if (!m_context->directory.hasGroups())
-        return out;
     const auto id = findHeader(request.headers, m_context->headers.requestId).value_or("");
     const auto end = id.rfind(nestedMark);
-    if (end != std::string_view::npos)
-        out.parentGroup = m_owner->runningGroup(std::string(id.substr(0, end)));
+    if (end == std::string_view::npos)
+        return out;
+    if (const auto* parent = m_owner->running(std::string(id.substr(0, end))))
+        out.parent = { parent->group(), parent->terms().group_priority(), parent->terms().priority() };
     return out;
 }
 
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -56,8 +56,11 @@
 {
     const auto& callClass = call.request.callClass;
     auto& terms = *out.mutable_terms();
-    terms.set_priority(callClass.priority);
-    terms.set_group_priority(call.request.groupPriority);
+    const auto& parent = call.request.parent;
+    // A nested call is worth what the call is that it is made for.
+    const bool isForParent = call.request.isNested && parent;
+    terms.set_priority(isForParent ? parent->priority : callClass.priority);
+    terms.set_group_priority(isForParent ? parent->groupPriority : call.request.groupPriority);
     terms.set_ranked(m_context->directory.hasGroups());
     terms.set_repeatable(callClass.isRepeatable);
     const auto left = callClass.targetLatency - (now - call.arrived);
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -129,6 +129,7 @@
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
     if (m_context->settings.experiments.isOn(Mechanism::GiveUpHopeless))
         act(m_admission.giveUpHopeless(now), now);
+    act(m_admission.resume(now), now); // what was held back for calls that did not come
     if (m_pool)
         probeBackend(now);
 }
@@ -305,6 +306,11 @@
     }
     const auto& terms = call.terms();
     offer.callClass = m_classNumbers(call.call_class());
+    offer.urgency = rankOf(terms);
+    if (terms.nested() && m_context->settings.experiments.isOn(Mechanism::RoomForNested)) {
+        offer.parentUrgency = offer.urgency;
+        offer.urgency = 0;
+    }
     // A call made for another one goes first: that one holds a slot while it waits, and its work is done.
     const bool goesFirst = terms.nested() && m_context->settings.experiments.isOn(Mechanism::NestedFirst);
     offer.priority = goesFirst ? priorityOfNested : terms.priority() + 1;
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -93,9 +93,9 @@
 
     bool isIdle() const { return m_admission.isIdle(); }
 
-    /// \returns the group of the call that the backend server runs and that its caller calls \a requestId;
-    /// nothing if none runs.
-    std::optional<std::string> runningGroup(const std::string& requestId) const;
+    /// \returns the call that the backend server runs and that its caller calls \a requestId; null if none
+    /// runs.
+    const proto::Call* running(const std::string& requestId) const;
 
     /// \brief A request came that may be made by the backend server for the one that its caller calls \a
     /// requestId. \returns whether the backend server runs that; then the call to \a service is counted.
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -231,12 +231,10 @@
         [this, id](Result<HttpReply, HttpError> result) { ended(id, std::move(result), monotonicNow()); });
 }
 
-std::optional<std::string> Owner::runningGroup(const std::string& requestId) const
+const proto::Call* Owner::running(const std::string& requestId) const
 {
-    const auto running = m_runningRequests.find(requestId);
-    if (running == m_runningRequests.end())
-        return std::nullopt;
-    return m_calls.at(running->second).call.group();
+    const auto it = m_runningRequests.find(requestId);
+    return it == m_runningRequests.end() ? nullptr : &m_calls.at(it->second).call;
 }
 
 bool Owner::noteNested(const std::string& requestId, const std::string& service)
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -121,7 +121,9 @@
         refuse(call, reason, out, now);
         return out;
     }
-    m_waiting.emplace(offer.id, Waiting { offer.group, offer.callClass });
+    if (offer.parentUrgency && wait > Duration::zero())
+        m_roomForNested.waited(*offer.parentUrgency, now);
+    m_waiting.emplace(offer.id, Waiting { offer.group, offer.callClass, offer.urgency });
     const auto evicted = m_queue.push(call);
     if (evicted) {
         m_waiting.erase(evicted->id);
@@ -269,9 +271,20 @@
     return report;
 }
 
+bool Admission::isSetAside(Instant now) const
+{
+    const auto* next = m_queue.front();
+    const auto isBehind = [&](std::uint32_t urgency) { return m_roomForNested.isBehind(urgency, now); };
+    if (!next || !isBehind(m_waiting.at(next->id).urgency))
+        return false;
+    const auto n = std::count_if(
+        m_running.begin(), m_running.end(), [&](const auto& it) { return isBehind(it.second.urgency); });
+    return n >= RoomForNested::slotsFor(limit());
+}
+
 void Admission::fill(Dispatch& out, Instant now)
 {
-    while (inUse() < limit() && m_warmUp.nextStart(now) <= now) {
+    while (inUse() < limit() && m_warmUp.nextStart(now) <= now && !isSetAside(now)) {
         const auto call = m_queue.pop();
         if (!call)
             return;
@@ -291,7 +304,7 @@
     const auto waiting = m_waiting.find(call.id);
     const auto timely = call.inTimeUntil == Instant::max() ? Duration::max() : call.inTimeUntil - now;
     const Running running { call.group, waiting->second.callClass, call.expectedCost, now,
-        m_workClock.read(now), timely, call.deadline, inUse() + 1, limit() };
+        m_workClock.read(now), timely, call.deadline, inUse() + 1, limit(), waiting->second.urgency };
     ++m_runningOf[running.callClass];
     m_running.emplace(call.id, running);
     m_waiting.erase(waiting);
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -3,6 +3,7 @@
 #include "Queueing/ConcurrencyLimit.h"
 #include "Queueing/FairQueue.h"
 #include "Queueing/Refusal.h"
+#include "Queueing/RoomForNested.h"
 #include "Queueing/ServiceEstimate.h"
 #include "Queueing/SojournControl.h"
 #include "Queueing/WarmUp.h"
@@ -25,6 +26,9 @@
     Instant deadline {};
     Duration elsewhere {};
     Instant inTimeUntil = Instant::max(); ///< an answer after this is late
+    /// For a call that a run elsewhere waits for: the place of that one. Lower numbers are more urgent.
+    std::optional<std::uint32_t> parentUrgency;
+    std::uint32_t urgency = 0; ///< place of the call itself, in the same numbers
 };
 
 /// \brief How a call that ran has ended, for what is learnt from it.
@@ -170,8 +174,11 @@
         Instant deadline;
         std::uint32_t inUse; ///< calls that ran at the start, with it
         std::uint32_t limit; ///< at the start
+        std::uint32_t urgency;
     };
 
+    /// \returns whether the first call that waits must leave the free slots to nested calls to come.
+    bool isSetAside(Instant now) const;
     void fill(Dispatch& out, Instant now);
     /// \returns how long a call with \a ahead of slot time before it waits for the server's warm-up.
     Duration coldWait(Duration ahead, Instant now) const;
@@ -200,8 +207,10 @@
     struct Waiting {
         std::uint32_t group;
         std::uint32_t callClass;
+        std::uint32_t urgency;
     };
     std::unordered_map<std::uint64_t, Waiting> m_waiting;
+    RoomForNested m_roomForNested;
     std::uint32_t m_heldSlots = 0;
     bool m_isLeaving = false;
 };
--- a/src/Queueing/FairQueue.cpp
+++ b/src/Queueing/FairQueue.cpp
@@ -145,12 +145,21 @@
     const auto [tag, group] = *m_backlogs.begin()->second.groups.begin();
     m_virtualTime = std::max(m_virtualTime, tag);
     auto& flow = m_flows.at(group);
-    const auto level = flow.lanes.begin()->first;
+    const auto level = flow.lanes.begin()->first; // its lowest rank is the lowest of all
     const auto call = take(group, flow, level, 0);
     charge(group, flow, toSeconds(call.expectedCost));
     return call;
 }
 
+const QueuedCall* FairQueue::front() const
+{
+    if (m_backlogs.empty())
+        return nullptr;
+    const auto& [rank, backlog] = *m_backlogs.begin();
+    const auto& flow = m_flows.at(backlog.groups.begin()->second);
+    return &flow.lanes.lower_bound({ rank, 0 })->second.calls.front();
+}
+
 void FairQueue::settle(std::uint32_t group, Duration expected, Duration actual)
 {
     charge(group, m_flows[group], toSeconds(actual - expected));
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -67,6 +67,9 @@
     /// \brief Takes the next call by rank, then fair share, and inside its group by priority, then age.
     std::optional<QueuedCall> pop();
 
+    /// \returns the call that pop() would take; null if none waits.
+    const QueuedCall* front() const;
+
     /// \brief Corrects the charge of a taken call once it is known what it held.
     void settle(std::uint32_t group, Duration expected, Duration actual);
 
--- a/src/Routing/AskWorth.h
+++ b/src/Routing/AskWorth.h
@@ -9,9 +9,10 @@
 
 /// \brief Whether owners of a service are worth asking to run a call at once, before it waits at one of them.
 ///
-/// Answers the load at which a service has more calls than slots: then nearly every owner that is asked is busy, each
-/// question costs a round trip of the call's time and work at the busiest nodes, and the call waits in the end all the
-/// same. A few calls go on asking, so that it shows when there is room again. No I/O. Cost: O(1).
+/// Answers the load at which a service has more calls than slots: then nearly every owner that is asked is
+/// busy, each question costs a round trip of the call's time and work at the busiest nodes, and the call
+/// waits in the end all the same. A few calls go on asking, so that it shows when there is room again. No
+/// I/O. Cost: O(1).
 class AskWorth {
 public:
     /// \brief An owner was asked. \param wasBusy it did not run the call at once.
--- a/src/Settings/Mechanism.h
+++ b/src/Settings/Mechanism.h
@@ -20,13 +20,14 @@
     ProbeWhileSlow, ///< a server that is slow is asked for its health until it is not
     AskWhereWorth, ///< owners are asked only while enough of them are free
     NextInLine, ///< a call that is to run at once waits where it gets the next slot
+    RoomForNested, ///< slots are kept for nested calls from calls that are less urgent than their parents
     ProbeOverdue, ///< a server that should have answered by now is asked whether it has turned slow
 };
 
 template <> struct EnumNames<Mechanism> {
-    static constexpr std::array<std::string_view, 10> names { "ask_first", "tell_loads", "give_up_hopeless",
+    static constexpr std::array<std::string_view, 11> names { "ask_first", "tell_loads", "give_up_hopeless",
         "second_attempts", "ejection", "nested_first", "probe_while_slow", "ask_where_worth", "next_in_line",
-        "probe_overdue" };
+        "room_for_nested", "probe_overdue" };
 };
 
 /// \brief Which mechanisms are switched off; none is by default.
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -1,6 +1,7 @@
 #include "soak/Ledger.h"
 
 #include "Http/HttpStatus.h"
+#include "Rates/RateTerms.h"
 
 #include <algorithm>
 
@@ -13,6 +14,8 @@
     constexpr std::size_t crashesUntilHeld = 3;
     constexpr std::size_t crashesAfterwards = 3;
 
+    constexpr std::string_view boundedGroup = "b";
+
     bool mayRepeat(const HttpRequest& request)
     {
         return request.method == "GET";
@@ -20,9 +23,26 @@
 
 } // namespace
 
-void Ledger::sent(const std::string& id, const HttpRequest& request, std::size_t node)
+void Ledger::sent(
+    const std::string& id, const HttpRequest& request, std::size_t node, std::set<std::string> groups)
 {
-    m_requests[id] = { request, node, {}, false };
+    m_requests[id] = { request, node, std::move(groups), {}, false };
+}
+
+void Ledger::noteGroup(const std::string& id, const std::string& group, const std::set<std::string>& allowed)
+{
+    if (!allowed.contains(group))
+        broken("ran in the name of '" + group + "', which its key never had: " + id);
+    if (group != boundedGroup)
+        return;
+    const auto now = monotonicNow();
+    const RateTerms terms;
+    m_boundedRuns.push_back(now);
+    while (now - m_boundedRuns.front() >= terms.window)
+        m_boundedRuns.pop_front();
+    if (double(m_boundedRuns.size()) > terms.bound({ boundedRate, boundedRate }))
+        broken("a group ran " + std::to_string(m_boundedRuns.size())
+            + " calls in a window, above its rate: " + id);
 }
 
 void Ledger::ran(const HttpRequest& request, const std::string& upstream, const std::string& service)
@@ -40,6 +60,7 @@
         broken("ran at a service that no configuration allows: " + id + " at " + upstream);
     if (headerOf(request.headers, "X-Robinrun-Caller-Service").empty())
         broken("ran without the name of the calling service: " + id);
+    noteGroup(id, headerOf(request.headers, "X-Robinrun-Tenant"), entry.groups);
     entry.ranAt.push_back(upstream);
     if (!mayRepeat(asked) && entry.ranAt.size() > 1)
         broken("ran twice: " + id + " at " + entry.ranAt.front() + " and " + upstream);
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -4,6 +4,7 @@
 #include "Http/HttpTypes.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -24,8 +25,13 @@
 /// A broken promise is kept as a sentence with the request's id, to be looked up in the nodes' logs.
 class Ledger {
 public:
-    /// \brief A caller is about to send \a request to node \a node.
-    void sent(const std::string& id, const HttpRequest& request, std::size_t node);
+    /// Calls a second that the group "b" may make, and on top of that; few enough that it asks for more.
+    static constexpr int boundedRate = 5;
+
+    /// \brief A caller is about to send \a request to node \a node. \param groups that its key has belonged
+    /// to in any configuration.
+    void sent(
+        const std::string& id, const HttpRequest& request, std::size_t node, std::set<std::string> groups);
 
     /// \brief The backend server \a upstream of \a service starts to run what came as \a request.
     void ran(const HttpRequest& request, const std::string& upstream, const std::string& service);
@@ -69,9 +75,13 @@
     std::size_t runs() const { return m_runs; }
 
 private:
+    /// \brief A call of \a group has begun; the bounded one keeps its rate in any window.
+    void noteGroup(const std::string& id, const std::string& group, const std::set<std::string>& allowed);
+
     struct Entry {
         HttpRequest request;
         std::size_t node = 0;
+        std::set<std::string> groups;
         std::vector<std::string> ranAt;
         bool saidNotRun = false;
     };
@@ -80,6 +90,7 @@
     std::set<std::string> m_allowed;
     std::map<std::string, std::uint64_t> m_versions;
     std::vector<std::string> m_broken;
+    std::deque<Instant> m_boundedRuns; ///< of the last window
     std::size_t m_served = 0;
     std::size_t m_refused = 0;
     std::size_t m_runs = 0;
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <set>
 #include <utility>
 
 namespace robinrun::soak {
@@ -27,6 +28,7 @@
     constexpr Duration probeEvery = 300ms;
     constexpr Duration readinessTimeout = 400ms;
     constexpr double shareOfWrites = 0.4;
+    constexpr std::string_view movingKey = "key-that-moves"; // between groups, with each version
     /// Two values of a setting that a reload may change; both leave the log whole.
     constexpr int fewLines = 2000;
     constexpr int manyLines = 3000;
@@ -39,6 +41,11 @@
         return options;
     }
 
+    std::string keyOf(const std::string& group)
+    {
+        return "key-of-" + group;
+    }
+
     /// \returns the service that runs the calls of the route "/which/" by configuration \a version.
     std::string serviceOfWhich(std::uint64_t version)
     {
@@ -55,7 +62,16 @@
                 + R"(","attempts":2}},)";
         };
         const auto which = serviceOfWhich(version);
+        const auto group = [](const std::string& name, const std::string& keys, const std::string& rate) {
+            return R"({"type":"tenants","metadata":{"name":")" + name + R"("},"spec":{"api_keys":[")" + keys
+                + R"("],"priority":1)" + rate + "}},";
+        };
+        const std::string moving = R"(",")" + std::string(movingKey);
         return R"({"version":"r)" + std::to_string(version) + R"(","base_version":"r0","resources":[)"
+            + group("a", keyOf("a") + (version % 2 ? moving : ""), "")
+            + group("b", keyOf("b") + (version % 2 ? "" : moving),
+                R"(,"rate_per_s":)" + std::to_string(Ledger::boundedRate) + R"(,"burst":)"
+                    + std::to_string(Ledger::boundedRate))
             + route("read", "shop", "idempotent") + route("buy", "shop", "non_idempotent")
             + route("which", which, "idempotent") + route("v" + std::to_string(version), which, "idempotent")
             + R"({"type":"services","metadata":{"name":"shop"},"spec":{"health_path":"/healthz"}},)"
@@ -261,8 +277,23 @@
     auto& host = *m_hosts[i];
     const auto id = "q" + std::to_string(++m_lastRequest);
     request.headers = { { "Host", "a.example" }, { "X-Robinrun-Request-Id", id },
-        { "X-Robinrun-Deadline-Ms", std::to_string(deadlineMs) }, { "X-Robinrun-Caller-Service", "forged" } };
-    m_ledger.sent(id, request, i);
+        { "X-Robinrun-Deadline-Ms", std::to_string(deadlineMs) }, { "X-Robinrun-Caller-Service", "forged" },
+        { "X-Robinrun-Tenant", "forged" } };
+    // Poison is one content only as long as one group sends it; probes are to be served.
+    const bool isFromA = isProbe || request.target == SoakBackend::poisonTarget || m_random.chance(0.6);
+    std::set<std::string> groups { "a" };
+    std::string key = keyOf("a");
+    if (!isFromA) {
+        const auto dice = m_random.unit();
+        groups = dice < 0.6 ? std::set<std::string> { "b" } : std::set<std::string> { "a", "b" };
+        key = dice < 0.6 ? keyOf("b") : std::string(movingKey);
+        if (dice > 0.9) {
+            groups.clear();
+            key = "never-was-one";
+        }
+    }
+    request.headers.emplace_back("Authorization", "Bearer " + key);
+    m_ledger.sent(id, request, i, groups);
     const auto life = lifeOf(host);
     const auto seen = m_ledger.seenVersion(life);
     const auto version = isProbe ? std::stoull(request.target.substr(2)) : 0;
