--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -24,6 +24,8 @@
     /// Owners asked to run a call at once before it may wait in a queue. What an ingress knows of loads is as
     /// old as its last answer from there; an owner knows, and asking costs a round trip.
     constexpr std::uint32_t maxAsks = 2;
+    /// A nested call is short beside a slow phase, and a run holds its slot while it waits for it.
+    constexpr std::uint32_t maxNestedAsks = 4;
     /// Backend servers name a call that they make by the id of the call it is for, this, and an id of its
     /// own.
     constexpr char nestedMark = '.';
@@ -143,6 +145,10 @@
     const auto& experiments = m_context->settings.experiments;
     if (!experiments.isOn(Mechanism::AskFirst))
         return 0;
+    // Owners take a nested call into their queues if it goes next there, and are busy for it only while
+    // slowed down.
+    if (call.request.isNested && experiments.isOn(Mechanism::NextInLine))
+        return maxNestedAsks;
     if (!experiments.isOn(Mechanism::AskWhereWorth))
         return maxAsks;
     return m_routers.at(call.request.service)->askWorth().asks(maxAsks, m_context->random);
--- a/src/Queueing/FairQueue.cpp
+++ b/src/Queueing/FairQueue.cpp
@@ -203,6 +203,7 @@
         }
     }
     std::vector<QueuedCall> out;
+    out.reserve(ids.size());
     for (const auto& [group, id] : ids)
         out.push_back(*cancel(group, id));
     return out;
--- a/src/Queueing/RoomForNested.h
+++ b/src/Queueing/RoomForNested.h
@@ -7,13 +7,13 @@
 
 namespace robinrun {
 
-/// \brief Keeps slots for nested calls, which runs elsewhere wait for, where calls that are less urgent than those runs
-/// come to the same backend server.
+/// \brief Keeps slots for nested calls, which runs elsewhere wait for, where calls that are less urgent than
+/// those runs come to the same backend server.
 ///
-/// Answers the load of a burst of the least urgent calls at a service that more urgent ones call in turn: nested calls go
-/// first in the queue, but a slot that such a call has taken is gone for a whole run of it, and what has been spent on the
-/// outer calls is lost when their nested ones end too late. While nested calls have to wait, less urgent ones get half of
-/// the slots. No I/O. Cost: O(1).
+/// Answers the load of a burst of the least urgent calls at a service that more urgent ones call in turn:
+/// nested calls go first in the queue, but a slot that such a call has taken is gone for a whole run of it,
+/// and what has been spent on the outer calls is lost when their nested ones end too late. While nested calls
+/// have to wait, less urgent ones get half of the slots. No I/O. Cost: O(1).
 class RoomForNested {
 public:
     /// \brief A nested call has to wait for a slot. \param parentUrgency of the run that waits for it.
@@ -23,7 +23,8 @@
         m_until = now + memory;
     }
 
-    /// \returns whether a call of \a urgency is less urgent than those that nested calls have lately waited for.
+    /// \returns whether a call of \a urgency is less urgent than those that nested calls have lately waited
+    /// for.
     bool isBehind(std::uint32_t urgency, Instant now) const { return now < m_until && urgency > m_urgency; }
 
     /// \returns how many of \a limit slots such calls may use; one at least.
--- a/test/RoomForNestedTest.cpp
+++ b/test/RoomForNestedTest.cpp
@@ -1,5 +1,5 @@
-#include "Queueing/Admission.h"
 #include "Queueing/RoomForNested.h"
+#include "Queueing/Admission.h"
 
 #include <catch2/catch.hpp>
 
@@ -40,7 +40,8 @@
 
 } // namespace
 
-TEST_CASE("In a burst of the least urgent calls, nested ones of more urgent runs get half of the slots", "[admission]")
+TEST_CASE("In a burst of the least urgent calls, nested ones of more urgent runs get half of the slots",
+    "[admission]")
 {
     Instant now { 1s };
     auto admission = fullOf(4, 7, now);
