--- a/src/Rates/CreditLender.cpp
+++ b/src/Rates/CreditLender.cpp
@@ -12,6 +12,7 @@
     constexpr double firstCredits = 1;
     /// Of what a part can save up, kept for calls that wait.
     constexpr double reservedPart = 0.3;
+    constexpr double leastRate = 1e-3; // calls a second, to divide by
 
 } // namespace
 
@@ -57,7 +58,7 @@
     const auto used = std::max(told.used(), account.used);
     const auto returned = std::max(told.returned(), account.returned);
     if (used + returned > account.lent)
-        return; // no ingress says so that was lent these
+        return; // nobody was lent so many
     bucket.lent -= static_cast<double>(used - account.used + returned - account.returned);
     bucket.level += static_cast<double>(returned - account.returned);
     account.used = used;
@@ -67,7 +68,7 @@
 std::uint32_t CreditLender::nextIn(const RatePart& part, const Bucket& bucket) const
 {
     // All that ask have a turn before this one asks again.
-    const auto turn = fromSeconds(bucket.accounts / std::max(part.perSecond, 1e-3));
+    const auto turn = fromSeconds(bucket.accounts / std::max(part.perSecond, leastRate));
     const auto wait = std::clamp(turn, m_timing.leastShort, m_timing.mostShort);
     return static_cast<std::uint32_t>(toMilliseconds(wait));
 }
--- a/src/Rates/CreditPurse.cpp
+++ b/src/Rates/CreditPurse.cpp
@@ -38,14 +38,6 @@
     group.lastCall = now;
 }
 
-double CreditPurse::demandOf(const std::string& group, Instant now) const
-{
-    const auto it = m_groups.find(group);
-    if (it == m_groups.end())
-        return 0;
-    return it->second.demand * std::exp(-toSeconds(now - it->second.counted) / demandMemorySeconds);
-}
-
 void CreditPurse::reopen(Account& account, const std::string& home)
 {
     account = {};
@@ -236,10 +228,11 @@
 bool CreditPurse::isOver(const Group& group, Instant now) const
 {
     const auto isEmpty = [](const Account& account) { return account.isEmpty(); };
-    return !wantedBy(group, now) && std::all_of(group.accounts.begin(), group.accounts.end(), isEmpty);
+    const auto end = group.accounts.begin() + group.parts;
+    return !wantedBy(group, now) && std::all_of(group.accounts.begin(), end, isEmpty);
 }
 
-void CreditPurse::unsent(const Ask& ask, Instant)
+void CreditPurse::unsent(const Ask& ask)
 {
     for (const auto& told : ask.message.accounts()) {
         const auto it = m_groups.find(told.group());
--- a/src/Rates/CreditPurse.h
+++ b/src/Rates/CreditPurse.h
@@ -64,13 +64,11 @@
 
     /// \returns what to ask now, one message for each lender. What could not be sent is told to unsent().
     std::vector<Ask> asks(Instant now);
-    void unsent(const Ask& ask, Instant now);
+    void unsent(const Ask& ask);
 
     /// \brief A lender has answered. \returns the groups that may have more than before.
     std::vector<std::string> take(const std::string& home, const proto::CreditGrants& grants, Instant now);
 
-    /// \returns the calls a second of \a group that came lately.
-    double demandOf(const std::string& group, Instant now) const;
     std::size_t groups() const { return m_groups.size(); }
 
 private:
@@ -93,7 +91,7 @@
         bool isEmpty() const { return lent == used + returned; }
     };
     struct Group {
-        std::uint32_t parts = 0;
+        std::uint32_t parts = 1;
         std::array<Account, mostRateParts> accounts; ///< `parts` of them are used
         double demand = 0; ///< calls a second, as of `counted`
         Instant counted {};
--- a/src/Rates/RateKeeper.cpp
+++ b/src/Rates/RateKeeper.cpp
@@ -12,12 +12,6 @@
 {
 }
 
-bool RateKeeper::isBounded(const std::string& group) const
-{
-    const auto it = m_rates.find(group);
-    return it != m_rates.end() && it->second.isBounded();
-}
-
 CreditPurse::Decision RateKeeper::spend(const std::string& group, Instant now)
 {
     const auto rate = m_rates.find(group);
@@ -67,7 +61,6 @@
 
 void RateKeeper::ask(Instant now)
 {
-    m_hasUnsent = false;
     for (auto& it : m_purse.asks(now)) {
         ++m_asks;
         if (it.home == m_options.node) {
@@ -76,10 +69,8 @@
         }
         proto::PeerMessage message;
         *message.mutable_credit_ask() = it.message;
-        if (m_send(it.home, message, now))
-            continue;
-        m_purse.unsent(it, now);
-        m_hasUnsent = true;
+        if (!m_send(it.home, message, now))
+            m_purse.unsent(it);
     }
 }
 
--- a/src/Rates/RateKeeper.h
+++ b/src/Rates/RateKeeper.h
@@ -40,7 +40,6 @@
     void setNodes(std::vector<CreditHomes::Node> nodes) { m_homes.setNodes(std::move(nodes)); }
     void setReach(double share) { m_lender.setReach(share); }
 
-    bool isBounded(const std::string& group) const;
     /// \brief Lets a call of \a group through if there is a credit; else a lender is asked.
     CreditPurse::Decision spend(const std::string& group, Instant now);
     /// \brief The call has run.
@@ -53,8 +52,6 @@
     void takeGrants(const std::string& node, const proto::CreditGrants& grants, Instant now);
     /// \brief Asks ahead and tells lenders what was used.
     void tick(Instant now);
-    /// \returns whether an ask could not go out yet, as links were being opened.
-    bool hasUnsent() const { return m_hasUnsent; }
 
     std::size_t groups() const { return m_purse.groups(); }
     std::size_t accounts() const { return m_lender.accounts(); }
@@ -72,7 +69,6 @@
     CreditLender m_lender;
     CreditPurse m_purse;
     std::uint64_t m_asks = 0;
-    bool m_hasUnsent = false;
 };
 
 } // namespace robinrun
--- a/test/CallersTest.cpp
+++ b/test/CallersTest.cpp
@@ -12,6 +12,32 @@
 
 namespace {
 
+/// \brief The names of the users' platform, for calls that are read without a node.
+CallHeaders bearerNames()
+{
+    CallHeaders out;
+    out.credential = "Authorization";
+    out.credentialScheme = "Bearer";
+    out.hasOptionalGroups = true;
+    return out;
+}
+
+/// \returns a service `s` and a route of the host `h` to it, and room for \a groups more resources.
+std::vector<proto::Resource> oneRoute(std::size_t groups)
+{
+    std::vector<proto::Resource> out(2 + groups);
+    out[0].set_name("services/s");
+    out[0].mutable_service()->set_deadline_ms(1000);
+    out[1].set_name("routes/r");
+    auto& route = *out[1].mutable_route();
+    route.set_host("h");
+    route.set_path_prefix("/");
+    route.set_timeout_ms(1000);
+    route.add_split()->set_service("s");
+    route.mutable_split(0)->set_weight(1);
+    return out;
+}
+
 /// \brief A configuration with two groups; \a keys are those of the group "first".
 std::string withKeys(int version, const std::string& keys, const std::string& isOpen = "false")
 {
@@ -195,22 +221,10 @@
     rc::prop("versions and calls", [] {
         Directory directory;
         WeightedTurns turns(1);
-        CallHeaders names;
-        names.credential = "Authorization";
-        names.credentialScheme = "Bearer";
-        names.hasOptionalGroups = true;
+        const auto names = bearerNames();
         const auto owners = *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(-1, 4));
         for (const auto owner : owners) {
-            std::vector<proto::Resource> resources(6);
-            resources[0].set_name("services/s");
-            resources[0].mutable_service()->set_deadline_ms(1000);
-            resources[1].set_name("routes/r");
-            auto& route = *resources[1].mutable_route();
-            route.set_host("h");
-            route.set_path_prefix("/");
-            route.set_timeout_ms(1000);
-            route.add_split()->set_service("s");
-            route.mutable_split(0)->set_weight(1);
+            auto resources = oneRoute(4);
             for (int i = 0; i < 4; ++i) {
                 auto& group = resources[2 + static_cast<std::size_t>(i)];
                 group.set_name("groups/g" + std::to_string(i));
@@ -237,23 +251,12 @@
     CallersFixture f;
     const auto proofOf = [](bool isStrict, bool isProven, const std::string& key) {
         Directory directory;
-        std::vector<proto::Resource> resources(3);
-        resources[0].set_name("services/s");
-        resources[0].mutable_service()->set_deadline_ms(1000);
-        resources[1].set_name("routes/r");
-        auto& route = *resources[1].mutable_route();
-        route.set_host("h");
-        route.set_path_prefix("/");
-        route.add_split()->set_service("s");
-        route.mutable_split(0)->set_weight(1);
+        auto resources = oneRoute(1);
         resources[2].set_name("groups/g");
         resources[2].mutable_group()->set_credential_sha256(sha256Hex("k"));
         directory.rebuild(resources);
         WeightedTurns turns(1);
-        CallHeaders names;
-        names.credential = "Authorization";
-        names.credentialScheme = "Bearer";
-        names.hasOptionalGroups = true;
+        const auto names = bearerNames();
         CallerContext caller;
         caller.isStrict = isStrict;
         caller.isConfigProven = isProven;
