--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -245,7 +245,6 @@
     metrics.gauge("robinrun_config_version", [this] { return double(m_config.version()); });
     metrics.gauge("robinrun_config_faults",
         [this] { return m_config.hasAny() ? double(m_config.current()->faults.size()) : 0.0; });
-    metrics.gauge("robinrun_config_proven", [this] { return m_context.isConfigProven ? 1.0 : 0.0; });
     metrics.gauge("robinrun_config_age_seconds", [this] { return toSeconds(monotonicNow() - m_adopted); });
     metrics.gauge("robinrun_config_confirmed_age_seconds", [this] {
         const auto age = m_group.age(monotonicNow());
@@ -267,10 +266,7 @@
         [this] { return toSeconds(m_ingress->meanNewsAge(monotonicNow())); });
     metrics.gauge("robinrun_requests_held", [this] { return double(m_context.crashes.holds().size()); });
     metrics.gauge("robinrun_crash_reports", [this] { return double(m_context.crashes.reports()); });
-    metrics.gauge("robinrun_rate_groups_held", [this] { return double(m_rates->groups()); });
-    metrics.gauge("robinrun_rate_accounts", [this] { return double(m_rates->accounts()); });
-    metrics.gauge("robinrun_rate_credits_lent", [this] { return m_rates->lent(); });
-    metrics.gauge("robinrun_rate_asks_total", [this] { return double(m_rates->asks()); });
+    addRateGauges();
     metrics.gauge("robinrun_ready", [this] { return isReady() ? 1.0 : 0.0; });
     metrics.gauge("robinrun_calls_in_progress", [this] { return double(m_ingress->inProgress()); });
     metrics.gauge("robinrun_slots_in_use", [this] { return double(m_owner->load(monotonicNow()).inUse); });
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -74,6 +74,7 @@
     Result<void, std::string> bindServers();
     void startFeeds();
     void addGauges();
+    void addRateGauges();
     template <class Calls> void addStoreGauges(const std::string& kind, const Calls& calls);
 
     void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
--- a/src/Mesh/MeshNodeRates.cpp
+++ b/src/Mesh/MeshNodeRates.cpp
@@ -18,6 +18,16 @@
     return { rates.window, rates.over, rates.slack };
 }
 
+void MeshNode::addRateGauges()
+{
+    auto& metrics = m_context.metrics;
+    metrics.gauge("robinrun_config_proven", [this] { return m_context.isConfigProven ? 1.0 : 0.0; });
+    metrics.gauge("robinrun_rate_groups_held", [this] { return double(m_rates->groups()); });
+    metrics.gauge("robinrun_rate_accounts", [this] { return double(m_rates->accounts()); });
+    metrics.gauge("robinrun_rate_credits_lent", [this] { return m_rates->lent(); });
+    metrics.gauge("robinrun_rate_asks_total", [this] { return double(m_rates->asks()); });
+}
+
 bool MeshNode::sendToNode(const std::string& node, proto::PeerMessage& message, Instant now)
 {
     const auto* record = m_registry.find(node);
--- a/src/Node/CallRequest.cpp
+++ b/src/Node/CallRequest.cpp
@@ -239,7 +239,8 @@
             const auto ms = parseNumber(*text);
             if (!ms || *ms > maxDeadlineMs)
                 return "header " + m_names.deadline + ": a number up to 600000 is expected";
-            m_out.allowed = std::min(m_out.allowed, Duration(*ms * 1000));
+            m_out.given = Duration(*ms * 1000);
+            m_out.allowed = std::min(m_out.allowed, *m_out.given);
             return "";
         }
 
