--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -239,12 +239,23 @@
     metrics.gauge(total + "\"failed\"}", [&calls] { return double(calls.failures()); });
 }
 
+void MeshNode::addBackendGauges()
+{
+    auto& metrics = m_context.metrics;
+    metrics.gauge(
+        "robinrun_backend_cold_seconds", [this] { return toSeconds(m_owner->load(monotonicNow()).coldFor); });
+    metrics.gauge("robinrun_slots_in_use", [this] { return double(m_owner->load(monotonicNow()).inUse); });
+    metrics.gauge("robinrun_calls_waiting", [this] { return double(m_owner->load(monotonicNow()).waiting); });
+    metrics.gauge("robinrun_backend_slowdown", [this] { return m_owner->load(monotonicNow()).slowdown; });
+    metrics.gauge("robinrun_backend_down", [this] { return m_owner->isBackendDown() ? 1.0 : 0.0; });
+    metrics.gauge(
+        "robinrun_backend_connections_total", [this] { return double(m_owner->connectionsOpened()); });
+}
+
 void MeshNode::addGauges()
 {
     auto& metrics = m_context.metrics;
     metrics.gauge("robinrun_config_version", [this] { return double(m_config.version()); });
-    metrics.gauge("robinrun_config_faults",
-        [this] { return m_config.hasAny() ? double(m_config.current()->faults.size()) : 0.0; });
     metrics.gauge("robinrun_config_age_seconds", [this] { return toSeconds(monotonicNow() - m_adopted); });
     metrics.gauge("robinrun_config_confirmed_age_seconds", [this] {
         const auto age = m_group.age(monotonicNow());
@@ -259,22 +270,15 @@
     metrics.gauge("robinrun_halls_emptied", [this] { return double(m_halls.emptied().size()); });
     metrics.gauge("robinrun_own_hall_emptied",
         [this] { return m_halls.isEmptied(m_context.settings.dataHall) ? 1.0 : 0.0; });
-    metrics.gauge(
-        "robinrun_backend_cold_seconds", [this] { return toSeconds(m_owner->load(monotonicNow()).coldFor); });
     metrics.gauge("robinrun_retries_saved", [this] { return m_ingress->savedRetries(); });
     metrics.gauge("robinrun_upstream_news_age_seconds",
         [this] { return toSeconds(m_ingress->meanNewsAge(monotonicNow())); });
     metrics.gauge("robinrun_requests_held", [this] { return double(m_context.crashes.holds().size()); });
     metrics.gauge("robinrun_crash_reports", [this] { return double(m_context.crashes.reports()); });
-    addRateGauges();
+    addCallerGauges();
+    addBackendGauges();
     metrics.gauge("robinrun_ready", [this] { return isReady() ? 1.0 : 0.0; });
     metrics.gauge("robinrun_calls_in_progress", [this] { return double(m_ingress->inProgress()); });
-    metrics.gauge("robinrun_slots_in_use", [this] { return double(m_owner->load(monotonicNow()).inUse); });
-    metrics.gauge("robinrun_calls_waiting", [this] { return double(m_owner->load(monotonicNow()).waiting); });
-    metrics.gauge("robinrun_backend_slowdown", [this] { return m_owner->load(monotonicNow()).slowdown; });
-    metrics.gauge("robinrun_backend_down", [this] { return m_owner->isBackendDown() ? 1.0 : 0.0; });
-    metrics.gauge(
-        "robinrun_backend_connections_total", [this] { return double(m_owner->connectionsOpened()); });
     metrics.gauge("robinrun_peer_links", [this] { return double(m_peers->links()); });
     metrics.gauge("robinrun_nodes_known", [this] { return double(m_registry.nodes().size()); });
     metrics.gauge("robinrun_store_connected", [this] { return m_configFeed->isConnected() ? 1.0 : 0.0; });
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -74,7 +74,8 @@
     Result<void, std::string> bindServers();
     void startFeeds();
     void addGauges();
-    void addRateGauges();
+    void addCallerGauges();
+    void addBackendGauges();
     template <class Calls> void addStoreGauges(const std::string& kind, const Calls& calls);
 
     void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
--- a/src/Node/CallRequest.cpp
+++ b/src/Node/CallRequest.cpp
@@ -239,8 +239,7 @@
             const auto ms = parseNumber(*text);
             if (!ms || *ms > maxDeadlineMs)
                 return "header " + m_names.deadline + ": a number up to 600000 is expected";
-            m_out.given = Duration(*ms * 1000);
-            m_out.allowed = std::min(m_out.allowed, *m_out.given);
+            m_out.allowed = std::min(m_out.allowed, Duration(*ms * 1000));
             return "";
         }
 
--- a/src/Node/CallRequest.h
+++ b/src/Node/CallRequest.h
@@ -52,7 +52,6 @@
     ClassInfo callClass;
     std::string target; ///< without the service's part of the path
     Duration allowed {}; ///< until the deadline
-    std::optional<Duration> given; ///< by the caller itself, as its own deadline
     std::uint32_t attempts = 0; ///< over this and all lower levels of calls
     std::optional<Ticket> ticket;
     std::optional<std::string> key; ///< the caller's idempotency key
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -108,7 +108,6 @@
     call.arrived = now;
     // A request that waited unread while this node stood still may have been there from the beginning.
     const auto age = m_context->standstill.backlogAge(now);
-    call.age = ageOf(call.request);
     const auto allowed = std::max(call.request.allowed - age, Duration::zero());
     call.deadline = now + allowed;
     call.attemptsLeft = call.request.attempts;
@@ -141,19 +140,6 @@
     proceed(id, now);
 }
 
-Duration Ingress::ageOf(const CallRequest& request)
-{
-    const bool isCounted = request.isByRoute && !request.isNested && request.given
-        && m_context->settings.experiments.isOn(Mechanism::CountFromFirst);
-    return isCounted ? m_ages[request.callClass.name].of(*request.given) : Duration::zero();
-}
-
-Duration Ingress::targetLeft(const Call& call, Instant now)
-{
-    const auto since = now - call.arrived + call.age;
-    return std::max(call.request.callClass.targetLatency - since, Duration(1));
-}
-
 std::uint32_t Ingress::asksFor(const Call& call)
 {
     const auto& experiments = m_context->settings.experiments;
@@ -326,7 +312,7 @@
     const auto& callClass = call.request.callClass;
     RouteNeeds needs { call.request.groupNumber, callClass.name, {}, m_callBytes.relative(callClass.name) };
     if (callClass.targetLatency > Duration::zero())
-        needs.targetLatency = targetLeft(call, now);
+        needs.targetLatency = std::max(callClass.targetLatency - (now - call.arrived), Duration(1));
     return needs;
 }
 
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -11,7 +11,6 @@
 #include "Node/RequestTrail.h"
 #include "Node/Timer.h"
 #include "Rates/RateKeeper.h"
-#include "Routing/CallAge.h"
 #include "Routing/CallBytes.h"
 #include "Routing/NestedCalls.h"
 #include "Routing/ServiceRouter.h"
@@ -107,7 +106,6 @@
         CallRequest request;
         std::uint64_t configVersion = 0; ///< by which it was let in
         Instant arrived {};
-        Duration age {}; ///< when it arrived, since its caller's first attempt
         bool wasUnread = false; ///< it waited unread while this node stood still
         Instant deadline {};
         std::uint32_t attemptsLeft = 0;
@@ -157,10 +155,6 @@
     void refuseOverRate(CallId id, Call& call, Duration comeBack, Instant now);
     /// \brief The call is let in: it goes on to an owner.
     void letIn(CallId id, Call& call, Instant now);
-    /// \returns what is left of the target latency of \a call, counted from its caller's first attempt; 1 us
-    /// at least.
-    static Duration targetLeft(const Call& call, Instant now);
-    Duration ageOf(const CallRequest& request);
     /// \returns how many owners to ask to run the call at once.
     std::uint32_t asksFor(const Call& call);
     void noteRoute(Call& call, Instant now) const;
@@ -265,7 +259,6 @@
     SendToPeer m_send;
     WeightedTurns m_turns;
     NestedCalls m_nestedCalls;
-    std::map<std::string, CallAge> m_ages; ///< by class
     CallBytes m_callBytes;
     bool m_isDraining = false;
     bool m_isConfigured = true;
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -111,7 +111,7 @@
     const auto end = now + router.expectedAt(upstream, needsOf(call, now), now);
     const auto target = call.request.callClass.targetLatency;
     const bool isTimely = call.request.isNested || target == Duration::zero();
-    return end > (isTimely ? call.deadline : std::min(call.arrived + target - call.age, call.deadline));
+    return end > (isTimely ? call.deadline : std::min(call.arrived + target, call.deadline));
 }
 
 void Ingress::finishCold(CallId id, Call& call, const std::string& upstream, Instant now)
@@ -154,7 +154,7 @@
     }();
     const auto total = now - call.arrived;
     const auto target = call.request.callClass.targetLatency;
-    const bool isLate = target > Duration::zero() && total + call.age > target;
+    const bool isLate = target > Duration::zero() && total > target;
     if (outcome != CallOutcome::Answered || status >= httpStatus::firstServerError || isLate)
         call.trail.setNotable();
     call.trail.add({ event, now, {}, 0, reason,
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -63,7 +63,8 @@
     terms.set_group_priority(isForParent ? parent->groupPriority : call.request.groupPriority);
     terms.set_ranked(m_context->directory.hasGroups());
     terms.set_repeatable(callClass.isRepeatable);
-    terms.set_target_latency_us(static_cast<std::uint32_t>(targetLeft(call, now).count()));
+    const auto left = callClass.targetLatency - (now - call.arrived);
+    terms.set_target_latency_us(static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1)));
     terms.set_nested(call.request.isNested);
     terms.set_only_at_once(call.asksLeft > 0);
     out.set_caller_service(m_context->settings.service);
--- a/src/Settings/Mechanism.h
+++ b/src/Settings/Mechanism.h
@@ -21,14 +21,13 @@
     AskWhereWorth, ///< owners are asked only while enough of them are free
     NextInLine, ///< a call that is to run at once waits where it gets the next slot
     RoomForNested, ///< slots are kept for nested calls from calls that are less urgent than their parents
-    CountFromFirst, ///< the target latency counts from a caller's first attempt
     ProbeOverdue, ///< a server that should have answered by now is asked whether it has turned slow
 };
 
 template <> struct EnumNames<Mechanism> {
-    static constexpr std::array<std::string_view, 12> names { "ask_first", "tell_loads", "give_up_hopeless",
+    static constexpr std::array<std::string_view, 11> names { "ask_first", "tell_loads", "give_up_hopeless",
         "second_attempts", "ejection", "nested_first", "probe_while_slow", "ask_where_worth", "next_in_line",
-        "room_for_nested", "count_from_first", "probe_overdue" };
+        "room_for_nested", "probe_overdue" };
 };
 
 /// \brief Which mechanisms are switched off; none is by default.
