Callers and rates: one way to each error, place in the queue and decision; figures of the configuration are set with it

Cause: a read of the whole change. The parser of calls had two twins that build its errors, and one message twice; the place of a call in its owner's queue was computed in two functions; whether a call is nested was kept beside the parent that says so, and its id taken apart twice; the decay of a group's demand stood twice; an entry of a configuration was read by two readers. The rates of all groups were copied at each change of any node's record, a credential was hashed at each further try after a new version, and each header field of each attempt was copied for a comparison.

Change: each of these once, and at its place; rates come with the configuration, lenders with the nodes. With the switch `nested_first` off, whether a nested call goes next is now told by the place that it really gets; by default nothing changes.

--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -175,8 +175,10 @@
 
     RateTerms rateTerms() const;
     bool sendToNode(const std::string& node, proto::PeerMessage& message, Instant now);
-    /// \brief Brings the rates and nodes that are known into the keeping of rates.
+    /// \brief Brings the rates of the configuration in force into the keeping of rates.
     void setRates();
+    /// \brief Brings the nodes that are known there: each change of a node's record does.
+    void setLenders();
     /// \brief Asks that could not go out while links were being opened are sent in a moment.
     void askForCreditsSoon();
     /// \returns the part of the contacts that can be reached.
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -141,6 +141,7 @@
     }
     m_context.directory.rebuild(resources);
     m_context.configVersion = m_config.version();
+    setRates();
     rebuildUpstreams();
 }
 
@@ -157,7 +158,7 @@
     m_ingress->setRetryBurst(retryBurst());
     m_owner->configure(now);
     m_ingress->configure(now);
-    setRates();
+    setLenders();
     const auto& settings = m_context.settings;
     const auto* own = m_context.directory.service(settings.service);
     if (!m_announced.current() && !m_finder->isRunning() && !settings.backend.empty() && !m_isStopping)
--- a/src/Mesh/MeshNodeRates.cpp
+++ b/src/Mesh/MeshNodeRates.cpp
@@ -58,6 +58,10 @@
         rates.emplace(it.id, it.rate);
     m_rates->setRates(std::move(rates));
     m_rates->setTerms(rateTerms());
+}
+
+void MeshNode::setLenders()
+{
     std::vector<CreditHomes::Node> nodes;
     for (const auto& [name, record] : m_registry.nodes()) {
         if (!record.gone())
--- a/src/Node/CallHeaders.h
+++ b/src/Node/CallHeaders.h
@@ -28,7 +28,7 @@
 
 /// \brief The names of the fields that a deployment may call otherwise. Those given here are robinrun's own.
 struct CallHeaders {
-    std::string credential = "Robinrun-Credential"; ///< names the calling group; "": all are one group
+    std::string credential = "Robinrun-Credential"; ///< names the calling group
     std::string credentialScheme; ///< word before the credential in that field; "": none
     /// Whether calls by route belong to groups only where the configuration has any with a credential.
     bool hasOptionalGroups = false;
@@ -58,9 +58,10 @@
     /// \returns whether a backend server may take \a name for \a field: many read '_' as '-'.
     static bool isSpelling(std::string_view name, std::string_view field)
     {
-        std::string spelt(name);
-        std::replace(spelt.begin(), spelt.end(), '_', '-');
-        return equalIgnoringCase(spelt, field);
+        const auto isSame = [](char a, char b) {
+            return a == b || (a == '_' && b == '-') || equalIgnoringCase({ &a, 1 }, { &b, 1 });
+        };
+        return std::equal(name.begin(), name.end(), field.begin(), field.end(), isSame);
     }
 };
 
--- a/src/Node/CallRequest.cpp
+++ b/src/Node/CallRequest.cpp
@@ -65,34 +65,31 @@
             for (const auto step : { &Parser::readDeadline, &Parser::readAttempts, &Parser::readOnce }) {
                 auto message = (this->*step)();
                 if (!message.empty())
-                    return fault(badRequest, std::move(message));
+                    return failure(fault(badRequest, std::move(message)));
             }
             return std::move(m_out);
         }
 
     private:
-        Result<CallRequest, CallRequestError> fault(int status, std::string message) const
+        /// \param reason of an error that ends with the node's next configuration, or the proof of its own.
+        CallRequestError fault(int status, std::string message, Reason reason = Reason::None) const
         {
-            return failure(
-                CallRequestError { status, std::move(message), m_out.group.empty() ? "none" : m_out.group });
+            return { status, std::move(message), m_out.group.empty() ? "none" : m_out.group, reason };
         }
 
-        /// \brief An error that ends with the node's next configuration, or the proof of its own.
-        Result<void, CallRequestError> notNow(Reason reason, std::string message) const
+        CallRequestError notNow(Reason reason, std::string message) const
         {
-            return failure(CallRequestError {
-                unavailable, std::move(message), m_out.group.empty() ? "none" : m_out.group, reason });
+            return fault(unavailable, std::move(message), reason);
         }
 
-        Result<void, CallRequestError> forGood(int status, std::string message) const
+        CallRequestError noSuchGroup() const
         {
-            return failure(
-                CallRequestError { status, std::move(message), m_out.group.empty() ? "none" : m_out.group });
+            return fault(unauthorized, "the header " + m_names.credential + " names no known calling group");
         }
 
-        Result<void, CallRequestError> noSuchPlace() const
+        CallRequestError noSuchPlace() const
         {
-            return forGood(notFound, "no route fits, and no service is named by the host or the path");
+            return fault(notFound, "no route fits, and no service is named by the host or the path");
         }
 
         Result<void, CallRequestError> readGroupThenService()
@@ -103,11 +100,10 @@
             const auto* group
                 = credential.value() ? m_directory.groupByCredential(*credential.value()) : nullptr;
             if (!group)
-                return forGood(
-                    unauthorized, "the header " + m_names.credential + " names no known calling group");
+                return failure(noSuchGroup());
             setGroup(*group);
             if (!readRoute() && !readService())
-                return noSuchPlace();
+                return failure(noSuchPlace());
             return boost::outcome_v2::success();
         }
 
@@ -115,9 +111,9 @@
         {
             const auto* route = readRoute();
             if (!route && !readService())
-                return noSuchPlace();
+                return failure(noSuchPlace());
             if (route && route->isWithheld)
-                return notNow(Reason::EntryWithheld, "the entry of the route could not be read");
+                return failure(notNow(Reason::EntryWithheld, "the entry of the route could not be read"));
             if (!m_directory.hasGroups()) {
                 setNoGroup();
                 return boost::outcome_v2::success();
@@ -137,13 +133,14 @@
                 group = m_directory.groupByCredential(*credential.value());
                 m_out.hasCredential = group != nullptr;
                 if (group && isUnproven && !isOpen)
-                    return notNow(
-                        Reason::CredentialUnproven, "whether the credential still counts is not known");
+                    return failure(notNow(
+                        Reason::CredentialUnproven, "whether the credential still counts is not known"));
             } else if (m_caller.parent) {
                 group = m_directory.group(m_caller.parent->group);
             }
             if (group && group->isWithheld)
-                return notNow(Reason::EntryWithheld, "the entry of the calling group could not be read");
+                return failure(
+                    notNow(Reason::EntryWithheld, "the entry of the calling group could not be read"));
             if (group) {
                 setGroup(*group);
                 return boost::outcome_v2::success();
@@ -154,9 +151,9 @@
                 return boost::outcome_v2::success();
             }
             if (credential.value() && !m_caller.isConfigProven)
-                return notNow(Reason::CredentialUnproven, "a newer configuration may know the credential");
-            return forGood(
-                unauthorized, "the header " + m_names.credential + " names no known calling group");
+                return failure(
+                    notNow(Reason::CredentialUnproven, "a newer configuration may know the credential"));
+            return failure(noSuchGroup());
         }
 
         void setGroup(const GroupInfo& group)
--- a/src/Node/CallRequest.h
+++ b/src/Node/CallRequest.h
@@ -29,6 +29,7 @@
 struct CallerContext {
     /// The call that runs on the backend server beside the node and that this one is made for.
     struct Parent {
+        std::string requestId;
         std::string group;
         std::uint32_t groupPriority = 0;
         std::uint32_t priority = 0; ///< of its route
@@ -58,8 +59,11 @@
     bool wantsTicket = false; ///< asks for a ticket, not for a call
     std::string id; ///< the caller's own name of this attempt; ""
     bool isByRoute = false;
-    bool isNested = false; ///< made by the backend server beside this node, for a call that it runs
-    std::optional<CallerContext::Parent> parent; ///< that call, if it is one
+    /// The call that the backend server beside this node runs and makes this one for.
+    std::optional<CallerContext::Parent> parent;
+
+    /// \returns whether the backend server beside this node makes it for a call that it runs.
+    bool isNested() const { return parent.has_value(); }
 
     /// \brief Reads \a request. Errors: unknown credential, service or route, fields that make no sense.
     /// \param turns whose turn it is where a route is split; moves on.
--- a/src/Node/Directory.h
+++ b/src/Node/Directory.h
@@ -133,6 +133,8 @@
     void addRoute(const std::string& id, const proto::Route& config);
     void addService(const std::string& id, const proto::Service& config);
     void addGroup(const std::string& id, const proto::Group& config);
+    /// \param group its place among the groups.
+    void addCredential(const std::string& sha256, std::size_t group);
 
     Interner m_numbers;
     std::map<std::string, ServiceInfo, std::less<>> m_services;
@@ -140,8 +142,6 @@
     std::vector<GroupInfo> m_groups;
     std::set<std::string> m_emptiedHalls; ///< as they were told
     std::set<std::string> m_emptiedByResource;
-    void addCredential(const std::string& sha256, std::size_t group);
-
     std::map<std::string, std::size_t, std::less<>> m_groupById;
     std::unordered_map<std::string, std::optional<std::size_t>>
         m_groupByHash; ///< nothing: more than one has it
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -101,7 +101,8 @@
     const auto id = ++m_lastCall;
     auto& call = m_calls[id];
     call.request = std::move(request);
-    call.request.isNested = isNested(call.request);
+    if (const auto& parent = call.request.parent)
+        (void)m_owner->noteNested(parent->requestId, call.request.service);
     call.exchange = std::move(exchange);
     call.state = m_context->charts.call.initial();
     call.configVersion = m_context->configVersion;
@@ -125,7 +126,7 @@
         return finishNotRun(id, call, Reason::DeadlinePassed, now);
     call.wasUnread = age > Duration::zero();
     if (m_rates && call.request.rate.isBounded())
-        return passRate(id, call, &RateKeeper::spend, now);
+        return passRate(id, call, m_rates->spend(call.request.group, now), now);
     letIn(id, call, now);
 }
 
@@ -147,7 +148,7 @@
         return 0;
     // Owners take a nested call into their queues if it goes next there, and are busy for it only while
     // slowed down.
-    if (call.request.isNested && experiments.isOn(Mechanism::NextInLine))
+    if (call.request.isNested() && experiments.isOn(Mechanism::NextInLine))
         return maxNestedAsks;
     if (!experiments.isOn(Mechanism::AskWhereWorth))
         return maxAsks;
@@ -160,7 +161,7 @@
         { { "version", static_cast<std::int64_t>(m_context->configVersion) },
             { "allowed_ms", call.request.allowed.count() / 1000 },
             { "target_ms", call.request.callClass.targetLatency.count() / 1000 },
-            { "nested", call.request.isNested } },
+            { "nested", call.request.isNested() } },
         call.request.callClass.name + " " + call.request.service });
 }
 
@@ -285,18 +286,15 @@
     const auto end = id.rfind(nestedMark);
     if (end == std::string_view::npos)
         return out;
-    if (const auto* parent = m_owner->running(std::string(id.substr(0, end))))
-        out.parent = { parent->group(), parent->terms().group_priority(), parent->terms().priority() };
+    const std::string parentId(id.substr(0, end));
+    if (const auto* parent = m_owner->running(parentId)) {
+        const auto& terms = parent->terms();
+        out.parent = { parentId, parent->group(), terms.group_priority(), terms.priority() };
+    }
     return out;
 }
 
-bool Ingress::isNested(const CallRequest& request)
-{
-    const auto end = request.id.rfind(nestedMark);
-    return end != std::string::npos && m_owner->noteNested(request.id.substr(0, end), request.service);
-}
-
-bool Ingress::isStillCalling(const Call& call) const
+bool Ingress::isStillCalling(Call& call) const
 {
     if (!call.request.hasCredential || call.configVersion == m_context->configVersion)
         return true;
@@ -304,7 +302,10 @@
     if (!credential || !credential.value())
         return false;
     const auto* group = m_context->directory.groupByCredential(*credential.value());
-    return group && group->id == call.request.group;
+    if (!group || group->id != call.request.group)
+        return false;
+    call.configVersion = m_context->configVersion;
+    return true;
 }
 
 RouteNeeds Ingress::needsOf(const Call& call, Instant now) const
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -104,7 +104,7 @@
         std::unique_ptr<HttpExchange> exchange;
         CallState state {};
         CallRequest request;
-        std::uint64_t configVersion = 0; ///< by which it was let in
+        std::uint64_t configVersion = 0; ///< by which its credential was looked up last
         Instant arrived {};
         bool wasUnread = false; ///< it waited unread while this node stood still
         Instant deadline {};
@@ -149,8 +149,7 @@
     void begin(std::unique_ptr<HttpExchange> exchange, CallRequest request, Instant now);
     /// \brief Lets the call through if its group's rate allows it; else it waits a moment for a credit, or is
     /// refused.
-    void passRate(CallId id, Call& call,
-        CreditPurse::Decision (RateKeeper::*decide)(const std::string&, Instant), Instant now);
+    void passRate(CallId id, Call& call, const CreditPurse::Decision& decision, Instant now);
     void creditsChanged(const std::vector<std::string>& groups, Instant now);
     void refuseOverRate(CallId id, Call& call, Duration comeBack, Instant now);
     /// \brief The call is let in: it goes on to an owner.
@@ -163,11 +162,9 @@
     void reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply);
     CallerContext callerOf(const HttpRequest& request) const;
     /// \returns whether the credential of \a call still names its group.
-    bool isStillCalling(const Call& call) const;
+    bool isStillCalling(Call& call) const;
     /// \brief The credential of \a call was taken away while it waited.
     void finishUncalled(CallId id, Call& call, Instant now);
-    /// \returns whether the backend server beside this node makes this call for one that it runs.
-    bool isNested(const CallRequest& request);
     void addTerms(const Call& call, proto::Call& out, Instant now) const;
     void watchAttempt(CallId id, Call& call, std::uint64_t number);
     void proceed(CallId id, Instant now);
@@ -210,7 +207,7 @@
     void attemptLost(CallId id, Call& call, Reason reason, Instant now);
     RouteNeeds needsOf(const Call& call, Instant now) const;
     /// \returns an upstream for a second attempt; nothing if there is none.
-    std::optional<std::string> pickSecond(const Call& call, Instant now);
+    std::optional<std::string> pickSecond(Call& call, Instant now);
     /// \returns whether a second attempt at \a upstream is likely to be in time.
     bool isWorthwhile(const Call& call, const std::string& upstream, Instant now);
     /// \brief An upstream has become slow: calls that run there and will be late for it may get a second
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -110,7 +110,7 @@
         return false;
     const auto end = now + router.expectedAt(upstream, needsOf(call, now), now);
     const auto target = call.request.callClass.targetLatency;
-    const bool isTimely = call.request.isNested || target == Duration::zero();
+    const bool isTimely = call.request.isNested() || target == Duration::zero();
     return end > (isTimely ? call.deadline : std::min(call.arrived + target, call.deadline));
 }
 
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -58,14 +58,13 @@
     auto& terms = *out.mutable_terms();
     const auto& parent = call.request.parent;
     // A nested call is worth what the call is that it is made for.
-    const bool isForParent = call.request.isNested && parent;
-    terms.set_priority(isForParent ? parent->priority : callClass.priority);
-    terms.set_group_priority(isForParent ? parent->groupPriority : call.request.groupPriority);
+    terms.set_priority(parent ? parent->priority : callClass.priority);
+    terms.set_group_priority(parent ? parent->groupPriority : call.request.groupPriority);
     terms.set_ranked(m_context->directory.hasGroups());
     terms.set_repeatable(callClass.isRepeatable);
     const auto left = callClass.targetLatency - (now - call.arrived);
     terms.set_target_latency_us(static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1)));
-    terms.set_nested(call.request.isNested);
+    terms.set_nested(call.request.isNested());
     terms.set_only_at_once(call.asksLeft > 0);
     out.set_caller_service(m_context->settings.service);
     out.set_request_id(call.request.id);
--- a/src/Node/IngressRates.cpp
+++ b/src/Node/IngressRates.cpp
@@ -19,10 +19,8 @@
     rates.onChanged([this](const auto& groups, Instant now) { creditsChanged(groups, now); });
 }
 
-void Ingress::passRate(CallId id, Call& call,
-    CreditPurse::Decision (RateKeeper::*decide)(const std::string&, Instant), Instant now)
+void Ingress::passRate(CallId id, Call& call, const CreditPurse::Decision& decision, Instant now)
 {
-    const auto decision = (m_rates->*decide)(call.request.group, now);
     switch (decision.verdict) {
     case CreditPurse::Verdict::Spent:
         call.credit = decision.credit;
@@ -54,7 +52,7 @@
         for (const auto id : waiting) {
             const auto it = m_calls.find(id);
             if (it != m_calls.end() && !it->second.credit)
-                passRate(id, it->second, &RateKeeper::retry, now);
+                passRate(id, it->second, m_rates->retry(group, now), now);
         }
     }
 }
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -57,7 +57,7 @@
     ++call.attemptsLeft;
 }
 
-std::optional<std::string> Ingress::pickSecond(const Call& call, Instant now)
+std::optional<std::string> Ingress::pickSecond(Call& call, Instant now)
 {
     if (!isStillCalling(call))
         return std::nullopt;
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -185,12 +185,19 @@
         || isSlow(m_admission.load(now).slowdown))
         return false;
     const auto& terms = call.terms();
-    if (terms.nested())
-        return m_admission.goesNext(
-            m_context->directory.knownGroupNumber(call.group()), priorityOfNested, priorityOfNested);
-    return terms.ranked()
-        && m_admission.goesNext(
-            m_context->directory.knownGroupNumber(call.group()), rankOf(terms), terms.priority() + 1);
+    if (!terms.nested() && !terms.ranked())
+        return false;
+    const auto place = placeOf(terms);
+    return m_admission.goesNext(
+        m_context->directory.knownGroupNumber(call.group()), place.rank, place.priority);
+}
+
+Owner::Place Owner::placeOf(const proto::RouteTerms& terms) const
+{
+    // A call made for another one goes first: that one holds a slot while it waits, and its work is done.
+    if (terms.nested() && m_context->settings.experiments.isOn(Mechanism::NestedFirst))
+        return { priorityOfNested, priorityOfNested };
+    return { terms.ranked() ? rankOf(terms) : 0, terms.priority() + 1 };
 }
 
 void Owner::mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now)
@@ -311,11 +318,9 @@
         offer.parentUrgency = offer.urgency;
         offer.urgency = 0;
     }
-    // A call made for another one goes first: that one holds a slot while it waits, and its work is done.
-    const bool goesFirst = terms.nested() && m_context->settings.experiments.isOn(Mechanism::NestedFirst);
-    offer.priority = goesFirst ? priorityOfNested : terms.priority() + 1;
-    if (terms.ranked())
-        offer.rank = goesFirst ? priorityOfNested : rankOf(terms);
+    const auto place = placeOf(terms);
+    offer.rank = place.rank;
+    offer.priority = place.priority;
     if (!terms.nested())
         offer.inTimeUntil = now + Duration(terms.target_latency_us());
     else
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -168,6 +168,12 @@
     /// comes free here than asked for elsewhere: nothing goes before it, while others would get the slot
     /// meanwhile.
     bool goesNext(const proto::Call& call, Instant now) const;
+    /// Where a call by route goes in the queue.
+    struct Place {
+        std::uint32_t rank = 0;
+        std::uint32_t priority = 0;
+    };
+    Place placeOf(const proto::RouteTerms& terms) const;
     void mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now);
     void takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
     /// \brief Answers a repeated ticket with what its call got.
--- a/src/Rates/CreditPurse.cpp
+++ b/src/Rates/CreditPurse.cpp
@@ -30,10 +30,14 @@
     return static_cast<std::uint32_t>(hash64(m_self, hash64(name)) % group.parts);
 }
 
-void CreditPurse::count(Group& group, Instant now) const
+double CreditPurse::demandOf(const Group& group, Instant now)
 {
-    const double age = toSeconds(now - group.counted);
-    group.demand = group.demand * std::exp(-age / demandMemorySeconds) + 1 / demandMemorySeconds;
+    return group.demand * std::exp(-toSeconds(now - group.counted) / demandMemorySeconds);
+}
+
+void CreditPurse::count(Group& group, Instant now)
+{
+    group.demand = demandOf(group, now) + 1 / demandMemorySeconds;
     group.counted = now;
     group.lastCall = now;
 }
@@ -135,8 +139,8 @@
 {
     if (now - group.lastCall >= m_timing.idleAfter)
         return 0;
-    const double demand = group.demand * std::exp(-toSeconds(now - group.counted) / demandMemorySeconds);
-    return leastHeld + group.waiting + static_cast<std::uint32_t>(demand * toSeconds(m_timing.horizon));
+    const double ahead = demandOf(group, now) * toSeconds(m_timing.horizon);
+    return leastHeld + group.waiting + static_cast<std::uint32_t>(ahead);
 }
 
 bool CreditPurse::isDue(
--- a/src/Rates/CreditPurse.h
+++ b/src/Rates/CreditPurse.h
@@ -102,7 +102,9 @@
     std::uint32_t firstPart(const std::string& name, const Group& group) const;
     /// \returns whether \a credit is of an account that still stands.
     static bool isOf(const Account& account, const Credit& credit) { return account.opened == credit.opened; }
-    void count(Group& group, Instant now) const;
+    /// \returns the calls a second that came lately.
+    static double demandOf(const Group& group, Instant now);
+    static void count(Group& group, Instant now);
     /// \brief Throws away what the account can no longer rely on.
     void refresh(const std::string& name, Group& group, Instant now);
     void reopen(Account& account, const std::string& home);
--- a/src/Rates/RateKeeper.cpp
+++ b/src/Rates/RateKeeper.cpp
@@ -24,11 +24,6 @@
     return m_purse.again(group, now); // this node itself may have lent some
 }
 
-void RateKeeper::giveBack(const std::string& group, const CreditPurse::Credit& credit, Instant now)
-{
-    m_purse.giveBack(group, credit, now);
-}
-
 proto::CreditGrants RateKeeper::takeAsk(std::uint64_t life, const proto::CreditAsk& ask, Instant now)
 {
     proto::CreditGrants out;
--- a/src/Rates/RateKeeper.h
+++ b/src/Rates/RateKeeper.h
@@ -45,7 +45,11 @@
     /// \brief The call has run.
     void ran(const std::string& group, const CreditPurse::Credit& credit) { m_purse.ran(group, credit); }
     CreditPurse::Decision retry(const std::string& group, Instant now) { return m_purse.retry(group, now); }
-    void giveBack(const std::string& group, const CreditPurse::Credit& credit, Instant now);
+    /// \brief The call was refused and has not run.
+    void giveBack(const std::string& group, const CreditPurse::Credit& credit, Instant now)
+    {
+        m_purse.giveBack(group, credit, now);
+    }
 
     /// \brief An ingress asks. \returns what it is lent.
     proto::CreditGrants takeAsk(std::uint64_t life, const proto::CreditAsk& ask, Instant now);
