Logs are split into lines by one function; emptied halls and warm-up keep nothing that is not read

Cause: four readers of logs each split them into lines. Emptied halls kept when each was heard of, through four signatures, for a function that nothing calls, and copied all halls at each tick, though a known hall is changed in place. Warm-up terms were compared before they were set to the same.

Change: eachLine() in Client/LogLine.h; the rest is gone. Tests of halls give no time where none is taken; their assertions stand as they were.

--- a/src/Client/EmptiedHallLog.cpp
+++ b/src/Client/EmptiedHallLog.cpp
@@ -65,11 +65,8 @@
 std::string emptiedHalls(const std::vector<std::string>& logs)
 {
     HallStory story;
-    for (const auto& log : logs) {
-        std::istringstream in(log);
-        for (std::string line; std::getline(in, line);)
-            story.take(line);
-    }
+    for (const auto& log : logs)
+        eachLine(log, [&](const std::string& line) { story.take(line); });
     return story.print();
 }
 
--- a/src/Client/Explain.cpp
+++ b/src/Client/Explain.cpp
@@ -74,14 +74,12 @@
     {
         std::vector<LogLine> lines;
         for (const auto& log : logs) {
-            std::istringstream in(log);
-            std::string text;
-            while (std::getline(in, text)) {
+            eachLine(log, [&](const std::string& text) {
                 if (text.find(request) == std::string::npos)
-                    continue;
+                    return;
                 if (auto line = parseLogLine(text); line && line->request == request)
                     lines.push_back(std::move(*line));
-            }
+            });
         }
         return lines;
     }
--- a/src/Client/HeldRequests.cpp
+++ b/src/Client/HeldRequests.cpp
@@ -104,11 +104,8 @@
 std::string heldRequests(const std::vector<std::string>& logs)
 {
     Evidence evidence;
-    for (const auto& log : logs) {
-        std::istringstream in(log);
-        for (std::string line; std::getline(in, line);)
-            evidence.take(line);
-    }
+    for (const auto& log : logs)
+        eachLine(log, [&](const std::string& line) { evidence.take(line); });
     return evidence.print();
 }
 
--- a/src/Client/LogLine.cpp
+++ b/src/Client/LogLine.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <ctime>
+#include <sstream>
 
 namespace robinrun {
 
@@ -17,6 +18,13 @@
     return it != fields.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
+void eachLine(const std::string& log, const std::function<void(const std::string&)>& take)
+{
+    std::istringstream in(log);
+    for (std::string line; std::getline(in, line);)
+        take(line);
+}
+
 std::optional<std::int64_t> parseLogTime(const std::string& text)
 {
     std::tm tm {};
--- a/src/Client/LogLine.h
+++ b/src/Client/LogLine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -26,6 +27,9 @@
     std::string text(const char* name) const;
 };
 
+/// \brief Gives \a take each line of \a log, without its end.
+void eachLine(const std::string& log, const std::function<void(const std::string&)>& take);
+
 /// \brief Reads `2026-12-02T10:11:12.123Z`. \returns milliseconds since 1970.
 std::optional<std::int64_t> parseLogTime(const std::string& text);
 
--- a/src/Client/Losses.cpp
+++ b/src/Client/Losses.cpp
@@ -104,16 +104,14 @@
     std::size_t read(const std::string& log, Stories& stories)
     {
         std::size_t lines = 0;
-        std::istringstream in(log);
-        std::string text;
-        while (std::getline(in, text)) {
+        eachLine(log, [&](const std::string& text) {
             const auto line = parseLogLine(text);
             if (!line)
-                continue;
+                return;
             ++lines;
             if (!line->request.empty())
                 take(stories[line->request], *line);
-        }
+        });
         return lines;
     }
 
--- a/src/Mesh/EmptiedHalls.cpp
+++ b/src/Mesh/EmptiedHalls.cpp
@@ -33,7 +33,7 @@
     return true;
 }
 
-bool EmptiedHalls::take(const KeyedPage& page, const HallOf& hallOf, Instant now)
+bool EmptiedHalls::take(const KeyedPage& page, const HallOf& hallOf)
 {
     bool isChanged = false;
     std::set<std::string> present;
@@ -42,29 +42,29 @@
         if (!hall)
             continue;
         present.insert(*hall);
-        isChanged |= put(*hall, { it.at, !it.value.empty(), now });
+        isChanged |= put(*hall, { it.at, !it.value.empty() });
     }
     if (page.isWhole)
-        isChanged |= takeAbsent(page, present, now);
+        isChanged |= takeAbsent(page, present);
     return isChanged;
 }
 
-bool EmptiedHalls::takeAbsent(const KeyedPage& page, const std::set<std::string>& present, Instant now)
+bool EmptiedHalls::takeAbsent(const KeyedPage& page, const std::set<std::string>& present)
 {
     bool isChanged = false;
-    for (const auto& [hall, record] : std::map(m_halls)) {
+    for (const auto& [hall, record] : m_halls) {
         const bool isOfThisEra = record.at.era == page.next.era;
         if (record.isEmptied && isOfThisEra && !present.contains(hall))
-            isChanged |= put(hall, { page.next, false, now });
+            isChanged |= put(hall, { page.next, false });
     }
     return isChanged;
 }
 
-bool EmptiedHalls::heard(const proto::NodeContact& contact, Instant now)
+bool EmptiedHalls::heard(const proto::NodeContact& contact)
 {
     bool isChanged = false;
     for (const auto& it : contact.halls())
-        isChanged |= put(it.hall(), { { it.at().era(), it.at().offset() }, it.emptied(), now });
+        isChanged |= put(it.hall(), { { it.at().era(), it.at().offset() }, it.emptied() });
     return isChanged;
 }
 
@@ -77,9 +77,9 @@
     if (now - m_eraBegan < writtenAgainWithin)
         return false;
     bool isChanged = false;
-    for (const auto& [hall, record] : std::map(m_halls)) {
+    for (const auto& [hall, record] : m_halls) {
         if (record.isEmptied && record.at.era < era)
-            isChanged |= put(hall, { { era, 0 }, false, now });
+            isChanged |= put(hall, { { era, 0 }, false });
     }
     return isChanged;
 }
@@ -107,7 +107,8 @@
 
 bool EmptiedHalls::isEmptied(const std::string& hall) const
 {
-    return since(hall).has_value();
+    const auto it = m_halls.find(hall);
+    return it != m_halls.end() && it->second.isEmptied;
 }
 
 std::set<std::string> EmptiedHalls::emptied() const
@@ -120,10 +121,4 @@
     return out;
 }
 
-std::optional<Instant> EmptiedHalls::since(const std::string& hall) const
-{
-    const auto it = m_halls.find(hall);
-    return it != m_halls.end() && it->second.isEmptied ? std::optional(it->second.heard) : std::nullopt;
-}
-
 } // namespace robinrun
--- a/src/Mesh/EmptiedHalls.h
+++ b/src/Mesh/EmptiedHalls.h
@@ -28,10 +28,10 @@
     using HallOf = std::function<std::optional<std::string>(std::string_view key)>;
 
     /// \brief Takes in what the store has answered. \returns whether something has changed.
-    bool take(const KeyedPage& page, const HallOf& hallOf, Instant now);
+    bool take(const KeyedPage& page, const HallOf& hallOf);
 
     /// \brief A contact tells what it knows. \returns whether something has changed.
-    bool heard(const proto::NodeContact& contact, Instant now);
+    bool heard(const proto::NodeContact& contact);
 
     /// \brief Ends what nobody has written again since the store came back. \returns whether anything has.
     bool tick(std::uint64_t era, Instant now);
@@ -41,18 +41,15 @@
 
     bool isEmptied(const std::string& hall) const;
     std::set<std::string> emptied() const;
-    /// \returns since when this node knows that a hall is emptied; nothing if it isn't.
-    std::optional<Instant> since(const std::string& hall) const;
 
 private:
     struct Record {
         StorePosition at;
         bool isEmptied = false;
-        Instant heard {};
     };
 
     bool put(const std::string& hall, const Record& record);
-    bool takeAbsent(const KeyedPage& page, const std::set<std::string>& present, Instant now);
+    bool takeAbsent(const KeyedPage& page, const std::set<std::string>& present);
     void keepFew();
 
     std::map<std::string, Record> m_halls;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -48,7 +48,7 @@
 void MeshNode::takeStoredConfiguration(const KeyedPage& page, Instant now)
 {
     // Before the configuration: a node that gets its first one must know which halls it may use.
-    if (m_halls.take(page, m_formats.emptiedHallOf, now))
+    if (m_halls.take(page, m_formats.emptiedHallOf))
         hallsChanged(now);
     const auto& records = page.records;
     // What the store has just confirmed is told while it is fresh: of 300 nodes none has to read for itself
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -187,7 +187,7 @@
 void MeshNode::takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now)
 {
     m_store->heardEra(contact.store_era(), now);
-    if (m_halls.heard(contact, now))
+    if (m_halls.heard(contact))
         hallsChanged(now);
     m_share.heard(sender.address, contact.follows_configuration(), now);
     takeConfirmation(contact, now);
--- a/src/Queueing/WarmUp.cpp
+++ b/src/Queueing/WarmUp.cpp
@@ -11,12 +11,6 @@
         m_pace = makeColdPace(kind);
 }
 
-void WarmUp::setTerms(const WarmUpTerms& terms)
-{
-    if (!(m_terms == terms))
-        m_terms = terms;
-}
-
 void WarmUp::announced(Duration left, Instant now)
 {
     if (left > Duration::zero())
--- a/src/Queueing/WarmUp.h
+++ b/src/Queueing/WarmUp.h
@@ -11,12 +11,6 @@
 struct WarmUpTerms {
     Duration length {}; ///< from a start until the server is warm; 0: the service doesn't say
     ColdBound bound; ///< on calls to one cold server
-
-    bool operator==(const WarmUpTerms& other) const
-    {
-        return length == other.length && bound.perSecond == other.bound.perSecond
-            && bound.burst == other.bound.burst;
-    }
 };
 
 /// \brief Whether the backend server beside this node is cold, and which calls it may get while it is.
@@ -41,7 +35,7 @@
     void setKind(ColdPaceKind kind);
 
     /// \brief The service says otherwise than before. What is known of the server stays.
-    void setTerms(const WarmUpTerms& terms);
+    void setTerms(const WarmUpTerms& terms) { m_terms = terms; }
 
     /// \brief An announcement says that the server is cold for \a left. That it is warm ends no doubt: it may
     /// have been sent before the doubt arose.
--- a/test/EmptiedHallTest.cpp
+++ b/test/EmptiedHallTest.cpp
@@ -63,29 +63,28 @@
 TEST_CASE("The newest record of a hall counts, whichever way and in whichever order it comes", "[halls]")
 {
     EmptiedHalls read;
-    REQUIRE(read.take(
-        page({ { "config", "x", { 1, 4 } }, { "hall/a", "{}", { 1, 5 } } }, { 1, 6 }), hallOf, now));
+    REQUIRE(read.take(page({ { "config", "x", { 1, 4 } }, { "hall/a", "{}", { 1, 5 } } }, { 1, 6 }), hallOf));
     REQUIRE(read.isEmptied("a"));
     proto::NodeContact early;
     read.tell(early);
-    REQUIRE(read.take(page({ { "hall/a", "", { 1, 6 } } }, { 1, 7 }), hallOf, now));
-    REQUIRE_FALSE(read.heard(early, now));
+    REQUIRE(read.take(page({ { "hall/a", "", { 1, 6 } } }, { 1, 7 }), hallOf));
+    REQUIRE_FALSE(read.heard(early));
     REQUIRE_FALSE(read.isEmptied("a"));
     EmptiedHalls other;
     proto::NodeContact late;
     read.tell(late);
-    REQUIRE_FALSE(other.heard(late, now));
-    REQUIRE_FALSE(other.heard(early, now));
+    REQUIRE_FALSE(other.heard(late));
+    REQUIRE_FALSE(other.heard(early));
     REQUIRE_FALSE(other.isEmptied("a"));
 }
 
 TEST_CASE("A whole read without a hall takes it back, a part of the log does not", "[halls]")
 {
     EmptiedHalls halls;
-    halls.take(page({ { "hall/a", "{}", { 1, 5 } } }, { 1, 6 }), hallOf, now);
-    halls.take(page({ { "config", "x", { 1, 6 } } }, { 1, 7 }), hallOf, now);
+    halls.take(page({ { "hall/a", "{}", { 1, 5 } } }, { 1, 6 }), hallOf);
+    halls.take(page({ { "config", "x", { 1, 6 } } }, { 1, 7 }), hallOf);
     REQUIRE(halls.isEmptied("a"));
-    REQUIRE(halls.take(page({ { "config", "x", { 1, 6 } } }, { 1, 7 }, true), hallOf, now));
+    REQUIRE(halls.take(page({ { "config", "x", { 1, 6 } } }, { 1, 7 }, true), hallOf));
     REQUIRE_FALSE(halls.isEmptied("a"));
 }
 
@@ -93,12 +92,12 @@
     "After the store is back from an older copy a hall stays emptied until it is written of again", "[halls]")
 {
     EmptiedHalls halls;
-    halls.take(page({ { "hall/a", "{}", { 1, 5 } }, { "hall/b", "{}", { 1, 6 } } }, { 1, 7 }), hallOf, now);
+    halls.take(page({ { "hall/a", "{}", { 1, 5 } }, { "hall/b", "{}", { 1, 6 } } }, { 1, 7 }), hallOf);
     halls.tick(1, now);
-    halls.take(page({ { "config", "x", { 2, 1 } } }, { 2, 2 }, true), hallOf, now);
+    halls.take(page({ { "config", "x", { 2, 1 } } }, { 2, 2 }, true), hallOf);
     REQUIRE(halls.isEmptied("a"));
     halls.tick(2, now);
-    REQUIRE(halls.take(page({ { "hall/a", "", { 2, 2 } } }, { 2, 3 }), hallOf, now));
+    REQUIRE(halls.take(page({ { "hall/a", "", { 2, 2 } } }, { 2, 3 }), hallOf));
     REQUIRE_FALSE(halls.isEmptied("a"));
     REQUIRE(halls.isEmptied("b"));
     REQUIRE_FALSE(halls.tick(2, now + 29s));
@@ -109,11 +108,11 @@
 TEST_CASE("Names of other writers are bounded, and emptied halls are kept first", "[halls]")
 {
     EmptiedHalls halls;
-    halls.take(page({ { "hall/a", "{}", { 1, 1 } } }, { 1, 2 }), hallOf, now);
-    halls.take(page({ { "hall/" + std::string(300, 'x'), "{}", { 1, 2 } } }, { 1, 3 }), hallOf, now);
+    halls.take(page({ { "hall/a", "{}", { 1, 1 } } }, { 1, 2 }), hallOf);
+    halls.take(page({ { "hall/" + std::string(300, 'x'), "{}", { 1, 2 } } }, { 1, 3 }), hallOf);
     REQUIRE(halls.emptied() == std::set<std::string> { "a" });
     for (std::uint64_t i = 0; i < 1000; ++i)
-        halls.take(page({ { "hall/n" + std::to_string(i), "", { 1, 3 + i } } }, { 1, 4 + i }), hallOf, now);
+        halls.take(page({ { "hall/n" + std::to_string(i), "", { 1, 3 + i } } }, { 1, 4 + i }), hallOf);
     REQUIRE(halls.isEmptied("a"));
     proto::NodeContact contact;
     halls.tell(contact);
