Attempts that are given up with a node's own answer are counted and logged

Cause of the change: two of the hypotheses on calls given up while their server was at work could not be told apart in logs or metrics. The line that ends a call says how many attempts were broken off with it, and robinrun_attempts_broken_off_total counts them by what the caller was told and why.

--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -111,6 +111,7 @@
         std::uint32_t attemptsLeft = 0;
         std::vector<std::string> tried;
         std::vector<Attempt> out;
+        std::uint32_t brokenOff = 0; ///< attempts given up without an answer of theirs
         std::uint32_t freeRefusals = 0; ///< by owners that had not asked their backend server
         std::uint32_t asksLeft = 0; ///< owners still to be asked to run it at once or not at all
         std::vector<std::string> busy; ///< upstreams that could not; chosen again, the call waits there
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -37,6 +37,7 @@
 void Ingress::giveUpAttempts(Call& call, Instant now, bool isLost)
 {
     auto& router = *m_routers.at(call.request.service);
+    call.brokenOff += static_cast<std::uint32_t>(call.out.size());
     for (const auto& it : std::exchange(call.out, {})) {
         m_callByNumber.erase(it.number);
         if (isLost)
@@ -160,7 +161,7 @@
     call.trail.add({ event, now, {}, 0, reason,
         { { "status", status }, { "total_ms", total.count() / 1000 }, { "late", isLate },
             { "upstreams_tried", static_cast<std::int64_t>(call.tried.size()) },
-            { "left_ms", (call.deadline - now).count() / 1000 } } });
+            { "left_ms", (call.deadline - now).count() / 1000 }, { "broken_off", call.brokenOff } } });
     call.trail.write(call.request.id, "", m_context->settings.log.sampleOneIn, now);
 }
 
@@ -184,6 +185,10 @@
         sample.held = Duration(answer->held_us());
     }
     m_context->metrics.call(sample);
+    if (call.brokenOff && outcome != CallOutcome::Answered)
+        m_context->metrics.count("robinrun_attempts_broken_off_total{outcome=\"" + std::string(nameOf(outcome))
+                + "\",reason=\"" + std::string(nameOf(reason)) + "\"}",
+            call.brokenOff);
     if (m_context->settings.log.access) {
         log(LogLevel::Info, "call",
             { { "group", call.request.group }, { "service", call.request.service },
