A lost attempt no longer ends a call while another one is at work

What callers saw: an own answer of the node (504, or 503 after that) although a backend server was at work on the request and time was left; after SIGTERM of the node that breaks the promise that such requests are ended by their server. Cause: Ingress::attemptLost tried again at once, whatever else was out; where no upstream was left, proceed() ended the call and finish() cancelled the attempt that ran. Refusals, errors and busy owners had always waited for the others. Change: a lost attempt waits for the others as well; that a call ends without an answer only once no attempt is out is asserted where calls end (finishNotRun, finishUncalled, finishUnknown). RoutedCallsTest builds its routes by one function; no assertion changed.

--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -147,12 +147,13 @@
     call.trail.add({ RequestEvent::AttemptLost, now, {}, 0, reason,
         { { "repeatable", isRepeatable(call) }, { "attempts_left", call.attemptsLeft },
             { "others_out", static_cast<std::int64_t>(call.out.size()) } } });
+    if (!call.out.empty())
+        return; // another attempt is still out
     if (isRepeatable(call) && now < call.deadline && mayTryAgain(call)) {
         step(call, CallEvent::Refused);
         return proceed(id, now);
     }
-    if (call.out.empty())
-        finishUnknown(id, call, reason, now);
+    finishUnknown(id, call, reason, now);
 }
 
 void Ingress::ownerBusy(CallId id, Call& call, const Attempt& attempt, Instant now)
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -1,3 +1,4 @@
+#include "Core/Check.h"
 #include "Core/Log.h"
 #include "Http/HttpStatus.h"
 #include "Node/CallReply.h"
@@ -12,6 +13,7 @@
     constexpr std::uint32_t standardRetryMs = 150;
     /// Of what a caller has left, so that it can still be served then.
     constexpr double longestRetryAfterShare = 0.33;
+    constexpr auto noneOut = "Ingress: a call ends without an answer only once no attempt is out";
 
 } // namespace
 
@@ -77,6 +79,7 @@
 
 void Ingress::finishNotRun(CallId id, Call& call, Reason reason, Instant now)
 {
+    require(call.out.empty(), noneOut);
     if (finishWithFailure(id, call, now))
         return;
     if (call.wasLost)
@@ -92,6 +95,7 @@
 
 void Ingress::finishUncalled(CallId id, Call& call, Instant now)
 {
+    require(call.out.empty(), noneOut);
     if (finishWithFailure(id, call, now))
         return;
     if (call.wasLost)
@@ -133,6 +137,7 @@
 
 void Ingress::finishUnknown(CallId id, Call& call, Reason reason, Instant now)
 {
+    require(call.out.empty(), noneOut);
     if (finishWithFailure(id, call, now))
         return;
     step(call, CallEvent::Lost);
@@ -186,8 +191,8 @@
     }
     m_context->metrics.call(sample);
     if (call.brokenOff && outcome != CallOutcome::Answered)
-        m_context->metrics.count("robinrun_attempts_broken_off_total{outcome=\"" + std::string(nameOf(outcome))
-                + "\",reason=\"" + std::string(nameOf(reason)) + "\"}",
+        m_context->metrics.count("robinrun_attempts_broken_off_total{outcome=\""
+                + std::string(nameOf(outcome)) + "\",reason=\"" + std::string(nameOf(reason)) + "\"}",
             call.brokenOff);
     if (m_context->settings.log.access) {
         log(LogLevel::Info, "call",
--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -19,21 +19,8 @@
     RouteFixture()
         : IngressFixture(ChoiceKind::Timely)
     {
-        for (const bool isOnce : { false, true }) {
-            proto::Resource route;
-            route.set_name(isOnce ? "routes/pay" : "routes/read");
-            auto& it = *route.mutable_route();
-            it.set_host("a.example");
-            it.set_path_prefix(isOnce ? "/pay/" : "/read/");
-            auto& share = *it.add_split();
-            share.set_service("s");
-            share.set_weight(1);
-            it.set_once(isOnce ? proto::SINGLE_DISPATCH : proto::REPEATABLE);
-            it.set_timeout_ms(3000);
-            it.set_target_latency_ms(400);
-            it.set_attempts(2);
-            config.apply(support::put(std::move(route)));
-        }
+        putRoute("routes/read", "/read/", proto::REPEATABLE, 2);
+        putRoute("routes/pay", "/pay/", proto::SINGLE_DISPATCH, 2);
         proto::Resource called;
         called.set_name("services/t");
         called.mutable_service()->set_deadline_ms(3000);
@@ -42,13 +29,56 @@
         context.directory.rebuild(config);
         ingress.setRetryBurst(1);
         ingress.configure(now);
+        learnWork("/read/x");
+    }
+
+    void putRoute(
+        const std::string& name, const std::string& prefix, proto::OnceMode once, std::uint32_t attempts)
+    {
+        proto::Resource route;
+        route.set_name(name);
+        auto& it = *route.mutable_route();
+        it.set_host("a.example");
+        it.set_path_prefix(prefix);
+        auto& share = *it.add_split();
+        share.set_service("s");
+        share.set_weight(1);
+        it.set_once(once);
+        it.set_timeout_ms(3000);
+        it.set_target_latency_ms(400);
+        it.set_attempts(attempts);
+        config.apply(support::put(std::move(route)));
+    }
+
+    /// \brief Adds a route "/again/", whose calls may be sent to \a n upstreams; retries are saved up for
+    /// that.
+    void addRouteOfAttempts(std::uint32_t n)
+    {
+        putRoute("routes/again", "/again/", proto::REPEATABLE, n);
+        context.directory.rebuild(config);
+        ingress.setRetryBurst(n);
+        ingress.configure(now);
+        learnWork("/again/x");
+    }
+
+    /// \brief Answers calls after their usual work, so that it is known.
+    void learnWork(const std::string& path)
+    {
         for (int i = 0; i < 8; ++i) {
-            const auto learnt = routed("/read/x");
+            const auto learnt = routed(path);
             pass(200ms);
             answer(learnt, 1);
         }
     }
 
+    /// \brief Lets the loop run for \a length of real time.
+    void run(Duration length)
+    {
+        bool isOver = false;
+        const auto end = Timer::once(base.get(), length, [&] { isOver = true; });
+        REQUIRE(runUntil(base.get(), [&] { return isOver; }));
+    }
+
     void pass(Duration length)
     {
         ahead += length;
@@ -324,3 +354,24 @@
     REQUIRE(f.outcome() == "not-run");
     REQUIRE(f.reply->status == 503);
 }
+
+// Guards against an own answer of the node in place of that of a backend server which is at work.
+TEST_CASE("A lost attempt doesn't end a call while another one is at work", "[node]")
+{
+    RouteFixture f;
+    f.addRouteOfAttempts(3);
+    const auto first = f.routed("/again/x");
+    f.pass(50ms);
+    f.tellSlow(first.upstream(), 8);
+    const auto second = f.calls();
+    REQUIRE(second.size() == 1);
+    f.ahead = {};
+    f.give(hostOf(second.front()), IngressFixture::answerTo(second.front(), proto::UNKNOWN));
+    // Longer than a lost call waits for the next life of its backend server.
+    f.run(150ms);
+    REQUIRE_FALSE(f.reply);
+    REQUIRE(f.sent.empty());
+    f.give(hostOf(first), IngressFixture::answerTo(first, proto::ANSWERED, "body"));
+    REQUIRE(f.outcome() == "answered");
+    REQUIRE(f.reply->body == "body");
+}
