A node that ends refuses calls that may run beyond its end

What callers would see: a call cut off when the drain limit of its owner was over, while its server was at work, and its own node's 504. Evidence: the test failed to compile before (the owner knew no end); without the check its first call runs. Change: the owner is told when its process ends, and refuses as leaving, to go elsewhere, what may run longer. Others are served as before. Result: 'An owner whose node ends refuses calls that may run beyond that, and runs the others' passes.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -254,6 +254,7 @@
         { { "in_progress", std::uint64_t { m_ingress->inProgress() } },
             { "upstream_leaving", m_announced.isLeaving() } });
     m_callers->setClosing(true);
+    m_owner->endAt(monotonicNow() + m_context.settings.drainTimeout);
     m_finder->stop();
     m_lameDuckTimer
         = Timer::once(m_context.base, m_context.settings.lameDuck, [this] { step(NodeEvent::StopAsked); });
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -151,9 +151,19 @@
     const Instant deadline { Duration(static_cast<std::int64_t>(call.owner_deadline_us())) };
     if (call.owner_deadline_us() && now >= deadline)
         return Reason::DeadlinePassed;
+    if (m_end && deadlineOf(call, now) > *m_end)
+        return Reason::Leaving;
     return isGivenUp(call, sender, now) ? Reason::GivenUpMeanwhile : Reason::None;
 }
 
+Instant Owner::deadlineOf(const proto::Call& call, Instant now)
+{
+    const auto out = now + Duration(call.remaining_us());
+    if (!call.owner_deadline_us())
+        return out;
+    return std::min(out, Instant(Duration(static_cast<std::int64_t>(call.owner_deadline_us()))));
+}
+
 void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
     m_ingresses[sender.node] = { sender.address, now, sender.life(), call.group() };
@@ -277,10 +287,7 @@
     record.replies.emplace_back(sender, std::move(reply));
     record.numbers.push_back(call.number());
     record.arrived = now;
-    record.deadline = now + Duration(call.remaining_us());
-    if (call.owner_deadline_us())
-        record.deadline = std::min(
-            record.deadline, Instant(Duration(static_cast<std::int64_t>(call.owner_deadline_us()))));
+    record.deadline = deadlineOf(call, now);
     record.isByRoute = call.has_terms();
     record.isRepeatable
         = record.isByRoute ? call.terms().repeatable() : callClass.isRepeatable && !call.has_ticket();
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -91,6 +91,9 @@
     /// \brief Timed work: probes, the end of a drain, forgetting.
     void tick(Instant now);
 
+    /// \brief This process ends at \a end: calls that may run beyond it are refused as not run.
+    void endAt(Instant end) { m_end = end; }
+
     bool isIdle() const { return m_admission.isIdle(); }
 
     /// \returns the call that the backend server runs and that its caller calls \a requestId; null if none
@@ -134,6 +137,8 @@
     /// of the former one counts.
     void turnTo(const UpstreamInfo& info, Instant now);
     Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
+    /// \returns when the time of \a call is over, if it arrives at \a now.
+    static Instant deadlineOf(const proto::Call& call, Instant now);
     /// \returns the standstill that this node wakes from, if it was so long that peers have given its links
     /// up, and with them all calls that were out to it.
     std::optional<Standstill> lostLinksIn(Instant now) const;
@@ -237,6 +242,7 @@
     unsigned m_unreached = 0; ///< connections in a row that could not be made
     double m_toldSlowdown = 1;
     std::uint32_t m_loggedLimit = 0;
+    std::optional<Instant> m_end; ///< of this process, once it is known
     Instant m_nextProbe {};
     bool m_loggedCold = false;
     Timer m_resumeTimer; ///< until a call that waits for a cold server may start
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -303,3 +303,20 @@
     REQUIRE(f.answers[0].nested(0).calls() == 2);
     REQUIRE_FALSE(f.owner.noteNested("r1", "t")); // it is over
 }
+
+// Guards against calls that are cut off with their node: they were let in though their time went beyond its
+// end.
+TEST_CASE("An owner whose node ends refuses calls that may run beyond that, and runs the others", "[node]")
+{
+    OwnerFixture f;
+    f.owner.endAt(monotonicNow() + 2s);
+    f.take(f.call(1)); // has three seconds left
+    REQUIRE(f.answers.size() == 1);
+    REQUIRE(f.answers[0].outcome() == proto::NOT_RUN);
+    REQUIRE(f.reason(0) == Reason::Leaving);
+    auto shorter = f.call(2);
+    shorter.set_remaining_us(1000000);
+    f.take(shorter);
+    f.waitRunning(1);
+    REQUIRE(f.answers.size() == 1);
+}
