--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -67,7 +67,7 @@
     struct Options {
         std::uint32_t slots = 12; ///< of the backend server
         LimitKind limit = LimitKind::Fixed; ///< how many of them are used at most
-        double share = 1; ///< of the slots, for LimitKind::Fixed
+        double share = 1; ///< of the slots, for LimitKind::Fixed and LimitKind::Stepwise
         std::size_t queueLimit = 256;
         Duration initialService = 10ms;
         /// Bounds on waiting, in slot times as they are now: a few calls in turn are a burst, more stand.
--- a/src/Queueing/ConcurrencyLimit.cpp
+++ b/src/Queueing/ConcurrencyLimit.cpp
@@ -66,6 +66,8 @@
         return GradientLimit(slots);
     case LimitKind::Aimd:
         return AimdLimit(slots);
+    case LimitKind::Stepwise:
+        return StepwiseLimit(slots, share);
     case LimitKind::Learnt:
         break;
     }
--- a/src/Queueing/ConcurrencyLimit.h
+++ b/src/Queueing/ConcurrencyLimit.h
@@ -4,6 +4,7 @@
 #include "Core/Ewma.h"
 #include "Queueing/LearntLimit.h"
 #include "Queueing/RunSample.h"
+#include "Queueing/StepwiseLimit.h"
 
 #include <array>
 #include <cstdint>
@@ -12,17 +13,19 @@
 
 namespace robinrun {
 
-/// \brief The ways to bound the calls that run on a backend server at once. All but the last are kept as
+/// \brief The ways to bound the calls that run on a backend server at once. The middle ones are kept as
 /// baselines to measure against.
 enum class LimitKind {
     Fixed,
     Gradient,
     Aimd,
     Learnt,
+    Stepwise,
 };
 
 template <> struct EnumNames<LimitKind> {
-    static constexpr std::array<std::string_view, 4> names { "fixed", "gradient", "aimd", "learnt" };
+    static constexpr std::array<std::string_view, 5> names { "fixed", "gradient", "aimd", "learnt",
+        "stepwise" };
 };
 
 /// \brief A share of the slots that never changes.
@@ -68,11 +71,11 @@
 };
 
 /// \brief A way to bound concurrency, with its state.
-using ConcurrencyLimit = std::variant<FixedLimit, GradientLimit, AimdLimit, LearntLimit>;
+using ConcurrencyLimit = std::variant<FixedLimit, GradientLimit, AimdLimit, LearntLimit, StepwiseLimit>;
 
 /// \returns the limit of \a kind for a backend server.
 /// \param slots of the server; 0 if they are not known yet: then one call runs at a time.
-/// \param share of the slots, for FixedLimit.
+/// \param share of the slots, for FixedLimit and StepwiseLimit.
 ConcurrencyLimit makeLimit(LimitKind kind, std::uint32_t slots, double share);
 
 } // namespace robinrun
--- /dev/null
+++ b/test/StepwiseLimitTest.cpp
@@ -0,0 +1,115 @@
+/// \file A limit that goes up step by step, on servers with and without a point from which calls take longer.
+/// Work of 0.1 s that varies by a third, as in the users' sheets.
+
+#include "Core/Random.h"
+#include "Queueing/StepwiseLimit.h"
+
+#include <catch2/catch.hpp>
+#include <queue>
+
+using namespace robinrun;
+
+namespace {
+
+/// \brief A server under a load that always fills the limit, or needs \a wanted slots.
+struct FullServer {
+    std::uint32_t slots = 6;
+    std::uint32_t knee = 6; ///< calls that start beside as many or more take longer
+    double factor = 1; ///< so many times
+    std::uint32_t wanted = 100;
+    std::uint64_t seed = 1;
+    double spread = 0.33;
+
+    std::uint64_t calls = 0;
+    std::uint64_t beyondKnee = 0;
+
+    void run(StepwiseLimit& limit, Duration length)
+    {
+        struct Call {
+            Instant end;
+            RunSample sample;
+            bool operator<(const Call& other) const { return end > other.end; }
+        };
+        Random random(seed);
+        std::priority_queue<Call> running;
+        Instant now {};
+        while (now < Instant(length)) {
+            while (running.size() < std::min(limit.limit(), wanted)) {
+                const auto inUse = static_cast<std::uint32_t>(running.size()) + 1;
+                const double longer = inUse > knee ? factor : 1;
+                const auto work = fromSeconds(random.logNormal(0.1, spread) * longer);
+                running.push({ now + work, { 1, inUse, limit.limit(), work, Duration::max() } });
+                ++calls;
+                beyondKnee += inUse > knee ? 1 : 0;
+            }
+            now = running.top().end;
+            limit.ended(running.top().sample);
+            running.pop();
+        }
+    }
+};
+
+} // namespace
+
+// Guards against room that nobody uses: of six slots 0.8 are four, and two thirds of the calls were served.
+TEST_CASE("Where calls take no longer beside more of them, all slots are used within seconds", "[limit]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const std::uint32_t slots : { 4U, 6U, 9U, 18U }) {
+            StepwiseLimit limit(slots, 0.8);
+            FullServer server { .slots = slots, .knee = slots, .seed = seed };
+            server.run(limit, 10s);
+            REQUIRE(limit.limit() == slots);
+        }
+    }
+}
+
+TEST_CASE("Beyond a point from which calls take longer only a few are tried", "[limit]")
+{
+    for (const double factor : { 1.7, 2.5 }) {
+        std::uint64_t calls = 0;
+        std::uint64_t beyond = 0;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            StepwiseLimit limit(11, 0.8);
+            FullServer server { .slots = 11, .knee = 8, .factor = factor, .seed = seed };
+            server.run(limit, 60s);
+            calls += server.calls;
+            beyond += server.beyondKnee;
+            REQUIRE(limit.limit() <= 9);
+        }
+        REQUIRE(double(beyond) < 0.02 * double(calls));
+    }
+}
+
+TEST_CASE("A point between the share and all slots is found", "[limit]")
+{
+    int found = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        StepwiseLimit limit(18, 0.6);
+        FullServer server { .slots = 18, .knee = 14, .factor = 1.8, .seed = seed };
+        server.run(limit, 30s);
+        REQUIRE(limit.limit() <= 15);
+        found += limit.limit() >= 14 ? 1 : 0;
+    }
+    REQUIRE(found >= 18);
+}
+
+TEST_CASE("The limit stays where load doesn't fill it", "[limit]")
+{
+    StepwiseLimit limit(10, 0.8);
+    FullServer server { .slots = 10, .knee = 10, .wanted = 6 };
+    server.run(limit, 60s);
+    REQUIRE(limit.limit() == 8);
+}
+
+TEST_CASE("Calls whose work varies much teach the same", "[limit]")
+{
+    int used = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        StepwiseLimit limit(6, 0.8);
+        FullServer server { .seed = seed, .spread = 0.8 };
+        server.run(limit, 60s);
+        used += limit.limit() == 6 ? 1 : 0;
+    }
+    REQUIRE(used >= 18);
+}
