The deadline that an owner is told on its own clock is never early

Cause: the ingress took the owner's clock to show, when it read an answer, what it had shown when the answer was sent. An answer that waits for its reader, 0.2 s on a tenth of a core, made the clock look late by that wait, and so the next deadline early; the owner breaks the run off at that.

OwnerClock reckons from the other end: the owner had the call by (its time of the answer - queued - held), so its clock was ahead by no more than that less the time at which the call was sent. Answers to calls with a ticket may belong to a run that began before the call was sent: there the time of the answer itself is the bound.

--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -13,6 +13,7 @@
 #include "Rates/RateKeeper.h"
 #include "Routing/CallBytes.h"
 #include "Routing/NestedCalls.h"
+#include "Routing/OwnerClock.h"
 #include "Routing/ServiceRouter.h"
 #include "peer.pb.h"
 
@@ -247,6 +248,7 @@
         const proto::Answer* answer = nullptr);
     void giveUpAttempts(Call& call, Instant now, bool isLost);
     void learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
+    void learnClock(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
     const UpstreamInfo* upstreamOf(const std::string& service, const std::string& id) const;
 
     NodeContext* m_context;
@@ -267,13 +269,7 @@
     std::unordered_map<std::string, std::unique_ptr<ServiceRouter>> m_routers;
     RateKeeper* m_rates = nullptr;
     std::map<std::string, std::deque<CallId>> m_awaitingCredit; ///< by group
-    /// What the last answer of an owner told of its clock, to pass deadlines that a late delivery can't
-    /// outlive.
-    struct OwnerClock {
-        std::uint64_t incarnation = 0;
-        std::uint64_t ownerUs = 0;
-        Instant heard {};
-    };
+    /// By upstream: to tell owners deadlines that a late delivery can't outlive.
     std::unordered_map<std::string, OwnerClock> m_ownerClocks;
 };
 
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -51,10 +51,21 @@
 
 } // namespace
 
+void Ingress::learnClock(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
+{
+    const Instant answered { Duration(static_cast<std::int64_t>(answer.owner_now_us())) };
+    // A call with a ticket may have joined one that its owner has had for longer: it was received since.
+    const bool mayHaveJoined = call.ticket && !call.isMinting;
+    const auto spent = Duration(answer.queued_us()) + Duration(answer.held_us());
+    const auto received = mayHaveJoined ? answered : answered - spent;
+    const OwnerClock::Sample sample { answer.incarnation(), attempt.sent, received, answered, now };
+    m_ownerClocks.try_emplace(attempt.upstream, sample).first->second.learn(sample);
+}
+
 void Ingress::learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
 {
     auto& router = *m_routers.at(call.request.service);
-    m_ownerClocks[attempt.upstream] = { answer.incarnation(), answer.owner_now_us(), now };
+    learnClock(call, attempt, answer, now);
     const auto& load = answer.load();
     const auto report = reportOf(load, now);
     const bool isFailure = answer.outcome() == proto::UNKNOWN
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -25,9 +25,9 @@
     out.set_elsewhere_us(static_cast<std::uint32_t>(std::min<std::int64_t>(elsewhere.count(), UINT32_MAX)));
     const auto clock = m_ownerClocks.find(upstream.id);
     if (clock != m_ownerClocks.end()) {
-        out.set_owner_incarnation(clock->second.incarnation);
-        const auto since = (now - clock->second.heard).count();
-        out.set_owner_deadline_us(clock->second.ownerUs + static_cast<std::uint64_t>(since + left));
+        out.set_owner_incarnation(clock->second.incarnation());
+        const auto deadline = clock->second.at(now + Duration(left)).time_since_epoch();
+        out.set_owner_deadline_us(static_cast<std::uint64_t>(std::max<std::int64_t>(deadline.count(), 1)));
     }
     if (call.isMinting) {
         out.set_mint_ticket(true);
--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -88,7 +88,7 @@
             router.setRetryBurst(*m_retryBurst);
         router.setUpstreams(targetsOf(info, hosts), now);
     }
-    std::erase_if(m_ownerClocks, [&](const auto& it) { return now - it.second.heard > clockMemory; });
+    std::erase_if(m_ownerClocks, [&](const auto& it) { return now - it.second.heard() > clockMemory; });
     // Routers of removed services stay: calls in progress still end through them.
 }
 
