A last answer goes out whole, however long it takes

A connection that is to end (after a stop was asked for, each does with its next answer) closed itself when its caller had sent nothing for a second after the answer was given. A caller that takes a long answer over a slow link sends nothing meanwhile, so its answer was cut off after one second: callers saw an answer that ends early, at nodes that were told to stop.

The second for the caller to read and close now begins when the last byte is with the system; until then the connection ends only when the caller takes nothing of it for the idle time.

--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -13,7 +13,8 @@
 
     /// How much of a pipelined next request is read while one is answered.
     constexpr std::size_t pipelinedBytes = 64U << 10U;
-    /// After the last answer the caller has so long to read it and close; closing at once could reset it.
+    /// Once the last answer is written the caller has so long to read it and close; closing at once could
+    /// reset it.
     constexpr Duration lingering = 1s;
 
     /// \brief Ends the connection when nothing comes for \a timeout; zero: never.
@@ -125,15 +126,19 @@
 void ServerConnection::close()
 {
     m_phase = Phase::Closing;
-    setReadTimeout(m_buffer, lingering);
+    // A caller that says nothing while a long answer goes out is not idle; one that takes nothing of it is.
+    const auto tv = toTimeval(m_server->m_options.idleTimeout);
+    bufferevent_set_timeouts(m_buffer, nullptr, &tv);
     bufferevent_setwatermark(m_buffer, EV_READ, 0, 0);
 }
 
 void ServerConnection::written(bufferevent* buffer, void* self)
 {
     auto& connection = *static_cast<ServerConnection*>(self);
-    if (connection.m_phase == Phase::Closing)
-        shutdown(bufferevent_getfd(buffer), SHUT_WR);
+    if (connection.m_phase != Phase::Closing)
+        return;
+    shutdown(bufferevent_getfd(buffer), SHUT_WR);
+    setReadTimeout(buffer, lingering);
 }
 
 void ServerConnection::eventCame(bufferevent*, short, void* self)
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -3,6 +3,7 @@
 #include "Node/Timer.h"
 #include "Platform/HttpPlatform.h"
 #include "support/Loopback.h"
+#include "support/RawCaller.h"
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
@@ -205,6 +206,25 @@
     REQUIRE(ask(reset).first.error().kind == HttpErrorKind::Broken);
 }
 
+// A connection that was to end cut its last answer off one second after it was given.
+TEST_CASE("A last answer is whole for a caller that reads it slowly", "[http]")
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    f.server->setClosing(true);
+    constexpr std::size_t bodyBytes = 32U << 20U;
+    support::RawCaller caller(f.base.get(), f.address);
+    caller.write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    f.runUntil([&] { return f.held.size() == 1; });
+    f.held[0]->reply({ 200, {}, std::string(bodyBytes, 'b') });
+    bool hasRested = false;
+    const auto rest = Timer::once(f.base.get(), 1500ms, [&] { hasRested = true; });
+    f.runUntil([&] { return hasRested; });
+    const auto answer = caller.readAll();
+    REQUIRE(answer.find("Connection: close") != std::string::npos);
+    REQUIRE(answer.size() - answer.find("\r\n\r\n") - 4 == bodyBytes);
+}
+
 TEST_CASE("Bytes after a whole reply belong to no request", "[http]")
 {
     RawServer server(
