A node that drains ends when its answers are out; at its limit it answers what is left

Two faults of one decision, which both nodes took by themselves: a node ended a moment after its last call was answered, whether or not the sockets had taken the answers, so that a caller on a slow link got the beginning of one; and at the limit of the drain it ended the loop with calls in progress, whose callers got the end of the connection in place of an answer.

DrainEnd decides both now, without I/O: a node stays while a request that was read has no answer or one isn't with the system yet; at the limit it is told once to answer all (`calls-given-up`, `runs-given-up`): 503 with a time to come back where nothing can have run, 504 where that isn't known; owners tell their ingresses that the outcome is unknown.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "Http/HttpStatus.h"
 #include "Http/internal/ServerConnection.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstring>
 #include <event2/listener.h>
@@ -102,6 +103,12 @@
         evconnlistener_free(std::exchange(m_listener, nullptr));
 }
 
+bool HttpServer::hasUnwritten() const
+{
+    return std::any_of(
+        m_connections.begin(), m_connections.end(), [](const auto& it) { return it.second->hasUnwritten(); });
+}
+
 void HttpServer::setLimits(
     std::size_t maxHeaders, std::size_t maxBody, Duration headerTimeout, Duration idleTimeout)
 {
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -84,6 +84,10 @@
 
     std::size_t connections() const { return m_connections.size(); }
 
+    /// \returns whether a request that was read whole has no answer yet, or one isn't with the system yet.
+    /// Cost: O(connections).
+    bool hasUnwritten() const;
+
 private:
     friend class internal::ServerConnection;
     HttpServer(event_base* base, Options options, Handler handler);
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -52,6 +52,11 @@
         setReadTimeout(m_buffer, timeout);
 }
 
+bool ServerConnection::hasUnwritten() const
+{
+    return m_phase == Phase::Answering || evbuffer_get_length(bufferevent_get_output(m_buffer)) > 0;
+}
+
 void ServerConnection::readable(bufferevent*, void* self)
 {
     auto& connection = *static_cast<ServerConnection*>(self);
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -21,6 +21,9 @@
     /// \brief Answers the request that was handed on.
     void reply(const HttpReply& reply);
 
+    /// \returns whether a request has no answer yet, or one isn't with the system yet.
+    bool hasUnwritten() const;
+
     /// \brief Waits for the next request no longer than \a timeout.
     void setIdleTimeout(Duration timeout);
 
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -19,6 +19,7 @@
 #include "Mesh/StoreWatch.h"
 #include "Mesh/TopicFollower.h"
 #include "Mesh/WatchGroup.h"
+#include "Node/DrainEnd.h"
 #include "Node/Ingress.h"
 #include "Node/NodeContext.h"
 #include "Node/Owner.h"
@@ -191,6 +192,11 @@
     void noteStandstill();
     void step(NodeEvent event);
     void beginLeaving();
+    /// \brief Ends the draining node if nothing is left to do, or its time is over.
+    void endIfDone(Instant now);
+
+    /// After its last call is answered a stopping node waits so long for another one on its way.
+    static constexpr Duration lingering = 200ms;
 
     NodeContext m_context;
     MeshFormats m_formats;
@@ -234,7 +240,8 @@
     Instant m_nextContact {};
     Instant m_restUntil {}; ///< from following the configuration, though too few others do
     Instant m_nextOverdueRead {};
-    Instant m_lastBusy {};
+    Instant m_drainLimit {};
+    DrainEnd m_drainEnd { lingering };
     Timer m_rebuildTimer;
     Timer m_relayTimer;
     Timer m_publishAgain;
@@ -246,7 +253,6 @@
     bool m_isWriteHeld = true; ///< until what a former life of this node wrote has been read
     Timer m_tickTimer;
     Timer m_lameDuckTimer;
-    Timer m_drainLimit;
 };
 
 } // namespace robinrun
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -13,8 +13,6 @@
     constexpr Duration proofSlack = 100ms;
     /// Changes that come together are applied together.
     constexpr Duration changeDelay = 3ms;
-    /// After its last call is answered a stopping node waits so long for another one on its way.
-    constexpr Duration lingering = 200ms;
     /// A node whose store can't be reached counts as ready this long after its start if it has a
     /// configuration.
     constexpr Duration readyAnyway = 1500ms;
@@ -213,13 +211,30 @@
         tellContacts(now);
     followIfNeeded(now);
     pullIfDue(now);
-    if (m_ingress->inProgress() || !m_owner->isIdle())
-        m_lastBusy = now;
+    if (m_state == NodeState::Draining)
+        endIfDone(now);
+}
+
+void MeshNode::endIfDone(Instant now)
+{
+    DrainEnd::Work work;
+    work.hasCalls = m_ingress->inProgress() > 0 || !m_owner->isIdle();
+    for (const auto* it : { m_callers.get(), m_announcements.get() })
+        work.hasUnwritten = work.hasUnwritten || (it && it->hasUnwritten());
     // Only the word that the node is gone has to be written first: a store that is down must not hold a
     // restart up.
-    const bool hasSaidAll = !m_record.gone() || m_writer->isWritten();
-    if (m_state == NodeState::Draining && now - m_lastBusy > lingering && hasSaidAll)
-        step(NodeEvent::Drained);
+    work.hasUnsaid = m_record.gone() && !m_writer->isWritten();
+    switch (m_drainEnd.next(work, now)) {
+    case DrainEnd::Step::Stay:
+        return;
+    case DrainEnd::Step::AnswerAll:
+        m_ingress->endCalls(now);
+        return m_owner->endCalls(now);
+    case DrainEnd::Step::Drained:
+        return step(NodeEvent::Drained);
+    case DrainEnd::Step::OutOfTime:
+        return step(NodeEvent::DrainTimeout);
+    }
 }
 
 void MeshNode::followIfNeeded(Instant now)
@@ -255,16 +270,16 @@
             { "upstream_leaving", m_announced.isLeaving() } });
     m_callers->setClosing(true);
     m_finder->stop();
-    m_lameDuckTimer
-        = Timer::once(m_context.base, m_context.settings.lameDuck, [this] { step(NodeEvent::StopAsked); });
-    m_drainLimit = Timer::once(
-        m_context.base, m_context.settings.drainTimeout, [this] { step(NodeEvent::DrainTimeout); });
+    const auto& settings = m_context.settings;
+    m_drainLimit = monotonicNow() + settings.drainTimeout;
+    m_lameDuckTimer = Timer::once(m_context.base, std::min(settings.lameDuck, settings.drainTimeout),
+        [this] { step(NodeEvent::StopAsked); });
 }
 
 void MeshNode::beginLeaving()
 {
     const auto now = monotonicNow();
-    m_lastBusy = now;
+    m_drainEnd.begin(m_drainLimit, now);
     m_ingress->setDraining(true);
     m_owner->setSign(LeavingSign::NodeStop, true, now);
     if (!m_announced.isLeaving())
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -76,6 +76,9 @@
     /// \brief While draining, new calls are refused as not run.
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
 
+    /// \brief This node ends: answers all calls now, those that have provably not run as not run.
+    void endCalls(Instant now);
+
     std::size_t inProgress() const { return m_calls.size(); }
     /// \returns the retries that all services' budgets have saved up.
     double savedRetries() const;
@@ -233,6 +236,8 @@
     void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
     void claimDecided(CallId id, const ClaimDecision& decision);
     void deadlineReached(CallId id);
+    /// \brief Nothing is waited for any more: ends the call with what is known of it.
+    void giveUp(CallId id, Reason reason, Instant now);
     void attemptTimedOut(CallId id, std::uint64_t number);
     bool finishWithFailure(CallId id, Call& call, Instant now);
     void hungUp(CallId id);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -241,16 +241,33 @@
 }
 
 void Ingress::deadlineReached(CallId id)
+{
+    giveUp(id, Reason::DeadlinePassed, monotonicNow());
+}
+
+void Ingress::endCalls(Instant now)
+{
+    std::vector<CallId> ids;
+    for (const auto& [id, call] : m_calls)
+        ids.push_back(id);
+    if (!ids.empty())
+        log(LogLevel::Warning, "calls-given-up", { { "in_progress", std::uint64_t { ids.size() } } });
+    for (const auto id : ids) {
+        if (m_calls.contains(id))
+            giveUp(id, Reason::Leaving, now);
+    }
+}
+
+void Ingress::giveUp(CallId id, Reason reason, Instant now)
 {
     auto& call = m_calls.at(id);
-    const auto now = monotonicNow();
     const bool isOut = !call.out.empty() && !call.isMinting;
     const bool mayHaveRunEarlier = call.ticket && !call.isMinting;
     giveUpAttempts(call, now, true);
     if (isOut || call.wasLost || mayHaveRunEarlier)
-        return finishUnknown(id, call, Reason::DeadlinePassed, now);
+        return finishUnknown(id, call, reason, now);
     const bool isClaiming = call.state == CallState::Claiming;
-    finishNotRun(id, call, isClaiming ? Reason::ClaimUndecided : Reason::DeadlinePassed, now);
+    finishNotRun(id, call, isClaiming ? Reason::ClaimUndecided : reason, now);
 }
 
 void Ingress::peerLost(const std::string& address, Instant now)
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -14,8 +14,6 @@
     /// After a rebuild the next one waits so many times as long as that took: it never takes more than 2.5 %
     /// of a core.
     constexpr int rebuildShare = 40;
-    /// Callers' connections stay open this long after the last call of a drain, for those who send one more.
-    constexpr Duration lingering = 300ms;
 
 } // namespace
 
@@ -200,10 +198,26 @@
     m_api->tick(now);
     m_peers->closeIdle(now);
     flushLog();
-    if (m_ingress->inProgress() || !m_owner->isIdle())
-        m_lastCallAnswered = now;
-    if (m_state == NodeState::Draining && now - m_lastCallAnswered > lingering)
-        step(NodeEvent::Drained);
+    if (m_state == NodeState::Draining)
+        endIfDone(now);
+}
+
+void Node::endIfDone(Instant now)
+{
+    DrainEnd::Work work;
+    work.hasCalls = m_ingress->inProgress() > 0 || !m_owner->isIdle();
+    work.hasUnwritten = m_callers->hasUnwritten();
+    switch (m_drainEnd.next(work, now)) {
+    case DrainEnd::Step::Stay:
+        return;
+    case DrainEnd::Step::AnswerAll:
+        m_ingress->endCalls(now);
+        return m_owner->endCalls(now);
+    case DrainEnd::Step::Drained:
+        return step(NodeEvent::Drained);
+    case DrainEnd::Step::OutOfTime:
+        return step(NodeEvent::DrainTimeout);
+    }
 }
 
 void Node::step(NodeEvent event)
@@ -215,13 +229,11 @@
     log(LogLevel::Info, "node-state", { { "state", nameOf(m_state) } });
     const auto now = monotonicNow();
     if (m_state == NodeState::Draining) {
-        m_lastCallAnswered = now;
+        m_drainEnd.begin(now + m_context.settings.drainTimeout, now);
         m_ingress->setDraining(true);
         m_owner->setSign(LeavingSign::NodeStop, true, now);
         m_callers->stopAccepting();
         m_callers->setClosing(true);
-        m_drainLimit = Timer::once(
-            m_context.base, m_context.settings.drainTimeout, [this] { this->step(NodeEvent::DrainTimeout); });
     }
     if (m_state == NodeState::Stopped)
         event_base_loopexit(m_context.base, nullptr);
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -4,6 +4,7 @@
 #include "Http/HttpServer.h"
 #include "Node/ClaimService.h"
 #include "Node/ControlPlane.h"
+#include "Node/DrainEnd.h"
 #include "Node/Ingress.h"
 #include "Node/NodeContext.h"
 #include "Node/OperatorApi.h"
@@ -46,10 +47,15 @@
     void tickFast();
     void tickSlow();
     void step(NodeEvent event);
+    /// \brief Ends the draining node if nothing is left to do, or its time is over.
+    void endIfDone(Instant now);
     void addGauges();
     NodeFacts facts() const;
     SendToPeer sender();
 
+    /// Callers' connections stay open this long after the last call of a drain, for those who send one more.
+    static constexpr Duration lingering = 300ms;
+
     NodeContext m_context;
     NodeState m_state;
     std::unique_ptr<PeerSocket> m_peers;
@@ -65,10 +71,9 @@
     Timer m_fast;
     Timer m_slow;
     Timer m_changes;
-    Timer m_drainLimit;
     bool m_isChangePending = false;
     Duration m_lastRebuild {};
-    Instant m_lastCallAnswered {};
+    DrainEnd m_drainEnd { lingering };
 };
 
 } // namespace robinrun
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -68,6 +68,9 @@
     /// \brief The caller gave a call up: frees its place, and its slot if it may be cut off.
     void cancel(const Sender& sender, std::uint64_t number, Instant now);
 
+    /// \brief This node ends: answers all calls now, those that run as unknown.
+    void endCalls(Instant now);
+
     /// \brief The configuration has changed.
     void configure(Instant now);
 
@@ -204,6 +207,8 @@
     /// \brief Asks the backend server for its health now. Needs a pool.
     void probe(Instant now);
     void ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now);
+    /// \brief Ends a run whose answer nobody waits for any more.
+    void breakOff(std::uint64_t id, Reason reason, Instant now);
     void refuse(const Refusal& refusal, Instant now);
     void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
         bool isNotRun, Instant now, Duration retryAfter = {});
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -297,14 +297,40 @@
         return refuse({ id, Reason::Cancelled, {} }, now);
     if (!record.isRepeatable)
         return; // what must not be repeated is not cut off either
+    breakOff(id, Reason::Cancelled, now);
+}
+
+void Owner::breakOff(std::uint64_t id, Reason reason, Instant now)
+{
+    auto& record = m_calls.at(id);
     record.pool->cancel(record.request);
     m_crashWatch.cutOff(suspectOf(record, now), now);
     const auto next = m_admission.finished(id, RunEnd::Failed, now);
     proto::Answer answer;
     answer.set_outcome(proto::UNKNOWN);
-    answer.set_reason(static_cast<std::uint32_t>(Reason::Cancelled));
+    answer.set_reason(static_cast<std::uint32_t>(reason));
+    recordTicket(record, answer);
     answerAll(record, answer, now);
     act(next, now);
 }
 
+void Owner::endCalls(Instant now)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, record] : m_calls)
+        ids.push_back(id);
+    if (!ids.empty())
+        log(LogLevel::Warning, "runs-given-up",
+            { { "upstream", upstream() }, { "calls", std::uint64_t { ids.size() } } });
+    for (const auto id : ids) {
+        // Answering one may have ended others.
+        if (!m_calls.contains(id))
+            continue;
+        if (m_admission.cancelWaiting(id))
+            refuse({ id, Reason::Leaving, {} }, now);
+        else
+            breakOff(id, Reason::Leaving, now);
+    }
+}
+
 } // namespace robinrun
--- /dev/null
+++ b/test/DrainTest.cpp
@@ -0,0 +1,86 @@
+#include "support/RawCaller.h"
+#include "support/ShopFixture.h"
+
+#include <catch2/catch.hpp>
+
+/// \file The last moments of a mesh node: what its callers and its peers get before it ends.
+
+using namespace robinrun;
+using support::RawCaller;
+using support::ShopFixture;
+
+namespace {
+
+constexpr std::size_t longBody = 24U << 20U;
+
+/// \brief Stops a node of the shop and ends it as its process would.
+struct DrainFixture : ShopFixture {
+    /// \brief Starts node \a i anew with a short drain.
+    void shorten(std::size_t i, Duration lameDuck, Duration drainTimeout)
+    {
+        places[i].node.reset();
+        places[i].settings.lameDuck = lameDuck;
+        places[i].settings.drainTimeout = drainTimeout;
+        startNode(i);
+        untilServed(i);
+    }
+
+    /// \brief Runs until the node that was told to stop has ended the loop. \returns whether it did.
+    bool runToEnd()
+    {
+        const auto limit = Timer::once(base.get(), 9s, [&] { event_base_loopbreak(base.get()); });
+        event_base_dispatch(base.get());
+        return !event_base_got_break(base.get());
+    }
+
+    std::string get(const std::string& path)
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Robinrun-Request-Id: q"
+            + std::to_string(++lastRequest) + "\r\nX-Robinrun-Deadline-Ms: 6000\r\n\r\n";
+    }
+
+    RawCaller callerOf(std::size_t i) { return RawCaller(base.get(), places[i].settings.listen.callers); }
+};
+
+} // namespace
+
+// Answers that were given but not yet taken by a slow link went with the process.
+TEST_CASE("A node that stops stays until its callers have a long answer", "[drain]")
+{
+    DrainFixture f;
+    f.shorten(1, 50ms, 5s);
+    auto caller = f.callerOf(1);
+    f.places[1].backend->instead = [&](const HttpRequest& request) {
+        auto reply = f.places[1].backend->signedReply(request);
+        reply.body.assign(longBody, 'b');
+        return reply;
+    };
+    f.places[2].backend->instead = f.places[1].backend->instead;
+    caller.write(f.get("/read/x"));
+    f.pass(150ms);
+    f.places[1].node->stop();
+    Timer reading;
+    const auto rest = Timer::once(f.base.get(), 600ms, [&] { reading = caller.readInBackground(); });
+    REQUIRE(f.runToEnd());
+    f.places[1].node.reset();
+    const auto answer = caller.readAll();
+    REQUIRE(answer.size() > longBody);
+}
+
+// Requests in progress at the limit of the drain were cut without an answer.
+TEST_CASE("At the limit of its drain a node answers what is in progress", "[drain]")
+{
+    DrainFixture f;
+    f.shorten(1, 50ms, 600ms);
+    f.places[1].backend->holds = true;
+    f.places[2].backend->holds = true;
+    auto caller = f.callerOf(1);
+    caller.write(f.get("/read/x"));
+    f.until([&] { return f.places[1].backend->held.size() + f.places[2].backend->held.size() == 1; });
+    f.places[1].node->stop();
+    REQUIRE(f.runToEnd());
+    f.places[1].node.reset();
+    const auto answer = caller.readAll();
+    REQUIRE(answer.starts_with("HTTP/1.1 504 "));
+    REQUIRE(answer.find("Robinrun-Outcome: unknown") != std::string::npos);
+}
