A node that stops answers requests that wait behind another one

Once a node has been told to stop, each answer ended its connection, and what had been read behind the request was dropped: a caller that had sent two requests on one connection got one answer, and for the other one the end of the connection, at a node that served on for seconds.

An answer now ends its connection only when nothing more has been read from it. What is there is handed on and answered in turn, or refused once the node drains; the last of them ends the connection. A connection can't hold the end up by that: the limit of the drain holds.

Evidence: the new test sends two requests at once and stops the node while the first one runs. Before, one answer came (count 1, not 2); now both come, the second one with `Connection: close`.

--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -74,7 +74,7 @@
     /// \brief Accepts no more connections; those there go on.
     void stopAccepting();
 
-    /// \brief While closing, each answer ends its connection.
+    /// \brief While closing, each answer ends its connection, unless more has been read from it.
     void setClosing(bool isClosing) { m_isClosing = isClosing; }
     bool isClosing() const { return m_isClosing; }
 
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -112,7 +112,9 @@
 void ServerConnection::reply(const HttpReply& reply)
 {
     m_exchange = nullptr;
-    m_isLast = m_isLast || m_server->isClosing();
+    // A request that was read already, or in part, is answered too: its caller can't know that it was not.
+    const bool hasMore = evbuffer_get_length(bufferevent_get_input(m_buffer)) > 0;
+    m_isLast = m_isLast || (m_server->isClosing() && !hasMore);
     writeReply(bufferevent_get_output(m_buffer), reply, m_isLast, m_isHead);
     if (m_isLast)
         return close();
--- a/test/DrainTest.cpp
+++ b/test/DrainTest.cpp
@@ -42,6 +42,14 @@
     RawCaller callerOf(std::size_t i) { return RawCaller(base.get(), places[i].settings.listen.callers); }
 };
 
+std::size_t count(const std::string& text, const std::string& part)
+{
+    std::size_t n = 0;
+    for (auto i = text.find(part); i != std::string::npos; i = text.find(part, i + 1))
+        ++n;
+    return n;
+}
+
 } // namespace
 
 // Answers that were given but not yet taken by a slow link went with the process.
@@ -84,3 +92,29 @@
     REQUIRE(answer.starts_with("HTTP/1.1 504 "));
     REQUIRE(answer.find("Robinrun-Outcome: unknown") != std::string::npos);
 }
+
+// Requests that were read while another one was answered were dropped once the node had been told to stop.
+TEST_CASE("A node that stops answers the requests that wait behind another one", "[drain]")
+{
+    DrainFixture f;
+    f.shorten(1, 50ms, 3s);
+    f.places[1].backend->holds = true;
+    f.places[2].backend->holds = true;
+    auto caller = f.callerOf(1);
+    caller.write(f.get("/read/x") + f.get("/read/y"));
+    const auto held = [&] { return f.places[1].backend->held.size() + f.places[2].backend->held.size(); };
+    f.until([&] { return held() == 1; });
+    f.places[1].node->stop();
+    f.pass(100ms);
+    for (const auto i : { 1, 2 }) {
+        f.places[i].backend->holds = false;
+        if (!f.places[i].backend->held.empty())
+            f.places[i].backend->answer(0);
+    }
+    REQUIRE(f.runToEnd());
+    f.places[1].node.reset();
+    const auto answers = caller.readAll();
+    REQUIRE(count(answers, "HTTP/1.1 ") == 2);
+    REQUIRE(answers.starts_with("HTTP/1.1 200 "));
+    REQUIRE(count(answers, "Connection: close") == 1);
+}
