--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -74,7 +74,7 @@
     /// \brief Accepts no more connections; those there go on.
     void stopAccepting();
 
-    /// \brief While closing, each answer ends its connection.
+    /// \brief While closing, each answer ends its connection, unless more has been read from it.
     void setClosing(bool isClosing) { m_isClosing = isClosing; }
     bool isClosing() const { return m_isClosing; }
 
@@ -84,6 +84,10 @@
 
     std::size_t connections() const { return m_connections.size(); }
 
+    /// \returns whether a request that was read whole has no answer yet, or one isn't with the system yet.
+    /// Cost: O(connections).
+    bool hasUnwritten() const;
+
 private:
     friend class internal::ServerConnection;
     HttpServer(event_base* base, Options options, Handler handler);
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -13,7 +13,8 @@
 
     /// How much of a pipelined next request is read while one is answered.
     constexpr std::size_t pipelinedBytes = 64U << 10U;
-    /// After the last answer the caller has so long to read it and close; closing at once could reset it.
+    /// Once the last answer is written the caller has so long to read it and close; closing at once could
+    /// reset it.
     constexpr Duration lingering = 1s;
 
     /// \brief Ends the connection when nothing comes for \a timeout; zero: never.
@@ -51,6 +52,11 @@
         setReadTimeout(m_buffer, timeout);
 }
 
+bool ServerConnection::hasUnwritten() const
+{
+    return m_phase == Phase::Answering || evbuffer_get_length(bufferevent_get_output(m_buffer)) > 0;
+}
+
 void ServerConnection::readable(bufferevent*, void* self)
 {
     auto& connection = *static_cast<ServerConnection*>(self);
@@ -106,7 +112,9 @@
 void ServerConnection::reply(const HttpReply& reply)
 {
     m_exchange = nullptr;
-    m_isLast = m_isLast || m_server->isClosing();
+    // A request that was read already, or in part, is answered too: its caller can't know that it was not.
+    const bool hasMore = evbuffer_get_length(bufferevent_get_input(m_buffer)) > 0;
+    m_isLast = m_isLast || (m_server->isClosing() && !hasMore);
     writeReply(bufferevent_get_output(m_buffer), reply, m_isLast, m_isHead);
     if (m_isLast)
         return close();
@@ -125,15 +133,19 @@
 void ServerConnection::close()
 {
     m_phase = Phase::Closing;
-    setReadTimeout(m_buffer, lingering);
+    // A caller that says nothing while a long answer goes out is not idle; one that takes nothing of it is.
+    const auto tv = toTimeval(m_server->m_options.idleTimeout);
+    bufferevent_set_timeouts(m_buffer, nullptr, &tv);
     bufferevent_setwatermark(m_buffer, EV_READ, 0, 0);
 }
 
 void ServerConnection::written(bufferevent* buffer, void* self)
 {
     auto& connection = *static_cast<ServerConnection*>(self);
-    if (connection.m_phase == Phase::Closing)
-        shutdown(bufferevent_getfd(buffer), SHUT_WR);
+    if (connection.m_phase != Phase::Closing)
+        return;
+    shutdown(bufferevent_getfd(buffer), SHUT_WR);
+    setReadTimeout(buffer, lingering);
 }
 
 void ServerConnection::eventCame(bufferevent*, short, void* self)
