Metrics and the line of a call's end tell why it got no retry

Change: `robinrun_retries_denied_total` by service and cause, with names in a table; the cause is a field of the line that ends a call. What is paid, taken back, charged for nested calls and what really arrived is counted by service. No decision changes.

--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -111,6 +111,8 @@
         std::uint32_t attemptsLeft = 0;
         std::vector<std::string> tried;
         std::vector<Attempt> out;
+        std::uint32_t arrivals = 0; ///< attempts known to have reached a backend server
+        std::optional<RetryDenial> retryDenied; ///< why the last retry asked for was not made
         std::uint32_t freeRefusals = 0; ///< by owners that had not asked their backend server
         std::uint32_t asksLeft = 0; ///< owners still to be asked to run it at once or not at all
         std::vector<std::string> busy; ///< upstreams that could not; chosen again, the call waits there
@@ -188,6 +190,11 @@
     /// \returns whether the budgets allow one more attempt, which is then paid for: at the service, and at
     /// those that its backend servers call for it.
     bool mayTryAgain(Call& call);
+    /// \returns why the budgets don't allow one more attempt; nothing if they do, and then the service's has
+    /// paid for it.
+    std::optional<RetryDenial> denyRetry(const Call& call);
+    /// \brief Adds \a n to the count \a name of the service.
+    void countRetries(std::string_view name, const std::string& service, double n = 1);
     /// \brief As mayTryAgain(), but leaves it to the caller to count the retry once it is sent.
     bool payRetry(Call& call);
     /// \brief Sends a second attempt beside the one that is out, if the budgets allow; it waits for a link
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -110,6 +110,8 @@
         router.askWorth().answered(answer.outcome() == proto::NOT_RUN && reasonOf(answer) == Reason::Busy);
     const bool wasSlow = isSlow(router.slowdownOf(attempt.upstream));
     learn(call, attempt, answer, now);
+    if (answer.offered() && ++call.arrivals > 1)
+        countRetries("arrived", call.request.service);
     if (!wasSlow && isSlow(router.slowdownOf(attempt.upstream)))
         upstreamSlowed(attempt.upstream, now);
     if (answer.outcome() == proto::NOT_RUN)
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -160,7 +160,8 @@
     call.trail.add({ event, now, {}, 0, reason,
         { { "status", status }, { "total_ms", total.count() / 1000 }, { "late", isLate },
             { "upstreams_tried", static_cast<std::int64_t>(call.tried.size()) },
-            { "left_ms", (call.deadline - now).count() / 1000 } } });
+            { "left_ms", (call.deadline - now).count() / 1000 } },
+        {}, call.retryDenied });
     call.trail.write(call.request.id, "", m_context->settings.log.sampleOneIn, now);
 }
 
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -1,6 +1,7 @@
 #include "Node/Ingress.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -24,19 +25,39 @@
     return isPaid;
 }
 
-bool Ingress::payRetry(Call& call)
+void Ingress::countRetries(std::string_view name, const std::string& service, double n)
+{
+    m_context->metrics.count(
+        "robinrun_retries_" + std::string(name) + "_total{service=\"" + service + "\"}", n);
+}
+
+std::optional<RetryDenial> Ingress::denyRetry(const Call& call)
 {
     if (call.attemptsLeft <= 1)
-        return false;
+        return RetryDenial::AttemptsUsed;
     const auto group = call.request.groupNumber;
     const auto& nested = m_nestedCalls.of(call.request.callClass.name);
     const auto isPaidUp = [&](const auto& it) {
         const auto router = m_routers.find(it.first);
         return router == m_routers.end() || router->second->hasRetriesLeft(group);
     };
-    if (!std::all_of(nested.begin(), nested.end(), isPaidUp)
-        || !m_routers.at(call.request.service)->trySpendRetry(group))
+    if (!std::all_of(nested.begin(), nested.end(), isPaidUp))
+        return RetryDenial::NestedDebt;
+    if (!m_routers.at(call.request.service)->trySpendRetry(group))
+        return RetryDenial::OwnBudget;
+    return std::nullopt;
+}
+
+bool Ingress::payRetry(Call& call)
+{
+    const auto& service = call.request.service;
+    call.retryDenied = denyRetry(call);
+    if (call.retryDenied) {
+        m_context->metrics.count("robinrun_retries_denied_total{service=\"" + service + "\",cause=\""
+            + std::string(nameOf(*call.retryDenied)) + "\"}");
         return false;
+    }
+    countRetries("paid", service);
     chargeNested(call, 1);
     --call.attemptsLeft;
     return true;
@@ -45,14 +66,20 @@
 void Ingress::chargeNested(const Call& call, double times)
 {
     for (const auto& [service, calls] : m_nestedCalls.of(call.request.callClass.name)) {
-        if (const auto router = m_routers.find(service); router != m_routers.end())
-            router->second->chargeRetries(call.request.groupNumber, times * calls.value());
+        const auto router = m_routers.find(service);
+        if (router == m_routers.end())
+            continue;
+        router->second->chargeRetries(call.request.groupNumber, times * calls.value());
+        countRetries(
+            times > 0 ? "charged_nested" : "taken_back_nested", service, std::abs(times) * calls.value());
     }
 }
 
 void Ingress::takeBackRetry(Call& call)
 {
-    m_routers.at(call.request.service)->chargeRetries(call.request.groupNumber, -1);
+    const auto& service = call.request.service;
+    m_routers.at(service)->chargeRetries(call.request.groupNumber, -1);
+    countRetries("taken_back", service);
     chargeNested(call, -1);
     ++call.attemptsLeft;
 }
--- a/src/Node/RequestTrail.cpp
+++ b/src/Node/RequestTrail.cpp
@@ -28,6 +28,8 @@
             fields.emplace_back("target", it.text);
         if (it.reason != Reason::None)
             fields.emplace_back("reason", nameOf(it.reason));
+        if (it.retryDenied)
+            fields.emplace_back("retry_denied", nameOf(*it.retryDenied));
         for (const auto& [name, value] : it.numbers)
             fields.emplace_back(name, value);
         logAt(wall - (now - it.at), LogLevel::Info, nameOf(it.event), fields);
--- a/src/Node/RequestTrail.h
+++ b/src/Node/RequestTrail.h
@@ -3,10 +3,12 @@
 #include "Core/EnumNames.h"
 #include "Core/Time.h"
 #include "Queueing/Refusal.h"
+#include "Routing/RetryDenial.h"
 
 #include <array>
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -61,6 +63,7 @@
         Reason reason = Reason::None;
         std::vector<Number> numbers = {};
         std::string text = {}; ///< route and service; "" where they are not the matter
+        std::optional<RetryDenial> retryDenied = {}; ///< why there was no further attempt
     };
 
     void add(Entry entry) { m_entries.push_back(std::move(entry)); }
--- /dev/null
+++ b/src/Routing/RetryDenial.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Core/EnumNames.h"
+
+#include <array>
+#include <string_view>
+
+namespace robinrun {
+
+/// \brief Why a call gets no further attempt that counts as a retry.
+enum class RetryDenial {
+    AttemptsUsed, ///< it has had as many as its request allows
+    OwnBudget, ///< its service's budget holds no whole retry
+    NestedDebt, ///< the budget of a service that its run would call is used up
+};
+
+template <> struct EnumNames<RetryDenial> {
+    static constexpr std::array<std::string_view, 3> names { "attempts-used", "own-budget", "nested-debt" };
+};
+
+} // namespace robinrun
--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -203,6 +203,19 @@
     REQUIRE(pipe.read().find("no-upstream") != std::string::npos);
 }
 
+TEST_CASE("The line of a request's end tells why it got no further attempt", "[log]")
+{
+    LogPipe pipe;
+    RequestTrail trail;
+    trail.add({ RequestEvent::RequestRefused, monotonicNow(), {}, 0, Reason::BackendRefused, {}, {},
+        RetryDenial::OwnBudget });
+    trail.setNotable();
+    trail.write("refused", "", 1, monotonicNow());
+    const auto text = pipe.read();
+    checkLines(text);
+    REQUIRE(text.find(R"("retry_denied":"own-budget")") != std::string::npos);
+}
+
 TEST_CASE("The lines of a troubled mesh are all known", "[log]")
 {
     LogPipe pipe(0, true);
--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -188,6 +188,29 @@
     REQUIRE_FALSE(secondAfterLoss());
 }
 
+TEST_CASE("Metrics tell which check denies a retry, and what is paid and arrives", "[node]")
+{
+    RouteFixture f;
+    const auto shed = [&](const proto::Call& to) {
+        auto out = IngressFixture::answerTo(to, proto::NOT_RUN);
+        out.set_reason(static_cast<std::uint32_t>(Reason::BackendRefused));
+        out.set_offered(true);
+        f.give(hostOf(to), out);
+    };
+    const auto tells = [&](const std::string& line) {
+        return f.context.metrics.text().find("robinrun_retries_" + line + "\n") != std::string::npos;
+    };
+    shed(f.routed("/read/x"));
+    shed(f.nextCall());
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(tells(R"(paid_total{service="s"} 1)"));
+    REQUIRE(tells(R"(arrived_total{service="s"} 1)"));
+    REQUIRE(tells(R"(denied_total{service="s",cause="attempts-used"} 1)"));
+    shed(f.routed("/read/x"));
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(tells(R"(denied_total{service="s",cause="own-budget"} 1)"));
+}
+
 TEST_CASE("Two owners are asked to run a call at once; then it may wait, also where it was asked", "[node]")
 {
     RouteFixture f;
