--- a/src/Queueing/StepwiseLimit.h
+++ b/src/Queueing/StepwiseLimit.h
@@ -12,8 +12,9 @@
 /// Some servers slow down when close to full, others don't, and nothing tells which. The limit starts at the
 /// share that leaves room for the first kind. While load fills it, one call more is let run at a time. A
 /// sequential probability ratio test of the work of calls that start there decides whether they take as long
-/// as others of their class, and the step is kept, or longer, and it is taken back. A step that was taken back is tried again only after many calls. So
-/// a server with a knee costs a few longer calls, and one without gets all its slots.
+/// as others of their class, and the step is kept, or longer, and it is taken back. A step that was taken
+/// back is tried again only after many calls. So a server with a knee costs a few longer calls, and one
+/// without gets all its slots.
 ///
 /// Unlike LearntLimit it never goes below the share, and doesn't weigh longer calls against more of them.
 /// Cost: O(1) a call; about 50 bytes a class.
--- a/test/StepwiseLimitTest.cpp
+++ b/test/StepwiseLimitTest.cpp
@@ -1,8 +1,8 @@
 /// \file A limit that goes up step by step, on servers with and without a point from which calls take longer.
 /// Work of 0.1 s that varies by a third, as in the users' sheets.
 
-#include "Core/Random.h"
 #include "Queueing/StepwiseLimit.h"
+#include "Core/Random.h"
 
 #include <catch2/catch.hpp>
 #include <queue>
