A server's own end of a run at its deadline is passed on

Cause: the owner's pool gave the exchange up at the very deadline that the server was told, so the server's answer, which begins its way then, always lost the race. The exchange may now last 50 ms longer, for that way.

What stays: the server is told the same deadline; the ingress ends the call for its caller at the caller's deadline, and its cancel cuts a run off that may be repeated. A server that says nothing keeps the slot of a run that may not be cut off for 50 ms more; the limit is taught as before, as it takes any failed end from 20 ms before the deadline on as out of time. An answer that comes after the caller's deadline still doesn't reach the caller, but the owner knows the end, for tickets and its own figures.

Evidence: "What a server answers at the deadline that it was told is passed on" failed on the former code, 0 of 5 runs passed on (the server answers 1 to 3 ms after its deadline); 3 runs of the test pass now, and 171 cases of [node], [standstill], [once], [late], [timely], [mesh], [crash] and [http].

--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -18,6 +18,10 @@
     /// forgotten it.
     constexpr Duration longestRest = 1s;
     constexpr Duration anyRest = 1h;
+    /// A server that ends a run at the deadline that it was told says so a moment later: its timer, its
+    /// reply's way and a busy host take so long. A server that says nothing keeps its slot for as much
+    /// longer.
+    constexpr Duration replySlack = 50ms;
     /// Connections that can't be made in a row, after which the backend server is taken for down.
     constexpr unsigned unreachedLimit = 2;
     constexpr Duration probeWhileDown = 250ms;
@@ -218,7 +222,7 @@
         { { "waited_ms", (now - record.arrived).count() / 1000 },
             { "left_ms", (record.deadline - now).count() / 1000 } } });
     HttpPool::SendOptions options;
-    options.timeout = record.deadline - now;
+    options.timeout = record.deadline - now + replySlack;
     options.longestRest = record.isRepeatable ? anyRest : longestRest;
     if (!record.call.request_id().empty()) {
         options.isOurs
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -159,6 +159,43 @@
     REQUIRE(f.reason(1) == Reason::BackendUnreachable);
 }
 
+// Guards against runs that count as unknown although their server told how they ended.
+TEST_CASE("What a server answers at the deadline that it was told is passed on", "[node]")
+{
+    constexpr int tries = 5; // a held-up test may lose a race that an owner doesn't
+    int passedOn = 0;
+    for (int i = 0; i < tries; ++i) {
+        OwnerFixture f;
+        auto call = f.call(1);
+        call.set_remaining_us(100'000);
+        f.take(call);
+        f.waitRunning(1);
+        const auto told = findHeader(f.running[0]->request().headers, f.context.headers.deadline);
+        REQUIRE(told);
+        const Duration length = std::chrono::milliseconds(std::stoi(std::string(*told)) + 2);
+        const auto end = Timer::once(f.base.get(), length, [&] { f.running[0]->reply({ 504, {}, "late" }); });
+        f.waitAnswers(1);
+        passedOn += f.answers[0].outcome() == proto::ANSWERED && f.answers[0].status() == 504;
+    }
+    REQUIRE(passedOn > 0);
+}
+
+TEST_CASE("A server that says nothing keeps its slot hardly longer than until the deadline", "[node]")
+{
+    OwnerFixture f;
+    auto call = f.call(1, "/buy/1"); // which no cancel cuts off
+    call.set_remaining_us(100'000);
+    const auto taken = monotonicNow();
+    f.take(call);
+    f.take(f.call(2));
+    f.waitAnswers(1);
+    REQUIRE(f.answers[0].number() == 1);
+    REQUIRE(f.answers[0].outcome() == proto::UNKNOWN);
+    REQUIRE(monotonicNow() - taken >= 100ms);
+    REQUIRE(f.answers[0].held_us() < 1'000'000);
+    f.waitRunning(2);
+}
+
 TEST_CASE("Repeats of a ticket share one run, each with the whole answer", "[node]")
 {
     OwnerFixture f;
