After a standstill a call waits for its server until its caller's time is over

Cause: a request read right after may have waited unread for all of the gap, so its deadline is brought forward by that; and with it the ingress's own timer, which cancels the run and answers. But it may as well have come just now, after a long turn of the loop as after a standstill.

Now only what is told to owners is brought forward, and nothing is sent after that. The timer runs for all of the caller's time, so the server's own end at the deadline that it was told is passed on. Owners still end their runs, 50 ms after that deadline, and say so; where an owner says nothing, a caller that waited unread is answered late by as much, if it is still there.

The watch is left as it is. Processor time used in the gap can't tell the age of a request: it waits unread for as long in a long turn as in a standstill, and peers give links up after 0.5 s of either, so by it more time would be given to servers than their callers have. It also errs where the capacity isn't a hard limit, and counts work before a freeze and on the backlog after it: 0.1 s of work in a gap of 1 s may be a turn of 1 s at a tenth of a core, or a freeze of 0.9 s.

--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -117,7 +117,9 @@
         call.asksLeft = asksFor(call);
     noteRoute(call, now);
     call.exchange->onHangUp([this, id] { hungUp(id); });
-    call.deadlineTimer = Timer::once(m_context->base, allowed, [this, id] { deadlineReached(id); });
+    // It may as well have come just now: what its server answers until then is passed on.
+    call.deadlineTimer
+        = Timer::once(m_context->base, call.request.allowed, [this, id] { deadlineReached(id); });
     if (m_isDraining) {
         call.retryAfterMs = drainingRetryMs;
         return finishNotRun(id, call, Reason::Leaving, now);
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -108,7 +108,7 @@
         std::uint64_t configVersion = 0; ///< by which its credential was looked up last
         Instant arrived {};
         bool wasUnread = false; ///< it waited unread while this node stood still
-        Instant deadline {};
+        Instant deadline {}; ///< at the earliest: the caller may have sent it while this node stood still
         std::uint32_t attemptsLeft = 0;
         std::vector<std::string> tried;
         std::vector<Attempt> out;
--- a/test/StandstillTest.cpp
+++ b/test/StandstillTest.cpp
@@ -226,3 +226,45 @@
     REQUIRE(runUntil(f.base.get(), [&] { return f.ingress.inProgress() == 0; }));
     REQUIRE(f.sent.empty());
 }
+
+// Guards against calls that a node ended in their servers' place before their callers' time was over, because
+// they might have waited unread.
+TEST_CASE("What may have waited unread gets less time at its owner, but its caller waits for the answer",
+    "[standstill]")
+{
+    enum class End { Answered, Refused, Silent };
+    for (const auto end : { End::Answered, End::Refused, End::Silent }) {
+        IngressFixture f;
+        const auto now = monotonicNow();
+        f.context.standstill.tick(now - 1s);
+        f.context.standstill.tick(now);
+        const auto call = f.call("/s/x", { { "Robinrun-Deadline-Ms", "1300" } });
+        REQUIRE(call.remaining_us() <= 300'000);
+        bool isOver = false;
+        const auto timer
+            = Timer::once(f.base.get(), Duration(call.remaining_us()) + 50ms, [&] { isOver = true; });
+        REQUIRE(runUntil(f.base.get(), [&] { return isOver; }));
+        REQUIRE_FALSE(f.reply);
+        switch (end) {
+        case End::Answered: {
+            auto answer = IngressFixture::answerTo(call, proto::ANSWERED, "too late for me");
+            answer.set_status(504);
+            f.give(support::hostOf(call), answer);
+            REQUIRE(f.outcome() == "answered");
+            REQUIRE(f.reply->status == 504);
+            REQUIRE(f.reply->body == "too late for me");
+            break;
+        }
+        case End::Refused: // ends the call: no owner has time for it
+            f.give(support::hostOf(call), IngressFixture::answerTo(call, proto::NOT_RUN));
+            REQUIRE(f.outcome() == "not-run");
+            REQUIRE(monotonicNow() - now < 1300ms);
+            REQUIRE(f.sent.empty());
+            break;
+        case End::Silent:
+            REQUIRE(f.outcome() == "unknown");
+            REQUIRE(monotonicNow() - now >= 1300ms);
+            break;
+        }
+    }
+}
