What is queued for peers goes out before a node is gone

Owners answer their ingresses through ZeroMQ's queues, and PeerSocket drops what is queued when it is destroyed (its linger is 0, as links that are closed while the node runs must not wait). A node that ended 0.2 s after its last answer dropped the rest of an answer that a slow link had not taken yet: the ingress saw the link end and told its caller 504 `owner-lost` for a call whose answer was there.

When a node ends it now sets a linger, for that end only: what is left until 0.25 s after the limit of its drain, at least 0.1 and at most 1 s. Links that are closed in between are as before. A peer that takes nothing holds the end up for no longer than that.

Evidence: the new tests send 2 MiB through a relay of 4 MiB/s, and of 1,000 bytes/s, and destroy the socket at once. Now the message arrives whole, and the socket of the peer that takes nothing is gone after its linger (0.3 s; under 3 s on a busy machine). Not measured: hosts with a tenth of a core.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -299,8 +299,10 @@
     log(LogLevel::Info, "node-state", { { "state", nameOf(m_state) }, { "cause", nameOf(event) } });
     if (m_state == NodeState::Draining)
         beginLeaving();
-    if (m_state == NodeState::Stopped)
+    if (m_state == NodeState::Stopped) {
+        m_peers->setLinger(m_drainEnd.lingerFor(monotonicNow()));
         event_base_loopexit(m_context.base, nullptr);
+    }
 }
 
 } // namespace robinrun
--- a/src/Node/DrainEnd.cpp
+++ b/src/Node/DrainEnd.cpp
@@ -1,5 +1,6 @@
 #include "Node/DrainEnd.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace robinrun {
@@ -18,4 +19,9 @@
     return Step::Drained;
 }
 
+Duration DrainEnd::lingerFor(Instant now) const
+{
+    return std::clamp(m_limit + lastAnswers - now, leastLinger, longestLinger);
+}
+
 } // namespace robinrun
--- a/src/Node/DrainEnd.h
+++ b/src/Node/DrainEnd.h
@@ -11,6 +11,10 @@
     /// Answers that are given at the limit have so long to go out.
     static constexpr Duration lastAnswers = 250ms;
 
+    /// Messages to peers have so long when the node has ended, or what is left until then.
+    static constexpr Duration longestLinger = 1s;
+    static constexpr Duration leastLinger = 100ms;
+
     /// What a node still has to do.
     struct Work {
         bool hasCalls = false; ///< at its ingress or its owner
@@ -40,6 +44,9 @@
     /// \brief To be asked again and again from begin() on.
     Step next(const Work& work, Instant now);
 
+    /// \returns how long messages that are queued for peers may take to go out once the node has ended.
+    Duration lingerFor(Instant now) const;
+
 private:
     Duration m_lingering;
     Instant m_limit {};
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -235,8 +235,10 @@
         m_callers->stopAccepting();
         m_callers->setClosing(true);
     }
-    if (m_state == NodeState::Stopped)
+    if (m_state == NodeState::Stopped) {
+        m_peers->setLinger(m_drainEnd.lingerFor(now));
         event_base_loopexit(m_context.base, nullptr);
+    }
 }
 
 void Node::stop()
--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -328,6 +328,13 @@
     m_handler({ message.from(), message.from_address(), message.incarnation(), route }, message);
 }
 
+void PeerSocket::setLinger(Duration longest)
+{
+    m_router->set(zmq::sockopt::linger, toMs(longest));
+    for (auto& [address, link] : m_links)
+        link->socket.set(zmq::sockopt::linger, toMs(longest));
+}
+
 void PeerSocket::closeIdle(Instant now)
 {
     std::erase_if(m_links, [&](const auto& it) {
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -106,6 +106,10 @@
     /// \brief Closes links that were idle; to be called now and then.
     void closeIdle(Instant now);
 
+    /// \brief What is queued when this is destroyed may still go out, for so long at most; else it is
+    /// dropped. Destroying it then waits, if something is queued.
+    void setLinger(Duration longest);
+
     std::size_t links() const { return m_links.size(); }
 
     /// \returns what was sent and received so far, by kind of message (the number of its field).
--- a/test/DrainEndTest.cpp
+++ b/test/DrainEndTest.cpp
@@ -51,6 +51,15 @@
     REQUIRE(end.next({ false, false, true }, begun + limit + 20ms) == Step::OutOfTime);
 }
 
+// Messages to peers that were queued went with the process; waiting for a peer that is gone must have an end.
+TEST_CASE("Messages to peers have what is left of a node's time, within bounds", "[drain]")
+{
+    const auto end = begin();
+    REQUIRE(end.lingerFor(begun) == DrainEnd::longestLinger);
+    REQUIRE(end.lingerFor(begun + limit) == DrainEnd::lastAnswers);
+    REQUIRE(end.lingerFor(begun + limit + 1s) == DrainEnd::leastLinger);
+}
+
 // A caller that reads nothing, or a store that is down, must not hold a process beyond the grace time.
 TEST_CASE("A node is gone soon after its limit, whatever it still has", "[drain]")
 {
--- a/test/PeerSocketTest.cpp
+++ b/test/PeerSocketTest.cpp
@@ -1,6 +1,7 @@
 #include "Wire/PeerSocket.h"
 #include "Core/Loop.h"
 #include "Core/Random.h"
+#include "support/FaultProxy.h"
 #include "support/Loopback.h"
 
 #include <atomic>
@@ -107,6 +108,83 @@
 
 namespace {
 
+/// \brief A relay on a thread of its own that passes on so many bytes a second.
+class SlowRelay {
+public:
+    SlowRelay(const std::string& address, const std::string& target, std::size_t bytesPerSecond)
+        : m_thread([this, address, target, bytesPerSecond] { run(address, target, bytesPerSecond); })
+    {
+        while (!m_isListening)
+            std::this_thread::yield();
+    }
+    SlowRelay(const SlowRelay&) = delete;
+    SlowRelay& operator=(const SlowRelay&) = delete;
+    ~SlowRelay()
+    {
+        m_isOver = true;
+        m_thread.join();
+    }
+
+private:
+    void run(const std::string& address, const std::string& target, std::size_t bytesPerSecond)
+    {
+        const auto base = makeLoop();
+        support::FaultProxy proxy(base.get(), address, target);
+        proxy.limitUp(bytesPerSecond);
+        m_isListening = true;
+        const auto look = Timer::repeating(base.get(), 5ms, [] {});
+        while (!m_isOver)
+            event_base_loop(base.get(), EVLOOP_ONCE);
+    }
+
+    std::atomic<bool> m_isOver = false;
+    std::atomic<bool> m_isListening = false;
+    std::thread m_thread;
+};
+
+proto::PeerMessage longAnswer(std::size_t bytes)
+{
+    proto::PeerMessage out;
+    out.mutable_answer()->set_body(std::string(bytes, 'b'));
+    return out;
+}
+
+} // namespace
+
+// A node that ended dropped the answers that were still queued for its peers.
+TEST_CASE("What is queued for a peer goes out before a socket is gone", "[wire]")
+{
+    PeerFixture f;
+    const auto address = freeAddress();
+    const SlowRelay relay(address, f.address, 4U << 20U);
+    auto answer = longAnswer(2U << 20U);
+    REQUIRE(runUntil(
+        f.base.get(), [&] { return f.one->send(address, answer, monotonicNow()) == SendResult::Sent; }));
+    f.one->setLinger(5s);
+    f.one.reset();
+    REQUIRE(runUntil(f.base.get(), [&] { return f.received == 1; }));
+}
+
+// An end that waits for a peer that is gone must not reach the end of the grace time.
+TEST_CASE("A peer that takes nothing holds the end of a socket up for its linger and no longer", "[wire]")
+{
+    PeerFixture f;
+    const auto address = freeAddress();
+    const SlowRelay relay(address, f.address, 1000);
+    auto answer = longAnswer(2U << 20U);
+    // The greeting of a link takes some seconds at this rate.
+    REQUIRE(runUntil(
+        f.base.get(), [&] { return f.one->send(address, answer, monotonicNow()) == SendResult::Sent; }));
+    f.one->setLinger(300ms);
+    const auto before = monotonicNow();
+    f.one.reset();
+    const auto took = monotonicNow() - before;
+    REQUIRE(took >= 250ms);
+    REQUIRE(took < 3s);
+}
+
+namespace {
+
 /// \brief Peers that all end at the same moment, on a thread of their own.
 class EndingPeers {
 public:
