News of leaving arrives where no link of the owner stands

An owner that begins to leave tells the ingresses that called it in the last 30 s. It sent the word over a link of its own, and where that was only being opened the word was dropped (`SendResult::Connecting`): an ingress that is no contact of the owner's node, so that only its own link stands, went on calling until the node was gone.

The word goes back along the link that the calls came by, which stands by then. Where that is gone, it goes over a link of the node's own as before, and again each 5 ms while that is being opened, for a second at most; a later word replaces one that has not arrived. Both kinds of node use the same class.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Log.h"
 #include "Http/HttpStatus.h"
+#include "Node/CallMessages.h"
 
 #include <algorithm>
 #include <utility>
@@ -90,8 +91,6 @@
 {
     auto* base = m_context.base;
     m_owner = std::make_unique<Owner>(m_context, m_started);
-    m_owner->onAnnounce(
-        [this](const std::string& address, bool isLeaving) { tellLeaving(address, isLeaving); });
     m_owner->onLoadChanged(
         [this](const std::string& address, proto::LoadNews& news) { tellLoad(address, news); });
     m_owner->onCrash([this](const proto::CrashReport& report) { tellCrash(report); });
@@ -99,6 +98,13 @@
     const auto send = [this](const std::string& address, proto::PeerMessage& message, Instant now) {
         return m_peers->send(address, message, now);
     };
+    const auto answer = [this](const PeerSocket::Sender& to, proto::PeerMessage& message, Instant now) {
+        return m_peers->answer(to, message, now);
+    };
+    m_news = std::make_unique<LeavingNews>(base, PeerLinks { send, answer });
+    m_owner->onAnnounce([this](const PeerSocket::Sender& to, bool isLeaving) {
+        m_news->tell(to, leavingMessage(*m_owner, m_context.incarnation, isLeaving), monotonicNow());
+    });
     m_ingress = std::make_unique<Ingress>(m_context, *m_owner, nullptr, nullptr, send);
     m_ingress->setConfigured(false);
     m_rates = std::make_unique<RateKeeper>(
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -21,6 +21,7 @@
 #include "Mesh/WatchGroup.h"
 #include "Node/DrainEnd.h"
 #include "Node/Ingress.h"
+#include "Node/LeavingNews.h"
 #include "Node/NodeContext.h"
 #include "Node/Owner.h"
 #include "Node/Timer.h"
@@ -70,7 +71,6 @@
     Result<void, std::string> bind();
     Result<void, std::string> bindPeers();
     void makeParts();
-    void tellLeaving(const std::string& address, bool isLeaving);
     void tellLoad(const std::string& address, proto::LoadNews& news);
     Result<void, std::string> bindServers();
     void startFeeds();
@@ -205,6 +205,7 @@
     std::unique_ptr<RecordStore> m_store;
     std::unique_ptr<PeerSocket> m_peers;
     std::unique_ptr<RateKeeper> m_rates;
+    std::unique_ptr<LeavingNews> m_news;
     std::unique_ptr<Owner> m_owner;
     std::unique_ptr<Ingress> m_ingress;
     std::unique_ptr<HttpServer> m_callers;
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -133,12 +133,6 @@
     return [this, sender, now](proto::PeerMessage& message) { m_peers->answer(sender, message, now); };
 }
 
-void MeshNode::tellLeaving(const std::string& address, bool isLeaving)
-{
-    auto message = leavingMessage(*m_owner, m_context.incarnation, isLeaving);
-    m_peers->send(address, message, monotonicNow());
-}
-
 void MeshNode::tellLoad(const std::string& address, proto::LoadNews& news)
 {
     if (address == m_context.settings.listen.peers)
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -70,9 +70,9 @@
         = std::make_unique<Ingress>(m_context, *m_owner, m_claims.get(), &m_control->members(), sender());
     m_api = std::make_unique<OperatorApi>(m_context, *m_control, *m_log, [this] { return facts(); });
     m_control->onChanged([this] { configurationChanged(); });
-    m_owner->onAnnounce([this](const std::string& address, bool isLeaving) {
-        auto message = leavingMessage(*m_owner, m_context.incarnation, isLeaving);
-        m_peers->send(address, message, monotonicNow());
+    m_news = std::make_unique<LeavingNews>(base, PeerLinks { sender(), answer });
+    m_owner->onAnnounce([this](const PeerSocket::Sender& to, bool isLeaving) {
+        m_news->tell(to, leavingMessage(*m_owner, m_context.incarnation, isLeaving), monotonicNow());
     });
 
     HttpServer::Options callers { settings.listen.callers, settings.limits.body, settings.limits.headers,
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -6,6 +6,7 @@
 #include "Node/ControlPlane.h"
 #include "Node/DrainEnd.h"
 #include "Node/Ingress.h"
+#include "Node/LeavingNews.h"
 #include "Node/NodeContext.h"
 #include "Node/OperatorApi.h"
 #include "Node/Owner.h"
@@ -62,6 +63,7 @@
     std::unique_ptr<AppendLog> m_log;
     std::unique_ptr<HostList> m_hosts;
     std::unique_ptr<ControlPlane> m_control;
+    std::unique_ptr<LeavingNews> m_news;
     std::unique_ptr<Owner> m_owner;
     std::unique_ptr<ClaimService> m_claims;
     std::unique_ptr<Ingress> m_ingress;
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -112,7 +112,7 @@
     act(m_admission.setLeaving(m_leaving.isLeaving(), now), now);
     for (const auto& [node, ingress] : m_ingresses) {
         if (m_announce)
-            m_announce(ingress.address, m_leaving.isLeaving());
+            m_announce(ingress.sender, m_leaving.isLeaving());
     }
 }
 
@@ -156,7 +156,7 @@
 
 void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
-    m_ingresses[sender.node] = { sender.address, now, sender.life(), call.group() };
+    m_ingresses[sender.node] = { sender, now, call.group() };
     const auto fault = faultOf(call, sender, now);
     if (fault == Reason::Duplicate) {
         // The first delivery is answered under the same number; an answer to the double could overtake it.
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -39,7 +39,7 @@
     using Sender = PeerSocket::Sender;
     using Reply = std::function<void(proto::Answer)>;
     /// \brief Tells an ingress that the upstream is leaving or stays.
-    using Announce = std::function<void(const std::string& address, bool isLeaving)>;
+    using Announce = std::function<void(const Sender& to, bool isLeaving)>;
     /// \brief Tells an ingress of a load that has changed much.
     using TellLoad = std::function<void(const std::string& address, proto::LoadNews& news)>;
 
@@ -254,9 +254,8 @@
     std::map<std::pair<std::uint64_t, std::string>, std::uint32_t>
         m_bySender; ///< calls in hand, by sender and group
     struct Ingress {
-        std::string address;
+        Sender sender;
         Instant lastCall {};
-        std::uint64_t life = 0;
         std::string group;
     };
     std::unordered_map<std::string, Ingress> m_ingresses; ///< by node; told when this upstream leaves
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -180,8 +180,8 @@
         proto::LoadNews news;
         news.set_upstream(upstream());
         news.set_incarnation(m_context->incarnation);
-        *news.mutable_load() = loadNews(ingress.life, ingress.group, now);
-        m_tellLoad(ingress.address, news);
+        *news.mutable_load() = loadNews(ingress.sender.life(), ingress.group, now);
+        m_tellLoad(ingress.sender.address, news);
     }
 }
 
