The last word of an owner makes "not run" provable at the end of a link

A call that crossed the end of its owner's node was answered 504 `owner-lost`, and spent a retry where it may be repeated, although the owner had run nothing for seconds: an ingress that sees a link end can't tell a call that was begun from one that was never read.

When its node drains, an owner runs nothing any more that it had not received. It now tells each ingress, along the link that its calls came by, the highest call number that it has from it (`LastWord`). When that link ends, a call with a higher number that was meant for that life of the owner has not run: it goes elsewhere at no cost, or its caller is told 503. The owner asserts that it hands nothing over after the word. The word can't be withdrawn: it belongs to the node's own stop, which nothing undoes in a life of the node. Nodes that know no such word log it as an unknown message and work as before.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -105,6 +105,10 @@
     m_owner->onAnnounce([this](const PeerSocket::Sender& to, bool isLeaving) {
         m_news->tell(to, leavingMessage(*m_owner, m_context.incarnation, isLeaving), monotonicNow());
     });
+    m_owner->onLastWord([this](const PeerSocket::Sender& to, std::uint64_t highest) {
+        auto message = lastWord(m_context.incarnation, to, highest);
+        m_peers->answer(to, message, monotonicNow());
+    });
     m_ingress = std::make_unique<Ingress>(m_context, *m_owner, nullptr, nullptr, send);
     m_ingress->setConfigured(false);
     m_rates = std::make_unique<RateKeeper>(
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -281,7 +281,7 @@
     const auto now = monotonicNow();
     m_drainEnd.begin(m_drainLimit, now);
     m_ingress->setDraining(true);
-    m_owner->setSign(LeavingSign::NodeStop, true, now);
+    m_owner->beginEnd(now);
     if (!m_announced.isLeaving())
         return;
     // The backend server has left before: this node will not be back.
--- a/src/Node/CallMessages.cpp
+++ b/src/Node/CallMessages.cpp
@@ -39,6 +39,9 @@
     case proto::PeerMessage::kLeaving:
         ingress.takeLeaving(message.leaving(), now);
         return true;
+    case proto::PeerMessage::kLastWord:
+        ingress.takeLastWord(sender, message.last_word());
+        return true;
     default:
         return false;
     }
@@ -53,6 +56,15 @@
     return message;
 }
 
+proto::PeerMessage lastWord(std::uint64_t incarnation, const PeerSocket::Sender& to, std::uint64_t highest)
+{
+    proto::PeerMessage message;
+    message.mutable_last_word()->set_incarnation(incarnation);
+    message.mutable_last_word()->set_caller_incarnation(to.incarnation);
+    message.mutable_last_word()->set_highest(highest);
+    return message;
+}
+
 CallContent contentOf(const proto::Call& call)
 {
     CallContent out { call.group(), call.method(), call.service(), call.target(), call.body() };
--- a/src/Node/CallMessages.h
+++ b/src/Node/CallMessages.h
@@ -21,6 +21,10 @@
 /// \param incarnation of the owner's node.
 proto::PeerMessage leavingMessage(const Owner& owner, std::uint64_t incarnation, bool isLeaving);
 
+/// \returns the word to the ingress \a to that of its calls none with a number above \a highest is run.
+/// \param incarnation of the owner's node.
+proto::PeerMessage lastWord(std::uint64_t incarnation, const PeerSocket::Sender& to, std::uint64_t highest);
+
 /// \returns what \a call asks for; holds as long as \a call does.
 CallContent contentOf(const proto::Call& call);
 
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -5,6 +5,7 @@
 #include "Http/HttpServer.h"
 #include "Node/CallRequest.h"
 #include "Node/ClaimService.h"
+#include "Node/LastWords.h"
 #include "Node/NodeContext.h"
 #include "Node/Owner.h"
 #include "Node/PeerLinks.h"
@@ -52,6 +53,9 @@
     /// \brief An owner says that its upstream leaves or stays.
     void takeLeaving(const proto::Leaving& leaving, Instant now);
 
+    /// \brief The owner \a sender ends, and says which calls of this ingress it has received.
+    void takeLastWord(const Owner::Sender& sender, const proto::LastWord& word);
+
     /// \brief An owner tells its load by itself.
     void takeLoad(const proto::LoadNews& news, Instant now);
 
@@ -208,6 +212,8 @@
     /// may do better.
     void answered(CallId id, Call& call, proto::Answer& answer, Instant now);
     void attemptLost(CallId id, Call& call, Reason reason, Instant now);
+    /// \returns whether the owner that \a attempt was sent to has said that it doesn't run it.
+    bool wasNeverRun(const Call& call, const Attempt& attempt) const;
     RouteNeeds needsOf(const Call& call, Instant now) const;
     /// \returns an upstream for a second attempt; nothing if there is none.
     std::optional<std::string> pickSecond(Call& call, Instant now);
@@ -272,6 +278,7 @@
     std::unordered_map<std::string, std::unique_ptr<ServiceRouter>> m_routers;
     RateKeeper* m_rates = nullptr;
     std::map<std::string, std::deque<CallId>> m_awaitingCredit; ///< by group
+    LastWords m_lastWords;
     /// What the last answer of an owner told of its clock, to pass deadlines that a late delivery can't
     /// outlive.
     struct OwnerClock {
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -288,13 +288,35 @@
             call.out.begin(), call.out.end(), [&, n = number](const auto& out) { return out.number == n; });
         if (it == call.out.end())
             continue;
-        m_routers.at(call.request.service)->lost(it->upstream, call.request.groupNumber, now);
+        const auto attempt = *it;
+        m_routers.at(call.request.service)->lost(attempt.upstream, call.request.groupNumber, now);
         call.out.erase(it);
         m_callByNumber.erase(number);
-        attemptLost(id, call, Reason::OwnerLost, now);
+        if (!wasNeverRun(call, attempt)) {
+            attemptLost(id, call, Reason::OwnerLost, now);
+            continue;
+        }
+        proto::Answer answer;
+        answer.set_outcome(proto::NOT_RUN);
+        answer.set_reason(static_cast<std::uint32_t>(Reason::Leaving));
+        refused(id, call, attempt, answer, now);
     }
 }
 
+bool Ingress::wasNeverRun(const Call& call, const Attempt& attempt) const
+{
+    // An earlier request with the same ticket may have run.
+    if (call.ticket && !call.isMinting)
+        return false;
+    return m_lastWords.wasNeverRun(attempt.node, attempt.ownerIncarnation, attempt.number);
+}
+
+void Ingress::takeLastWord(const Owner::Sender& sender, const proto::LastWord& word)
+{
+    if (word.caller_incarnation() == m_context->incarnation && word.incarnation() == sender.incarnation)
+        m_lastWords.take(sender.node, { word.incarnation(), word.highest() });
+}
+
 void Ingress::revive(const std::string& upstream, Instant now)
 {
     for (auto& [service, router] : m_routers)
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -74,6 +74,10 @@
     m_owner->onAnnounce([this](const PeerSocket::Sender& to, bool isLeaving) {
         m_news->tell(to, leavingMessage(*m_owner, m_context.incarnation, isLeaving), monotonicNow());
     });
+    m_owner->onLastWord([this](const PeerSocket::Sender& to, std::uint64_t highest) {
+        auto message = lastWord(m_context.incarnation, to, highest);
+        m_peers->answer(to, message, monotonicNow());
+    });
 
     HttpServer::Options callers { settings.listen.callers, settings.limits.body, settings.limits.headers,
         60s };
@@ -231,7 +235,7 @@
     if (m_state == NodeState::Draining) {
         m_drainEnd.begin(now + m_context.settings.drainTimeout, now);
         m_ingress->setDraining(true);
-        m_owner->setSign(LeavingSign::NodeStop, true, now);
+        m_owner->beginEnd(now);
         m_callers->stopAccepting();
         m_callers->setClosing(true);
     }
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -157,6 +157,8 @@
 void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
     m_ingresses[sender.node] = { sender, now, call.group() };
+    if (m_isEnding)
+        sayLast(sender);
     const auto fault = faultOf(call, sender, now);
     if (fault == Reason::Duplicate) {
         // The first delivery is answered under the same number; an answer to the double could overtake it.
@@ -165,6 +167,9 @@
     }
     if (fault != Reason::None)
         return refuseAtOnce(call, sender, reply, fault, true, now);
+    // A ticket's call may have run already, or run just now: its answer is still to be had.
+    if (m_isEnding && !call.has_ticket())
+        return refuseAtOnce(call, sender, reply, Reason::Leaving, true, now);
     if (call.mint_ticket())
         return mint(call, sender, reply, now);
     if (call.has_ticket())
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -40,6 +40,8 @@
     using Reply = std::function<void(proto::Answer)>;
     /// \brief Tells an ingress that the upstream is leaving or stays.
     using Announce = std::function<void(const Sender& to, bool isLeaving)>;
+    /// \brief Tells an ingress that of its calls none with a number above \a highest is run here.
+    using SayLast = std::function<void(const Sender& to, std::uint64_t highest)>;
     /// \brief Tells an ingress of a load that has changed much.
     using TellLoad = std::function<void(const std::string& address, proto::LoadNews& news)>;
 
@@ -54,6 +56,7 @@
     Owner& operator=(const Owner&) = delete;
 
     void onAnnounce(Announce announce) { m_announce = std::move(announce); }
+    void onLastWord(SayLast say) { m_sayLast = std::move(say); }
     void onLoadChanged(TellLoad tell) { m_tellLoad = std::move(tell); }
 
     void onCrash(TellCrash tell) { m_tellCrash = std::move(tell); }
@@ -68,6 +71,10 @@
     /// \brief The caller gave a call up: frees its place, and its slot if it may be cut off.
     void cancel(const Sender& sender, std::uint64_t number, Instant now);
 
+    /// \brief This node will end: nothing that comes from now on is run, and the ingresses are told so. There
+    /// is no way back in this life of the node, as one that was told so may rely on it.
+    void beginEnd(Instant now);
+
     /// \brief This node ends: answers all calls now, those that run as unknown.
     void endCalls(Instant now);
 
@@ -218,6 +225,8 @@
     void fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const;
     void recordTicket(const CallRecord& record, const proto::Answer& answer);
     void lifeChanged(LifeState state, Instant now);
+    /// \brief Gives the last word to \a to, once in its life.
+    void sayLast(const Sender& to);
     const ServiceInfo* service() const;
     HttpRequest requestOf(const CallRecord& record, Instant now) const;
 
@@ -238,6 +247,9 @@
     TellAcquittal m_tellAcquittal;
     Announce m_announce;
     TellLoad m_tellLoad;
+    SayLast m_sayLast;
+    bool m_isEnding = false;
+    std::set<std::uint64_t> m_toldLast; ///< lives of ingresses that got the last word
     bool m_isDown = false;
     unsigned m_unreached = 0; ///< connections in a row that could not be made
     double m_toldSlowdown = 1;
--- a/src/Node/OwnerLife.cpp
+++ b/src/Node/OwnerLife.cpp
@@ -1,6 +1,7 @@
 #include "Core/BackendLife.h"
 #include "Node/Owner.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -67,6 +68,29 @@
     }
 }
 
+void Owner::beginEnd(Instant now)
+{
+    setSign(LeavingSign::NodeStop, true, now);
+    m_isEnding = true;
+    for (const auto& [node, ingress] : m_ingresses)
+        sayLast(ingress.sender);
+}
+
+void Owner::sayLast(const Sender& to)
+{
+    if (!m_sayLast || to.node == m_context->settings.name || !m_toldLast.insert(to.life()).second)
+        return;
+    auto highest = m_seen.highest(to.life());
+    // Of a sender that was silent for long, calls may run that are forgotten there.
+    for (const auto& [id, record] : m_calls) {
+        for (std::size_t i = 0; i < record.replies.size(); ++i) {
+            if (record.replies[i].first.life() == to.life())
+                highest = std::max(highest, record.numbers[i]);
+        }
+    }
+    m_sayLast(to, highest);
+}
+
 bool Owner::isMeantBy(const std::string& key) const
 {
     return key == upstream() || BackendLife::fromKey(upstream()).isMeantBy(BackendLife::fromKey(key));
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -1,3 +1,4 @@
+#include "Core/Check.h"
 #include "Core/Log.h"
 #include "Http/HttpStatus.h"
 #include "Node/BackendReply.h"
@@ -208,6 +209,7 @@
 
 void Owner::run(std::uint64_t id, Instant now)
 {
+    require(!m_isEnding, "Owner::run: ingresses were told that nothing is run any more");
     auto& record = m_calls.at(id);
     record.isRunning = true;
     record.started = now;
--- a/src/Wire/SeenCalls.cpp
+++ b/src/Wire/SeenCalls.cpp
@@ -20,6 +20,12 @@
     return true;
 }
 
+std::uint64_t SeenCalls::highest(std::uint64_t sender) const
+{
+    const auto it = m_senders.find(sender);
+    return it == m_senders.end() ? 0 : it->second.highest;
+}
+
 void SeenCalls::forgetSilent(Instant now)
 {
     std::erase_if(m_senders, [&](const auto& it) { return now - it.second.last > m_forgetAfter; });
--- a/src/Wire/SeenCalls.h
+++ b/src/Wire/SeenCalls.h
@@ -25,6 +25,9 @@
     /// \returns whether the call is new; if so it is remembered.
     bool isNew(std::uint64_t sender, std::uint64_t number, Instant now);
 
+    /// \returns the highest number that came from \a sender; 0 if none is remembered.
+    std::uint64_t highest(std::uint64_t sender) const;
+
     /// \brief Drops silent senders; to be called now and then.
     void forgetSilent(Instant now);
 
