--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -282,7 +282,7 @@
     const auto now = monotonicNow();
     m_drainEnd.begin(m_drainLimit, now);
     m_ingress->setDraining(true);
-    m_owner->setSign(LeavingSign::NodeStop, true, now);
+    m_owner->beginEnd(now);
     if (!m_announced.isLeaving())
         return;
     // The backend server has left before: this node will not be back.
@@ -300,8 +300,10 @@
     log(LogLevel::Info, "node-state", { { "state", nameOf(m_state) }, { "cause", nameOf(event) } });
     if (m_state == NodeState::Draining)
         beginLeaving();
-    if (m_state == NodeState::Stopped)
+    if (m_state == NodeState::Stopped) {
+        m_peers->setLinger(m_drainEnd.lingerFor(monotonicNow()));
         event_base_loopexit(m_context.base, nullptr);
+    }
 }
 
 } // namespace robinrun
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -70,9 +70,13 @@
         = std::make_unique<Ingress>(m_context, *m_owner, m_claims.get(), &m_control->members(), sender());
     m_api = std::make_unique<OperatorApi>(m_context, *m_control, *m_log, [this] { return facts(); });
     m_control->onChanged([this] { configurationChanged(); });
-    m_owner->onAnnounce([this](const std::string& address, bool isLeaving) {
-        auto message = leavingMessage(*m_owner, m_context.incarnation, isLeaving);
-        m_peers->send(address, message, monotonicNow());
+    m_news = std::make_unique<LeavingNews>(base, PeerLinks { sender(), answer });
+    m_owner->onAnnounce([this](const PeerSocket::Sender& to, bool isLeaving) {
+        m_news->tell(to, leavingMessage(*m_owner, m_context.incarnation, isLeaving), monotonicNow());
+    });
+    m_owner->onLastWord([this](const PeerSocket::Sender& to, std::uint64_t highest) {
+        auto message = lastWord(m_context.incarnation, to, highest);
+        m_peers->answer(to, message, monotonicNow());
     });
 
     HttpServer::Options callers { settings.listen.callers, settings.limits.body, settings.limits.headers,
@@ -231,12 +235,14 @@
     if (m_state == NodeState::Draining) {
         m_drainEnd.begin(now + m_context.settings.drainTimeout, now);
         m_ingress->setDraining(true);
-        m_owner->setSign(LeavingSign::NodeStop, true, now);
+        m_owner->beginEnd(now);
         m_callers->stopAccepting();
         m_callers->setClosing(true);
     }
-    if (m_state == NodeState::Stopped)
+    if (m_state == NodeState::Stopped) {
+        m_peers->setLinger(m_drainEnd.lingerFor(now));
         event_base_loopexit(m_context.base, nullptr);
+    }
 }
 
 void Node::stop()
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -112,7 +112,7 @@
     act(m_admission.setLeaving(m_leaving.isLeaving(), now), now);
     for (const auto& [node, ingress] : m_ingresses) {
         if (m_announce)
-            m_announce(ingress.address, m_leaving.isLeaving());
+            m_announce(ingress.sender, m_leaving.isLeaving());
     }
 }
 
@@ -166,7 +166,9 @@
 
 void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
-    m_ingresses[sender.node] = { sender.address, now, sender.life(), call.group() };
+    m_ingresses[sender.node] = { sender, now, call.group() };
+    if (m_isEnding)
+        sayLast(sender);
     const auto fault = faultOf(call, sender, now);
     if (fault == Reason::Duplicate) {
         // The first delivery is answered under the same number; an answer to the double could overtake it.
@@ -175,6 +177,9 @@
     }
     if (fault != Reason::None)
         return refuseAtOnce(call, sender, reply, fault, true, now);
+    // A ticket's call may have run already, or run just now: its answer is still to be had.
+    if (m_isEnding && !call.has_ticket())
+        return refuseAtOnce(call, sender, reply, Reason::Leaving, true, now);
     if (call.mint_ticket())
         return mint(call, sender, reply, now);
     if (call.has_ticket())
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -1,3 +1,4 @@
+#include "Core/Check.h"
 #include "Core/Log.h"
 #include "Http/HttpStatus.h"
 #include "Node/BackendReply.h"
@@ -184,8 +185,8 @@
         proto::LoadNews news;
         news.set_upstream(upstream());
         news.set_incarnation(m_context->incarnation);
-        *news.mutable_load() = loadNews(ingress.life, ingress.group, now);
-        m_tellLoad(ingress.address, news);
+        *news.mutable_load() = loadNews(ingress.sender.life(), ingress.group, now);
+        m_tellLoad(ingress.sender.address, news);
     }
 }
 
@@ -212,6 +213,7 @@
 
 void Owner::run(std::uint64_t id, Instant now)
 {
+    require(!m_isEnding, "Owner::run: ingresses were told that nothing is run any more");
     auto& record = m_calls.at(id);
     record.isRunning = true;
     record.started = now;
