A retry that no backend server was asked to run is given back

Callers saw: nested calls ended 503 after one refusal, and their parents 500, while the bound on retries was hardly used.

Cause: a retry was paid for when it was decided on. If an owner then refused it without asking its server, if no upstream was left, or if the first attempt was the one that never arrived, nothing came back.

Why it works: what is paid belongs to one attempt at a time and moves: to the next attempt after a refusal that asked no server, back to the budgets if there is none. If it was the first attempt that never arrived, the payment of another one is freed instead. A pending try of a link ends once something was sent, so no attempt goes out unpaid.

--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -387,13 +387,15 @@
     // The owner may answer inside take(): the attempt must stand before that.
     const auto address = isOwn ? std::string() : info->config.node_address();
     call.out.push_back({ number, upstream, info->config.host(), address, message.call().owner_incarnation(),
-        now, router.slowdownOf(upstream), router.workClockOf(upstream, now), expected, call.asksLeft > 0 });
+        now, router.slowdownOf(upstream), router.workClockOf(upstream, now), expected, call.asksLeft > 0,
+        std::exchange(call.paid, std::nullopt) });
     call.tried.push_back(upstream);
     if (isOwn)
         noteChoice(call, upstream, number, now);
     m_callByNumber[number] = id;
     step(call, CallEvent::Sent);
     if (isOwn) {
+        call.connectTimer = Timer();
         watchAttempt(id, call, number);
         const auto& node = m_context->settings.name;
         m_owner->take(
@@ -405,11 +407,13 @@
     if (result != SendResult::Connecting)
         call.awaitedLink.clear();
     if (result == SendResult::Sent) {
+        call.connectTimer = Timer();
         noteChoice(call, upstream, number, now);
         watchAttempt(id, call, number);
         return result;
     }
     router.abandoned(upstream, call.request.groupNumber);
+    call.paid = std::move(call.out.back().paid);
     call.out.pop_back();
     call.tried.pop_back();
     m_callByNumber.erase(number);
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -87,6 +87,10 @@
     }
 
 private:
+    /// A retry that the budgets have paid for; given back once at most, since it is in one place at a time.
+    struct PaidRetry {
+        std::map<std::string, double> nested; ///< calls charged to other services, by service
+    };
     /// One message to one owner.
     struct Attempt {
         std::uint64_t number = 0;
@@ -99,6 +103,7 @@
         Duration workClock {}; ///< of the upstream, when sent
         Duration expected {}; ///< time until the answer, as it was expected when sent
         bool isAsk = false; ///< to run at once or not at all
+        std::optional<PaidRetry> paid; ///< nothing for the first attempt, and for those that cost nothing
     };
     struct Call {
         std::unique_ptr<HttpExchange> exchange;
@@ -112,6 +117,8 @@
         std::vector<std::string> tried;
         std::vector<Attempt> out;
         std::uint32_t arrivals = 0; ///< attempts known to have reached a backend server
+        std::optional<PaidRetry> paid; ///< the next attempt's, until that is sent
+        std::vector<PaidRetry> spent; ///< of attempts that have ended and may have reached a backend server
         std::optional<RetryDenial> retryDenied; ///< why the last retry asked for was not made
         std::uint32_t freeRefusals = 0; ///< by owners that had not asked their backend server
         std::uint32_t asksLeft = 0; ///< owners still to be asked to run it at once or not at all
@@ -202,11 +209,17 @@
     void sendSecond(CallId id, Call& call, const std::string& upstream, Instant now);
     /// \brief The link to \a upstream may stand now: sends the second attempt, if it is still worthwhile.
     void secondAgain(CallId id, const std::string& upstream);
-    /// \brief Gives back what mayTryAgain() or payRetry() has spent.
-    void takeBackRetry(Call& call);
-    /// \brief Charges the services that a run of \a call calls in turn with \a times the calls it makes
-    /// there.
-    void chargeNested(const Call& call, double times);
+    /// \brief Gives back to the budgets what \a paid has cost.
+    void giveBack(Call& call, const PaidRetry& paid);
+    /// \brief No backend server was asked to run \a attempt, which has ended: what was paid for it, or for
+    /// another one that so becomes the first to arrive, is free for the next attempt or given back.
+    void freeUnsent(Call& call, Attempt& attempt);
+    /// \brief Charges the services that a run of \a call calls in turn with the calls it usually makes there.
+    /// \returns what was charged.
+    std::map<std::string, double> chargeNested(const Call& call);
+    /// \brief Charges \a service with \a n calls of \a call's group that a retry makes there; below 0 takes
+    /// that back.
+    void chargeNested(const Call& call, const std::string& service, double n);
     bool mayMoveOn(Call& call, const proto::Answer& answer);
     /// \brief A backend server's whole answer: the caller gets it, unless it is an error and another attempt
     /// may do better.
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -102,7 +102,7 @@
         m_context->metrics.count("robinrun_foreign_answers_total");
         return;
     }
-    const Attempt attempt = *it;
+    Attempt attempt = std::move(*it);
     call.out.erase(it);
     m_callByNumber.erase(found);
     auto& router = *m_routers.at(call.request.service);
@@ -110,6 +110,11 @@
         router.askWorth().answered(answer.outcome() == proto::NOT_RUN && reasonOf(answer) == Reason::Busy);
     const bool wasSlow = isSlow(router.slowdownOf(attempt.upstream));
     learn(call, attempt, answer, now);
+    const bool isUnsent = answer.outcome() == proto::NOT_RUN && !answer.offered() && call.request.isByRoute;
+    if (isUnsent)
+        freeUnsent(call, attempt);
+    else if (attempt.paid)
+        call.spent.push_back(std::move(*attempt.paid));
     if (answer.offered() && ++call.arrivals > 1)
         countRetries("arrived", call.request.service);
     if (!wasSlow && isSlow(router.slowdownOf(attempt.upstream)))
@@ -163,9 +168,9 @@
     std::erase(call.tried, attempt.upstream);
     call.busy.push_back(attempt.upstream);
     call.asksLeft -= call.asksLeft ? 1 : 0;
-    // A second attempt that nobody ran: the first one goes on.
+    // The other attempt goes on.
     if (!call.out.empty())
-        return takeBackRetry(call);
+        return;
     step(call, CallEvent::Refused);
     proceed(id, now);
 }
@@ -274,6 +279,8 @@
         if (it == call.out.end())
             continue;
         m_routers.at(call.request.service)->lost(it->upstream, call.request.groupNumber, now);
+        if (it->paid)
+            call.spent.push_back(std::move(*it->paid));
         call.out.erase(it);
         m_callByNumber.erase(number);
         attemptLost(id, call, Reason::OwnerLost, now);
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -169,6 +169,8 @@
     const proto::Answer* answer)
 {
     giveUpAttempts(call, now, false);
+    if (call.paid)
+        giveBack(call, *std::exchange(call.paid, std::nullopt));
     const bool hasNotRun = outcome == CallOutcome::NotRun || outcome == CallOutcome::Rejected;
     if (call.credit && hasNotRun)
         m_rates->giveBack(call.request.group, *call.credit, now);
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -50,6 +50,9 @@
 
 bool Ingress::payRetry(Call& call)
 {
+    // One that was given up before any backend server was asked to run it.
+    if (call.paid)
+        return true;
     const auto& service = call.request.service;
     call.retryDenied = denyRetry(call);
     if (call.retryDenied) {
@@ -58,32 +61,57 @@
         return false;
     }
     countRetries("paid", service);
-    chargeNested(call, 1);
+    call.paid = PaidRetry { chargeNested(call) };
     --call.attemptsLeft;
     return true;
 }
 
-void Ingress::chargeNested(const Call& call, double times)
+std::map<std::string, double> Ingress::chargeNested(const Call& call)
 {
+    std::map<std::string, double> out;
     for (const auto& [service, calls] : m_nestedCalls.of(call.request.callClass.name)) {
-        const auto router = m_routers.find(service);
-        if (router == m_routers.end())
-            continue;
-        router->second->chargeRetries(call.request.groupNumber, times * calls.value());
-        countRetries(
-            times > 0 ? "charged_nested" : "taken_back_nested", service, std::abs(times) * calls.value());
+        out[service] = calls.value();
+        chargeNested(call, service, calls.value());
     }
+    return out;
 }
 
-void Ingress::takeBackRetry(Call& call)
+void Ingress::chargeNested(const Call& call, const std::string& service, double n)
+{
+    const auto router = m_routers.find(service);
+    if (router == m_routers.end())
+        return;
+    router->second->chargeRetries(call.request.groupNumber, n);
+    countRetries(n > 0 ? "charged_nested" : "taken_back_nested", service, std::abs(n));
+}
+
+void Ingress::giveBack(Call& call, const PaidRetry& paid)
 {
     const auto& service = call.request.service;
     m_routers.at(service)->chargeRetries(call.request.groupNumber, -1);
     countRetries("taken_back", service);
-    chargeNested(call, -1);
+    for (const auto& [nested, n] : paid.nested)
+        chargeNested(call, nested, -n);
     ++call.attemptsLeft;
 }
 
+void Ingress::freeUnsent(Call& call, Attempt& attempt)
+{
+    auto freed = std::exchange(attempt.paid, std::nullopt);
+    for (auto it = call.out.begin(); !freed && it != call.out.end(); ++it)
+        freed = std::exchange(it->paid, std::nullopt);
+    if (!freed && !call.spent.empty()) {
+        freed = std::move(call.spent.back());
+        call.spent.pop_back();
+    }
+    if (!freed)
+        return;
+    if (call.out.empty() && !call.paid)
+        call.paid = std::move(freed);
+    else
+        giveBack(call, *freed);
+}
+
 std::optional<std::string> Ingress::pickSecond(Call& call, Instant now)
 {
     if (!isStillCalling(call))
@@ -147,12 +175,13 @@
 
 void Ingress::sendSecond(CallId id, Call& call, const std::string& upstream, Instant now)
 {
-    if (!payRetry(call))
+    // With one paid for already, another attempt is about to go out.
+    if (call.paid || !payRetry(call))
         return;
     const auto result = sendTo(id, call, upstream, now);
     if (result == SendResult::Sent)
         return m_context->metrics.count("robinrun_retries_total");
-    takeBackRetry(call);
+    giveBack(call, *std::exchange(call.paid, std::nullopt));
     if (result == SendResult::Connecting)
         call.secondTimer
             = Timer::once(m_context->base, connectRetry, [this, id, upstream] { secondAgain(id, upstream); });
--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -1,6 +1,9 @@
 #include "support/IngressFixture.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -80,6 +83,51 @@
         ingress.takeLoad(news, now);
     }
 
+    /// \brief Ends the attempt of \a to as not run. \param isServerAsked whether its backend server refused
+    /// it, and not its owner.
+    void refuse(const proto::Call& to, Reason reason, bool isServerAsked)
+    {
+        auto out = answerTo(to, proto::NOT_RUN);
+        out.set_reason(static_cast<std::uint32_t>(reason));
+        out.set_offered(isServerAsked);
+        out.mutable_load()->set_slots(4);
+        give(hostOf(to), out);
+    }
+
+    /// \brief Runs of /read/ are known to make \a calls calls to the service "t".
+    void learnNested(std::uint32_t calls)
+    {
+        for (int i = 0; i < 3; ++i) {
+            const auto learnt = routed("/read/x");
+            give(hostOf(learnt), withNested(learnt, calls));
+            REQUIRE(runUntil(base.get(), [&] { return reply.has_value(); }));
+        }
+    }
+
+    static proto::Answer withNested(const proto::Call& to, std::uint32_t calls)
+    {
+        auto out = answerTo(to, proto::ANSWERED, "body");
+        out.set_offered(true);
+        auto& nested = *out.add_nested();
+        nested.set_service("t");
+        nested.set_calls(calls);
+        return out;
+    }
+
+    double saved(const std::string& service) const { return ingress.routers().at(service)->savedRetries(); }
+
+    /// \brief The budgets hold \a n retries from now on and earn none.
+    void saveUp(double n)
+    {
+        ingress.setRetryBurst(n);
+        ingress.configure(now);
+        for (const auto& [service, router] : ingress.routers()) {
+            router->setRetryFraction(0);
+            router->firstAttempt(0);
+            router->chargeRetries(0, -n);
+        }
+    }
+
     /// \returns the calls sent to peers since the last look; cancels are left out.
     std::vector<proto::Call> calls()
     {
@@ -188,6 +236,119 @@
     REQUIRE_FALSE(secondAfterLoss());
 }
 
+// While servers refused half of what they got, second attempts that owners refused without asking their
+// server used up the budget: nested calls ended after one refusal, and with them the calls that they were
+// for.
+TEST_CASE("A retry that no backend server was asked to run is given back", "[node]")
+{
+    RouteFixture f;
+    f.saveUp(9);
+    f.refuse(f.routed("/read/x"), Reason::BackendRefused, true);
+    REQUIRE(f.saved("s") == Approx(8));
+    f.refuse(f.nextCall(), Reason::WouldBeLate, false);
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.saved("s") == Approx(9));
+}
+
+// A retry was paid for, and kept, where no upstream was left for it.
+TEST_CASE("A retry that is never sent is given back", "[node]")
+{
+    RouteFixture f;
+    f.saveUp(9);
+    f.refuse(f.routed("/read/x"), Reason::WouldBeLate, false);
+    f.refuse(f.nextCall(), Reason::BackendRefused, true);
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.saved("s") == Approx(9));
+}
+
+// What was given back for the late first attempt had been paid for the second one, which then was the only
+// one.
+TEST_CASE("What is spent on retries is what arrives at backend servers beyond the first", "[node]")
+{
+    enum class End { ServerRefuses, OwnerRefuses, OwnerBusy, Lost, Fails };
+    constexpr int upstreams = 5;
+    RouteFixture f;
+    for (int i = 3; i <= upstreams; ++i) {
+        const auto id = "u" + std::to_string(i);
+        proto::Resource upstream;
+        upstream.set_name("upstreams/" + id);
+        auto& it = *upstream.mutable_upstream();
+        it.set_service("s");
+        it.set_address(f.backend);
+        it.set_node_address("10.0.0." + std::to_string(i) + ":1");
+        it.set_host("host-" + id);
+        it.set_data_hall("h");
+        it.set_region("r");
+        it.set_slots(1);
+        it.set_connections(5);
+        f.config.apply(support::put(std::move(upstream)));
+    }
+    proto::Resource route;
+    route.set_name("routes/look");
+    auto& it = *route.mutable_route();
+    it.set_host("a.example");
+    it.set_path_prefix("/look/");
+    auto& share = *it.add_split();
+    share.set_service("s");
+    share.set_weight(1);
+    it.set_once(proto::REPEATABLE);
+    it.set_timeout_ms(3000);
+    it.set_target_latency_ms(400);
+    it.set_attempts(3);
+    f.config.apply(support::put(std::move(route)));
+    f.context.directory.rebuild(f.config);
+    rc::prop("whatever becomes of each attempt", [&] {
+        f.saveUp(9);
+        std::vector<proto::Call> out { f.routed("/look/x") };
+        int arrived = 0;
+        const auto ends = *rc::gen::container<std::vector<int>>(6, rc::gen::inRange(0, 5));
+        const auto isHedged = *rc::gen::container<std::vector<bool>>(6, rc::gen::arbitrary<bool>());
+        const auto isNewest = *rc::gen::container<std::vector<bool>>(6, rc::gen::arbitrary<bool>());
+        for (std::size_t i = 0; i < ends.size() && !f.reply; ++i) {
+            if (isHedged[i] && out.size() == 1) {
+                f.tellSlow(out.front().upstream(), 8);
+                for (auto& sent : f.calls())
+                    out.push_back(std::move(sent));
+                for (const auto& call : out)
+                    f.tellSlow(call.upstream(), 1);
+            }
+            const auto at = isNewest[i] ? out.end() - 1 : out.begin();
+            const auto ended = *at;
+            out.erase(at);
+            const auto end = static_cast<End>(ends[i]);
+            arrived += end == End::ServerRefuses || end == End::Lost || end == End::Fails;
+            if (end == End::ServerRefuses)
+                f.refuse(ended, Reason::BackendRefused, true);
+            else if (end == End::OwnerRefuses)
+                f.refuse(ended, Reason::WouldBeLate, false);
+            else if (end == End::OwnerBusy)
+                f.refuse(ended, Reason::Busy, false);
+            else if (end == End::Lost)
+                f.give(hostOf(ended), IngressFixture::answerTo(ended, proto::UNKNOWN));
+            else {
+                auto failed = IngressFixture::answerTo(ended, proto::ANSWERED, "body");
+                failed.set_status(500);
+                failed.set_offered(true);
+                f.give(hostOf(ended), failed);
+            }
+            if (out.empty())
+                REQUIRE(runUntil(f.base.get(), [&] { return !f.sent.empty() || f.reply; }));
+            for (auto& sent : f.calls())
+                out.push_back(std::move(sent));
+        }
+        // What is out may arrive.
+        const int arrivals = arrived + static_cast<int>(out.size());
+        RC_ASSERT(f.saved("s") == Approx(9 - std::max(arrivals - 1, 0)));
+        if (!f.reply) {
+            auto good = IngressFixture::answerTo(out.front(), proto::ANSWERED, "body");
+            good.set_offered(true);
+            f.give(hostOf(out.front()), good);
+            REQUIRE(f.outcome() == "answered");
+        }
+        f.calls();
+    });
+}
+
 TEST_CASE("Metrics tell which check denies a retry, and what is paid and arrives", "[node]")
 {
     RouteFixture f;
