A retry is charged for the nested calls that it makes

Test that failed before: a run that made three nested calls stayed charged with the usual two (7 saved of 9 instead of 6), and one that its server had refused, so that it made none, stayed charged with two as well.

Callers saw: nested calls were denied their retries, and the calls they were for ended 500.

Cause: each retry was charged the mean number of nested calls in advance, and nothing corrected it.

Why it works: the usual number is still charged when the retry is paid for, so the bound holds while it runs; the answer tells what it made, and that replaces it. Where no answer tells, the usual number stays.

--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -209,6 +209,9 @@
     void sendSecond(CallId id, Call& call, const std::string& upstream, Instant now);
     /// \brief The link to \a upstream may stand now: sends the second attempt, if it is still worthwhile.
     void secondAgain(CallId id, const std::string& upstream);
+    /// \brief The run that \a paid was for has ended with \a answer, which tells what calls it made: those
+    /// are charged instead of the usual number; that stays where it isn't known.
+    void settleNested(const Call& call, PaidRetry& paid, const proto::Answer& answer);
     /// \brief Gives back to the budgets what \a paid has cost.
     void giveBack(Call& call, const PaidRetry& paid);
     /// \brief No backend server was asked to run \a attempt, which has ended: what was paid for it, or for
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -113,8 +113,10 @@
     const bool isUnsent = answer.outcome() == proto::NOT_RUN && !answer.offered() && call.request.isByRoute;
     if (isUnsent)
         freeUnsent(call, attempt);
-    else if (attempt.paid)
+    else if (attempt.paid) {
+        settleNested(call, *attempt.paid, answer);
         call.spent.push_back(std::move(*attempt.paid));
+    }
     if (answer.offered() && ++call.arrivals > 1)
         countRetries("arrived", call.request.service);
     if (!wasSlow && isSlow(router.slowdownOf(attempt.upstream)))
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -85,6 +85,22 @@
     countRetries(n > 0 ? "charged_nested" : "taken_back_nested", service, std::abs(n));
 }
 
+void Ingress::settleNested(const Call& call, PaidRetry& paid, const proto::Answer& answer)
+{
+    if (answer.outcome() == proto::UNKNOWN)
+        return;
+    std::map<std::string, double> made;
+    if (answer.outcome() == proto::ANSWERED) {
+        for (const auto& it : answer.nested())
+            made[it.service()] = it.calls();
+    }
+    for (const auto& [service, n] : paid.nested)
+        chargeNested(call, service, -n);
+    for (const auto& [service, n] : made)
+        chargeNested(call, service, n);
+    paid.nested = std::move(made);
+}
+
 void Ingress::giveBack(Call& call, const PaidRetry& paid)
 {
     const auto& service = call.request.service;
--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -349,6 +349,34 @@
     });
 }
 
+// Each retry was charged the mean number of nested calls in advance, also where its run made none: a few of
+// them took what the nested calls themselves needed.
+TEST_CASE("A retry is charged for the nested calls that it makes", "[node]")
+{
+    RouteFixture f;
+    f.learnNested(2);
+    f.saveUp(9);
+    const auto second = [&] {
+        f.refuse(f.routed("/read/x"), Reason::BackendRefused, true);
+        return f.nextCall();
+    };
+    // Until it is known.
+    auto it = second();
+    REQUIRE(f.saved("t") == Approx(7));
+    f.give(hostOf(it), RouteFixture::withNested(it, 3));
+    REQUIRE(f.outcome() == "answered");
+    REQUIRE(f.saved("t") == Approx(6));
+    f.refuse(second(), Reason::BackendRefused, true);
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.saved("t") == Approx(6));
+    it = second();
+    const auto mean = 6 - f.saved("t");
+    REQUIRE(mean > 1);
+    f.give(hostOf(it), IngressFixture::answerTo(it, proto::UNKNOWN));
+    REQUIRE(f.outcome() != "answered");
+    REQUIRE(f.saved("t") == Approx(6 - mean)); // it may have made them
+}
+
 TEST_CASE("Metrics tell which check denies a retry, and what is paid and arrives", "[node]")
 {
     RouteFixture f;
