A node that drains serves the calls that runs beside it make; routers are set before owners

What callers saw: a run in progress beside a node that stops ended 500, since the calls that its server made were refused as leaving. Cause: a draining ingress refused every new call, also those in the name of a run that it waits for. Evidence: 'A node that drains serves the calls that its backend server makes for runs in progress' failed before (503 for the nested call). Also from the review, read in the code: a configuration told its owner before its ingress had routers for new services, so that an answer given in between could bring a request for one of them (now the other way round); and a second attempt that waited for a link could go to an upstream where the first one had gone meanwhile (now passed over). Neither was seen in a run.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -154,8 +154,9 @@
     m_context.directory.setEmptiedHalls(m_halls.emptied());
     m_context.directory.replaceUpstreams(usableUpstreams());
     m_ingress->setRetryBurst(retryBurst());
-    m_owner->configure(now);
+    // First: the owner may answer callers, whose next requests may go to services that are new.
     m_ingress->configure(now);
+    m_owner->configure(now);
     setLenders();
     const auto& settings = m_context.settings;
     const auto* own = m_context.directory.service(settings.service);
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -120,7 +120,8 @@
     // It may as well have come just now: what its server answers until then is passed on.
     call.deadlineTimer
         = Timer::once(m_context->base, call.request.allowed, [this, id] { deadlineReached(id); });
-    if (m_isDraining) {
+    // Runs in progress beside this node fail without the calls that they make.
+    if (m_isDraining && !call.request.isNested()) {
         call.retryAfterMs = drainingRetryMs;
         return finishNotRun(id, call, Reason::Leaving, now);
     }
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -78,7 +78,8 @@
     /// \brief How many retries one service of this node may save up.
     void setRetryBurst(double burst) { m_retryBurst = burst; }
 
-    /// \brief While draining, new calls are refused as not run.
+    /// \brief While draining, new calls are refused as not run, but for those that runs in progress at the
+    /// backend server beside this node make.
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
 
     /// \brief This node ends: answers all calls now, those that have provably not run as not run.
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -207,7 +207,8 @@
 {
     auto& call = m_calls.at(id);
     const auto now = monotonicNow();
-    if (call.out.size() == 1 && mayHedge(call, now) && isWorthwhile(call, upstream, now))
+    const bool wasTried = std::find(call.tried.begin(), call.tried.end(), upstream) != call.tried.end();
+    if (call.out.size() == 1 && !wasTried && mayHedge(call, now) && isWorthwhile(call, upstream, now))
         sendSecond(id, call, upstream, now);
 }
 
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -177,8 +177,9 @@
     const auto now = monotonicNow();
     m_lastRebuild = now - start;
     log(LogLevel::Info, "applied", { { "offset", m_control->follower().nextOffset() } });
-    m_owner->configure(now);
+    // First: the owner may answer callers, whose next requests may go to services that are new.
     m_ingress->configure(now);
+    m_owner->configure(now);
     const auto* host = m_control->members().find(m_context.settings.name);
     m_owner->setSign(LeavingSign::HostList, host && host->isLeaving, now);
     m_api->changed(now);
--- a/test/DrainTest.cpp
+++ b/test/DrainTest.cpp
@@ -118,3 +118,31 @@
     REQUIRE(answers.starts_with("HTTP/1.1 200 "));
     REQUIRE(count(answers, "Connection: close") == 1);
 }
+
+// Nested calls of runs in progress were refused once their node drained, so that the runs failed.
+TEST_CASE("A node that drains serves the calls that its backend server makes for runs in progress", "[drain]")
+{
+    DrainFixture f;
+    f.shorten(1, 50ms, 5s);
+    auto& own = f.places[1];
+    own.backend->holds = true;
+    auto parent = f.request("GET", "/read/x");
+    f.start(own.settings.listen.callers, parent);
+    for (int i = 0; i < 20 && own.backend->held.empty(); ++i) {
+        f.pass(20ms);
+        if (own.backend->held.empty()) {
+            parent = f.request("GET", "/read/x");
+            f.start(own.settings.listen.callers, parent);
+        }
+    }
+    REQUIRE(own.backend->held.size() == 1);
+    own.backend->holds = false;
+    own.node->stop();
+    f.pass(200ms);
+    auto nested = f.request("GET", "/read/y");
+    nested.headers[1].second = parent.headers[1].second + ".1";
+    REQUIRE(f.send(own.settings.listen.callers, nested).status == 200);
+    REQUIRE(f.send(own.settings.listen.callers, f.request("GET", "/read/z")).status == 503);
+    own.backend->answer(0);
+    REQUIRE(f.runToEnd());
+}
