One call no longer decides on a step of the limit

Change: a call counts up to 1.5 of the 7 that decide, a class is judged once eight calls tell what is usual. StepwiseLimitTest passes as before (145 assertions). Open: a step that is kept stays until the server's next life.

--- a/src/Queueing/StepwiseLimit.cpp
+++ b/src/Queueing/StepwiseLimit.cpp
@@ -12,8 +12,12 @@
     constexpr std::uint32_t callsBeforeStep = 16;
     /// A server that slows down makes calls take longer by this factor.
     constexpr double slowFactor = 1.6;
-    /// Logarithm of the odds at which a step is decided: one decision in a thousand is wrong.
+    /// Logarithm of the odds at which a step is decided.
     constexpr double enoughEvidence = 7;
+    /// No single call counts for more of it, however little the work varies otherwise.
+    constexpr double mostEvidence = 1.5;
+    /// A class is judged by its usual work once so many of its calls tell it.
+    constexpr double callsForUsual = 8;
     /// Single calls count up to this logarithm, a factor of 2.7: some hang, or end at once.
     constexpr double mostUnexplained = 1;
     /// The usual work of a class is a mean of so many calls.
@@ -54,7 +58,7 @@
         m_unjudged -= m_unjudged ? 1 : 0;
         return;
     }
-    if (usual.seen > 0)
+    if (usual.seen >= callsForUsual)
         judge(std::clamp(work - usual.work, -mostUnexplained, mostUnexplained));
 }
 
@@ -78,7 +82,7 @@
 void StepwiseLimit::judge(double longer)
 {
     const double slow = std::log(slowFactor);
-    m_evidence += (longer - slow / 2) * slow / m_variance;
+    m_evidence += std::clamp((longer - slow / 2) * slow / m_variance, -mostEvidence, mostEvidence);
     if (std::abs(m_evidence) >= enoughEvidence)
         endStep(m_evidence < 0);
 }
