Messages from peers can't hold timers up, the limit of a drain among them

PeerSocket took messages until none was left, and each answer made its event active again within the same turn of the loop. While messages come as fast as they are taken, or a long queue of them is there, no timer runs and no other socket is read: a node under load noticed a signal, the limit of its drain or a deadline only when the queue was empty. That fits the report of processes that were still there at the end of the grace time, but wasn't shown to be its cause.

It now takes 32 messages in a turn and goes on in the next one, by a timer that is due at once in place of an event that is made active. Links of this node's own come before the router, as what comes there was asked for. What has come on a link before its end is still taken to the last message before the end is told.

Evidence: a test queues 2,000 messages whose handler takes 1 ms and sets a timer of 50 ms. Before, the timer ran after 2,002 messages; now before the first 1,000.

--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -17,6 +17,9 @@
     /// at once. By itself the kernel takes up to 4 MB.
     constexpr int sendBufferBytes = 32768;
 
+    /// Messages taken in one turn of the loop. Timers and other sockets wait meanwhile.
+    constexpr int takenAtOnce = 32;
+
     int toMs(Duration d)
     {
         return static_cast<int>(toMilliseconds(d));
@@ -97,7 +100,13 @@
 {
     m_context->set(zmq::ctxopt::max_sockets, 16000);
     m_drainEvent = event_new(
-        base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->drainDirty(); },
+        base, -1, 0,
+        [](evutil_socket_t, short what, void* self) {
+            auto& peers = *static_cast<PeerSocket*>(self);
+            if (what & EV_TIMEOUT)
+                peers.m_taken = 0;
+            peers.drainDirty();
+        },
         this);
 }
 
@@ -120,8 +129,10 @@
         router.set(zmq::sockopt::router_mandatory, true);
         const auto& bound = peers->m_options.bindAddress;
         router.bind("tcp://" + (bound.empty() ? peers->m_options.address : bound));
-        const auto onReadable
-            = [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->drainRouter(); };
+        const auto onReadable = [](evutil_socket_t, short, void* self) {
+            static_cast<PeerSocket*>(self)->m_taken = 0;
+            static_cast<PeerSocket*>(self)->drainRouter();
+        };
         peers->m_routerEvent
             = event_new(base, router.get(zmq::sockopt::fd), EV_READ | EV_PERSIST, onReadable, peers.get());
         event_add(peers->m_routerEvent, nullptr);
@@ -151,6 +162,7 @@
         socket.connect("tcp://" + address);
         const auto onReadable = [](evutil_socket_t, short, void* self) {
             auto* readable = static_cast<Link*>(self);
+            readable->owner->m_taken = 0;
             readable->owner->drainLink(*readable);
         };
         link->watcher
@@ -241,21 +253,34 @@
         link->isDirty = true;
         m_dirty.push_back(link);
     }
-    event_active(m_drainEvent, EV_TIMEOUT, 0);
+    if (m_taken < takenAtOnce)
+        return event_active(m_drainEvent, EV_READ, 0);
+    // What is made active is run in this turn of the loop, a timer in a later one.
+    const timeval atOnce {};
+    event_add(m_drainEvent, &atOnce);
+}
+
+bool PeerSocket::mayTake(Link* link)
+{
+    if (m_taken++ < takenAtOnce)
+        return true;
+    drainSoon(link);
+    return false;
 }
 
 void PeerSocket::drainDirty()
 {
-    drainRouter();
+    // Links first: what comes there this node has asked for, while others decide what comes to the router.
     for (auto* link : std::exchange(m_dirty, {})) {
         link->isDirty = false;
         drainLink(*link);
     }
+    drainRouter();
 }
 
 void PeerSocket::drainRouter()
 {
-    while (m_router->get(zmq::sockopt::events) & ZMQ_POLLIN) {
+    while ((m_router->get(zmq::sockopt::events) & ZMQ_POLLIN) && mayTake(nullptr)) {
         zmq::message_t route;
         if (!m_router->recv(route, zmq::recv_flags::dontwait))
             return;
@@ -266,6 +291,16 @@
 }
 
 void PeerSocket::drainLink(Link& link)
+{
+    while ((link.socket.get(zmq::sockopt::events) & ZMQ_POLLIN) && mayTake(&link)) {
+        const auto frames = receiveFrames(link.socket);
+        if (frames.empty())
+            return;
+        deliver("", frames);
+    }
+}
+
+void PeerSocket::drainAll(Link& link)
 {
     while (link.socket.get(zmq::sockopt::events) & ZMQ_POLLIN) {
         const auto frames = receiveFrames(link.socket);
@@ -307,7 +342,10 @@
         hasEnded = true;
     }
     // Answers that had come before it ended count.
-    drainLink(link);
+    if (hasEnded)
+        drainAll(link);
+    else
+        drainLink(link);
     if (hasEnded && m_lost)
         m_lost(std::string(link.address));
 }
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -44,8 +44,8 @@
 ///
 /// ZeroMQ stores nothing for peers that aren't there: sockets are immediate, don't linger and have bounded
 /// queues, so that a send which can't go out now fails at once. Its descriptors are edge-triggered; each is
-/// drained to the end whenever it fires and after every send. Links idle for `idleTimeout` are closed. Cost:
-/// a link is about 60 KB on each side, mostly in ZeroMQ.
+/// drained to the end whenever it fires and after every send, some messages in each turn of the loop. Links
+/// idle for `idleTimeout` are closed. Cost: a link is about 60 KB on each side, mostly in ZeroMQ.
 ///
 /// A link on which nothing whole comes for two heartbeats ends. A long message goes out in frames
 /// (MessageFrames.h), each of which is a sign of life where it arrives, and heartbeats pass between them. It
@@ -127,6 +127,9 @@
     void drainDirty();
     void drainRouter();
     void drainLink(Link& link);
+    /// \returns whether one more message may be taken in this turn of the loop; if not, a later one goes on.
+    bool mayTake(Link* link);
+    void drainAll(Link& link);
     void drainMonitor(Link& link);
     void watchEnd(Link& link);
     void deliver(const std::string& route, const std::vector<zmq::message_t>& frames);
@@ -140,6 +143,7 @@
     std::unique_ptr<zmq::socket_t> m_router;
     event* m_routerEvent = nullptr;
     event* m_drainEvent = nullptr;
+    int m_taken = 0; ///< messages, since the loop looked for what else there is
     std::unordered_map<std::string, std::unique_ptr<Link>> m_links;
     std::vector<Link*> m_dirty; ///< links sent on since they were last drained
     std::uint64_t m_watchedLinks = 0; ///< so far
--- a/test/PeerSocketTest.cpp
+++ b/test/PeerSocketTest.cpp
@@ -165,6 +165,40 @@
     REQUIRE(runUntil(f.base.get(), [&] { return f.received == 1; }));
 }
 
+// Timers, the limit of a drain among them, waited until all messages were taken that had come or came
+// meanwhile.
+TEST_CASE("Timers are not held up by messages that come faster than they are taken", "[wire]")
+{
+    PeerFixture f;
+    constexpr int messages = 2000;
+    int taken = 0;
+    PeerSocket::Options options;
+    options.address = freeAddress();
+    options.node = "slow";
+    PeerSocket* slow = nullptr;
+    const auto socket = std::move(PeerSocket::bind(f.base.get(), options, [&](const auto& sender, auto&) {
+        ++taken;
+        std::this_thread::sleep_for(1ms);
+        proto::PeerMessage answer;
+        answer.mutable_answer();
+        slow->answer(sender, answer, monotonicNow());
+    }).value());
+    slow = socket.get();
+    proto::PeerMessage message;
+    message.mutable_node_contact();
+    REQUIRE(runUntil(f.base.get(),
+        [&] { return f.one->send(options.address, message, monotonicNow()) == SendResult::Sent; }));
+    REQUIRE(runUntil(f.base.get(), [&] { return taken > 0; }));
+    const auto before = taken;
+    for (int i = 0; i < messages; ++i)
+        REQUIRE(f.one->send(options.address, message, monotonicNow()) == SendResult::Sent);
+    bool isDue = false;
+    const auto timer = Timer::once(f.base.get(), 50ms, [&] { isDue = true; });
+    REQUIRE(runUntil(f.base.get(), [&] { return isDue; }));
+    REQUIRE(taken < messages / 2);
+    REQUIRE(runUntil(f.base.get(), [&] { return taken >= before + messages; }));
+}
+
 // An end that waits for a peer that is gone must not reach the end of the grace time.
 TEST_CASE("A peer that takes nothing holds the end of a socket up for its linger and no longer", "[wire]")
 {
