LeavingNews: what changes nothing is const

The linter asks for it: `isDone` tells through the links whether news has arrived, and changes no member of the class.

--- a/src/Node/LeavingNews.cpp
+++ b/src/Node/LeavingNews.cpp
@@ -26,7 +26,7 @@
     tellAgainSoon();
 }
 
-bool LeavingNews::isDone(News& news, Instant now)
+bool LeavingNews::isDone(News& news, Instant now) const
 {
     if (!news.to.route.empty() && m_links.answer(news.to, news.message, now))
         return true;
--- a/src/Node/LeavingNews.h
+++ b/src/Node/LeavingNews.h
@@ -42,7 +42,7 @@
         Instant until {};
     };
     /// \returns whether there is nothing more to do for it.
-    bool isDone(News& news, Instant now);
+    bool isDone(News& news, Instant now) const;
     void tellAgainSoon();
 
     event_base* m_base;
