Where retries are few, nested calls get them first, and the last one of a run before others

Test: "A call is not tried again while the nested calls of others are refused their retries" fails with the two checks in denyRetry() left out, as it was before (the retry was made); the order of claims has one for the budget, and a property holds arrivals of all nodes inside ratio x requests + slack while nodes start anew.

Cause: a retry at the service itself needs a whole one saved, a repeat elsewhere that is going to call it only needs no debt; so the latter took what was earned before a whole one was there. And each node planned with half of the ratio, because nested calls of retries were not seen, which they now are.

Why it works: a claim that goes without a retry keeps lower claims off the budget for a second: beside late attempts, from outside, nested, the last nested one that a run usually makes. Three quarters of the ratio are planned with; the rest is for retries that arrive in a later window than the calls that earned them. The slack's other half stays for nodes that start anew.

Tests changed: calls of trySpend() and trySpendRetry() name a claim and a time; no assertion changed.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -1,5 +1,6 @@
 #include "Core/Log.h"
 #include "Mesh/MeshNode.h"
+#include "Routing/RetryPlan.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,10 +25,6 @@
     constexpr double rewriteShare = 0.5;
     /// Entries have to be back two seconds after the store is; half of that is for the news and the write.
     constexpr Duration longestRewriteDelay = 1s;
-    /// Of the deployment's bound on retries, what is planned with: calls that retries make are not seen here.
-    constexpr double plannedPart = 0.5;
-    /// Retries that a node may save up at least: with fewer it could never send one.
-    constexpr double leastRetryBurst = 1;
 
 } // namespace
 
@@ -137,7 +134,7 @@
     auto resources = m_config.current()->resources;
     for (auto& it : resources) {
         if (it.has_service())
-            it.mutable_service()->set_retry_fraction(plannedPart * m_context.settings.retries.ratio);
+            it.mutable_service()->set_retry_fraction(plannedRetryFraction(m_context.settings.retries.ratio));
     }
     m_context.directory.rebuild(resources);
     m_context.configVersion = m_config.version();
@@ -170,8 +167,7 @@
     // A node that knows few others yet would take most of the slack for itself, at each of its starts.
     if (!m_nodesFeed->isCaughtUp())
         return leastRetryBurst;
-    const auto nodes = static_cast<double>(std::max<std::size_t>(m_registry.nodes().size(), 1));
-    return std::max(leastRetryBurst, plannedPart * m_context.settings.retries.slack / nodes);
+    return plannedRetryBurst(m_context.settings.retries.slack, m_registry.nodes().size());
 }
 
 void MeshNode::noteStandstill()
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -101,8 +101,10 @@
     const auto id = ++m_lastCall;
     auto& call = m_calls[id];
     call.request = std::move(request);
-    if (const auto& parent = call.request.parent)
+    if (const auto& parent = call.request.parent) {
         (void)m_owner->noteNested(parent->requestId, call.request.service);
+        call.isLastNested = isLastNested(call.request);
+    }
     call.exchange = std::move(exchange);
     call.state = m_context->charts.call.initial();
     call.configVersion = m_context->configVersion;
@@ -141,6 +143,18 @@
     proceed(id, now);
 }
 
+bool Ingress::isLastNested(const CallRequest& request) const
+{
+    const auto& parentId = request.parent->requestId;
+    const auto* parent = m_owner->running(parentId);
+    if (!parent)
+        return false;
+    double usual = 0;
+    for (const auto& [service, calls] : m_nestedCalls.of(parent->call_class()))
+        usual += calls.value();
+    return usual > 0 && m_owner->nestedCalls(parentId) >= usual;
+}
+
 std::uint32_t Ingress::asksFor(const Call& call)
 {
     const auto& experiments = m_context->settings.experiments;
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -114,6 +114,7 @@
         bool wasUnread = false; ///< it waited unread while this node stood still
         Instant deadline {};
         std::uint32_t attemptsLeft = 0;
+        bool isLastNested = false; ///< likely the last call that its parent needs
         std::vector<std::string> tried;
         std::vector<Attempt> out;
         std::uint32_t arrivals = 0; ///< attempts known to have reached a backend server
@@ -154,6 +155,8 @@
     std::vector<RouteTarget> targetsOf(
         const ServiceInfo& service, const std::vector<std::string>& hosts) const;
     ServiceRouter& routerFor(const ServiceInfo& service);
+    /// \returns whether \a request, made for a call that runs here, is likely the last one which that needs.
+    bool isLastNested(const CallRequest& request) const;
     /// \brief Starts the life of a call.
     void begin(std::unique_ptr<HttpExchange> exchange, CallRequest request, Instant now);
     /// \brief Lets the call through if its group's rate allows it; else it waits a moment for a credit, or is
@@ -196,14 +199,14 @@
         const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
     /// \returns whether the budgets allow one more attempt, which is then paid for: at the service, and at
     /// those that its backend servers call for it.
-    bool mayTryAgain(Call& call);
+    bool mayTryAgain(Call& call, Instant now);
     /// \returns why the budgets don't allow one more attempt; nothing if they do, and then the service's has
     /// paid for it.
-    std::optional<RetryDenial> denyRetry(const Call& call);
+    std::optional<RetryDenial> denyRetry(const Call& call, RetryClaim claim, Instant now);
     /// \brief Adds \a n to the count \a name of the service.
     void countRetries(std::string_view name, const std::string& service, double n = 1);
     /// \brief As mayTryAgain(), but leaves it to the caller to count the retry once it is sent.
-    bool payRetry(Call& call);
+    bool payRetry(Call& call, RetryClaim claim, Instant now);
     /// \brief Sends a second attempt beside the one that is out, if the budgets allow; it waits for a link
     /// that is being opened as long as it is worthwhile.
     void sendSecond(CallId id, Call& call, const std::string& upstream, Instant now);
@@ -223,7 +226,7 @@
     /// \brief Charges \a service with \a n calls of \a call's group that a retry makes there; below 0 takes
     /// that back.
     void chargeNested(const Call& call, const std::string& service, double n);
-    bool mayMoveOn(Call& call, const proto::Answer& answer);
+    bool mayMoveOn(Call& call, const proto::Answer& answer, Instant now);
     /// \brief A backend server's whole answer: the caller gets it, unless it is an error and another attempt
     /// may do better.
     void answered(CallId id, Call& call, proto::Answer& answer, Instant now);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -133,8 +133,8 @@
 void Ingress::answered(CallId id, Call& call, proto::Answer& answer, Instant now)
 {
     const bool isGood = answer.status() < firstServerError;
-    const bool mayReplace
-        = !isGood && isRepeatable(call) && now < call.deadline && (!call.out.empty() || mayTryAgain(call));
+    const bool mayReplace = !isGood && isRepeatable(call) && now < call.deadline
+        && (!call.out.empty() || mayTryAgain(call, now));
     if (!mayReplace) {
         m_routers.at(call.request.service)->measuredLatency(now - call.arrived);
         step(call, CallEvent::Answered);
@@ -156,7 +156,7 @@
     call.trail.add({ RequestEvent::AttemptLost, now, {}, 0, reason,
         { { "repeatable", isRepeatable(call) }, { "attempts_left", call.attemptsLeft },
             { "others_out", static_cast<std::int64_t>(call.out.size()) } } });
-    if (isRepeatable(call) && now < call.deadline && mayTryAgain(call)) {
+    if (isRepeatable(call) && now < call.deadline && mayTryAgain(call, now)) {
         step(call, CallEvent::Refused);
         return proceed(id, now);
     }
@@ -177,7 +177,7 @@
     proceed(id, now);
 }
 
-bool Ingress::mayMoveOn(Call& call, const proto::Answer& answer)
+bool Ingress::mayMoveOn(Call& call, const proto::Answer& answer, Instant now)
 {
     // Moving on from an owner that is leaving is no overload: it costs no retry.
     if (isAboutOwner(call.lastReason) || call.lastReason == Reason::WrongIncarnation)
@@ -185,7 +185,7 @@
     // Nor does it load any backend server to ask another owner, but that has an end too.
     if (call.request.isByRoute && !answer.offered())
         return ++call.freeRefusals <= maxFreeRefusals;
-    return mayTryAgain(call);
+    return mayTryAgain(call, now);
 }
 
 void Ingress::refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
@@ -211,7 +211,7 @@
     // An owner that restarted is as good as before under its new incarnation.
     if (call.lastReason == Reason::WrongIncarnation)
         std::erase(call.tried, attempt.upstream);
-    if (call.lastReason == Reason::DeadlinePassed || now >= call.deadline || !mayMoveOn(call, answer))
+    if (call.lastReason == Reason::DeadlinePassed || now >= call.deadline || !mayMoveOn(call, answer, now))
         return finishNotRun(id, call, call.lastReason, now);
     proceed(id, now);
 }
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -15,11 +15,18 @@
     /// A call that has taken so many times its usual work is stuck, whatever is told of its upstream.
     constexpr double stuckWorks = 2;
 
+    RetryClaim claimOf(bool isNested, bool isLastNested)
+    {
+        if (!isNested)
+            return RetryClaim::Again;
+        return isLastNested ? RetryClaim::LastNested : RetryClaim::Nested;
+    }
+
 } // namespace
 
-bool Ingress::mayTryAgain(Call& call)
+bool Ingress::mayTryAgain(Call& call, Instant now)
 {
-    const bool isPaid = payRetry(call);
+    const bool isPaid = payRetry(call, claimOf(call.request.isNested(), call.isLastNested), now);
     if (isPaid)
         m_context->metrics.count("robinrun_retries_total");
     return isPaid;
@@ -31,30 +38,35 @@
         "robinrun_retries_" + std::string(name) + "_total{service=\"" + service + "\"}", n);
 }
 
-std::optional<RetryDenial> Ingress::denyRetry(const Call& call)
+std::optional<RetryDenial> Ingress::denyRetry(const Call& call, RetryClaim claim, Instant now)
 {
     if (call.attemptsLeft <= 1)
         return RetryDenial::AttemptsUsed;
     const auto group = call.request.groupNumber;
-    const auto& nested = m_nestedCalls.of(call.request.callClass.name);
-    const auto isPaidUp = [&](const auto& it) {
-        const auto router = m_routers.find(it.first);
-        return router == m_routers.end() || router->second->hasRetriesLeft(group);
-    };
-    if (!std::all_of(nested.begin(), nested.end(), isPaidUp))
-        return RetryDenial::NestedDebt;
-    if (!m_routers.at(call.request.service)->trySpendRetry(group))
+    auto& router = *m_routers.at(call.request.service);
+    if (router.isRetryKeptFrom(group, claim, now))
+        return RetryDenial::HigherClaim;
+    for (const auto& [service, calls] : m_nestedCalls.of(call.request.callClass.name)) {
+        const auto nested = m_routers.find(service);
+        if (nested == m_routers.end())
+            continue;
+        if (nested->second->isRetryKeptFrom(group, claim, now))
+            return RetryDenial::HigherClaim;
+        if (!nested->second->hasRetriesLeft(group))
+            return RetryDenial::NestedDebt;
+    }
+    if (!router.trySpendRetry(group, claim, now))
         return RetryDenial::OwnBudget;
     return std::nullopt;
 }
 
-bool Ingress::payRetry(Call& call)
+bool Ingress::payRetry(Call& call, RetryClaim claim, Instant now)
 {
     // One that was given up before any backend server was asked to run it.
     if (call.paid)
         return true;
     const auto& service = call.request.service;
-    call.retryDenied = denyRetry(call);
+    call.retryDenied = denyRetry(call, claim, now);
     if (call.retryDenied) {
         m_context->metrics.count("robinrun_retries_denied_total{service=\"" + service + "\",cause=\""
             + std::string(nameOf(*call.retryDenied)) + "\"}");
@@ -192,7 +204,7 @@
 void Ingress::sendSecond(CallId id, Call& call, const std::string& upstream, Instant now)
 {
     // With one paid for already, another attempt is about to go out.
-    if (call.paid || !payRetry(call))
+    if (call.paid || !payRetry(call, RetryClaim::Hedge, now))
         return;
     const auto result = sendTo(id, call, upstream, now);
     if (result == SendResult::Sent)
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -100,6 +100,8 @@
     /// \brief A request came that may be made by the backend server for the one that its caller calls \a
     /// requestId. \returns whether the backend server runs that; then the call to \a service is counted.
     bool noteNested(const std::string& requestId, const std::string& service);
+    /// \returns how many calls its backend server has made so far for the running call of \a requestId.
+    std::uint32_t nestedCalls(const std::string& requestId) const;
     LifeState lifeState() const { return m_leaving.state(); }
     LoadReport load(Instant now) const { return m_admission.load(now); }
     const std::string& upstream() const { return m_context->settings.upstream; }
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -246,6 +246,17 @@
     return true;
 }
 
+std::uint32_t Owner::nestedCalls(const std::string& requestId) const
+{
+    const auto running = m_runningRequests.find(requestId);
+    if (running == m_runningRequests.end())
+        return 0;
+    std::uint32_t out = 0;
+    for (const auto& [service, n] : m_calls.at(running->second).nested)
+        out += n;
+    return out;
+}
+
 void Owner::learn(const HttpReply& reply, Instant now)
 {
     setDown(false, now);
--- a/src/Routing/RetryBudget.h
+++ b/src/Routing/RetryBudget.h
@@ -1,13 +1,28 @@
 #pragma once
 
+#include "Core/Time.h"
+
 #include <algorithm>
+#include <array>
+#include <cstddef>
+#include <optional>
 
 namespace robinrun {
 
+/// \brief What a retry is for, by what is lost without it, the least first.
+enum class RetryClaim {
+    Hedge, ///< an attempt beside one that may still be answered
+    Again, ///< of a call from outside, whose caller may come back
+    Nested, ///< of a call that a run waits for, which has held a slot so far
+    LastNested, ///< the same, if it is likely the last that the run needs
+};
+
 /// \brief Bounds second attempts to a fraction of recent calls, so that overload isn't multiplied.
 ///
 /// Each first attempt earns `fraction` of a retry, up to `burst`; each retry spends one. Over any run of n
-/// first attempts at most burst + fraction x n retries pass, whatever the order. Cost: O(1).
+/// first attempts at most burst + fraction x n retries pass, whatever the order. Where there are too few,
+/// those with the highest claim come first: a small budget is empty most of the time, so the next retry that
+/// is earned is kept for them. Cost: O(1).
 class RetryBudget {
 public:
     RetryBudget(double fraction, double burst)
@@ -35,19 +50,35 @@
     /// first attempts pay off.
     void charge(double n) { m_tokens = std::min(m_burst, m_tokens - n); }
 
+    /// \returns whether what is saved up is kept for higher claims, one of which went without it lately.
+    bool isKeptFrom(RetryClaim claim, Instant now) const
+    {
+        const auto higher = m_unpaid.begin() + static_cast<std::ptrdiff_t>(claim) + 1;
+        return std::any_of(
+            higher, m_unpaid.end(), [&](const auto& it) { return it && now - *it < claimMemory; });
+    }
+
     /// \returns whether a retry may be sent; if so it is spent.
-    bool trySpend()
+    bool trySpend(RetryClaim claim, Instant now)
     {
-        if (m_tokens < 1)
+        if (isKeptFrom(claim, now))
             return false;
+        if (m_tokens < 1) {
+            m_unpaid[static_cast<std::size_t>(claim)] = now;
+            return false;
+        }
         m_tokens -= 1;
         return true;
     }
 
 private:
+    /// Longer than it takes to earn a retry where many are asked for, and much shorter than a window.
+    static constexpr Duration claimMemory = 1s;
+
     double m_fraction;
     double m_burst;
     double m_tokens;
+    std::array<std::optional<Instant>, 4> m_unpaid; ///< when a claim last went without, by RetryClaim
 };
 
 } // namespace robinrun
--- a/src/Routing/RetryDenial.h
+++ b/src/Routing/RetryDenial.h
@@ -11,11 +11,13 @@
 enum class RetryDenial {
     AttemptsUsed, ///< it has had as many as its request allows
     OwnBudget, ///< its service's budget holds no whole retry
+    HigherClaim, ///< others need the budget more, of its service or of one that its run would call
     NestedDebt, ///< the budget of a service that its run would call is used up
 };
 
 template <> struct EnumNames<RetryDenial> {
-    static constexpr std::array<std::string_view, 3> names { "attempts-used", "own-budget", "nested-debt" };
+    static constexpr std::array<std::string_view, 4> names { "attempts-used", "own-budget", "higher-claim",
+        "nested-debt" };
 };
 
 } // namespace robinrun
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -112,7 +112,16 @@
     double savedRetries() const;
 
     /// \returns whether the group may send one more attempt; if so it is spent.
-    bool trySpendRetry(std::uint32_t group) { return budgetOf(group).trySpend(); }
+    bool trySpendRetry(std::uint32_t group, RetryClaim claim, Instant now)
+    {
+        return budgetOf(group).trySpend(claim, now);
+    }
+
+    /// \returns whether the group's budget is kept for higher claims.
+    bool isRetryKeptFrom(std::uint32_t group, RetryClaim claim, Instant now)
+    {
+        return budgetOf(group).isKeptFrom(claim, now);
+    }
 
     /// \returns whether the group has anything left of its budget, so that another service's retry may make
     /// calls here.
--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -377,6 +377,28 @@
     REQUIRE(f.saved("t") == Approx(6 - mean)); // it may have made them
 }
 
+// Repeated calls from outside, each charged for the nested calls that it may bring, left none for nested
+// calls.
+TEST_CASE("A call is not tried again while the nested calls of others are refused their retries", "[node]")
+{
+    RouteFixture f;
+    f.learnNested(2);
+    f.saveUp(9);
+    auto& nested = *f.ingress.routers().at("t");
+    while (nested.trySpendRetry(0, RetryClaim::Nested, f.now)) { }
+    nested.chargeRetries(0, -5);
+    f.refuse(f.routed("/read/x"), Reason::BackendRefused, true);
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.saved("s") == Approx(9));
+    REQUIRE(f.context.metrics.text().find(R"(denied_total{service="s",cause="higher-claim"} 1)")
+        != std::string::npos);
+    f.pass(2s);
+    f.refuse(f.routed("/read/x"), Reason::BackendRefused, true);
+    f.refuse(f.nextCall(), Reason::BackendRefused, true);
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(f.saved("s") == Approx(8));
+}
+
 TEST_CASE("Metrics tell which check denies a retry, and what is paid and arrives", "[node]")
 {
     RouteFixture f;
--- a/test/RoutingTest.cpp
+++ b/test/RoutingTest.cpp
@@ -1,5 +1,6 @@
 #include "Routing/Ejection.h"
 #include "Routing/RetryBudget.h"
+#include "Routing/RetryPlan.h"
 #include "Routing/ServiceRouter.h"
 #include "Routing/Subset.h"
 
@@ -208,7 +209,7 @@
         double retries = 0;
         for (const bool it : isRetry) {
             if (it) {
-                retries += budget.trySpend();
+                retries += budget.trySpend(RetryClaim::Again, {});
             } else {
                 budget.firstAttempt();
                 ++first;
@@ -218,13 +219,78 @@
     });
 }
 
+TEST_CASE("Retries of all nodes stay inside the bound of the deployment while nodes start anew", "[routing]")
+{
+    rc::prop("whoever spends", [] {
+        enum class Step { Request, Retry, GiveBack, Start };
+        const auto nodes = *rc::gen::inRange<std::size_t>(1, 12);
+        const double ratio = *rc::gen::inRange(0, 50) / 100.0;
+        const double slack = static_cast<double>(nodes) * *rc::gen::inRange(2, 8);
+        const auto fresh = [&] { return RetryBudget(plannedRetryFraction(ratio), leastRetryBurst); };
+        std::vector<RetryBudget> budgets;
+        for (std::size_t i = 0; i < nodes; ++i)
+            budgets.emplace_back(plannedRetryFraction(ratio), plannedRetryBurst(slack, nodes));
+        std::vector<bool> hasStarted(nodes);
+        std::vector<double> pending(nodes);
+        const auto steps = *rc::gen::container<std::vector<std::pair<int, std::size_t>>>(
+            rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange<std::size_t>(0, nodes)));
+        double requests = 0;
+        double arrivals = 0;
+        for (const auto& [what, i] : steps) {
+            const auto step = static_cast<Step>(what);
+            if (step == Step::Request) {
+                ++requests;
+                budgets[i].firstAttempt();
+            } else if (step == Step::Retry) {
+                const bool isPaid = budgets[i].trySpend(static_cast<RetryClaim>(steps.size() % 4), {});
+                arrivals += isPaid;
+                pending[i] += isPaid;
+            } else if (step == Step::GiveBack && pending[i] > 0) {
+                budgets[i].charge(-1);
+                --arrivals;
+                --pending[i];
+            } else if (step == Step::Start && !hasStarted[i]) {
+                hasStarted[i] = true;
+                budgets[i] = fresh();
+                budgets[i].setBounds(plannedRetryFraction(ratio), plannedRetryBurst(slack, nodes));
+                pending[i] = 0;
+            }
+            RC_ASSERT(arrivals <= ratio * requests + slack + 1e-9);
+        }
+    });
+}
+
+// A nested call that was refused found the budget empty: calls from outside and second attempts beside late
+// ones had taken each retry as soon as it was earned.
+TEST_CASE("While higher claims go without a retry, what is earned is kept for them", "[routing]")
+{
+    const Instant start {};
+    RetryBudget budget(0.5, 1);
+    const auto earn = [&] {
+        budget.firstAttempt();
+        budget.firstAttempt();
+    };
+    REQUIRE(budget.trySpend(RetryClaim::Hedge, start));
+    REQUIRE_FALSE(budget.trySpend(RetryClaim::Nested, start));
+    earn();
+    REQUIRE_FALSE(budget.trySpend(RetryClaim::Hedge, start + 100ms));
+    REQUIRE_FALSE(budget.trySpend(RetryClaim::Again, start + 100ms));
+    REQUIRE(budget.trySpend(RetryClaim::Nested, start + 200ms));
+    REQUIRE_FALSE(budget.trySpend(RetryClaim::LastNested, start + 300ms));
+    earn();
+    REQUIRE_FALSE(budget.trySpend(RetryClaim::Nested, start + 400ms));
+    REQUIRE(budget.trySpend(RetryClaim::LastNested, start + 500ms));
+    earn();
+    REQUIRE(budget.trySpend(RetryClaim::Hedge, start + 2s));
+}
+
 TEST_CASE("A changed share of the retries gives no new ones", "[routing]")
 {
     ServiceRouter router({ .retryFraction = 0, .retryBurst = 3 });
     const auto spend = [&](int n) {
         int spent = 0;
         for (int i = 0; i < n; ++i)
-            spent += router.trySpendRetry(group);
+            spent += router.trySpendRetry(group, RetryClaim::Again, {});
         return spent;
     };
     REQUIRE(spend(2) == 2);
