Long answers of a host go out one after the other, so that short ones find its link free

Change: long answers to peers wait for each other (BulkPacer, no I/O) at 0.8 of the rate of the link, which the deployment tells (link_megabits; 0: nothing waits), and the kernel's buffer of a peer link holds 5 ms of it; a node doesn't end while it holds answers. Switch: experiments.pace_answers. BulkPacerTest: without the pacer a short message waits over 500 ms behind ten long ones, with it one.

All 51 unit tests pass.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -11,6 +11,7 @@
 
     using namespace httpStatus;
     constexpr Duration tickEvery = 50ms;
+    constexpr double bytesPerMegabit = 125'000;
     /// A node that starts hears within so long which peers follow the configuration.
     constexpr Duration firstContacts = 1s;
     /// After a node has written its record it reads once more, for those that started at the same time: of
@@ -127,6 +128,8 @@
     options.node = settings.name;
     options.incarnation = m_context.incarnation;
     options.heartbeat = settings.peers.heartbeat;
+    if (settings.experiments.isOn(Mechanism::PaceAnswers))
+        options.linkBytesPerSecond = settings.linkMegabits * bytesPerMegabit;
     options.idleTimeout = linkIdle;
     options.longestReconnect = settings.peers.longestReconnect;
     auto peers = PeerSocket::bind(m_context.base, options,
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -213,7 +213,7 @@
         tellContacts(now);
     followIfNeeded(now);
     pullIfDue(now);
-    if (m_ingress->inProgress() || !m_owner->isIdle())
+    if (m_ingress->inProgress() || !m_owner->isIdle() || m_peers->holdsAnswers())
         m_lastBusy = now;
     // Only the word that the node is gone has to be written first: a store that is down must not hold a
     // restart up.
--- a/src/Settings/Mechanism.h
+++ b/src/Settings/Mechanism.h
@@ -22,12 +22,13 @@
     NextInLine, ///< a call that is to run at once waits where it gets the next slot
     RoomForNested, ///< slots are kept for nested calls from calls that are less urgent than their parents
     ProbeOverdue, ///< a server that should have answered by now is asked whether it has turned slow
+    PaceAnswers, ///< long answers to peers go out one after the other, so that short ones find the link free
 };
 
 template <> struct EnumNames<Mechanism> {
-    static constexpr std::array<std::string_view, 11> names { "ask_first", "tell_loads", "give_up_hopeless",
+    static constexpr std::array<std::string_view, 12> names { "ask_first", "tell_loads", "give_up_hopeless",
         "second_attempts", "ejection", "nested_first", "probe_while_slow", "ask_where_worth", "next_in_line",
-        "room_for_nested", "probe_overdue" };
+        "room_for_nested", "probe_overdue", "pace_answers" };
 };
 
 /// \brief Which mechanisms are switched off; none is by default.
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -175,6 +175,7 @@
     out.service = reader.text("service", "");
     out.backend = reader.address("backend", "");
     out.capacity = reader.number("capacity", 0, 1e4, 0);
+    out.linkMegabits = reader.number("link_megabits", 0, 1e6, 0);
     out.chartsFolder = reader.text("charts", "charts");
     out.drainTimeout = reader.duration("drain_timeout", 0us, 1h, 30s);
     out.lameDuck = reader.duration("lame_duck", 0us, 60s, 0s);
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -23,6 +23,7 @@
     std::string upstream; ///< id of the upstream this node owns; "" for a node that owns none
     std::string service; ///< of that upstream, where it is known beforehand; ""
     double capacity = 0; ///< cores that the node may use; 0: not known
+    double linkMegabits = 0; ///< that the host's network link carries in a second; 0: not known
     std::string chartsFolder;
 
     struct {
--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -1,6 +1,7 @@
 #include "Wire/PeerSocket.h"
 
 #include "Core/Log.h"
+#include "Core/internal/Timeval.h"
 #include "Wire/MessageFrames.h"
 
 #include <algorithm>
@@ -17,6 +18,20 @@
     /// at once. By itself the kernel takes up to 4 MB.
     constexpr int sendBufferBytes = 32768;
 
+    /// The same on a slow network link, where a short message for any peer waits behind it: what the link
+    /// carries within this, but no less than Linux can take.
+    constexpr Duration longestBuffered = 5ms;
+    constexpr int leastSendBufferBytes = 4096;
+
+    int sendBufferFor(double linkBytesPerSecond)
+    {
+        if (linkBytesPerSecond <= 0)
+            return sendBufferBytes;
+        const double taken = linkBytesPerSecond * toSeconds(longestBuffered) / 2;
+        return static_cast<int>(
+            std::clamp<double>(taken, double(leastSendBufferBytes), double(sendBufferBytes)));
+    }
+
     int toMs(Duration d)
     {
         return static_cast<int>(toMilliseconds(d));
@@ -94,11 +109,16 @@
     , m_handler(std::move(handler))
     , m_context(std::make_unique<zmq::context_t>(1))
     , m_router(std::make_unique<zmq::socket_t>(*m_context, zmq::socket_type::router))
+    , m_bulkPacer(m_options.linkBytesPerSecond)
 {
     m_context->set(zmq::ctxopt::max_sockets, 16000);
     m_drainEvent = event_new(
         base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->drainDirty(); },
         this);
+    m_bulkEvent = event_new(
+        base, -1, 0,
+        [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->sendBulk(monotonicNow()); },
+        this);
 }
 
 PeerSocket::~PeerSocket()
@@ -106,6 +126,7 @@
     if (m_routerEvent)
         event_free(m_routerEvent);
     event_free(m_drainEvent);
+    event_free(m_bulkEvent);
     m_links.clear();
 }
 
@@ -167,7 +188,7 @@
     socket.set(zmq::sockopt::sndhwm, m_options.highWaterMark);
     socket.set(zmq::sockopt::rcvhwm, m_options.highWaterMark);
     socket.set(zmq::sockopt::maxmsgsize, m_options.maxMessage);
-    socket.set(zmq::sockopt::sndbuf, sendBufferBytes);
+    socket.set(zmq::sockopt::sndbuf, sendBufferFor(m_options.linkBytesPerSecond));
 }
 
 bool PeerSocket::sendTo(
@@ -228,6 +249,12 @@
 {
     if (to.route.empty())
         return send(to.address, message, now) == SendResult::Sent;
+    const auto bytes = message.ByteSizeLong();
+    if (m_bulkPacer.isBulk(bytes)) {
+        m_bulk.push_back({ to.route, message, bytes });
+        sendBulk(now);
+        return true;
+    }
     try {
         return sendTo(*m_router, message, to.route, nullptr);
     } catch (const zmq::error_t&) {
@@ -235,6 +262,24 @@
     }
 }
 
+void PeerSocket::sendBulk(Instant now)
+{
+    while (!m_bulk.empty() && now >= m_bulkPacer.freeAt()) {
+        auto held = std::move(m_bulk.front());
+        m_bulk.pop_front();
+        try {
+            if (sendTo(*m_router, held.message, held.route, nullptr))
+                m_bulkPacer.went(held.bytes, now);
+        } catch (const zmq::error_t&) {
+            continue; // the link is gone, and so is who asked
+        }
+    }
+    if (m_bulk.empty())
+        return;
+    const auto tv = internal::toTimeval(m_bulkPacer.freeAt() - now);
+    event_add(m_bulkEvent, &tv);
+}
+
 void PeerSocket::drainSoon(Link* link)
 {
     if (link && !link->isDirty) {
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -4,9 +4,11 @@
 #include "Core/Hash.h"
 #include "Core/Result.h"
 #include "Core/Time.h"
+#include "Wire/BulkPacer.h"
 #include "peer.pb.h"
 
 #include <cstdint>
+#include <deque>
 #include <event2/event.h>
 #include <functional>
 #include <memory>
@@ -50,10 +52,11 @@
 /// A link on which nothing whole comes for two heartbeats ends. A long message goes out in frames
 /// (MessageFrames.h), each of which is a sign of life where it arrives, and heartbeats pass between them. It
 /// reaches the peer's handler whole or not at all. Messages to one peer keep their order, so that a small
-/// one waits for a long one before it. What the kernel holds of a link that isn't taken yet is bounded: a
-/// heartbeat waits for at most 64 KB of its own link. That bounds the rate of a link to 64 KB in the time of
-/// a way there and back (32 MB/s at 2 ms). Nodes that read only single frames pass long messages over; theirs
-/// are read.
+/// one waits for a long one that has gone before it. Long answers of one node go out one after the other,
+/// whichever peers they are for (BulkPacer.h); one that still waits when its link ends is dropped, as one
+/// under way would be. What the kernel holds of a link that isn't taken yet is bounded: a heartbeat waits for
+/// at most 64 KB of its own link. That bounds the rate of a link to 64 KB in the time of a way there and back
+/// (32 MB/s at 2 ms). Nodes that read only single frames pass long messages over; theirs are read.
 class PeerSocket {
 public:
     /// Heartbeats that stay out before a link ends.
@@ -84,6 +87,7 @@
         Duration idleTimeout = 120s;
         Duration heartbeat = 5s; ///< between two on a link; two that stay out end it
         Duration longestReconnect = 2s; ///< between two tries to connect; the first comes after 50 ms
+        double linkBytesPerSecond = 0; ///< that this host's network link carries; 0: not known
         Duration connectPatience = 500ms; ///< a link that has never stood is `Connecting` for so long
     };
 
@@ -106,6 +110,9 @@
     /// \brief Closes links that were idle; to be called now and then.
     void closeIdle(Instant now);
 
+    /// \returns whether answers that were taken have not gone out yet. A node that ended now would lose them.
+    bool holdsAnswers() const { return !m_bulk.empty(); }
+
     std::size_t links() const { return m_links.size(); }
 
     /// \returns what was sent and received so far, by kind of message (the number of its field).
@@ -118,6 +125,8 @@
     PeerSocket(event_base* base, Options options, Handler handler);
     Link& linkTo(const std::string& address, Instant now);
     bool sendTo(zmq::socket_t& socket, proto::PeerMessage& message, const std::string& route, Link* link);
+    /// \brief Sends the long answers that may go by now.
+    void sendBulk(Instant now);
     bool isTooLong(std::size_t bytes) const;
     void setBounds(zmq::socket_t& socket) const;
     void drainDirty();
@@ -139,6 +148,14 @@
     std::unordered_map<std::string, std::unique_ptr<Link>> m_links;
     std::vector<Link*> m_dirty; ///< links sent on since they were last drained
     std::uint64_t m_watchedLinks = 0; ///< so far
+    struct HeldAnswer {
+        std::string route;
+        proto::PeerMessage message;
+        std::size_t bytes;
+    };
+    BulkPacer m_bulkPacer;
+    std::deque<HeldAnswer> m_bulk; ///< long answers that wait for others to have gone
+    event* m_bulkEvent = nullptr;
     std::unordered_map<int, Traffic> m_sent;
     std::unordered_map<int, Traffic> m_received;
 };
