--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -216,6 +216,7 @@
 {
     DrainEnd::Work work;
     work.hasCalls = m_ingress->inProgress() > 0 || !m_owner->isIdle();
+    work.hasUnwritten = m_peers->holdsAnswers();
     for (const auto* it : { m_callers.get(), m_announcements.get() })
         work.hasUnwritten = work.hasUnwritten || (it && it->hasUnwritten());
     // Only the word that the node is gone has to be written first: a store that is down must not hold a
