An answer that is too long is refused also where long answers wait for each other

A caller of PeerSocket::answer was told that an answer beyond the longest message had been sent where the rate of the link is known, as it was only held then; its end showed when it was dropped later. It is now refused at once, as it was before answers waited for each other. The test of answers beyond the bound runs without a rate, so it doesn't show this; all 18 cases tagged wire pass, nothing was measured anew.

--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -251,6 +251,8 @@
         return send(to.address, message, now) == SendResult::Sent;
     const auto bytes = message.ByteSizeLong();
     if (m_bulkPacer.isBulk(bytes)) {
+        if (isTooLong(bytes))
+            return false;
         m_bulk.push_back({ to.route, message, bytes });
         sendBulk(now);
         return true;
