--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -18,7 +18,7 @@
     RetryClaim claimOf(bool isNested, bool isLastNested)
     {
         if (!isNested)
-            return RetryClaim::Again;
+            return RetryClaim::Outside;
         return isLastNested ? RetryClaim::LastNested : RetryClaim::Nested;
     }
 
@@ -204,7 +204,7 @@
 void Ingress::sendSecond(CallId id, Call& call, const std::string& upstream, Instant now)
 {
     // With one paid for already, another attempt is about to go out.
-    if (call.paid || !payRetry(call, RetryClaim::Hedge, now))
+    if (call.paid || !payRetry(call, RetryClaim::Outside, now))
         return;
     const auto result = sendTo(id, call, upstream, now);
     if (result == SendResult::Sent)
--- a/src/Routing/RetryBudget.h
+++ b/src/Routing/RetryBudget.h
@@ -11,8 +11,7 @@
 
 /// \brief What a retry is for, by what is lost without it, the least first.
 enum class RetryClaim {
-    Hedge, ///< an attempt beside one that may still be answered
-    Again, ///< of a call from outside, whose caller may come back
+    Outside, ///< of a call from outside, whose caller may come back, or beside one that may be answered
     Nested, ///< of a call that a run waits for, which has held a slot so far
     LastNested, ///< the same, if it is likely the last that the run needs
 };
@@ -78,7 +77,7 @@
     double m_fraction;
     double m_burst;
     double m_tokens;
-    std::array<std::optional<Instant>, 4> m_unpaid; ///< when a claim last went without, by RetryClaim
+    std::array<std::optional<Instant>, 3> m_unpaid; ///< when a claim last went without, by RetryClaim
 };
 
 } // namespace robinrun
