The end of a node's owner is set beside the step that begins it

Cause: read as a newcomer, endAt() and beginEnd() said nothing of each other, and the limit of the drain was reckoned twice. setEnd() stands beside beginEnd() now and gets the one limit.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -267,10 +267,10 @@
         { { "in_progress", std::uint64_t { m_ingress->inProgress() } },
             { "upstream_leaving", m_announced.isLeaving() } });
     m_callers->setClosing(true);
-    m_owner->endAt(monotonicNow() + m_context.settings.drainTimeout);
     m_finder->stop();
     const auto& settings = m_context.settings;
     m_drainLimit = monotonicNow() + settings.drainTimeout;
+    m_owner->setEnd(m_drainLimit);
     m_lameDuckTimer = Timer::once(m_context.base, std::min(settings.lameDuck, settings.drainTimeout),
         [this] { step(NodeEvent::StopAsked); });
 }
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -71,6 +71,10 @@
     /// \brief The caller gave a call up: frees its place, and its slot if it may be cut off.
     void cancel(const Sender& sender, std::uint64_t number, Instant now);
 
+    /// \brief This node will end at \a end: calls that may run beyond that are refused as not run, the others
+    /// are let in until beginEnd().
+    void setEnd(Instant end) { m_end = end; }
+
     /// \brief This node will end: nothing that comes from now on is run, and the ingresses are told so. There
     /// is no way back in this life of the node, as one that was told so may rely on it.
     void beginEnd(Instant now);
@@ -101,9 +105,6 @@
     /// \brief Timed work: probes, the end of a drain, forgetting.
     void tick(Instant now);
 
-    /// \brief This process ends at \a end: calls that may run beyond it are refused as not run.
-    void endAt(Instant end) { m_end = end; }
-
     bool isIdle() const { return m_admission.isIdle(); }
 
     /// \returns the call that the backend server runs and that its caller calls \a requestId; null if none
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -345,7 +345,7 @@
 TEST_CASE("An owner whose node ends refuses calls that may run beyond that, and runs the others", "[node]")
 {
     OwnerFixture f;
-    f.owner.endAt(monotonicNow() + 2s);
+    f.owner.setEnd(monotonicNow() + 2s);
     f.take(f.call(1)); // has three seconds left
     REQUIRE(f.answers.size() == 1);
     REQUIRE(f.answers[0].outcome() == proto::NOT_RUN);
