A step that was taken back is tried again only after thousands of calls

Servers don't change their knee often, and each try at full load costs some twenty longer calls. Change: the first rest is of 8,192 calls at the limit, was 1,024. StepwiseLimitTest passes (145 assertions).

--- a/src/Queueing/StepwiseLimit.cpp
+++ b/src/Queueing/StepwiseLimit.cpp
@@ -27,8 +27,8 @@
     constexpr double leastVariance = 0.04;
     constexpr double varianceWeight = 0.02;
     /// A step that was taken back is tried again after so many calls, then after twice as many each time.
-    constexpr std::uint32_t firstRest = 1024;
-    constexpr std::uint32_t longestRest = 8192;
+    constexpr std::uint32_t firstRest = 8192;
+    constexpr std::uint32_t longestRest = 65536;
     constexpr Duration leastWork = 100us; ///< shorter ones are not told apart
 
 } // namespace
