Read, log and count the limit and the leaving that a backend server states in its answers

Cause: the logs of the incident can't tell a limit that nobody heeds from one that is not heard, is unreadable, or is passed by calls that nobody counts.

ServerRateLimit holds what is named: a change counts only from an answer that can't be older than what it changes. Nothing is decided by it yet.

--- a/src/Node/BackendReply.cpp
+++ b/src/Node/BackendReply.cpp
@@ -15,6 +15,48 @@
     constexpr double maxSlowdown = 100;
     constexpr Duration longestCold = 1h;
 
+    bool isDigit(char it)
+    {
+        return it >= '0' && it <= '9';
+    }
+
+    /// \brief The fields of an answer that have any of some names and can be read as a value of type T.
+    template <class T> struct FieldValues {
+        std::optional<T> value;
+        bool isReadable = true;
+    };
+
+    /// \brief Reads the fields called any of \a names with \a parse. Adds those that are unreadable, or
+    /// differ from an earlier one, to \a faults.
+    template <class Parse>
+    auto readFields(const HttpHeaders& headers, const std::vector<std::string>& names, Parse parse,
+        std::string_view expected, std::vector<HeaderFault>& faults)
+    {
+        FieldValues<typename decltype(parse(std::string_view()))::value_type> out;
+        for (const auto& [field, text] : headers) {
+            const auto isNamed = [&](const auto& name) { return equalIgnoringCase(name, field); };
+            if (std::none_of(names.begin(), names.end(), isNamed))
+                continue;
+            const auto value = parse(text);
+            const bool isContradiction = value && out.value && *value != *out.value;
+            if (!value || isContradiction) {
+                out.isReadable = false;
+                faults.push_back(
+                    { field, text, value ? "differs from another field of this answer" : expected });
+            }
+            if (!out.value)
+                out.value = value;
+        }
+        return out;
+    }
+
+    std::optional<bool> parseFlag(std::string_view text)
+    {
+        if (text != "0" && text != "1")
+            return std::nullopt;
+        return text == "1";
+    }
+
 } // namespace
 
 BackendVerdict judge(const HttpReply& reply, const CallHeaders& names)
@@ -57,4 +99,30 @@
     return out;
 }
 
+std::optional<double> parseRateLimit(std::string_view text)
+{
+    // from_chars() also accepts a sign, "inf", "nan" and a point at either end.
+    if (text.empty() || !isDigit(text.front()) || !isDigit(text.back()))
+        return std::nullopt;
+    double out = 0;
+    const char* end = text.data() + text.size();
+    const auto [read, ec] = std::from_chars(text.data(), end, out, std::chars_format::fixed);
+    if (ec != std::errc() || read != end)
+        return std::nullopt;
+    return out;
+}
+
+BackendStatement readStatement(const HttpHeaders& headers, const CallHeaders& names)
+{
+    BackendStatement out;
+    const auto limit
+        = readFields(headers, names.rateLimit, parseRateLimit, "must be a decimal number", out.faults);
+    out.isRateLimitReadable = limit.isReadable;
+    if (limit.isReadable)
+        out.rateLimit = limit.value;
+    const auto leaving = readFields(headers, names.leaving, parseFlag, "must be 1 or 0", out.faults);
+    out.isLeaving = leaving.isReadable && leaving.value.value_or(false);
+    return out;
+}
+
 } // namespace robinrun
--- a/src/Node/BackendReply.h
+++ b/src/Node/BackendReply.h
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace robinrun {
 
@@ -36,4 +38,27 @@
 /// more than an hour: no server takes so long.
 std::optional<Duration> parseColdFor(std::string_view text);
 
+/// \brief A header field of a backend server that cannot be read.
+struct HeaderFault {
+    std::string field;
+    std::string value;
+    std::string_view fault;
+};
+
+/// \brief What a backend server states about itself in an answer.
+struct BackendStatement {
+    /// Requests per second that it accepts from all nodes together; nothing if it names no limit.
+    std::optional<double> rateLimit;
+    bool isRateLimitReadable = true; ///< otherwise nothing is known of the limit
+    bool isLeaving = false; ///< it will stop and takes no new calls
+    std::vector<HeaderFault> faults;
+};
+
+/// \brief Reads what a backend server states about itself by the deployment's header names. A field that
+/// cannot be read, or that is given twice with different values, is listed in `faults`.
+BackendStatement readStatement(const HttpHeaders& headers, const CallHeaders& names);
+
+/// \brief Parses a rate limit, a decimal number such as `10.8`. \returns nothing if it isn't that.
+std::optional<double> parseRateLimit(std::string_view text);
+
 } // namespace robinrun
--- a/src/Node/CallHeaders.h
+++ b/src/Node/CallHeaders.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace robinrun {
 
@@ -42,6 +43,11 @@
     std::string load = "Backend-Load"; ///< running, waiting, slots, and how long work takes in % of the usual
     std::string coldFor
         = "Backend-Cold-Ms"; ///< on health answers: how long the backend server stays cold, ms
+    /// Requests per second that the backend server accepts from all nodes together, on its answers; any of
+    /// these names.
+    std::vector<std::string> rateLimit { "Backend-Rate-Limit" };
+    std::vector<std::string>
+        leaving; ///< "1" on answers of a backend server that will stop; any of these names
     std::string signature; ///< by which its own answers are known; "": they aren't signed
     bool hasFractionalRetryAfter = false; ///< whether callers understand parts of a second there
 
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -5,6 +5,7 @@
 #include "Crashes/CrashDetector.h"
 #include "Crashes/RecentSuccesses.h"
 #include "Http/HttpPool.h"
+#include "Node/BackendReply.h"
 #include "Node/NodeContext.h"
 #include "Node/Prober.h"
 #include "Node/RequestTrail.h"
@@ -117,6 +118,8 @@
     /// \returns how many calls its backend server has made so far for the running call of \a requestId.
     std::uint32_t nestedCalls(const std::string& requestId) const;
     LifeState lifeState() const { return m_leaving.state(); }
+    /// \returns the requests per second that the backend server accepts; nothing if it names no limit.
+    std::optional<double> serverLimit() const { return m_admission.rateLimit().requestsPerSecond(); }
     LoadReport load(Instant now) const { return m_admission.load(now); }
     const std::string& upstream() const { return m_context->settings.upstream; }
 
@@ -204,9 +207,24 @@
     OfferedCall offerOf(std::uint64_t id, const CallRecord& record, Instant now);
     void noteEnd(CallRecord& record, const proto::Answer& answer, Instant now);
     void run(std::uint64_t id, Instant now);
-    proto::Answer answerOf(HttpReply& reply, Instant now);
+    /// \param record of the call that \a reply answers.
+    proto::Answer answerOf(HttpReply& reply, const CallRecord& record, Instant now);
     static proto::Answer answerOf(HttpError error);
     void learn(const HttpReply& reply, Instant now);
+    /// \brief The answer to a request that carries a statement of the backend server.
+    struct StatementOrigin {
+        RateLimitSource source = RateLimitSource::CallAnswer;
+        Instant askedAt {}; ///< when the request was sent
+        std::string_view requestId; ///< "" for health requests
+    };
+    /// \brief Takes what the current life of the backend server states about itself.
+    void takeStatement(const BackendStatement& statement, const StatementOrigin& origin, Instant now);
+    /// \brief Takes the statement of a health answer that came over \a pool, unless another life gave it.
+    void takeHealthStatement(const ProbeNews& news, const HttpPool* pool, Instant askedAt, Instant now);
+    void logHeaderFaults(const BackendStatement& statement, std::string_view requestId);
+    void logRateLimit(std::optional<double> before, const StatementOrigin& origin) const;
+    /// \brief The backend server states that it will stop.
+    void serverLeaves(const StatementOrigin& origin);
     void setSlowdown(double slowdown, Instant now);
     void setDown(bool isDown, Instant now);
     /// \brief Logs that the server has turned cold or warm, tells ingresses and starts what may start.
@@ -261,6 +279,8 @@
     bool m_isDown = false;
     unsigned m_unreached = 0; ///< connections in a row that could not be made
     double m_toldSlowdown = 1;
+    bool m_isServerLeaving = false; ///< the current life has said so in an answer
+    std::string m_loggedHeaderFaults; ///< fields and values of the last answer that had any
     std::uint32_t m_loggedLimit = 0;
     std::optional<Instant> m_end; ///< of this process, once it is known
     Instant m_nextProbe {};
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -17,12 +17,16 @@
 
 } // namespace
 
-proto::Answer Owner::answerOf(HttpReply& reply, Instant now)
+proto::Answer Owner::answerOf(HttpReply& reply, const CallRecord& record, Instant now)
 {
     proto::Answer answer;
     answer.set_offered(true);
     learn(reply, now);
     const auto verdict = judge(reply, m_context->headers);
+    const bool isOfThisLife = verdict == BackendVerdict::Answered || verdict == BackendVerdict::NotRun;
+    if (isOfThisLife && record.pool == m_pool.get())
+        takeStatement(readStatement(reply.headers, m_context->headers),
+            { RateLimitSource::CallAnswer, record.started, record.call.request_id() }, now);
     if (verdict != BackendVerdict::Answered) {
         const bool isNotRun = verdict != BackendVerdict::Foreign;
         answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
--- a/src/Node/OwnerLife.cpp
+++ b/src/Node/OwnerLife.cpp
@@ -33,6 +33,8 @@
     }
     m_isDown = false;
     m_unreached = 0;
+    m_isServerLeaving = false;
+    m_admission.rateLimit().reset();
     m_admission.resetLimit();
     m_admission.setSlowdown(m_toldSlowdown = 1, now);
     m_loadHeard.reset();
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -56,9 +56,10 @@
     if (m_leaving.hasSign(LeavingSign::Operator))
         return; // nothing that a server might count as work
     const auto freeSlots = load.slotLimit > load.slotsInUse ? load.slotLimit - load.slotsInUse : 0;
-    const bool isStarted = m_prober.tryProbe(
-        *m_pool, freeSlots, load.waitingCalls, now, [this](const ProbeNews& news, Duration) {
+    const bool isStarted = m_prober.tryProbe(*m_pool, freeSlots, load.waitingCalls, now,
+        [this, now, pool = m_pool.get()](const ProbeNews& news, Duration) {
             const auto end = monotonicNow();
+            takeHealthStatement(news, pool, now, end);
             act(m_admission.releaseSlot(end), end);
             if (news.isReachable)
                 setSign(LeavingSign::BackendServer, news.isDraining, end);
@@ -121,8 +122,9 @@
 
 void Owner::probe(Instant now)
 {
-    const bool isStarted = m_prober.probe(*m_pool, now, [this, now](const ProbeNews& news, Duration) {
+    const auto onAnswer = [this, now, pool = m_pool.get()](const ProbeNews& news, Duration) {
         const auto end = monotonicNow();
+        takeHealthStatement(news, pool, now, end);
         setDown(!news.isReachable, end);
         if (news.isReachable)
             m_crashWatch.onAnswer(now);
@@ -132,8 +134,8 @@
             setSlowdown(*news.slowdown, end);
         if (news.coldFor)
             answeredWarmUp(*news.coldFor, now, end);
-    });
-    if (isStarted)
+    };
+    if (m_prober.probe(*m_pool, now, onAnswer))
         m_context->metrics.count("robinrun_probes_total");
 }
 
@@ -223,6 +225,8 @@
     record.trail.add({ RequestEvent::SentToBackend, now, upstream(), record.call.number(), Reason::None,
         { { "waited_ms", (now - record.arrived).count() / 1000 },
             { "left_ms", (record.deadline - now).count() / 1000 } } });
+    if (serverLimit())
+        m_context->metrics.count("robinrun_server_limited_calls_total{outcome=\"sent\"}");
     HttpPool::SendOptions options;
     options.timeout = record.deadline - now + replySlack;
     options.longestRest = record.isRepeatable ? anyRest : longestRest;
@@ -278,11 +282,11 @@
 {
     refuseGivenUp(now);
     // First of all: a drain told with this answer must stop the call that would get its slot.
-    auto answer = result.has_value() ? answerOf(result.value(), now) : answerOf(result.error());
+    auto& record = m_calls.at(id);
+    auto answer = result.has_value() ? answerOf(result.value(), record, now) : answerOf(result.error());
     if (!result.has_value() && result.error().kind == HttpErrorKind::NotConnected
         && ++m_unreached >= unreachedLimit)
         setDown(true, now);
-    auto& record = m_calls.at(id);
     noteRunEnd(record, result, answer, now);
     const bool isFailure = answer.outcome() != proto::ANSWERED
         || answer.status() >= static_cast<std::uint32_t>(firstServerError);
--- /dev/null
+++ b/src/Node/OwnerStatements.cpp
@@ -0,0 +1,69 @@
+#include "Core/BackendLife.h"
+#include "Core/Log.h"
+#include "Node/Owner.h"
+
+#include <string>
+#include <utility>
+
+/// \file What the backend server states about itself in its answers, and what an owner makes of it.
+
+namespace robinrun {
+namespace {
+
+    constexpr double noLimit = -1; // in the log
+    constexpr std::size_t loggedBytes = 64;
+
+} // namespace
+
+void Owner::takeStatement(const BackendStatement& statement, const StatementOrigin& origin, Instant now)
+{
+    logHeaderFaults(statement, origin.requestId);
+    if (statement.isLeaving)
+        serverLeaves(origin);
+    if (!statement.isRateLimitReadable)
+        return;
+    const auto before = serverLimit();
+    if (m_admission.rateLimit().onAnswer(origin.source, statement.rateLimit, origin.askedAt, now))
+        logRateLimit(before, origin);
+}
+
+void Owner::takeHealthStatement(const ProbeNews& news, const HttpPool* pool, Instant askedAt, Instant now)
+{
+    const bool isOfThisLife = pool == m_pool.get()
+        && (news.upstream.empty() || news.upstream == BackendLife::fromKey(upstream()).id());
+    if (news.isReachable && isOfThisLife)
+        takeStatement(news.statement, { RateLimitSource::HealthAnswer, askedAt, "" }, now);
+}
+
+void Owner::logHeaderFaults(const BackendStatement& statement, std::string_view requestId)
+{
+    std::string text;
+    for (const auto& it : statement.faults)
+        text += it.field + ":" + it.value + "\n";
+    // A server that repeats itself is logged once.
+    if (text.empty() || text == std::exchange(m_loggedHeaderFaults, text))
+        return;
+    for (const auto& it : statement.faults) {
+        log(LogLevel::Warning, "header-unreadable",
+            { { "upstream", upstream() }, { "field", it.field }, { "value", it.value.substr(0, loggedBytes) },
+                { "fault", it.fault }, { "request", requestId } });
+    }
+}
+
+void Owner::logRateLimit(std::optional<double> before, const StatementOrigin& origin) const
+{
+    log(LogLevel::Info, serverLimit() ? "server-limit-named" : "server-limit-lifted",
+        { { "upstream", upstream() }, { "limit_per_s", serverLimit().value_or(noLimit) },
+            { "before", before.value_or(noLimit) }, { "source", nameOf(origin.source) },
+            { "request", origin.requestId } });
+}
+
+void Owner::serverLeaves(const StatementOrigin& origin)
+{
+    if (std::exchange(m_isServerLeaving, true))
+        return;
+    log(LogLevel::Info, "server-leaving",
+        { { "upstream", upstream() }, { "source", nameOf(origin.source) }, { "request", origin.requestId } });
+}
+
+} // namespace robinrun
--- a/src/Node/Prober.cpp
+++ b/src/Node/Prober.cpp
@@ -1,7 +1,6 @@
 #include "Node/Prober.h"
 
 #include "Http/HttpStatus.h"
-#include "Node/BackendReply.h"
 #include "Node/CallHeaders.h"
 
 namespace robinrun {
@@ -33,6 +32,7 @@
             news.slots = load->slots;
         }
     }
+    news.statement = readStatement(reply.headers, m_names);
     // A server that is well says so only while it is cold.
     if (const auto text = findHeader(reply.headers, m_names.coldFor))
         news.coldFor = parseColdFor(*text);
--- a/src/Node/Prober.h
+++ b/src/Node/Prober.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Http/HttpPool.h"
+#include "Node/BackendReply.h"
 #include "Node/CallHeaders.h"
 #include "Probing/ProbeBudget.h"
 
@@ -19,6 +20,7 @@
     std::string upstream; ///< id of the server's present start, if it tells
     std::uint32_t slots = 0; ///< if it tells
     std::optional<double> slowdown;
+    BackendStatement statement;
     std::optional<Duration>
         coldFor; ///< how long it stays cold; zero if it is warm; nothing if it can't be told
 };
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -325,6 +325,7 @@
     m_waitingCalls.erase(waiting);
     m_slotTimeEstimate.onRunStarted(call.id, now);
     m_warmUp.onCallStarted(now);
+    m_rateLimit.onCallSent(now);
     out.callsToRun.push_back(call.id);
 }
 
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -4,6 +4,7 @@
 #include "Queueing/FairQueue.h"
 #include "Queueing/NestedCallReservation.h"
 #include "Queueing/Refusal.h"
+#include "Queueing/ServerRateLimit.h"
 #include "Queueing/SlotTimeEstimate.h"
 #include "Queueing/SojournControl.h"
 #include "Queueing/WarmUp.h"
@@ -107,6 +108,11 @@
     WarmUp& warmUp() { return m_warmUp; }
     const WarmUp& warmUp() const { return m_warmUp; }
 
+    /// \brief The rate limit that the backend server names. The caller updates it with news of the server;
+    /// the change takes effect at the next call of offer(), onRunEnded() or startReadyCalls().
+    ServerRateLimit& rateLimit() { return m_rateLimit; }
+    const ServerRateLimit& rateLimit() const { return m_rateLimit; }
+
     /// \returns when a waiting call may start that only the warm-up pacing delays; nothing if no call is
     /// delayed by it.
     std::optional<Instant> nextPacedStart(Instant now) const;
@@ -216,6 +222,7 @@
     ConcurrencyLimit m_concurrencyLimit;
     WorkClock m_workClock;
     WarmUp m_warmUp;
+    ServerRateLimit m_rateLimit;
     FairQueue m_queue;
     SlotTimeEstimate m_slotTimeEstimate;
     std::unordered_map<std::uint32_t, SojournControl> m_sojournControls; ///< by group
