Pace calls by the rate limit that a backend server names in its answers

Cause: the limit came with each answer and was passed on like any other field; admission knew slots, load, slow-down and warm-up, but no rate named by the server.

Change: owners start calls at the named rate with a burst of 100 ms, refuse at once what that leaves no time for (reason server-limit, with the time until there is room) and count health requests, which are left out but where the limit is too low to show by calls that it was lifted. Loads carry the limit; ingresses reckon with the wait, send calls where there is room, and leave the order of calls to the owner.

Why it works: only the owner sends to its server, so one count covers first tries, retries, second attempts and health requests of all hosts.

--- a/src/Client/Losses.cpp
+++ b/src/Client/Losses.cpp
@@ -59,6 +59,8 @@
         const auto is = [&](Reason it) { return reason == nameOf(it); };
         if (is(Reason::WouldMissDeadline) || is(Reason::DeadlinePassed))
             return LossCause::Hopeless;
+        if (is(Reason::ServerLimit))
+            return LossCause::ServerLimit;
         if (is(Reason::CrashesServers))
             return LossCause::HeldBack;
         if (is(Reason::NotReady) || is(Reason::Leaving))
--- a/src/Client/Losses.h
+++ b/src/Client/Losses.h
@@ -15,6 +15,7 @@
     NoRoom, ///< refused: the queues were too long
     Hopeless, ///< refused: it could not end before its deadline
     NoUpstream, ///< refused: none could be reached or was left
+    ServerLimit, ///< refused: the servers name limits that admit no call in time
     HeldBack, ///< refused: servers have crashed under the same request
     NotReady, ///< refused: the node stops, or has no configuration yet
     LateWaited, ///< answered late; most of the excess was the wait for a slot
@@ -28,10 +29,10 @@
 };
 
 template <> struct EnumNames<LossCause> {
-    static constexpr std::array<std::string_view, 13> names { "refused: no room", "refused: hopeless",
-        "refused: no upstream", "refused: held back", "refused: not ready", "late: waited",
-        "late: second attempt", "late: slow server", "late: long work", "failed: by the server",
-        "failed: cut off", "failed: out of time", "caller left" };
+    static constexpr std::array<std::string_view, 14> names { "refused: no room", "refused: hopeless",
+        "refused: no upstream", "refused: server limit", "refused: held back", "refused: not ready",
+        "late: waited", "late: second attempt", "late: slow server", "late: long work",
+        "failed: by the server", "failed: cut off", "failed: out of time", "caller left" };
 };
 
 /// \brief Calls of one kind that were lost for one reason.
--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -157,6 +157,9 @@
             "the caller's group has made as many calls as it may" },
         LogEventInfo { "upstream-cold", "request attempt upstream reason wait_ms cold_ms news_age_ms",
             "even the best upstream is cold and would start the call too late" },
+        LogEventInfo { "upstream-limited",
+            "request attempt upstream reason wait_ms limit_per_min news_age_ms",
+            "even the best upstream would start the call too late, by the limit that its server names" },
     };
 
 } // namespace
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -227,7 +227,7 @@
         if (isHopeless(call, *upstream, now)) {
             if (call.freeRefusals)
                 break;
-            return finishCold(id, call, *upstream, now);
+            return finishPaced(id, call, *upstream, now);
         }
         const auto result = sendTo(id, call, *upstream, now);
         if (result == SendResult::Sent)
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -263,10 +263,14 @@
     void refused(CallId id, Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
     /// \brief An owner that was to run the call at once or not at all could not: the next one is asked.
     /// \returns whether \a upstream, the best there is, is known to end the call too late, because it is cold
-    /// or because owners have refused the call and none is better: then no owner need be asked (again). What
-    /// is known of one that was not heard of lately counts little, so it is asked.
+    /// or limited or because owners have refused the call and none is better: then no owner need be asked
+    /// (again). What is known of one that was not heard of lately counts little, so it is asked.
     bool isHopeless(const Call& call, const std::string& upstream, Instant now);
+    /// \brief Refuses a call that even the best \a upstream would start too late, as it is cold or names a
+    /// limit.
+    void finishPaced(CallId id, Call& call, const std::string& upstream, Instant now);
     void finishCold(CallId id, Call& call, const std::string& upstream, Instant now);
+    void finishLimited(CallId id, Call& call, const UpstreamView& view, Instant now);
     void ownerBusy(CallId id, Call& call, const Attempt& attempt, Instant now);
     void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
     void claimDecided(CallId id, const ClaimDecision& decision);
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -42,6 +42,8 @@
         report.load.remainingWarmUp = std::chrono::milliseconds(load.cold_ms());
         report.load.warmUpCallsPerSecond = load.cold_per_s();
         report.load.timeToNextStart = Duration(load.next_start_us());
+        if (load.limited())
+            report.load.serverLimit = std::max(load.limit_per_s(), 0.0);
         report.callsOfThisIngress = load.yours();
         report.queuedCalls = load.queued();
         report.errorShare = load.error_permille() / permille;
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -13,6 +13,9 @@
     constexpr std::uint32_t standardRetryMs = 150;
     /// Of what a caller has left, so that it can still be served then.
     constexpr double longestRetryAfterShare = 0.33;
+    /// A limit so low that it admits a call only later than this may as well be lifted before.
+    constexpr Duration longestLimitRetry = 10s;
+    constexpr double secondsPerMinute = 60;
     constexpr auto noneOut = "Ingress: a call ends without an answer only once no attempt is out";
 
 } // namespace
@@ -70,7 +73,8 @@
 std::uint32_t Ingress::retryAfterFor(const Call& call, Reason reason, Instant now) const
 {
     // Until then it is refused everywhere, however little time its caller has left.
-    if (!call.request.isByRoute || reason == Reason::CrashesServers)
+    const bool isRefusedUntilThen = reason == Reason::CrashesServers || reason == Reason::ServerLimit;
+    if (!call.request.isByRoute || isRefusedUntilThen)
         return call.retryAfterMs;
     const auto left = toMilliseconds(std::max(call.deadline - now, Duration::zero()));
     const auto longest = static_cast<std::uint32_t>(left * longestRetryAfterShare);
@@ -110,13 +114,44 @@
 {
     auto& router = *m_routers.at(call.request.service);
     const auto* view = router.findView(upstream);
-    const bool isKnown = view && (view->coldStartWait(now) > Duration::zero() || call.freeRefusals);
+    const bool isKnown = view && (view->pacingWait(now) > Duration::zero() || call.freeRefusals);
     if (!isKnown || !call.request.isByRoute)
         return false;
-    const auto end = now + router.expectedResponseTime(upstream, needsOf(call, now), now);
+    const auto needs = needsOf(call, now);
+    auto responseTime = router.expectedResponseTime(upstream, needs, now);
+    // Only the owner knows whether the call goes before those that wait for the server's limit.
+    if (!call.freeRefusals && view->coldStartWait(now) == Duration::zero())
+        responseTime = view->leastServerLimitWait(now) + view->roundTrip()
+            + router.expectedSlotTime(needs.callClass, needs.remainingTargetLatency);
     const auto target = call.request.callClass.targetLatency;
     const bool isTimely = call.request.isNested() || target == Duration::zero();
-    return end > (isTimely ? call.deadline : std::min(call.arrived + target, call.deadline));
+    return now + responseTime > (isTimely ? call.deadline : std::min(call.arrived + target, call.deadline));
+}
+
+void Ingress::finishPaced(CallId id, Call& call, const std::string& upstream, Instant now)
+{
+    const auto* view = m_routers.at(call.request.service)->findView(upstream);
+    if (view->serverLimitWait(now) > view->coldStartWait(now))
+        return finishLimited(id, call, *view, now);
+    finishCold(id, call, upstream, now);
+}
+
+void Ingress::finishLimited(CallId id, Call& call, const UpstreamView& view, Instant now)
+{
+    const auto& report = *view.report();
+    const auto wait = view.serverLimitWait(now);
+    const auto interval
+        = fromSeconds(1 / std::max(*report.load.serverLimit, 1 / toSeconds(longestLimitRetry)));
+    call.trail.setNotable();
+    call.trail.add({ RequestEvent::UpstreamLimited, now, view.name(), 0, Reason::ServerLimit,
+        { { "wait_ms", wait.count() / 1000 },
+            { "limit_per_min", static_cast<std::int64_t>(*report.load.serverLimit * secondsPerMinute) },
+            { "news_age_ms", (now - report.receivedAt).count() / 1000 } } });
+    // Spread, so that those who come back don't meet the same start together.
+    const auto retryAfter
+        = wait + fromSeconds(toSeconds(std::max(wait, interval)) * m_context->random.unit());
+    call.retryAfterMs = static_cast<std::uint32_t>(toMilliseconds(std::min(retryAfter, longestLimitRetry)));
+    finishNotRun(id, call, Reason::ServerLimit, now);
 }
 
 void Ingress::finishCold(CallId id, Call& call, const std::string& upstream, Instant now)
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -222,6 +222,8 @@
     /// \brief Takes the statement of a health answer that came over \a pool, unless another life gave it.
     void takeHealthStatement(const ProbeNews& news, const HttpPool* pool, Instant askedAt, Instant now);
     void logHeaderFaults(const BackendStatement& statement, std::string_view requestId);
+    /// \brief Tells ingresses of the changed limit, and refuses or starts the calls that wait accordingly.
+    void rateLimitChanged(std::optional<double> before, const StatementOrigin& origin, Instant now);
     void logRateLimit(std::optional<double> before, const StatementOrigin& origin) const;
     /// \brief The backend server states that it will stop.
     void serverLeaves(const StatementOrigin& origin);
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -79,6 +79,8 @@
 void Owner::refuse(const Refusal& refusal, Instant now)
 {
     auto& record = m_calls.at(refusal.id);
+    if (refusal.reason == Reason::ServerLimit)
+        m_context->metrics.count("robinrun_server_limited_calls_total{outcome=\"refused\"}");
     proto::Answer answer;
     answer.set_outcome(proto::NOT_RUN);
     answer.set_reason(static_cast<std::uint32_t>(refusal.reason));
@@ -157,6 +159,8 @@
     out.set_cold_ms(static_cast<std::uint32_t>(toMilliseconds(load.remainingWarmUp)));
     out.set_cold_per_s(load.warmUpCallsPerSecond);
     out.set_next_start_us(static_cast<std::uint32_t>(load.timeToNextStart.count()));
+    out.set_limited(load.serverLimit.has_value());
+    out.set_limit_per_s(load.serverLimit.value_or(0));
     const auto it = m_bySender.find({ senderLife, group });
     out.set_yours(it == m_bySender.end() ? 0 : it->second);
     out.set_error_permille(static_cast<std::uint32_t>(m_errors.value() * permille));
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -53,7 +53,7 @@
     const auto load = m_admission.load(now);
     if (asksHealth(load, now))
         return probe(now);
-    if (m_leaving.hasSign(LeavingSign::Operator))
+    if (m_leaving.hasSign(LeavingSign::Operator) || serverLimit())
         return; // nothing that a server might count as work
     const auto freeSlots = load.slotLimit > load.slotsInUse ? load.slotLimit - load.slotsInUse : 0;
     const bool isStarted = m_prober.tryProbe(*m_pool, freeSlots, load.waitingCalls, now,
@@ -76,6 +76,9 @@
         return false;
     if (m_admission.warmUp().isUncertain(now))
         return true;
+    // Health requests for other reasons would take the place of calls.
+    if (serverLimit())
+        return m_admission.rateLimit().needsHealthAnswer(now);
     const auto& experiments = m_context->settings.experiments;
     // Its answers would tell, but they are what is late.
     const bool isNewsOld = m_loadHeard && now - *m_loadHeard >= probeWhileOverdue;
@@ -135,8 +138,10 @@
         if (news.coldFor)
             answeredWarmUp(*news.coldFor, now, end);
     };
-    if (m_prober.probe(*m_pool, now, onAnswer))
-        m_context->metrics.count("robinrun_probes_total");
+    if (!m_prober.probe(*m_pool, now, onAnswer))
+        return;
+    m_admission.rateLimit().onHealthRequestSent(now);
+    m_context->metrics.count("robinrun_probes_total");
 }
 
 void Owner::setDown(bool isDown, Instant now)
--- a/src/Node/OwnerStatements.cpp
+++ b/src/Node/OwnerStatements.cpp
@@ -24,7 +24,15 @@
         return;
     const auto before = serverLimit();
     if (m_admission.rateLimit().onAnswer(origin.source, statement.rateLimit, origin.askedAt, now))
-        logRateLimit(before, origin);
+        rateLimitChanged(before, origin, now);
+}
+
+void Owner::rateLimitChanged(std::optional<double> before, const StatementOrigin& origin, Instant now)
+{
+    logRateLimit(before, origin);
+    tellLoad(now);
+    act(m_admission.refuseCallsMissingDeadline(now), now);
+    act(m_admission.startReadyCalls(now), now);
 }
 
 void Owner::takeHealthStatement(const ProbeNews& news, const HttpPool* pool, Instant askedAt, Instant now)
--- a/src/Node/RequestTrail.h
+++ b/src/Node/RequestTrail.h
@@ -36,13 +36,15 @@
     CancelTaken,
     RateRefused, ///< the group of its caller has made as many calls as it may
     UpstreamCold, ///< the best upstream is cold, and bears so few calls that the answer would be too late
+    UpstreamLimited, ///< the best upstream names a rate limit, under which the answer would be too late
 };
 
 template <> struct EnumNames<RequestEvent> {
-    static constexpr std::array<std::string_view, 18> names { "route-chosen", "upstream-chosen",
+    static constexpr std::array<std::string_view, 19> names { "route-chosen", "upstream-chosen",
         "owner-refused", "attempt-late", "attempt-slowed", "attempt-lost", "request-refused",
         "request-unknown", "request-answered", "caller-gone", "queued", "sent-to-backend", "backend-answered",
-        "backend-failed", "owner-gave-up", "cancel-taken", "rate-refused", "upstream-cold" };
+        "backend-failed", "owner-gave-up", "cancel-taken", "rate-refused", "upstream-cold",
+        "upstream-limited" };
 };
 
 /// \brief What a node decided about one request, kept until the request ends here.
--- a/src/Queueing/Admission.cpp
+++ b/src/Queueing/Admission.cpp
@@ -78,15 +78,34 @@
 Duration Admission::expectedWait(
     std::uint32_t group, std::uint32_t rank, std::uint32_t priority, Instant now) const
 {
-    if (slotsInUse() < limit() && m_queue.isEmpty())
-        return warmUpWait(Duration::zero(), now);
-    const double slotSecondsAhead = toSeconds(m_queue.slotTimeAhead(group, rank, priority));
+    const auto slotTimeAhead = m_queue.slotTimeAhead(group, rank, priority);
+    return std::max(waitWithoutServerLimit(slotTimeAhead, now), serverLimitWait(slotTimeAhead, now));
+}
+
+Duration Admission::waitWithoutServerLimit(Duration slotTimeAhead, Instant now) const
+{
+    const bool isSlotFree = slotsInUse() < limit() && m_queue.isEmpty();
+    return std::max(
+        isSlotFree ? Duration::zero() : slotWait(slotTimeAhead, now), warmUpWait(slotTimeAhead, now));
+}
+
+Duration Admission::serverLimitWait(Duration slotTimeAhead, Instant now) const
+{
+    return m_rateLimit.waitBehind(callsIn(slotTimeAhead), now);
+}
+
+double Admission::callsIn(Duration slotTime) const
+{
+    return toSeconds(slotTime) / std::max(toSeconds(m_slotTimeEstimate.mean()), toSeconds(Duration(1)));
+}
+
+Duration Admission::slotWait(Duration slotTimeAhead, Instant now) const
+{
     const double slots = limit();
     // With all slots in use, the next one becomes free after about mean slot time / number of slots.
     const double firstSlotWaitSeconds
         = slotsInUse() < limit() ? 0 : toSeconds(m_slotTimeEstimate.meanIncludingRunning(now)) / slots;
-    return std::max(fromSeconds(firstSlotWaitSeconds + slotSecondsAhead / slots),
-        warmUpWait(fromSeconds(slotSecondsAhead), now));
+    return fromSeconds(firstSlotWaitSeconds + toSeconds(slotTimeAhead) / slots);
 }
 
 Duration Admission::warmUpWait(Duration slotTimeAhead, Instant now) const
@@ -94,16 +113,15 @@
     if (!m_warmUp.isPaced(now))
         return Duration::zero();
     const auto firstStartWait = std::max(m_warmUp.nextStart(now) - now, Duration::zero());
-    const double callsAhead
-        = toSeconds(slotTimeAhead) / std::max(toSeconds(m_slotTimeEstimate.mean()), toSeconds(Duration(1)));
-    return std::min(
-        firstStartWait + fromSeconds(callsAhead / m_warmUp.callsPerSecond()), m_warmUp.remainingTime(now));
+    return std::min(firstStartWait + fromSeconds(callsIn(slotTimeAhead) / m_warmUp.callsPerSecond()),
+        m_warmUp.remainingTime(now));
 }
 
 std::optional<Instant> Admission::nextPacedStart(Instant now) const
 {
-    const bool isPaced = !m_queue.isEmpty() && slotsInUse() < limit() && m_warmUp.isPaced(now);
-    return isPaced ? std::optional(m_warmUp.nextStart(now)) : std::nullopt;
+    const bool isPaced = m_warmUp.isPaced(now) || m_rateLimit.isNamed();
+    const bool isDelayed = isPaced && !m_queue.isEmpty() && slotsInUse() < limit();
+    return isDelayed ? std::optional(nextStart(now)) : std::nullopt;
 }
 
 AdmissionResult Admission::startReadyCalls(Instant now)
@@ -122,13 +140,15 @@
     const QueuedCall call { offer.id, offer.group, offer.rank, offer.priority, now, offer.deadline, slotTime,
         offer.softDeadline };
     m_queue.chargeSlotTimeElsewhere(offer.group, offer.slotTimeElsewhere);
-    const auto wait = expectedWait(offer.group, offer.rank, offer.priority, now);
-    if (const auto reason = refusalReasonOnArrival(call, offer.callClass, wait, now);
+    const auto slotTimeAhead = m_queue.slotTimeAhead(offer.group, offer.rank, offer.priority);
+    const auto wait = waitWithoutServerLimit(slotTimeAhead, now);
+    const auto limitWait = serverLimitWait(slotTimeAhead, now);
+    if (const auto reason = refusalReasonOnArrival(call, offer.callClass, wait, limitWait, now);
         reason != Reason::None) {
         addRefusal(call, reason, out, now);
         return out;
     }
-    if (offer.parentUrgency && wait > Duration::zero())
+    if (offer.parentUrgency && std::max(wait, limitWait) > Duration::zero())
         m_nestedReservation.onNestedCallQueued(*offer.parentUrgency, now);
     m_waitingCalls.emplace(offer.id, WaitingCall { offer.group, offer.callClass, offer.urgency });
     const auto evicted = m_queue.push(call);
@@ -147,6 +167,16 @@
 }
 
 Reason Admission::refusalReasonOnArrival(
+    const QueuedCall& call, std::uint32_t callClass, Duration wait, Duration limitWait, Instant now) const
+{
+    const auto reason = refusalReasonForWait(call, callClass, wait, now);
+    if (reason != Reason::None || limitWait <= wait)
+        return reason;
+    const auto reasonWithLimit = refusalReasonForWait(call, callClass, limitWait, now);
+    return reasonWithLimit == Reason::None ? Reason::None : Reason::ServerLimit;
+}
+
+Reason Admission::refusalReasonForWait(
     const QueuedCall& call, std::uint32_t callClass, Duration wait, Instant now) const
 {
     if (m_isLeaving)
@@ -185,10 +215,17 @@
 AdmissionResult Admission::refuseCallsMissingDeadline(Instant now)
 {
     AdmissionResult out;
-    const auto missesDeadline
-        = [&](const QueuedCall& call) { return now + currentExpectedSlotTime(call) > call.deadline; };
+    std::unordered_map<std::uint32_t, double> keptCallsByGroup;
+    const auto missesDeadline = [&](const QueuedCall& call) {
+        auto& keptCalls = keptCallsByGroup[call.group];
+        const auto wait = m_rateLimit.waitBehind(keptCalls / m_queue.shareOfGroup(call.group), now);
+        const bool isMissed = now + wait + currentExpectedSlotTime(call) > call.deadline;
+        keptCalls += isMissed ? 0 : 1;
+        return isMissed;
+    };
     for (const auto& it : m_queue.removeIf(missesDeadline)) {
-        addRefusal(it, refusalReasonAtStart(it, now), out, now);
+        const bool isHopeless = now + currentExpectedSlotTime(it) > it.deadline;
+        addRefusal(it, isHopeless ? refusalReasonAtStart(it, now) : Reason::ServerLimit, out, now);
         m_waitingCalls.erase(it.id);
     }
     return out;
@@ -267,11 +304,14 @@
     LoadReport out { limit(), slotsInUse(), static_cast<std::uint32_t>(m_queue.size()),
         m_slotTimeEstimate.meanIncludingRunning(now), m_slotTimeEstimate.slowdown() };
     out.remainingWarmUp = m_warmUp.remainingTime(now);
+    out.serverLimit = m_rateLimit.requestsPerSecond();
+    out.timeToNextStart = m_rateLimit.waitBehind(out.waitingCalls, now);
     if (!m_warmUp.isPaced(now))
         return out;
     out.warmUpCallsPerSecond = m_warmUp.callsPerSecond();
     const auto queueDrainTime = fromSeconds(double(out.waitingCalls) / out.warmUpCallsPerSecond);
-    out.timeToNextStart = std::max(m_warmUp.nextStart(now) - now, Duration::zero()) + queueDrainTime;
+    const auto warmUpWait = std::max(m_warmUp.nextStart(now) - now, Duration::zero()) + queueDrainTime;
+    out.timeToNextStart = std::max(out.timeToNextStart, warmUpWait);
     return out;
 }
 
@@ -297,7 +337,7 @@
 
 void Admission::startWaitingCalls(AdmissionResult& out, Instant now)
 {
-    while (slotsInUse() < limit() && m_warmUp.nextStart(now) <= now && !isReservedForNestedCalls(now)) {
+    while (slotsInUse() < limit() && nextStart(now) <= now && !isReservedForNestedCalls(now)) {
         const auto call = m_queue.pop();
         if (!call)
             return;
@@ -331,7 +371,7 @@
 
 void Admission::addRefusal(const QueuedCall& call, Reason reason, AdmissionResult& out, Instant now) const
 {
-    const auto wait = expectedWait(call.group, call.rank, call.priority, now);
+    const auto wait = m_rateLimit.retryDelay(expectedWait(call.group, call.rank, call.priority, now));
     out.refusals.push_back({ call.id, reason, std::max(wait, minRetryAfter) });
 }
 
--- a/src/Queueing/Admission.h
+++ b/src/Queueing/Admission.h
@@ -10,6 +10,7 @@
 #include "Queueing/WarmUp.h"
 #include "Queueing/WorkClock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -57,6 +58,8 @@
     Duration remainingWarmUp {}; ///< time until the backend server is warm; zero if it is warm
     double warmUpCallsPerSecond = 0; ///< rate at which calls start during the warm-up; 0: not paced
     Duration timeToNextStart {}; ///< while calls are paced: time until a call that arrived now could start
+    std::optional<double> serverLimit {}; ///< requests per second that the backend server accepts, if it
+                                          ///< names a limit; calls are paced while it does
 };
 
 /// \brief Decides at the owner which calls run on the backend server, which wait and which are refused.
@@ -113,8 +116,8 @@
     ServerRateLimit& rateLimit() { return m_rateLimit; }
     const ServerRateLimit& rateLimit() const { return m_rateLimit; }
 
-    /// \returns when a waiting call may start that only the warm-up pacing delays; nothing if no call is
-    /// delayed by it.
+    /// \returns when a waiting call may start that only the pacing delays, because the server is cold or
+    /// names a limit; nothing if no call is delayed by it.
     std::optional<Instant> nextPacedStart(Instant now) const;
 
     /// \brief Starts the waiting calls that may start by \a now. The caller calls this at nextPacedStart().
@@ -141,7 +144,8 @@
     bool cancelWaiting(std::uint64_t id);
 
     /// \brief Refuses waiting calls that can no longer end before their deadlines, so that their callers can
-    /// try another upstream early. Called periodically. Cost: O(waiting calls).
+    /// try another upstream early. Called periodically, and when the server names a lower limit. Cost:
+    /// O(waiting calls).
     AdmissionResult refuseCallsMissingDeadline(Instant now);
 
     /// \brief Starts or ends leaving. While leaving, every new call is refused.
@@ -158,7 +162,7 @@
     /// \returns whether a call that arrived now would run at once.
     bool hasFreeSlot(Instant now) const
     {
-        return !m_isLeaving && slotsInUse() < limit() && m_queue.isEmpty() && m_warmUp.nextStart(now) <= now;
+        return !m_isLeaving && slotsInUse() < limit() && m_queue.isEmpty() && nextStart(now) <= now;
     }
 
     /// \returns whether some call has run well beyond the slot time expected at its start, which suggests
@@ -201,14 +205,27 @@
     /// \returns whether the next waiting call must leave the free slots to nested calls that are expected.
     bool isReservedForNestedCalls(Instant now) const;
     void startWaitingCalls(AdmissionResult& out, Instant now);
-    /// \returns how long the warm-up pacing delays a call behind \a slotTimeAhead of other calls.
+    /// \returns the time at which the pacing allows the next call to start; at most \a now if at once.
+    Instant nextStart(Instant now) const
+    {
+        return std::max(m_warmUp.nextStart(now), m_rateLimit.nextStart(now));
+    }
+    /// \returns how long a call behind \a slotTimeAhead of other calls waits for a slot.
+    Duration slotWait(Duration slotTimeAhead, Instant now) const;
     Duration warmUpWait(Duration slotTimeAhead, Instant now) const;
+    Duration serverLimitWait(Duration slotTimeAhead, Instant now) const;
+    Duration waitWithoutServerLimit(Duration slotTimeAhead, Instant now) const;
+    /// \returns the number of mean calls that take \a slotTime together.
+    double callsIn(Duration slotTime) const;
     void startCall(const QueuedCall& call, AdmissionResult& out, Instant now);
     /// \brief Passes a run that was answered or timed out to the concurrency limit as a sample.
     void addLimitSample(const RunningCall& call, RunOutcome outcome, Instant now);
     void addRefusal(const QueuedCall& call, Reason reason, AdmissionResult& out, Instant now) const;
     bool exceedsSojournTarget(const QueuedCall& call, Instant now);
-    Reason refusalReasonOnArrival(
+    /// \param wait for a slot and for a cold server. \param limitWait for the limit that the server names.
+    Reason refusalReasonOnArrival(const QueuedCall& call, std::uint32_t callClass, Duration wait,
+        Duration limitWait, Instant now) const;
+    Reason refusalReasonForWait(
         const QueuedCall& call, std::uint32_t callClass, Duration wait, Instant now) const;
     /// \returns whether a call of the class may take a free slot although it is expected to miss its
     /// deadline: true if no other call of the class runs. Without such a trial no sample would show that the
--- a/src/Queueing/FairQueue.h
+++ b/src/Queueing/FairQueue.h
@@ -83,8 +83,8 @@
     /// \brief Removes and returns all waiting calls without charging their groups.
     std::vector<QueuedCall> removeAll();
 
-    /// \brief Removes and returns the waiting calls for which \a shouldRemove is true. Cost: O(waiting
-    /// calls).
+    /// \brief Removes and returns the waiting calls for which \a shouldRemove is true. It is called for the
+    /// calls of each group in the order of service. Cost: O(waiting calls).
     std::vector<QueuedCall> removeIf(const std::function<bool(const QueuedCall&)>& shouldRemove);
 
     std::size_t size() const { return m_size; }
--- a/src/Queueing/Refusal.h
+++ b/src/Queueing/Refusal.h
@@ -43,16 +43,17 @@
     EntryWithheld, ///< the configuration entry of its route or group could not be read completely
     CredentialUnproven, ///< a newer configuration may judge the credential differently
     OverRate, ///< the group has reached its rate limit
+    ServerLimit, ///< the rate limit that the backend server names would start the call too late
 };
 
 template <> struct EnumNames<Reason> {
-    static constexpr std::array<std::string_view, 32> names { "none", "queue-full", "over-share",
+    static constexpr std::array<std::string_view, 33> names { "none", "queue-full", "over-share",
         "would-miss-deadline", "deadline-passed", "stood-too-long", "leaving", "cancelled", "wrong-owner",
         "wrong-incarnation", "duplicate", "backend-unreachable", "no-upstream", "attempts-spent",
         "claim-undecided", "key-too-old", "ticket-unknown", "ticket-mismatch", "owner-lost", "backend-failed",
         "damaged", "too-many-tickets", "would-be-late", "backend-refused", "not-ready", "busy",
         "given-up-meanwhile", "crashes-servers", "warming-up", "entry-withheld", "credential-unproven",
-        "over-rate" };
+        "over-rate", "server-limit" };
 };
 
 /// \brief A call that the owner refuses before it was sent to the backend server.
--- a/src/Queueing/ServerRateLimit.h
+++ b/src/Queueing/ServerRateLimit.h
@@ -65,6 +65,13 @@
     /// \returns how long a request waits if \a requestsAhead others start before it.
     Duration waitBehind(double requestsAhead, Instant now) const;
 
+    /// \returns when a caller that would wait for \a wait is to come back. A limit of zero tells no time, so
+    /// callers come back when the owner has asked the server again.
+    Duration retryDelay(Duration wait) const
+    {
+        return m_limit && *m_limit <= 0 ? std::min(wait, askInterval) : wait;
+    }
+
     /// \brief Records that a call was sent to the server.
     void onCallSent(Instant now);
 
--- a/src/Routing/ChoicePolicy.cpp
+++ b/src/Routing/ChoicePolicy.cpp
@@ -156,7 +156,8 @@
     const bool hasQueue = view.report() && view.report()->queuedCalls > view.slots() / 2;
     const double ownCalls = hasQueue ? view.inFlightOf(input.group) : view.inFlight();
     const double calls = view.inFlightOf(input.group) + otherCalls;
-    const double waitSeconds = slotSeconds * std::max(0.0, calls + 1 - usableSlots) / usableSlots;
+    const double slotWaitSeconds = slotSeconds * std::max(0.0, calls + 1 - usableSlots) / usableSlots;
+    const double waitSeconds = std::max(slotWaitSeconds, toSeconds(view.serverLimitWait(input.now)));
     const double utilization
         = options.loadPenaltySlope * (options.ownCallWeight * ownCalls + otherCalls) / usableSlots;
     const double loadPenalty = slotSeconds * utilization / (1 + utilization / options.maxLoadPenalty);
@@ -190,7 +191,7 @@
     const double waitSeconds = toSeconds(slotTime) * std::max(0.0, calls + 1 - slots) / slots;
     const double workSeconds
         = toSeconds(input.workEstimate.expectedSlotTime(1).value_or(Duration::zero())) * slowdown;
-    return view.roundTrip() + std::max(fromSeconds(waitSeconds), view.coldStartWait(input.now))
+    return view.roundTrip() + std::max(fromSeconds(waitSeconds), view.pacingWait(input.now))
         + fromSeconds(workSeconds);
 }
 
--- a/src/Routing/UpstreamView.cpp
+++ b/src/Routing/UpstreamView.cpp
@@ -9,6 +9,11 @@
     constexpr double errorSampleWeight = 0.1;
     constexpr Duration errorDecayTime = 3s;
     constexpr double minUsableSlotShare = 0.1;
+    /// An owner does not tell ingresses that have not called it lately that a limit was lifted. After this
+    /// time a call finds out.
+    constexpr Duration serverLimitMemory = 3s;
+    /// Lower limits cause a wait beyond all deadlines anyway.
+    constexpr double minServerLimit = 1 / toSeconds(ServerRateLimit::maxWait);
 
 } // namespace
 
@@ -97,12 +102,41 @@
     const auto coldLeft = m_report->load.remainingWarmUp - age;
     if (coldLeft <= Duration::zero())
         return Duration::zero();
-    const double callsSinceReport = std::max(double(m_inFlight) - m_report->callsOfThisIngress, 0.0);
     const auto wait = m_report->load.timeToNextStart - age
-        + fromSeconds(callsSinceReport / m_report->load.warmUpCallsPerSecond);
+        + fromSeconds(callsSinceReport() / m_report->load.warmUpCallsPerSecond);
     return std::clamp(wait, Duration::zero(), coldLeft);
 }
 
+double UpstreamView::callsSinceReport() const
+{
+    return std::max(double(m_inFlight) - m_report->callsOfThisIngress, 0.0);
+}
+
+bool UpstreamView::isServerLimited(Instant now) const
+{
+    return m_report && m_report->load.serverLimit && now - m_report->receivedAt < serverLimitMemory;
+}
+
+Duration UpstreamView::serverLimitWait(Instant now) const
+{
+    if (!isServerLimited(now))
+        return Duration::zero();
+    const double rate = std::max(*m_report->load.serverLimit, minServerLimit);
+    const auto age = now - m_report->receivedAt;
+    const auto wait = m_report->load.timeToNextStart - age + fromSeconds(callsSinceReport() / rate);
+    return std::clamp(wait, Duration::zero(), ServerRateLimit::maxWait);
+}
+
+Duration UpstreamView::leastServerLimitWait(Instant now) const
+{
+    if (!isServerLimited(now))
+        return Duration::zero();
+    const double rate = std::max(*m_report->load.serverLimit, minServerLimit);
+    const auto age = now - m_report->receivedAt;
+    const auto wait = m_report->load.timeToNextStart - age - fromSeconds(m_report->queuedCalls / rate);
+    return std::max(wait, Duration::zero());
+}
+
 double UpstreamView::usableSlotShare(Duration slowStartDuration, Instant now) const
 {
     if (!m_slowStartBegin || slowStartDuration <= Duration::zero())
--- a/src/Routing/UpstreamView.h
+++ b/src/Routing/UpstreamView.h
@@ -6,6 +6,7 @@
 #include "Queueing/Admission.h"
 #include "Queueing/WorkClock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -70,6 +71,17 @@
     /// isn't cold.
     Duration coldStartWait(Instant now) const;
 
+    /// \returns how long a call that is sent now waits because the backend server names a rate limit, behind
+    /// the calls that wait already or were sent since the last report; zero if it names none, or if the last
+    /// report is so old that the limit may have been lifted.
+    Duration serverLimitWait(Instant now) const;
+
+    /// \returns as serverLimitWait(), for a call that its owner starts before all that wait.
+    Duration leastServerLimitWait(Instant now) const;
+
+    /// \returns how long a call that is sent now waits because the owner paces calls, for either reason.
+    Duration pacingWait(Instant now) const { return std::max(coldStartWait(now), serverLimitWait(now)); }
+
     /// \returns the clock that measures the work done on a call at this upstream.
     const WorkClock& workClock() const { return m_workClock; }
 
@@ -132,6 +144,11 @@
     double usableSlotShare(Duration slowStartDuration, Instant now) const;
 
 private:
+    /// \returns the calls sent since the last report, which therefore does not count them.
+    double callsSinceReport() const;
+    /// \returns whether the last report says that the server names a limit, and is not too old.
+    bool isServerLimited(Instant now) const;
+
     struct GroupLoad {
         std::uint32_t inFlight = 0;
         std::uint32_t waiting = 0;
