An owner that has restarted hears of its server's limit from the ingresses

An owner that was killed knew nothing of the limit that its server had named. Until the first answer came it filled all slots, while calls from all other hosts still count against the limit.

Cause: what a server says of itself was kept by one process alone, the owner's.

Change: ingresses remember what the answers that they passed on have stated (BackendNotices), and tell it with each call, with its age; the owner believes it until its server has answered, and takes the burst to be used up. Each call that counts against the limit comes from a host that was told, so it brings the limit along. The health answer by which a node finds its server counts as well. Fields are added to Call; nodes of the former build pass over them.

Weighed: the node's record in the store or gossip (a write for each change, and limits may change each second), and a health request before the first call (health answers may not name it).

--- a/src/Mesh/BackendDiscovery.cpp
+++ b/src/Mesh/BackendDiscovery.cpp
@@ -58,7 +58,8 @@
     announcement.address = m_address;
     announcement.slots = answer.slots;
     announcement.remainingColdTime = answer.coldFor;
-    announcement.state = answer.isWell ? AnnouncedState::Ready : AnnouncedState::Draining;
+    announcement.rateLimit = answer.statement.rateLimit;
+    announcement.state = answer.isWell && !answer.statement.isLeaving ? AnnouncedState::Ready : AnnouncedState::Draining;
     m_onFound(announcement);
 }
 
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -127,6 +127,8 @@
                 upstreamChanged(now);
             if (found.remainingColdTime && found.life.key() == m_owner->upstream())
                 m_owner->answeredWarmUp(*found.remainingColdTime, now, now);
+            if (found.rateLimit && found.life.key() == m_owner->upstream())
+                m_owner->answeredRateLimit(*found.rateLimit, now);
         });
 }
 
--- a/src/Node/CallHeaders.h
+++ b/src/Node/CallHeaders.h
@@ -60,6 +60,14 @@
             || equalIgnoringCase(name, expectedUpstream);
     }
 
+    /// \returns whether a field of an answer states something about the backend server itself.
+    bool isStatement(std::string_view name) const
+    {
+        const auto isName = [&](const auto& it) { return equalIgnoringCase(name, it); };
+        return std::any_of(rateLimit.begin(), rateLimit.end(), isName)
+            || std::any_of(leaving.begin(), leaving.end(), isName);
+    }
+
 private:
     /// \returns whether a backend server may take \a name for \a field: many read '_' as '-'.
     static bool isSpelling(std::string_view name, std::string_view field)
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -3,6 +3,7 @@
 #include "Chart/Charts.h"
 #include "Control/Membership.h"
 #include "Http/HttpServer.h"
+#include "Node/BackendNotices.h"
 #include "Node/CallRequest.h"
 #include "Node/ClaimService.h"
 #include "Node/LastWords.h"
@@ -291,6 +292,8 @@
         const proto::Answer* answer = nullptr);
     void giveUpAttempts(Call& call, Instant now, bool isLost);
     void learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
+    /// \brief Takes what the backend server of \a attempt states about itself in an answer that is passed on.
+    void learnStatement(const Attempt& attempt, const proto::Answer& answer, Instant now);
     void learnClock(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
     const UpstreamInfo* upstreamOf(const std::string& service, const std::string& id) const;
 
@@ -313,6 +316,7 @@
     GroupRateLimiter* m_rates = nullptr;
     std::map<std::string, std::deque<CallId>> m_awaitingCredit; ///< by group
     LastWords m_lastWords;
+    BackendNotices m_notices;
     /// By upstream: to tell owners deadlines that a late delivery can't outlive.
     std::unordered_map<std::string, OwnerClock> m_ownerClocks;
 };
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -64,10 +64,24 @@
     m_ownerClocks.try_emplace(attempt.upstream, sample).first->second.addSample(sample);
 }
 
+void Ingress::learnStatement(const Attempt& attempt, const proto::Answer& answer, Instant now)
+{
+    if (answer.outcome() != proto::ANSWERED)
+        return;
+    HttpHeaders fields;
+    for (const auto& it : answer.headers()) {
+        if (m_context->headers.isStatement(it.name()))
+            fields.emplace_back(it.name(), it.value());
+    }
+    const auto statement = readStatement(fields, m_context->headers);
+    m_notices.add(BackendLife::fromKey(attempt.upstream), statement, now);
+}
+
 void Ingress::learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
 {
     auto& router = *m_routers.at(call.request.service);
     learnClock(call, attempt, answer, now);
+    learnStatement(attempt, answer, now);
     const auto& load = answer.load();
     const auto report = reportOf(load, now);
     const bool isFailure = answer.outcome() == proto::UNKNOWN
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -168,6 +168,7 @@
 void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
 {
     m_ingresses[sender.node] = { sender, now, call.group() };
+    takeReportedLimit(call, now);
     if (m_isEnding)
         sayLast(sender);
     const auto fault = faultOf(call, sender, now);
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -95,6 +95,8 @@
     void heardWarmUp(Duration left, Instant now);
     /// \brief As heardWarmUp(), from a health answer that was asked for at \a asked.
     void answeredWarmUp(Duration left, Instant asked, Instant now);
+    /// \brief The server's health answer, which found it, names a limit in requests per second.
+    void answeredRateLimit(double limit, Instant now);
     /// \brief The server may have turned cold unseen: it counts as cold until it says otherwise, and is
     /// asked.
     void doubtWarmth(Instant now);
@@ -221,6 +223,9 @@
     void takeStatement(const BackendStatement& statement, const StatementOrigin& origin, Instant now);
     /// \brief Takes the statement of a health answer that came over \a pool, unless another life gave it.
     void takeHealthStatement(const ProbeNews& news, const HttpPool* pool, Instant askedAt, Instant now);
+    /// \brief Takes the limit that the ingress of \a call heard from the backend server, possibly before this
+    /// incarnation of the owner began.
+    void takeReportedLimit(const proto::Call& call, Instant now);
     void logHeaderFaults(const BackendStatement& statement, std::string_view requestId);
     /// \brief Tells ingresses of the changed limit, and refuses or starts the calls that wait accordingly.
     void rateLimitChanged(std::optional<double> before, const StatementOrigin& origin, Instant now);
--- a/src/Node/OwnerStatements.cpp
+++ b/src/Node/OwnerStatements.cpp
@@ -43,6 +43,29 @@
         takeStatement(news.statement, { RateLimitSource::HealthAnswer, askedAt, "" }, now);
 }
 
+void Owner::answeredRateLimit(double limit, Instant now)
+{
+    BackendStatement statement;
+    statement.rateLimit = limit;
+    takeStatement(statement, { RateLimitSource::HealthAnswer, now, "" }, now);
+}
+
+void Owner::takeReportedLimit(const proto::Call& call, Instant now)
+{
+    if (!call.limit_age_ms() || !m_pool || !isMeantBy(call.upstream()))
+        return;
+    if (!(call.limit_per_s() >= 0)) { // also not a number
+        log(LogLevel::Warning, "foreign-entry",
+            { { "kind", "call" }, { "entry", call.upstream() },
+                { "fault", "limit_per_s: must not be negative" } });
+        return;
+    }
+    const auto heardAt = now - std::chrono::milliseconds(call.limit_age_ms() - 1);
+    const auto before = serverLimit();
+    if (m_admission.rateLimit().onReport(call.limit_per_s(), heardAt, now))
+        rateLimitChanged(before, { RateLimitSource::Ingress, heardAt, call.request_id() }, now);
+}
+
 void Owner::logHeaderFaults(const BackendStatement& statement, std::string_view requestId)
 {
     std::string text;
--- a/test/ServerLimitTest.cpp
+++ b/test/ServerLimitTest.cpp
@@ -49,6 +49,26 @@
             }));
         until([&] { return replies.size() == n; });
     }
+
+    /// \brief Leaves only server 1 in the shop, which names \a limit in its answers to calls alone, and lets
+    /// node 0 pass on such an answer.
+    void limitOnlyServer(const std::string& limit)
+    {
+        REQUIRE(announce(2, "draining", 1) == 200);
+        shop(1).limit = limit;
+        shop(1).healthSaysAll = false;
+        const auto ranBefore = shop(1).requests.size();
+        callOften(0, 3, 100ms);
+        REQUIRE(shop(1).requests.size() > ranBefore);
+    }
+
+    /// \brief Kills node \a i and starts it again.
+    void restart(std::size_t i)
+    {
+        places[i].node.reset();
+        startNode(i);
+        pass(1s);
+    }
 };
 
 } // namespace
@@ -66,3 +86,18 @@
     REQUIRE(f.shop(1).arrivals.size() <= allowedAt(limit));
     REQUIRE(f.shop(2).arrivals.size() <= allowedAt(limit));
 }
+
+// An owner that was killed forgot the limit: until the first answer it filled all slots of the server.
+TEST_CASE("An owner that has restarted keeps the limit that its server named before", "[server-limit]")
+{
+    LimitFixture f;
+    f.shop(1).slots = 20;
+    constexpr double limit = 1;
+    f.limitOnlyServer("1");
+    f.restart(1);
+    f.shop(1).holds = true;
+    f.shop(1).arrivals.clear();
+    f.callOften(0, 60, 5ms, "2500");
+    REQUIRE(f.shop(1).arrivals.size() >= 1);
+    REQUIRE(f.shop(1).arrivals.size() <= allowedAt(limit));
+}
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -48,11 +48,17 @@
     {
         const auto requestId = std::string(findHeader(request.headers, "X-Robinrun-Request-Id").value_or(""));
         HttpHeaders headers { { "X-Robinrun-Request-Id", requestId },
-            { "X-Robinrun-Server-Signature", "sig." + id }, { "X-Robinrun-Server-Load", "1,0,4,100" } };
+            { "X-Robinrun-Server-Signature", "sig." + id }, { "X-Robinrun-Server-Load", load(1) } };
         addStatements(headers);
         return { status, std::move(headers), "body of " + id };
     }
 
+    /// \returns the load that it tells while it runs \a running calls.
+    std::string load(int running) const
+    {
+        return std::to_string(running) + ",0," + std::to_string(slots) + ",100";
+    }
+
     /// \brief Adds what each answer of this server says of it.
     void addStatements(HttpHeaders& headers) const
     {
@@ -64,7 +70,7 @@
 
     HttpHeaders healthHeaders() const
     {
-        HttpHeaders out { { "X-Robinrun-Instance-Id", id }, { "X-Robinrun-Server-Load", "0,0,4,100" } };
+        HttpHeaders out { { "X-Robinrun-Instance-Id", id }, { "X-Robinrun-Server-Load", load(0) } };
         if (coldMs)
             out.emplace_back("X-Robinrun-Warmup-Ms", std::to_string(coldMs));
         if (healthSaysAll)
@@ -76,6 +82,7 @@
     std::string id;
     bool isWell = true;
     int coldMs = 0; ///< as its health answer says; a warm server says nothing
+    int slots = 4;
     std::optional<std::string> limit; ///< requests a second, as its answers name it
     bool saysLeaving = false; ///< in its answers
     bool healthSaysAll = true; ///< whether health answers name the limit and the leaving, too
@@ -317,8 +324,9 @@
         const auto& place = places[i];
         const auto id = upstream.empty() ? place.backend->id : upstream;
         const auto body = R"({"address":")" + place.backend->address + R"(","info":{"service":")"
-            + place.settings.service + R"(","version":"v1","zone":"z","slots":4},"status":{"state":")" + state
-            + R"(","seq":)" + std::to_string(sequence) + R"(,"warmup_left_ms":0}})";
+            + place.settings.service + R"(","version":"v1","zone":"z","slots":)"
+            + std::to_string(place.backend->slots) + R"(},"status":{"state":")" + state + R"(","seq":)"
+            + std::to_string(sequence) + R"(,"warmup_left_ms":0}})";
         return send(place.settings.listen.announcements, { "PUT", "/instances/" + id, {}, body }).status;
     }
 
