A backend server that says in its answers that it leaves gets no further calls

A server that had said so in its answers got calls until it ended or announced it.

Cause: the field was passed on like any other and read by nobody; what is known of leaving at an ingress ends after 5 s, or with any news of the owner.

Change: the owner takes the field as the server's own sign of leaving: what waits goes back as not run, what runs is awaited; the node's record carries it to all hosts, the store and the node's next incarnation, and late announcements don't undo it. Each ingress remembers the lives whose leaving it has passed on and leaves them out of all choices, second attempts and trials, whatever owners say or forget.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -95,6 +95,11 @@
     m_owner = std::make_unique<Owner>(m_context, m_started);
     m_owner->onLoadChanged(
         [this](const std::string& address, proto::LoadNews& news) { tellLoad(address, news); });
+    m_owner->onServerLeaving([this] {
+        // Announcements of this life that are still on their way don't undo it.
+        if (m_announced.markLeaving(BackendLife::fromKey(m_owner->upstream())))
+            upstreamChanged(monotonicNow());
+    });
     m_owner->onCrash([this](const proto::CrashReport& report) { tellCrash(report); });
     m_owner->onAcquittal([this](const proto::CrashAcquittal& acquittal) { tellAcquittal(acquittal); });
     const auto send = [this](const std::string& address, proto::PeerMessage& message, Instant now) {
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -253,8 +253,9 @@
 std::optional<std::string> Ingress::pickFor(
     Call& call, const std::vector<std::string>& connecting, Instant now)
 {
-    if (!call.awaitedLink.empty())
+    if (!call.awaitedLink.empty() && !hasLeft(call.awaitedLink))
         return call.awaitedLink;
+    call.awaitedLink.clear();
     auto& router = *m_routers.at(call.request.service);
     auto excluded = call.tried;
     excluded.insert(excluded.end(), connecting.begin(), connecting.end());
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -74,7 +74,8 @@
             fields.emplace_back(it.name(), it.value());
     }
     const auto statement = readStatement(fields, m_context->headers);
-    m_notices.add(BackendLife::fromKey(attempt.upstream), statement, now);
+    if (m_notices.add(BackendLife::fromKey(attempt.upstream), statement, now))
+        configure(now);
 }
 
 void Ingress::learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now)
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -60,6 +60,8 @@
     void onLastWord(SayLast say) { m_sayLast = std::move(say); }
     void onLoadChanged(TellLoad tell) { m_tellLoad = std::move(tell); }
 
+    /// \brief \a tell is called when the backend server says in an answer that it leaves.
+    void onServerLeaving(std::function<void()> tell) { m_tellServerLeaving = std::move(tell); }
     void onCrash(TellCrash tell) { m_tellCrash = std::move(tell); }
     void onAcquittal(TellAcquittal tell) { m_tellAcquittal = std::move(tell); }
 
@@ -231,7 +233,7 @@
     void rateLimitChanged(std::optional<double> before, const StatementOrigin& origin, Instant now);
     void logRateLimit(std::optional<double> before, const StatementOrigin& origin) const;
     /// \brief The backend server states that it will stop.
-    void serverLeaves(const StatementOrigin& origin);
+    void serverLeaves(const StatementOrigin& origin, Instant now);
     void setSlowdown(double slowdown, Instant now);
     void setDown(bool isDown, Instant now);
     /// \brief Logs that the server has turned cold or warm, tells ingresses and starts what may start.
@@ -276,6 +278,7 @@
     CrashDetector m_crashWatch;
     RecentSuccesses m_goodEnds;
     std::set<ContentId> m_loggedHolds;
+    std::function<void()> m_tellServerLeaving;
     TellCrash m_tellCrash;
     TellAcquittal m_tellAcquittal;
     Announce m_announce;
--- a/src/Node/OwnerStatements.cpp
+++ b/src/Node/OwnerStatements.cpp
@@ -19,7 +19,7 @@
 {
     logHeaderFaults(statement, origin.requestId);
     if (statement.isLeaving)
-        serverLeaves(origin);
+        serverLeaves(origin, now);
     if (!statement.isRateLimitReadable)
         return;
     const auto before = serverLimit();
@@ -89,12 +89,15 @@
             { "request", origin.requestId } });
 }
 
-void Owner::serverLeaves(const StatementOrigin& origin)
+void Owner::serverLeaves(const StatementOrigin& origin, Instant now)
 {
     if (std::exchange(m_isServerLeaving, true))
         return;
     log(LogLevel::Info, "server-leaving",
         { { "upstream", upstream() }, { "source", nameOf(origin.source) }, { "request", origin.requestId } });
+    setSign(LeavingSign::BackendServer, true, now);
+    if (m_tellServerLeaving)
+        m_tellServerLeaving();
 }
 
 } // namespace robinrun
