An owner learns only from replies of the present life of its server

Cause: owners took state, load and limit from any reply, before it was judged: a 421 of another server at a reused address, or the reply to a call that ran at a former address, changed what was believed of the own one.

Change: replies are judged first; only whole answers and refusals that came over the present life's connections teach anything but that something answers there.

--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -214,7 +214,8 @@
     /// \param record of the call that \a reply answers.
     proto::Answer answerOf(HttpReply& reply, const CallRecord& record, Instant now);
     static proto::Answer answerOf(HttpError error);
-    void learn(const HttpReply& reply, Instant now);
+    /// \brief Takes what a reply of the current life of the backend server says of the server.
+    void learn(const HttpReply& reply, const CallRecord& record, Instant now);
     /// \brief The answer to a request that carries a statement of the backend server.
     struct StatementOrigin {
         RateLimitSource source = RateLimitSource::CallAnswer;
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -21,12 +21,12 @@
 {
     proto::Answer answer;
     answer.set_offered(true);
-    learn(reply, now);
+    setDown(false, now);
     const auto verdict = judge(reply, m_context->headers);
-    const bool isOfThisLife = verdict == BackendVerdict::Answered || verdict == BackendVerdict::NotRun;
-    if (isOfThisLife && record.pool == m_pool.get())
-        takeStatement(readStatement(reply.headers, m_context->headers),
-            { RateLimitSource::CallAnswer, record.started, record.call.request_id() }, now);
+    const bool isOfServer = verdict == BackendVerdict::Answered || verdict == BackendVerdict::NotRun;
+    const bool isOfThisLife = isOfServer && record.pool == m_pool.get();
+    if (isOfThisLife)
+        learn(reply, record, now);
     if (verdict != BackendVerdict::Answered) {
         const bool isNotRun = verdict != BackendVerdict::Foreign;
         answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -272,15 +272,16 @@
     return out;
 }
 
-void Owner::learn(const HttpReply& reply, Instant now)
+void Owner::learn(const HttpReply& reply, const CallRecord& record, Instant now)
 {
-    setDown(false, now);
     if (const auto state = findHeader(reply.headers, headers::backendState))
         setSign(LeavingSign::BackendServer, *state == "draining", now);
     const auto text = findHeader(reply.headers, m_context->headers.load);
     const auto load = text ? parseLoad(*text) : std::nullopt;
     if (load)
         setSlowdown(load->slowdown, now);
+    takeStatement(readStatement(reply.headers, m_context->headers),
+        { RateLimitSource::CallAnswer, record.started, record.call.request_id() }, now);
 }
 
 void Owner::ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now)
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -356,3 +356,19 @@
     f.waitRunning(1);
     REQUIRE(f.answers.size() == 1);
 }
+
+// Replies of another server at a reused address changed what the owner believed of its own.
+TEST_CASE("An owner learns nothing from a reply that another server gave", "[node]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.waitRunning(1);
+    f.running[0]->reply({ 421,
+        { { "Backend-State", "draining" }, { "Backend-Load", "1,0,1,400" }, { "Backend-Rate-Limit", "1" } },
+        "" });
+    f.waitAnswers(1);
+    REQUIRE(f.answers[0].outcome() == proto::NOT_RUN);
+    REQUIRE(f.owner.lifeState() == LifeState::Active);
+    REQUIRE(f.answers[0].load().slowdown_permille() == 1000);
+    REQUIRE_FALSE(f.owner.serverLimit());
+}
