Soak and stand-ins play servers that name limits and leave by their answers

The ledger checks, for each life of a server: what nodes that had passed on the limit send there stays within the users' bound in any 4 s, with no excuse but a restart of the node; and nothing that is sent more than 2 s after a node has passed on the leaving arrives. The stand-in for a backend server of robinrun's own interface names limits, too.

Beside it: statements in answers cost a look-up that grows with nobody (the lives that left are kept by id), loads are told anew only where a limit changes by half, the time to come back that a server gives with a refusal of its own is passed on (the new case of OwnerTest failed before: 0 for 700 and 2,000 ms).

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -26,7 +26,6 @@
     /// Each link costs heartbeats; one that is needed again stands anew within a millisecond.
     constexpr Duration linkIdle = 5s;
     constexpr double neverConfirmed = -1; // in the metrics, for an age
-    constexpr double noServerLimit = -1; // in the metrics, for a rate
     constexpr std::size_t adminBody = 64U << 10U;
     constexpr std::size_t adminHeaders = 16U << 10U;
     constexpr Duration adminIdle = 60s;
@@ -272,7 +271,7 @@
         "robinrun_calls_waiting", [this] { return double(m_owner->load(monotonicNow()).waitingCalls); });
     metrics.gauge("robinrun_backend_slowdown", [this] { return m_owner->load(monotonicNow()).slowdown; });
     metrics.gauge("robinrun_server_limit_per_second",
-        [this] { return m_owner->serverLimit().value_or(noServerLimit); });
+        [this] { return m_owner->serverLimit().value_or(Owner::noServerLimit); });
     metrics.gauge("robinrun_backend_down", [this] { return m_owner->isBackendDown() ? 1.0 : 0.0; });
     metrics.gauge(
         "robinrun_backend_connections_total", [this] { return double(m_owner->connectionsOpened()); });
--- a/src/Node/BackendNotices.h
+++ b/src/Node/BackendNotices.h
@@ -5,9 +5,11 @@
 #include "Node/BackendReply.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace robinrun {
@@ -27,15 +29,18 @@
         Instant heardAt {};
     };
 
-    /// \brief Records the statement of \a life. \returns whether it is the first to say that the life leaves.
-    bool add(const BackendLife& life, const BackendStatement& statement, Instant now);
+    /// \brief Records the statement of the life \a upstream. \returns whether it is the first to say that the
+    /// life leaves.
+    /// \param upstream key of a life; see BackendLife::key().
+    bool add(const std::string& upstream, const BackendStatement& statement, Instant now);
 
-    /// \returns the limit that \a life, or a life of its id that may be the same, has named last; nothing if
-    /// it names none.
-    std::optional<RateLimit> rateLimitOf(const BackendLife& life) const;
+    /// \returns the limit that the life \a upstream, or a life of its id that may be the same, has named
+    /// last; nothing if it names none.
+    std::optional<RateLimit> rateLimitOf(const std::string& upstream) const;
 
-    /// \returns whether \a life, or a life of its id that may be the same, has said that it leaves.
-    bool isLeaving(const BackendLife& life) const;
+    /// \returns whether the life \a upstream, or a life of its id that may be the same, has said that it
+    /// leaves.
+    bool isLeaving(const std::string& upstream) const;
 
 private:
     struct NamedLimit {
@@ -43,8 +48,11 @@
         RateLimit limit;
     };
 
+    void setRateLimit(const BackendLife& life, const BackendStatement& statement, Instant now);
+
     std::map<std::string, NamedLimit> m_limits; ///< by id
-    std::deque<BackendLife> m_leaving; ///< in the order of the statements
+    std::map<std::string, std::set<std::uint64_t>> m_leaving; ///< start times of lives, by id
+    std::deque<BackendLife> m_leavingOrder; ///< of the statements
 };
 
 } // namespace robinrun
--- a/src/Node/BackendReply.cpp
+++ b/src/Node/BackendReply.cpp
@@ -14,12 +14,27 @@
     /// Beyond this a figure is taken for a mistake.
     constexpr double maxSlowdown = 100;
     constexpr Duration longestCold = 1h;
+    constexpr Duration longestRetryAfter = 1h;
 
     bool isDigit(char it)
     {
         return it >= '0' && it <= '9';
     }
 
+    /// \returns \a text as a decimal number without a sign, such as `10.8`; nothing if it isn't that.
+    std::optional<double> parseDecimal(std::string_view text)
+    {
+        // from_chars() also accepts a sign, "inf", "nan" and a point at either end.
+        if (text.empty() || !isDigit(text.front()) || !isDigit(text.back()))
+            return std::nullopt;
+        double out = 0;
+        const char* end = text.data() + text.size();
+        const auto [read, ec] = std::from_chars(text.data(), end, out, std::chars_format::fixed);
+        if (ec != std::errc() || read != end)
+            return std::nullopt;
+        return out;
+    }
+
     /// \brief The fields of an answer that have any of some names and can be read as a value of type T.
     template <class T> struct FieldValues {
         std::optional<T> value;
@@ -99,17 +114,16 @@
     return out;
 }
 
+std::optional<Duration> parseRetryAfter(std::string_view text)
+{
+    const auto seconds = parseDecimal(text);
+    const bool isInRange = seconds && *seconds <= toSeconds(longestRetryAfter);
+    return isInRange ? std::optional(fromSeconds(*seconds)) : std::nullopt;
+}
+
 std::optional<double> parseRateLimit(std::string_view text)
 {
-    // from_chars() also accepts a sign, "inf", "nan" and a point at either end.
-    if (text.empty() || !isDigit(text.front()) || !isDigit(text.back()))
-        return std::nullopt;
-    double out = 0;
-    const char* end = text.data() + text.size();
-    const auto [read, ec] = std::from_chars(text.data(), end, out, std::chars_format::fixed);
-    if (ec != std::errc() || read != end)
-        return std::nullopt;
-    return out;
+    return parseDecimal(text);
 }
 
 BackendStatement readStatement(const HttpHeaders& headers, const CallHeaders& names)
--- a/src/Node/BackendReply.h
+++ b/src/Node/BackendReply.h
@@ -58,6 +58,10 @@
 /// cannot be read, or that is given twice with different values, is listed in `faults`.
 BackendStatement readStatement(const HttpHeaders& headers, const CallHeaders& names);
 
+/// \brief Parses a `Retry-After` field in seconds, which may have a fraction. \returns nothing if it isn't
+/// that, or more than an hour. A date is not read.
+std::optional<Duration> parseRetryAfter(std::string_view text);
+
 /// \brief Parses a rate limit, a decimal number such as `10.8`. \returns nothing if it isn't that.
 std::optional<double> parseRateLimit(std::string_view text);
 
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -253,7 +253,7 @@
 std::optional<std::string> Ingress::pickFor(
     Call& call, const std::vector<std::string>& connecting, Instant now)
 {
-    if (!call.awaitedLink.empty() && !hasLeft(call.awaitedLink))
+    if (!call.awaitedLink.empty() && !m_notices.isLeaving(call.awaitedLink))
         return call.awaitedLink;
     call.awaitedLink.clear();
     auto& router = *m_routers.at(call.request.service);
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -165,8 +165,6 @@
     /// \returns those of them that don't leave, with what their router needs to know.
     std::vector<UpstreamConfig> targetsOf(
         const ServiceInfo& service, const std::vector<std::string>& hosts) const;
-    /// \returns whether \a upstream has said, in an answer that this ingress has passed on, that it leaves.
-    bool hasLeft(const std::string& upstream) const;
     ServiceRouter& routerFor(const ServiceInfo& service);
     /// \returns whether \a request, made for a call that runs here, is likely the last one which that needs.
     bool isLastNested(const CallRequest& request) const;
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -74,7 +74,7 @@
             fields.emplace_back(it.name(), it.value());
     }
     const auto statement = readStatement(fields, m_context->headers);
-    if (m_notices.add(BackendLife::fromKey(attempt.upstream), statement, now))
+    if (m_notices.add(attempt.upstream, statement, now))
         configure(now);
 }
 
--- a/src/Node/IngressCrashes.cpp
+++ b/src/Node/IngressCrashes.cpp
@@ -31,7 +31,8 @@
     const auto upstream = m_context->directory.trialUpstream(call.request.service, *call.content);
     const bool isTicketElsewhere = call.ticket && call.ticket->upstream != upstream;
     const bool wasTried = std::find(call.tried.begin(), call.tried.end(), upstream) != call.tried.end();
-    if (upstream.empty() || isTicketElsewhere || wasTried || !call.out.empty() || hasLeft(upstream))
+    if (upstream.empty() || isTicketElsewhere || wasTried || !call.out.empty()
+        || m_notices.isLeaving(upstream))
         return finishHeld(id, call, now);
     const auto result = sendTo(id, call, upstream, now);
     if (result == SendResult::Connecting)
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -21,7 +21,7 @@
     out.set_group(call.request.group);
     out.set_service(call.request.service);
     out.set_call_class(call.request.callClass.name);
-    if (const auto limit = m_notices.rateLimitOf(BackendLife::fromKey(upstream.id))) {
+    if (const auto limit = m_notices.rateLimitOf(upstream.id)) {
         out.set_limit_per_s(limit->requestsPerSecond);
         out.set_limit_age_ms(1 + static_cast<std::uint32_t>(toMilliseconds(now - limit->heardAt)));
     }
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -222,7 +222,7 @@
     auto& call = m_calls.at(id);
     const auto now = monotonicNow();
     const bool wasTried = std::find(call.tried.begin(), call.tried.end(), upstream) != call.tried.end();
-    if (call.out.size() == 1 && !wasTried && !hasLeft(upstream) && mayHedge(call, now)
+    if (call.out.size() == 1 && !wasTried && !m_notices.isLeaving(upstream) && mayHedge(call, now)
         && isWorthwhile(call, upstream, now))
         sendSecond(id, call, upstream, now);
 }
--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -53,7 +53,7 @@
     std::vector<UpstreamConfig> out;
     for (const auto i : subsetOf(service, hosts)) {
         const auto& config = service.upstreams[i].config;
-        if (config.leaving() || hasLeft(service.upstreams[i].id))
+        if (config.leaving() || m_notices.isLeaving(service.upstreams[i].id))
             continue;
         const bool isFar = config.data_hall() != settings.dataHall;
         const bool isInRegion = config.region() == settings.region;
@@ -63,11 +63,6 @@
     return out;
 }
 
-bool Ingress::hasLeft(const std::string& upstream) const
-{
-    return m_notices.isLeaving(BackendLife::fromKey(upstream));
-}
-
 ServiceRouter& Ingress::routerFor(const ServiceInfo& service)
 {
     auto& router = m_routers[service.id];
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -110,6 +110,8 @@
         "robinrun_slots_in_use", [this] { return double(m_owner->load(monotonicNow()).slotsInUse); });
     metrics.gauge(
         "robinrun_calls_waiting", [this] { return double(m_owner->load(monotonicNow()).waitingCalls); });
+    metrics.gauge("robinrun_server_limit_per_second",
+        [this] { return m_owner->serverLimit().value_or(Owner::noServerLimit); });
     metrics.gauge("robinrun_peer_links", [this] { return double(m_peers->links()); });
     metrics.gauge("robinrun_claim_appends_total", [this] { return double(m_claims->appends()); });
     const auto* kinds = proto::PeerMessage::descriptor()->FindOneofByName("body");
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -122,6 +122,8 @@
     /// \returns how many calls its backend server has made so far for the running call of \a requestId.
     std::uint32_t nestedCalls(const std::string& requestId) const;
     LifeState lifeState() const { return m_leaving.state(); }
+    /// In logs and metrics: the backend server names no limit.
+    static constexpr double noServerLimit = -1;
     /// \returns the requests per second that the backend server accepts; nothing if it names no limit.
     std::optional<double> serverLimit() const { return m_admission.rateLimit().requestsPerSecond(); }
     LoadReport load(Instant now) const { return m_admission.load(now); }
@@ -290,6 +292,7 @@
     bool m_isDown = false;
     unsigned m_unreached = 0; ///< connections in a row that could not be made
     double m_toldSlowdown = 1;
+    std::optional<double> m_toldServerLimit;
     bool m_isServerLeaving = false; ///< the current life has said so in an answer
     std::string m_loggedHeaderFaults; ///< fields and values of the last answer that had any
     std::uint32_t m_loggedLimit = 0;
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -31,6 +31,9 @@
         const bool isNotRun = verdict != BackendVerdict::Foreign;
         answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
         answer.set_reason(static_cast<std::uint32_t>(isNotRun ? Reason::BackendRefused : Reason::Damaged));
+        const auto retryAfter = findHeader(reply.headers, "Retry-After");
+        if (const auto delay = retryAfter && isOfThisLife ? parseRetryAfter(*retryAfter) : std::nullopt)
+            answer.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(*delay)));
         return answer;
     }
     answer.set_outcome(proto::ANSWERED);
--- a/src/Node/OwnerStatements.cpp
+++ b/src/Node/OwnerStatements.cpp
@@ -10,9 +10,18 @@
 namespace robinrun {
 namespace {
 
-    constexpr double noLimit = -1; // in the log
     constexpr std::size_t loggedBytes = 64;
 
+    /// Ingresses are told of a limit that has changed by this factor. Smaller changes come with each answer.
+    constexpr double tellFactor = 1.5;
+
+    bool isToldAgain(std::optional<double> told, std::optional<double> present)
+    {
+        if (!told || !present)
+            return told != present;
+        return *present > *told * tellFactor || *present * tellFactor < *told;
+    }
+
 } // namespace
 
 void Owner::takeStatement(const BackendStatement& statement, const StatementOrigin& origin, Instant now)
@@ -30,7 +39,10 @@
 void Owner::rateLimitChanged(std::optional<double> before, const StatementOrigin& origin, Instant now)
 {
     logRateLimit(before, origin);
-    tellLoad(now);
+    if (isToldAgain(m_toldServerLimit, serverLimit())) {
+        m_toldServerLimit = serverLimit();
+        tellLoad(now);
+    }
     act(m_admission.refuseCallsMissingDeadline(now), now);
     act(m_admission.startReadyCalls(now), now);
 }
@@ -84,8 +96,8 @@
 void Owner::logRateLimit(std::optional<double> before, const StatementOrigin& origin) const
 {
     log(LogLevel::Info, serverLimit() ? "server-limit-named" : "server-limit-lifted",
-        { { "upstream", upstream() }, { "limit_per_s", serverLimit().value_or(noLimit) },
-            { "before", before.value_or(noLimit) }, { "source", nameOf(origin.source) },
+        { { "upstream", upstream() }, { "limit_per_s", serverLimit().value_or(noServerLimit) },
+            { "before", before.value_or(noServerLimit) }, { "source", nameOf(origin.source) },
             { "request", origin.requestId } });
 }
 
--- a/test/BackendNoticesTest.cpp
+++ b/test/BackendNoticesTest.cpp
@@ -28,7 +28,7 @@
 TEST_CASE("The last limit of a life is remembered until an answer names none", "[server-limit]")
 {
     BackendNotices notices;
-    const BackendLife life("i-1", 7);
+    const std::string life = "i-1#7";
     notices.add(life, naming(5), now);
     notices.add(life, naming(6), now + 1s);
     REQUIRE(notices.rateLimitOf(life)->requestsPerSecond == 6);
@@ -45,19 +45,19 @@
     "[server-limit]")
 {
     BackendNotices notices;
-    notices.add(BackendLife("i-1", 7), naming(5), now);
-    notices.add(BackendLife("i-1", 7), leaving(), now);
-    REQUIRE_FALSE(notices.rateLimitOf(BackendLife("i-1", 8)));
-    REQUIRE_FALSE(notices.isLeaving(BackendLife("i-1", 8)));
-    REQUIRE_FALSE(notices.isLeaving(BackendLife("i-2", 7)));
-    REQUIRE(notices.isLeaving(BackendLife("i-1", 7)));
-    REQUIRE(notices.isLeaving(BackendLife("i-1")));
+    notices.add("i-1#7", naming(5), now);
+    notices.add("i-1#7", leaving(), now);
+    REQUIRE_FALSE(notices.rateLimitOf("i-1#8"));
+    REQUIRE_FALSE(notices.isLeaving("i-1#8"));
+    REQUIRE_FALSE(notices.isLeaving("i-2#7"));
+    REQUIRE(notices.isLeaving("i-1#7"));
+    REQUIRE(notices.isLeaving("i-1"));
 }
 
 TEST_CASE("A life that has said that it leaves never comes back, whatever it says later", "[server-limit]")
 {
     BackendNotices notices;
-    const BackendLife life("i-1");
+    const std::string life = "i-1";
     REQUIRE(notices.add(life, leaving(), now));
     REQUIRE_FALSE(notices.add(life, leaving(), now));
     REQUIRE_FALSE(notices.add(life, {}, now + 1h));
@@ -69,13 +69,13 @@
     BackendNotices notices;
     constexpr auto n = BackendNotices::maxEntries + 10;
     for (std::size_t i = 0; i < n; ++i) {
-        const BackendLife life("i-" + std::to_string(i));
+        const auto life = "i-" + std::to_string(i);
         notices.add(life, naming(5), now + i * 1ms);
         notices.add(life, leaving(), now + i * 1ms);
         notices.add(life, naming(5), now + i * 1ms);
     }
-    REQUIRE_FALSE(notices.rateLimitOf(BackendLife("i-0")));
-    REQUIRE_FALSE(notices.isLeaving(BackendLife("i-0")));
-    REQUIRE(notices.rateLimitOf(BackendLife("i-" + std::to_string(n - 1))));
-    REQUIRE(notices.isLeaving(BackendLife("i-" + std::to_string(n - 1))));
+    REQUIRE_FALSE(notices.rateLimitOf("i-0"));
+    REQUIRE_FALSE(notices.isLeaving("i-0"));
+    REQUIRE(notices.rateLimitOf("i-" + std::to_string(n - 1)));
+    REQUIRE(notices.isLeaving("i-" + std::to_string(n - 1)));
 }
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -372,3 +372,17 @@
     REQUIRE(f.answers[0].load().slowdown_permille() == 1000);
     REQUIRE_FALSE(f.owner.serverLimit());
 }
+
+// The time after which a server that refuses a call wants it again was dropped.
+TEST_CASE("The time to come back that a server gives with a refusal is passed on", "[node]")
+{
+    OwnerFixture f;
+    const auto [text, ms] = GENERATE(std::pair { "0.7", 700U }, std::pair { "2", 2000U },
+        std::pair { "soon", 0U }, std::pair { "-1", 0U }, std::pair { "1e9", 0U });
+    f.take(f.call(1));
+    f.waitRunning(1);
+    f.running[0]->reply({ 503, { { "Backend-Not-Run", "full" }, { "Retry-After", text } }, "" });
+    f.waitAnswers(1);
+    REQUIRE(f.reason(0) == Reason::BackendRefused);
+    REQUIRE(f.answers[0].retry_after_ms() == ms);
+}
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -26,6 +26,10 @@
     constexpr double shareOfCopies = 0.3; ///< of what the operator and the store do
     constexpr double shareOfReturns = 0.3;
     constexpr double shareOfEmptied = 0.4; ///< of the words on halls; the others take one back
+    constexpr double shareOfLeaving = 0.25; ///< of the statements of backend servers
+    constexpr std::string_view limits[] = { "", "0", "0.5", "2", "8" }; ///< requests a second; "": none
+    constexpr Duration shortestGapOfStatements = 500ms;
+    constexpr Duration longestGapOfStatements = 3s;
     constexpr int freezes = 3; ///< of one series
     /// Entries that no server or node of this site writes.
     constexpr std::string_view foreignEntries[] = {
@@ -42,6 +46,7 @@
     , m_forgets(seed)
     , m_beside(seed)
     , m_operator(seed)
+    , m_statements(seed)
     , m_started(monotonicNow())
 {
 }
@@ -54,6 +59,25 @@
     m_site->store().era = 1;
     m_site->copyStore();
     nextOfOperator();
+    nextStatement();
+}
+
+void FaultPlan::nextStatement()
+{
+    if (monotonicNow() >= m_end)
+        return;
+    auto& host = *m_site->hosts()[m_statements.below(m_site->hosts().size())];
+    if (m_statements.chance(shareOfLeaving)) {
+        note(host.name + "'s server leaves by its answers");
+        host.backend->replaceByAnswers();
+    } else {
+        const std::string limit(limits[m_statements.below(std::size(limits))]);
+        note(host.name + "'s server names the limit '" + limit + "'");
+        host.backend->setLimit(limit);
+    }
+    const auto gap = shortestGapOfStatements
+        + fromSeconds(toSeconds(longestGapOfStatements - shortestGapOfStatements) * m_statements.unit());
+    m_nextStatement = Timer::once(m_site->base(), gap, [this] { nextStatement(); });
 }
 
 void FaultPlan::nextOfOperator()
@@ -225,6 +249,7 @@
         it->node.signal(SIGCONT);
         it->backend->setSlowdown(1);
         it->backend->setFull(false);
+        it->backend->setLimit("");
         if (!it->backend->isRunning())
             it->backend->start();
     }
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -61,6 +61,8 @@
     void nextBeside();
     void writeForeign(SoakSite::Host& host);
     void freezeInSeries(SoakSite::Host& host);
+    /// \brief Backend servers that name limits or leave by their answers, drawn apart from the other faults.
+    void nextStatement();
     /// \brief What the operator and the store do, drawn apart from the other faults.
     void nextOfOperator();
     void undoAll();
@@ -77,8 +79,10 @@
     Instant m_end {};
     Timer m_next;
     Random m_operator;
+    Random m_statements; ///< of backend servers
     Timer m_nextBeside;
     Timer m_nextOfOperator;
+    Timer m_nextStatement;
     std::vector<Timer> m_later;
     std::vector<std::string> m_story;
 };
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -16,6 +16,15 @@
 
     constexpr std::string_view boundedGroup = "b";
 
+    /// The users' bound for requests at a server that names a limit, from nodes that had passed on such an
+    /// answer so long before.
+    constexpr Duration limitWindow = 4s;
+    constexpr double limitFactor = 1.5;
+    constexpr double limitExtra = 5;
+    constexpr Duration limitKnownAfter = 500ms;
+    /// The users let a request that was sent so long after word of leaving arrive at a server.
+    constexpr Duration drainBound = 2s;
+
     bool mayRepeat(const HttpRequest& request)
     {
         return request.method == "GET";
@@ -23,10 +32,53 @@
 
 } // namespace
 
-void Ledger::sent(
-    const std::string& id, const HttpRequest& request, std::size_t node, std::set<std::string> groups)
+void Ledger::sent(const std::string& id, const HttpRequest& request, std::size_t node,
+    const std::string& nodeLife, std::set<std::string> groups)
+{
+    m_requests[id] = { request, node, nodeLife, monotonicNow(), std::move(groups), {}, false };
+}
+
+void Ledger::limitChanged(const std::string& life, std::optional<double> limit)
 {
-    m_requests[id] = { request, node, std::move(groups), {}, false };
+    auto& it = m_statements[life];
+    it = { limit, {}, std::move(it.leavingTold), {} };
+}
+
+void Ledger::passedOn(const std::string& nodeLife, const HttpReply& reply)
+{
+    const auto signature = headerOf(reply.headers, "X-Robinrun-Server-Signature");
+    if (signature.empty())
+        return;
+    auto& it = m_statements[signature.substr(std::string_view("s.").size())];
+    const auto now = monotonicNow();
+    if (!headerOf(reply.headers, "Server-Limit").empty())
+        it.limitTold.try_emplace(nodeLife, now);
+    if (!headerOf(reply.headers, "Server-Leaving").empty())
+        it.leavingTold.try_emplace(nodeLife, now);
+}
+
+void Ledger::arrived(const std::string& id, const std::string& life)
+{
+    const auto request = m_requests.find(id);
+    const auto said = m_statements.find(life);
+    if (request == m_requests.end() || said == m_statements.end())
+        return;
+    const auto& entry = request->second;
+    const auto now = monotonicNow();
+    auto& it = said->second;
+    const auto leaving = it.leavingTold.find(entry.nodeLife);
+    if (leaving != it.leavingTold.end() && entry.sentAt > leaving->second + drainBound)
+        broken("reached a server whose leaving its node had passed on: " + id + " at " + life);
+    const auto limit = it.limitTold.find(entry.nodeLife);
+    if (!it.limit || limit == it.limitTold.end() || now < limit->second + limitKnownAfter)
+        return;
+    it.limitedArrivals.push_back(now);
+    while (now - it.limitedArrivals.front() >= limitWindow)
+        it.limitedArrivals.pop_front();
+    const auto n = it.limitedArrivals.size();
+    if (double(n) > limitFactor * *it.limit * toSeconds(limitWindow) + limitExtra)
+        broken("a server that names a limit of " + std::to_string(*it.limit) + " got " + std::to_string(n)
+            + " requests in 4 s from nodes that it had told: " + id + " at " + life);
 }
 
 void Ledger::noteGroup(const std::string& id, const std::string& group, const std::set<std::string>& allowed)
@@ -90,6 +142,7 @@
         if (headerOf(reply.headers, "Retry-After").empty())
             broken("refused without a time to come back: " + id);
     }
+    passedOn(entry.nodeLife, reply);
     if (reply.status >= firstError)
         return;
     ++m_served;
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -30,8 +31,9 @@
 
     /// \brief A caller is about to send \a request to node \a node. \param groups that its key has belonged
     /// to in any configuration.
-    void sent(
-        const std::string& id, const HttpRequest& request, std::size_t node, std::set<std::string> groups);
+    /// \param nodeLife names this start of the node.
+    void sent(const std::string& id, const HttpRequest& request, std::size_t node,
+        const std::string& nodeLife, std::set<std::string> groups);
 
     /// \brief The backend server \a upstream of \a service starts to run what came as \a request.
     void ran(const HttpRequest& request, const std::string& upstream, const std::string& service);
@@ -44,6 +46,13 @@
     /// \brief A request came to \a upstream so long after its node had acknowledged that it leaves.
     void ranAfterLeave(const std::string& id, const std::string& upstream, Duration after);
 
+    /// \brief The backend server \a life names \a limit, in requests a second, in its answers from now on.
+    void limitChanged(const std::string& life, std::optional<double> limit);
+
+    /// \brief The request \a id has come to the backend server \a life, which may still refuse it. It keeps
+    /// what it has said in answers to callers of the node where the request began.
+    void arrived(const std::string& id, const std::string& life);
+
     /// \brief A request with \a target has crashed the server that ran it. Under three such, few more may
     /// reach servers while nothing is wrong (\a isCalm).
     void crashed(const std::string& target, bool isCalm);
@@ -81,12 +90,24 @@
     struct Entry {
         HttpRequest request;
         std::size_t node = 0;
+        std::string nodeLife;
+        Instant sentAt {};
         std::set<std::string> groups;
         std::vector<std::string> ranAt;
         bool saidNotRun = false;
     };
 
+    /// What a backend server has said in answers, by the lives of the nodes that passed them on.
+    struct Statements {
+        std::optional<double> limit;
+        std::map<std::string, Instant> limitTold;
+        std::map<std::string, Instant> leavingTold;
+        std::deque<Instant> limitedArrivals; ///< of the last window, from nodes that were told
+    };
+    void passedOn(const std::string& nodeLife, const HttpReply& reply);
+
     std::unordered_map<std::string, Entry> m_requests;
+    std::map<std::string, Statements> m_statements; ///< by life of the backend server
     std::set<std::string> m_allowed;
     std::map<std::string, std::uint64_t> m_versions;
     std::vector<std::string> m_broken;
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -15,6 +15,7 @@
     /// The users let a request arrive this long after its leave was acknowledged.
     constexpr Duration drainBound = 2s;
     constexpr Duration servesOn = 3s;
+    constexpr Duration saysLeavingFor = 5s; ///< beyond the time in which calls may still arrive
     constexpr Duration untilNextStart = 200ms;
     constexpr Duration downAfterCrash = 600ms;
 
@@ -46,6 +47,8 @@
     m_sequence = 0;
     m_running = 0;
     m_isLeaving = false;
+    m_saysLeaving = false;
+    m_limit.clear();
     m_leaveAcknowledged.reset();
     m_work.clear();
     HttpServer::Options options;
@@ -84,13 +87,30 @@
     if (std::exchange(m_isLeaving, true) || !m_server)
         return;
     announce();
-    // Without an acknowledgement it ends all the same.
-    m_end = Timer::once(m_base, servesOn + acknowledgedWithin, [this] {
+    endAfter(servesOn + acknowledgedWithin); // also without an acknowledgement
+}
+
+void SoakBackend::replaceByAnswers()
+{
+    if (std::exchange(m_saysLeaving, true) || !m_server)
+        return;
+    endAfter(saysLeavingFor);
+}
+
+void SoakBackend::endAfter(Duration delay)
+{
+    m_end = Timer::once(m_base, delay, [this] {
         crash();
         m_end = Timer::once(m_base, untilNextStart, [this] { start(); });
     });
 }
 
+void SoakBackend::setLimit(std::string limit)
+{
+    m_limit = std::move(limit);
+    m_ledger->limitChanged(life(), m_limit.empty() ? std::nullopt : std::optional(std::stod(m_limit)));
+}
+
 void SoakBackend::announce()
 {
     const std::string state = m_isLeaving ? "draining" : "ready";
@@ -120,8 +140,13 @@
 {
     const auto load = std::to_string(m_running) + ",0," + std::to_string(m_options.slots) + ","
         + std::to_string(static_cast<int>(m_slowdown * 100));
-    return { { "X-Robinrun-Request-Id", requestId }, { "X-Robinrun-Instance-Id", m_upstream },
+    HttpHeaders out { { "X-Robinrun-Request-Id", requestId }, { "X-Robinrun-Instance-Id", m_upstream },
         { "X-Robinrun-Server-Load", load } };
+    if (!m_limit.empty())
+        out.emplace_back("Server-Limit", m_limit);
+    if (m_saysLeaving)
+        out.emplace_back("Server-Leaving", "1");
+    return out;
 }
 
 void SoakBackend::take(std::unique_ptr<HttpExchange> exchange)
@@ -132,6 +157,7 @@
         return exchange->reply({ m_isLeaving ? unavailable : ok, loadHeaders(id), "" });
     if (headerOf(request.headers, "X-Robinrun-Target-Instance") != m_upstream)
         return exchange->reply({ misdirected, loadHeaders(id), "" });
+    m_ledger->arrived(id, life());
     if (m_isFull || m_running >= m_options.slots) {
         auto headers = loadHeaders(id);
         headers.emplace_back("X-Robinrun-Not-Executed", "full");
@@ -158,7 +184,7 @@
                 return crashUnder();
             const auto id = headerOf(held->request().headers, "X-Robinrun-Request-Id");
             auto headers = loadHeaders(id);
-            headers.emplace_back("X-Robinrun-Server-Signature", "s." + m_upstream);
+            headers.emplace_back("X-Robinrun-Server-Signature", "s." + life());
             held->reply({ ok, headers, Ledger::bodyFor(id, m_upstream) });
             std::erase_if(m_work, [&](const auto& it) { return it.first == number; });
         }));
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -38,6 +38,13 @@
     /// start takes the address.
     void replace();
 
+    /// \brief As replace(), but says only in its answers that it leaves; announcements still say that it is
+    /// ready.
+    void replaceByAnswers();
+
+    /// \brief Names \a limit in its answers from now on: requests a second, as text; none if empty.
+    void setLimit(std::string limit);
+
     /// \brief Runs \a f each time that a call comes.
     void onRun(std::function<void()> f) { m_onRun = std::move(f); }
 
@@ -64,7 +71,10 @@
     /// \brief A request has crashed this server; the next start comes after a while.
     void crashUnder();
     void announce();
+    void endAfter(Duration delay);
     HttpHeaders loadHeaders(const std::string& requestId) const;
+    /// \returns a text that names this start also where all starts have the same id.
+    std::string life() const { return m_upstream + "/" + std::to_string(m_starts); }
 
     event_base* m_base;
     Options m_options;
@@ -80,6 +90,8 @@
     double m_slowdown = 1;
     bool m_isFull = false;
     bool m_isLeaving = false;
+    bool m_saysLeaving = false; ///< in its answers
+    std::string m_limit; ///< as its answers name it; "": none
     std::optional<Instant> m_leaveAcknowledged;
     std::function<void()> m_onRun;
     Timer m_heartbeat;
--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -293,8 +293,8 @@
         }
     }
     request.headers.emplace_back("Authorization", "Bearer " + key);
-    m_ledger.sent(id, request, i, groups);
     const auto life = lifeOf(host);
+    m_ledger.sent(id, request, i, life, groups);
     const auto seen = m_ledger.seenVersion(life);
     const auto version = isProbe ? std::stoull(request.target.substr(2)) : 0;
     const bool wasReady = host.isReady;
--- a/test/standin/standin-backend.cpp
+++ b/test/standin/standin-backend.cpp
@@ -71,6 +71,7 @@
         m_isDraining = number(exchange, "drain", m_isDraining) != 0;
         m_failsFast = number(exchange, "fail", m_failsFast) != 0;
         m_lies = number(exchange, "lie", m_lies) != 0;
+        m_limit = number(exchange, "limit", m_limit);
         exchange.reply({ ok, {}, "set\n" });
     }
 
@@ -87,7 +88,9 @@
     {
         ++m_probes;
         const auto shown = m_lies ? 0 : m_inUse;
-        exchange.reply({ ok, { { "Backend-State", m_isDraining ? "draining" : "up" } },
+        HttpHeaders headers;
+        addStatements(headers);
+        exchange.reply({ ok, std::move(headers),
             path == "/load" ? "{\"in_use\":" + std::to_string(shown) + "}\n" : "ok\n" });
     }
 
@@ -134,7 +137,15 @@
         m_jobs.erase(id);
     }
 
-    static void answer(HttpExchange& exchange, Duration held)
+    /// \brief Adds what each answer states about this server.
+    void addStatements(HttpHeaders& headers) const
+    {
+        headers.emplace_back("Backend-State", m_isDraining ? "draining" : "up");
+        if (m_limit >= 0)
+            headers.emplace_back("Backend-Rate-Limit", std::to_string(m_limit));
+    }
+
+    void answer(HttpExchange& exchange, Duration held) const
     {
         const auto nonce = findHeader(exchange.request().headers, "Nonce").value_or("none");
         const auto length = findHeader(exchange.request().headers, "Answer-Bytes");
@@ -142,9 +153,10 @@
         const auto n = length ? static_cast<std::size_t>(std::atoi(std::string(*length).c_str())) : 0;
         if (body.size() < n)
             body.append(n - body.size(), 'x');
-        exchange.reply(
-            { ok, { { "Nonce", std::string(nonce) }, { "Backend-Held-Us", std::to_string(held.count()) } },
-                std::move(body) });
+        HttpHeaders headers { { "Nonce", std::string(nonce) },
+            { "Backend-Held-Us", std::to_string(held.count()) } };
+        addStatements(headers);
+        exchange.reply({ ok, std::move(headers), std::move(body) });
     }
 
     struct Job {
@@ -158,6 +170,7 @@
     Random m_random;
     Instant m_started;
     double m_slowFactor = 1;
+    double m_limit = -1; ///< requests a second, as its answers name it; below 0: none
     bool m_isDraining = false;
     bool m_failsFast = false;
     bool m_lies = false;
