A leaving that a health answer tells holds for that life, too

Cause: the health answer by which a restarted node finds its server counts as provisional, so an announcement that still says ready undid a leaving told in it.

Change: the field marks the life as leaving, as in any other answer. Beside it: calls that waited under a limit are counted; another life of the server begins with nothing told of limits.

--- a/src/Mesh/Announcement.h
+++ b/src/Mesh/Announcement.h
@@ -30,6 +30,7 @@
     std::uint32_t slots = 0; ///< number of calls that the server processes concurrently
     std::uint64_t sequence = 0; ///< increases with each announcement of a life; 0 in the last announcement
     AnnouncedState state = AnnouncedState::Ready;
+    bool saysLeaving = false; ///< the server's health answer says that it leaves
     std::optional<double> rateLimit {}; ///< requests per second, as the server's health answer names it
     std::optional<Duration> remainingColdTime {}; ///< time until the server is warmed up; nothing if the
                                                   ///< server does not report it
--- a/src/Mesh/BackendDiscovery.cpp
+++ b/src/Mesh/BackendDiscovery.cpp
@@ -59,7 +59,8 @@
     announcement.slots = answer.slots;
     announcement.remainingColdTime = answer.coldFor;
     announcement.rateLimit = answer.statement.rateLimit;
-    announcement.state = answer.isWell && !answer.statement.isLeaving ? AnnouncedState::Ready : AnnouncedState::Draining;
+    announcement.saysLeaving = answer.statement.isLeaving;
+    announcement.state = answer.isWell ? AnnouncedState::Ready : AnnouncedState::Draining;
     m_onFound(announcement);
 }
 
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -129,6 +129,9 @@
             const auto now = monotonicNow();
             if (m_announced.applyHealthAnswer(found))
                 upstreamChanged(now);
+            // Unlike ill health, this holds whatever the server announces.
+            if (found.saysLeaving && m_announced.markLeaving(found.life))
+                upstreamChanged(now);
             if (found.remainingColdTime && found.life.key() == m_owner->upstream())
                 m_owner->answeredWarmUp(*found.remainingColdTime, now, now);
             if (found.rateLimit && found.life.key() == m_owner->upstream())
--- a/src/Node/BackendNotices.h
+++ b/src/Node/BackendNotices.h
@@ -18,7 +18,8 @@
 ///
 /// An owner that restarts forgets what its server has stated. The ingresses remember: they tell the owner of
 /// a limit with each call, and never again send a call to a life of a server that is leaving, whatever its
-/// owner says. Cost: O(log entries); at most `maxEntries` of either kind are kept, the latest ones.
+/// owner says. At most `maxEntries` of either kind are kept, the latest ones. Cost: O(1) while no server has
+/// stated anything, else O(log entries).
 class BackendNotices {
 public:
     static constexpr std::size_t maxEntries = 4096;
--- a/src/Node/OwnerLife.cpp
+++ b/src/Node/OwnerLife.cpp
@@ -34,6 +34,7 @@
     m_isDown = false;
     m_unreached = 0;
     m_isServerLeaving = false;
+    m_toldServerLimit.reset();
     m_admission.rateLimit().reset();
     m_admission.resetLimit();
     m_admission.setSlowdown(m_toldSlowdown = 1, now);
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -230,8 +230,11 @@
     record.trail.add({ RequestEvent::SentToBackend, now, upstream(), record.call.number(), Reason::None,
         { { "waited_ms", (now - record.arrived).count() / 1000 },
             { "left_ms", (record.deadline - now).count() / 1000 } } });
-    if (serverLimit())
+    if (serverLimit()) {
         m_context->metrics.count("robinrun_server_limited_calls_total{outcome=\"sent\"}");
+        if (now > record.arrived)
+            m_context->metrics.count("robinrun_server_limited_calls_total{outcome=\"waited\"}");
+    }
     HttpPool::SendOptions options;
     options.timeout = record.deadline - now + replySlack;
     options.longestRest = record.isRepeatable ? anyRest : longestRest;
--- a/test/ServerLeavingTest.cpp
+++ b/test/ServerLeavingTest.cpp
@@ -110,6 +110,21 @@
     f.untilServerOneRuns();
 }
 
+TEST_CASE("A health answer that says that its server leaves holds, whatever the server announces",
+    "[server-leaving]")
+{
+    LeavingFixture f;
+    f.shop(1).id = "i-leaving"; // of which no node has heard
+    f.shop(1).saysLeaving = true;
+    f.places[1].node.reset();
+    f.startNode(1);
+    f.pass(500ms);
+    REQUIRE(f.announce(1, "ready", 1) == 200);
+    const auto ran = f.shop(1).arrivals.size();
+    f.callFor(500ms);
+    REQUIRE(f.shop(1).arrivals.size() == ran);
+}
+
 // A leaving was held for some seconds only, and ended with any news from the owner.
 TEST_CASE("An ingress that has passed on word of leaving never sends there again, whatever its owner says",
     "[server-leaving]")
