A refusal that names no limit does not lift it; postmortem of the incident

Cause: a server that is full may refuse without naming its limit, and such a refusal ended it: all that waited would have started at once.

Change: a refusal says something of the limit only if it names one.

--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -283,8 +283,11 @@
     const auto load = text ? parseLoad(*text) : std::nullopt;
     if (load)
         setSlowdown(load->slowdown, now);
-    takeStatement(readStatement(reply.headers, m_context->headers),
-        { RateLimitSource::CallAnswer, record.started, record.call.request_id() }, now);
+    auto statement = readStatement(reply.headers, m_context->headers);
+    // A refusal need not name the limit, so one that does not says nothing of it.
+    if (!statement.rateLimit && judge(reply, m_context->headers) == BackendVerdict::NotRun)
+        statement.isRateLimitReadable = false;
+    takeStatement(statement, { RateLimitSource::CallAnswer, record.started, record.call.request_id() }, now);
 }
 
 void Owner::ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now)
--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -305,3 +305,30 @@
     REQUIRE(story.find("backend-answered") < story.find("request-answered"));
     REQUIRE_FALSE(explain("other", { owner, ingress }));
 }
+
+TEST_CASE("A field that can't be read is logged with its value, and changes nothing", "[log],[server-limit]")
+{
+    LogPipe pipe(0, true);
+    ShopMesh f;
+    auto& backend = *f.places[1].backend;
+    backend.limit = "10,8";
+    for (int i = 0; i < 3; ++i)
+        REQUIRE(f.call(0, "GET", "/read/x").status == 200);
+    auto text = pipe.read();
+    checkLines(text);
+    REQUIRE(text.find("server-limit-named") == std::string::npos);
+    const auto line = text.find("header-unreadable");
+    REQUIRE(line != std::string::npos);
+    REQUIRE(text.find("header-unreadable", line + 1) == std::string::npos); // once, however often it comes
+    REQUIRE(text.find(R"("field":"Server-Limit","value":"10,8","fault":"must be a decimal number")", line)
+        != std::string::npos);
+    backend.limit = "500";
+    REQUIRE(f.call(0, "GET", "/read/x").status == 200);
+    backend.limit.reset();
+    REQUIRE(f.call(0, "GET", "/read/x").status == 200);
+    text = pipe.read();
+    checkLines(text);
+    REQUIRE(text.find(R"("limit_per_s":500)") != std::string::npos);
+    REQUIRE(text.find(R"("source":"call-answer","request":"q)") != std::string::npos);
+    REQUIRE(text.find("server-limit-lifted") != std::string::npos);
+}
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -386,3 +386,29 @@
     REQUIRE(f.reason(0) == Reason::BackendRefused);
     REQUIRE(f.answers[0].retry_after_ms() == ms);
 }
+
+// A server that was full and said so without its limit would have got all that waited at once.
+TEST_CASE("A refusal that names no limit does not lift it, while an answer does", "[node],[server-limit]")
+{
+    OwnerFixture f;
+    f.take(f.call(1));
+    f.waitRunning(1);
+    f.running[0]->reply({ 200, { { "Backend-Rate-Limit", "50" } }, "" });
+    f.waitAnswers(1);
+    REQUIRE(f.owner.serverLimit() == 50.0);
+    f.take(f.call(2));
+    f.waitRunning(2);
+    f.running[1]->reply({ 503, { { "Backend-Not-Run", "full" } }, "" });
+    f.waitAnswers(2);
+    REQUIRE(f.owner.serverLimit() == 50.0);
+    f.take(f.call(3));
+    f.waitRunning(3);
+    f.running[2]->reply({ 503, { { "Backend-Not-Run", "full" }, { "Backend-Rate-Limit", "20" } }, "" });
+    f.waitAnswers(3);
+    REQUIRE(f.owner.serverLimit() == 20.0);
+    f.take(f.call(4));
+    f.waitRunning(4);
+    f.running[3]->reply({ 200, {}, "" });
+    f.waitAnswers(4);
+    REQUIRE_FALSE(f.owner.serverLimit());
+}
