--- a/test/ServerLeavingTest.cpp
+++ b/test/ServerLeavingTest.cpp
@@ -27,6 +27,15 @@
         REQUIRE(shop(1).requests.size() > before);
     }
 
+    /// \brief Lets node 0 pass on an answer to a call in which server 1 says that it leaves.
+    void passOnLeaving()
+    {
+        shop(1).healthSaysAll = false;
+        untilServerOneRuns();
+        shop(1).saysLeaving = true;
+        untilServerOneRuns();
+    }
+
     /// \brief Calls node 0 for \a length, and requires that all calls are served.
     void callFor(Duration length)
     {
@@ -78,10 +87,7 @@
 TEST_CASE("A server that says in an answer that it leaves gets no further calls", "[server-leaving]")
 {
     LeavingFixture f;
-    f.shop(1).healthSaysAll = false;
-    f.untilServerOneRuns();
-    f.shop(1).saysLeaving = true;
-    f.untilServerOneRuns();
+    f.passOnLeaving();
     const auto ran = f.shop(1).arrivals.size();
     f.callFor(500ms);
     REQUIRE(f.shop(1).arrivals.size() == ran);
@@ -92,10 +98,7 @@
     "[server-leaving]")
 {
     LeavingFixture f;
-    f.shop(1).healthSaysAll = false;
-    f.untilServerOneRuns();
-    f.shop(1).saysLeaving = true;
-    f.untilServerOneRuns();
+    f.passOnLeaving();
     const auto ran = f.shop(1).arrivals.size();
     f.pass(100ms);
     f.places[1].node.reset();
