--- a/src/Node/BackendReply.cpp
+++ b/src/Node/BackendReply.cpp
@@ -48,16 +48,16 @@
         std::string_view expected, std::vector<HeaderFault>& faults)
     {
         FieldValues<typename decltype(parse(std::string_view()))::value_type> out;
-        for (const auto& [field, text] : headers) {
-            const auto isNamed = [&](const auto& name) { return equalIgnoringCase(name, field); };
+        for (const auto& it : headers) {
+            const auto isNamed = [&](const auto& name) { return equalIgnoringCase(name, it.first); };
             if (std::none_of(names.begin(), names.end(), isNamed))
                 continue;
-            const auto value = parse(text);
+            const auto value = parse(it.second);
             const bool isContradiction = value && out.value && *value != *out.value;
             if (!value || isContradiction) {
                 out.isReadable = false;
                 faults.push_back(
-                    { field, text, value ? "differs from another field of this answer" : expected });
+                    { it.first, it.second, value ? "differs from another field of this answer" : expected });
             }
             if (!out.value)
                 out.value = value;
