Decide on roll-outs of a version: share of calls, comparison of versions, phases, one end

Cause: no file knew the operator's order to replace the version of a service. Ingresses draw each call; owners refuse calls that were not drawn for their version. The store takes one end of an order, by a conditional write.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -67,6 +67,12 @@
             "a former life of this node says that it started later; this one counts as later still" },
         LogEventInfo { "upstream-sign", "upstream sign set", "a reason to leave came or went" },
         LogEventInfo { "upstream-life", "upstream state", "the own upstream's life moved on" },
+        LogEventInfo { "rollout-phase", "service target_version order_offset phase cause",
+            "a roll-out has come to this phase, as far as this node knows" },
+        LogEventInfo { "rollout-decision", "service phase cause target_calls age_ms",
+            "this node has judged a roll-out; target_calls: runs of the target version that it knows of" },
+        LogEventInfo { "rollout-status-not-written", "service error message",
+            "the status of a roll-out could not be read or written; that is tried again" },
         LogEventInfo {
             "hall-emptied", "hall era offset", "nothing more is sent to the backend servers there" },
         LogEventInfo { "hall-taken-back", "hall era offset", "its backend servers get calls again" },
--- a/src/Mesh/AnnouncedUpstream.cpp
+++ b/src/Mesh/AnnouncedUpstream.cpp
@@ -41,6 +41,7 @@
         // kept.
         m_current->address = former->address;
         m_current->slots = former->slots;
+        m_current->version = former->version;
     }
     return true;
 }
@@ -56,8 +57,9 @@
     if (announcement.sequence <= m_current->sequence)
         return false;
     const bool isChanged = m_current->state != announcement.state || m_current->slots != announcement.slots
-        || m_current->address != announcement.address;
+        || m_current->address != announcement.address || m_current->version != announcement.version;
     m_current->sequence = announcement.sequence;
+    m_current->version = announcement.version;
     if (isLeaving() && !wasProvisional)
         return false;
     m_current->state = announcement.state;
--- a/src/Mesh/AnnouncedUpstream.h
+++ b/src/Mesh/AnnouncedUpstream.h
@@ -35,6 +35,8 @@
     /// \returns the last known state of the current life; nothing before the first announcement or health
     /// answer.
     const std::optional<Announcement>& current() const { return m_current; }
+    /// \returns whether only a health answer of the current life has arrived, no announcement.
+    bool isProvisional() const { return m_isProvisional; }
     bool isLeaving() const { return m_current && m_current->state != AnnouncedState::Ready; }
 
 private:
--- a/src/Mesh/Announcement.h
+++ b/src/Mesh/Announcement.h
@@ -27,6 +27,7 @@
     BackendLife life; ///< the run of the server process that sent the announcement
     std::string service;
     std::string address; ///< ip:port
+    std::string version; ///< of the server's software; "": the announcement does not name it
     std::uint32_t slots = 0; ///< number of calls that the server processes concurrently
     std::uint64_t sequence = 0; ///< increases with each announcement of a life; 0 in the last announcement
     AnnouncedState state = AnnouncedState::Ready;
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -260,7 +260,14 @@
     auto excluded = call.tried;
     excluded.insert(excluded.end(), connecting.begin(), connecting.end());
     excludeOtherRegions(call, excluded);
+    const auto excludedByAll = excluded.size();
+    excludeVersions(call, excluded, now);
     auto upstream = router.pickUpstream(excluded, needsOf(call, now), now, m_context->random);
+    if (!upstream && mayChangeVersion(call, now)) {
+        excluded.resize(excludedByAll);
+        excludeVersions(call, excluded, now);
+        upstream = router.pickUpstream(excluded, needsOf(call, now), now, m_context->random);
+    }
     // Better than any other although it is busy: the call may wait there.
     if (upstream && std::find(call.busy.begin(), call.busy.end(), *upstream) != call.busy.end())
         call.asksLeft = 0;
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -13,6 +13,7 @@
 #include "Node/RequestTrail.h"
 #include "Node/Timer.h"
 #include "Rates/GroupRateLimiter.h"
+#include "Rollout/ServerVersions.h"
 #include "Routing/CallSizeEstimate.h"
 #include "Routing/NestedCallEstimate.h"
 #include "Routing/OwnerClock.h"
@@ -147,6 +148,8 @@
         std::optional<CreditBorrower::Credit> credit; ///< by which its group's rate lets it through
         RequestTrail trail;
         bool isMinting = false; ///< the attempt asks for a ticket only
+        /// Whether the call is for the target version of a roll-out; nothing until that was drawn.
+        std::optional<bool> isForTarget;
         std::optional<ContentId> content; ///< computed where crashes are known
         Timer creditTimer; ///< while it waits for a credit
         Timer deadlineTimer;
@@ -159,6 +162,9 @@
     /// \returns the upstreams to keep connections to, as places in the list of the service.
     std::vector<std::size_t> subsetOf(
         const ServiceInfo& service, const std::vector<std::string>& hosts) const;
+    /// \returns of the upstreams at \a places in the list of the service, those to keep connections to.
+    std::vector<std::size_t> subsetAmong(const ServiceInfo& service, const std::vector<std::size_t>& places,
+        const std::vector<std::string>& hosts) const;
     /// \returns the names of the ingresses among which upstreams are shared out: all members, or those of the
     /// own data hall.
     std::vector<std::string> ingressesBeside() const;
@@ -196,6 +202,15 @@
     Owner::Sender selfAsSender() const;
     /// \returns an upstream for the call; nothing if there is none. \param connecting those passed over.
     std::optional<std::string> pickFor(Call& call, const std::vector<std::string>& connecting, Instant now);
+    /// \brief Divides the upstreams of the services that are rolled out by version.
+    void divideVersions(Instant now);
+    /// \brief Adds to \a excluded the upstreams whose version a roll-out withholds from \a call.
+    void excludeVersions(Call& call, std::vector<std::string>& excluded, Instant now);
+    /// \returns whether \a call, for which there is no upstream, may go to the other version instead.
+    bool mayChangeVersion(Call& call, Instant now);
+    /// \returns the upstreams of a service that is rolled out which calls may go to, as places in its list.
+    std::vector<std::size_t> subsetOfVersions(const ServiceInfo& service, const ServerVersions& versions,
+        const std::vector<std::string>& hosts) const;
     /// \brief Adds to \a excluded the upstreams in regions where \a call may not be run.
     void excludeOtherRegions(const Call& call, std::vector<std::string>& excluded) const;
     /// \returns whether to wait for the link to \a upstream, which was opened a moment ago.
@@ -317,6 +332,7 @@
     std::map<std::string, std::deque<CallId>> m_awaitingCredit; ///< by group
     LastWords m_lastWords;
     BackendNotices m_notices;
+    std::map<std::string, ServerVersions, std::less<>> m_versions; ///< by service that is rolled out
     /// By upstream: to tell owners deadlines that a late delivery can't outlive.
     std::unordered_map<std::string, OwnerClock> m_ownerClocks;
 };
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -30,7 +30,7 @@
     /// \returns whether a refusal says that this owner is no place for the call, whatever it asks for.
     bool isAboutOwner(Reason reason)
     {
-        return reason == Reason::Leaving || reason == Reason::WrongOwner;
+        return reason == Reason::Leaving || reason == Reason::WrongOwner || reason == Reason::VersionWithheld;
     }
 
     OwnerReport reportOf(const proto::Load& load, Instant now)
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -25,6 +25,9 @@
         out.set_limit_per_s(limit->requestsPerSecond);
         out.set_limit_age_ms(1 + static_cast<std::uint32_t>(toMilliseconds(now - limit->heardAt)));
     }
+    const auto versions = m_versions.find(call.request.service);
+    if (versions != m_versions.end() && versions->second.target.contains(upstream.id))
+        out.set_rollout(versions->second.rollout);
     out.set_attempts_left(call.attemptsLeft);
     out.set_elsewhere_us(static_cast<std::uint32_t>(std::min<std::int64_t>(elsewhere.count(), UINT32_MAX)));
     const auto clock = m_ownerClocks.find(upstream.id);
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -146,6 +146,7 @@
         return std::nullopt;
     auto excluded = call.tried;
     excludeOtherRegions(call, excluded);
+    excludeVersions(call, excluded, now);
     return m_routers.at(call.request.service)
         ->pickUpstream(excluded, needsOf(call, now), now, m_context->random);
 }
--- a/src/Node/IngressTargets.cpp
+++ b/src/Node/IngressTargets.cpp
@@ -2,6 +2,7 @@
 #include "Routing/HallSubset.h"
 #include "Routing/Subset.h"
 
+#include <numeric>
 #include <set>
 
 /// \file Which upstreams of each service an ingress keeps to, and what it knows of them.
@@ -16,18 +17,32 @@
 
 std::vector<std::size_t> Ingress::subsetOf(
     const ServiceInfo& service, const std::vector<std::string>& hosts) const
+{
+    const auto versions = m_versions.find(service.id);
+    if (versions != m_versions.end())
+        return subsetOfVersions(service, versions->second, hosts);
+    std::vector<std::size_t> all(service.upstreams.size());
+    std::iota(all.begin(), all.end(), 0);
+    return subsetAmong(service, all, hosts);
+}
+
+std::vector<std::size_t> Ingress::subsetAmong(const ServiceInfo& service,
+    const std::vector<std::size_t>& places, const std::vector<std::string>& hosts) const
 {
     const auto& settings = m_context->settings;
-    if (settings.choice.kind != ChoicePolicyKind::Timely) {
-        std::vector<std::string> names;
-        for (const auto& it : service.upstreams)
-            names.push_back(it.id);
-        return chooseSubset(names, hosts, settings.name, settings.choice.subset);
+    std::vector<std::string> names;
+    std::vector<UpstreamLocation> locations;
+    for (const auto i : places) {
+        const auto& it = service.upstreams[i];
+        names.push_back(it.id);
+        locations.push_back({ it.id, it.config.data_hall() == settings.dataHall });
     }
-    std::vector<UpstreamLocation> places;
-    for (const auto& it : service.upstreams)
-        places.push_back({ it.id, it.config.data_hall() == settings.dataHall });
-    return chooseHallSubset(places, hosts, settings.name, settings.choice.subset);
+    auto chosen = settings.choice.kind == ChoicePolicyKind::Timely
+        ? chooseHallSubset(locations, hosts, settings.name, settings.choice.subset)
+        : chooseSubset(names, hosts, settings.name, settings.choice.subset);
+    for (auto& it : chosen)
+        it = places[it];
+    return chosen;
 }
 
 std::vector<std::string> Ingress::ingressesBeside() const
@@ -81,6 +96,7 @@
 void Ingress::configure(Instant now)
 {
     const auto hosts = ingressesBeside();
+    divideVersions(now);
     for (const auto& [id, info] : m_context->directory.services()) {
         auto& router = routerFor(info);
         router.setRetryFraction(info.config.retry_fraction());
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -12,6 +12,7 @@
 #include "Node/CallHeaders.h"
 #include "Node/Directory.h"
 #include "Node/Metrics.h"
+#include "Rollout/RolloutTable.h"
 #include "Settings/NodeSettings.h"
 
 #include <cstdint>
@@ -40,6 +41,8 @@
     StandstillWatch standstill {}; ///< given the node's ticks
     SuspensionWatch suspension {};
     CrashTracker crashes {}; ///< of backend servers anywhere, as far as this node has heard
+    RolloutTable rollouts {};
+    std::string backendVersion {}; ///< of the backend server beside this node; "": not known
 
     /// \brief A regular tick: notices standstills, and brings timers forward that stood still with their
     /// host.
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -145,6 +145,8 @@
         return Reason::Duplicate;
     if (!service())
         return Reason::WrongOwner;
+    if (isVersionWithheld(call, now))
+        return Reason::VersionWithheld;
     if (m_isDown)
         return Reason::BackendUnreachable;
     if (hash64(call.body()) != call.body_hash())
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -51,6 +51,15 @@
     /// \brief Takes word of a good end that has cleared strikes, in the ledger already.
     using TellAcquittal = std::function<void(const proto::CrashAcquittal& acquittal)>;
 
+    /// \brief A run at the backend server that has ended.
+    struct EndedRun {
+        std::string callClass;
+        Duration length {};
+        bool isAnswered = false; ///< otherwise it was given up before the server answered
+        bool isFailure = false; ///< the server answered with an error of its own
+        bool startedCold = false; ///< the server may still have been warming up
+    };
+
     Owner(NodeContext& context, Instant now);
     ~Owner();
     Owner(const Owner&) = delete;
@@ -128,6 +137,12 @@
     std::optional<double> serverLimit() const { return m_admission.rateLimit().requestsPerSecond(); }
     LoadReport load(Instant now) const { return m_admission.load(now); }
     const std::string& upstream() const { return m_context->settings.upstream; }
+    /// \returns the calls that run or wait here.
+    std::size_t callsInHand() const { return m_calls.size(); }
+
+    /// \brief Sets a function that is called at the end of each run at the current life of the backend
+    /// server.
+    void onRunEnded(std::function<void(const EndedRun&)> f) { m_runEnded = std::move(f); }
 
 private:
     /// Of one answer in the share of failed ones: the last 20 or so count.
@@ -144,6 +159,7 @@
         Instant started {};
         Instant deadline {};
         bool isRunning = false;
+        bool startedCold = false; ///< see EndedRun
         bool isRepeatable = true;
         bool isByRoute = false;
         /// Calls that the backend server made for it, by service.
@@ -159,6 +175,9 @@
     /// of the former one counts.
     void turnTo(const UpstreamInfo& info, Instant now);
     Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
+    /// \returns whether a roll-out of the service withholds this server's version from \a call.
+    bool isVersionWithheld(const proto::Call& call, Instant now) const;
+    void tellRunEnded(const CallRecord& record, bool isAnswered, bool isFailure, Instant now) const;
     /// \returns when the time of \a call is over, if it arrives at \a now.
     static Instant deadlineOf(const proto::Call& call, Instant now);
     /// \returns the standstill that this node wakes from, if it was so long that peers have given its links
@@ -282,6 +301,7 @@
     RecentSuccesses m_goodEnds;
     std::set<ContentId> m_loggedHolds;
     std::function<void()> m_tellServerLeaving;
+    std::function<void(const EndedRun&)> m_runEnded;
     TellCrash m_tellCrash;
     TellAcquittal m_tellAcquittal;
     Announce m_announce;
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -224,6 +224,7 @@
     auto& record = m_calls.at(id);
     record.isRunning = true;
     record.started = now;
+    record.startedCold = m_admission.warmUp().isCold(now);
     if (!record.call.request_id().empty())
         m_runningRequests.emplace(record.call.request_id(), id);
     record.pool = m_pool.get();
@@ -302,6 +303,9 @@
     noteRunEnd(record, result, answer, now);
     const bool isFailure = answer.outcome() != proto::ANSWERED
         || answer.status() >= static_cast<std::uint32_t>(firstServerError);
+    // A server that refuses a call has not run it.
+    if (answer.outcome() != proto::NOT_RUN)
+        tellRunEnded(record, result.has_value(), isFailure, now);
     const auto next = m_admission.onRunEnded(id, isFailure ? RunOutcome::Failed : RunOutcome::Answered, now);
     noteLimit();
     answer.set_queued_us(static_cast<std::uint32_t>((record.started - record.arrived).count()));
@@ -337,6 +341,7 @@
 {
     auto& record = m_calls.at(id);
     record.pool->cancel(record.request);
+    tellRunEnded(record, false, false, now);
     m_crashWatch.onCallCutOff(suspectOf(record, now), now);
     const auto next = m_admission.onRunEnded(id, RunOutcome::Failed, now);
     proto::Answer answer;
--- a/src/Platform/AppendLog.h
+++ b/src/Platform/AppendLog.h
@@ -19,11 +19,12 @@
     Malformed, ///< the reply makes no sense
     Forgotten, ///< what was asked for is no longer kept
     FormerEra, ///< the answer is of a time before the store came back from an older copy
+    Conflict, ///< the condition of a write did not hold: nothing was done
 };
 
 template <> struct EnumNames<PlatformErrorKind> {
-    static constexpr std::array<std::string_view, 6> names { "unreachable", "uncertain", "refused",
-        "malformed", "forgotten", "former-era" };
+    static constexpr std::array<std::string_view, 7> names { "unreachable", "uncertain", "refused",
+        "malformed", "forgotten", "former-era", "conflict" };
 };
 
 /// \brief The platform layer's own error.
--- a/src/Platform/RecordStore.h
+++ b/src/Platform/RecordStore.h
@@ -65,6 +65,13 @@
         const std::string& topic, const std::string& key, const std::string& value, Written done)
         = 0;
 
+    /// \brief As write(), but only if no record was written to \a topic since \a end, the position after its
+    /// last record; the error is `Conflict` otherwise. After the error `Uncertain` the record may come to be
+    /// there as long as nothing else was written.
+    virtual void writeIfUnchanged(const std::string& topic, const std::string& key, const std::string& value,
+        StorePosition end, Written done)
+        = 0;
+
     /// \brief Runs \a f each time that the store is back from an older copy: what was read or written before
     /// may not be there. It runs before the answer that showed it is handed on.
     void onReturn(std::function<void()> f) { m_returned = std::move(f); }
--- a/src/Queueing/Refusal.h
+++ b/src/Queueing/Refusal.h
@@ -44,16 +44,17 @@
     CredentialUnproven, ///< a newer configuration may judge the credential differently
     OverRate, ///< the group has reached its rate limit
     ServerLimit, ///< the rate limit that the backend server names would start the call too late
+    VersionWithheld, ///< a roll-out does not send the call to this version of the backend server
 };
 
 template <> struct EnumNames<Reason> {
-    static constexpr std::array<std::string_view, 33> names { "none", "queue-full", "over-share",
+    static constexpr std::array<std::string_view, 34> names { "none", "queue-full", "over-share",
         "would-miss-deadline", "deadline-passed", "stood-too-long", "leaving", "cancelled", "wrong-owner",
         "wrong-incarnation", "duplicate", "backend-unreachable", "no-upstream", "attempts-spent",
         "claim-undecided", "key-too-old", "ticket-unknown", "ticket-mismatch", "owner-lost", "backend-failed",
         "damaged", "too-many-tickets", "would-be-late", "backend-refused", "not-ready", "busy",
         "given-up-meanwhile", "crashes-servers", "warming-up", "entry-withheld", "credential-unproven",
-        "over-rate", "server-limit" };
+        "over-rate", "server-limit", "version-withheld" };
 };
 
 /// \brief A call that the owner refuses before it was sent to the backend server.
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -120,6 +120,13 @@
         reader.finish();
     }
 
+    void readRollouts(YamlReader reader, NodeSettings& out)
+    {
+        out.rollouts.share = reader.number("share", 0, 1, 0.1);
+        out.rollouts.slack = reader.number("slack", 0, 1e6, 50);
+        reader.finish();
+    }
+
     void readExperiments(YamlReader reader, NodeSettings& out)
     {
         for (std::size_t i = 0; i < countOf<Mechanism>(); ++i) {
@@ -190,6 +197,7 @@
     readAdmission(reader.section("admission"), out);
     readCredentials(reader.section("credentials"), out);
     readRates(reader.section("rates"), out);
+    readRollouts(reader.section("rollouts"), out);
     readExperiments(reader.section("experiments"), out);
     readClaims(reader.section("claims"), out);
     readControl(reader.section("control"), out);
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -81,6 +81,12 @@
         double slack = 0; ///< calls on top of that
     } rates;
 
+    /// How many calls a faulty version may get while it is rolled out, as the deployment bounds it.
+    struct {
+        double share = 0.1; ///< of the service's calls, from the order to its end
+        double slack = 50; ///< calls on top of that
+    } rollouts;
+
     std::map<std::string, std::string> operatorTokens; ///< name: SHA-256 of the token, hex
 
     struct {
--- a/test/StoreWatchTest.cpp
+++ b/test/StoreWatchTest.cpp
@@ -36,6 +36,10 @@
         reads.push_back({ false, from.offset, wait, std::move(onDone) });
     }
     void write(const std::string&, const std::string&, const std::string&, Written) override { }
+    void writeIfUnchanged(
+        const std::string&, const std::string&, const std::string&, StorePosition, Written) override
+    {
+    }
 
     std::vector<PendingRead> reads; ///< all reads, in order
 };
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -178,6 +178,9 @@
 
     void append(const std::string& topic, std::unique_ptr<HttpExchange> exchange)
     {
+        const auto expectedEnd = parameter(exchange->request().target, "current_rev");
+        if (!expectedEnd.empty() && std::stoull(expectedEnd) != m_topics[topic].records.size())
+            return exchange->reply({ 412, headers(), "{}" });
         ++writes;
         const auto records = *unframeRecords(exchange->request().body);
         for (const auto& it : records) {
