Connect roll-outs to the mesh; contacts by data hall; fewer store calls at a start

Cause: (1) the decisions on roll-outs need orders, reports, phases and the status carried between nodes. A node that restarted was sent all records by each of its 16 contacts. (3) 8.7 store calls a node: each read the configuration at its start, polled until there was one, and wrote its record twice. Change: (1) MeshNodeRollouts, RolloutReports, RolloutStatusWriter. (2) selectContacts(): near contacts, and eight bridges for each pair of halls; records cross halls by bridges only; nodes compare summaries of records and exchange just those that one lacks; one bulk answer in 0.5 s. (3) In a large system the configuration is taken from contacts, the record is written once the announcement has completed it, and the second read of nodes is left out once many are known. (1) to (3) share files of src/Mesh, so they are one commit.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -18,6 +18,9 @@
     /// After a node has written its record it reads once more, for those that started at the same time: of
     /// two nodes the one that reads last sees the other.
     constexpr Duration nodesAfterWrite = 400ms;
+    /// The configuration is read this long after the start if the store has not answered with the nodes
+    /// before.
+    constexpr Duration longestConfigStart = 300ms;
     /// Reads of the nodes' topic a second, by all nodes together: peers tell each other of themselves at
     /// once, the store is for those that they don't reach.
     constexpr double nodesReadsPerSecond = 1;
@@ -58,6 +61,7 @@
     m_record.set_service(own.service);
     m_record.set_address(own.backend);
     m_record.set_capacity(own.capacity);
+    m_context.rollouts = RolloutTable(rolloutBounds());
 }
 
 MeshNode::~MeshNode() = default;
@@ -124,6 +128,11 @@
         });
     m_ingress->keepRates(*m_rates);
     m_writer = std::make_unique<RecordWriter>(base, *m_store, m_formats.nodesTopic, m_context.settings.name);
+    m_rolloutStatus = std::make_unique<RolloutStatusWriter>(
+        m_formats, *m_store, [this](std::uint64_t id, RolloutOutcome outcome) {
+            rolloutStatusWritten(id, outcome, monotonicNow());
+        });
+    m_owner->onRunEnded([this](const Owner::EndedRun& run) { m_rolloutReports.recordRun(run); });
     m_finder = std::make_unique<BackendDiscovery>(
         base, m_context.settings.backend, [this](const Announcement& found) {
             const auto now = monotonicNow();
@@ -208,7 +217,7 @@
     config.drawWait = [this] { return m_watch.nextWait(m_group.memberCount(), m_context.random.unit()); };
     config.drawPause
         = [this] { return std::exchange(m_hasReadConfiguration, true) ? Duration::zero() : firstContacts; };
-    config.mayStandBy = [this] { return m_config.hasConfiguration() && isWatched(monotonicNow()); };
+    config.mayStandBy = [this] { return isWatched(monotonicNow()); };
     config.maxRetryDelay = longestRetry;
     config.onFollowingChanged = [this] { tellContacts(monotonicNow()); };
     m_configFeed = std::make_unique<TopicFollower>(
@@ -218,24 +227,46 @@
     nodes.topic = m_formats.nodesTopic;
     nodes.drawPause = [this] { return nodesPause(); };
     nodes.maxRetryDelay = longestRetry;
+    nodes.maySkipRead = [this] { return std::exchange(m_isReadingForOthers, false) && knowsManyNodes(); };
     m_nodesFeed = std::make_unique<TopicFollower>(
         base, *m_store, nodes,
         [this](const KeyedPage& page) {
             for (const auto& it : page.records)
                 takeStoredNode(it, monotonicNow());
             heardOfCrashes(monotonicNow());
+            startConfigFeed(monotonicNow());
         },
         m_context.random);
     m_writer->onWritten([this] {
         // Where so many others are known already, one of them tells this node what it lacks.
-        if (livingNodes() > m_context.settings.peers.contacts)
+        if (knowsManyNodes())
             m_hasReadNodesSince = true;
-        if (!m_hasReadNodesSince)
-            m_hasReadNodesSince = m_nodesFeed->endPauseAfter(nodesAfterWrite);
+        if (m_hasReadNodesSince)
+            return;
+        m_hasReadNodesSince = m_nodesFeed->endPauseAfter(nodesAfterWrite);
+        m_isReadingForOthers = m_hasReadNodesSince;
     });
     m_store->onReturn([this] { storeReturned(monotonicNow()); });
-    m_configFeed->start();
     m_nodesFeed->start();
+    m_configStartTimer = Timer::once(base, longestConfigStart, [this] { startConfigFeed(monotonicNow()); });
+}
+
+void MeshNode::startConfigFeed(Instant now)
+{
+    if (!m_configStartTimer.isSet())
+        return;
+    m_configStartTimer = Timer();
+    watchAmongNodes();
+    // In a large system others watch the store for this node, and one of its contacts has the configuration.
+    if (m_group.isMember() || !knowsManyNodes())
+        return m_configFeed->start();
+    m_restUntil = now + firstContacts;
+    m_configFeed->startOnStandby();
+}
+
+bool MeshNode::knowsManyNodes() const
+{
+    return livingNodes() > m_context.settings.peers.contacts;
 }
 
 std::size_t MeshNode::livingNodes() const
@@ -247,8 +278,10 @@
 
 Duration MeshNode::nodesPause()
 {
-    if (m_writer->isWritten() && m_writer->calls() > 0 && !std::exchange(m_hasReadNodesSince, true))
+    if (m_writer->isWritten() && m_writer->calls() > 0 && !std::exchange(m_hasReadNodesSince, true)) {
+        m_isReadingForOthers = true;
         return nodesAfterWrite;
+    }
     const auto nodes = static_cast<double>(m_registry.nodes().size());
     const auto mean = std::max(toSeconds(leastNodesPause), nodes / nodesReadsPerSecond);
     // From half of the mean to one and a half: nodes that start together don't go on to read together.
@@ -305,6 +338,7 @@
     metrics.gauge("robinrun_crash_reports", [this] { return double(m_context.crashes.reportCount()); });
     addCallerGauges();
     addBackendGauges();
+    addRolloutGauges();
     metrics.gauge("robinrun_ready", [this] { return isReady() ? 1.0 : 0.0; });
     metrics.gauge("robinrun_calls_in_progress", [this] { return double(m_ingress->inProgress()); });
     metrics.gauge("robinrun_peer_links", [this] { return double(m_peers->links()); });
@@ -379,8 +413,19 @@
     m_record.set_upstream(current.life.id());
     m_record.set_born(current.life.born());
     m_record.set_slots(current.slots);
+    if (isNew || !current.version.empty())
+        setBackendVersion(current.version);
+    if (const auto* former = m_registry.find(m_context.settings.name); isNew && former)
+        adoptFormerVersion(*former, now);
+    const auto* rollout = m_context.rollouts.find(m_context.settings.service);
+    m_rolloutReports.follow(
+        rollout && !isFinal(rollout->phase) ? rollout : nullptr, m_context.settings.upstream);
     m_record.set_leaving(m_announced.isLeaving());
-    publish(now);
+    // The announcement that follows completes the record: one write of the store serves both.
+    if (m_announced.isProvisional() && !m_announced.isLeaving() && knowsManyNodes())
+        publishProvisional(now);
+    else
+        publish(now);
     if (isNew)
         rebuildUpstreams();
     m_owner->setSign(LeavingSign::BackendServer, m_announced.isLeaving(), now);
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -16,6 +16,8 @@
 #include "Mesh/MeshFormats.h"
 #include "Mesh/NodeRegistry.h"
 #include "Mesh/RecordWriter.h"
+#include "Mesh/RolloutReports.h"
+#include "Mesh/RolloutStatusWriter.h"
 #include "Mesh/StoreReadTiming.h"
 #include "Mesh/TopicFollower.h"
 #include "Mesh/WatchGroup.h"
@@ -27,11 +29,13 @@
 #include "Node/Timer.h"
 #include "Platform/RecordStore.h"
 #include "Rates/GroupRateLimiter.h"
+#include "Rollout/RolloutJudge.h"
 #include "Settings/NodeSettings.h"
 #include "Wire/PeerSocket.h"
 
 #include <cstdint>
 #include <event2/event.h>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -82,6 +86,10 @@
     void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
     void takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now);
     void takeRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now);
+    void takeSummaries(
+        const PeerSocket::Sender& sender, const proto::RecordSummaries& summaries, Instant now);
+    /// \returns the names of the nodes in regular contact.
+    std::vector<std::string> contacts() const;
     /// \returns whether it was news.
     bool takeRecord(const proto::NodeRecord& record, Instant now);
     void takePartRequest(
@@ -113,6 +121,36 @@
     /// own record is written.
     void heardOfCrashes(Instant now);
 
+    /// \brief Applies the orders of roll-outs in a page of the configuration topic.
+    void applyStoredRollouts(const KeyedPage& page, Instant now);
+    void takeRolloutRecords(const proto::RolloutRecords& records, Instant now);
+    /// \brief Applies the state of the roll-outs to the choice of servers and sends it to the contacts.
+    void rolloutsChanged(Instant now);
+    void sendRollouts(Instant now);
+    /// \brief Sends all known roll-outs to a contact that knows others.
+    void compareRollouts(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now);
+    /// \brief This node knows the roll-outs from the store or a contact: it may take calls.
+    void rolloutsHeard(Instant now);
+    /// \returns the first \a n of the nodes that are not known to be lost, in the order in which they judge
+    /// the roll-out and write its status. Cost: O(nodes).
+    std::vector<std::string> rankedNodes(std::uint64_t rollout, std::size_t n) const;
+    void reportOwnVersion(Instant now);
+    void takeVersionReport(const proto::VersionReport& report, Instant now);
+    RolloutBounds rolloutBounds() const;
+    std::vector<RolloutJudge::Server> serversOf(const std::string& service) const;
+    void judgeRollouts(Instant now);
+    /// \brief Writes the status of roll-outs where it is this node's turn.
+    void writeRolloutStatus(Instant now);
+    /// \returns whether this node writes a status that has been due for \a pending, by its rank.
+    bool isWriter(std::uint64_t rollout, Duration pending) const;
+    void rolloutStatusWritten(std::uint64_t id, RolloutOutcome outcome, Instant now);
+    void tickRollouts(Instant now);
+    void addRolloutGauges();
+    void setBackendVersion(const std::string& version);
+    /// \brief Takes the version of the backend server from the record of a former life of this node, if the
+    /// server is still the same and has not announced its version since.
+    void adoptFormerVersion(const proto::NodeRecord& former, Instant now);
+
     void answerReadiness(HttpExchange& exchange) const;
     void answerMetrics(HttpExchange& exchange) const;
     /// \returns an announcement of the backend server beside this node. The error names the field.
@@ -156,6 +194,9 @@
     /// \returns this node's share of the retries that the deployment's nodes may save up.
     double retryBurst() const;
     void publish(Instant now);
+    /// \brief As publish(), but the store's record is written a moment later unless publish() is called
+    /// before.
+    void publishProvisional(Instant now);
     /// \brief Writes this node's record to the store, once what its former life wrote there was read.
     void writeRecord(Instant now);
     /// \brief Tells the contacts this node's record, and leaves the store as it is.
@@ -171,6 +212,11 @@
     Gossip::ReplyFunction replyTo(const PeerSocket::Sender& sender, Instant now);
     /// \returns how long to wait until the nodes' topic is read again.
     Duration nodesPause();
+    /// \brief Begins to follow the configuration, once the nodes are known or the store has not told them in
+    /// time. Does nothing if that has begun.
+    void startConfigFeed(Instant now);
+    /// \returns whether so many nodes are known that some of them tell this one what it lacks.
+    bool knowsManyNodes() const;
     /// \returns how many nodes are known that are not gone. Cost: O(nodes).
     std::size_t livingNodes() const;
 
@@ -182,8 +228,13 @@
     void setLenders();
     /// \brief Asks that could not go out while links were being opened are sent in a moment.
     void askForCreditsSoon();
-    /// \returns the part of the contacts that can be reached.
-    double reach() const;
+    /// \returns the part of the nodes that can be reached, as far as the contacts show. What other data halls
+    /// are concerned, the bridges tell it to the contacts of their own hall.
+    double reach(Instant now) const;
+    /// \returns the part of the contacts in other data halls that can be reached; nothing without any.
+    std::optional<double> ownFarReach() const;
+    /// \returns the part of \a names whose links are not known to be lost; nothing without any.
+    std::optional<double> reachOf(const std::vector<std::string>& names) const;
     void takeCreditAsk(const PeerSocket::Sender& sender, const proto::CreditAsk& ask, Instant now);
 
     void tick();
@@ -218,6 +269,12 @@
     std::unique_ptr<BackendDiscovery> m_finder;
     ConfigHolder m_config;
     EmptiedHalls m_halls;
+    RolloutReports m_rolloutReports;
+    std::map<std::uint64_t, RolloutJudge> m_judges; ///< by id of the roll-out
+    std::unique_ptr<RolloutStatusWriter> m_rolloutStatus;
+    Instant m_nextRolloutContact {};
+    bool m_hasHeardRollouts = false; ///< from the store or a contact, in this life
+    Instant m_nextRolloutTick {};
     NodeRegistry m_registry;
     Gossip m_gossip;
     FollowerSelection m_share;
@@ -233,6 +290,7 @@
     bool m_isContactOpening = false; ///< a link to a contact was opened a moment ago
     bool m_hasReadConfiguration = false;
     bool m_hasReadNodesSince = false; ///< since this life's record was written first
+    bool m_isReadingForOthers = false; ///< the read that is due is for nodes that started at the same time
     bool m_isStopping = false;
     ContactReachability m_reach;
     std::vector<std::unique_ptr<RecordWriter>> m_forgotten; ///< they take away the records of lost nodes
@@ -246,11 +304,19 @@
     Timer m_rebuildTimer;
     Timer m_relayTimer;
     Timer m_publishAgain;
+    Timer m_provisionalTimer;
+    Timer m_configStartTimer; ///< set until the configuration is followed
     Timer m_acquittalTimer;
     Timer m_creditTimer;
     bool m_isAcquittalPending = false;
     bool m_isCrashNews = false; ///< some was taken in and is not judged yet
     bool m_hasComparedRecords = false; ///< with a contact, in this life
+    bool m_isComparing = false; ///< records that this node lacks were requested
+    struct FarReach {
+        double part = 0;
+        Instant heardAt {};
+    };
+    std::map<std::string, FarReach> m_farReach; ///< by bridge of the own data hall
     bool m_isWriteHeld = true; ///< until what a former life of this node wrote has been read
     Timer m_tickTimer;
     Timer m_lameDuckTimer;
--- a/src/Mesh/MeshNodeCrashes.cpp
+++ b/src/Mesh/MeshNodeCrashes.cpp
@@ -60,10 +60,10 @@
 {
     if (std::exchange(m_isCrashNews, false))
         m_owner->crashesChanged(now);
-    if (m_isWriteHeld && m_record.sequence() > 0)
+    if (m_isWriteHeld && m_record.sequence() > 0 && !m_provisionalTimer.isSet())
         writeRecord(now);
-    const bool isInformed
-        = m_nodesFeed->isCaughtUp() || m_hasComparedRecords || now - m_started > longestUninformed;
+    const bool hasHeardAll = (m_nodesFeed->isCaughtUp() || m_hasComparedRecords) && m_hasHeardRollouts;
+    const bool isInformed = hasHeardAll || now - m_started > longestUninformed;
     if (m_config.hasConfiguration() && isInformed)
         m_ingress->setConfigured(true);
 }
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -45,6 +45,7 @@
     // Before the configuration: a node that gets its first one must know which halls it may use.
     if (m_halls.applyPage(page, m_formats.parseEmptiedHall))
         hallsChanged(now);
+    applyStoredRollouts(page, now);
     const auto& records = page.records;
     // What the store has just confirmed is told while it is fresh: of 300 nodes none has to read for itself
     // then, and 25 at once had to now and then where followers told it up to a second later.
@@ -203,6 +204,7 @@
     m_rates->tick(now);
     if (m_halls.expireFormerEras(m_store->era().era(), now))
         hallsChanged(now);
+    tickRollouts(now);
     m_peers->closeIdle(now);
     flushLog();
     if (now >= m_nextContact)
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -13,22 +13,36 @@
     constexpr Duration relayDelay = 10ms;
     /// A contact whose link has just been opened is tried again after so long.
     constexpr Duration connectingAgain = 100ms;
+    /// Announcements come every one to two seconds.
+    constexpr Duration longestProvisional = 2s;
     /// A link that was opened stands within so long: a few ways of the network.
     constexpr Duration linkOpening = 20ms;
     /// In calm times what is known is confirmed anew before it is so old.
     constexpr Duration passedOnAtOnce = 1800ms;
     /// What other writers send is logged up to so many bytes of a text.
     constexpr std::size_t loggedBytes = 128;
+    constexpr double permille = 1000;
 
 } // namespace
 
 void MeshNode::publish(Instant now)
 {
+    m_provisionalTimer = Timer();
     tellRecord(now);
     writeRecord(now);
     rebuildSoon();
 }
 
+void MeshNode::publishProvisional(Instant now)
+{
+    tellRecord(now);
+    rebuildSoon();
+    m_provisionalTimer = Timer::once(m_context.base, longestProvisional, [this] {
+        m_provisionalTimer = Timer();
+        writeRecord(monotonicNow());
+    });
+}
+
 void MeshNode::tellRecord(Instant now)
 {
     m_record.set_sequence(m_record.sequence() + 1);
@@ -60,20 +74,23 @@
         contact.set_confirmed_by(known->readerRank);
     }
     m_halls.addToContact(contact);
+    contact.set_rollout_digest(m_context.rollouts.digest());
     contact.set_store_era(m_store->era().era());
+    if (const auto far = ownFarReach())
+        contact.set_far_reach_permille(1 + static_cast<std::uint32_t>(*far * permille));
     m_isContactOpening = false;
     m_gossip.sendContact(contact, now);
     if (m_group.isMember())
         tellWatchGroup(contact, now);
     m_nextContact = now + (m_isContactOpening ? connectingAgain : m_context.settings.peers.contactEvery);
     forgetLost(now);
-    m_rates->setReachableFraction(reach());
+    m_rates->setReachableFraction(reach(now));
 }
 
 void MeshNode::tellWatchGroup(const proto::NodeContact& contact, Instant now)
 {
     std::set<std::string> told;
-    for (const auto& it : m_registry.contactsOf(m_context.settings.name, m_context.settings.peers.contacts))
+    for (const auto& it : contacts())
         told.insert(m_registry.find(it)->peer_address());
     for (const auto& it : m_group.otherMembers()) {
         if (told.contains(it))
@@ -99,7 +116,7 @@
     const auto& settings = m_context.settings;
     std::vector<std::string> addresses;
     std::map<std::string, std::string> nodes; // by address
-    for (const auto& it : m_registry.contactsOf(settings.name, settings.peers.contacts)) {
+    for (const auto& it : contacts()) {
         addresses.push_back(m_registry.find(it)->peer_address());
         nodes[addresses.back()] = it;
     }
@@ -156,8 +173,16 @@
         return takeContact(sender, message.node_contact(), now);
     case proto::PeerMessage::kNodeRecords:
         return takeRecords(sender, message.node_records(), now);
+    case proto::PeerMessage::kRolloutRecords:
+        return takeRolloutRecords(message.rollout_records(), now);
+    case proto::PeerMessage::kVersionReport:
+        return takeVersionReport(message.version_report(), now);
     case proto::PeerMessage::kRegistryDigests:
-        return m_gossip.answerDigests(message.registry_digests(), replyTo(sender, now));
+        return m_gossip.answerDigests(message.registry_digests(), replyTo(sender, now), now);
+    case proto::PeerMessage::kRecordSummaries:
+        return takeSummaries(sender, message.record_summaries(), now);
+    case proto::PeerMessage::kRecordRequest:
+        return m_gossip.answerRequest(message.record_request(), replyTo(sender, now));
     case proto::PeerMessage::kConfigPartRequest:
         return takePartRequest(sender, message.config_part_request(), now);
     case proto::PeerMessage::kConfigPart:
@@ -183,6 +208,9 @@
     m_store->heardEra(contact.store_era(), now);
     if (m_halls.applyContact(contact))
         hallsChanged(now);
+    compareRollouts(sender, contact, now);
+    if (contact.far_reach_permille())
+        m_farReach[sender.node] = { (contact.far_reach_permille() - 1) / permille, now };
     m_share.onPeerStatus(sender.address, contact.follows_configuration(), now);
     takeConfirmation(contact, now);
     m_gossip.onDigest(
@@ -220,10 +248,24 @@
     }
     m_gossip.sendMissingRecords(records, replyTo(sender, now));
     relaySoon();
-    m_hasComparedRecords = m_hasComparedRecords || records.whole_buckets_size() > 0;
+    m_hasComparedRecords = m_hasComparedRecords || records.whole_buckets_size() > 0 || m_isComparing;
     heardOfCrashes(now);
 }
 
+void MeshNode::takeSummaries(
+    const PeerSocket::Sender& sender, const proto::RecordSummaries& summaries, Instant now)
+{
+    // Records that were requested come in the next messages of the peer.
+    m_isComparing = m_gossip.onSummaries(summaries, replyTo(sender, now)) > 0;
+    m_hasComparedRecords = m_hasComparedRecords || !m_isComparing;
+    heardOfCrashes(now);
+}
+
+std::vector<std::string> MeshNode::contacts() const
+{
+    return m_registry.contactsOf(m_context.settings.name, m_context.settings.peers.contacts).all();
+}
+
 bool MeshNode::takeRecord(const proto::NodeRecord& record, Instant now)
 {
     if (const auto fault = validationError(record); !fault.empty()) {
@@ -279,6 +321,8 @@
         outrank(record, now);
     if (isFormer)
         keepFormerCrashes(record, now);
+    if (isFormer)
+        adoptFormerVersion(record, now);
     if (isFormer && record.leaving() && m_announced.markLeaving(backendLifeOf(record)))
         upstreamChanged(now);
     // Somebody took this node for gone.
--- a/src/Mesh/MeshNodeRates.cpp
+++ b/src/Mesh/MeshNodeRates.cpp
@@ -9,6 +9,8 @@
 
     /// A link that is being opened is tried again after so long.
     constexpr Duration openingLink = 3ms;
+    /// A bridge that was not heard for longer tells nothing of what can be reached now.
+    constexpr Duration farReachLifetime = 3s;
 
 } // namespace
 
@@ -70,16 +72,49 @@
     m_rates->setNodes(std::move(nodes));
 }
 
-double MeshNode::reach() const
+std::optional<double> MeshNode::reachOf(const std::vector<std::string>& names) const
 {
-    const auto contacts = m_registry.contactsOf(m_context.settings.name, m_context.settings.peers.contacts);
-    if (contacts.empty())
-        return 1;
+    if (names.empty())
+        return std::nullopt;
     const auto isReached = [this](const std::string& it) {
         return !m_lostPeers.contains(m_registry.find(it)->peer_address());
     };
-    const auto n = std::count_if(contacts.begin(), contacts.end(), isReached);
-    return static_cast<double>(n) / static_cast<double>(contacts.size());
+    const auto n = std::count_if(names.begin(), names.end(), isReached);
+    return static_cast<double>(n) / static_cast<double>(names.size());
+}
+
+std::optional<double> MeshNode::ownFarReach() const
+{
+    std::vector<std::string> names;
+    const auto& settings = m_context.settings;
+    for (const auto& [hall, far] : m_registry.contactsOf(settings.name, settings.peers.contacts).far)
+        names.insert(names.end(), far.begin(), far.end());
+    return reachOf(names);
+}
+
+double MeshNode::reach(Instant now) const
+{
+    const auto& settings = m_context.settings;
+    const double nearReach
+        = reachOf(m_registry.contactsOf(settings.name, settings.peers.contacts).near).value_or(1);
+    auto farReach = ownFarReach();
+    double sum = 0;
+    double n = 0;
+    for (const auto& [bridge, it] : m_farReach) {
+        if (now - it.heardAt > farReachLifetime)
+            continue;
+        sum += it.part;
+        ++n;
+    }
+    if (!farReach && n > 0)
+        farReach = sum / n;
+    if (!farReach)
+        return nearReach;
+    const auto isNear = [&](const auto& it) { return it.second.data_hall() == settings.dataHall; };
+    const auto& nodes = m_registry.nodes();
+    const double nearPart = static_cast<double>(std::count_if(nodes.begin(), nodes.end(), isNear))
+        / static_cast<double>(std::max<std::size_t>(nodes.size(), 1));
+    return nearPart * nearReach + (1 - nearPart) * *farReach;
 }
 
 void MeshNode::takeCreditAsk(const PeerSocket::Sender& sender, const proto::CreditAsk& ask, Instant now)
--- a/src/Mesh/NodeRegistry.cpp
+++ b/src/Mesh/NodeRegistry.cpp
@@ -25,7 +25,7 @@
         return a.incarnation() == b.incarnation() && a.peer_address() == b.peer_address()
             && a.data_hall() == b.data_hall() && a.service() == b.service()
             && backendLifeOf(a) == backendLifeOf(b) && a.slots() == b.slots() && a.leaving() == b.leaving()
-            && a.gone() == b.gone();
+            && a.gone() == b.gone() && a.version() == b.version();
     }
 
     /// \returns a hash of the node's name and of the key that orders its records.
@@ -35,16 +35,6 @@
             + std::to_string(record.sequence()) + (record.gone() ? "\ngone" : ""));
     }
 
-    /// \returns a hash that is the same for (a, b) and (b, a).
-    std::uint64_t pairHash(const std::string& a, const std::string& b)
-    {
-        const auto& [first, second] = std::minmax(a, b);
-        std::string pair = first;
-        pair += '\n';
-        pair += second;
-        return hash64(pair);
-    }
-
     /// Numbers in records are times in us or counters that start at 1. 2^53 us are 285 years.
     constexpr std::uint64_t maxRecordNumber = std::uint64_t { 1 } << 53U;
     constexpr std::size_t maxTextBytes = 255;
@@ -76,6 +66,7 @@
         upstream.set_region(record.region());
         upstream.set_slots(record.slots());
         upstream.set_leaving(record.leaving());
+        upstream.set_version(record.version());
         return out;
     }
 
@@ -83,9 +74,9 @@
 
 std::string validationError(const proto::NodeRecord& record)
 {
-    const std::pair<const char*, const std::string&> names[]
-        = { { "node", record.node() }, { "data_hall", record.data_hall() }, { "region", record.region() },
-              { "service", record.service() }, { "upstream", record.upstream() } };
+    const std::pair<const char*, const std::string&> names[] = { { "node", record.node() },
+        { "data_hall", record.data_hall() }, { "region", record.region() }, { "service", record.service() },
+        { "upstream", record.upstream() }, { "version", record.version() } };
     for (const auto& [field, text] : names) {
         if (text.size() > maxTextBytes)
             return std::string(field) + ": must have at most " + std::to_string(maxTextBytes) + " bytes";
@@ -123,8 +114,13 @@
 {
     auto& digest = m_digests[bucketOf(record.node())];
     auto& known = m_nodes[record.node()];
-    if (!known.node().empty())
+    const bool isNew = known.node().empty();
+    if (isNew)
+        m_buckets[bucketOf(record.node())].insert(record.node());
+    else
         digest ^= recordHash(known);
+    if (isNew || known.gone() != record.gone() || known.data_hall() != record.data_hall())
+        ++m_generation;
     known = record;
     digest ^= recordHash(known);
 }
@@ -134,9 +130,9 @@
     return recordOrder(a) > recordOrder(b);
 }
 
-std::size_t NodeRegistry::bucketOf(const std::string& node)
+std::uint64_t NodeRegistry::hashOf(const std::string& node)
 {
-    return hash64(node) % bucketCount;
+    return hash64(node);
 }
 
 std::uint64_t NodeRegistry::digest() const
@@ -148,10 +144,8 @@
 std::vector<proto::NodeRecord> NodeRegistry::recordsIn(std::size_t bucket) const
 {
     std::vector<proto::NodeRecord> out;
-    for (const auto& [name, record] : m_nodes) {
-        if (bucketOf(name) == bucket)
-            out.push_back(record);
-    }
+    for (const auto& it : m_buckets[bucket])
+        out.push_back(m_nodes.at(it));
     return out;
 }
 
@@ -180,19 +174,12 @@
     return out;
 }
 
-std::vector<std::string> NodeRegistry::contactsOf(const std::string& self, std::size_t n) const
+const Contacts& NodeRegistry::contactsOf(const std::string& self, std::size_t n) const
 {
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    for (const auto& [name, record] : m_nodes) {
-        if (name == self || record.gone())
-            continue;
-        ranked.emplace_back(pairHash(self, name), name);
-    }
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<std::string> out;
-    for (std::size_t i = 0; i < std::min(n, ranked.size()); ++i)
-        out.push_back(std::move(ranked[i].second));
-    return out;
+    auto& cache = m_contactCache;
+    if (cache.self != self || cache.n != n || cache.generation != m_generation)
+        cache = { self, n, m_generation, selectContacts(m_nodes, self, n) };
+    return cache.contacts;
 }
 
 } // namespace robinrun
--- a/src/Mesh/NodeRegistry.h
+++ b/src/Mesh/NodeRegistry.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "Core/BackendLife.h"
+#include "Mesh/ContactSelection.h"
 #include "peer.pb.h"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,11 +62,10 @@
     /// Cost: O(nodes log nodes).
     std::vector<proto::Resource> upstreams() const;
 
-    /// \brief Selects up to \a n peers of \a self for regular contact: those with the lowest hash of the pair
-    /// (\a self, peer). The bound keeps the cost of contact independent of the size of the system. Most pairs
-    /// select each other, as far as the bound permits.
-    /// Cost: O(nodes log nodes).
-    std::vector<std::string> contactsOf(const std::string& self, std::size_t n) const;
+    /// \returns the contacts of \a self as selectContacts() selects them, up to \a n near ones. The reference
+    /// is valid until the next mergeRecord().
+    /// Cost: O(1) unless a node has been added, has gone or has moved since; then O(nodes log nodes).
+    const Contacts& contactsOf(const std::string& self, std::size_t n) const;
 
     /// \returns a digest of the records in each bucket. Equal digests mean equal records, except for hash
     /// collisions.
@@ -73,10 +74,16 @@
     /// \returns a digest of all records.
     std::uint64_t digest() const;
 
+    /// \returns the hash by which summaries name the node \a node.
+    static std::uint64_t hashOf(const std::string& node);
+
+    /// \returns the bucket of the node whose name has the hash \a nodeHash.
+    static std::size_t bucketOf(std::uint64_t nodeHash) { return nodeHash % bucketCount; }
+
     /// \returns the bucket of the node named \a node.
-    static std::size_t bucketOf(const std::string& node);
+    static std::size_t bucketOf(const std::string& node) { return bucketOf(hashOf(node)); }
 
-    /// \returns the records in \a bucket. Cost: O(nodes).
+    /// \returns the records in \a bucket. Cost: O(records in the bucket * log nodes).
     std::vector<proto::NodeRecord> recordsIn(std::size_t bucket) const;
 
     /// \returns whether \a a is of a later incarnation of its node than \a b, or a later record of the same
@@ -86,8 +93,19 @@
 private:
     void replaceRecord(const proto::NodeRecord& record);
 
+    /// \brief The last selection of contacts.
+    struct ContactCache {
+        std::string self;
+        std::size_t n = 0;
+        std::uint64_t generation = 0;
+        Contacts contacts;
+    };
+
     std::map<std::string, proto::NodeRecord> m_nodes;
+    std::array<std::set<std::string>, bucketCount> m_buckets; ///< names of nodes
     Digests m_digests {};
+    std::uint64_t m_generation = 1; ///< increases when the contacts may change
+    mutable ContactCache m_contactCache;
 };
 
 } // namespace robinrun
--- a/src/Mesh/TopicFollower.cpp
+++ b/src/Mesh/TopicFollower.cpp
@@ -56,7 +56,8 @@
 
 void TopicFollower::continueReading()
 {
-    m_isPausing = false;
+    if (std::exchange(m_isPausing, false) && m_options.maySkipRead && m_options.maySkipRead())
+        return pause();
     if (m_options.mayStandBy && m_options.mayStandBy())
         return enterStandby();
     if (!m_isCaughtUp)
@@ -121,6 +122,11 @@
     setAnswered(true);
     if (!m_options.drawPause)
         return continueReading();
+    pause();
+}
+
+void TopicFollower::pause()
+{
     m_isPausing = true;
     scheduleRead(m_options.drawPause());
 }
--- a/src/Mesh/TopicFollower.h
+++ b/src/Mesh/TopicFollower.h
@@ -33,6 +33,8 @@
         /// Returns whether this node may leave the topic to other nodes for now; called before each read but
         /// the first.
         std::function<bool()> mayStandBy = nullptr;
+        /// Returns whether the read that is due after a pause is not needed; then another pause begins.
+        std::function<bool()> maySkipRead = nullptr;
         /// Called after isFollowing() has changed.
         std::function<void()> onFollowingChanged = nullptr;
         Duration initialRetryDelay = 100ms; ///< after the first failure
@@ -53,6 +55,10 @@
     /// \brief Starts to read. Must be called once.
     void start() { readNewest(); }
 
+    /// \brief Starts without a read, as if other nodes read the topic. Must be called once, in place of
+    /// start().
+    void startOnStandby() { enterStandby(); }
+
     /// \brief Ends the current pause after \a delay.
     /// \returns whether there was a pause.
     bool endPauseAfter(Duration delay);
@@ -99,6 +105,7 @@
     void continueReading();
     void scheduleRead(Duration delay);
     Duration nextWait() const;
+    void pause();
     void enterStandby();
     void setAnswered(bool isAnswered);
     double drawJitter();
--- a/test/GossipTest.cpp
+++ b/test/GossipTest.cpp
@@ -17,9 +17,11 @@
 /// sockets and no real time.
 class GossipNetwork {
 public:
-    GossipNetwork(std::size_t n, std::uint64_t seed, double lossRate)
+    /// \param halls data halls among which the nodes are divided.
+    GossipNetwork(std::size_t n, std::uint64_t seed, double lossRate, std::size_t halls = 1)
         : m_random(seed)
         , m_lossRate(lossRate)
+        , m_halls(halls)
     {
         for (std::size_t i = 0; i < n; ++i)
             m_nodes.push_back(std::make_unique<Node>(*this, nameOf(i)));
@@ -27,6 +29,8 @@
 
     static std::string nameOf(std::size_t i) { return "n" + std::to_string(i); }
 
+    std::string hallOf(std::size_t i) const { return "hall-" + std::to_string(i % m_halls); }
+
     static proto::NodeRecord recordOf(std::size_t i, std::uint64_t sequence)
     {
         proto::NodeRecord out;
@@ -38,6 +42,14 @@
         return out;
     }
 
+    /// \returns as recordOf(), with the hall of the node.
+    proto::NodeRecord recordInHall(std::size_t i, std::uint64_t sequence) const
+    {
+        auto out = recordOf(i, sequence);
+        out.set_data_hall(hallOf(i));
+        return out;
+    }
+
     NodeRegistry& registry(std::size_t i) { return m_nodes[i]->registry; }
 
     /// \brief Gives all nodes the first record of each node.
@@ -45,13 +57,13 @@
     {
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
             for (auto& it : m_nodes)
-                it->registry.mergeRecord(recordOf(i, 1));
+                it->registry.mergeRecord(recordInHall(i, 1));
         }
     }
 
     void publish(std::size_t i, std::uint64_t sequence)
     {
-        const auto record = recordOf(i, sequence);
+        const auto record = recordInHall(i, sequence);
         m_nodes[i]->registry.mergeRecord(record);
         m_nodes[i]->gossip.publish(record, m_now);
         deliverAll();
@@ -81,6 +93,7 @@
     }
 
     std::size_t messageCount = 0;
+    std::size_t farBytes = 0; ///< of the messages between data halls
     std::size_t maxRecordsPerMessage = 0; ///< largest number of records in one message
 
 private:
@@ -104,6 +117,8 @@
     void sendMessage(const std::string& from, const std::string& to, const proto::PeerMessage& message)
     {
         ++messageCount;
+        if (hallOf(std::stoul(from.substr(1))) != hallOf(std::stoul(to.substr(1))))
+            farBytes += message.ByteSizeLong();
         maxRecordsPerMessage
             = std::max(maxRecordsPerMessage, static_cast<std::size_t>(message.node_records().records_size()));
         if (!m_random.chance(m_lossRate))
@@ -127,7 +142,11 @@
             const bool isNew = !node.registry.find(inFlight.from);
             node.gossip.onDigest(inFlight.message.node_contact().registry_digest(), isNew, reply, m_now);
         } else if (inFlight.message.has_registry_digests()) {
-            node.gossip.answerDigests(inFlight.message.registry_digests(), reply);
+            node.gossip.answerDigests(inFlight.message.registry_digests(), reply, m_now);
+        } else if (inFlight.message.has_record_summaries()) {
+            node.gossip.onSummaries(inFlight.message.record_summaries(), reply);
+        } else if (inFlight.message.has_record_request()) {
+            node.gossip.answerRequest(inFlight.message.record_request(), reply);
         } else {
             for (const auto& it : inFlight.message.node_records().records()) {
                 if (node.registry.mergeRecord(it) != NodeRegistry::Change::None)
@@ -140,6 +159,7 @@
 
     Random m_random;
     double m_lossRate;
+    std::size_t m_halls;
     Instant m_now {};
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::deque<InFlightMessage> m_inFlight;
@@ -181,6 +201,96 @@
     REQUIRE(network.maxRecordsPerMessage <= 4 * nodes / NodeRegistry::bucketCount);
 }
 
+// A start of all nodes, or a release, changes each record: the bytes between two halls are to increase with
+// the changes and not with changes times nodes.
+TEST_CASE("A changed record crosses between two data halls a few times, whatever their nodes", "[gossip]")
+{
+    const auto bytesOfChange = [](std::size_t nodes) {
+        GossipNetwork network(nodes, 7, 0, 4);
+        network.shareFirstRecords();
+        network.publish(3, 2);
+        const auto bytes = network.farBytes;
+        for (int round = 0; round < 4; ++round)
+            network.runContactRound();
+        REQUIRE(network.countNodesWith(3, 2) == nodes);
+        return bytes;
+    };
+    const auto ofFew = bytesOfChange(120);
+    const auto ofMany = bytesOfChange(480);
+    const std::size_t recordBytes = 60;
+    const std::size_t hallPairs = 4 * 3;
+    REQUIRE(ofFew <= hallPairs * bridgesPerHall * recordBytes);
+    REQUIRE(ofMany <= hallPairs * bridgesPerHall * recordBytes);
+}
+
+TEST_CASE("A node that has just started gets all records from one contact, not from each", "[gossip]")
+{
+    NodeRegistry all;
+    for (std::size_t i = 0; i < 1000; ++i) {
+        proto::NodeRecord record;
+        record.set_node("n" + std::to_string(i));
+        record.set_peer_address("10.0.0.1:1");
+        record.set_incarnation(1);
+        all.mergeRecord(record);
+    }
+    NodeRegistry empty;
+    Gossip started(empty, "new", {}, [](const auto&, auto&, Instant) {});
+    Gossip known(all, "n1", {}, [](const auto&, auto&, Instant) {});
+    std::size_t answers = 0;
+    for (int peer = 0; peer < 16; ++peer) {
+        known.onDigest(
+            0, true,
+            [&](proto::PeerMessage& request) {
+                started.answerDigests(
+                    request.registry_digests(), [&](proto::PeerMessage&) { ++answers; }, Instant {});
+            },
+            Instant {} + peer * 1s);
+    }
+    REQUIRE(answers == 1);
+}
+
+TEST_CASE("Two nodes exchange just the records that one of them lacks", "[gossip]")
+{
+    NodeRegistry a;
+    NodeRegistry b;
+    for (std::size_t i = 0; i < 100; ++i) {
+        a.mergeRecord(GossipNetwork::recordOf(i, 1));
+        b.mergeRecord(GossipNetwork::recordOf(i, 1));
+    }
+    a.mergeRecord(GossipNetwork::recordOf(7, 2));
+    b.mergeRecord(GossipNetwork::recordOf(8, 3));
+    b.mergeRecord(GossipNetwork::recordOf(200, 1));
+    Gossip gossipA(a, "n0", {}, [](const auto&, auto&, Instant) {});
+    Gossip gossipB(b, "n1", {}, [](const auto&, auto&, Instant) {});
+    std::size_t records = 0;
+    const auto mergeInto = [&](NodeRegistry& registry) {
+        return [&](proto::PeerMessage& message) {
+            for (const auto& it : message.node_records().records()) {
+                ++records;
+                registry.mergeRecord(it);
+            }
+        };
+    };
+    gossipA.onDigest(
+        b.digest(), false,
+        [&](proto::PeerMessage& digests) {
+            gossipB.answerDigests(
+                digests.registry_digests(),
+                [&](proto::PeerMessage& summaries) {
+                    gossipA.onSummaries(summaries.record_summaries(), [&](proto::PeerMessage& reply) {
+                        if (reply.has_record_request())
+                            gossipB.answerRequest(reply.record_request(), mergeInto(a));
+                        else
+                            mergeInto(b)(reply);
+                    });
+                },
+                Instant {});
+        },
+        Instant {});
+    REQUIRE(records == 3);
+    REQUIRE(a.digest() == b.digest());
+}
+
 TEST_CASE("All nodes converge to the same records although messages are lost", "[gossip]")
 {
     rc::prop("loss", [](std::uint64_t seed) {
--- a/test/RegistryTest.cpp
+++ b/test/RegistryTest.cpp
@@ -79,7 +79,7 @@
     }
     std::vector<std::size_t> timesChosen(nodes, 0);
     for (std::size_t i = 0; i < nodes; ++i) {
-        const auto contactNames = registry.contactsOf("n" + std::to_string(i), contacts);
+        const auto contactNames = registry.contactsOf("n" + std::to_string(i), contacts).all();
         REQUIRE(contactNames.size() == contacts);
         for (const auto& it : contactNames)
             ++timesChosen[std::stoul(it.substr(1))];
--- a/test/StaleNodeTest.cpp
+++ b/test/StaleNodeTest.cpp
@@ -197,9 +197,12 @@
     for (std::size_t i = 0; i < NodeRegistry::bucketCount; ++i)
         emptyDigests.add_buckets(0);
     std::size_t maxMessageBytes = 0;
-    gossip.answerDigests(emptyDigests, [&](proto::PeerMessage& message) {
-        maxMessageBytes = std::max(maxMessageBytes, message.ByteSizeLong());
-    });
+    gossip.answerDigests(
+        emptyDigests,
+        [&](proto::PeerMessage& message) {
+            maxMessageBytes = std::max(maxMessageBytes, message.ByteSizeLong());
+        },
+        Instant {});
     // A link of 10 Mbit/s transfers this many bytes in the 0.5 s after which it closes without a heartbeat.
     REQUIRE(maxMessageBytes < 625000);
 }
--- a/test/fuzz/FuzzEntries.cpp
+++ b/test/fuzz/FuzzEntries.cpp
@@ -45,10 +45,12 @@
     }
     WatchGroup group("10.0.0.1:1", {});
     group.setNodes(addresses);
-    const Gossip gossip(registry, "self", {}, [](const std::string&, proto::PeerMessage&, Instant) {});
+    Gossip gossip(registry, "self", {}, [](const std::string&, proto::PeerMessage&, Instant) {});
     const auto ignore = [](proto::PeerMessage&) {};
     gossip.sendMissingRecords(message.node_records(), ignore);
-    gossip.answerDigests(message.registry_digests(), ignore);
+    gossip.answerDigests(message.registry_digests(), ignore, Instant {});
+    gossip.onSummaries(message.record_summaries(), ignore);
+    gossip.answerRequest(message.record_request(), ignore);
     (void)registry.upstreams();
     (void)registry.contactsOf("self", 16);
 }
