Test that confirmations of the configuration pass between data halls in time

Change: WatchModel selects contacts by selectContacts() where it has halls; 984 nodes in 5, 1,000 in 18 and 295 in 3 halls.

--- a/test/WatchGroupTest.cpp
+++ b/test/WatchGroupTest.cpp
@@ -125,6 +125,22 @@
     }
 }
 
+// Contacts are in a node's own data hall, but for a few bridges: confirmations take more hops than between
+// random contacts, and nodes that miss them would read the store themselves.
+TEST_CASE("Confirmations pass from data hall to data hall in time, without more reads", "[watch]")
+{
+    const auto [nodes, halls] = GENERATE(std::pair<std::size_t, std::size_t> { 984, 5 },
+        std::pair<std::size_t, std::size_t> { 1000, 18 }, std::pair<std::size_t, std::size_t> { 295, 3 });
+    const auto changeInterval = GENERATE(Duration(0), Duration(300ms));
+    INFO(nodes << " nodes, " << halls << " halls");
+    WatchModel model(7, { nodes, changeInterval, 0.02, 5ms, halls });
+    model.run(5s);
+    model.resetReadCounts();
+    CHECK(model.run(20s) <= maxStaleness);
+    CHECK(model.readCount() <= 20 * (changeInterval > 0s ? 20 : 8));
+    CHECK(model.maxReadsPerStep() <= 16);
+}
+
 TEST_CASE("No node that reaches the store uses an outdated configuration under any of the faults", "[watch]")
 {
     const auto& fault = GENERATE(from_range(faultScenarios()));
--- a/test/support/WatchModel.h
+++ b/test/support/WatchModel.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "Core/Random.h"
+#include "Mesh/ContactSelection.h"
 #include "Mesh/FollowerSelection.h"
 #include "Mesh/StoreReadTiming.h"
 #include "Mesh/WatchGroup.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -40,6 +42,7 @@
         Duration changeInterval = 300ms;
         double lossRate = 0.02; ///< fraction of lost messages between nodes
         Duration storeLatency = 5ms; ///< time that the store takes to answer
+        std::size_t halls = 0; ///< data halls by which contacts are selected; 0: they are random
     };
 
     WatchModel(std::uint64_t seed, Options options)
@@ -55,9 +58,11 @@
             it.followerSelection.emplace(m_addresses[i], FollowerSelection::Options {});
             it.nextContactAt = m_now + m_random.below(1000) * 1ms;
             it.readEndsAt = m_now + m_random.below(300) * 1ms;
-            for (std::size_t k = 0; k < contactCount; ++k)
+            for (std::size_t k = 0; k < contactCount && !options.halls; ++k)
                 it.peers.push_back(m_random.below(m_nodes.size()));
         }
+        if (options.halls)
+            selectPeers();
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
             if (m_nodes[i].group->isMember())
                 m_members.push_back(i);
@@ -110,6 +115,23 @@
     }
 
 private:
+    /// \brief Gives each node the contacts that it has in a system of several data halls.
+    void selectPeers()
+    {
+        std::map<std::string, proto::NodeRecord> records;
+        std::map<std::string, std::size_t> indexes;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            auto& record = records[m_addresses[i]];
+            record.set_node(m_addresses[i]);
+            record.set_data_hall("hall-" + std::to_string(i % m_options.halls));
+            indexes[m_addresses[i]] = i;
+        }
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            for (const auto& it : selectContacts(records, m_addresses[i], contactCount).all())
+                m_nodes[i].peers.push_back(indexes.at(it));
+        }
+    }
+
     struct Node {
         std::optional<WatchGroup> group;
         std::optional<FollowerSelection> followerSelection;
