--- a/test/ServerLimitTest.cpp
+++ b/test/ServerLimitTest.cpp
@@ -101,3 +101,25 @@
     REQUIRE(f.shop(1).arrivals.size() >= 1);
     REQUIRE(f.shop(1).arrivals.size() <= allowedAt(limit));
 }
+
+// Guards against a server that gets no calls although its limit has ended.
+TEST_CASE(
+    "A server whose limit has ended gets its share of the calls again within a second", "[server-limit]")
+{
+    LimitFixture f;
+    f.store.put("keyed.op", "config", ShopFixture::configuration(9, "shop", "300"));
+    f.until([&] { return f.call(0, "GET", "/read/x").status == 200; });
+    f.pass(200ms);
+    f.shop(1).limit = "4";
+    constexpr auto gap = 12ms;
+    f.callOften(0, 250, gap, "1500");
+    REQUIRE(f.shop(1).arrivals.size() > 4);
+    f.shop(1).limit.reset();
+    f.callOften(0, 83, gap, "1500");
+    f.shop(1).arrivals.clear();
+    f.shop(2).arrivals.clear();
+    f.callOften(0, 83, gap, "1500");
+    const auto share = static_cast<double>(f.shop(1).arrivals.size())
+        / static_cast<double>(f.shop(1).arrivals.size() + f.shop(2).arrivals.size());
+    REQUIRE(share > 0.25);
+}
