--- a/test/LargeMessageTest.cpp
+++ b/test/LargeMessageTest.cpp
@@ -214,6 +214,8 @@
         const auto number = static_cast<std::uint64_t>(i) + 1;
         const auto lostBefore = f.one.lost.size();
         f.one.send(f.base.get(), f.slow, callOf(number, largeBytes / 4));
+        // A connection that the relay has not accepted yet would not be reset.
+        f.until([&] { return f.proxy.accepted() >= number; });
         const auto part = Timer::once(f.base.get(), 10ms * i, [&] {
             f.proxy.set(support::LinkFault::Reset);
             f.proxy.set(support::LinkFault::None);
