--- a/src/Mesh/ContactSelection.cpp
+++ b/src/Mesh/ContactSelection.cpp
@@ -28,8 +28,9 @@
             ranked.emplace_back(hashOf(it), &it);
         const auto count = std::min(n, ranked.size());
         const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
-        const auto isLower
-            = [](const auto& a, const auto& b) { return std::tie(a.first, *a.second) < std::tie(b.first, *b.second); };
+        const auto isLower = [](const auto& a, const auto& b) {
+            return std::tie(a.first, *a.second) < std::tie(b.first, *b.second);
+        };
         std::partial_sort(ranked.begin(), end, ranked.end(), isLower);
         Names out;
         for (auto it = ranked.begin(); it != end; ++it)
@@ -44,8 +45,8 @@
             hallNodes, bridgesPerHall, [&](const std::string& name) { return hash64(name, hallPair); });
     }
 
-    /// \returns the bridges of \a farNodes that \a self, if it is a bridge, is in contact with. Each bridge of
-    /// the far hall is selected by as many of the near hall.
+    /// \returns the bridges of \a farNodes that \a self, if it is a bridge, is in contact with. Each bridge
+    /// of the far hall is selected by as many of the near hall.
     Names selectFar(
         const Names& nearNodes, const Names& farNodes, const std::string& self, std::uint64_t hallPair)
     {
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -18,6 +18,9 @@
     /// After a node has written its record it reads once more, for those that started at the same time: of
     /// two nodes the one that reads last sees the other.
     constexpr Duration nodesAfterWrite = 400ms;
+    /// Wait of a read of the configuration while no other node is known. Where all nodes start at once, none
+    /// knows another for seconds, and short waits cost most of the calls of the start.
+    constexpr Duration waitWithoutPeers = 5s;
     /// The configuration is read this long after the start if the store has not answered with the nodes
     /// before.
     constexpr Duration longestConfigStart = 300ms;
@@ -97,14 +100,14 @@
     auto* base = m_context.base;
     m_owner = std::make_unique<Owner>(m_context, m_started);
     m_owner->onLoadChanged(
-        [this](const std::string& address, proto::LoadNews& news) { tellLoad(address, news); });
+        [this](const std::string& address, proto::LoadNews& news) { sendLoad(address, news); });
     m_owner->onServerLeaving([this] {
         // Announcements of this life that are still on their way don't undo it.
         if (m_announced.markLeaving(BackendLife::fromKey(m_owner->upstream())))
-            upstreamChanged(monotonicNow());
+            onUpstreamChanged(monotonicNow());
     });
-    m_owner->onCrash([this](const proto::CrashReport& report) { tellCrash(report); });
-    m_owner->onAcquittal([this](const proto::CrashAcquittal& acquittal) { tellAcquittal(acquittal); });
+    m_owner->onCrash([this](const proto::CrashReport& report) { publishCrash(report); });
+    m_owner->onAcquittal([this](const proto::CrashAcquittal& acquittal) { publishAcquittal(acquittal); });
     const auto send = [this](const std::string& address, proto::PeerMessage& message, Instant now) {
         return m_peers->send(address, message, now);
     };
@@ -122,29 +125,29 @@
     m_ingress = std::make_unique<Ingress>(m_context, *m_owner, nullptr, nullptr, send);
     m_ingress->setConfigured(false);
     m_rates = std::make_unique<GroupRateLimiter>(
-        GroupRateLimiter::Options { m_context.settings.name, m_context.incarnation, rateTerms() },
+        GroupRateLimiter::Options { m_context.settings.name, m_context.incarnation, rateTolerance() },
         [this](const std::string& node, proto::PeerMessage& message, Instant now) {
             return sendToNode(node, message, now);
         });
-    m_ingress->keepRates(*m_rates);
+    m_ingress->setRateLimiter(*m_rates);
     m_writer = std::make_unique<RecordWriter>(base, *m_store, m_formats.nodesTopic, m_context.settings.name);
     m_rolloutStatus = std::make_unique<RolloutStatusWriter>(
         m_formats, *m_store, [this](std::uint64_t id, RolloutOutcome outcome) {
-            rolloutStatusWritten(id, outcome, monotonicNow());
+            onRolloutStatusWritten(id, outcome, monotonicNow());
         });
     m_owner->onRunEnded([this](const Owner::EndedRun& run) { m_rolloutReports.recordRun(run); });
     m_finder = std::make_unique<BackendDiscovery>(
         base, m_context.settings.backend, [this](const Announcement& found) {
             const auto now = monotonicNow();
             if (m_announced.applyHealthAnswer(found))
-                upstreamChanged(now);
+                onUpstreamChanged(now);
             // Unlike ill health, this holds whatever the server announces.
             if (found.saysLeaving && m_announced.markLeaving(found.life))
-                upstreamChanged(now);
+                onUpstreamChanged(now);
             if (found.remainingColdTime && found.life.key() == m_owner->upstream())
-                m_owner->answeredWarmUp(*found.remainingColdTime, now, now);
+                m_owner->onHealthAnswerWarmUp(*found.remainingColdTime, now, now);
             if (found.rateLimit && found.life.key() == m_owner->upstream())
-                m_owner->answeredRateLimit(*found.rateLimit, now);
+                m_owner->onHealthAnswerRateLimit(*found.rateLimit, now);
         });
 }
 
@@ -162,7 +165,7 @@
     options.idleTimeout = linkIdle;
     options.longestReconnect = settings.peers.longestReconnect;
     auto peers = PeerSocket::bind(m_context.base, options,
-        [this](const PeerSocket::Sender& from, proto::PeerMessage& message) { takeMessage(from, message); });
+        [this](const PeerSocket::Sender& from, proto::PeerMessage& message) { onMessage(from, message); });
     if (!peers)
         return failure(peers.error());
     m_peers = std::move(peers.value());
@@ -190,7 +193,7 @@
         { listen.callers, &m_callers,
             [this](auto exchange) { m_ingress->take(std::move(exchange), monotonicNow()); } },
         { listen.readiness, &m_readiness, [this](auto exchange) { answerReadiness(*exchange); } },
-        { listen.announcements, &m_announcements, [this](auto exchange) { takeAnnouncement(*exchange); } },
+        { listen.announcements, &m_announcements, [this](auto exchange) { onAnnouncement(*exchange); } },
         { listen.metrics, &m_metrics, [this](auto exchange) { answerMetrics(*exchange); } },
     };
     for (const auto& it : listeners) {
@@ -214,12 +217,17 @@
     };
     TopicFollower::Options config;
     config.topic = m_formats.configurationTopic;
-    config.drawWait = [this] { return m_watch.nextWait(m_group.memberCount(), m_context.random.unit()); };
+    config.drawWait = [this] {
+        if (livingNodes() <= 1)
+            return waitWithoutPeers;
+        return m_watch.nextWait(m_group.memberCount(), m_context.random.unit());
+    };
     config.drawPause
         = [this] { return std::exchange(m_hasReadConfiguration, true) ? Duration::zero() : firstContacts; };
-    config.mayStandBy = [this] { return isWatched(monotonicNow()); };
+    config.mayStandBy
+        = [this] { return isWatched(monotonicNow()) || restsAfterFirstConfiguration(monotonicNow()); };
     config.maxRetryDelay = longestRetry;
-    config.onFollowingChanged = [this] { tellContacts(monotonicNow()); };
+    config.onFollowingChanged = [this] { sendContacts(monotonicNow()); };
     m_configFeed = std::make_unique<TopicFollower>(
         base, *m_store, config,
         [this](const KeyedPage& page) { takeStoredConfiguration(page, monotonicNow()); }, m_context.random);
@@ -227,13 +235,13 @@
     nodes.topic = m_formats.nodesTopic;
     nodes.drawPause = [this] { return nodesPause(); };
     nodes.maxRetryDelay = longestRetry;
-    nodes.maySkipRead = [this] { return std::exchange(m_isReadingForOthers, false) && knowsManyNodes(); };
+    nodes.maySkipRead = [this] { return std::exchange(m_isReadForFew, false) && knowsManyNodes(); };
     m_nodesFeed = std::make_unique<TopicFollower>(
         base, *m_store, nodes,
         [this](const KeyedPage& page) {
             for (const auto& it : page.records)
-                takeStoredNode(it, monotonicNow());
-            heardOfCrashes(monotonicNow());
+                applyStoredNode(it, monotonicNow());
+            onCrashRecordsChanged(monotonicNow());
             startConfigFeed(monotonicNow());
         },
         m_context.random);
@@ -244,9 +252,9 @@
         if (m_hasReadNodesSince)
             return;
         m_hasReadNodesSince = m_nodesFeed->endPauseAfter(nodesAfterWrite);
-        m_isReadingForOthers = m_hasReadNodesSince;
+        m_isReadForFew = m_hasReadNodesSince;
     });
-    m_store->onReturn([this] { storeReturned(monotonicNow()); });
+    m_store->onReturn([this] { onStoreReturned(monotonicNow()); });
     m_nodesFeed->start();
     m_configStartTimer = Timer::once(base, longestConfigStart, [this] { startConfigFeed(monotonicNow()); });
 }
@@ -264,6 +272,17 @@
     m_configFeed->startOnStandby();
 }
 
+bool MeshNode::restsAfterFirstConfiguration(Instant now)
+{
+    const bool mayRest = m_startedWithoutConfiguration && m_config.hasConfiguration() && livingNodes() <= 1;
+    if (!mayRest)
+        return false;
+    m_startedWithoutConfiguration = false;
+    m_isFirstRest = true;
+    m_restUntil = now + waitWithoutPeers;
+    return true;
+}
+
 bool MeshNode::knowsManyNodes() const
 {
     return livingNodes() > m_context.settings.peers.contacts;
@@ -279,9 +298,10 @@
 Duration MeshNode::nodesPause()
 {
     if (m_writer->isWritten() && m_writer->calls() > 0 && !std::exchange(m_hasReadNodesSince, true)) {
-        m_isReadingForOthers = true;
+        m_isReadForFew = true;
         return nodesAfterWrite;
     }
+    m_isReadForFew = !knowsManyNodes();
     const auto nodes = static_cast<double>(m_registry.nodes().size());
     const auto mean = std::max(toSeconds(leastNodesPause), nodes / nodesReadsPerSecond);
     // From half of the mean to one and a half: nodes that start together don't go on to read together.
@@ -380,29 +400,29 @@
     return out;
 }
 
-void MeshNode::takeAnnouncement(HttpExchange& exchange)
+void MeshNode::onAnnouncement(HttpExchange& exchange)
 {
     const auto now = monotonicNow();
     const auto read = readAnnouncement(exchange.request());
     if (!read) {
-        noteForeign("announcement", exchange.request().target, read.error());
+        logForeignEntry("announcement", exchange.request().target, read.error());
         return exchange.reply({ badRequest, {}, read.error() + "\n" });
     }
     m_finder->stop();
     if (m_announced.applyAnnouncement(read.value()))
-        upstreamChanged(now);
+        onUpstreamChanged(now);
     const auto& told = read.value();
     if (told.life.key() == m_owner->upstream()) {
-        m_owner->heardFromBackend(now);
+        m_owner->onSignOfLife(now);
         const bool isLatest = told.sequence == m_announced.current()->sequence;
         if (told.remainingColdTime && isLatest)
-            m_owner->heardWarmUp(*told.remainingColdTime, now);
+            m_owner->onAnnouncedWarmUp(*told.remainingColdTime, now);
     }
     // Only now: from here on nothing new goes to a server that has said it leaves.
     exchange.reply({ ok, { { "Content-Type", "application/json" } }, "{}" });
 }
 
-void MeshNode::upstreamChanged(Instant now)
+void MeshNode::onUpstreamChanged(Instant now)
 {
     const auto& current = *m_announced.current();
     log(LogLevel::Info, "upstream-announced",
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -47,9 +47,9 @@
 
 /// \brief A node where backend servers announce themselves and all nodes meet in a keyed store.
 ///
-/// It plays the same parts as Node, ingress and owner, without a host list and without a log of changes: the
-/// configuration is one record of the store, each node writes one record of itself there, and peers tell each
-/// other both, so that a node which the store turns away works on.
+/// It has the same roles as Node, ingress and owner, without a host list and without a log of changes: the
+/// configuration is one record of the store, each node writes one record of itself there, and peers send each
+/// other both, so that a node which the store refuses continues to work.
 class MeshNode {
 public:
     /// \brief Binds all sockets and starts. The error is a sentence.
@@ -75,7 +75,7 @@
     Result<void, std::string> bind();
     Result<void, std::string> bindPeers();
     void makeParts();
-    void tellLoad(const std::string& address, proto::LoadNews& news);
+    void sendLoad(const std::string& address, proto::LoadNews& news);
     Result<void, std::string> bindServers();
     void startFeeds();
     void addGauges();
@@ -83,59 +83,58 @@
     void addBackendGauges();
     template <class Calls> void addStoreGauges(const std::string& kind, const Calls& calls);
 
-    void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
-    void takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now);
-    void takeRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now);
-    void takeSummaries(
-        const PeerSocket::Sender& sender, const proto::RecordSummaries& summaries, Instant now);
+    void onMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
+    void onContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now);
+    void onRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now);
+    void onSummaries(const PeerSocket::Sender& sender, const proto::RecordSummaries& summaries, Instant now);
     /// \returns the names of the nodes in regular contact.
     std::vector<std::string> contacts() const;
     /// \returns whether it was news.
-    bool takeRecord(const proto::NodeRecord& record, Instant now);
-    void takePartRequest(
+    bool applyRecord(const proto::NodeRecord& record, Instant now);
+    void onPartRequest(
         const PeerSocket::Sender& sender, const proto::ConfigPartRequest& request, Instant now);
-    void takePart(const PeerSocket::Sender& sender, const proto::ConfigPart& part, Instant now);
-    /// \brief The copy that was fetched is whole.
-    void takeCopy(const std::string& source, Instant now);
+    void onPart(const PeerSocket::Sender& sender, const proto::ConfigPart& part, Instant now);
+    /// \brief Adopts the configuration of a copy that has been received completely.
+    void adoptCopy(const std::string& source, Instant now);
     proto::PeerMessage partRequest() const;
-    void takeStoredNode(const KeyedRecord& stored, Instant now);
-    /// \returns what a record of the store says of its node; nothing if it is malformed or says nothing new.
+    void applyStoredNode(const KeyedRecord& stored, Instant now);
+    /// \returns the node's record that a record of the store holds; nothing if it is malformed or already
+    /// known.
     std::optional<proto::NodeRecord> readStoredNode(const KeyedRecord& stored);
-    /// \brief Counts and logs what no part of this deployment can have written.
-    /// \param kind of entry. \param what names it. \param fault with the field.
-    void noteForeign(std::string_view kind, std::string_view what, std::string_view fault);
-    bool takeOwnRecord(const proto::NodeRecord& record, Instant now);
-    /// \brief A former life of this node seems to be later, since the clock went back: makes this one's
-    /// records count as later ones.
-    void outrank(const proto::NodeRecord& former, Instant now);
+    /// \brief Counts and logs an entry that no part of this deployment can have written.
+    /// \param kind of entry. \param what name of the entry. \param fault error with the field.
+    void logForeignEntry(std::string_view kind, std::string_view what, std::string_view fault);
+    bool applyOwnRecord(const proto::NodeRecord& record, Instant now);
+    /// \brief Makes the records of this incarnation count as later than \a former, which a former incarnation
+    /// wrote before the clock was set back.
+    void raiseIncarnationAbove(const proto::NodeRecord& former, Instant now);
     /// \returns whether \a node, or this start of it, is not known yet.
     bool isNewLife(const std::string& node, std::uint64_t incarnation) const;
 
-    /// \brief A crash beside this node: all nodes hear of it, and the store keeps it.
-    void tellCrash(const proto::CrashReport& report);
-    /// \brief A good end beside this node has cleared strikes: all nodes hear of it in a moment.
-    void tellAcquittal(const proto::CrashAcquittal& acquittal);
-    /// \brief Crashes that a former life of this node has told of are told on by this one.
-    void keepFormerCrashes(const proto::NodeRecord& former, Instant now);
-    /// \brief Something may have been heard of crashes elsewhere: once it has, calls are taken and the node's
-    /// own record is written.
-    void heardOfCrashes(Instant now);
+    /// \brief Sends a crash of the backend server beside this node to all nodes and writes it to the store.
+    void publishCrash(const proto::CrashReport& report);
+    /// \brief Sends an acquittal by a good end beside this node to all nodes after a short delay.
+    void publishAcquittal(const proto::CrashAcquittal& acquittal);
+    /// \brief Takes the crash reports of a former incarnation of this node into its own record.
+    void adoptFormerCrashes(const proto::NodeRecord& former, Instant now);
+    /// \brief Accepts calls and writes the node's own record once crashes elsewhere and roll-outs are known.
+    void onCrashRecordsChanged(Instant now);
 
     /// \brief Applies the orders of roll-outs in a page of the configuration topic.
     void applyStoredRollouts(const KeyedPage& page, Instant now);
-    void takeRolloutRecords(const proto::RolloutRecords& records, Instant now);
+    void onRolloutRecords(const proto::RolloutRecords& records, Instant now);
     /// \brief Applies the state of the roll-outs to the choice of servers and sends it to the contacts.
-    void rolloutsChanged(Instant now);
+    void onRolloutsChanged(Instant now);
     void sendRollouts(Instant now);
     /// \brief Sends all known roll-outs to a contact that knows others.
     void compareRollouts(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now);
     /// \brief This node knows the roll-outs from the store or a contact: it may take calls.
-    void rolloutsHeard(Instant now);
+    void onRolloutsHeard(Instant now);
     /// \returns the first \a n of the nodes that are not known to be lost, in the order in which they judge
     /// the roll-out and write its status. Cost: O(nodes).
     std::vector<std::string> rankedNodes(std::uint64_t rollout, std::size_t n) const;
     void reportOwnVersion(Instant now);
-    void takeVersionReport(const proto::VersionReport& report, Instant now);
+    void onVersionReport(const proto::VersionReport& report, Instant now);
     RolloutBounds rolloutBounds() const;
     std::vector<RolloutJudge::Server> serversOf(const std::string& service) const;
     void judgeRollouts(Instant now);
@@ -143,7 +142,7 @@
     void writeRolloutStatus(Instant now);
     /// \returns whether this node writes a status that has been due for \a pending, by its rank.
     bool isWriter(std::uint64_t rollout, Duration pending) const;
-    void rolloutStatusWritten(std::uint64_t id, RolloutOutcome outcome, Instant now);
+    void onRolloutStatusWritten(std::uint64_t id, RolloutOutcome outcome, Instant now);
     void tickRollouts(Instant now);
     void addRolloutGauges();
     void setBackendVersion(const std::string& version);
@@ -155,15 +154,15 @@
     void answerMetrics(HttpExchange& exchange) const;
     /// \returns an announcement of the backend server beside this node. The error names the field.
     Result<Announcement, std::string> readAnnouncement(const HttpRequest& request) const;
-    void takeAnnouncement(HttpExchange& exchange);
-    void upstreamChanged(Instant now);
+    void onAnnouncement(HttpExchange& exchange);
+    void onUpstreamChanged(Instant now);
 
     void offerConfiguration(std::string_view text, std::string_view source, Instant now);
     void takeStoredConfiguration(const KeyedPage& page, Instant now);
-    /// \brief Halls were emptied or taken back: routing hears of it now, and the contacts.
-    void hallsChanged(Instant now);
-    /// \brief The store is back from an older copy: what this node wrote there may be gone.
-    void storeReturned(Instant now);
+    /// \brief Applies a change of the emptied halls to the routing and sends it to the contacts.
+    void onHallsChanged(Instant now);
+    /// \brief Writes the own record again, since the store has been restored from an older copy.
+    void onStoreReturned(Instant now);
     /// \returns a share of the time in which all nodes may write at once, within the store's rates.
     Duration rewriteDelay();
     /// \brief Puts the configuration that was adopted just now in force. \param former in force before.
@@ -173,14 +172,13 @@
     {
         return m_group.isMember() ? m_share.mayStandBy(now) : m_group.mayStandBy(now);
     }
-    /// \brief What a contact says of how fresh its configuration is.
-    void takeConfirmation(const proto::NodeContact& contact, Instant now);
-    /// \brief Tells the other members of the watch, who are no contacts of each other, what contacts are
-    /// told.
-    void tellWatchGroup(const proto::NodeContact& contact, Instant now);
-    /// \brief Ends the rest from following the configuration if too few others follow it.
+    /// \brief Handles a contact's report of when its configuration was confirmed.
+    void onConfirmation(const proto::NodeContact& contact, Instant now);
+    /// \brief Sends \a contact to the other members of the watch group that are no contacts.
+    void sendToWatchGroup(const proto::NodeContact& contact, Instant now);
+    /// \brief Ends the standby from following the configuration if too few other nodes follow it.
     void followIfNeeded(Instant now);
-    /// \brief Asks a peer for a newer configuration, if it is time.
+    /// \brief Requests a newer configuration from a peer, if a request is due.
     void pullIfDue(Instant now);
     void rebuildSoon();
     /// \brief Brings the configuration in force into the directory, and the upstreams that are known.
@@ -199,34 +197,38 @@
     void publishProvisional(Instant now);
     /// \brief Writes this node's record to the store, once what its former life wrote there was read.
     void writeRecord(Instant now);
-    /// \brief Tells the contacts this node's record, and leaves the store as it is.
-    void tellRecord(Instant now);
-    void tellContacts(Instant now);
+    /// \brief Sends this node's record to the contacts without writing it to the store.
+    void gossipRecord(Instant now);
+    void sendContacts(Instant now);
     void sendToContact(const std::string& address, proto::PeerMessage& message, Instant now);
-    /// \brief Contacts that could not be reached for long are marked gone, here, at the peers and in the
-    /// store. One that lives after all says so when it hears of it.
-    void forgetLost(Instant now);
-    /// \brief Passes on in a moment what the gossip has kept for that.
+    /// \brief Marks contacts that could not be reached for `peers.forgetAfter` as gone, here, at the peers
+    /// and in the store. A node that still runs publishes its record again when it receives that.
+    void removeLostPeers(Instant now);
+    /// \brief Schedules the relays that are queued in the gossip.
     void relaySoon();
-    /// \returns what answers \a sender along the link that its message came by.
+    /// \returns a function that answers \a sender over the link by which its message came.
     Gossip::ReplyFunction replyTo(const PeerSocket::Sender& sender, Instant now);
     /// \returns how long to wait until the nodes' topic is read again.
     Duration nodesPause();
     /// \brief Begins to follow the configuration, once the nodes are known or the store has not told them in
     /// time. Does nothing if that has begun.
     void startConfigFeed(Instant now);
+    /// \returns whether to stand by for a while after the first configuration of a system whose nodes start
+    /// at the same time: none knows another yet, and by the end of the wait they watch the store for each
+    /// other.
+    bool restsAfterFirstConfiguration(Instant now);
     /// \returns whether so many nodes are known that some of them tell this one what it lacks.
     bool knowsManyNodes() const;
     /// \returns how many nodes are known that are not gone. Cost: O(nodes).
     std::size_t livingNodes() const;
 
-    RateTolerance rateTerms() const;
+    RateTolerance rateTolerance() const;
     bool sendToNode(const std::string& node, proto::PeerMessage& message, Instant now);
-    /// \brief Brings the rates of the configuration in force into the keeping of rates.
+    /// \brief Passes the rates of the configuration in force to the rate limiter.
     void setRates();
-    /// \brief Brings the nodes that are known there: each change of a node's record does.
+    /// \brief Passes the known nodes to the rate limiter; called at each change of a node's record.
     void setLenders();
-    /// \brief Asks that could not go out while links were being opened are sent in a moment.
+    /// \brief Schedules credit requests that could not be sent while links were being opened.
     void askForCreditsSoon();
     /// \returns the part of the nodes that can be reached, as far as the contacts show. What other data halls
     /// are concerned, the bridges tell it to the contacts of their own hall.
@@ -235,18 +237,18 @@
     std::optional<double> ownFarReach() const;
     /// \returns the part of \a names whose links are not known to be lost; nothing without any.
     std::optional<double> reachOf(const std::vector<std::string>& names) const;
-    void takeCreditAsk(const PeerSocket::Sender& sender, const proto::CreditAsk& ask, Instant now);
+    void onCreditRequest(const PeerSocket::Sender& sender, const proto::CreditAsk& ask, Instant now);
 
     void tick();
-    /// \brief Notes whether the configuration is proven to be new enough for credentials to rest on.
-    void noteProof(Instant now);
-    void noteStandstill();
+    /// \brief Updates whether the configuration is proven to be new enough to judge credentials by it.
+    void updateConfigProof(Instant now);
+    void detectStandstill();
     void step(NodeEvent event);
     void beginLeaving();
     /// \brief Ends the draining node if nothing is left to do, or its time is over.
     void endIfDone(Instant now);
 
-    /// After its last call is answered a stopping node waits so long for another one on its way.
+    /// Time for which a stopping node waits for calls in transit after it has answered its last call.
     static constexpr Duration lingering = 200ms;
 
     NodeContext m_context;
@@ -290,14 +292,16 @@
     bool m_isContactOpening = false; ///< a link to a contact was opened a moment ago
     bool m_hasReadConfiguration = false;
     bool m_hasReadNodesSince = false; ///< since this life's record was written first
-    bool m_isReadingForOthers = false; ///< the read that is due is for nodes that started at the same time
+    bool m_isReadForFew = false; ///< the read of the nodes that is due was scheduled while few were known
+    bool m_isFirstRest = false; ///< on standby after the first configuration
+    bool m_startedWithoutConfiguration = false; ///< there was none in the store at the first read
     bool m_isStopping = false;
     ContactReachability m_reach;
-    std::vector<std::unique_ptr<RecordWriter>> m_forgotten; ///< they take away the records of lost nodes
-    std::set<std::string> m_lostPeers; ///< addresses of links that have ended and were not heard since
+    std::vector<std::unique_ptr<RecordWriter>> m_forgotten; ///< remove the records of lost nodes
+    std::set<std::string> m_lostPeers; ///< addresses of links that have ended, until a message arrives
     Instant m_adopted {}; ///< when the configuration in force was
     Instant m_nextContact {};
-    Instant m_restUntil {}; ///< from following the configuration, though too few others do
+    Instant m_restUntil {}; ///< until then this node stays on standby even if too few others follow
     Instant m_nextOverdueRead {};
     Instant m_drainLimit {};
     DrainEnd m_drainEnd { lingering };
@@ -309,7 +313,7 @@
     Timer m_acquittalTimer;
     Timer m_creditTimer;
     bool m_isAcquittalPending = false;
-    bool m_isCrashNews = false; ///< some was taken in and is not judged yet
+    bool m_isCrashNews = false; ///< crash records were merged and are not judged yet
     bool m_hasComparedRecords = false; ///< with a contact, in this life
     bool m_isComparing = false; ///< records that this node lacks were requested
     struct FarReach {
--- a/src/Mesh/MeshNodeCrashes.cpp
+++ b/src/Mesh/MeshNodeCrashes.cpp
@@ -19,13 +19,13 @@
 
 } // namespace
 
-void MeshNode::tellCrash(const proto::CrashReport& report)
+void MeshNode::publishCrash(const proto::CrashReport& report)
 {
     crashRecords::add(m_record, report);
     publish(monotonicNow());
 }
 
-void MeshNode::tellAcquittal(const proto::CrashAcquittal& acquittal)
+void MeshNode::publishAcquittal(const proto::CrashAcquittal& acquittal)
 {
     crashRecords::add(m_record, acquittal);
     if (std::exchange(m_isAcquittalPending, true))
@@ -33,11 +33,11 @@
     // The store does not need them: without one, a strike counts that a good end clears again.
     m_acquittalTimer = Timer::once(m_context.base, acquittalDelay, [this] {
         m_isAcquittalPending = false;
-        tellRecord(monotonicNow());
+        gossipRecord(monotonicNow());
     });
 }
 
-void MeshNode::keepFormerCrashes(const proto::NodeRecord& former, Instant now)
+void MeshNode::adoptFormerCrashes(const proto::NodeRecord& former, Instant now)
 {
     bool isNews = false;
     for (const auto& it : former.crashes())
@@ -56,10 +56,10 @@
         m_writer->setValue(m_record.SerializeAsString());
 }
 
-void MeshNode::heardOfCrashes(Instant now)
+void MeshNode::onCrashRecordsChanged(Instant now)
 {
     if (std::exchange(m_isCrashNews, false))
-        m_owner->crashesChanged(now);
+        m_owner->onCrashesChanged(now);
     if (m_isWriteHeld && m_record.sequence() > 0 && !m_provisionalTimer.isSet())
         writeRecord(now);
     const bool hasHeardAll = (m_nodesFeed->isCaughtUp() || m_hasComparedRecords) && m_hasHeardRollouts;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -19,6 +19,8 @@
     constexpr Duration readyAnyway = 1500ms;
     /// A claim of a peer that is false costs a read of the store in so long.
     constexpr Duration betweenOverdueReads = 1s;
+    /// Time in which the first read of the members of the watch group is confirmed to the other nodes.
+    constexpr Duration firstConfirmation = 1500ms;
     /// Of the writes that the store takes a second, what records that are written again may use.
     constexpr double rewriteShare = 0.5;
     /// Entries have to be back two seconds after the store is; half of that is for the news and the write.
@@ -44,8 +46,10 @@
 {
     // Before the configuration: a node that gets its first one must know which halls it may use.
     if (m_halls.applyPage(page, m_formats.parseEmptiedHall))
-        hallsChanged(now);
+        onHallsChanged(now);
     applyStoredRollouts(page, now);
+    m_startedWithoutConfiguration
+        = m_startedWithoutConfiguration || (page.isWhole && !m_hasReadConfiguration && page.records.empty());
     const auto& records = page.records;
     // What the store has just confirmed is told while it is fresh: of 300 nodes none has to read for itself
     // then, and 25 at once had to now and then where followers told it up to a second later.
@@ -70,22 +74,22 @@
     m_callers->setLimits(
         limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout);
     rebuild();
-    heardOfCrashes(now);
+    onCrashRecordsChanged(now);
     step(NodeEvent::Configured);
-    tellContacts(now);
+    sendContacts(now);
 }
 
-void MeshNode::hallsChanged(Instant now)
+void MeshNode::onHallsChanged(Instant now)
 {
     rebuildUpstreams();
-    tellContacts(now);
+    sendContacts(now);
 }
 
-void MeshNode::storeReturned(Instant now)
+void MeshNode::onStoreReturned(Instant now)
 {
     m_context.metrics.count("robinrun_store_returns_total");
     m_writer->rewriteAfter(rewriteDelay());
-    tellContacts(now);
+    sendContacts(now);
 }
 
 Duration MeshNode::rewriteDelay()
@@ -171,7 +175,7 @@
     return nodeRetryBurst(m_context.settings.retries.slack, m_registry.nodes().size());
 }
 
-void MeshNode::noteStandstill()
+void MeshNode::detectStandstill()
 {
     const auto reading = SuspensionWatch::Reading::take();
     const auto now = reading.now;
@@ -183,11 +187,11 @@
         { { "for_ms", toMilliseconds(standstill->length()) },
             { "in_progress", std::uint64_t { m_ingress->inProgress() } } });
     m_context.metrics.count("robinrun_standstills_total");
-    m_owner->doubtWarmth(now);
+    m_owner->markWarmUpUncertain(now);
     m_nextContact = now; // what happened meanwhile is heard in the answers
 }
 
-void MeshNode::noteProof(Instant now)
+void MeshNode::updateConfigProof(Instant now)
 {
     const auto age = m_group.confirmationAge(now);
     m_context.isConfigProven = age && *age + proofSlack < m_context.settings.credentials.revokeWithin;
@@ -196,19 +200,19 @@
 void MeshNode::tick()
 {
     const auto now = monotonicNow();
-    noteStandstill();
-    noteProof(now);
+    detectStandstill();
+    updateConfigProof(now);
     m_context.crashes.forgetOldReports(now);
-    heardOfCrashes(now);
+    onCrashRecordsChanged(now);
     m_owner->tick(now);
     m_rates->tick(now);
     if (m_halls.expireFormerEras(m_store->era().era(), now))
-        hallsChanged(now);
+        onHallsChanged(now);
     tickRollouts(now);
     m_peers->closeIdle(now);
     flushLog();
     if (now >= m_nextContact)
-        tellContacts(now);
+        sendContacts(now);
     followIfNeeded(now);
     pullIfDue(now);
     if (m_state == NodeState::Draining)
@@ -251,6 +255,11 @@
     }
     if (now < m_restUntil)
         return;
+    // The members of the watch group, which have rested as long, read first.
+    if (std::exchange(m_isFirstRest, false) && !m_group.isMember()) {
+        m_restUntil = now + firstConfirmation;
+        return;
+    }
     m_configFeed->resume(); // contacts are told once the store has answered, so that the next ones need not
 }
 
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -28,14 +28,14 @@
 void MeshNode::publish(Instant now)
 {
     m_provisionalTimer = Timer();
-    tellRecord(now);
+    gossipRecord(now);
     writeRecord(now);
     rebuildSoon();
 }
 
 void MeshNode::publishProvisional(Instant now)
 {
-    tellRecord(now);
+    gossipRecord(now);
     rebuildSoon();
     m_provisionalTimer = Timer::once(m_context.base, longestProvisional, [this] {
         m_provisionalTimer = Timer();
@@ -43,7 +43,7 @@
     });
 }
 
-void MeshNode::tellRecord(Instant now)
+void MeshNode::gossipRecord(Instant now)
 {
     m_record.set_sequence(m_record.sequence() + 1);
     m_registry.mergeRecord(m_record);
@@ -55,7 +55,7 @@
             m_context.base, linkOpening, [this] { m_gossip.publish(m_record, monotonicNow()); });
 }
 
-void MeshNode::tellContacts(Instant now)
+void MeshNode::sendContacts(Instant now)
 {
     proto::NodeContact contact;
     contact.set_config_version(m_config.version());
@@ -81,13 +81,13 @@
     m_isContactOpening = false;
     m_gossip.sendContact(contact, now);
     if (m_group.isMember())
-        tellWatchGroup(contact, now);
+        sendToWatchGroup(contact, now);
     m_nextContact = now + (m_isContactOpening ? connectingAgain : m_context.settings.peers.contactEvery);
-    forgetLost(now);
+    removeLostPeers(now);
     m_rates->setReachableFraction(reach(now));
 }
 
-void MeshNode::tellWatchGroup(const proto::NodeContact& contact, Instant now)
+void MeshNode::sendToWatchGroup(const proto::NodeContact& contact, Instant now)
 {
     std::set<std::string> told;
     for (const auto& it : contacts())
@@ -111,7 +111,7 @@
         m_reach.onReached(address, now);
 }
 
-void MeshNode::forgetLost(Instant now)
+void MeshNode::removeLostPeers(Instant now)
 {
     const auto& settings = m_context.settings;
     std::vector<std::string> addresses;
@@ -125,7 +125,7 @@
         log(LogLevel::Warning, "peer-forgotten",
             { { "peer", record.node() }, { "unreached_s", toSeconds(settings.peers.forgetAfter) } });
         record.set_gone(true);
-        takeRecord(record, now);
+        applyRecord(record, now);
         m_gossip.queueRelay(record, "");
         relaySoon();
         m_forgotten.push_back(
@@ -150,7 +150,7 @@
     return [this, sender, now](proto::PeerMessage& message) { m_peers->answer(sender, message, now); };
 }
 
-void MeshNode::tellLoad(const std::string& address, proto::LoadNews& news)
+void MeshNode::sendLoad(const std::string& address, proto::LoadNews& news)
 {
     if (address == m_context.settings.listen.peers)
         return m_ingress->takeLoad(news, monotonicNow());
@@ -159,7 +159,7 @@
     m_peers->send(address, message, monotonicNow());
 }
 
-void MeshNode::takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
+void MeshNode::onMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
 {
     const auto now = monotonicNow();
     if (m_lostPeers.erase(sender.address))
@@ -170,25 +170,25 @@
     case proto::PeerMessage::kLoadNews:
         return m_ingress->takeLoad(message.load_news(), now);
     case proto::PeerMessage::kNodeContact:
-        return takeContact(sender, message.node_contact(), now);
+        return onContact(sender, message.node_contact(), now);
     case proto::PeerMessage::kNodeRecords:
-        return takeRecords(sender, message.node_records(), now);
+        return onRecords(sender, message.node_records(), now);
     case proto::PeerMessage::kRolloutRecords:
-        return takeRolloutRecords(message.rollout_records(), now);
+        return onRolloutRecords(message.rollout_records(), now);
     case proto::PeerMessage::kVersionReport:
-        return takeVersionReport(message.version_report(), now);
+        return onVersionReport(message.version_report(), now);
     case proto::PeerMessage::kRegistryDigests:
         return m_gossip.answerDigests(message.registry_digests(), replyTo(sender, now), now);
     case proto::PeerMessage::kRecordSummaries:
-        return takeSummaries(sender, message.record_summaries(), now);
+        return onSummaries(sender, message.record_summaries(), now);
     case proto::PeerMessage::kRecordRequest:
         return m_gossip.answerRequest(message.record_request(), replyTo(sender, now));
     case proto::PeerMessage::kConfigPartRequest:
-        return takePartRequest(sender, message.config_part_request(), now);
+        return onPartRequest(sender, message.config_part_request(), now);
     case proto::PeerMessage::kConfigPart:
-        return takePart(sender, message.config_part(), now);
+        return onPart(sender, message.config_part(), now);
     case proto::PeerMessage::kCreditAsk:
-        return takeCreditAsk(sender, message.credit_ask(), now);
+        return onCreditRequest(sender, message.credit_ask(), now);
     case proto::PeerMessage::kCreditGrants:
         return m_rates->addGrants(sender.node, message.credit_grants(), now);
     default:
@@ -203,16 +203,16 @@
     return !known || known->incarnation() < incarnation;
 }
 
-void MeshNode::takeContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now)
+void MeshNode::onContact(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now)
 {
-    m_store->heardEra(contact.store_era(), now);
+    m_store->onPeerEra(contact.store_era(), now);
     if (m_halls.applyContact(contact))
-        hallsChanged(now);
+        onHallsChanged(now);
     compareRollouts(sender, contact, now);
     if (contact.far_reach_permille())
         m_farReach[sender.node] = { (contact.far_reach_permille() - 1) / permille, now };
     m_share.onPeerStatus(sender.address, contact.follows_configuration(), now);
-    takeConfirmation(contact, now);
+    onConfirmation(contact, now);
     m_gossip.onDigest(
         contact.registry_digest(), isNewLife(sender.node, sender.incarnation), replyTo(sender, now), now);
     if (contact.config_version() <= m_config.version())
@@ -223,7 +223,7 @@
     pullIfDue(now);
 }
 
-void MeshNode::takeConfirmation(const proto::NodeContact& contact, Instant now)
+void MeshNode::onConfirmation(const proto::NodeContact& contact, Instant now)
 {
     if (contact.outage_age_ms()) {
         const auto outageAge = std::chrono::milliseconds(contact.outage_age_ms() - 1);
@@ -240,25 +240,25 @@
         m_nextContact = now;
 }
 
-void MeshNode::takeRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now)
+void MeshNode::onRecords(const PeerSocket::Sender& sender, const proto::NodeRecords& records, Instant now)
 {
     for (const auto& it : records.records()) {
-        if (takeRecord(it, now))
+        if (applyRecord(it, now))
             m_gossip.queueRelay(it, sender.node);
     }
     m_gossip.sendMissingRecords(records, replyTo(sender, now));
     relaySoon();
     m_hasComparedRecords = m_hasComparedRecords || records.whole_buckets_size() > 0 || m_isComparing;
-    heardOfCrashes(now);
+    onCrashRecordsChanged(now);
 }
 
-void MeshNode::takeSummaries(
+void MeshNode::onSummaries(
     const PeerSocket::Sender& sender, const proto::RecordSummaries& summaries, Instant now)
 {
     // Records that were requested come in the next messages of the peer.
     m_isComparing = m_gossip.onSummaries(summaries, replyTo(sender, now)) > 0;
     m_hasComparedRecords = m_hasComparedRecords || !m_isComparing;
-    heardOfCrashes(now);
+    onCrashRecordsChanged(now);
 }
 
 std::vector<std::string> MeshNode::contacts() const
@@ -266,21 +266,21 @@
     return m_registry.contactsOf(m_context.settings.name, m_context.settings.peers.contacts).all();
 }
 
-bool MeshNode::takeRecord(const proto::NodeRecord& record, Instant now)
+bool MeshNode::applyRecord(const proto::NodeRecord& record, Instant now)
 {
     if (const auto fault = validationError(record); !fault.empty()) {
-        noteForeign("node-record", record.node(), fault);
+        logForeignEntry("node-record", record.node(), fault);
         return false;
     }
     m_isCrashNews = crashRecords::mergeIntoTracker(record, m_context.crashes, now) || m_isCrashNews;
     if (record.node() == m_context.settings.name)
-        return takeOwnRecord(record, now);
+        return applyOwnRecord(record, now);
     const bool isNew = isNewLife(record.node(), record.incarnation());
     const auto change = m_registry.mergeRecord(record);
     if (change == NodeRegistry::Change::Changed)
         rebuildSoon();
     if (isNew && !record.upstream().empty())
-        m_ingress->revive(backendLifeOf(record).key(), now);
+        m_ingress->reactivate(backendLifeOf(record).key(), now);
     return change != NodeRegistry::Change::None;
 }
 
@@ -292,7 +292,7 @@
         const auto fault = isRecord ? validationError(record) : "is no record of this key";
         if (fault.empty())
             return record;
-        noteForeign("node-record", stored.key, fault);
+        logForeignEntry("node-record", stored.key, fault);
         return std::nullopt;
     }
     // Taken away: the node said that it will not be back.
@@ -304,7 +304,7 @@
     return record;
 }
 
-void MeshNode::noteForeign(std::string_view kind, std::string_view what, std::string_view fault)
+void MeshNode::logForeignEntry(std::string_view kind, std::string_view what, std::string_view fault)
 {
     log(LogLevel::Warning, "foreign-entry",
         { { "kind", kind }, { "entry", what.substr(0, loggedBytes) },
@@ -312,26 +312,26 @@
     m_context.metrics.count("robinrun_foreign_entries_total{kind=\"" + std::string(kind) + "\"}");
 }
 
-bool MeshNode::takeOwnRecord(const proto::NodeRecord& record, Instant now)
+bool MeshNode::applyOwnRecord(const proto::NodeRecord& record, Instant now)
 {
     const bool isNews = m_registry.mergeRecord(record) != NodeRegistry::Change::None;
     // What a former life of this node has acknowledged binds this one too.
     const bool isFormer = record.incarnation() != m_record.incarnation();
     if (isFormer && NodeRegistry::isLater(record, m_record))
-        outrank(record, now);
+        raiseIncarnationAbove(record, now);
     if (isFormer)
-        keepFormerCrashes(record, now);
+        adoptFormerCrashes(record, now);
     if (isFormer)
         adoptFormerVersion(record, now);
     if (isFormer && record.leaving() && m_announced.markLeaving(backendLifeOf(record)))
-        upstreamChanged(now);
+        onUpstreamChanged(now);
     // Somebody took this node for gone.
     if (!isFormer && record.gone() && !m_record.gone())
         publish(now);
     return isNews;
 }
 
-void MeshNode::outrank(const proto::NodeRecord& former, Instant now)
+void MeshNode::raiseIncarnationAbove(const proto::NodeRecord& former, Instant now)
 {
     log(LogLevel::Warning, "clock-went-back",
         { { "former_incarnation", former.incarnation() }, { "incarnation", m_record.incarnation() } });
@@ -339,16 +339,16 @@
     publish(now);
 }
 
-void MeshNode::takeStoredNode(const KeyedRecord& stored, Instant now)
+void MeshNode::applyStoredNode(const KeyedRecord& stored, Instant now)
 {
     // Not passed on: others read it too, and contacts find by their digests what they lack.
     if (const auto record = readStoredNode(stored))
-        takeRecord(*record, now);
+        applyRecord(*record, now);
     else if (stored.key == m_context.settings.name && !stored.value.empty())
         publish(now); // another writer has put something in the place of this node's record
 }
 
-void MeshNode::takePartRequest(
+void MeshNode::onPartRequest(
     const PeerSocket::Sender& sender, const proto::ConfigPartRequest& request, Instant now)
 {
     const auto part = m_copies.answer(request, m_config.version(), m_config.text());
@@ -364,13 +364,13 @@
                 { "bytes", part->copy_bytes() }, { "sent", isSent } });
 }
 
-void MeshNode::takePart(const PeerSocket::Sender& sender, const proto::ConfigPart& part, Instant now)
+void MeshNode::onPart(const PeerSocket::Sender& sender, const proto::ConfigPart& part, Instant now)
 {
     switch (m_fetch.addPart(part, m_config.version())) {
     case ConfigPartAssembler::PartResult::Ignored:
         return;
     case ConfigPartAssembler::PartResult::Complete:
-        return takeCopy(sender.node, now);
+        return adoptCopy(sender.node, now);
     case ConfigPartAssembler::PartResult::Incomplete:
         break;
     }
@@ -379,7 +379,7 @@
     m_peers->answer(sender, message, now);
 }
 
-void MeshNode::takeCopy(const std::string& source, Instant now)
+void MeshNode::adoptCopy(const std::string& source, Instant now)
 {
     const auto text = m_fetch.decodeCopy(m_config.text());
     if (text)
--- a/src/Mesh/MeshNodeRates.cpp
+++ b/src/Mesh/MeshNodeRates.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-RateTolerance MeshNode::rateTerms() const
+RateTolerance MeshNode::rateTolerance() const
 {
     const auto& rates = m_context.settings.rates;
     return { rates.window, rates.over, rates.slack };
@@ -59,7 +59,7 @@
     for (const auto& it : m_context.directory.groups())
         rates.emplace(it.id, it.rate);
     m_rates->setRates(std::move(rates));
-    m_rates->setTolerance(rateTerms());
+    m_rates->setTolerance(rateTolerance());
 }
 
 void MeshNode::setLenders()
@@ -117,7 +117,7 @@
     return nearPart * nearReach + (1 - nearPart) * *farReach;
 }
 
-void MeshNode::takeCreditAsk(const PeerSocket::Sender& sender, const proto::CreditAsk& ask, Instant now)
+void MeshNode::onCreditRequest(const PeerSocket::Sender& sender, const proto::CreditAsk& ask, Instant now)
 {
     proto::PeerMessage message;
     *message.mutable_credit_grants() = m_rates->lendCredits(sender.life(), ask, now);
--- a/src/Mesh/MeshNodeRollouts.cpp
+++ b/src/Mesh/MeshNodeRollouts.cpp
@@ -26,25 +26,25 @@
 {
     RolloutTable::Parsers parsers { m_formats.parseRolloutKey, m_formats.readRolloutOrder,
         [this](const std::string& service, const std::string& error) {
-            noteForeign("rollout-order", service, error);
+            logForeignEntry("rollout-order", service, error);
         } };
     if (m_context.rollouts.applyPage(page, parsers, now))
-        rolloutsChanged(now);
+        onRolloutsChanged(now);
     m_hasHeardRollouts = true;
 }
 
-void MeshNode::takeRolloutRecords(const proto::RolloutRecords& records, Instant now)
+void MeshNode::onRolloutRecords(const proto::RolloutRecords& records, Instant now)
 {
     bool isChanged = false;
     for (const auto& it : records.records())
         isChanged = m_context.rollouts.applyRecord(it, now) || isChanged;
     if (isChanged)
-        rolloutsChanged(now);
+        onRolloutsChanged(now);
     if (records.records_size() > 0)
-        rolloutsHeard(now);
+        onRolloutsHeard(now);
 }
 
-void MeshNode::rolloutsChanged(Instant now)
+void MeshNode::onRolloutsChanged(Instant now)
 {
     const auto* own = m_context.rollouts.find(m_context.settings.service);
     m_rolloutReports.follow(own && !isFinal(own->phase) ? own : nullptr, m_context.settings.upstream);
@@ -67,18 +67,19 @@
     const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now)
 {
     // Nodes of earlier builds send no digest and know no roll-outs.
-    const bool isSame = contact.rollout_digest() == 0 || contact.rollout_digest() == m_context.rollouts.digest();
+    const bool isSame
+        = contact.rollout_digest() == 0 || contact.rollout_digest() == m_context.rollouts.digest();
     if (isSame)
-        return rolloutsHeard(now);
+        return onRolloutsHeard(now);
     proto::PeerMessage message;
     *message.mutable_rollout_records() = m_context.rollouts.records(true, now);
     m_peers->answer(sender, message, now);
 }
 
-void MeshNode::rolloutsHeard(Instant now)
+void MeshNode::onRolloutsHeard(Instant now)
 {
     if (!std::exchange(m_hasHeardRollouts, true))
-        heardOfCrashes(now);
+        onCrashRecordsChanged(now);
 }
 
 std::vector<std::string> MeshNode::rankedNodes(std::uint64_t rollout, std::size_t n) const
@@ -109,7 +110,7 @@
         return;
     for (const auto& it : rankedNodes(report->rollout(), judgeCount)) {
         if (it == m_context.settings.name) {
-            takeVersionReport(*report, now);
+            onVersionReport(*report, now);
             continue;
         }
         proto::PeerMessage message;
@@ -118,7 +119,7 @@
     }
 }
 
-void MeshNode::takeVersionReport(const proto::VersionReport& report, Instant now)
+void MeshNode::onVersionReport(const proto::VersionReport& report, Instant now)
 {
     const auto* rollout = m_context.rollouts.find(report.rollout());
     if (!rollout || isFinal(rollout->phase))
@@ -172,7 +173,7 @@
         isChanged = m_context.rollouts.advance(id, *decision.phase, decision.cause, now) || isChanged;
     }
     if (isChanged)
-        rolloutsChanged(now);
+        onRolloutsChanged(now);
 }
 
 void MeshNode::writeRolloutStatus(Instant now)
@@ -192,7 +193,7 @@
     return it != writers.end() && pending >= writeDelayPerRank * (it - writers.begin());
 }
 
-void MeshNode::rolloutStatusWritten(std::uint64_t id, RolloutOutcome outcome, Instant now)
+void MeshNode::onRolloutStatusWritten(std::uint64_t id, RolloutOutcome outcome, Instant now)
 {
     const auto* before = m_context.rollouts.find(id);
     if (!before)
@@ -200,7 +201,7 @@
     const bool wasWritten = before->isStatusWritten;
     const bool isChanged = m_context.rollouts.setStatusWritten(id, outcome, now);
     if (isChanged)
-        return rolloutsChanged(now);
+        return onRolloutsChanged(now);
     if (!wasWritten && m_context.rollouts.find(id)->isStatusWritten)
         sendRollouts(now);
 }
@@ -247,8 +248,8 @@
     });
     metrics.gauge("robinrun_rollouts_judged", [this] { return double(m_judges.size()); });
     const auto addCalls = [&](const std::string& outcome, std::function<double()> value) {
-        metrics.gauge(
-            "robinrun_store_calls_total{kind=\"rollout-status\",outcome=\"" + outcome + "\"}", std::move(value));
+        metrics.gauge("robinrun_store_calls_total{kind=\"rollout-status\",outcome=\"" + outcome + "\"}",
+            std::move(value));
     };
     addCalls("done", [this] { return double(m_rolloutStatus->calls() - m_rolloutStatus->failures()); });
     addCalls("failed", [this] { return double(m_rolloutStatus->failures()); });
--- a/src/Mesh/RolloutReports.cpp
+++ b/src/Mesh/RolloutReports.cpp
@@ -33,7 +33,8 @@
 {
     const bool hasNewFailures = m_evidence.failures() > m_reportedFailures;
     const bool isSwitching = rollout.phase == RolloutPhase::Switching;
-    const bool isDrained = isSwitching && (m_reportedPhase != rollout.phase || m_reportedInFlight != inFlight);
+    const bool isDrained
+        = isSwitching && (m_reportedPhase != rollout.phase || m_reportedInFlight != inFlight);
     const auto interval = hasNewFailures || isDrained ? failureReportInterval : reportInterval;
     return now - m_reportedAt >= interval;
 }
--- a/src/Mesh/RolloutReports.h
+++ b/src/Mesh/RolloutReports.h
@@ -25,8 +25,8 @@
 
     /// \returns a report, if one is due at \a now; nothing otherwise.
     /// \param version of the backend server. \param inFlight calls that run or wait there.
-    std::optional<proto::VersionReport> takeDue(const RolloutTable::Entry& rollout, const std::string& version,
-        std::uint32_t inFlight, Instant now);
+    std::optional<proto::VersionReport> takeDue(
+        const RolloutTable::Entry& rollout, const std::string& version, std::uint32_t inFlight, Instant now);
 
 private:
     bool isDue(const RolloutTable::Entry& rollout, std::uint32_t inFlight, Instant now) const;
--- a/src/Mesh/RolloutStatusWriter.cpp
+++ b/src/Mesh/RolloutStatusWriter.cpp
@@ -57,8 +57,8 @@
     if (!page)
         return onFailed(order, page.error());
     const auto known = findStatus(*m_formats, page.value(), order.service);
-    const bool isOfOrder = known && known->orderOffset == order.position.offset
-        && known->targetVersion == order.targetVersion;
+    const bool isOfOrder
+        = known && known->orderOffset == order.position.offset && known->targetVersion == order.targetVersion;
     if (isOfOrder && (known->outcome == outcome || known->outcome != RolloutOutcome::Running))
         return finish(order, known->outcome);
     if (known && known->orderOffset > order.position.offset)
--- a/src/Mesh/RolloutStatusWriter.h
+++ b/src/Mesh/RolloutStatusWriter.h
@@ -43,7 +43,8 @@
         Instant retryAt {};
     };
 
-    void onRead(const RolloutOrder& order, RolloutOutcome outcome, const Result<KeyedPage, PlatformError>& page);
+    void onRead(
+        const RolloutOrder& order, RolloutOutcome outcome, const Result<KeyedPage, PlatformError>& page);
     void onFailed(const RolloutOrder& order, const PlatformError& error);
     void finish(const RolloutOrder& order, RolloutOutcome stored);
 
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -102,7 +102,7 @@
     auto& call = m_calls[id];
     call.request = std::move(request);
     if (const auto& parent = call.request.parent) {
-        (void)m_owner->noteNested(parent->requestId, call.request.service);
+        (void)m_owner->countNestedCall(parent->requestId, call.request.service);
         call.isLastNested = isLastNested(call.request);
     }
     call.exchange = std::move(exchange);
@@ -117,7 +117,7 @@
     call.ticket = call.request.ticket;
     if (call.request.isByRoute && call.request.callClass.targetLatency > Duration::zero())
         call.asksLeft = asksFor(call);
-    noteRoute(call, now);
+    logRoute(call, now);
     call.exchange->onHangUp([this, id] { hungUp(id); });
     // It may as well have come just now: what its server answers until then is passed on.
     call.deadlineTimer
@@ -131,11 +131,11 @@
         return finishNotRun(id, call, Reason::DeadlinePassed, now);
     call.wasUnread = age > Duration::zero();
     if (m_rates && call.request.rate.isBounded())
-        return passRate(id, call, m_rates->acquire(call.request.group, now), now);
-    letIn(id, call, now);
+        return applyRateDecision(id, call, m_rates->acquire(call.request.group, now), now);
+    admitCall(id, call, now);
 }
 
-void Ingress::letIn(CallId id, Call& call, Instant now)
+void Ingress::admitCall(CallId id, Call& call, Instant now)
 {
     m_routers.at(call.request.service)->recordFirstAttempt(call.request.groupNumber);
     call.isMinting = call.request.key || call.request.wantsTicket;
@@ -174,7 +174,7 @@
         .attemptsForNextCall(maxAsks, m_context->random);
 }
 
-void Ingress::noteRoute(Call& call, Instant now) const
+void Ingress::logRoute(Call& call, Instant now) const
 {
     call.trail.add({ RequestEvent::RouteChosen, now, {}, 0, Reason::None,
         { { "version", static_cast<std::int64_t>(m_context->configVersion) },
@@ -362,7 +362,7 @@
     return call.request.callClass.isRepeatable && !call.ticket;
 }
 
-void Ingress::noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now)
+void Ingress::logChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now)
 {
     auto& router = *m_routers.at(call.request.service);
     const auto* view = router.findView(upstream);
@@ -419,7 +419,7 @@
         call.asksLeft > 0, std::exchange(call.paid, std::nullopt) });
     call.tried.push_back(upstream);
     if (isOwn)
-        noteChoice(call, upstream, number, now);
+        logChoice(call, upstream, number, now);
     m_callByNumber[number] = id;
     step(call, CallEvent::Sent);
     if (isOwn) {
@@ -436,7 +436,7 @@
         call.awaitedLink.clear();
     if (result == SendResult::Sent) {
         call.connectTimer = Timer();
-        noteChoice(call, upstream, number, now);
+        logChoice(call, upstream, number, now);
         watchAttempt(id, call, number);
         return result;
     }
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -31,12 +31,11 @@
 
 namespace robinrun {
 
-/// \brief Takes calls from callers, chooses upstreams and answers, each caller with the answer to its own
-/// call.
+/// \brief Accepts calls, chooses upstreams and answers each caller with the answer to its own call.
 ///
-/// A call's life is the state chart `call`. "Not run" is said only while no attempt is out that may have been
-/// handed over: each attempt ends by its owner's answer or is lost, and a lost one makes the outcome unknown
-/// unless the call may be repeated.
+/// The states of a call are those of the state chart `call`. A call is answered "not run" only if no attempt
+/// is pending that may have reached a backend server: each attempt ends with its owner's answer or is lost,
+/// and a lost attempt makes the outcome unknown unless the call may be repeated.
 class Ingress {
 public:
     /// \param claims null where callers give no idempotency keys. \param members null where each node may
@@ -47,35 +46,35 @@
     Ingress(const Ingress&) = delete;
     Ingress& operator=(const Ingress&) = delete;
 
-    /// \brief A caller's request, whole.
+    /// \brief Handles a complete request of a caller.
     void take(std::unique_ptr<HttpExchange> exchange, Instant now);
 
-    /// \brief An owner's answer, from the node called \a node.
+    /// \brief Handles an owner's answer from the node \a node.
     void takeAnswer(const std::string& node, proto::Answer& answer, Instant now);
 
-    /// \brief An owner says that its upstream leaves or stays.
+    /// \brief Handles an owner's message that its upstream leaves or stays.
     void takeLeaving(const proto::Leaving& leaving, Instant now);
 
-    /// \brief The owner \a sender ends, and says which calls of this ingress it has received.
+    /// \brief Handles the last word of the owner \a sender: which calls of this ingress it has received.
     void takeLastWord(const Owner::Sender& sender, const proto::LastWord& word);
 
-    /// \brief An owner tells its load by itself.
+    /// \brief Handles a load report that an owner sent without a call.
     void takeLoad(const proto::LoadNews& news, Instant now);
 
-    /// \brief The link to the node at \a address has ended: what is out there gets no answer any more.
+    /// \brief Handles the end of the link to the node at \a address: attempts pending there get no answer.
     void peerLost(const std::string& address, Instant now);
 
-    /// \brief The node of an upstream has started anew or can be reached again.
-    void revive(const std::string& upstream, Instant now);
+    /// \brief Makes an upstream available whose node has restarted or can be reached again.
+    void reactivate(const std::string& upstream, Instant now);
 
-    /// \brief The configuration or the members have changed.
+    /// \brief Applies a change of the configuration or of the members.
     void configure(Instant now);
 
     /// \brief Until there is a configuration, calls are refused as not run.
     void setConfigured(bool isConfigured) { m_isConfigured = isConfigured; }
 
     /// \brief Calls of groups with a rate need a credit from \a rates, which must outlive this.
-    void keepRates(GroupRateLimiter& rates);
+    void setRateLimiter(GroupRateLimiter& rates);
 
     /// \brief How many retries one service of this node may save up.
     void setRetryBurst(double burst) { m_retryBurst = burst; }
@@ -84,7 +83,7 @@
     /// backend server beside this node make.
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
 
-    /// \brief This node ends: answers all calls now, those that have provably not run as not run.
+    /// \brief Answers all calls now, those that have provably not run as not run.
     void endCalls(Instant now);
 
     std::size_t inProgress() const { return m_calls.size(); }
@@ -174,25 +173,24 @@
     ServiceRouter& routerFor(const ServiceInfo& service);
     /// \returns whether \a request, made for a call that runs here, is likely the last one which that needs.
     bool isLastNested(const CallRequest& request) const;
-    /// \brief Starts the life of a call.
+    /// \brief Registers a call.
     void begin(std::unique_ptr<HttpExchange> exchange, CallRequest request, Instant now);
-    /// \brief Lets the call through if its group's rate allows it; else it waits a moment for a credit, or is
-    /// refused.
-    void passRate(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now);
+    /// \brief Admits the call if its group's rate allows it; otherwise it waits for a credit or is refused.
+    void applyRateDecision(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now);
     void creditsChanged(const std::vector<std::string>& groups, Instant now);
     void refuseOverRate(CallId id, Call& call, Duration comeBack, Instant now);
-    /// \brief The call is let in: it goes on to an owner.
-    void letIn(CallId id, Call& call, Instant now);
+    /// \brief Admits the call and sends it to an owner.
+    void admitCall(CallId id, Call& call, Instant now);
     /// \returns how many owners to ask to run the call at once.
     std::uint32_t asksFor(const Call& call);
-    void noteRoute(Call& call, Instant now) const;
-    void noteChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now);
+    void logRoute(Call& call, Instant now) const;
+    void logChoice(Call& call, const std::string& upstream, std::uint64_t attempt, Instant now);
     void reject(HttpExchange& exchange, const CallRequestError& error);
     void reject(HttpExchange& exchange, const CallRequestError& error, const HttpReply& reply);
     CallerContext callerOf(const HttpRequest& request) const;
     /// \returns whether the credential of \a call still names its group.
     bool isStillCalling(Call& call) const;
-    /// \brief The credential of \a call was taken away while it waited.
+    /// \brief Ends a call whose credential was revoked while it waited.
     void finishUncalled(CallId id, Call& call, Instant now);
     void addTerms(const Call& call, proto::Call& out, Instant now) const;
     void watchAttempt(CallId id, Call& call, std::uint64_t number);
@@ -213,7 +211,7 @@
         const std::vector<std::string>& hosts) const;
     /// \brief Adds to \a excluded the upstreams in regions where \a call may not be run.
     void excludeOtherRegions(const Call& call, std::vector<std::string>& excluded) const;
-    /// \returns whether to wait for the link to \a upstream, which was opened a moment ago.
+    /// \returns whether to wait for the link to \a upstream, which is being opened.
     static bool awaitsLink(Call& call, const std::string& upstream, Instant now);
     void tryAgainSoon(CallId id, Call& call);
     /// \returns whether crashes of servers that ran the same hold \a call back.
@@ -240,12 +238,12 @@
     void secondAgain(CallId id, const std::string& upstream);
     /// \brief The run that \a paid was for has ended with \a answer, which tells what calls it made: those
     /// are charged instead of the usual number; that stays where it isn't known.
-    void settleNested(const Call& call, PaidRetry& paid, const proto::Answer& answer);
-    /// \brief Gives back to the budgets what \a paid has cost.
-    void giveBack(Call& call, const PaidRetry& paid);
+    void settleNestedCalls(const Call& call, PaidRetry& paid, const proto::Answer& answer);
+    /// \brief Refunds the cost of \a paid to the budgets.
+    void refundRetry(Call& call, const PaidRetry& paid);
     /// \brief No backend server was asked to run \a attempt, which has ended: what was paid for it, or for
     /// another one that so becomes the first to arrive, is free for the next attempt or given back.
-    void freeUnsent(Call& call, Attempt& attempt);
+    void releaseUnsentRetry(Call& call, Attempt& attempt);
     /// \brief Charges the services that a run of \a call calls in turn with the calls it usually makes there.
     /// \returns what was charged.
     std::map<std::string, double> chargeNested(const Call& call);
@@ -253,8 +251,8 @@
     /// that back.
     void chargeNested(const Call& call, const std::string& service, double n);
     bool mayMoveOn(Call& call, const proto::Answer& answer, Instant now);
-    /// \brief A backend server's whole answer: the caller gets it, unless it is an error and another attempt
-    /// may do better.
+    /// \brief Handles a complete answer of a backend server: passes it to the caller, unless it is an error
+    /// and another attempt may succeed.
     void answered(CallId id, Call& call, proto::Answer& answer, Instant now);
     void attemptLost(CallId id, Call& call, Reason reason, Instant now);
     /// \returns whether the owner that \a attempt was sent to has said that it doesn't run it.
@@ -291,7 +289,7 @@
     void ticketMinted(CallId id, Call& call, const Ticket& ticket, Instant now);
     void claimDecided(CallId id, const ClaimDecision& decision);
     void deadlineReached(CallId id);
-    /// \brief Nothing is waited for any more: ends the call with what is known of it.
+    /// \brief Ends the call with what is known of its outcome, without waiting for pending attempts.
     void giveUp(CallId id, Reason reason, Instant now);
     void attemptTimedOut(CallId id, std::uint64_t number);
     bool finishWithFailure(CallId id, Call& call, Instant now);
@@ -307,7 +305,8 @@
         const proto::Answer* answer = nullptr);
     void giveUpAttempts(Call& call, Instant now, bool isLost);
     void learn(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
-    /// \brief Takes what the backend server of \a attempt states about itself in an answer that is passed on.
+    /// \brief Applies what the backend server of \a attempt states about itself in an answer that is passed
+    /// on.
     void learnStatement(const Attempt& attempt, const proto::Answer& answer, Instant now);
     void learnClock(const Call& call, const Attempt& attempt, const proto::Answer& answer, Instant now);
     const UpstreamInfo* upstreamOf(const std::string& service, const std::string& id) const;
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -141,9 +141,9 @@
     learn(call, attempt, answer, now);
     const bool isUnsent = answer.outcome() == proto::NOT_RUN && !answer.offered() && call.request.isByRoute;
     if (isUnsent)
-        freeUnsent(call, attempt);
+        releaseUnsentRetry(call, attempt);
     else if (attempt.paid) {
-        settleNested(call, *attempt.paid, answer);
+        settleNestedCalls(call, *attempt.paid, answer);
         call.spent.push_back(std::move(*attempt.paid));
     }
     if (answer.offered() && ++call.arrivals > 1)
@@ -338,7 +338,7 @@
             continue;
         }
         if (call.request.isByRoute)
-            freeUnsent(call, attempt);
+            releaseUnsentRetry(call, attempt);
         proto::Answer answer;
         answer.set_outcome(proto::NOT_RUN);
         answer.set_reason(static_cast<std::uint32_t>(Reason::Leaving));
@@ -360,7 +360,7 @@
         m_lastWords.take(sender.node, { word.incarnation(), word.highest() });
 }
 
-void Ingress::revive(const std::string& upstream, Instant now)
+void Ingress::reactivate(const std::string& upstream, Instant now)
 {
     for (auto& [service, router] : m_routers)
         router->reactivate(upstream, now);
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -211,7 +211,7 @@
 {
     giveUpAttempts(call, now, false);
     if (call.paid)
-        giveBack(call, *std::exchange(call.paid, std::nullopt));
+        refundRetry(call, *std::exchange(call.paid, std::nullopt));
     const bool hasNotRun = outcome == CallOutcome::NotRun || outcome == CallOutcome::Rejected;
     if (call.credit && hasNotRun)
         m_rates->returnCredit(call.request.group, *call.credit, now);
--- a/src/Node/IngressRates.cpp
+++ b/src/Node/IngressRates.cpp
@@ -13,19 +13,19 @@
 
 } // namespace
 
-void Ingress::keepRates(GroupRateLimiter& rates)
+void Ingress::setRateLimiter(GroupRateLimiter& rates)
 {
     m_rates = &rates;
     rates.setCreditsChangedHandler([this](const auto& groups, Instant now) { creditsChanged(groups, now); });
 }
 
-void Ingress::passRate(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now)
+void Ingress::applyRateDecision(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now)
 {
     switch (decision.verdict) {
     case CreditBorrower::Verdict::Allowed:
         call.credit = decision.credit;
         call.creditTimer = Timer();
-        return letIn(id, call, now);
+        return admitCall(id, call, now);
     case CreditBorrower::Verdict::Refused:
         return refuseOverRate(id, call, decision.retryAfter, now);
     case CreditBorrower::Verdict::Wait:
@@ -52,7 +52,7 @@
         for (const auto id : waiting) {
             const auto it = m_calls.find(id);
             if (it != m_calls.end() && !it->second.credit)
-                passRate(id, it->second, m_rates->retryAcquire(group, now), now);
+                applyRateDecision(id, it->second, m_rates->retryAcquire(group, now), now);
         }
     }
 }
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -97,7 +97,7 @@
     countRetries(n > 0 ? "charged_nested" : "taken_back_nested", service, std::abs(n));
 }
 
-void Ingress::settleNested(const Call& call, PaidRetry& paid, const proto::Answer& answer)
+void Ingress::settleNestedCalls(const Call& call, PaidRetry& paid, const proto::Answer& answer)
 {
     if (answer.outcome() == proto::UNKNOWN)
         return;
@@ -113,7 +113,7 @@
     paid.nested = std::move(made);
 }
 
-void Ingress::giveBack(Call& call, const PaidRetry& paid)
+void Ingress::refundRetry(Call& call, const PaidRetry& paid)
 {
     const auto& service = call.request.service;
     m_routers.at(service)->chargeRetries(call.request.groupNumber, -1);
@@ -123,7 +123,7 @@
     ++call.attemptsLeft;
 }
 
-void Ingress::freeUnsent(Call& call, Attempt& attempt)
+void Ingress::releaseUnsentRetry(Call& call, Attempt& attempt)
 {
     auto freed = std::exchange(attempt.paid, std::nullopt);
     for (auto it = call.out.begin(); !freed && it != call.out.end(); ++it)
@@ -137,7 +137,7 @@
     if (call.out.empty() && !call.paid)
         call.paid = std::move(freed);
     else
-        giveBack(call, *freed);
+        refundRetry(call, *freed);
 }
 
 std::optional<std::string> Ingress::pickSecond(Call& call, Instant now)
@@ -212,7 +212,7 @@
     const auto result = sendTo(id, call, upstream, now);
     if (result == SendResult::Sent)
         return m_context->metrics.count("robinrun_retries_total");
-    giveBack(call, *std::exchange(call.paid, std::nullopt));
+    refundRetry(call, *std::exchange(call.paid, std::nullopt));
     if (result == SendResult::Connecting)
         call.secondTimer
             = Timer::once(m_context->base, connectRetry, [this, id, upstream] { secondAgain(id, upstream); });
--- a/src/Node/IngressRollouts.cpp
+++ b/src/Node/IngressRollouts.cpp
@@ -23,8 +23,8 @@
     }
 }
 
-std::vector<std::size_t> Ingress::subsetOfVersions(const ServiceInfo& service, const ServerVersions& versions,
-    const std::vector<std::string>& hosts) const
+std::vector<std::size_t> Ingress::subsetOfVersions(
+    const ServiceInfo& service, const ServerVersions& versions, const std::vector<std::string>& hosts) const
 {
     const auto* rollout = m_context->rollouts.find(service.id);
     const bool isObserving = rollout && rollout->phase == RolloutPhase::Observing;
@@ -55,10 +55,10 @@
     if (!call.isForTarget)
         call.isForTarget = m_context->random.unit() < rollout->shareAt(now);
     // What the target version has failed once goes to the former one, which is known to work.
-    const bool isForTarget
-        = rollout->shareAt(now) >= 1 || (*call.isForTarget && (call.tried.empty() || call.paid == std::nullopt));
-    const auto withheld
-        = versions->second.excluded(rollout->phase, isForTarget && rollout->phase != RolloutPhase::RolledBack);
+    const bool isForTarget = rollout->shareAt(now) >= 1
+        || (*call.isForTarget && (call.tried.empty() || call.paid == std::nullopt));
+    const auto withheld = versions->second.excluded(
+        rollout->phase, isForTarget && rollout->phase != RolloutPhase::RolledBack);
     excluded.insert(excluded.end(), withheld.begin(), withheld.end());
 }
 
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -53,7 +53,7 @@
     peerOptions.node = settings.name;
     peerOptions.incarnation = m_context.incarnation;
     auto peers = PeerSocket::bind(base, peerOptions,
-        [this](const PeerSocket::Sender& from, proto::PeerMessage& message) { takeMessage(from, message); });
+        [this](const PeerSocket::Sender& from, proto::PeerMessage& message) { onMessage(from, message); });
     if (!peers)
         return failure(peers.error());
     m_peers = std::move(peers.value());
@@ -137,7 +137,7 @@
         m_ingress->inProgress() };
 }
 
-void Node::takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
+void Node::onMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message)
 {
     const auto now = monotonicNow();
     if (takeCallMessage(*m_owner, *m_ingress, *m_peers, sender, message, now))
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -41,7 +41,7 @@
 private:
     Node(event_base* base, NodeSettings settings, Charts charts, std::uint64_t incarnation);
     Result<void, std::string> bind();
-    void takeMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
+    void onMessage(const PeerSocket::Sender& sender, proto::PeerMessage& message);
     void takeClaim(const PeerSocket::Sender& sender, const proto::ClaimRequest& request, Instant now);
     void configurationChanged();
     void applyChanges();
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -100,7 +100,7 @@
         { { "upstream", upstream() }, { "sign", nameOf(sign) }, { "set", isSet } });
     // A hall is given back while its servers may have turned cold.
     if (sign == LeavingSign::Operator && !isSet)
-        doubtWarmth(now);
+        markWarmUpUncertain(now);
     if (const auto state = m_leaving.set(sign, isSet))
         lifeChanged(*state, now);
 }
@@ -124,7 +124,7 @@
             lifeChanged(*state, now);
     }
     refuseGivenUp(now);
-    noteWarmUp(now);
+    onWarmUpChanged(now);
     m_seen.forgetSilent(now);
     std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
     std::erase_if(m_formerPools, [](const auto& it) { return it->isIdle(); });
@@ -172,7 +172,7 @@
     m_ingresses[sender.node] = { sender, now, call.group() };
     takeReportedLimit(call, now);
     if (m_isEnding)
-        sayLast(sender);
+        sendLastWord(sender);
     const auto fault = faultOf(call, sender, now);
     if (fault == Reason::Duplicate) {
         // The first delivery is answered under the same number; an answer to the double could overtake it.
@@ -226,7 +226,7 @@
     proto::Answer answer;
     answer.set_number(call.number());
     encode(m_tickets.mint(m_context->random, now), *answer.mutable_ticket());
-    fillNews(answer, sender, call.group(), now);
+    addLoad(answer, sender, call.group(), now);
     reply(std::move(answer));
 }
 
@@ -266,7 +266,7 @@
     answer.set_body(recorded.body);
     answer.set_body_length(recorded.body.size());
     answer.set_body_hash(hash64(recorded.body));
-    fillNews(answer, sender, call.group(), now);
+    addLoad(answer, sender, call.group(), now);
     reply(std::move(answer));
 }
 
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -36,19 +36,19 @@
 /// left, and calls meant for the former incarnation are refused.
 class Owner {
 public:
-    /// \brief Who sent a call; answers, cancels and doubles are matched by its life.
+    /// \brief The sender of a call; answers, cancels and duplicates are matched by its incarnation.
     using Sender = PeerSocket::Sender;
     using Reply = std::function<void(proto::Answer)>;
-    /// \brief Tells an ingress that the upstream is leaving or stays.
+    /// \brief Informs an ingress that the upstream is leaving or stays.
     using Announce = std::function<void(const Sender& to, bool isLeaving)>;
-    /// \brief Tells an ingress that of its calls none with a number above \a highest is run here.
+    /// \brief Informs an ingress that none of its calls with a number above \a highest is run here.
     using SayLast = std::function<void(const Sender& to, std::uint64_t highest)>;
-    /// \brief Tells an ingress of a load that has changed much.
+    /// \brief Sends an ingress a load that has changed much.
     using TellLoad = std::function<void(const std::string& address, proto::LoadNews& news)>;
 
-    /// \brief Takes the report of a crash of the backend server, which the ledger has already.
+    /// \brief Handles the report of a crash of the backend server, which the CrashTracker already has.
     using TellCrash = std::function<void(const proto::CrashReport& report)>;
-    /// \brief Takes word of a good end that has cleared strikes, in the ledger already.
+    /// \brief Handles an acquittal by a good end, which the CrashTracker already has.
     using TellAcquittal = std::function<void(const proto::CrashAcquittal& acquittal)>;
 
     /// \brief A run at the backend server that has ended.
@@ -69,48 +69,52 @@
     void onLastWord(SayLast say) { m_sayLast = std::move(say); }
     void onLoadChanged(TellLoad tell) { m_tellLoad = std::move(tell); }
 
-    /// \brief \a tell is called when the backend server says in an answer that it leaves.
+    /// \brief Sets a function that is called when the backend server states in an answer that it leaves.
     void onServerLeaving(std::function<void()> tell) { m_tellServerLeaving = std::move(tell); }
     void onCrash(TellCrash tell) { m_tellCrash = std::move(tell); }
     void onAcquittal(TellAcquittal tell) { m_tellAcquittal = std::move(tell); }
 
-    /// \brief The ledger of crashes has changed: what is held back now is logged, and refused where it waits.
-    void crashesChanged(Instant now);
+    /// \brief Logs which contents are held back after a change of the CrashTracker, and refuses waiting calls
+    /// with such a content.
+    void onCrashesChanged(Instant now);
 
-    /// \brief A call came. \a reply runs once, perhaps at once.
+    /// \brief Handles a call. \a reply is called exactly once, possibly before this returns.
     void take(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
 
-    /// \brief The caller gave a call up: frees its place, and its slot if it may be cut off.
+    /// \brief Handles the cancellation of a call: frees its place in the queue, and its slot if the run may
+    /// be cut off.
     void cancel(const Sender& sender, std::uint64_t number, Instant now);
 
-    /// \brief This node will end at \a end: calls that may run beyond that are refused as not run, the others
-    /// are let in until beginEnd().
+    /// \brief Announces that this node will stop at \a end: calls that may run beyond that are refused as not
+    /// run, the others are admitted until beginEnd().
     void setEnd(Instant end) { m_end = end; }
 
-    /// \brief This node will end: nothing that comes from now on is run, and the ingresses are told so. There
-    /// is no way back in this life of the node, as one that was told so may rely on it.
+    /// \brief Stops running calls that arrive from now on and informs the ingresses. This cannot be undone in
+    /// this incarnation of the node, because ingresses rely on it.
     void beginEnd(Instant now);
 
-    /// \brief This node ends: answers all calls now, those that run as unknown.
+    /// \brief Answers all calls now, those that run as unknown.
     void endCalls(Instant now);
 
-    /// \brief The configuration has changed.
+    /// \brief Applies a changed configuration.
     void configure(Instant now);
 
     /// \brief Sets or clears a sign of leaving.
     void setSign(LeavingSign sign, bool isSet, Instant now);
 
-    /// \brief Something else than a call shows that the backend server lives.
-    void heardFromBackend(Instant now) { setDown(false, now); }
-    /// \brief An announcement of the present life says that the server is cold for \a left; zero: it is warm.
-    void heardWarmUp(Duration left, Instant now);
-    /// \brief As heardWarmUp(), from a health answer that was asked for at \a asked.
-    void answeredWarmUp(Duration left, Instant asked, Instant now);
-    /// \brief The server's health answer, which found it, names a limit in requests per second.
-    void answeredRateLimit(double limit, Instant now);
-    /// \brief The server may have turned cold unseen: it counts as cold until it says otherwise, and is
-    /// asked.
-    void doubtWarmth(Instant now);
+    /// \brief Marks the backend server as reachable because of something else than an answered call.
+    void onSignOfLife(Instant now) { setDown(false, now); }
+    /// \brief Handles the remaining cold time \a left in an announcement of the current life; zero: it is
+    /// warm.
+    void onAnnouncedWarmUp(Duration left, Instant now);
+    /// \brief As onAnnouncedWarmUp(), from the answer to a health request that was sent at \a asked.
+    void onHealthAnswerWarmUp(Duration left, Instant asked, Instant now);
+    /// \brief Handles the \a limit in requests per second that the health answer names by which the server
+    /// was found.
+    void onHealthAnswerRateLimit(double limit, Instant now);
+    /// \brief Treats the server as cold until a health answer says otherwise, and sends a health request: the
+    /// server may have turned cold while this node stood still.
+    void markWarmUpUncertain(Instant now);
     bool isBackendDown() const { return m_isDown; }
 
     /// \returns connections to the backend server opened so far.
@@ -121,13 +125,12 @@
 
     bool isIdle() const { return m_admission.isIdle(); }
 
-    /// \returns the call that the backend server runs and that its caller calls \a requestId; null if none
-    /// runs.
+    /// \returns the running call with the caller's id \a requestId; null if there is none.
     const proto::Call* running(const std::string& requestId) const;
 
-    /// \brief A request came that may be made by the backend server for the one that its caller calls \a
-    /// requestId. \returns whether the backend server runs that; then the call to \a service is counted.
-    bool noteNested(const std::string& requestId, const std::string& service);
+    /// \brief Counts a call to \a service that the backend server makes for the running call with the
+    /// caller's id \a requestId. \returns whether such a call runs.
+    bool countNestedCall(const std::string& requestId, const std::string& service);
     /// \returns how many calls its backend server has made so far for the running call of \a requestId.
     std::uint32_t nestedCalls(const std::string& requestId) const;
     LifeState lifeState() const { return m_leaving.state(); }
@@ -171,13 +174,13 @@
 
     /// \returns whether this owner's backend server is the life that \a key names, or any of its id.
     bool isMeantBy(const std::string& key) const;
-    /// \brief The backend server has another address, or another life of it has come: nothing that was learnt
-    /// of the former one counts.
+    /// \brief Switches to another address or another life of the backend server and discards what was learnt
+    /// of the former one.
     void turnTo(const UpstreamInfo& info, Instant now);
     Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
     /// \returns whether a roll-out of the service withholds this server's version from \a call.
     bool isVersionWithheld(const proto::Call& call, Instant now) const;
-    void tellRunEnded(const CallRecord& record, bool isAnswered, bool isFailure, Instant now) const;
+    void reportRunEnd(const CallRecord& record, bool isAnswered, bool isFailure, Instant now) const;
     /// \returns when the time of \a call is over, if it arrives at \a now.
     static Instant deadlineOf(const proto::Call& call, Instant now);
     /// \returns the standstill that this node wakes from, if it was so long that peers have given its links
@@ -185,20 +188,21 @@
     std::optional<Standstill> lostLinksIn(Instant now) const;
     /// \returns whether \a call was under way when its sender gave the link up.
     bool isGivenUp(const proto::Call& call, const Sender& sender, Instant now) const;
-    /// \brief Refuses calls that waited here while their senders gave the links up: nobody waits for them.
+    /// \brief Refuses calls that waited here while their senders closed the links: their answers are not
+    /// awaited any more.
     void refuseGivenUp(Instant now);
     CrashSuspect suspectOf(const CallRecord& record, Instant now) const;
     /// \returns what runs on the backend server over \a pool.
     std::vector<CrashSuspect> runningOn(const HttpPool& pool, Instant now) const;
-    /// \brief What the end of a run shows of the backend server, and of other runs of the same content.
+    /// \brief Updates crash detection and recent successes after the end of a run.
     void noteRunEnd(const CallRecord& record, const Result<HttpReply, HttpError>& result,
         const proto::Answer& answer, Instant now);
-    /// \brief Calls that wait here and are held back are refused as not run.
+    /// \brief Refuses waiting calls whose content is held back.
     void refuseHeld(Instant now);
-    void runBroke(const CallRecord& record, Instant now);
-    /// \brief Nothing listens at the backend server's address.
+    void onRunBroken(const CallRecord& record, Instant now);
+    /// \brief Handles that nothing listens at the backend server's address.
     void backendRefused(Instant now);
-    void endedWell(const CallRecord& record, Instant now);
+    void onRunSucceeded(const CallRecord& record, Instant now);
     /// \param life of the backend server that has crashed.
     void reportCrash(const std::string& life, const std::vector<CrashSuspect>& suspects, Instant now);
     /// \returns how long \a call is held back for crashes of servers that ran the same; nothing if it may run
@@ -206,7 +210,7 @@
     std::optional<Duration> heldBack(const proto::Call& call, Instant now) const;
     /// \returns whether this owner is the one that tries \a content, and does not yet.
     bool mayTry(ContentId content) const;
-    /// \brief Calls that run at a life which is over get no answer any more: ends them as unknown.
+    /// \brief Ends the calls that run at a former life of the server as unknown.
     void endRuns(HttpPool& pool, Instant now);
     /// \returns whether a call would run at once, on a backend server that isn't slowed down.
     bool isReadyAtOnce(Instant now) const;
@@ -222,7 +226,7 @@
     Place placeOf(const proto::RouteTerms& terms) const;
     void mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now);
     void takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
-    /// \brief Answers a repeated ticket with what its call got.
+    /// \brief Answers a repeated ticket with the recorded answer of its call.
     void replay(const proto::Call& call, const Sender& sender, const Reply& reply,
         const RecordedAnswer& recorded, Instant now);
     void admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
@@ -235,7 +239,7 @@
     /// \param record of the call that \a reply answers.
     proto::Answer answerOf(HttpReply& reply, const CallRecord& record, Instant now);
     static proto::Answer answerOf(HttpError error);
-    /// \brief Takes what a reply of the current life of the backend server says of the server.
+    /// \brief Applies what a reply of the current life of the backend server states about the server.
     void learn(const HttpReply& reply, const CallRecord& record, Instant now);
     /// \brief The answer to a request that carries a statement of the backend server.
     struct StatementOrigin {
@@ -251,7 +255,7 @@
     /// incarnation of the owner began.
     void takeReportedLimit(const proto::Call& call, Instant now);
     void logHeaderFaults(const BackendStatement& statement, std::string_view requestId);
-    /// \brief Tells ingresses of the changed limit, and refuses or starts the calls that wait accordingly.
+    /// \brief Sends the changed limit to ingresses, and refuses or starts waiting calls accordingly.
     void rateLimitChanged(std::optional<double> before, const StatementOrigin& origin, Instant now);
     void logRateLimit(std::optional<double> before, const StatementOrigin& origin) const;
     /// \brief The backend server states that it will stop.
@@ -259,31 +263,31 @@
     void setSlowdown(double slowdown, Instant now);
     void setDown(bool isDown, Instant now);
     /// \brief Logs that the server has turned cold or warm, tells ingresses and starts what may start.
-    void noteWarmUp(Instant now);
-    /// \brief Sees to it that what waits for a cold server starts when it may.
+    void onWarmUpChanged(Instant now);
+    /// \brief Schedules the start of calls that wait for a cold server.
     void resumeInTime(Instant now);
-    /// \returns whether the server's health is to be asked because nothing else tells how it is.
+    /// \returns whether a health request is due because nothing else shows the server's state.
     bool asksHealth(const LoadReport& load, Instant now) const;
     /// \brief Logs the limit on calls that run at once, if it has changed.
-    void noteLimit();
-    void tellLoad(Instant now);
+    void logLimit();
+    void sendLoad(Instant now);
     void probeBackend(Instant now);
-    /// \brief Asks the backend server for its health now. Needs a pool.
+    /// \brief Sends a health request to the backend server. Needs a pool.
     void probe(Instant now);
     void ended(std::uint64_t id, Result<HttpReply, HttpError> result, Instant now);
-    /// \brief Ends a run whose answer nobody waits for any more.
+    /// \brief Cuts off a run whose answer is not awaited any more.
     void breakOff(std::uint64_t id, Reason reason, Instant now);
     void refuse(const Refusal& refusal, Instant now);
     void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
         bool isNotRun, Instant now, Duration retryAfter = {});
     void answerAll(CallRecord& record, const proto::Answer& answer, Instant now);
-    /// \returns the load as a node in \a senderLife with calls of \a group meets it.
-    proto::Load loadNews(std::uint64_t senderLife, const std::string& group, Instant now) const;
-    void fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const;
+    /// \returns the load report for the node incarnation \a senderLife and its calls of \a group.
+    proto::Load makeLoad(std::uint64_t senderLife, const std::string& group, Instant now) const;
+    void addLoad(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const;
     void recordTicket(const CallRecord& record, const proto::Answer& answer);
     void lifeChanged(LifeState state, Instant now);
-    /// \brief Gives the last word to \a to, once in its life.
-    void sayLast(const Sender& to);
+    /// \brief Sends the last word to \a to, once per incarnation of it.
+    void sendLastWord(const Sender& to);
     const ServiceInfo* service() const;
     HttpRequest requestOf(const CallRecord& record, Instant now) const;
 
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -114,7 +114,7 @@
         // Each gets a copy of its own: whoever is first may take it apart.
         auto copy = answer;
         copy.set_number(numbers[i]);
-        fillNews(copy, replies[i].first, group, now);
+        addLoad(copy, replies[i].first, group, now);
         replies[i].second(std::move(copy));
     }
 }
@@ -146,7 +146,7 @@
         record.call.request_id(), record.sender.node, m_context->settings.log.sampleOneIn, now);
 }
 
-proto::Load Owner::loadNews(std::uint64_t senderLife, const std::string& group, Instant now) const
+proto::Load Owner::makeLoad(std::uint64_t senderLife, const std::string& group, Instant now) const
 {
     const auto load = m_admission.loadForGroup(m_context->directory.groupNumber(group), now);
     proto::Load out;
@@ -170,9 +170,9 @@
     return out;
 }
 
-void Owner::fillNews(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const
+void Owner::addLoad(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const
 {
-    *answer.mutable_load() = loadNews(sender.life(), group, now);
+    *answer.mutable_load() = makeLoad(sender.life(), group, now);
     answer.set_incarnation(m_context->incarnation);
     answer.set_caller_incarnation(sender.incarnation);
     answer.set_owner_now_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
@@ -186,7 +186,7 @@
     answer.set_number(call.number());
     answer.set_outcome(isNotRun ? proto::NOT_RUN : proto::UNKNOWN);
     answer.set_reason(static_cast<std::uint32_t>(reason));
-    fillNews(answer, sender, call.group(), now);
+    addLoad(answer, sender, call.group(), now);
     reply(std::move(answer));
 }
 
--- a/src/Node/OwnerCrashes.cpp
+++ b/src/Node/OwnerCrashes.cpp
@@ -47,7 +47,7 @@
         return;
     if (!result.has_value()) {
         if (result.error().kind == HttpErrorKind::Broken)
-            runBroke(record, now);
+            onRunBroken(record, now);
         if (result.error().isRefused)
             backendRefused(now);
         return;
@@ -56,10 +56,10 @@
         return;
     m_crashWatch.onAnswer(record.started);
     if (answer.status() < static_cast<std::uint32_t>(httpStatus::firstServerError))
-        endedWell(record, now);
+        onRunSucceeded(record, now);
 }
 
-void Owner::runBroke(const CallRecord& record, Instant now)
+void Owner::onRunBroken(const CallRecord& record, Instant now)
 {
     // A server that has said it leaves may end with what it still runs.
     if (m_crashWatch.isBreakUnexplained(now) || m_leaving.hasSign(LeavingSign::BackendServer))
@@ -74,7 +74,7 @@
         reportCrash(m_boundUpstream, *suspects, now);
 }
 
-void Owner::endedWell(const CallRecord& record, Instant now)
+void Owner::onRunSucceeded(const CallRecord& record, Instant now)
 {
     const auto content = contentOf(record.call);
     const auto hash = quickHashOf(content);
@@ -85,7 +85,7 @@
     if (!acquittal)
         return;
     m_context->crashes.applyAcquittal(*acquittal);
-    crashesChanged(now);
+    onCrashesChanged(now);
     if (m_tellAcquittal)
         m_tellAcquittal(*acquittal);
 }
@@ -112,10 +112,10 @@
     m_context->crashes.addReport(report, now);
     if (m_tellCrash)
         m_tellCrash(report);
-    crashesChanged(now);
+    onCrashesChanged(now);
 }
 
-void Owner::crashesChanged(Instant now)
+void Owner::onCrashesChanged(Instant now)
 {
     auto& ledger = m_context->crashes;
     ledger.updateHolds();
--- a/src/Node/OwnerLife.cpp
+++ b/src/Node/OwnerLife.cpp
@@ -49,7 +49,7 @@
         m_formerPools.push_back(std::move(m_pool));
     m_pool = std::make_unique<HttpPool>(m_context->base, options);
     // Before calls that ran are ended, as those that wait would start then.
-    doubtWarmth(now);
+    markWarmUpUncertain(now);
     if (isSameAddress && !m_formerPools.empty())
         endRuns(*m_formerPools.back(), now);
 }
@@ -76,10 +76,10 @@
     setSign(LeavingSign::NodeStop, true, now);
     m_isEnding = true;
     for (const auto& [node, ingress] : m_ingresses)
-        sayLast(ingress.sender);
+        sendLastWord(ingress.sender);
 }
 
-void Owner::sayLast(const Sender& to)
+void Owner::sendLastWord(const Sender& to)
 {
     if (!m_sayLast || to.node == m_context->settings.name || !m_toldLast.insert(to.life()).second)
         return;
--- a/src/Node/OwnerRollouts.cpp
+++ b/src/Node/OwnerRollouts.cpp
@@ -17,10 +17,11 @@
     return rollout->phase != RolloutPhase::Completed && call.rollout() != rollout->order.id();
 }
 
-void Owner::tellRunEnded(const CallRecord& record, bool isAnswered, bool isFailure, Instant now) const
+void Owner::reportRunEnd(const CallRecord& record, bool isAnswered, bool isFailure, Instant now) const
 {
     if (m_runEnded && record.pool == m_pool.get())
-        m_runEnded({ record.call.call_class(), now - record.started, isAnswered, isFailure, record.startedCold });
+        m_runEnded(
+            { record.call.call_class(), now - record.started, isAnswered, isFailure, record.startedCold });
 }
 
 } // namespace robinrun
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -90,27 +90,27 @@
         && (!m_loadHeard || now - *m_loadHeard >= probeWhileSlow);
 }
 
-void Owner::heardWarmUp(Duration left, Instant now)
+void Owner::onAnnouncedWarmUp(Duration left, Instant now)
 {
     m_admission.warmUp().onAnnouncement(left, now);
-    noteWarmUp(now);
+    onWarmUpChanged(now);
 }
 
-void Owner::answeredWarmUp(Duration left, Instant asked, Instant now)
+void Owner::onHealthAnswerWarmUp(Duration left, Instant asked, Instant now)
 {
     m_admission.warmUp().onHealthAnswer(left, asked, now);
-    noteWarmUp(now);
+    onWarmUpChanged(now);
 }
 
-void Owner::doubtWarmth(Instant now)
+void Owner::markWarmUpUncertain(Instant now)
 {
     m_admission.warmUp().markUncertain(now);
     if (m_pool && asksHealth(m_admission.load(now), now))
         probe(now);
-    noteWarmUp(now);
+    onWarmUpChanged(now);
 }
 
-void Owner::noteWarmUp(Instant now)
+void Owner::onWarmUpChanged(Instant now)
 {
     const auto& warmUp = m_admission.warmUp();
     if (std::exchange(m_loggedCold, warmUp.isCold(now)) == warmUp.isCold(now))
@@ -120,7 +120,7 @@
             { "in_doubt", warmUp.isUncertain(now) }, { "calls_per_s", warmUp.callsPerSecond() },
             { "in_use", m_admission.slotsInUse() } });
     act(m_admission.startReadyCalls(now), now);
-    tellLoad(now);
+    sendLoad(now);
 }
 
 void Owner::probe(Instant now)
@@ -136,7 +136,7 @@
         if (news.slowdown)
             setSlowdown(*news.slowdown, end);
         if (news.coldFor)
-            answeredWarmUp(*news.coldFor, now, end);
+            onHealthAnswerWarmUp(*news.coldFor, now, end);
     };
     if (!m_prober.probe(*m_pool, now, onAnswer))
         return;
@@ -154,10 +154,10 @@
     m_nextProbe = now + probeWhileDown;
     log(LogLevel::Warning, isDown ? "backend-down" : "backend-up",
         { { "upstream", upstream() }, { "unreached", m_unreached } });
-    tellLoad(now);
+    sendLoad(now);
 }
 
-void Owner::noteLimit()
+void Owner::logLimit()
 {
     const auto limit = m_admission.limit();
     if (limit == m_loggedLimit)
@@ -176,10 +176,10 @@
     if (change < tellFactor && change > 1 / tellFactor)
         return;
     m_toldSlowdown = slowdown;
-    tellLoad(now);
+    sendLoad(now);
 }
 
-void Owner::tellLoad(Instant now)
+void Owner::sendLoad(Instant now)
 {
     if (!m_tellLoad || !m_context->settings.experiments.isOn(Mechanism::TellLoads))
         return;
@@ -192,7 +192,7 @@
         proto::LoadNews news;
         news.set_upstream(upstream());
         news.set_incarnation(m_context->incarnation);
-        *news.mutable_load() = loadNews(ingress.sender.life(), ingress.group, now);
+        *news.mutable_load() = makeLoad(ingress.sender.life(), ingress.group, now);
         m_tellLoad(ingress.sender.address, news);
     }
 }
@@ -256,7 +256,7 @@
     return it == m_runningRequests.end() ? nullptr : &m_calls.at(it->second).call;
 }
 
-bool Owner::noteNested(const std::string& requestId, const std::string& service)
+bool Owner::countNestedCall(const std::string& requestId, const std::string& service)
 {
     const auto running = m_runningRequests.find(requestId);
     if (running == m_runningRequests.end())
@@ -305,9 +305,9 @@
         || answer.status() >= static_cast<std::uint32_t>(firstServerError);
     // A server that refuses a call has not run it.
     if (answer.outcome() != proto::NOT_RUN)
-        tellRunEnded(record, result.has_value(), isFailure, now);
+        reportRunEnd(record, result.has_value(), isFailure, now);
     const auto next = m_admission.onRunEnded(id, isFailure ? RunOutcome::Failed : RunOutcome::Answered, now);
-    noteLimit();
+    logLimit();
     answer.set_queued_us(static_cast<std::uint32_t>((record.started - record.arrived).count()));
     answer.set_held_us(static_cast<std::uint32_t>((now - record.started).count()));
     m_errors.add(isFailure ? 1 : 0);
@@ -341,7 +341,7 @@
 {
     auto& record = m_calls.at(id);
     record.pool->cancel(record.request);
-    tellRunEnded(record, false, false, now);
+    reportRunEnd(record, false, false, now);
     m_crashWatch.onCallCutOff(suspectOf(record, now), now);
     const auto next = m_admission.onRunEnded(id, RunOutcome::Failed, now);
     proto::Answer answer;
--- a/src/Node/OwnerStatements.cpp
+++ b/src/Node/OwnerStatements.cpp
@@ -41,7 +41,7 @@
     logRateLimit(before, origin);
     if (isToldAgain(m_toldServerLimit, serverLimit())) {
         m_toldServerLimit = serverLimit();
-        tellLoad(now);
+        sendLoad(now);
     }
     act(m_admission.refuseCallsMissingDeadline(now), now);
     act(m_admission.startReadyCalls(now), now);
@@ -55,7 +55,7 @@
         takeStatement(news.statement, { RateLimitSource::HealthAnswer, askedAt, "" }, now);
 }
 
-void Owner::answeredRateLimit(double limit, Instant now)
+void Owner::onHealthAnswerRateLimit(double limit, Instant now)
 {
     BackendStatement statement;
     statement.rateLimit = limit;
--- a/src/Platform/RecordStore.h
+++ b/src/Platform/RecordStore.h
@@ -77,7 +77,7 @@
     void onReturn(std::function<void()> f) { m_returned = std::move(f); }
 
     /// \brief A peer believes in \a era of the store.
-    void heardEra(std::uint64_t era, Instant now)
+    void onPeerEra(std::uint64_t era, Instant now)
     {
         if (m_era.heard(era, now))
             returned();
--- a/src/Rollout/RolloutJudge.cpp
+++ b/src/Rollout/RolloutJudge.cpp
@@ -128,8 +128,8 @@
     const RolloutTable::Entry& entry, std::span<const Server> servers, Instant now)
 {
     const auto age = now - entry.orderedAt;
-    const bool hasReports = static_cast<double>(m_reports.size())
-        >= rateReportPart * static_cast<double>(servers.size());
+    const bool hasReports
+        = static_cast<double>(m_reports.size()) >= rateReportPart * static_cast<double>(servers.size());
     if (m_hasSetShare || age < rateMeasureTime || !hasReports)
         return std::nullopt;
     m_hasSetShare = true;
--- a/src/Rollout/RolloutJudge.h
+++ b/src/Rollout/RolloutJudge.h
@@ -67,11 +67,9 @@
     std::optional<double> shareFor(
         const RolloutTable::Entry& entry, std::span<const Server> servers, Instant now);
     /// \returns whether the former servers may stop.
-    bool isCompletable(
-        const RolloutTable::Entry& entry, std::span<const Server> servers, Instant now) const;
+    bool isCompletable(const RolloutTable::Entry& entry, std::span<const Server> servers, Instant now) const;
     /// \returns whether no call is at a server of the former version and none can come there.
-    bool isFormerIdle(
-        const RolloutTable::Entry& entry, std::span<const Server> servers, Instant now) const;
+    bool isFormerIdle(const RolloutTable::Entry& entry, std::span<const Server> servers, Instant now) const;
 
     RolloutOrder m_order;
     RolloutBounds m_bounds;
--- a/src/Rollout/RolloutSchedule.cpp
+++ b/src/Rollout/RolloutSchedule.cpp
@@ -45,8 +45,7 @@
 
 Duration latestDecision(const RolloutOrder& order)
 {
-    const auto reserve
-        = std::clamp(part(order.duration, statusPart), shortestStatusTime, longestStatusTime);
+    const auto reserve = std::clamp(part(order.duration, statusPart), shortestStatusTime, longestStatusTime);
     return std::max(order.duration - reserve, latestPromotion(order));
 }
 
--- a/src/Rollout/RolloutTable.cpp
+++ b/src/Rollout/RolloutTable.cpp
@@ -187,8 +187,8 @@
 
 RolloutTable::Entry* RolloutTable::findEntry(std::uint64_t id)
 {
-    const auto it = std::find_if(
-        m_entries.begin(), m_entries.end(), [id](const auto& entry) { return entry.second.order.id() == id; });
+    const auto it = std::find_if(m_entries.begin(), m_entries.end(),
+        [id](const auto& entry) { return entry.second.order.id() == id; });
     return it == m_entries.end() ? nullptr : &it->second;
 }
 
--- a/src/Rollout/RolloutTable.h
+++ b/src/Rollout/RolloutTable.h
@@ -44,7 +44,8 @@
 
     /// How the store's records are read; see MeshFormats.
     struct Parsers {
-        /// \returns the service that the record with this key orders a roll-out of; nothing for other records.
+        /// \returns the service that the record with this key orders a roll-out of; nothing for other
+        /// records.
         std::function<std::optional<std::string>(std::string_view key)> parseKey;
         std::function<Result<RolloutOrder, std::string>(const std::string& service, std::string_view text)>
             readOrder;
@@ -95,7 +96,8 @@
     /// Cost: O(roll-outs).
     std::uint64_t digest() const;
 
-    /// \returns the roll-outs for another node: \a isWhole all, otherwise those that run or ended a moment ago.
+    /// \returns the roll-outs for another node: \a isWhole all, otherwise those that run or ended a moment
+    /// ago.
     proto::RolloutRecords records(bool isWhole, Instant now) const;
 
 private:
--- a/src/Rollout/ServerVersions.h
+++ b/src/Rollout/ServerVersions.h
@@ -22,8 +22,8 @@
 
     /// \param servers name and version of each server that has not left.
     /// Cost: O(servers * log servers).
-    static ServerVersions divide(const RolloutTable::Entry& entry,
-        const std::vector<std::pair<std::string, std::string>>& servers)
+    static ServerVersions divide(
+        const RolloutTable::Entry& entry, const std::vector<std::pair<std::string, std::string>>& servers)
     {
         ServerVersions out;
         out.rollout = entry.order.id();
--- a/src/Rollout/VersionComparison.cpp
+++ b/src/Rollout/VersionComparison.cpp
@@ -28,7 +28,8 @@
     constexpr double minFailures = 4;
     /// Runs of the target version, fewer of which tell nothing.
     constexpr std::uint64_t minTargetRuns = 5;
-    /// A version counts as comparable only if one that fails so many more of its calls would hardly look like it.
+    /// A version counts as comparable only if one that fails so many more of its calls would hardly look like
+    /// it.
     constexpr double excludedShare = 0.4;
     /// Logarithm of the probability up to which it would.
     const double exclusion = std::log(0.05);
@@ -71,8 +72,8 @@
         return { k >= minFailures && tail <= certainty, k >= 2 && tail <= suspicion, "failures" };
     }
 
-    /// \returns whether the calls of \a target are enough to exclude that it fails `excludedShare` more of them
-    /// than the former version.
+    /// \returns whether the calls of \a target are enough to exclude that it fails `excludedShare` more of
+    /// them than the former version.
     bool excludesFailures(const RouteCounts& former, const RouteCounts& target)
     {
         const double formerRuns = std::max(runsOf(former), 1.0);
--- a/test/LastWordTest.cpp
+++ b/test/LastWordTest.cpp
@@ -44,7 +44,7 @@
         return call.upstream() == "u1" ? "10.0.0.1:1" : "10.0.0.2:1";
     }
 
-    void sayLast(const proto::Call& call, std::uint64_t highest, std::uint64_t callerLife = 77)
+    void sendLastWord(const proto::Call& call, std::uint64_t highest, std::uint64_t callerLife = 77)
     {
         proto::LastWord word;
         word.set_incarnation(ownerLife);
@@ -62,12 +62,12 @@
     HeardFixture f;
     const auto first = f.call("/s/buy/x");
     REQUIRE(first.owner_incarnation() == HeardFixture::ownerLife);
-    f.sayLast(first, first.number() - 1);
+    f.sendLastWord(first, first.number() - 1);
     f.ingress.peerLost(HeardFixture::addressOf(first), monotonicNow());
     const auto second = f.nextCall();
     REQUIRE(second.upstream() != first.upstream());
     REQUIRE(second.attempts_left() == first.attempts_left());
-    f.sayLast(second, second.number() - 1);
+    f.sendLastWord(second, second.number() - 1);
     f.ingress.peerLost(HeardFixture::addressOf(second), monotonicNow());
     REQUIRE(f.outcome() == "not-run");
     REQUIRE(f.reply->status == 503);
@@ -77,11 +77,11 @@
 {
     HeardFixture f;
     const auto received = f.call("/s/buy/x");
-    f.sayLast(received, received.number());
+    f.sendLastWord(received, received.number());
     f.ingress.peerLost(HeardFixture::addressOf(received), monotonicNow());
     REQUIRE(f.outcome() == "unknown");
     const auto ofFormerLife = f.call("/s/buy/x");
-    f.sayLast(ofFormerLife, 0, 76);
+    f.sendLastWord(ofFormerLife, 0, 76);
     f.ingress.peerLost(HeardFixture::addressOf(ofFormerLife), monotonicNow());
     REQUIRE(f.outcome() == "unknown");
 }
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -330,14 +330,14 @@
     call.set_request_id("r1");
     f.take(call);
     f.waitRunning(1);
-    REQUIRE(f.owner.noteNested("r1", "t"));
-    REQUIRE(f.owner.noteNested("r1", "t"));
-    REQUIRE_FALSE(f.owner.noteNested("r2", "t"));
+    REQUIRE(f.owner.countNestedCall("r1", "t"));
+    REQUIRE(f.owner.countNestedCall("r1", "t"));
+    REQUIRE_FALSE(f.owner.countNestedCall("r2", "t"));
     f.running[0]->reply({ 200, {}, "one" });
     f.waitAnswers(1);
     REQUIRE(f.answers[0].nested_size() == 1);
     REQUIRE(f.answers[0].nested(0).calls() == 2);
-    REQUIRE_FALSE(f.owner.noteNested("r1", "t")); // it is over
+    REQUIRE_FALSE(f.owner.countNestedCall("r1", "t")); // it is over
 }
 
 // Guards against calls that are cut off with their node: they were let in though their time went beyond its
--- a/test/RolloutMeshTest.cpp
+++ b/test/RolloutMeshTest.cpp
@@ -49,8 +49,8 @@
     void order(const std::string& version, double seconds)
     {
         store.put("keyed.op", "rollout/shop",
-            R"({"service":"shop","target_version":")" + version + R"(","duration_s":)" + std::to_string(seconds)
-                + "}");
+            R"({"service":"shop","target_version":")" + version + R"(","duration_s":)"
+                + std::to_string(seconds) + "}");
     }
 
     std::string state()
@@ -157,7 +157,8 @@
     REQUIRE(f.callsAt(f.next) == at);
 }
 
-TEST_CASE("A roll-out is rolled back although the store is away, and its status is written later", "[rollout]")
+TEST_CASE(
+    "A roll-out is rolled back although the store is away, and its status is written later", "[rollout]")
 {
     RolloutFixture f;
     f.order("v2", 8);
--- a/test/RolloutTest.cpp
+++ b/test/RolloutTest.cpp
@@ -83,23 +83,25 @@
 {
     const auto former = makeServers(20, makeCounts(50, 0, 0.25));
     REQUIRE(compareVersions(former, {}).verdict == VersionVerdict::Undecided);
-    REQUIRE(compareVersions(former, makeServers(4, makeCounts(1, 0, 0.25))).verdict == VersionVerdict::Undecided);
     REQUIRE(
-        compareVersions(former, makeServers(4, makeCounts(10, 0, 0.25))).verdict == VersionVerdict::Comparable);
+        compareVersions(former, makeServers(4, makeCounts(1, 0, 0.25))).verdict == VersionVerdict::Undecided);
+    REQUIRE(compareVersions(former, makeServers(4, makeCounts(10, 0, 0.25))).verdict
+        == VersionVerdict::Comparable);
     const auto failing = compareVersions(former, makeServers(4, makeCounts(10, 5, 0.25)));
     REQUIRE(failing.verdict == VersionVerdict::Worse);
     REQUIRE(failing.cause.find("failures") != std::string::npos);
     const auto slow = compareVersions(former, makeServers(4, makeCounts(10, 0, 1.0)));
     REQUIRE(slow.verdict == VersionVerdict::Worse);
     REQUIRE(slow.cause.find("time") != std::string::npos);
-    REQUIRE(compareVersions(former, makeServers(4, makeCounts(10, 0, 0.3))).verdict == VersionVerdict::Comparable);
+    REQUIRE(compareVersions(former, makeServers(4, makeCounts(10, 0, 0.3))).verdict
+        == VersionVerdict::Comparable);
 }
 
 TEST_CASE("Failures of both versions, as in an outage of what they call, make neither worse", "[rollout]")
 {
     const auto former = makeServers(20, makeCounts(50, 20, 0.25));
-    REQUIRE(
-        compareVersions(former, makeServers(4, makeCounts(20, 8, 0.25))).verdict == VersionVerdict::Comparable);
+    REQUIRE(compareVersions(former, makeServers(4, makeCounts(20, 8, 0.25))).verdict
+        == VersionVerdict::Comparable);
 }
 
 TEST_CASE("The fault of one server is not a fault of its version, unless it is the only one", "[rollout]")
@@ -135,16 +137,19 @@
     const auto parsers = makeParsers(unreadable);
     RolloutTable table;
     REQUIRE(table.applyPage(
-        makePage({ { "config", "x", { 1, 4 } }, { "rollout/shop", "v2", { 1, 5 } } }, { 1, 6 }), parsers, start));
+        makePage({ { "config", "x", { 1, 4 } }, { "rollout/shop", "v2", { 1, 5 } } }, { 1, 6 }), parsers,
+        start));
     REQUIRE(table.find("shop")->order.targetVersion == "v2");
     const auto early = table.records(true, start);
-    REQUIRE(table.applyPage(makePage({ { "rollout/shop", "v3", { 1, 9 } } }, { 1, 10 }), parsers, start + 2s));
+    REQUIRE(
+        table.applyPage(makePage({ { "rollout/shop", "v3", { 1, 9 } } }, { 1, 10 }), parsers, start + 2s));
     REQUIRE_FALSE(table.applyRecord(early.records(0), start + 3s));
     REQUIRE(table.find("shop")->order.targetVersion == "v3");
     RolloutTable other;
     REQUIRE(other.applyRecord(table.records(true, start + 4s).records(0), start + 4s));
     REQUIRE(other.find("shop")->orderedAt == start + 2s);
-    REQUIRE_FALSE(table.applyPage(makePage({ { "rollout/shop", "bad", { 1, 11 } } }, { 1, 12 }), parsers, start));
+    REQUIRE_FALSE(
+        table.applyPage(makePage({ { "rollout/shop", "bad", { 1, 11 } } }, { 1, 12 }), parsers, start));
     REQUIRE(unreadable == std::vector<std::string> { "shop: target_version: is missing" });
     REQUIRE(table.find("shop")->order.targetVersion == "v3");
 }
@@ -174,8 +179,8 @@
     RolloutTable table;
     table.applyPage(makePage({ { "rollout/shop", "v2", { 1, 5 } } }, { 1, 6 }), parsers, start);
     table.advance(table.find("shop")->order.id(), RolloutPhase::RolledBack, "failures", start + 3s);
-    REQUIRE_FALSE(
-        table.applyPage(makePage({ { "rollout/shop", "v2", { 2, 5 } } }, { 2, 6 }, true), parsers, start + 9s));
+    REQUIRE_FALSE(table.applyPage(
+        makePage({ { "rollout/shop", "v2", { 2, 5 } } }, { 2, 6 }, true), parsers, start + 9s));
     REQUIRE(table.find("shop")->phase == RolloutPhase::RolledBack);
     REQUIRE(table.find("shop")->order.position.era == 2);
 }
@@ -213,7 +218,8 @@
             if (action == 0)
                 node.applyPage(makePage({ { "rollout/shop", "v" + std::to_string(offset), { 1, offset } } },
                                    { 1, offset + 1 }),
-                    parsers, now), ++offset;
+                    parsers, now),
+                    ++offset;
             else if (action == 1 && entry)
                 node.advance(entry->order.id(), static_cast<RolloutPhase>((step / 15) % 4), "", now);
             else if (action == 2)
@@ -288,9 +294,9 @@
     for (const auto& it : cells) {
         for (std::uint64_t seed = 0; seed < seeds; ++seed) {
             const auto outcome = RolloutModel(seed, it.options).run();
-            INFO(it.name << ", seed " << seed << ": " << outcome.targetCalls << " of " << outcome.calls << ", "
-                         << nameOf(outcome.phase) << " after " << toSeconds(outcome.endedAfter) << " s, "
-                         << outcome.cause);
+            INFO(it.name << ", seed " << seed << ": " << outcome.targetCalls << " of " << outcome.calls
+                         << ", " << nameOf(outcome.phase) << " after " << toSeconds(outcome.endedAfter)
+                         << " s, " << outcome.cause);
             CHECK_FALSE(outcome.isOverExposed(RolloutModel::bounds));
             CHECK(outcome.phase == RolloutPhase::RolledBack);
             CHECK(outcome.endedAfter < it.options.duration);
--- a/test/ServerLeavingTest.cpp
+++ b/test/ServerLeavingTest.cpp
@@ -147,7 +147,7 @@
         undone.set_upstream(first.upstream());
         undone.set_undone(true);
         f.ingress.takeLeaving(undone, now);
-        f.ingress.revive(first.upstream(), now);
+        f.ingress.reactivate(first.upstream(), now);
         f.ingress.configure(now);
     }
 }
--- a/test/support/RolloutModel.h
+++ b/test/support/RolloutModel.h
@@ -89,7 +89,9 @@
         page.records.push_back({ "rollout/shop", "order", m_order.position });
         page.next = { 0, 8 };
         const RolloutTable::Parsers parsers { [](std::string_view) { return std::string("shop"); },
-            [this](const std::string&, std::string_view) -> Result<RolloutOrder, std::string> { return m_order; },
+            [this](const std::string&, std::string_view) -> Result<RolloutOrder, std::string> {
+                return m_order;
+            },
             [](const std::string&, const std::string&) {} };
         for (auto& it : m_tables)
             it.applyPage(page, parsers, m_now);
@@ -148,7 +150,8 @@
     void startCalls()
     {
         const auto stepEnd = m_now + step;
-        for (; m_nextCall < stepEnd; m_nextCall += fromSeconds(m_random.exponential(1 / m_options.callsPerSecond)))
+        for (; m_nextCall < stepEnd;
+             m_nextCall += fromSeconds(m_random.exponential(1 / m_options.callsPerSecond)))
             startCall(m_random.below(m_options.nodes));
     }
 
@@ -160,8 +163,8 @@
         auto& it = m_servers[server];
         const auto& known = entryAt(it.owner);
         // An owner that knows better refuses the call, which then goes to the other version.
-        const bool isRefused = it.isTarget ? known.phase == RolloutPhase::RolledBack
-                                           : known.phase == RolloutPhase::Switching;
+        const bool isRefused
+            = it.isTarget ? known.phase == RolloutPhase::RolledBack : known.phase == RolloutPhase::Switching;
         run(isRefused ? (it.isTarget ? m_random.below(m_options.servers)
                                      : m_options.servers + m_random.below(m_options.servers))
                       : server);
@@ -183,7 +186,8 @@
             ++m_outcome.calls;
             m_outcome.targetCalls += it.isTarget;
         }
-        if (it.isTarget && m_options.fault.isAny() && m_fiftiethBadAt && m_now > *m_fiftiethBadAt + rollbackTime)
+        if (it.isTarget && m_options.fault.isAny() && m_fiftiethBadAt
+            && m_now > *m_fiftiethBadAt + rollbackTime)
             ++m_outcome.lateCalls;
         const auto route = m_random.below(routes);
         const auto& fault = m_options.fault;
