--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -89,6 +89,7 @@
 {
     m_context.metrics.count("robinrun_store_returns_total");
     m_writer->rewriteAfter(rewriteDelay());
+    m_context.rollouts.forgetWrittenStatus();
     sendContacts(now);
 }
 
--- a/src/Rollout/RolloutTable.cpp
+++ b/src/Rollout/RolloutTable.cpp
@@ -185,6 +185,12 @@
     return isChanged;
 }
 
+void RolloutTable::forgetWrittenStatus()
+{
+    for (auto& [service, entry] : m_entries)
+        entry.isStatusWritten = false;
+}
+
 RolloutTable::Entry* RolloutTable::findEntry(std::uint64_t id)
 {
     const auto it = std::find_if(m_entries.begin(), m_entries.end(),
--- a/src/Rollout/RolloutTable.h
+++ b/src/Rollout/RolloutTable.h
@@ -84,6 +84,10 @@
     /// \returns whether the phase has changed.
     bool setStatusWritten(std::uint64_t id, RolloutOutcome outcome, Instant now);
 
+    /// \brief Makes the status of all roll-outs due again, since the store has been restored from an older
+    /// copy.
+    void forgetWrittenStatus();
+
     /// \returns the newest roll-out of \a service; null if there is none.
     const Entry* find(std::string_view service) const;
     const Entry* find(std::uint64_t id) const;
--- a/test/RolloutMeshTest.cpp
+++ b/test/RolloutMeshTest.cpp
@@ -38,6 +38,16 @@
             REQUIRE(announceVersion(i, "v2") == 200);
     }
 
+    /// \brief Orders a roll-out, waits until it runs and starts the new servers, which answer with \a status.
+    void startRollout(double seconds, int status)
+    {
+        order("v2", seconds);
+        until([&] { return state() == "running"; });
+        addNext();
+        for (const auto i : next)
+            places[i].backend->status = status;
+    }
+
     int announceVersion(std::size_t i, const std::string& version)
     {
         return sendAnnouncement(i,
@@ -130,9 +140,7 @@
 TEST_CASE("A good version is completed, and from then on gets all calls", "[rollout]")
 {
     RolloutFixture f;
-    f.order("v2", 4);
-    f.until([&] { return f.state() == "running"; });
-    f.addNext();
+    f.startRollout(4, 200);
     f.callUntil([&] { return f.state() == "completed"; });
     const auto before = f.callsAt(f.former);
     for (int i = 0; i < 10; ++i)
@@ -143,11 +151,7 @@
 TEST_CASE("A version that fails is rolled back, and from then on gets no calls", "[rollout]")
 {
     RolloutFixture f;
-    f.order("v2", 8);
-    f.until([&] { return f.state() == "running"; });
-    f.addNext();
-    for (const auto i : f.next)
-        f.places[i].backend->status = 500;
+    f.startRollout(8, 500);
     f.callUntil([&] { return f.state() == "rolled_back"; });
     const auto at = f.callsAt(f.next);
     const auto all = at + f.callsAt(f.former);
@@ -161,11 +165,7 @@
     "A roll-out is rolled back although the store is away, and its status is written later", "[rollout]")
 {
     RolloutFixture f;
-    f.order("v2", 8);
-    f.until([&] { return f.state() == "running"; });
-    f.addNext();
-    for (const auto i : f.next)
-        f.places[i].backend->status = 500;
+    f.startRollout(8, 500);
     f.callUntil([&] { return f.callsAt(f.next) > 0; });
     f.store.mode = FakeStore::Mode::Refusing;
     f.callUntil([&] { return f.hasEndedAt(f.ingress); });
@@ -181,11 +181,7 @@
 TEST_CASE("A node that starts while a version is withheld sends it no calls", "[rollout]")
 {
     RolloutFixture f;
-    f.order("v2", 8);
-    f.until([&] { return f.state() == "running"; });
-    f.addNext();
-    for (const auto i : f.next)
-        f.places[i].backend->status = 500;
+    f.startRollout(8, 500);
     f.callUntil([&] { return f.state() == "rolled_back"; });
     const auto before = f.callsAt(f.next);
     f.places[f.ingress].node.reset();
--- a/test/RolloutTest.cpp
+++ b/test/RolloutTest.cpp
@@ -185,6 +185,22 @@
     REQUIRE(table.find("shop")->order.position.era == 2);
 }
 
+TEST_CASE(
+    "The status of a roll-out is due again after the store was restored from an older copy", "[rollout]")
+{
+    std::vector<std::string> unreadable;
+    RolloutTable table;
+    table.applyPage(
+        makePage({ { "rollout/shop", "v2", { 1, 5 } } }, { 1, 6 }), makeParsers(unreadable), start);
+    const auto id = table.find("shop")->order.id();
+    table.advance(id, RolloutPhase::RolledBack, "failures", start);
+    table.setStatusWritten(id, RolloutOutcome::RolledBack, start);
+    REQUIRE_FALSE(table.hasRunning());
+    table.forgetWrittenStatus();
+    REQUIRE(table.hasRunning());
+    REQUIRE(table.find("shop")->phase == RolloutPhase::RolledBack);
+}
+
 TEST_CASE("What the store holds of the end of a roll-out counts above what a node has decided", "[rollout]")
 {
     std::vector<std::string> unreadable;
