Review: a draining node takes calls that it then breaks off

Four of seven nodes are stopped and started in turn, with 6 s of grace, under requests of 5.8 s whose upstreams make one call of 0.3 s after the other. Calls that a stopped node takes 4.9 to 5.2 s after its SIGTERM, and passes on to the upstream of another machine, are answered 504 by it at its drain timeout (5.2 s), while that upstream is at work on them.

Run: the build of deploy/system.toml, review/build.sh, review/3/run.sh.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,9 +1,10 @@
-/// \file Nodes are killed and start again while the store is slow; clients keep the connections that they
-/// made meanwhile. Are their proper requests taken afterwards?
+/// \file Nodes are stopped in turn while the upstreams beside them work on long requests and make calls for
+/// them. Does a node break a call off that it has passed on?
 
 #include "Core/Loop.h"
 #include "review/standins/Site.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -20,130 +21,114 @@
 constexpr int couldNotRun = 2;
 
 constexpr Duration lead = 8s;
-constexpr std::size_t clientsOfHost = 10;
-constexpr Duration betweenRequests = 500ms;
-constexpr Duration deadline = 1s;
-constexpr Duration slowAnswer = 240ms; ///< 60 times the usual 4 ms
-constexpr Duration calm = 8s; ///< after the last disruption, until long requests come
-/// A proper body: `max_body_bytes` is 67,108,864.
-constexpr std::size_t bodyBytes = 100'000;
+constexpr std::size_t hosts = 7;
+constexpr std::size_t shops = 4; ///< the others are of the service that is called
+constexpr int longestMs = 6000;
+constexpr Duration longWork = 5800ms;
+constexpr Duration callWork = 300ms;
+constexpr Duration callTimeout = 1s; ///< of the route of the calls; their deadline is that of the request
+constexpr std::size_t requestsInTurn = 16;
+constexpr Duration beforeStop = 200ms;
+constexpr double notExcusedAfter
+    = 3; ///< s: calls sent later are not excused by a run at the end of the grace
+constexpr double countedUntil = 7; ///< s: 1 s after grace_s
 
-/// \brief One client: it keeps its connection for many requests.
-class Client {
-public:
-    struct Counts {
-        std::size_t sent = 0;
-        std::size_t served = 0;
-        std::size_t denied = 0; ///< by a 3xx or 4xx other than 408, 421 and 429
-        std::size_t longSent = 0;
-        std::size_t longServed = 0;
-        std::size_t longDenied = 0;
-    };
+struct Stop {
+    std::string node;
+    double at = 0;
+};
 
-    Client(Site& site, Site::Host& host, std::string name, Counts& counts, Duration first)
-        : m_site(&site)
-        , m_host(&host)
-        , m_name(std::move(name))
-        , m_counts(&counts)
-        , m_pool(site.base(), optionsFor(host))
-    {
-        m_first = Timer::once(site.base(), first,
-            [this] { m_timer = Timer::repeating(m_site->base(), betweenRequests, [this] { sendNext(); }); });
-    }
+struct EndedCall {
+    std::string node;
+    Upstream::Call call;
+};
 
-    void sendLong() { m_isLongDue = true; }
+/// \brief All that the clients, the upstreams and the platform see.
+struct Seen {
+    std::vector<Stop> stops;
+    std::vector<EndedCall> calls;
+    std::size_t answered = 0;
+    std::size_t served = 0;
+    std::map<std::string, double> runs; ///< by id of the request: when an upstream began
+};
 
-private:
-    static HttpPool::Options optionsFor(const Site::Host& host)
-    {
-        HttpPool::Options options;
-        options.address = host.outbound;
-        options.maxConnections = 1;
-        options.connectTimeout = 1s;
-        return options;
-    }
+double nowSeconds()
+{
+    return toSeconds(monotonicNow().time_since_epoch());
+}
 
-    void sendNext()
-    {
-        if (m_isOut || !m_site->getsWork(*m_host))
-            return;
-        const bool isLong = std::exchange(m_isLongDue, false);
-        const auto id = m_name + "-" + std::to_string(++m_lastNumber);
-        const HttpRequest request { isLong ? "POST" : "GET", (isLong ? "/buy/" : "/read/") + id,
-            { { "Host", "hulo84.example" }, { "X-Robinrun-Request-Id", id },
-                { "X-Robinrun-Deadline-Ms", std::to_string(static_cast<int>(toMilliseconds(deadline))) } },
-            isLong ? std::string(bodyBytes, 'x') : "" };
-        ++m_counts->sent;
-        m_counts->longSent += isLong ? 1 : 0;
-        m_isOut = true;
-        m_site->note("sent " + id + " " + request.method + " with " + std::to_string(request.body.size())
-            + " bytes to " + m_host->name);
-        m_pool.send(request, deadline + 500ms, [this, id, isLong](const Result<HttpReply, HttpError>& reply) {
-            m_isOut = false;
+void sendLong(Site& site, std::size_t host, const std::string& id, Seen& seen)
+{
+    HttpPool::Options options;
+    options.address = site.hosts()[host]->outbound;
+    options.connectTimeout = 1s;
+    auto pool = std::make_shared<HttpPool>(site.base(), options);
+    site.note("sent " + id + " to " + site.hosts()[host]->name);
+    pool->send({ "GET", "/read/" + id,
+                   { { "Host", "hulo84.example" }, { "X-Robinrun-Request-Id", id },
+                       { "X-Robinrun-Deadline-Ms", std::to_string(longestMs) } },
+                   "" },
+        std::chrono::milliseconds(longestMs + 500),
+        [&site, &seen, id, pool](const Result<HttpReply, HttpError>& reply) {
             const int status = reply ? reply.value().status : 0;
-            const bool isServed = status >= 200 && status < 300;
-            const bool isDenied
-                = status >= 300 && status < 500 && status != 408 && status != 421 && status != 429;
-            m_counts->served += isServed ? 1 : 0;
-            m_counts->denied += isDenied ? 1 : 0;
-            m_counts->longServed += isServed && isLong ? 1 : 0;
-            m_counts->longDenied += isDenied && isLong ? 1 : 0;
-            m_site->note(std::string(isLong ? "long " : "short ") + id + " at " + m_host->name + " answered "
-                + std::to_string(status));
+            ++seen.answered;
+            seen.served += status == 200 ? 1 : 0;
+            site.note("answered " + id + " " + std::to_string(status));
         });
-    }
+}
 
-    Site* m_site;
-    Site::Host* m_host;
-    std::string m_name;
-    Counts* m_counts;
-    HttpPool m_pool;
-    std::uint64_t m_lastNumber = 0;
-    bool m_isOut = false;
-    bool m_isLongDue = false;
-    Timer m_first;
-    Timer m_timer;
-};
+/// \returns whether the node ended \a it, by an answer of its own or none, while an upstream was at work.
+bool isBrokenOff(const EndedCall& it, const Seen& seen)
+{
+    const auto run = seen.runs.find(it.call.id);
+    const bool hasNoAnswer = it.call.status == 0 || it.call.status == 502 || it.call.status == 504;
+    const bool isAtWork = run != seen.runs.end() && it.call.endedAt - run->second < toSeconds(callWork);
+    const double allowed = std::min(it.call.allowed, toSeconds(callTimeout));
+    const bool isOverTime = it.call.endedAt - it.call.sentAt >= allowed;
+    if (!hasNoAnswer || !isAtWork || isOverTime)
+        return false;
+    for (const auto& stop : seen.stops) {
+        const double after = it.call.sentAt - stop.at;
+        if (stop.node == it.node && after > notExcusedAfter && after < countedUntil)
+            return true;
+    }
+    return false;
+}
 
-int play(Site& site, bool hasTrouble)
+int play(Site& site, Seen& seen, bool hasTrouble)
 {
     site.pass(lead);
     if (!site.areAllReady()) {
         std::cout << "the nodes did not get ready\n";
         return couldNotRun;
     }
-    Client::Counts counts;
-    std::vector<std::unique_ptr<Client>> clients;
-    for (std::size_t i = 0; i < site.hosts().size() * clientsOfHost; ++i) {
-        const auto first = betweenRequests * static_cast<int>(i) / static_cast<int>(clientsOfHost);
-        clients.push_back(std::make_unique<Client>(site, *site.hosts()[i / clientsOfHost],
-            "c" + std::to_string(i), counts, std::max<Duration>(first % betweenRequests, 1ms)));
-    }
-    site.pass(3s);
-    for (auto& it : site.hosts()) {
+    for (std::size_t i = 0; i < shops; ++i) {
+        auto& host = *site.hosts()[i];
+        for (std::size_t k = 0; k < requestsInTurn; ++k) {
+            const auto from = k % hosts == i ? (k + 1) % hosts : k % hosts;
+            sendLong(site, from, "r" + std::to_string(i) + "x" + std::to_string(k), seen);
+        }
+        site.pass(beforeStop);
         if (hasTrouble) {
-            site.store().setDelay(slowAnswer);
-            site.note("the store is slow");
+            seen.stops.push_back({ host.name, nowSeconds() });
+            site.stop(host);
         }
-        site.pass(500ms);
-        if (hasTrouble)
-            site.kill(*it, 100ms);
-        site.pass(2500ms);
-        site.store().setDelay(4ms);
-        site.note("the store is as usual");
-        site.pass(2s);
+        site.pass(9s);
     }
-    site.pass(calm);
-    for (auto& it : clients)
-        it->sendLong();
-    site.pass(4s);
-    const double allowed = 5 + static_cast<double>(counts.sent) / 500;
-    std::cout << counts.sent << " requests sent, " << counts.served << " served, " << counts.denied
-              << " denied, " << allowed << " allowed; of " << counts.longSent << " long ones "
-              << counts.longServed << " served, " << counts.longDenied << " denied\n";
-    if (counts.longSent < clients.size() / 2)
+    std::size_t lost = 0;
+    for (const auto& it : seen.calls) {
+        if (!isBrokenOff(it, seen))
+            continue;
+        ++lost;
+        std::cout << "broken off: " << it.call.id << " by " << it.node << ", status " << it.call.status
+                  << "\n";
+    }
+    std::cout << seen.served << " of " << seen.answered << " requests served; of " << seen.calls.size()
+              << " calls " << lost
+              << " broken off by a node that was stopped, while their upstream was at work\n";
+    if (seen.calls.size() < 100)
         return couldNotRun;
-    return static_cast<double>(counts.denied) > allowed ? broken : held;
+    return lost > 0 ? broken : held;
 }
 
 } // namespace
@@ -162,8 +147,24 @@
         options.root = argv[1];
         options.folder = argv[2];
         options.recordFile = argv[3];
+        options.hosts = hosts;
+        options.firstOfLedger = shops;
+        options.longestMs = longestMs;
+        options.upstream.work = callWork;
+        options.upstream.longPath = "/read/";
+        options.upstream.longWork = longWork;
+        options.upstream.callPath = "/check/";
         Site site(base.get(), options);
-        return play(site, !text || std::string(text) != "0");
+        Seen seen;
+        site.onRun([&](const std::string& id) { seen.runs.try_emplace(id, nowSeconds()); });
+        for (auto& it : site.hosts()) {
+            it->upstream->onCallEnded([&, name = it->name](const Upstream::Call& call) {
+                seen.calls.push_back({ name, call });
+                site.note(
+                    "call " + call.id + " through " + name + " answered " + std::to_string(call.status));
+            });
+        }
+        return play(site, seen, !text || std::string(text) != "0");
     } catch (const std::exception& ex) {
         std::cerr << ex.what() << "\n";
         return couldNotRun;
--- a/review/standins/Site.cpp
+++ b/review/standins/Site.cpp
@@ -15,6 +15,8 @@
     /// The platform asks a node once a second whether it is ready.
     constexpr Duration readinessEvery = 1s;
     constexpr Duration readinessWithin = 1s;
+    constexpr Duration grace = 6s; ///< grace_s
+    constexpr Duration lookEvery = 10ms;
 
     std::string portOf(const std::string& address)
     {
@@ -70,9 +72,10 @@
     host->readiness = freeAddress();
     const auto control = freeAddress();
     const auto app = freeAddress();
+    const std::string service = i >= m_options.firstOfLedger ? "ledger" : "shop";
     host->settingsFile = m_options.folder + "/" + host->name + ".yaml";
     std::ofstream(host->settingsFile) << fillTemplate({ { "node", host->name }, { "zone", host->zone },
-        { "region", "riga" }, { "service", "shop" }, { "app_addr", app }, { "ip", "127.0.0.1" },
+        { "region", "riga" }, { "service", service }, { "app_addr", app }, { "ip", "127.0.0.1" },
         { "port_range.0", portOf(freeAddress()) }, { "port_range.1", portOf(freeAddress()) },
         { "listen.outbound", host->outbound }, { "listen.readiness", host->readiness },
         { "listen.control", control }, { "provider.address", m_store.address() },
@@ -82,14 +85,17 @@
     auto upstream = m_options.upstream;
     upstream.address = app;
     upstream.control = control;
-    upstream.service = "shop";
+    upstream.service = service;
+    upstream.outbound = host->outbound;
     upstream.zone = host->zone;
     upstream.id = "i-" + std::to_string(1000 + i);
     upstream.firstHeartbeat = upstream.heartbeat * static_cast<int>(i) / static_cast<int>(m_options.hosts);
     host->upstream = std::make_unique<Upstream>(
         m_base, upstream, [this](const HttpRequest& request, const std::string& id) {
-            note("ran " + std::string(findHeader(request.headers, "X-Robinrun-Request-Id").value_or(""))
-                + " at " + id);
+            const std::string requestId(findHeader(request.headers, "X-Robinrun-Request-Id").value_or(""));
+            note("ran " + requestId + " at " + id);
+            if (m_onRun)
+                m_onRun(requestId);
         });
     m_hosts.push_back(std::move(host));
     startNode(*m_hosts.back());
@@ -110,16 +116,24 @@
 
 void Site::writeConfiguration(std::uint64_t version)
 {
-    const auto route = [](const std::string& name, const std::string& kind) {
+    const auto longest = std::to_string(m_options.longestMs);
+    const bool hasLedger = m_options.firstOfLedger < m_options.hosts;
+    const auto route = [](const std::string& name, const std::string& kind, const std::string& service,
+                           const std::string& timeoutMs) {
         return R"({"type":"routes","metadata":{"name":")" + name
             + R"("},"spec":{"host":"hulo84.example","path_prefix":"/)" + name + R"(/","kind":")" + kind
-            + R"(","timeout_ms":1000,"target_latency_ms":400,"priority":1,"service":"shop","attempts":2}},)";
+            + R"(","timeout_ms":)" + timeoutMs + R"(,"target_latency_ms":400,"priority":1,"service":")"
+            + service + R"(","attempts":2}},)";
+    };
+    const auto service = [](const std::string& name) {
+        return R"({"type":"services","metadata":{"name":")" + name
+            + R"("},"spec":{"health_path":"/healthz","max_connections":220,"protocol":"h1","tls":false}},)";
     };
     const auto text = R"({"version":"r)" + std::to_string(version) + R"(","base_version":"r)"
-        + std::to_string(version - 1) + R"(","resources":[)" + route("read", "idempotent")
-        + route("buy", "non_idempotent")
-        + R"({"type":"services","metadata":{"name":"shop"},"spec":{"health_path":"/healthz",)"
-        + R"("max_connections":220,"protocol":"h1","tls":false}},)"
+        + std::to_string(version - 1) + R"(","resources":[)" + route("read", "idempotent", "shop", longest)
+        + route("buy", "non_idempotent", "shop", longest)
+        + (hasLedger ? route("check", "idempotent", "ledger", "1000") + service("ledger") : "")
+        + service("shop")
         + R"({"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,)"
         + R"("header_timeout_ms":3000,"idle_timeout_ms":15000}}]})";
     m_store.put("keyed.op", "config", text);
@@ -134,6 +148,26 @@
     note("started " + host.name);
 }
 
+void Site::stop(Host& host)
+{
+    host.node.signal(SIGTERM);
+    note("SIGTERM to " + host.name);
+    const auto asked = monotonicNow();
+    host.restart = Timer::repeating(m_base, lookEvery, [this, &host, asked] { startEnded(host, asked); });
+}
+
+void Site::startEnded(Host& host, Instant asked)
+{
+    if (host.node.isRunning()) {
+        if (monotonicNow() - asked >= grace)
+            host.node.signal(SIGKILL);
+        return;
+    }
+    note("ended " + host.name);
+    host.restart = Timer();
+    startNode(host);
+}
+
 void Site::kill(Host& host, Duration pause)
 {
     host.node.signal(SIGKILL);
--- a/review/standins/Site.h
+++ b/review/standins/Site.h
@@ -4,7 +4,9 @@
 #include "review/standins/Upstream.h"
 #include "test/support/ChildProcess.h"
 
+#include <cstdint>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +24,10 @@
         std::string recordFile;
         std::size_t hosts = 7;
         Upstream::Options upstream {};
+        /// Of the hosts, those from this one on stand beside upstreams of the service `ledger`, which runs
+        /// the route `/check/`; the others beside `shop`.
+        std::size_t firstOfLedger = SIZE_MAX;
+        int longestMs = 1000; ///< timeout of the routes
     };
     struct Host {
         std::string name;
@@ -42,9 +48,15 @@
     Store& store() { return m_store; }
     event_base* base() { return m_base; }
 
+    /// \brief Calls \a f each time that an upstream starts to work on a request.
+    void onRun(std::function<void(const std::string& id)> f) { m_onRun = std::move(f); }
+
     /// \brief Writes the configuration \a version as the operator: an idempotent and a non-idempotent route.
     void writeConfiguration(std::uint64_t version);
 
+    /// \brief SIGTERM; the node is started again when it has ended, or is killed after the grace time.
+    void stop(Host& host);
+
     /// \brief SIGKILL; the node is started again after \a pause, as the platform does.
     void kill(Host& host, Duration pause);
 
@@ -67,6 +79,7 @@
     void addHost(std::size_t i);
     void startNode(Host& host);
     void askReadiness(Host& host);
+    void startEnded(Host& host, Instant asked);
     std::string fillTemplate(const std::map<std::string, std::string>& fields) const;
 
     event_base* m_base;
@@ -76,6 +89,7 @@
     Store m_store;
     std::vector<std::unique_ptr<Host>> m_hosts;
     Timer m_ask;
+    std::function<void(const std::string&)> m_onRun;
 };
 
 } // namespace robinrun::review
--- a/review/standins/Upstream.cpp
+++ b/review/standins/Upstream.cpp
@@ -55,6 +55,7 @@
     m_server.reset();
     m_running.clear();
     m_queued.clear();
+    m_calls.clear();
 }
 
 void Upstream::startAgain(const std::string& id)
@@ -126,8 +127,42 @@
     ++m_runs;
     m_onRun(exchange->request(), m_options.id);
     const auto number = ++m_lastNumber;
-    auto timer = Timer::once(m_base, m_options.work, [this, number] { end(number); });
+    const auto& request = exchange->request();
+    const bool isLong = !m_options.longPath.empty() && request.target.starts_with(m_options.longPath);
+    const auto id = headerOf(request, "X-Robinrun-Request-Id");
+    const auto left
+        = std::chrono::milliseconds(std::stoll("0" + headerOf(request, "X-Robinrun-Deadline-Ms")));
+    auto timer
+        = Timer::once(m_base, isLong ? m_options.longWork : m_options.work, [this, number] { end(number); });
     m_running.emplace(number, std::make_pair(std::move(exchange), std::move(timer)));
+    if (isLong)
+        callFor(number, id, monotonicNow() + left, 1);
+}
+
+void Upstream::callFor(std::uint64_t number, const std::string& requestId, Instant deadline, unsigned count)
+{
+    const auto now = monotonicNow();
+    if (!m_running.contains(number) || deadline - now < 50ms)
+        return;
+    HttpPool::Options options;
+    options.address = m_options.outbound;
+    options.connectTimeout = 1s;
+    auto pool = std::make_shared<HttpPool>(m_base, options);
+    const auto id = requestId + "." + std::to_string(count);
+    const auto begin = toSeconds(now.time_since_epoch());
+    const auto left = deadline - now;
+    pool->send({ "GET", m_options.callPath + id,
+                   { { "Host", "hulo84.example" }, { "X-Robinrun-Request-Id", id },
+                       { "X-Robinrun-Deadline-Ms", std::to_string(static_cast<int>(toMilliseconds(left))) } },
+                   "" },
+        left + 500ms, [=, this, held = pool](const Result<HttpReply, HttpError>& reply) {
+            const Call call { id, begin, toSeconds(left), toSeconds(monotonicNow().time_since_epoch()),
+                reply ? reply.value().status : 0 };
+            if (m_onCallEnded)
+                m_onCallEnded(call);
+            m_calls[number] = Timer::once(m_base, m_options.betweenCalls,
+                [=, this] { callFor(number, requestId, deadline, count + 1); });
+        });
 }
 
 void Upstream::end(std::uint64_t number)
@@ -135,6 +170,7 @@
     const auto it = m_running.find(number);
     const auto ended = std::move(it->second);
     m_running.erase(it);
+    m_calls.erase(number);
     const auto id = headerOf(ended.first->request(), "X-Robinrun-Request-Id");
     ended.first->reply({ 200,
         { { "X-Robinrun-Request-Id", id }, { "X-Robinrun-Server-Signature", m_options.id + "." + id },
