--- a/test/support/ChildProcess.h
+++ b/test/support/ChildProcess.h
@@ -21,6 +21,9 @@
     /// \brief Sends \a number if the process is still there.
     void signal(int number) const;
 
+    /// \returns the process id; 0 if there is no process or it has ended and was waited for.
+    pid_t pid() const { return m_pid; }
+
     /// \returns whether it runs. Afterwards exitStatus() tells how it ended.
     bool isRunning();
     int exitStatus() const { return m_status; } ///< as of waitpid()
