Metrics tell which group is served least and why calls are refused for their rate

Cause: of a call refused as over its rate neither logs nor metrics told whether the lenders lent too little, were late or did not answer, and the groups after the twentieth shared one series.

No decision changes.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -159,7 +159,8 @@
             "request from attempt upstream reason status queued_ms held_ms in_use queued retry_after_ms "
             "not_run",
             "the ingress took it back" },
-        LogEventInfo { "rate-refused", "request attempt upstream reason retry_after_ms what",
+        LogEventInfo { "rate-refused",
+            "request attempt upstream reason retry_after_ms waited_ms lenders_short lenders_silent what",
             "the caller's group has made as many calls as it may" },
         LogEventInfo { "upstream-cold", "request attempt upstream reason wait_ms cold_ms news_age_ms",
             "even the best upstream is cold and would start the call too late" },
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -222,6 +222,8 @@
     sample.callClass = call.request.callClass.name;
     sample.outcome = outcome;
     sample.reason = reason;
+    sample.isNested = call.request.isNested();
+    sample.isServed = outcome == CallOutcome::Answered && reply.status < httpStatus::firstServerError;
     sample.total = now - call.arrived;
     if (answer) {
         sample.queued = Duration(answer->queued_us());
--- a/src/Node/IngressRates.cpp
+++ b/src/Node/IngressRates.cpp
@@ -27,7 +27,7 @@
         call.creditTimer = Timer();
         return admitCall(id, call, now);
     case CreditBorrower::Verdict::Refused:
-        return refuseOverRate(id, call, decision.retryAfter, now);
+        return refuseOverRate(id, call, decision, now);
     case CreditBorrower::Verdict::Wait:
         break;
     }
@@ -37,7 +37,10 @@
     m_context->metrics.count("robinrun_credit_waits_total");
     call.creditTimer = Timer::once(m_context->base, creditPatience, [this, id] {
         auto& late = m_calls.at(id);
-        refuseOverRate(id, late, creditPatience, monotonicNow());
+        CreditBorrower::Decision decision;
+        decision.verdict = CreditBorrower::Verdict::Wait;
+        decision.retryAfter = creditPatience;
+        refuseOverRate(id, late, decision, monotonicNow());
     });
 }
 
@@ -57,13 +60,17 @@
     }
 }
 
-void Ingress::refuseOverRate(CallId id, Call& call, Duration comeBack, Instant now)
+void Ingress::refuseOverRate(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now)
 {
     // Spread, so that those who come back don't meet the same few credits together.
-    const auto spread = fromSeconds(toSeconds(comeBack) * m_context->random.unit());
-    call.retryAfterMs = static_cast<std::uint32_t>(toMilliseconds(comeBack + spread));
+    const auto spread = fromSeconds(toSeconds(decision.retryAfter) * m_context->random.unit());
+    call.retryAfterMs = static_cast<std::uint32_t>(toMilliseconds(decision.retryAfter + spread));
+    m_context->metrics.count(
+        "robinrun_rate_refusals_total{cause=\"" + std::string(nameOf(decision.refusal())) + "\"}");
     call.trail.add({ RequestEvent::RateRefused, now, {}, 0, Reason::OverRate,
-        { { "retry_after_ms", call.retryAfterMs } }, call.request.group });
+        { { "retry_after_ms", call.retryAfterMs }, { "waited_ms", (now - call.arrived).count() / 1000 },
+            { "lenders_short", decision.shortLenders }, { "lenders_silent", decision.silentLenders } },
+        call.request.group });
     const auto waiting = m_awaitingCredit.find(call.request.group);
     if (waiting != m_awaitingCredit.end()) {
         std::erase(waiting->second, id);
--- a/src/Node/Metrics.cpp
+++ b/src/Node/Metrics.cpp
@@ -50,6 +50,7 @@
 void Metrics::call(const CallSample& sample)
 {
     const Key key { std::string(seriesOf(sample.group)), std::string(sample.callClass) };
+    m_groupCounts.add(sample.group, sample.isNested, sample.isServed, sample.reason);
     auto& series = m_calls[key];
     ++series.outcomes[static_cast<std::size_t>(sample.outcome)];
     if (sample.reason != Reason::None)
@@ -73,6 +74,7 @@
                     << '\n';
         }
     }
+    m_groupCounts.write(out);
     out << "# TYPE robinrun_refusals_total counter\n";
     for (std::size_t i = 1; i < m_reasons.size(); ++i)
         out << "robinrun_refusals_total{reason=\"" << nameOf(static_cast<Reason>(i)) << "\"} " << m_reasons[i]
--- a/src/Node/Metrics.h
+++ b/src/Node/Metrics.h
@@ -2,6 +2,7 @@
 
 #include "Core/EnumNames.h"
 #include "Core/Time.h"
+#include "Node/GroupCounts.h"
 #include "Queueing/Refusal.h"
 
 #include <array>
@@ -80,6 +81,8 @@
     std::string_view callClass;
     CallOutcome outcome = CallOutcome::Answered;
     Reason reason = Reason::None;
+    bool isNested = false;
+    bool isServed = false; ///< answered by a backend server, and not with a server error
     Duration total {}; ///< from the whole request to the answer
     Duration queued {}; ///< waiting at the owner
     Duration held {}; ///< slot time
@@ -122,6 +125,7 @@
     std::set<std::string, std::less<>> m_groups; ///< that have series of their own
 
     std::map<Key, Series, std::less<>> m_calls;
+    GroupCounts m_groupCounts;
     std::array<std::uint64_t, countOf<Reason>()> m_reasons {};
     std::map<std::string, double> m_counts;
     std::map<std::string, std::function<double()>> m_gauges;
--- a/src/Rates/CreditBorrower.cpp
+++ b/src/Rates/CreditBorrower.cpp
@@ -73,6 +73,7 @@
 {
     resetStaleAccounts(name, group, now);
     const auto preferred = preferredPart(name, group);
+    Decision out;
     bool maySomeLend = false;
     auto nextAttemptAt = now + m_timing.requestRetryInterval;
     for (std::uint32_t i = 0; i < group.partCount; ++i) {
@@ -81,13 +82,19 @@
         if (account.availableCredits() > 0) {
             const auto number = ++m_lastCreditNumber;
             account.unsettledCredits.emplace_back(number, now);
-            return { Verdict::Allowed, { part, account.generation, number }, {} };
+            return { Verdict::Allowed, { part, account.generation, number } };
         }
         maySomeLend = maySomeLend || mayLendSoon(account, now);
-        if (account.shortageUntil > now)
+        if (account.shortageUntil > now) {
+            ++out.shortLenders;
             nextAttemptAt = std::min(nextAttemptAt, account.shortageUntil);
+        } else if (!mayLendSoon(account, now)) {
+            ++out.silentLenders;
+        }
     }
-    return { maySomeLend ? Verdict::Wait : Verdict::Refused, {}, nextAttemptAt - now };
+    out.verdict = maySomeLend ? Verdict::Wait : Verdict::Refused;
+    out.retryAfter = nextAttemptAt - now;
+    return out;
 }
 
 CreditBorrower::Decision CreditBorrower::acquire(
--- a/src/Rates/CreditBorrower.h
+++ b/src/Rates/CreditBorrower.h
@@ -3,6 +3,7 @@
 #include "Core/Time.h"
 #include "Rates/CreditTiming.h"
 #include "Rates/LenderAssignment.h"
+#include "Rates/RateRefusal.h"
 #include "Rates/RateTolerance.h"
 #include "peer.pb.h"
 
@@ -39,6 +40,16 @@
         Verdict verdict = Verdict::Refused;
         Credit credit;
         Duration retryAfter {}; ///< Time until a lender may grant more.
+        std::uint32_t shortLenders = 0; ///< Lenders that lent too little. Not set if the verdict is Allowed.
+        std::uint32_t silentLenders = 0; ///< Lenders that do not answer, or are not known. Likewise.
+
+        /// \returns why a call that is not let through is refused now.
+        RateRefusal refusal() const
+        {
+            if (verdict == Verdict::Wait)
+                return RateRefusal::Late;
+            return shortLenders ? RateRefusal::Short : RateRefusal::Silent;
+        }
     };
     /// \brief A credit request (CreditAsk in messages) and the name of the node that it is for.
     struct LenderRequest {
--- /dev/null
+++ b/src/Rates/RateRefusal.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Core/EnumNames.h"
+
+#include <array>
+#include <string_view>
+
+namespace robinrun {
+
+/// \brief Why a call of a group with a rate did not get a credit.
+enum class RateRefusal {
+    Short, ///< A lender lent too little: the group has reached its rate, or others hold its credits.
+    Silent, ///< No lender answers.
+    Late, ///< A lender was asked and has not answered in time.
+};
+
+template <> struct EnumNames<RateRefusal> {
+    static constexpr std::array<std::string_view, 3> names { "short", "silent", "late" };
+};
+
+} // namespace robinrun
--- a/tools/ctl/CtlOptions.cpp
+++ b/tools/ctl/CtlOptions.cpp
@@ -23,6 +23,8 @@
   held LOG...           tell from nodes' logs which requests are held back, and the crashes under them
   halls LOG...          tell from nodes' logs which data halls are emptied, who has heard it and since when
   losses LOG...         tell from nodes' logs where and why calls were lost
+  least-served FILE...  tell from nodes' metrics, a file for each node, which calling group, host and kind of call is
+                        served least, and why
 
 options:
   -s, --server IP:PORT  operator port of any node (default: $ROBINRUN_SERVER)
@@ -110,8 +112,8 @@
     if (out.output != "table" && out.output != "json" && out.output != "yaml")
         return fail("--output: '" + out.output + "' is not one of table, json, yaml", badUsage);
     const auto command = out.words.empty() ? std::string() : out.words[0];
-    const bool readsLogs
-        = command == "explain" || command == "losses" || command == "held" || command == "halls";
+    const bool readsLogs = command == "explain" || command == "losses" || command == "least-served"
+        || command == "held" || command == "halls";
     const bool needsServer = !readsLogs;
     if (needsServer && !isIpv4Endpoint(out.server))
         return fail("--server: '" + out.server + "' is not an IPv4 address and port", badUsage);
--- a/tools/robinrunctl.cpp
+++ b/tools/robinrunctl.cpp
@@ -3,6 +3,7 @@
 #include "Client/EmptiedHallLog.h"
 #include "Client/Explain.h"
 #include "Client/HeldRequests.h"
+#include "Client/LeastServed.h"
 #include "Client/LogLine.h"
 #include "Client/Losses.h"
 #include "Client/OperatorClient.h"
@@ -11,6 +12,7 @@
 #include "ctl/CtlOutput.h"
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -139,6 +141,20 @@
     return EXIT_SUCCESS;
 }
 
+int leastServed(const CtlOptions& options)
+{
+    constexpr std::size_t shownRows = 10;
+    LeastServed out;
+    for (std::size_t i = 1; i < options.words.size(); ++i) {
+        std::ifstream in(options.words[i]);
+        if (!in)
+            return fail("can't read " + options.words[i], badUsage);
+        out.add(std::filesystem::path(options.words[i]).stem().string(), in);
+    }
+    out.write(std::cout, shownRows);
+    return EXIT_SUCCESS;
+}
+
 int explainRequest(const CtlOptions& options)
 {
     const auto logs = readLogs(options, 2);
@@ -161,6 +177,8 @@
         return held(options);
     if (command == "losses" && n >= 2)
         return losses(options);
+    if (command == "least-served" && n >= 2)
+        return leastServed(options);
     if (command == "halls" && n >= 2)
         return halls(options);
     OperatorClient client(options.server, options.token);
