--- a/test/RatesTest.cpp
+++ b/test/RatesTest.cpp
@@ -163,6 +163,40 @@
         <= 0.05 * double(model.callCounts["g"] - callsBefore));
 }
 
+// Guards against groups that get nothing at the hosts that ask the lost lender first.
+TEST_CASE("A lender whose link can't be opened counts as silent and the other one is asked", "[rates]")
+{
+    const GroupRate rate { 1.6, 1.6 };
+    RatesModel model(hostCount, { { "g", rate } }, 13);
+    CallGenerator generator(model, 14);
+    generator.generate("g", 1, 0, hostCount, 8s);
+    LenderAssignment homes;
+    homes.setNodes(model.nodeCapacities());
+    for (auto& it : model.nodes)
+        it.isConnecting = it.name == homes.lenderOf("g", 0);
+    generator.generate("g", 1, 0, hostCount, 5s);
+    const auto from = model.now;
+    generator.generate("g", 1, 0, hostCount, 60s);
+    const double leftRate = rate.callsPerSecond / 2; // Of the lender that is left.
+    REQUIRE(double(model.runsSince("g", from)) >= 0.9 * leftRate * 60);
+}
+
+// Guards against credits that are thrown away since they answer an earlier request than the last one.
+TEST_CASE("Credits that come later than the next request still count", "[rates]")
+{
+    const GroupRate rate { 20, 20 };
+    RatesModel model(hostCount, { { "g", rate } }, 15);
+    model.oneWayDelay = 200ms; // The answer takes longer than the interval between requests.
+    CallGenerator generator(model, 16);
+    generator.generate("g", 10, 20, 2, 10s);
+    const auto from = model.now;
+    const auto callsBefore = model.callCounts["g"];
+    generator.generate("g", 10, 20, 2, 20s);
+    const auto calls = double(model.callCounts["g"] - callsBefore);
+    CAPTURE(calls);
+    REQUIRE(double(model.runsSince("g", from)) >= 0.25 * calls);
+}
+
 TEST_CASE(
     "Nodes with the same view assign the same lenders, and only the parts of a lost node move", "[rates]")
 {
--- a/test/support/RatesModel.h
+++ b/test/support/RatesModel.h
@@ -24,6 +24,7 @@
         std::deque<std::pair<Instant, std::string>> waitingCalls;
         int partition = 0; ///< Only nodes of the same partition receive each other's messages.
         bool isFrozen = false;
+        bool isConnecting = false; ///< Links to it are being opened: nothing can be sent to it.
     };
     struct Message {
         Instant arrivesAt;
@@ -77,8 +78,11 @@
         node.limiter = std::make_unique<GroupRateLimiter>(
             options, [this, i](const std::string& to, proto::PeerMessage& message, Instant) {
                 for (std::size_t k = 0; k < nodes.size(); ++k) {
-                    if (nodes[k].name == to)
-                        send(i, k, message);
+                    if (nodes[k].name != to)
+                        continue;
+                    if (nodes[k].isConnecting)
+                        return false;
+                    send(i, k, message);
                 }
                 return true;
             });
