A lender that can't be sent to counts as silent, and the others are asked

Callers saw: with one lender of a small group lost, calls at the hosts that ask this lender first are refused after 100 ms as over their rate, though another lender has credits.

Cause: a request that could not be sent, since its link was being opened, was forgotten. So the lender never counted as one that does not answer, and no other lender was asked for as long as calls waited.

Change: silence is counted from the first attempt after the lender's last answer, sent or not.

The bound of the sum is untouched: who is asked does not change what is lent.

--- a/src/Rates/CreditBorrower.cpp
+++ b/src/Rates/CreditBorrower.cpp
@@ -61,12 +61,17 @@
     }
 }
 
+bool CreditBorrower::isSilent(const Account& account, Duration timeout, Instant now)
+{
+    return account.unansweredSince && now - *account.unansweredSince >= timeout;
+}
+
 bool CreditBorrower::mayLendSoon(const Account& account, Instant now) const
 {
     if (account.lender.empty() || now < account.shortageUntil)
         return false;
-    return account.pendingRequest ? now - account.requestedAt < m_timing.lenderTimeout
-                                  : !account.isUnresponsive;
+    const bool isJustAsked = account.pendingRequest && now - account.requestedAt < m_timing.lenderTimeout;
+    return isJustAsked || !isSilent(account, m_timing.lenderTimeout, now);
 }
 
 CreditBorrower::Decision CreditBorrower::tryAcquire(const std::string& name, Group& group, Instant now)
@@ -183,6 +188,9 @@
     }
     account.pendingRequest = request.message.number();
     account.requestedAt = now;
+    // Also set if the request can't be sent: a link that is being opened may never stand.
+    if (!account.unansweredSince)
+        account.unansweredSince = now;
     auto& report = *request.message.add_accounts();
     report.set_group(*accountRequest.group);
     report.set_part(accountRequest.part);
@@ -208,9 +216,8 @@
             auto& account = group.accounts[part];
             const auto wantedCredits = isCovered ? 0 : target;
             const auto waitingCalls = isCovered ? 0 : group.waitingCalls;
-            account.isUnresponsive = account.isUnresponsive
-                || (account.pendingRequest && now - account.requestedAt >= m_timing.lenderTimeout);
-            const bool needsFallback = now < account.fallbackUntil || account.isUnresponsive;
+            const bool needsFallback
+                = now < account.fallbackUntil || isSilent(account, m_timing.lenderTimeout, now);
             if (isRequestDue(account, wantedCredits, waitingCalls, now))
                 out.push_back({ &name, part, &account, wantedCredits, waitingCalls });
             isCovered = isCovered || !needsFallback;
@@ -274,7 +281,7 @@
         auto& account = it->second.accounts[grant.part()];
         if (account.lender != lender || account.generation != grant.opened())
             continue;
-        account.isUnresponsive = false;
+        account.unansweredSince.reset();
         if (grants.number() == account.pendingRequest) {
             account.pendingRequest = 0;
             account.confirmedAt = account.requestedAt;
--- a/src/Rates/CreditBorrower.h
+++ b/src/Rates/CreditBorrower.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -108,7 +109,8 @@
         Instant confirmedAt {}; ///< When the last request that the lender answered was sent.
         Instant shortageUntil {}; ///< The lender lent too little; it is not asked for more before this time.
         Instant fallbackUntil {}; ///< Until this time other lenders are asked as well.
-        bool isUnresponsive = false;
+        /// First attempt to send a request since the lender last granted; not set if none is unanswered.
+        std::optional<Instant> unansweredSince;
 
         /// \returns the credits that new calls can take.
         std::uint64_t availableCredits() const
@@ -143,6 +145,8 @@
     void resetAccount(Account& account, const std::string& lender);
     /// \brief Takes a credit of any part, the preferred part first.
     Decision tryAcquire(const std::string& name, Group& group, Instant now);
+    /// \returns whether the lender has left the account without an answer for longer than \a timeout.
+    static bool isSilent(const Account& account, Duration timeout, Instant now);
     /// \returns whether the account's lender may grant a credit while a call waits.
     bool mayLendSoon(const Account& account, Instant now) const;
     /// \returns how many credits this node should hold for the group.
