A bridge between data halls does not take what only it can't reach for lost

Callers saw: with a data hall lost, groups whose lenders were only partly in that hall were refused, too, and served less than a quarter as often as all.

Cause: a node took its own contacts in other halls for the whole of what is far. A bridge to the lost hall alone reached none of them, took itself for the smaller side of a partition, and lent a quarter of its rates.

Change: ReachEstimate, the mean over all bridges that are heard, the node's own sight being one of them.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -15,6 +15,8 @@
     constexpr double bytesPerMegabit = 125'000;
     /// Each link costs heartbeats; one that is needed again stands anew within a millisecond.
     constexpr Duration linkIdle = 5s;
+    /// A bridge that was not heard for longer tells nothing of what can be reached now.
+    constexpr Duration farReachLifetime = 3s;
     constexpr std::size_t adminBody = 64U << 10U;
     constexpr std::size_t adminHeaders = 16U << 10U;
     constexpr Duration adminIdle = 60s;
@@ -37,6 +39,7 @@
     , m_watch({ m_context.settings.peers.followers, m_context.settings.peers.contacts })
     , m_group(m_context.settings.listen.peers, {})
     , m_reach(m_context.settings.peers.forgetAfter)
+    , m_reachEstimate(farReachLifetime)
 {
     const auto& own = m_context.settings;
     m_record.set_node(own.name);
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -15,6 +15,7 @@
 #include "Mesh/Gossip.h"
 #include "Mesh/MeshFormats.h"
 #include "Mesh/NodeRegistry.h"
+#include "Mesh/ReachEstimate.h"
 #include "Mesh/RecordWriter.h"
 #include "Mesh/RolloutReports.h"
 #include "Mesh/RolloutStatusWriter.h"
@@ -316,11 +317,7 @@
     bool m_isCrashNews = false; ///< crash records were merged and are not judged yet
     bool m_hasComparedRecords = false; ///< with a contact, in this life
     bool m_isComparing = false; ///< records that this node lacks were requested
-    struct FarReach {
-        double part = 0;
-        Instant heardAt {};
-    };
-    std::map<std::string, FarReach> m_farReach; ///< by bridge of the own data hall
+    ReachEstimate m_reachEstimate;
     bool m_isWriteHeld = true; ///< until what a former life of this node wrote has been read
     Timer m_tickTimer;
     Timer m_lameDuckTimer;
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -210,7 +210,7 @@
         onHallsChanged(now);
     compareRollouts(sender, contact, now);
     if (contact.far_reach_permille())
-        m_farReach[sender.node] = { (contact.far_reach_permille() - 1) / permille, now };
+        m_reachEstimate.onBridgeReport(sender.node, (contact.far_reach_permille() - 1) / permille, now);
     m_share.onPeerStatus(sender.address, contact.follows_configuration(), now);
     onConfirmation(contact, now);
     m_gossip.onDigest(
--- a/src/Mesh/MeshNodeRates.cpp
+++ b/src/Mesh/MeshNodeRates.cpp
@@ -9,8 +9,6 @@
 
     /// A link that is being opened is tried again after so long.
     constexpr Duration openingLink = 3ms;
-    /// A bridge that was not heard for longer tells nothing of what can be reached now.
-    constexpr Duration farReachLifetime = 3s;
 
 } // namespace
 
@@ -97,24 +95,11 @@
     const auto& settings = m_context.settings;
     const double nearReach
         = reachOf(m_registry.contactsOf(settings.name, settings.peers.contacts).near).value_or(1);
-    auto farReach = ownFarReach();
-    double sum = 0;
-    double n = 0;
-    for (const auto& [bridge, it] : m_farReach) {
-        if (now - it.heardAt > farReachLifetime)
-            continue;
-        sum += it.part;
-        ++n;
-    }
-    if (!farReach && n > 0)
-        farReach = sum / n;
-    if (!farReach)
-        return nearReach;
     const auto isNear = [&](const auto& it) { return it.second.data_hall() == settings.dataHall; };
     const auto& nodes = m_registry.nodes();
     const double nearPart = static_cast<double>(std::count_if(nodes.begin(), nodes.end(), isNear))
         / static_cast<double>(std::max<std::size_t>(nodes.size(), 1));
-    return nearPart * nearReach + (1 - nearPart) * *farReach;
+    return m_reachEstimate.fraction(nearReach, ownFarReach(), nearPart, now);
 }
 
 void MeshNode::onCreditRequest(const PeerSocket::Sender& sender, const proto::CreditAsk& ask, Instant now)
