A grant confirms the account from the request that it answers

Callers saw: where a lender's answer takes longer than the interval between two requests (300 ms), a group that is new at a host never gets a credit there.

Cause: only an answer to the last request confirmed an account. The credits of an earlier one were added to an account that had never been confirmed, which therefore counted as expired and was thrown away with them; later grants named a former generation.

Change: the times of the requests that may still be answered are kept (13 at most within the lifetime of credits), and a grant confirms the account as of the one that it answers. The lender has heard of the account no earlier than that, so the ingress still gives credits up first.

--- a/src/Rates/CreditBorrower.cpp
+++ b/src/Rates/CreditBorrower.cpp
@@ -188,6 +188,10 @@
     }
     account.pendingRequest = request.message.number();
     account.requestedAt = now;
+    // An answer to an older request would confirm credits that have expired.
+    std::erase_if(account.sentRequests,
+        [&](const auto& entry) { return now - entry.second >= m_timing.creditLifetime; });
+    account.sentRequests.emplace_back(account.pendingRequest, now);
     // Also set if the request can't be sent: a link that is being opened may never stand.
     if (!account.unansweredSince)
         account.unansweredSince = now;
@@ -265,8 +269,20 @@
         if (it == m_groups.end())
             continue;
         auto& account = it->second.accounts[report.part()];
-        if (account.pendingRequest == request.message.number())
-            account.pendingRequest = 0;
+        if (account.pendingRequest != request.message.number())
+            continue;
+        account.pendingRequest = 0;
+        account.sentRequests.pop_back();
+    }
+}
+
+void CreditBorrower::confirm(Account& account, std::uint64_t number)
+{
+    auto& sent = account.sentRequests;
+    while (!sent.empty() && sent.front().first <= number) {
+        if (sent.front().first == number)
+            account.confirmedAt = sent.front().second;
+        sent.pop_front();
     }
 }
 
@@ -282,9 +298,9 @@
         if (account.lender != lender || account.generation != grant.opened())
             continue;
         account.unansweredSince.reset();
+        confirm(account, grants.number());
         if (grants.number() == account.pendingRequest) {
             account.pendingRequest = 0;
-            account.confirmedAt = account.requestedAt;
             const auto delay = std::chrono::milliseconds(grant.next_ms());
             account.shortageUntil = grant.next_ms() ? now + delay : Instant {};
             if (grant.next_ms())
--- a/src/Rates/CreditBorrower.h
+++ b/src/Rates/CreditBorrower.h
@@ -106,6 +106,8 @@
         std::deque<std::pair<std::uint64_t, Instant>> unsettledCredits;
         std::uint64_t pendingRequest = 0; ///< Number of the unanswered request; 0 if there is none.
         Instant requestedAt {}; ///< When the last request was sent.
+        /// Numbers and times of the requests that may still be answered, the oldest first.
+        std::deque<std::pair<std::uint64_t, Instant>> sentRequests;
         Instant confirmedAt {}; ///< When the last request that the lender answered was sent.
         Instant shortageUntil {}; ///< The lender lent too little; it is not asked for more before this time.
         Instant fallbackUntil {}; ///< Until this time other lenders are asked as well.
@@ -145,6 +147,8 @@
     void resetAccount(Account& account, const std::string& lender);
     /// \brief Takes a credit of any part, the preferred part first.
     Decision tryAcquire(const std::string& name, Group& group, Instant now);
+    /// \brief Records that the lender has answered the request \a number, even if later ones were sent since.
+    static void confirm(Account& account, std::uint64_t number);
     /// \returns whether the lender has left the account without an answer for longer than \a timeout.
     static bool isSilent(const Account& account, Duration timeout, Instant now);
     /// \returns whether the account's lender may grant a credit while a call waits.
