Lost lenders are succeeded by other nodes within seconds

Callers saw: after hosts were lost for good, groups whose lenders were all among them were refused everywhere, as over their rate; groups with half of their lenders lost had half of their rate.

Cause: who lends a part of a rate follows from the registry, and a node that ends without a word stays there until it is forgotten (2 h). A membership that is right for routing, where each attempt finds out, was used for a duty that only the node itself can fulfil.

Change: contacts, and nodes whose credit requests a lender leaves unanswered, mark a node that was not reached for peers.unreachable_after (3 s) in its record; a node that is well takes the mark back with its next record. Two seconds after the mark its parts move to the next nodes by the hash, at all nodes that see most of the others. The smaller side of a partition succeeds nobody, and after 3 s lends only what the tolerance leaves beside another lender. Parts that move begin with few credits, also when they come back.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -31,6 +31,12 @@
         LogEventInfo { "record-not-written", "topic key error message", "a write failed; it is made again" },
         LogEventInfo { "peer-lost", "peer", "a link ended; what was out there gets no answer" },
         LogEventInfo { "peer-back", "peer", "a lost peer is heard again" },
+        LogEventInfo { "peer-unreachable", "peer unreached_s",
+            "a contact was not reached for a while; it is marked, and other nodes will lend what it lent" },
+        LogEventInfo { "taken-for-unreachable", "sequence",
+            "peers have marked this node as unreachable; it takes that back and begins anew as a lender" },
+        LogEventInfo { "lenders-succeeded", "nodes unreachable",
+            "number of unreachable nodes whose credits other nodes lend now" },
         LogEventInfo {
             "peer-forgotten", "peer unreached_s", "not reached for long; its record is taken away" },
         LogEventInfo { "peer-send-failed", "peer error", "a message could not be sent" },
--- a/src/Mesh/Gossip.cpp
+++ b/src/Mesh/Gossip.cpp
@@ -19,7 +19,7 @@
     /// key.
     template <class RecordOrSummary> auto recordOrder(const RecordOrSummary& it)
     {
-        return std::make_tuple(it.incarnation(), it.sequence(), it.gone());
+        return std::make_tuple(it.incarnation(), it.sequence(), it.gone(), it.unreachable());
     }
 
     /// \brief Sends \a records in messages of about `targetMessageBytes`.
@@ -176,6 +176,7 @@
             summary.set_incarnation(it.incarnation());
             summary.set_sequence(it.sequence());
             summary.set_gone(it.gone());
+            summary.set_unreachable(it.unreachable());
         }
         if (out.ByteSizeLong() < targetMessageBytes)
             continue;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -40,6 +40,7 @@
     , m_group(m_context.settings.listen.peers, {})
     , m_reach(m_context.settings.peers.forgetAfter)
     , m_reachEstimate(farReachLifetime)
+    , m_unreached(m_context.settings.peers.unreachableAfter)
 {
     const auto& own = m_context.settings;
     m_record.set_node(own.name);
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -13,6 +13,7 @@
 #include "Mesh/EmptiedHalls.h"
 #include "Mesh/FollowerSelection.h"
 #include "Mesh/Gossip.h"
+#include "Mesh/LenderSuccession.h"
 #include "Mesh/MeshFormats.h"
 #include "Mesh/NodeRegistry.h"
 #include "Mesh/ReachEstimate.h"
@@ -229,6 +230,15 @@
     void setRates();
     /// \brief Passes the known nodes to the rate limiter; called at each change of a node's record.
     void setLenders();
+    /// \brief Updates which lost nodes are succeeded as lenders, and how much this node may lend.
+    void updateSuccession(Instant now);
+    /// \returns the names of the contacts by their addresses.
+    std::map<std::string, std::string> contactsByAddress() const;
+    /// \brief Marks the contacts that could not be reached for `peers.unreachableAfter`, here and at the
+    /// peers, if most of the nodes can be reached.
+    void markUnreachablePeers(Instant now);
+    /// \brief Peers have marked this node as unreachable: takes that back and begins anew as a lender.
+    void takeMarkBack(Instant now);
     /// \brief Schedules credit requests that could not be sent while links were being opened.
     void askForCreditsSoon();
     /// \returns the part of the nodes that can be reached, as far as the contacts show. What other data halls
@@ -318,6 +328,8 @@
     bool m_hasComparedRecords = false; ///< with a contact, in this life
     bool m_isComparing = false; ///< records that this node lacks were requested
     ReachEstimate m_reachEstimate;
+    LenderSuccession m_succession;
+    ContactReachability m_unreached; ///< contacts that are to be marked as unreachable
     bool m_isWriteHeld = true; ///< until what a former life of this node wrote has been read
     Timer m_tickTimer;
     Timer m_lameDuckTimer;
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -22,6 +22,16 @@
     /// What other writers send is logged up to so many bytes of a text.
     constexpr std::size_t loggedBytes = 128;
     constexpr double permille = 1000;
+    /// Of the nodes; fewer are the smaller side of a network partition.
+    constexpr double majority = 0.5;
+
+    std::vector<std::string> addressesOf(const std::map<std::string, std::string>& nodesByAddress)
+    {
+        std::vector<std::string> out;
+        for (const auto& [address, node] : nodesByAddress)
+            out.push_back(address);
+        return out;
+    }
 
 } // namespace
 
@@ -84,7 +94,8 @@
         sendToWatchGroup(contact, now);
     m_nextContact = now + (m_isContactOpening ? connectingAgain : m_context.settings.peers.contactEvery);
     removeLostPeers(now);
-    m_rates->setReachableFraction(reach(now));
+    markUnreachablePeers(now);
+    updateSuccession(now);
 }
 
 void MeshNode::sendToWatchGroup(const proto::NodeContact& contact, Instant now)
@@ -107,21 +118,50 @@
     const auto result = m_peers->send(address, message, now);
     if (result == SendResult::Connecting)
         m_isContactOpening = true;
-    if (result == SendResult::Sent)
-        m_reach.onReached(address, now);
+    if (result != SendResult::Sent)
+        return;
+    m_reach.onReached(address, now);
+    m_unreached.onReached(address, now);
+}
+
+std::map<std::string, std::string> MeshNode::contactsByAddress() const
+{
+    std::map<std::string, std::string> out;
+    for (const auto& it : contacts())
+        out[m_registry.find(it)->peer_address()] = it;
+    return out;
+}
+
+void MeshNode::markUnreachablePeers(Instant now)
+{
+    const auto timeout = m_context.settings.peers.unreachableAfter;
+    const auto nodes = contactsByAddress();
+    // Few nodes are contacts of nodes in other halls; lenders are asked from everywhere.
+    auto unreached = m_rates->silentLenders(timeout);
+    for (const auto& it : m_unreached.removeLost(addressesOf(nodes), now))
+        unreached.push_back(nodes.at(it));
+    if (unreached.empty() || reach(now) < majority)
+        return;
+    for (const auto& it : unreached) {
+        const auto* known = m_registry.find(it);
+        if (!known || known->unreachable() || known->gone())
+            continue;
+        auto record = *known;
+        log(LogLevel::Warning, "peer-unreachable",
+            { { "peer", record.node() }, { "unreached_s", toSeconds(timeout) } });
+        record.set_unreachable(true);
+        applyRecord(record, now);
+        m_gossip.queueRelay(record, "");
+    }
+    relaySoon();
 }
 
 void MeshNode::removeLostPeers(Instant now)
 {
     const auto& settings = m_context.settings;
-    std::vector<std::string> addresses;
-    std::map<std::string, std::string> nodes; // by address
-    for (const auto& it : contacts()) {
-        addresses.push_back(m_registry.find(it)->peer_address());
-        nodes[addresses.back()] = it;
-    }
-    for (const auto& it : m_reach.removeLost(addresses, now)) {
-        auto record = *m_registry.find(nodes[it]);
+    const auto nodes = contactsByAddress();
+    for (const auto& it : m_reach.removeLost(addressesOf(nodes), now)) {
+        auto record = *m_registry.find(nodes.at(it));
         log(LogLevel::Warning, "peer-forgotten",
             { { "peer", record.node() }, { "unreached_s", toSeconds(settings.peers.forgetAfter) } });
         record.set_gone(true);
@@ -277,6 +317,8 @@
         return applyOwnRecord(record, now);
     const bool isNew = isNewLife(record.node(), record.incarnation());
     const auto change = m_registry.mergeRecord(record);
+    const auto& known = *m_registry.find(record.node());
+    m_succession.setMarked(known.node(), known.unreachable() && !known.gone(), now);
     if (change == NodeRegistry::Change::Changed)
         rebuildSoon();
     if (isNew && !record.upstream().empty())
@@ -328,6 +370,8 @@
     // Somebody took this node for gone.
     if (!isFormer && record.gone() && !m_record.gone())
         publish(now);
+    if (isNews && !isFormer && record.unreachable())
+        takeMarkBack(now);
     return isNews;
 }
 
--- a/src/Mesh/MeshNodeRates.cpp
+++ b/src/Mesh/MeshNodeRates.cpp
@@ -1,3 +1,4 @@
+#include "Core/Log.h"
 #include "Mesh/MeshNode.h"
 
 #include <algorithm>
@@ -24,6 +25,9 @@
     metrics.gauge("robinrun_config_faults",
         [this] { return m_config.hasConfiguration() ? double(m_config.current()->errors.size()) : 0.0; });
     metrics.gauge("robinrun_config_proven", [this] { return m_context.isConfigProven ? 1.0 : 0.0; });
+    metrics.gauge("robinrun_nodes_unreachable", [this] { return double(m_succession.markedCount()); });
+    metrics.gauge(
+        "robinrun_lenders_succeeded", [this] { return double(m_succession.succeededNodes().size()); });
     metrics.gauge("robinrun_rate_groups_held", [this] { return double(m_rates->groupCount()); });
     metrics.gauge("robinrun_rate_accounts", [this] { return double(m_rates->accountCount()); });
     metrics.gauge("robinrun_rate_credits_lent", [this] { return m_rates->outstandingCredits(); });
@@ -64,12 +68,36 @@
 {
     std::vector<LenderAssignment::Node> nodes;
     for (const auto& [name, record] : m_registry.nodes()) {
-        if (!record.gone())
+        if (!record.gone() && !m_succession.succeededNodes().contains(name))
             nodes.push_back({ name, record.capacity() });
     }
     m_rates->setNodes(std::move(nodes));
 }
 
+void MeshNode::updateSuccession(Instant now)
+{
+    const auto& nodes = m_registry.nodes();
+    const auto isPresent = [](const auto& it) { return !it.second.gone(); };
+    const auto count = static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), isPresent));
+    const auto before = m_succession.succeededNodes();
+    m_succession.update(reach(now), count, now);
+    m_rates->setReachableFraction(m_succession.reachableFraction());
+    m_rates->setMayBeSucceeded(m_succession.mayBeSucceeded(now));
+    if (m_succession.succeededNodes() == before)
+        return;
+    log(LogLevel::Info, "lenders-succeeded",
+        { { "nodes", std::uint64_t { m_succession.succeededNodes().size() } },
+            { "unreachable", std::uint64_t { m_succession.markedCount() } } });
+    setLenders();
+}
+
+void MeshNode::takeMarkBack(Instant now)
+{
+    log(LogLevel::Warning, "taken-for-unreachable", { { "sequence", m_record.sequence() } });
+    m_rates->restartLending();
+    gossipRecord(now);
+}
+
 std::optional<double> MeshNode::reachOf(const std::vector<std::string>& names) const
 {
     if (names.empty())
--- a/src/Mesh/NodeRegistry.cpp
+++ b/src/Mesh/NodeRegistry.cpp
@@ -16,7 +16,7 @@
     /// \returns the key that orders the records of one node; the later record has the greater key.
     auto recordOrder(const proto::NodeRecord& record)
     {
-        return std::make_tuple(record.incarnation(), record.sequence(), record.gone());
+        return std::make_tuple(record.incarnation(), record.sequence(), record.gone(), record.unreachable());
     }
 
     /// \returns whether two records of a node are equal for routing.
@@ -32,7 +32,8 @@
     std::uint64_t recordHash(const proto::NodeRecord& record)
     {
         return hash64(record.node() + '\n' + std::to_string(record.incarnation()) + '\n'
-            + std::to_string(record.sequence()) + (record.gone() ? "\ngone" : ""));
+            + std::to_string(record.sequence()) + (record.gone() ? "\ngone" : "")
+            + (record.unreachable() ? "\nunreachable" : ""));
     }
 
     /// Numbers in records are times in us or counters that start at 1. 2^53 us are 285 years.
--- a/src/Mesh/NodeRegistry.h
+++ b/src/Mesh/NodeRegistry.h
@@ -30,11 +30,11 @@
 /// peers.
 ///
 /// Of two records of a node the one with the later incarnation is valid, then the one with the higher
-/// sequence, then the one that marks the node as gone. The result therefore does not depend on the path and
-/// the order of the records. Nodes compare their registries by digests of buckets of records. A record holds
-/// the last state that its node has reported and does not prove that the node is alive: the routers find out
-/// whether it answers.
-/// Cost: O(log nodes); about 300 bytes per node.
+/// sequence, then the one that marks the node as gone, then the one that marks it as unreachable. The result
+/// therefore does not depend on the path and the order of the records. Nodes compare their registries by
+/// digests of buckets of records. A record holds the last state that its node has reported and does not prove
+/// that the node is alive: the routers find out whether it answers. Cost: O(log nodes); about 300 bytes per
+/// node.
 class NodeRegistry {
 public:
     /// With 7,200 records each bucket has about 112, so that one difference causes only a small transfer.
--- a/src/Rates/CreditBorrower.cpp
+++ b/src/Rates/CreditBorrower.cpp
@@ -15,6 +15,8 @@
     constexpr double lowWaterFraction = 0.5;
     /// Minimum target of a group with recent calls at this node.
     constexpr std::uint32_t minHeldCredits = 2;
+    /// Fewer requests without an answer may all have been lost on the way.
+    constexpr std::uint32_t minUnansweredRequests = 4;
 
 } // namespace
 
@@ -237,7 +239,7 @@
     const auto accountRequests = collectAccountRequests(now);
     std::set<std::string> lenders;
     for (const auto& it : accountRequests) {
-        if (it.waitingCalls || now - m_lastRequestAt[it.account->lender] >= m_timing.requestInterval)
+        if (it.waitingCalls || now - m_lenders[it.account->lender].lastRequestAt >= m_timing.requestInterval)
             lenders.insert(it.account->lender);
     }
     std::map<std::string, LenderRequest> out;
@@ -249,12 +251,27 @@
     std::vector<LenderRequest> requests;
     requests.reserve(out.size());
     for (auto& [lender, request] : out) {
-        m_lastRequestAt[lender] = now;
+        auto& state = m_lenders[lender];
+        state.lastRequestAt = now;
+        state.unansweredSince = state.unansweredSince.value_or(now);
+        ++state.unansweredRequests;
         requests.push_back(std::move(request));
     }
     return requests;
 }
 
+std::vector<std::string> CreditBorrower::silentLenders(Duration timeout) const
+{
+    std::vector<std::string> out;
+    for (const auto& [name, state] : m_lenders) {
+        const bool isSilent
+            = state.unansweredSince && state.lastRequestAt - *state.unansweredSince >= timeout;
+        if (isSilent && state.unansweredRequests >= minUnansweredRequests)
+            out.push_back(name);
+    }
+    return out;
+}
+
 bool CreditBorrower::isUnused(const Group& group, Instant now) const
 {
     const auto isSettled = [](const Account& account) { return account.isSettled(); };
@@ -289,6 +306,9 @@
 std::vector<std::string> CreditBorrower::addGrants(
     const std::string& lender, const proto::CreditGrants& grants, Instant now)
 {
+    auto& state = m_lenders[lender];
+    state.unansweredSince.reset();
+    state.unansweredRequests = 0;
     std::vector<std::string> out;
     for (const auto& grant : grants.grants()) {
         const auto it = m_groups.find(grant.group());
--- a/src/Rates/CreditBorrower.h
+++ b/src/Rates/CreditBorrower.h
@@ -91,6 +91,9 @@
     std::vector<std::string> addGrants(
         const std::string& lender, const proto::CreditGrants& grants, Instant now);
 
+    /// \returns the lenders that have left all requests of at least \a timeout without an answer.
+    std::vector<std::string> silentLenders(Duration timeout) const;
+
     std::size_t groupCount() const { return m_groups.size(); }
 
 private:
@@ -131,6 +134,14 @@
         std::uint32_t waitingCalls = 0; ///< Calls that found no credit since the last grant.
     };
 
+    /// \brief What this node knows of a lender, whatever the group.
+    struct Lender {
+        Instant lastRequestAt {};
+        /// First request since its last answer, and the number of requests since.
+        std::optional<Instant> unansweredSince;
+        std::uint32_t unansweredRequests = 0;
+    };
+
     /// \returns the part whose lender this node asks first.
     std::uint32_t preferredPart(const std::string& name, const Group& group) const;
     /// \returns whether the account has not been reset since \a credit was taken from it.
@@ -178,7 +189,7 @@
     LenderAssignment* m_lenderAssignment;
     CreditTiming m_timing;
     std::map<std::string, Group> m_groups;
-    std::map<std::string, Instant> m_lastRequestAt; ///< By lender.
+    std::map<std::string, Lender> m_lenders; ///< Those that were asked, by name.
     std::uint64_t m_lastGeneration = 0;
     std::uint64_t m_lastCreditNumber = 0;
     std::uint64_t m_lastRequestNumber = 0;
--- a/src/Rates/CreditLender.cpp
+++ b/src/Rates/CreditLender.cpp
@@ -32,7 +32,10 @@
         bucket.refilledAt = now;
     }
     const double refillFraction = m_reachableFraction < majorityFraction ? m_reachableFraction : 1;
-    const double gainedCredits = refillFraction * part.creditsPerSecond * toSeconds(now - bucket.refilledAt);
+    double creditsPerSecond = refillFraction * part.creditsPerSecond;
+    if (m_mayBeSucceeded)
+        creditsPerSecond = std::min(creditsPerSecond, part.spareCreditsPerSecond);
+    const double gainedCredits = creditsPerSecond * toSeconds(now - bucket.refilledAt);
     const double freeCapacity = std::max(part.maxCredits - bucket.outstandingCredits, 0.0);
     bucket.availableCredits = std::min(bucket.availableCredits + gainedCredits, freeCapacity);
     bucket.refilledAt = now;
--- a/src/Rates/CreditLender.h
+++ b/src/Rates/CreditLender.h
@@ -37,6 +37,18 @@
     /// Below one half, this node is on the minority side of a network partition and the other side may have
     /// assigned its parts to another lender. It then lends only this fraction of its rate.
     void setReachableFraction(double fraction) { m_reachableFraction = fraction; }
+    /// \brief Sets whether other nodes may lend the parts of this node by now. It then lends no more than the
+    /// tolerance leaves.
+    void setMayBeSucceeded(bool mayBeSucceeded) { m_mayBeSucceeded = mayBeSucceeded; }
+
+    /// \brief Discards the buckets and accounts of the parts that \a isOwn does not admit. A part that comes
+    /// back later begins with few credits: another node has lent it meanwhile.
+    template <class Predicate> void dropPartsUnless(Predicate isOwn)
+    {
+        std::erase_if(
+            m_accounts, [&](const auto& it) { return !isOwn(it.first.first.first, it.first.first.second); });
+        std::erase_if(m_buckets, [&](const auto& it) { return !isOwn(it.first.first, it.first.second); });
+    }
 
     /// \brief Closes the accounts without a report for CreditTiming::creditLifetime; their outstanding
     /// credits are discarded.
@@ -79,6 +91,7 @@
     RateTolerance m_tolerance;
     CreditTiming m_timing;
     double m_reachableFraction = 1;
+    bool m_mayBeSucceeded = false;
     std::map<PartKey, Bucket> m_buckets;
     std::map<AccountKey, Account> m_accounts;
 };
--- a/src/Rates/GroupRateLimiter.cpp
+++ b/src/Rates/GroupRateLimiter.cpp
@@ -12,6 +12,15 @@
 {
 }
 
+void GroupRateLimiter::setNodes(std::vector<LenderAssignment::Node> nodes)
+{
+    if (!m_lenderAssignment.setNodes(std::move(nodes)))
+        return;
+    m_lender.dropPartsUnless([this](const std::string& group, std::uint32_t part) {
+        return m_lenderAssignment.lenderOf(group, part) == m_options.nodeName;
+    });
+}
+
 CreditBorrower::Decision GroupRateLimiter::acquire(const std::string& group, Instant now)
 {
     const auto rate = m_rates.find(group);
--- a/src/Rates/GroupRateLimiter.h
+++ b/src/Rates/GroupRateLimiter.h
@@ -43,12 +43,16 @@
     void setTolerance(RateTolerance tolerance) { m_lender.setTolerance(tolerance); }
     /// \brief Sets the rates by group, of the configuration in force. Groups without an entry have no limit.
     void setRates(std::map<std::string, GroupRate> rates) { m_rates = std::move(rates); }
-    void setNodes(std::vector<LenderAssignment::Node> nodes)
-    {
-        m_lenderAssignment.setNodes(std::move(nodes));
-    }
+    void setNodes(std::vector<LenderAssignment::Node> nodes);
     /// \copydoc CreditLender::setReachableFraction
     void setReachableFraction(double fraction) { m_lender.setReachableFraction(fraction); }
+    /// \copydoc CreditLender::setMayBeSucceeded
+    void setMayBeSucceeded(bool mayBeSucceeded) { m_lender.setMayBeSucceeded(mayBeSucceeded); }
+    /// \brief Begins anew as a lender: other nodes may have lent the parts of this node meanwhile.
+    void restartLending()
+    {
+        m_lender.dropPartsUnless([](const std::string&, std::uint32_t) { return false; });
+    }
 
     /// \brief Takes a credit for a new call of \a group; if none is left, requests more from the lenders.
     CreditBorrower::Decision acquire(const std::string& group, Instant now);
@@ -77,6 +81,12 @@
     /// \brief Closes silent accounts and sends the requests that are due. To be called periodically.
     void tick(Instant now);
 
+    /// \copydoc CreditBorrower::silentLenders
+    std::vector<std::string> silentLenders(Duration timeout) const
+    {
+        return m_borrower.silentLenders(timeout);
+    }
+
     std::size_t groupCount() const { return m_borrower.groupCount(); }
     std::size_t accountCount() const { return m_lender.accountCount(); }
     double outstandingCredits() const { return m_lender.outstandingCredits(); }
--- a/src/Rates/LenderAssignment.cpp
+++ b/src/Rates/LenderAssignment.cpp
@@ -14,11 +14,11 @@
 
 } // namespace
 
-void LenderAssignment::setNodes(std::vector<Node> nodes)
+bool LenderAssignment::setNodes(std::vector<Node> nodes)
 {
     std::sort(nodes.begin(), nodes.end());
     if (nodes == m_nodes)
-        return;
+        return false;
     m_nodes = std::move(nodes);
     m_partLenders.clear();
     m_candidates.clear();
@@ -30,10 +30,11 @@
             m_candidates.push_back(it.name);
     }
     if (m_candidates.size() >= minCandidates)
-        return;
+        return true;
     m_candidates.clear();
     for (const auto& it : m_nodes)
         m_candidates.push_back(it.name);
+    return true;
 }
 
 const std::string& LenderAssignment::lenderOf(std::string_view group, std::uint32_t part)
--- a/src/Rates/LenderAssignment.h
+++ b/src/Rates/LenderAssignment.h
@@ -24,7 +24,8 @@
         auto operator<=>(const Node&) const = default;
     };
     /// \brief Sets the known nodes: all that have not left, including those that can't be reached now.
-    void setNodes(std::vector<Node> nodes);
+    /// \returns whether they differ from those known before.
+    bool setNodes(std::vector<Node> nodes);
 
     /// \param part index of the part, less than maxRateParts.
     /// \returns the name of the node that lends \a part of the rate of \a group; empty if no node is known.
--- a/src/Rates/RateTolerance.h
+++ b/src/Rates/RateTolerance.h
@@ -40,6 +40,8 @@
 struct RatePart {
     double creditsPerSecond = 0;
     double maxCredits = 0; ///< Maximum of available and outstanding credits together.
+    /// What may be lent beside another lender of the same part.
+    double spareCreditsPerSecond = 0;
 
     /// \brief Computes a part of \a rate.
     ///
@@ -54,7 +56,12 @@
         const double partCount = ratePartCount(rate);
         const double maxCredits
             = (rate.burst + overshootCalls + lentSlackFraction * tolerance.slackCalls) / partCount;
-        return { rate.callsPerSecond / partCount, std::max(maxCredits, 1.0) };
+        constexpr double spareFraction = 0.5; // The other half covers restarts and moves of parts.
+        const double lentCalls = rate.callsPerSecond * toSeconds(tolerance.window) + partCount * maxCredits;
+        const double spareCalls = spareFraction * (tolerance.maxCallsPerWindow(rate) - lentCalls);
+        const double spareCreditsPerSecond
+            = std::max(spareCalls, 0.0) / toSeconds(tolerance.window) / partCount;
+        return { rate.callsPerSecond / partCount, std::max(maxCredits, 1.0), spareCreditsPerSecond };
     }
 };
 
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -52,6 +52,7 @@
         out.peers.followers = reader.count("followers", 1, 100, 4);
         out.peers.contactEvery = reader.duration("contact_every", 100ms, 60s, 2s);
         // Regions lose each other for an hour now and then; that is no reason to forget half of the nodes.
+        out.peers.unreachableAfter = reader.duration("unreachable_after", 100ms, 10min, 3s);
         out.peers.forgetAfter = reader.duration("forget_after", 1s, 24h, 2h);
         reader.finish();
     }
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -65,6 +65,7 @@
         /// A node that hears so many others follow the configuration leaves it to them.
         std::uint64_t followers = 0;
         Duration contactEvery {};
+        Duration unreachableAfter {}; ///< a contact that could not be reached for so long is marked as such
         Duration forgetAfter {}; ///< a contact that could not be reached for so long is taken for gone
     } peers;
 
--- a/test/RatesTest.cpp
+++ b/test/RatesTest.cpp
@@ -163,6 +163,108 @@
         <= 0.05 * double(model.callCounts["g"] - callsBefore));
 }
 
+// Guards against two lenders of one part that together exceed the tolerance while a partition lasts and
+// after.
+TEST_CASE("A group never exceeds its tolerated rate while lenders are succeeded and come back", "[rates]")
+{
+    rc::prop("partitions of several lengths, with demand on both sides", [] {
+        const GroupRate rate { *rc::gen::element(1.6, 20.0, 45.0, 180.0), *rc::gen::element(0.0, 20.0) };
+        constexpr std::size_t n = 12;
+        constexpr std::size_t cutCount = 5;
+        RatesModel model(n, { { "g", rate } }, *rc::gen::inRange(1, 1000));
+        CallGenerator generator(model, *rc::gen::inRange(1, 1000));
+        const double demand = *rc::gen::element(0.8, 2.0, 6.0) * rate.callsPerSecond;
+        generator.generate("g", *rc::gen::element(0.0, 1.0) * demand, 0, n, 4s);
+        const auto isCut = [](std::size_t i) { return i < cutCount; };
+        for (std::size_t i = 0; i < n; ++i)
+            model.nodes[i].partition = isCut(i) ? 1 : 0;
+        generator.generate("g", demand, 0, n, 1500ms);
+        // The smaller side notices that its contacts are lost, and after a while that it may be succeeded.
+        for (std::size_t i = 0; i < cutCount; ++i)
+            model.nodes[i].limiter->setReachableFraction(double(cutCount) / n);
+        generator.generate("g", demand, 0, n, 3s);
+        for (std::size_t i = 0; i < cutCount; ++i)
+            model.nodes[i].limiter->setMayBeSucceeded(true);
+        generator.generate("g", demand, 0, n, 500ms);
+        auto left = model.nodeCapacities();
+        left.erase(left.begin(), left.begin() + cutCount);
+        for (std::size_t i = cutCount; i < n; ++i)
+            model.nodes[i].limiter->setNodes(left);
+        generator.generate("g", demand, 0, n, *rc::gen::element(500ms, 3s, 9s));
+        // The sides meet: those that were cut off take their marks back, and the others hear of it.
+        for (std::size_t i = 0; i < n; ++i)
+            model.nodes[i].partition = 0;
+        for (std::size_t i = 0; i < cutCount; ++i) {
+            model.nodes[i].limiter->restartLending();
+            model.nodes[i].limiter->setReachableFraction(1);
+            model.nodes[i].limiter->setMayBeSucceeded(false);
+        }
+        generator.generate("g", demand, 0, n, 50ms);
+        for (std::size_t i = cutCount; i < n; ++i)
+            model.nodes[i].limiter->setNodes(model.nodeCapacities());
+        generator.generate("g", demand, 0, n, 6s);
+        RC_ASSERT(double(model.maxRunsInWindow("g")) <= model.tolerance.maxCallsPerWindow(rate));
+    });
+}
+
+TEST_CASE("A lender is silent once it has left requests of the timeout without an answer", "[rates]")
+{
+    const GroupRate rate { 20, 20 };
+    RatesModel model(4, { { "g", rate } }, 19);
+    CallGenerator generator(model, 20);
+    generator.generate("g", 12, 0, 4, 5s);
+    LenderAssignment homes;
+    homes.setNodes(model.nodeCapacities());
+    const auto lender = homes.lenderOf("g", 0);
+    for (auto& it : model.nodes)
+        it.isFrozen = it.name == lender;
+    generator.generate("g", 12, 0, 4, 2s);
+    for (const auto& it : model.nodes)
+        REQUIRE(it.limiter->silentLenders(3s).empty());
+    generator.generate("g", 12, 0, 4, 2500ms);
+    std::size_t noticedBy = 0;
+    for (const auto& it : model.nodes) {
+        const auto silent = it.limiter->silentLenders(3s);
+        noticedBy += silent == std::vector<std::string> { lender } ? 1 : 0;
+        REQUIRE(silent.size() <= 1);
+    }
+    REQUIRE(noticedBy > 0);
+    for (auto& it : model.nodes)
+        it.isFrozen = false;
+    generator.generate("g", 12, 0, 4, 1s);
+    for (const auto& it : model.nodes)
+        REQUIRE(it.limiter->silentLenders(3s).empty());
+}
+
+TEST_CASE("A part whose lender is lost is lent again by its successor", "[rates]")
+{
+    for (const double perSecond : { 1.6, 20.0, 180.0 }) {
+        const GroupRate rate { perSecond, perSecond };
+        RatesModel model(hostCount, { { "g", rate } }, 17);
+        CallGenerator generator(model, 18);
+        generator.generate("g", perSecond / 1.6, 8, hostCount - 8, 8s);
+        LenderAssignment homes;
+        homes.setNodes(model.nodeCapacities());
+        auto left = model.nodeCapacities();
+        for (std::uint32_t part = 0; part < ratePartCount(rate); ++part) {
+            const auto lost = homes.lenderOf("g", part);
+            for (auto& it : model.nodes)
+                it.isFrozen = it.isFrozen || it.name == lost;
+            std::erase_if(left, [&](const auto& it) { return it.name == lost; });
+        }
+        generator.generate("g", perSecond / 1.6, 8, hostCount - 8, 5s);
+        for (auto& it : model.nodes)
+            it.limiter->setNodes(left);
+        generator.generate("g", perSecond / 1.6, 8, hostCount - 8, 3s);
+        const auto callsBefore = model.callCounts["g"];
+        const auto refusedBefore = model.refusedCounts["g"];
+        generator.generate("g", perSecond / 1.6, 8, hostCount - 8, 20s);
+        CAPTURE(perSecond);
+        REQUIRE(double(model.refusedCounts["g"] - refusedBefore)
+            <= 0.02 * double(model.callCounts["g"] - callsBefore));
+    }
+}
+
 // Guards against groups that get nothing at the hosts that ask the lost lender first.
 TEST_CASE("A lender whose link can't be opened counts as silent and the other one is asked", "[rates]")
 {
--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -251,6 +251,7 @@
         s.peers.longestReconnect = 200ms;
         s.peers.contacts = 16;
         s.peers.followers = followers;
+        s.peers.unreachableAfter = 1s;
         s.peers.forgetAfter = forgetAfter;
         s.peers.contactEvery = 200ms;
         s.credentials = { false, 5s };
