A call that no lender answers for is refused as unknown, not as over its rate

Callers saw: 429, 'over-rate', for groups far below their rate, while a lender was lost or late.

Cause: any call without a credit counted as over the rate of its group. Of a lender that does not answer nothing is known.

Change: such calls end 503 with the reason rate-unknown, as not run, with the same time to come back; 429 is said only if all lenders have answered and lent too little.

Evidence: LostLenderTest, second case: {200, 429} before, {200, 503} now.

--- a/src/Node/IngressRates.cpp
+++ b/src/Node/IngressRates.cpp
@@ -67,7 +67,8 @@
     call.retryAfterMs = static_cast<std::uint32_t>(toMilliseconds(decision.retryAfter + spread));
     m_context->metrics.count(
         "robinrun_rate_refusals_total{cause=\"" + std::string(nameOf(decision.refusal())) + "\"}");
-    call.trail.add({ RequestEvent::RateRefused, now, {}, 0, Reason::OverRate,
+    const auto reason = decision.refusal() == RateRefusal::Short ? Reason::OverRate : Reason::RateUnknown;
+    call.trail.add({ RequestEvent::RateRefused, now, {}, 0, reason,
         { { "retry_after_ms", call.retryAfterMs }, { "waited_ms", (now - call.arrived).count() / 1000 },
             { "lenders_short", decision.shortLenders }, { "lenders_silent", decision.silentLenders } },
         call.request.group });
@@ -77,7 +78,7 @@
         if (waiting->second.empty())
             m_awaitingCredit.erase(waiting);
     }
-    finishNotRun(id, call, Reason::OverRate, now);
+    finishNotRun(id, call, reason, now);
 }
 
 } // namespace robinrun
--- a/src/Queueing/Refusal.h
+++ b/src/Queueing/Refusal.h
@@ -45,16 +45,18 @@
     OverRate, ///< the group has reached its rate limit
     ServerLimit, ///< the rate limit that the backend server names would start the call too late
     VersionWithheld, ///< a roll-out does not send the call to this version of the backend server
+    RateUnknown, ///< no lender of the group's rate has answered, so whether the group is below it is not
+                 ///< known
 };
 
 template <> struct EnumNames<Reason> {
-    static constexpr std::array<std::string_view, 34> names { "none", "queue-full", "over-share",
+    static constexpr std::array<std::string_view, 35> names { "none", "queue-full", "over-share",
         "would-miss-deadline", "deadline-passed", "stood-too-long", "leaving", "cancelled", "wrong-owner",
         "wrong-incarnation", "duplicate", "backend-unreachable", "no-upstream", "attempts-spent",
         "claim-undecided", "key-too-old", "ticket-unknown", "ticket-mismatch", "owner-lost", "backend-failed",
         "damaged", "too-many-tickets", "would-be-late", "backend-refused", "not-ready", "busy",
         "given-up-meanwhile", "crashes-servers", "warming-up", "entry-withheld", "credential-unproven",
-        "over-rate", "server-limit", "version-withheld" };
+        "over-rate", "server-limit", "version-withheld", "rate-unknown" };
 };
 
 /// \brief A call that the owner refuses before it was sent to the backend server.
--- a/src/Rates/CreditBorrower.h
+++ b/src/Rates/CreditBorrower.h
@@ -49,7 +49,7 @@
         {
             if (verdict == Verdict::Wait)
                 return RateRefusal::Late;
-            return shortLenders ? RateRefusal::Short : RateRefusal::Silent;
+            return silentLenders ? RateRefusal::Silent : RateRefusal::Short;
         }
     };
     /// \brief A credit request (CreditAsk in messages) and the name of the node that it is for.
--- a/src/Rates/RateRefusal.h
+++ b/src/Rates/RateRefusal.h
@@ -9,8 +9,8 @@
 
 /// \brief Why a call of a group with a rate did not get a credit.
 enum class RateRefusal {
-    Short, ///< A lender lent too little: the group has reached its rate, or others hold its credits.
-    Silent, ///< No lender answers.
+    Short, ///< All lenders lent too little: the group has reached its rate, or others hold its credits.
+    Silent, ///< Some lender does not answer, and no other one lent enough.
     Late, ///< A lender was asked and has not answered in time.
 };
 
--- a/test/LostLenderTest.cpp
+++ b/test/LostLenderTest.cpp
@@ -43,6 +43,19 @@
             add("shop");
         for (std::size_t i = 0; i < nodeCount; ++i)
             until([&] { return callOf(nameOfGroup(i), i) == 200; });
+        until([&] {
+            pass(20ms);
+            return knownNodes(ingress) == nodeCount;
+        });
+        pass(1s); // Parts of a rate begin with few credits.
+    }
+
+    std::size_t knownNodes(std::size_t i)
+    {
+        const auto text = send(places[i].settings.listen.metrics, { "GET", "/metrics", {}, "" }).body;
+        const std::string series = "\nrobinrun_nodes_known ";
+        const auto at = text.find(series);
+        return at == std::string::npos ? 0 : std::stoul(text.substr(at + series.size()));
     }
 
     int callOf(const std::string& group, std::size_t i)
@@ -77,3 +90,14 @@
     CAPTURE(waiting.size());
     REQUIRE(waiting.empty());
 }
+
+TEST_CASE("A call that no lender answers for is not told that its group is over its rate", "[rates]")
+{
+    RatedFixture f;
+    for (std::size_t i = 0; i < lostCount; ++i)
+        f.places[i].node.reset();
+    std::set<int> statuses;
+    for (std::size_t i = 0; i < groupCount; ++i)
+        statuses.insert(f.callOf(nameOfGroup(i), ingress));
+    REQUIRE(statuses == std::set<int> { 200, 503 });
+}
