--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -152,8 +152,8 @@
         record.set_unreachable(true);
         applyRecord(record, now);
         m_gossip.queueRelay(record, "");
+        relaySoon();
     }
-    relaySoon();
 }
 
 void MeshNode::removeLostPeers(Instant now)
