A lender that is no longer asked does not count as silent

Cause, found in reading: the silence of a lost lender was remembered after it had been succeeded and nobody asked it any more. Once it was back, the nodes that had not asked it since would have marked it again each second, and it would have begun anew as a lender each time.

Change: a lender is silent only while it is asked, and any new record of a node ends its silence.

Evidence: RatesTest, 'A lender is silent once...', with both cases; it needs the change to compile.

--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -28,6 +28,7 @@
     std::vector<std::string> addressesOf(const std::map<std::string, std::string>& nodesByAddress)
     {
         std::vector<std::string> out;
+        out.reserve(nodesByAddress.size());
         for (const auto& [address, node] : nodesByAddress)
             out.push_back(address);
         return out;
@@ -137,7 +138,7 @@
     const auto timeout = m_context.settings.peers.unreachableAfter;
     const auto nodes = contactsByAddress();
     // Few nodes are contacts of nodes in other halls; lenders are asked from everywhere.
-    auto unreached = m_rates->silentLenders(timeout);
+    auto unreached = m_rates->silentLenders(timeout, now);
     for (const auto& it : m_unreached.removeLost(addressesOf(nodes), now))
         unreached.push_back(nodes.at(it));
     if (unreached.empty() || reach(now) < majority)
@@ -319,6 +320,8 @@
     const auto change = m_registry.mergeRecord(record);
     const auto& known = *m_registry.find(record.node());
     m_succession.setMarked(known.node(), known.unreachable() && !known.gone(), now);
+    if (change != NodeRegistry::Change::None && !record.unreachable())
+        m_rates->onLenderHeard(record.node());
     if (change == NodeRegistry::Change::Changed)
         rebuildSoon();
     if (isNew && !record.upstream().empty())
--- a/src/Rates/CreditBorrower.cpp
+++ b/src/Rates/CreditBorrower.cpp
@@ -260,13 +260,14 @@
     return requests;
 }
 
-std::vector<std::string> CreditBorrower::silentLenders(Duration timeout) const
+std::vector<std::string> CreditBorrower::silentLenders(Duration timeout, Instant now) const
 {
     std::vector<std::string> out;
     for (const auto& [name, state] : m_lenders) {
+        const bool isAsked = now - state.lastRequestAt < m_timing.maxShortageDelay;
         const bool isSilent
             = state.unansweredSince && state.lastRequestAt - *state.unansweredSince >= timeout;
-        if (isSilent && state.unansweredRequests >= minUnansweredRequests)
+        if (isAsked && isSilent && state.unansweredRequests >= minUnansweredRequests)
             out.push_back(name);
     }
     return out;
--- a/src/Rates/CreditBorrower.h
+++ b/src/Rates/CreditBorrower.h
@@ -91,8 +91,11 @@
     std::vector<std::string> addGrants(
         const std::string& lender, const proto::CreditGrants& grants, Instant now);
 
-    /// \returns the lenders that have left all requests of at least \a timeout without an answer.
-    std::vector<std::string> silentLenders(Duration timeout) const;
+    /// \returns the lenders that are being asked and have left all requests of at least \a timeout without an
+    /// answer.
+    std::vector<std::string> silentLenders(Duration timeout, Instant now) const;
+    /// \brief Forgets that the lender was silent, as it was heard in another way.
+    void onLenderHeard(const std::string& lender) { m_lenders.erase(lender); }
 
     std::size_t groupCount() const { return m_groups.size(); }
 
--- a/src/Rates/GroupRateLimiter.h
+++ b/src/Rates/GroupRateLimiter.h
@@ -82,10 +82,12 @@
     void tick(Instant now);
 
     /// \copydoc CreditBorrower::silentLenders
-    std::vector<std::string> silentLenders(Duration timeout) const
+    std::vector<std::string> silentLenders(Duration timeout, Instant now) const
     {
-        return m_borrower.silentLenders(timeout);
+        return m_borrower.silentLenders(timeout, now);
     }
+    /// \copydoc CreditBorrower::onLenderHeard
+    void onLenderHeard(const std::string& lender) { m_borrower.onLenderHeard(lender); }
 
     std::size_t groupCount() const { return m_borrower.groupCount(); }
     std::size_t accountCount() const { return m_lender.accountCount(); }
--- a/test/RatesTest.cpp
+++ b/test/RatesTest.cpp
@@ -220,20 +220,28 @@
         it.isFrozen = it.name == lender;
     generator.generate("g", 12, 0, 4, 2s);
     for (const auto& it : model.nodes)
-        REQUIRE(it.limiter->silentLenders(3s).empty());
+        REQUIRE(it.limiter->silentLenders(3s, model.now).empty());
     generator.generate("g", 12, 0, 4, 2500ms);
     std::size_t noticedBy = 0;
     for (const auto& it : model.nodes) {
-        const auto silent = it.limiter->silentLenders(3s);
+        const auto silent = it.limiter->silentLenders(3s, model.now);
         noticedBy += silent == std::vector<std::string> { lender } ? 1 : 0;
         REQUIRE(silent.size() <= 1);
     }
     REQUIRE(noticedBy > 0);
-    for (auto& it : model.nodes)
+    // Without calls nobody asks, and what was seen of the lender says nothing of it any more.
+    generator.generate("g", 0, 0, 4, 8s);
+    for (const auto& it : model.nodes)
+        REQUIRE(it.limiter->silentLenders(3s, model.now).empty());
+    generator.generate("g", 12, 0, 4, 4500ms);
+    for (auto& it : model.nodes) {
+        it.limiter->onLenderHeard(lender);
+        REQUIRE(it.limiter->silentLenders(3s, model.now).empty());
         it.isFrozen = false;
+    }
     generator.generate("g", 12, 0, 4, 1s);
     for (const auto& it : model.nodes)
-        REQUIRE(it.limiter->silentLenders(3s).empty());
+        REQUIRE(it.limiter->silentLenders(3s, model.now).empty());
 }
 
 TEST_CASE("A part whose lender is lost is lent again by its successor", "[rates]")
