A call waits for its credit as long as its answer may be in time

Callers saw: small groups refused while lenders answer late, on busy machines and lossy links. Each of their calls comes to a host that holds no credits, and has to ask.

Cause: a call that had waited 100 ms for a lender was refused, and one that came while a lender had been silent for 30 ms at once. Lateness says nothing of a group's rate.

Change: the wait ends when the answer would be late by the target of the call; a lender is given up by calls after it has left requests without an answer for 300 ms. Other lenders are asked after 30 ms, as before.

--- a/src/Node/IngressRates.cpp
+++ b/src/Node/IngressRates.cpp
@@ -7,9 +7,11 @@
 namespace robinrun {
 namespace {
 
-    /// A lender answers within a few ways of the network; a call whose credit takes longer is refused, to
-    /// come back.
-    constexpr Duration creditPatience = 100ms;
+    /// A lender answers within a few ways of the network. A call waits for so long at least, and for as long
+    /// as its answer may still be in time: a lender that is late has not refused.
+    constexpr Duration leastCreditPatience = 100ms;
+    /// Suggested to a call whose lenders have not answered.
+    constexpr Duration creditRetryDelay = 100ms;
 
 } // namespace
 
@@ -35,11 +37,13 @@
     if (call.creditTimer.isSet())
         return;
     m_context->metrics.count("robinrun_credit_waits_total");
-    call.creditTimer = Timer::once(m_context->base, creditPatience, [this, id] {
+    const auto patience
+        = std::max(leastCreditPatience, patienceFor(call, *m_routers.at(call.request.service)));
+    call.creditTimer = Timer::once(m_context->base, patience, [this, id] {
         auto& late = m_calls.at(id);
         CreditBorrower::Decision decision;
         decision.verdict = CreditBorrower::Verdict::Wait;
-        decision.retryAfter = creditPatience;
+        decision.retryAfter = creditRetryDelay;
         refuseOverRate(id, late, decision, monotonicNow());
     });
 }
--- a/src/Rates/CreditBorrower.cpp
+++ b/src/Rates/CreditBorrower.cpp
@@ -72,8 +72,8 @@
 {
     if (account.lender.empty() || now < account.shortageUntil)
         return false;
-    const bool isJustAsked = account.pendingRequest && now - account.requestedAt < m_timing.lenderTimeout;
-    return isJustAsked || !isSilent(account, m_timing.lenderTimeout, now);
+    // Beyond lenderTimeout others are asked as well, but the answer may still be on its way.
+    return !isSilent(account, m_timing.requestRetryInterval, now);
 }
 
 CreditBorrower::Decision CreditBorrower::tryAcquire(const std::string& name, Group& group, Instant now)
