--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -178,7 +178,9 @@
     /// \brief Admits the call if its group's rate allows it; otherwise it waits for a credit or is refused.
     void applyRateDecision(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now);
     void creditsChanged(const std::vector<std::string>& groups, Instant now);
-    void refuseOverRate(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now);
+    /// \brief Refuses a call that got no credit: as over its rate if all lenders have answered, otherwise as
+    /// unknown.
+    void refuseWithoutCredit(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now);
     /// \brief Admits the call and sends it to an owner.
     void admitCall(CallId id, Call& call, Instant now);
     /// \returns how many owners to ask to run the call at once.
--- a/src/Node/IngressRates.cpp
+++ b/src/Node/IngressRates.cpp
@@ -29,7 +29,7 @@
         call.creditTimer = Timer();
         return admitCall(id, call, now);
     case CreditBorrower::Verdict::Refused:
-        return refuseOverRate(id, call, decision, now);
+        return refuseWithoutCredit(id, call, decision, now);
     case CreditBorrower::Verdict::Wait:
         break;
     }
@@ -44,7 +44,7 @@
         CreditBorrower::Decision decision;
         decision.verdict = CreditBorrower::Verdict::Wait;
         decision.retryAfter = creditRetryDelay;
-        refuseOverRate(id, late, decision, monotonicNow());
+        refuseWithoutCredit(id, late, decision, monotonicNow());
     });
 }
 
@@ -64,7 +64,8 @@
     }
 }
 
-void Ingress::refuseOverRate(CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now)
+void Ingress::refuseWithoutCredit(
+    CallId id, Call& call, const CreditBorrower::Decision& decision, Instant now)
 {
     // Spread, so that those who come back don't meet the same few credits together.
     const auto spread = fromSeconds(toSeconds(decision.retryAfter) * m_context->random.unit());
