--- a/test/starvation/Callers.cpp
+++ b/test/starvation/Callers.cpp
@@ -122,7 +122,7 @@
         out.kind = &callKinds().front();
     out.deadline = monotonicNow() + out.kind->deadline;
     out.retriesLeft = m_options.retries;
-    attempt(std::move(out));
+    attempt(out);
 }
 
 HttpPool& Callers::poolOf(std::size_t host)
