A stopping node refuses calls that are likely to outlive it

Cause: an ingress knew no end of its own; it took every nested call of a run in progress, and every request until the readiness changed.

Change: from SIGTERM on an attempt goes out only while twice the usual time of the call is left, or its deadline comes before the end. Otherwise the call is refused as not run. Owners are told a deadline no later than the end.

--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -284,6 +284,7 @@
     const auto& settings = m_context.settings;
     m_drainLimit = monotonicNow() + settings.drainTimeout;
     m_owner->setEnd(m_drainLimit);
+    m_ingress->setEnd(m_drainLimit);
     m_lameDuckTimer = Timer::once(m_context.base, std::min(settings.lameDuck, settings.drainTimeout),
         [this] { step(NodeEvent::StopAsked); });
 }
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -11,7 +11,6 @@
 namespace {
 
     using namespace httpStatus;
-    constexpr std::uint32_t drainingRetryMs = 100;
     /// A node that has just started usually has its configuration within so long.
     constexpr std::uint32_t notReadyRetryMs = 200;
     /// Contacts tell of a newer configuration, and of how fresh it is, within about so long.
@@ -123,10 +122,8 @@
     call.deadlineTimer
         = Timer::once(m_context->base, call.request.allowed, [this, id] { deadlineReached(id); });
     // Runs in progress beside this node fail without the calls that they make.
-    if (m_isDraining && !call.request.isNested()) {
-        call.retryAfterMs = drainingRetryMs;
-        return finishNotRun(id, call, Reason::Leaving, now);
-    }
+    if ((m_isDraining && !call.request.isNested()) || (m_end && now >= *m_end))
+        return finishLeaving(id, call, now);
     if (allowed == Duration::zero())
         return finishNotRun(id, call, Reason::DeadlinePassed, now);
     call.wasUnread = age > Duration::zero();
@@ -224,6 +221,8 @@
     // Links that don't stand after a moment are passed over while another one does.
     std::vector<std::string> connecting;
     while (const auto upstream = pickFor(call, connecting, now)) {
+        if (outlivesNode(call, usualTime(call, *upstream, now), now))
+            return finishLeaving(id, call, now);
         if (isHopeless(call, *upstream, now)) {
             if (call.freeRefusals)
                 break;
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -83,6 +83,10 @@
     /// backend server beside this node make.
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
 
+    /// \brief Announces that this node answers all its calls by \a end: those that are not likely to end
+    /// before are refused as not run.
+    void setEnd(Instant end) { m_end = end; }
+
     /// \brief Answers all calls now, those that have provably not run as not run.
     void endCalls(Instant now);
 
@@ -282,6 +286,15 @@
     /// or limited or because owners have refused the call and none is better: then no owner need be asked
     /// (again). What is known of one that was not heard of lately counts little, so it is asked.
     bool isHopeless(const Call& call, const std::string& upstream, Instant now);
+    /// \returns whether this node is likely to end before \a call does, if that is sent now and usually takes
+    /// \a usual.
+    bool outlivesNode(const Call& call, Duration usual, Instant now) const;
+    /// \returns the time that \a call usually takes at the upstream that suits it; what its caller or the
+    /// operator expects where none has been measured.
+    Duration usualTime(const Call& call, const std::string& upstream, Instant now);
+    void finishLeaving(CallId id, Call& call, Instant now);
+    /// \returns when the answer to \a call is of no use any more: at its deadline or the end of this node.
+    Instant answerLimit(const Call& call) const;
     /// \brief Refuses a call that even the best \a upstream would start too late, as it is cold or names a
     /// limit.
     void finishPaced(CallId id, Call& call, const std::string& upstream, Instant now);
@@ -322,6 +335,7 @@
     NestedCallEstimate m_nestedCalls;
     CallSizeEstimate m_callBytes;
     bool m_isDraining = false;
+    std::optional<Instant> m_end; ///< by which this node answers all its calls, once it stops
     bool m_isConfigured = true;
     std::optional<double> m_retryBurst;
     CallId m_lastCall = 0;
--- a/src/Node/IngressEnd.cpp
+++ b/src/Node/IngressEnd.cpp
@@ -4,6 +4,8 @@
 #include "Node/CallReply.h"
 #include "Node/Ingress.h"
 
+#include <algorithm>
+
 /// \file How an ingress ends calls: answered, not run, unknown, or the caller is gone.
 
 namespace robinrun {
@@ -16,6 +18,11 @@
     /// A limit so low that it admits a call only later than this may as well be lifted before.
     constexpr Duration longestLimitRetry = 10s;
     constexpr double secondsPerMinute = 60;
+    /// Where a call may go that this node refuses because it stops.
+    constexpr std::uint32_t leavingRetryMs = 100;
+    /// A call is taken while so many times its usual time is left until the node ends. One that takes longer
+    /// is broken off; one that is refused without need fails the run that it was made for.
+    constexpr double usualTimesUntilEnd = 2;
     constexpr auto noneOut = "Ingress: a call ends without an answer only once no attempt is out";
 
 } // namespace
@@ -128,6 +135,33 @@
     return now + responseTime > (isTimely ? call.deadline : std::min(call.arrived + target, call.deadline));
 }
 
+Duration Ingress::usualTime(const Call& call, const std::string& upstream, Instant now)
+{
+    auto& router = *m_routers.at(call.request.service);
+    const auto& callClass = call.request.callClass;
+    if (router.hasSlotTime(callClass.name))
+        return router.expectedResponseTime(upstream, needsOf(call, now), now);
+    return callClass.targetLatency > Duration::zero() ? callClass.targetLatency : call.deadline - now;
+}
+
+bool Ingress::outlivesNode(const Call& call, Duration usual, Instant now) const
+{
+    if (!m_end || call.deadline <= *m_end)
+        return false;
+    return now + fromSeconds(usualTimesUntilEnd * toSeconds(usual)) >= *m_end;
+}
+
+Instant Ingress::answerLimit(const Call& call) const
+{
+    return m_end ? std::min(call.deadline, *m_end) : call.deadline;
+}
+
+void Ingress::finishLeaving(CallId id, Call& call, Instant now)
+{
+    call.retryAfterMs = leavingRetryMs;
+    finishNotRun(id, call, Reason::Leaving, now);
+}
+
 void Ingress::finishPaced(CallId id, Call& call, const std::string& upstream, Instant now)
 {
     const auto* view = m_routers.at(call.request.service)->findView(upstream);
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -16,7 +16,8 @@
     const auto& request = call.exchange->request();
     proto::Call out;
     out.set_upstream(upstream.id);
-    const auto left = std::max<std::int64_t>((call.deadline - now).count(), 0);
+    // A run that its caller can't hear of ends by itself, rather than being broken off with this node.
+    const auto left = std::max<std::int64_t>((answerLimit(call) - now).count(), 0);
     out.set_remaining_us(static_cast<std::uint32_t>(std::min<std::int64_t>(left, UINT32_MAX)));
     out.set_group(call.request.group);
     out.set_service(call.request.service);
--- a/src/Node/IngressRetries.cpp
+++ b/src/Node/IngressRetries.cpp
@@ -206,6 +206,8 @@
 
 void Ingress::sendSecond(CallId id, Call& call, const std::string& upstream, Instant now)
 {
+    if (outlivesNode(call, usualTime(call, upstream, now), now))
+        return;
     // With one paid for already, another attempt is about to go out.
     if (call.paid || !payRetry(call, RetryPriority::Outside, now))
         return;
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -238,7 +238,9 @@
     log(LogLevel::Info, "node-state", { { "state", nameOf(m_state) } });
     const auto now = monotonicNow();
     if (m_state == NodeState::Draining) {
-        m_drainEnd.begin(now + m_context.settings.drainTimeout, now);
+        const auto end = now + m_context.settings.drainTimeout;
+        m_drainEnd.begin(end, now);
+        m_ingress->setEnd(end);
         m_ingress->setDraining(true);
         m_owner->beginEnd(now);
         m_callers->stopAccepting();
--- a/src/Routing/ServiceRouter.h
+++ b/src/Routing/ServiceRouter.h
@@ -183,6 +183,9 @@
     /// \brief Records a measured round trip: the response time less queueing and slot time.
     void recordRoundTrip(const std::string& upstream, Duration roundTrip);
 
+    /// \returns whether a slot time of \a callClass has been recorded.
+    bool hasSlotTime(std::string_view callClass) const { return m_estimatesByClass.contains(callClass); }
+
     /// \returns the policy for immediate attempts at the owners of this service.
     ImmediateAttemptPolicy& immediateAttemptPolicy() { return m_immediateAttemptPolicy; }
 
--- a/test/DrainTest.cpp
+++ b/test/DrainTest.cpp
@@ -39,6 +39,30 @@
             + std::to_string(++lastRequest) + "\r\nX-Robinrun-Deadline-Ms: 6000\r\n\r\n";
     }
 
+    /// \brief Lets the backend server beside node \a i run a call of that node, and hold it. \returns the
+    /// call.
+    HttpRequest holdRun(std::size_t i)
+    {
+        auto& own = places[i];
+        own.backend->holds = true;
+        HttpRequest parent;
+        for (int n = 0; n < 20 && own.backend->held.empty(); ++n) {
+            parent = request("GET", "/read/x");
+            start(own.settings.listen.callers, parent);
+            pass(20ms);
+        }
+        REQUIRE(own.backend->held.size() == 1);
+        return parent;
+    }
+
+    /// \returns a call that the backend server makes for \a parent.
+    HttpRequest nestedIn(const HttpRequest& parent, const std::string& method, const std::string& path)
+    {
+        auto out = request(method, path);
+        out.headers[1].second = parent.headers[1].second + ".1";
+        return out;
+    }
+
     RawCaller callerOf(std::size_t i) { return RawCaller(base.get(), places[i].settings.listen.callers); }
 };
 
@@ -125,24 +149,46 @@
     DrainFixture f;
     f.shorten(1, 50ms, 5s);
     auto& own = f.places[1];
-    own.backend->holds = true;
-    auto parent = f.request("GET", "/read/x");
-    f.start(own.settings.listen.callers, parent);
-    for (int i = 0; i < 20 && own.backend->held.empty(); ++i) {
-        f.pass(20ms);
-        if (own.backend->held.empty()) {
-            parent = f.request("GET", "/read/x");
-            f.start(own.settings.listen.callers, parent);
-        }
-    }
-    REQUIRE(own.backend->held.size() == 1);
+    const auto parent = f.holdRun(1);
     own.backend->holds = false;
     own.node->stop();
     f.pass(200ms);
-    auto nested = f.request("GET", "/read/y");
-    nested.headers[1].second = parent.headers[1].second + ".1";
-    REQUIRE(f.send(own.settings.listen.callers, nested).status == 200);
+    REQUIRE(f.send(own.settings.listen.callers, f.nestedIn(parent, "GET", "/read/y")).status == 200);
     REQUIRE(f.send(own.settings.listen.callers, f.request("GET", "/read/z")).status == 503);
     own.backend->answer(0);
     REQUIRE(f.runToEnd());
 }
+
+// Nested calls were taken without regard to the end of the drain, where they were broken off (LOST).
+TEST_CASE("A node that drains refuses nested calls that are likely to outlive it", "[drain]")
+{
+    DrainFixture f;
+    f.shorten(1, 50ms, 2s);
+    auto& own = f.places[1];
+    const auto parent = f.holdRun(1);
+    f.places[2].backend->holds = true;
+    own.node->stop();
+    f.pass(200ms);
+    // No purchase was made here before: it may take its target latency of 5 s.
+    const auto ran = f.ran();
+    const auto answer = f.send(own.settings.listen.callers, f.nestedIn(parent, "POST", "/buy/y"));
+    REQUIRE(answer.status == 503);
+    REQUIRE(findHeader(answer.headers, "Robinrun-Outcome") == "not-run");
+    REQUIRE(f.ran() == ran);
+    own.backend->answer(0);
+    REQUIRE(f.runToEnd());
+}
+
+// A request that came before the readiness changed was taken, however long it was likely to run.
+TEST_CASE("A node that was told to stop refuses requests that are likely to outlive it", "[drain]")
+{
+    DrainFixture f;
+    f.shorten(1, 1500ms, 2s);
+    for (const auto i : { 1, 2 })
+        f.places[i].backend->holds = true;
+    f.places[1].node->stop();
+    const auto ran = f.ran();
+    REQUIRE(f.call(1, "POST", "/buy/y").status == 503);
+    REQUIRE(f.ran() == ran);
+    REQUIRE(f.runToEnd());
+}
--- a/test/RoutedCallsTest.cpp
+++ b/test/RoutedCallsTest.cpp
@@ -609,3 +609,31 @@
     REQUIRE(f.outcome() == "answered");
     REQUIRE(f.reply->body == "body");
 }
+
+TEST_CASE("A node that stops takes calls that are likely to end before it does", "[node],[drain]")
+{
+    RouteFixture f;
+    // The usual time is 200 ms.
+    f.ingress.setEnd(f.now + 1s);
+    const auto call = f.routed("/read/x");
+    REQUIRE(call.remaining_us() <= Duration(1s).count());
+    f.answer(call, 1);
+    f.pass(700ms);
+    f.reply.reset();
+    f.caller->send(
+        { "GET", "/read/x", { { "Host", "a.example" }, { "Robinrun-Credential", support::secret } }, {} }, 9s,
+        [&](auto result) { f.reply = result.value(); });
+    REQUIRE(f.outcome() == "not-run");
+    REQUIRE(findHeader(f.reply->headers, "Robinrun-Reason") == "leaving");
+    REQUIRE(f.calls().empty());
+}
+
+TEST_CASE("A call that ends by its deadline before its node does is taken, however long it usually takes",
+    "[node],[drain]")
+{
+    RouteFixture f;
+    f.ingress.setEnd(f.now + 3200ms); // the route allows 3 s
+    f.answer(f.routed("/read/x"), 1);
+    f.ingress.setEnd(f.now + 3200ms);
+    REQUIRE(f.routed("/pay/x").remaining_us() > 0);
+}
