--- a/test/support/MeshFixture.h
+++ b/test/support/MeshFixture.h
@@ -31,6 +31,7 @@
     {
         HttpServer::Options options;
         options.address = address;
+        options.maxBody = longestBody;
         m_server = std::move(HttpServer::listen(m_base, options, [this](auto exchange) {
             take(std::move(exchange));
         }).value());
@@ -80,6 +81,7 @@
 
     std::string address = freeAddress();
     std::string id;
+    std::size_t longestBody = HttpServer::Options {}.maxBody; ///< from the next start on
     bool isWell = true;
     int coldMs = 0; ///< as its health answer says; a warm server says nothing
     int slots = 4;
