A link that can't be opened leaves nothing behind

What callers saw: by the code, a node that ran out of descriptors while it opened a link ended at its next look for idle links, with all its calls; a review had read that and not run it.

Cause: linkTo() made the entry of a link before its socket, whose creation may throw, and closeIdle() read the empty entry. Change: a link is entered once it stands whole.

Evidence: the new case of PeerSocketTest fails with the former order (an entry is left) and passes.

--- a/src/Wire/PeerSocket.cpp
+++ b/src/Wire/PeerSocket.cpp
@@ -166,32 +166,39 @@
 
 PeerSocket::Link& PeerSocket::linkTo(const std::string& address, Instant now)
 {
-    auto& link = m_links[address];
-    if (!link) {
-        link = std::make_unique<Link>(this, address, *m_context);
-        link->opened = now;
-        auto& socket = link->socket;
-        setBounds(socket);
-        socket.set(zmq::sockopt::immediate, true);
-        socket.set(zmq::sockopt::heartbeat_ivl, toMs(m_options.heartbeat));
-        socket.set(zmq::sockopt::heartbeat_timeout, missedHeartbeats * toMs(m_options.heartbeat));
-        socket.set(zmq::sockopt::connect_timeout, toMs(m_options.longestReconnect));
-        socket.set(zmq::sockopt::reconnect_ivl, reconnectMs);
-        socket.set(zmq::sockopt::reconnect_ivl_max, toMs(m_options.longestReconnect));
-        socket.set(zmq::sockopt::routing_id, m_options.node + "/" + std::to_string(m_options.incarnation));
-        watchEnd(*link);
-        socket.connect("tcp://" + address);
-        const auto onReadable = [](evutil_socket_t, short, void* self) {
-            auto* readable = static_cast<Link*>(self);
-            readable->owner->m_taken = 0;
-            readable->owner->drainLink(*readable);
-        };
-        link->watcher
-            = event_new(m_base, socket.get(zmq::sockopt::fd), EV_READ | EV_PERSIST, onReadable, link.get());
-        event_add(link->watcher, nullptr);
-    }
-    link->lastUsed = std::max(link->lastUsed, now);
-    return *link;
+    auto it = m_links.find(address);
+    // Opening may throw, as when descriptors run out: no half of a link may stay.
+    if (it == m_links.end())
+        it = m_links.emplace(address, openLink(address, now)).first;
+    auto& link = *it->second;
+    link.lastUsed = std::max(link.lastUsed, now);
+    return link;
+}
+
+std::unique_ptr<PeerSocket::Link> PeerSocket::openLink(const std::string& address, Instant now)
+{
+    auto link = std::make_unique<Link>(this, address, *m_context);
+    link->opened = now;
+    auto& socket = link->socket;
+    setBounds(socket);
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::heartbeat_ivl, toMs(m_options.heartbeat));
+    socket.set(zmq::sockopt::heartbeat_timeout, missedHeartbeats * toMs(m_options.heartbeat));
+    socket.set(zmq::sockopt::connect_timeout, toMs(m_options.longestReconnect));
+    socket.set(zmq::sockopt::reconnect_ivl, reconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, toMs(m_options.longestReconnect));
+    socket.set(zmq::sockopt::routing_id, m_options.node + "/" + std::to_string(m_options.incarnation));
+    watchEnd(*link);
+    socket.connect("tcp://" + address);
+    const auto onReadable = [](evutil_socket_t, short, void* self) {
+        auto* readable = static_cast<Link*>(self);
+        readable->owner->m_taken = 0;
+        readable->owner->drainLink(*readable);
+    };
+    link->watcher
+        = event_new(m_base, socket.get(zmq::sockopt::fd), EV_READ | EV_PERSIST, onReadable, link.get());
+    event_add(link->watcher, nullptr);
+    return link;
 }
 
 void PeerSocket::setBounds(zmq::socket_t& socket) const
--- a/src/Wire/PeerSocket.h
+++ b/src/Wire/PeerSocket.h
@@ -127,6 +127,8 @@
     static Instant neededUntil(const proto::PeerMessage& message, Instant now);
     PeerSocket(event_base* base, Options options, Handler handler);
     Link& linkTo(const std::string& address, Instant now);
+    /// \throws zmq::error_t if there is no socket for it.
+    std::unique_ptr<Link> openLink(const std::string& address, Instant now);
     bool sendTo(zmq::socket_t& socket, proto::PeerMessage& message, const std::string& route, Link* link);
     /// \brief Sends the long answers that may go by now.
     void sendBulk(Instant now);
--- a/test/PeerSocketTest.cpp
+++ b/test/PeerSocketTest.cpp
@@ -7,7 +7,10 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace robinrun;
@@ -277,3 +280,26 @@
     }
     f.send(*f.one, message, monotonicNow());
 }
+
+// A socket that could not be made left an empty link behind, at which the node ended a moment later.
+TEST_CASE("A node that runs out of descriptors while it opens a link goes on", "[wire]")
+{
+    PeerFixture f;
+    const auto now = monotonicNow();
+    rlimit before {};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+    const int next = open("/dev/null", O_RDONLY | O_CLOEXEC);
+    REQUIRE(next >= 0);
+    close(next);
+    const rlimit none { static_cast<rlim_t>(next), before.rlim_max };
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    proto::PeerMessage message;
+    message.mutable_cancel();
+    const auto result = f.one->send(f.address, message, now);
+    const auto links = f.one->links();
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+    REQUIRE(result == SendResult::Unreachable);
+    REQUIRE(links == 0);
+    f.one->closeIdle(now + 2 * idle);
+    f.send(*f.one, message, now);
+}
