Trailers and the lines of chunks are bounded as the header is

What callers saw: a client that sent fields behind a chunked body without end made the node keep them all (271 MB resident on a host of 64 MB), and look at all of them again with each piece.

Cause: the parser takes trailers, and the line of a chunk's size, only whole; what it leaves unread was not bounded. Change: a request of which more than the bound of headers is left unread is refused with 431.

--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -109,6 +109,9 @@
         if (!used)
             break;
     }
+    // The parser takes trailers, and the line of a chunk's size, only whole.
+    if (!isDone() && evbuffer_get_length(in) > m_maxHeaders)
+        return failure(headersTooLarge);
     return boost::outcome_v2::success();
 }
 
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -15,6 +15,7 @@
 ///
 /// Beyond the parser's own checks it refuses folded header fields and requests without exactly one Host
 /// (RFC 9112, 3.2 and 5.2), since whoever reads such a request differently could be made to see another one.
+/// Trailers and the line of a chunk's size are bounded as the header is.
 class RequestParser {
 public:
     RequestParser(std::size_t maxHeaders, std::size_t maxBody);
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -184,6 +184,23 @@
     REQUIRE(status("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(40000, 'x')) == "HTTP/1.1 431");
 }
 
+// Trailers and the lines of chunks were read on for as long as they came.
+TEST_CASE("Trailers and the lines of chunks have the bound of the header", "[http]")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string longer(40000, 'x');
+    for (const auto& rest : { "1\r\na\r\n0\r\nX: " + longer, "1;x=" + longer, "1\r\na\r\n0;x=" + longer }) {
+        Fixture fixture;
+        REQUIRE(rawAnswer(fixture, head + rest).substr(0, 12) == "HTTP/1.1 431");
+    }
+    Fixture fixture;
+    REQUIRE(rawAnswer(fixture, head + "1\r\na\r\n0\r\nX: y\r\n\r\n").substr(0, 12) == "HTTP/1.1 200");
+    std::string emptyLines;
+    while (emptyLines.size() < longer.size())
+        emptyLines += "\r\n";
+    REQUIRE(rawAnswer(fixture, emptyLines).substr(0, 10) == "HTTP/1.1 4");
+}
+
 TEST_CASE("Pipelined requests are answered in turn; one hidden in a body is no request", "[http]")
 {
     Fixture fixture;
