Replies of a server that never comes to an end are given up

What callers saw: a server that sends bytes without end held its slot and its connection until the caller's time was over, and the node kept what came: bodies of an announced length beyond any bound, trailers, the line of a chunk.

Cause: the parser's limit does not hold for a reply with a length; what it leaves unread, interim replies and replies to other requests were not counted. Change: all four are bounded. The bound of replies was written as 4 MiB, which longer ones passed by this fault; it is 32 MiB for owners now, so that they still do.

Evidence: the new cases of HttpTest; the announced length failed before (timed out), the interim replies fail with their bound taken out, and pass.

--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -12,6 +12,9 @@
 namespace robinrun::internal {
 namespace {
 
+    /// Replies to other requests that are passed over while one is awaited.
+    constexpr unsigned maxSurplusReplies = 64;
+
     /// \brief Lets the connection end when the other host is silent for \a deadAfter, also while nothing is
     /// sent.
     void watchHost(evutil_socket_t fd, Duration deadAfter)
@@ -59,7 +62,7 @@
 {
     m_number = number;
     m_isOurs = std::move(isOurs);
-    m_hadSurplus = false;
+    m_surplus = 0;
     m_parser.emplace(m_pool->m_options.maxReply, request.method == "HEAD");
     if (m_isConnected)
         bufferevent_set_timeouts(m_buffer, nullptr, nullptr);
@@ -95,14 +98,13 @@
         const bool isKeptAlive = m_parser->isKeptAlive();
         auto reply = m_parser->take();
         if (m_isOurs && !m_isOurs(reply)) {
-            m_hadSurplus = true;
-            if (!isKeptAlive)
+            if (!isKeptAlive || ++m_surplus > maxSurplusReplies)
                 return fail(HttpErrorKind::Broken);
             continue;
         }
         // With the request not all sent, what the server reads next would be the rest of it.
         const bool isWhole = evbuffer_get_length(bufferevent_get_output(m_buffer)) == 0;
-        const bool isClean = isWhole && !m_hadSurplus && evbuffer_get_length(in) == 0;
+        const bool isClean = isWhole && !m_surplus && evbuffer_get_length(in) == 0;
         const auto longest = keptFor(reply, m_pool->m_options.idleTimeout);
         return m_pool->finished(m_number, std::move(reply), isKeptAlive && isClean, longest);
     }
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -38,7 +38,7 @@
     std::function<bool(const HttpReply&)> m_isOurs;
     std::uint64_t m_number = 0;
     bool m_isConnected = false;
-    bool m_hadSurplus = false; ///< a reply to another request came during this one
+    unsigned m_surplus = 0; ///< replies to other requests that came during this one
     Instant m_restingSince {};
 };
 
--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -19,6 +19,8 @@
     /// Replies carry few fields; what is longer is no reply.
     constexpr std::uint32_t maxReplyHeaders = 64U << 10U;
     constexpr int firstFinalStatus = 200;
+    /// Interim replies to one request; a server that goes on and on with them never answers.
+    constexpr unsigned maxInterimReplies = 64;
     constexpr unsigned firstVersionWithHost = 11; // as the parser counts: HTTP/1.1
     constexpr int noContent = 204;
     constexpr int notModified = 304;
@@ -203,13 +205,21 @@
             return failure(HttpErrorKind::TooLarge);
         if (ec && ec != http::error::need_more)
             return failure(HttpErrorKind::Broken);
+        // The parser bounds bodies in chunks and those that end with the connection, not announced ones.
+        if (!isDone() && m_state->parser.is_header_done()
+            && m_state->parser.content_length().value_or(0) > m_maxBody)
+            return failure(HttpErrorKind::TooLarge);
         if (isDone() && m_state->parser.get().result_int() < firstFinalStatus) {
+            if (++m_interim > maxInterimReplies)
+                return failure(HttpErrorKind::Broken);
             restart();
             continue;
         }
         if (!used)
             break;
     }
+    if (!isDone() && evbuffer_get_length(in) > maxReplyHeaders)
+        return failure(HttpErrorKind::TooLarge);
     return boost::outcome_v2::success();
 }
 
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -83,6 +83,7 @@
     bool m_hasNoBody;
     std::unique_ptr<State> m_state;
     bool m_hasStarted = false;
+    unsigned m_interim = 0; ///< replies that were passed over
 };
 
 /// \returns whether \a name is a method that can be sent.
--- a/src/Node/OwnerLife.cpp
+++ b/src/Node/OwnerLife.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr Duration connectTimeout = 300ms;
+    /// A reply is there twice while it goes out to an ingress.
+    constexpr std::size_t longestReply = 32U << 20U;
 
 } // namespace
 
@@ -44,6 +46,7 @@
     options.address = m_backendAddress;
     options.maxConnections = info.config.connections();
     options.connectTimeout = connectTimeout;
+    options.maxReply = longestReply;
     // Calls that run at a former address end there.
     if (m_pool)
         m_formerPools.push_back(std::move(m_pool));
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -270,6 +270,43 @@
     REQUIRE(ask(noise).first.error().kind == HttpErrorKind::Broken);
 }
 
+// Interim replies, and replies to other requests, were passed over for as long as they came.
+TEST_CASE("A server that never comes to its reply is given up before the time is over", "[http]")
+{
+    const auto errorOf = [](const std::string& bytes) {
+        RawServer server(bytes);
+        HttpPool::SendOptions options { 5s };
+        options.isOurs = [](const HttpReply& reply) { return findHeader(reply.headers, "Id") == "mine"; };
+        return ask(server, options).first.error().kind;
+    };
+    const auto repeated = [](const std::string& text, std::size_t times) {
+        std::string out;
+        for (std::size_t i = 0; i < times; ++i)
+            out += text;
+        return out;
+    };
+    constexpr std::size_t longer = 100000;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+    REQUIRE(errorOf(repeated("HTTP/1.1 100 Continue\r\n\r\n", 100)) == HttpErrorKind::Broken);
+    REQUIRE(errorOf(repeated("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 1\r\n\r\na", 100))
+        == HttpErrorKind::Broken);
+    REQUIRE(errorOf("HTTP/1.1 200 OK\r\nX: " + std::string(longer, 'x')) == HttpErrorKind::TooLarge);
+    REQUIRE(errorOf(chunked + "1\r\na\r\n0\r\nX: " + std::string(longer, 'x')) == HttpErrorKind::TooLarge);
+    REQUIRE(errorOf(chunked + "1;x=" + std::string(longer, 'x')) == HttpErrorKind::TooLarge);
+}
+
+TEST_CASE("A body without end is given up at the bound of replies", "[http]")
+{
+    const std::string piece(5U << 20U, 'x');
+    for (const auto* head :
+        { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n" }) {
+        CAPTURE(head);
+        RawServer server(head + piece);
+        REQUIRE(ask(server, { 5s }).first.error().kind == HttpErrorKind::TooLarge);
+    }
+}
+
 TEST_CASE("A reply that comes before the request was read ends the connection", "[http]")
 {
     RawServer server("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
