Connections of callers leave the node descriptors for its own work

What callers saw: with enough connections a node had no descriptor left for peers, its server and the store.

Cause: connections were accepted without a bound. Change: callers may have three quarters of the descriptors (`limits.descriptors`, from the host's settings). Beyond that a new connection takes the place of the one that has waited longest for a whole request; where all are being answered it is closed.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -47,6 +47,8 @@
         LogEventInfo { "peer-message-unknown", "from kind", "a message of another version of robinrun" },
         LogEventInfo {
             "accept-failed", "error", "a caller could not be let in, as when descriptors run out" },
+        LogEventInfo { "connections-full", "address connections accepted",
+            "a port has as many connections as it may; accepted: another one was closed for the new one" },
         LogEventInfo {
             "lines-dropped", "lines over_bound", "lines that were not written since the last such" },
         // What the node believes.
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <utility>
 
 namespace robinrun {
 namespace {
@@ -121,9 +122,35 @@
         connection->setIdleTimeout(idleTimeout);
 }
 
+bool HttpServer::closeLongestWaiting()
+{
+    internal::ServerConnection* longest = nullptr;
+    const auto goesBefore = [](const auto& a, const auto& b) {
+        return std::pair(a.hasUntaken(), a.waitsSince()) < std::pair(b.hasUntaken(), b.waitsSince());
+    };
+    for (const auto& [key, connection] : m_connections) {
+        if (connection->isWaiting() && (!longest || goesBefore(*connection, *longest)))
+            longest = key;
+    }
+    if (!longest)
+        return false;
+    m_connections.erase(longest);
+    return true;
+}
+
 void HttpServer::accept(evutil_socket_t fd, const std::string& peer)
 {
-    auto connection = std::make_unique<internal::ServerConnection>(*this, fd, peer);
+    if (m_connections.size() >= m_options.maxConnections) {
+        const bool hasPlace = closeLongestWaiting();
+        log(LogLevel::Warning, "connections-full",
+            { { "address", m_options.address }, { "connections", std::uint64_t { m_connections.size() } },
+                { "accepted", hasPlace } });
+        if (!hasPlace) {
+            evutil_closesocket(fd);
+            return;
+        }
+    }
+    auto connection = std::make_unique<internal::ServerConnection>(*this, fd, peer, monotonicNow());
     auto* key = connection.get();
     m_connections.emplace(key, std::move(connection));
 }
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -4,6 +4,7 @@
 #include "Core/Time.h"
 #include "Http/HttpTypes.h"
 
+#include <cstdint>
 #include <event2/event.h>
 #include <functional>
 #include <memory>
@@ -51,7 +52,8 @@
 ///
 /// Malformed requests are answered with 400, headers over the limit with 431, bodies over the limit with 413;
 /// the connection then ends. Requests that come while one is answered wait in the connection.
-/// Cost: an idle connection about 1 KB.
+/// Beyond `maxConnections` a new connection takes the place of the one that has waited longest for a whole
+/// request. Cost: an idle connection about 1 KB; accepting one beyond `maxConnections` O(connections).
 class HttpServer {
 public:
     using Handler = std::function<void(std::unique_ptr<HttpExchange>)>;
@@ -62,6 +64,7 @@
         std::size_t maxHeaders = 32U << 10U;
         Duration idleTimeout = 60s; ///< between two requests
         Duration headerTimeout = 10s; ///< from a request's first byte to its last
+        std::size_t maxConnections = SIZE_MAX;
     };
 
     /// \brief Binds and listens. The error is a sentence with the address.
@@ -93,6 +96,10 @@
     HttpServer(event_base* base, Options options, Handler handler);
     void accept(evutil_socket_t fd, const std::string& peer);
     void ended(internal::ServerConnection* connection);
+    /// \brief Closes the connection that has waited longest for a whole request, if possible one whose caller
+    /// has taken all its answers.
+    /// \returns false if all are being answered.
+    bool closeLongestWaiting();
 
     event_base* m_base;
     Options m_options;
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -26,11 +26,12 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(HttpServer& server, evutil_socket_t fd, std::string peer)
+ServerConnection::ServerConnection(HttpServer& server, evutil_socket_t fd, std::string peer, Instant now)
     : m_server(&server)
     , m_buffer(bufferevent_socket_new(server.m_base, fd, BEV_OPT_CLOSE_ON_FREE))
     , m_peer(std::move(peer))
     , m_parser(server.m_options.maxHeaders, server.m_options.maxBody)
+    , m_waitsSince(now)
 {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -54,7 +55,12 @@
 
 bool ServerConnection::hasUnwritten() const
 {
-    return m_phase == Phase::Answering || evbuffer_get_length(bufferevent_get_output(m_buffer)) > 0;
+    return m_phase == Phase::Answering || hasUntaken();
+}
+
+bool ServerConnection::hasUntaken() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_buffer)) > 0;
 }
 
 void ServerConnection::readable(bufferevent*, void* self)
@@ -119,6 +125,7 @@
     if (m_isLast)
         return close();
     m_phase = Phase::Reading;
+    m_waitsSince = monotonicNow();
     bufferevent_setwatermark(m_buffer, EV_READ, 0, 0);
     setReadTimeout(m_buffer, m_server->m_options.idleTimeout);
     readOn();
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -13,7 +13,7 @@
 public:
     /// \param fd an accepted connection, which this then owns. \param peer the caller's address, for the
     /// handler.
-    ServerConnection(HttpServer& server, evutil_socket_t fd, std::string peer);
+    ServerConnection(HttpServer& server, evutil_socket_t fd, std::string peer, Instant now);
     ~ServerConnection();
     ServerConnection(const ServerConnection&) = delete;
     ServerConnection& operator=(const ServerConnection&) = delete;
@@ -24,6 +24,13 @@
     /// \returns whether a request has no answer yet, or one isn't with the system yet.
     bool hasUnwritten() const;
 
+    /// \returns whether it waits for a whole request, or only for its caller to close it.
+    bool isWaiting() const { return m_phase != Phase::Answering; }
+    /// \returns whether its caller has not taken all answers yet.
+    bool hasUntaken() const;
+    /// \returns since when it has not been answering a request.
+    Instant waitsSince() const { return m_waitsSince; }
+
     /// \brief Waits for the next request no longer than \a timeout.
     void setIdleTimeout(Duration timeout);
 
@@ -47,6 +54,7 @@
     bufferevent* m_buffer;
     std::string m_peer;
     RequestParser m_parser;
+    Instant m_waitsSince;
     Phase m_phase = Phase::Reading;
     HttpExchange* m_exchange = nullptr;
     bool m_isLast = false;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -20,6 +20,8 @@
     constexpr std::size_t adminBody = 64U << 10U;
     constexpr std::size_t adminHeaders = 16U << 10U;
     constexpr Duration adminIdle = 60s;
+    /// Of the platform, the backend server beside this node and those who read the metrics, on each port.
+    constexpr std::size_t adminConnections = 64;
 
 } // namespace
 
@@ -186,8 +188,12 @@
     for (const auto& it : listeners) {
         if (it.address.empty())
             continue;
-        auto server = HttpServer::listen(
-            m_context.base, { it.address, adminBody, adminHeaders, adminIdle }, it.handler);
+        HttpServer::Options options { it.address, adminBody, adminHeaders, adminIdle };
+        options.maxConnections = adminConnections;
+        if (it.server == &m_callers) {
+            options.maxConnections = m_context.settings.callerConnections();
+        }
+        auto server = HttpServer::listen(m_context.base, options, it.handler);
         if (!server)
             return failure(server.error());
         *it.server = std::move(server.value());
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -1,11 +1,16 @@
 #include "Settings/NodeSettings.h"
 
+#include <algorithm>
+#include <sys/resource.h>
+
 namespace robinrun {
 namespace {
 
     constexpr std::size_t sha256HexLength = 64;
     constexpr std::uint64_t kibi = 1024;
     constexpr std::uint64_t mebi = 1024 * kibi;
+    /// Of the descriptors, for connections of callers.
+    constexpr double callersShare = 0.75;
 
     using Standard = std::optional<std::string>;
 
@@ -81,6 +86,7 @@
         out.limits.body = reader.bytes("body", kibi, 64 * mebi, mebi);
         out.limits.headers = reader.bytes("headers", kibi, mebi, 32 * kibi);
         out.limits.calls = reader.count("calls", 1, 1000000, 20000);
+        out.limits.descriptors = reader.count("descriptors", 0, 100000000, 0);
         out.limits.ticketMemory = reader.bytes("ticket_memory", 64 * kibi, 1024 * mebi, 16 * mebi);
         reader.finish();
     }
@@ -170,6 +176,15 @@
 
 } // namespace
 
+std::size_t NodeSettings::callerConnections() const
+{
+    rlimit allowed {};
+    auto n = limits.descriptors;
+    if (n == 0 && getrlimit(RLIMIT_NOFILE, &allowed) == 0)
+        n = allowed.rlim_cur;
+    return std::max<std::size_t>(static_cast<std::size_t>(callersShare * static_cast<double>(n)), 1);
+}
+
 Result<NodeSettings, std::vector<SettingsError>> NodeSettings::load(const std::string& file)
 {
     auto reader = YamlReader::open(file);
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -7,6 +7,7 @@
 #include "Settings/Mechanism.h"
 #include "Settings/YamlReader.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -103,6 +104,7 @@
         std::uint64_t headers = 0; ///< bytes
         std::uint64_t calls = 0; ///< in progress at the ingress
         std::uint64_t ticketMemory = 0; ///< bytes
+        std::uint64_t descriptors = 0; ///< that the process may have open; 0: as many as the system allows it
     } limits;
 
     struct {
@@ -147,6 +149,10 @@
     Duration drainTimeout {};
     Duration lameDuck {}; ///< after a stop is asked for, calls are still taken: callers learn of it late
 
+    /// \returns how many connections of callers may be open. The rest of the descriptors is for peers, the
+    /// backend server and the store.
+    std::size_t callerConnections() const;
+
     /// \brief Reads and checks \a file whole. The error side holds every error, in the order of the file's
     /// sections.
     static Result<NodeSettings, std::vector<SettingsError>> load(const std::string& file);
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -201,6 +201,34 @@
     REQUIRE(rawAnswer(fixture, emptyLines).substr(0, 10) == "HTTP/1.1 4");
 }
 
+TEST_CASE("A connection beyond the bound takes the place of the one that waits longest", "[http]")
+{
+    const auto base = makeLoop();
+    HttpServer::Options options;
+    options.address = freeAddress();
+    options.maxConnections = 2;
+    std::vector<std::unique_ptr<HttpExchange>> held;
+    const auto server = std::move(HttpServer::listen(base.get(), options, [&](auto exchange) {
+        held.push_back(std::move(exchange));
+    }).value());
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    support::RawCaller first(base.get(), options.address);
+    first.write(request);
+    REQUIRE(support::runUntil(base.get(), [&] { return held.size() == 1; }));
+    support::RawCaller second(base.get(), options.address);
+    second.write("GET / HT");
+    REQUIRE(support::runUntil(base.get(), [&] { return server->connections() == 2; }));
+    support::RawCaller third(base.get(), options.address);
+    third.write(request);
+    REQUIRE(support::runUntil(base.get(), [&] { return held.size() == 2; }));
+    REQUIRE(second.readAll().empty());
+    // Both are being answered now.
+    support::RawCaller fourth(base.get(), options.address);
+    REQUIRE(fourth.readAll().empty());
+    held[0]->reply({ 200, { { "Connection", "close" } }, "a" });
+    REQUIRE(server->connections() == 2);
+}
+
 TEST_CASE("Pipelined requests are answered in turn; one hidden in a body is no request", "[http]")
 {
     Fixture fixture;
