Times of a connection are not extended by what its caller sends

What callers saw: a sender that was refused was read for as long as it went on, and a header could take for ever, one byte before each end of its time.

Cause: the times were read timeouts, which begin anew with each piece. Change: a header, the end of a refused connection and the pace of a large body are held to by a timer of their own; a caller that takes nothing of its answers for the idle time is let go.

Evidence: "Bodies over the limit are refused and their connections end" failed before (open after 60 s) and passes; the new case of HttpTest fails with the check taken out.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -49,6 +49,7 @@
             "accept-failed", "error", "a caller could not be let in, as when descriptors run out" },
         LogEventInfo { "connections-full", "address connections accepted",
             "a port has as many connections as it may; accepted: another one was closed for the new one" },
+        LogEventInfo { "request-unread", "status peer why", "a request was refused before it was whole" },
         LogEventInfo {
             "lines-dropped", "lines over_bound", "lines that were not written since the last such" },
         // What the node believes.
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -63,10 +63,16 @@
         std::size_t maxBody = 1U << 20U;
         std::size_t maxHeaders = 32U << 10U;
         Duration idleTimeout = 60s; ///< between two requests
-        Duration headerTimeout = 10s; ///< from a request's first byte to its last
+        Duration headerTimeout = 10s; ///< from a request's first byte to the end of its header; between two
+                                      ///< pieces of its body
         std::size_t maxConnections = SIZE_MAX;
     };
 
+    /// Bodies up to this size, in bytes, need not keep to a rate.
+    static constexpr std::size_t smallBody = 64U << 10U;
+    /// Bytes a second that a body which takes room has to come with, on average over the header time.
+    static constexpr std::size_t leastBodyRate = 4U << 10U;
+
     /// \brief Binds and listens. The error is a sentence with the address.
     static Result<std::unique_ptr<HttpServer>, std::string> listen(
         event_base* base, const Options& options, Handler handler);
--- a/src/Http/HttpStatus.h
+++ b/src/Http/HttpStatus.h
@@ -13,6 +13,7 @@
 inline constexpr int unauthorized = 401;
 inline constexpr int notFound = 404;
 inline constexpr int badMethod = 405;
+inline constexpr int requestTimeout = 408;
 inline constexpr int gone = 410;
 inline constexpr int preconditionFailed = 412;
 inline constexpr int unprocessable = 422;
--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -143,6 +143,16 @@
     return hasTarget && !hasTwoFramings && hasProperHost;
 }
 
+bool RequestParser::isHeaderDone() const
+{
+    return m_state && m_state->parser.is_header_done();
+}
+
+std::size_t RequestParser::bodyBytes() const
+{
+    return m_state ? m_state->parser.get().body().size() : 0;
+}
+
 bool RequestParser::isDone() const
 {
     return m_state && m_state->parser.is_done();
@@ -156,6 +166,11 @@
     return m_state->parser.get()[http::field::expect] == "100-continue";
 }
 
+void RequestParser::drop()
+{
+    m_state.reset();
+}
+
 HttpRequest RequestParser::take()
 {
     auto message = m_state->parser.release();
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -4,7 +4,9 @@
 #include "Http/HttpTypes.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 struct evbuffer;
@@ -28,11 +30,17 @@
     Result<void, int> feed(evbuffer* in);
 
     bool hasStarted() const { return m_hasStarted; }
+    bool isHeaderDone() const;
     bool isDone() const;
 
+    /// \returns the bytes of the body so far.
+    std::size_t bodyBytes() const;
     /// \returns whether the sender waits for a word before it sends the body; true once only.
     bool takesContinue();
 
+    /// \brief Gives up what has been read. The connection can't be read on after that.
+    void drop();
+
     /// \brief The whole request; the parser is then ready for the next one. Needs isDone().
     HttpRequest take();
 
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "Http/internal/ServerConnection.h"
 
+#include "Core/Log.h"
 #include "Core/internal/Timeval.h"
 #include "Http/HttpStatus.h"
 
@@ -11,18 +12,15 @@
 namespace robinrun::internal {
 namespace {
 
+    using namespace httpStatus;
+
     /// How much of a pipelined next request is read while one is answered.
     constexpr std::size_t pipelinedBytes = 64U << 10U;
     /// Once the last answer is written the caller has so long to read it and close; closing at once could
     /// reset it.
     constexpr Duration lingering = 1s;
-
-    /// \brief Ends the connection when nothing comes for \a timeout; zero: never.
-    void setReadTimeout(bufferevent* buffer, Duration timeout)
-    {
-        const auto tv = toTimeval(timeout);
-        bufferevent_set_timeouts(buffer, timeout > Duration::zero() ? &tv : nullptr, nullptr);
-    }
+    /// A caller that goes on sending meanwhile has no longer than this.
+    constexpr Duration longestLingering = 3s;
 
 } // namespace
 
@@ -31,6 +29,9 @@
     , m_buffer(bufferevent_socket_new(server.m_base, fd, BEV_OPT_CLOSE_ON_FREE))
     , m_peer(std::move(peer))
     , m_parser(server.m_options.maxHeaders, server.m_options.maxBody)
+    , m_timer(event_new(
+          server.m_base, -1, 0,
+          [](evutil_socket_t, short, void* self) { static_cast<ServerConnection*>(self)->timeIsUp(); }, this))
     , m_waitsSince(now)
 {
     const int on = 1;
@@ -44,13 +45,43 @@
 {
     if (m_exchange)
         m_exchange->m_connection = nullptr;
+    event_free(m_timer);
     bufferevent_free(m_buffer);
 }
 
+void ServerConnection::setTimeouts(Duration read)
+{
+    const auto readTime = toTimeval(read);
+    const auto idleTime = toTimeval(m_server->m_options.idleTimeout);
+    bufferevent_set_timeouts(m_buffer, read > Duration::zero() ? &readTime : nullptr, &idleTime);
+}
+
+void ServerConnection::limitTime(Duration delay)
+{
+    const auto tv = toTimeval(delay);
+    event_add(m_timer, &tv);
+}
+
+void ServerConnection::timeIsUp()
+{
+    if (m_phase == Phase::Closing)
+        return ended();
+    if (m_phase != Phase::Reading)
+        return;
+    const auto interval = m_server->m_options.headerTimeout;
+    const auto bytes = m_parser.bodyBytes();
+    const auto least = static_cast<std::size_t>(HttpServer::leastBodyRate * toSeconds(interval));
+    const bool isSlow = m_bodyBytesBefore && bytes > HttpServer::smallBody && bytes < *m_bodyBytesBefore + least;
+    if (!m_parser.isHeaderDone() || isSlow)
+        return refuse(requestTimeout);
+    m_bodyBytesBefore = bytes;
+    limitTime(interval);
+}
+
 void ServerConnection::setIdleTimeout(Duration timeout)
 {
     if (m_phase == Phase::Reading && !m_parser.hasStarted())
-        setReadTimeout(m_buffer, timeout);
+        setTimeouts(timeout);
 }
 
 bool ServerConnection::hasUnwritten() const
@@ -90,8 +121,10 @@
         if (m_parser.isDone()) {
             handOn();
         } else {
-            if (isFirst)
-                setReadTimeout(m_buffer, m_server->m_options.headerTimeout);
+            if (isFirst) {
+                setTimeouts(m_server->m_options.headerTimeout);
+                limitTime(m_server->m_options.headerTimeout);
+            }
             if (m_parser.takesContinue())
                 bufferevent_write(m_buffer, "HTTP/1.1 100 Continue\r\n\r\n", 25);
             break;
@@ -105,10 +138,12 @@
 void ServerConnection::handOn()
 {
     m_phase = Phase::Answering;
+    event_del(m_timer);
+    m_bodyBytesBefore.reset();
     m_isLast = !m_parser.isKeptAlive();
     auto request = m_parser.take();
     m_isHead = request.method == "HEAD";
-    setReadTimeout(m_buffer, Duration::zero());
+    setTimeouts(Duration::zero());
     bufferevent_setwatermark(m_buffer, EV_READ, 0, pipelinedBytes);
     std::unique_ptr<HttpExchange> exchange(new HttpExchange(*this, std::move(request), m_peer));
     m_exchange = exchange.get();
@@ -126,33 +161,50 @@
         return close();
     m_phase = Phase::Reading;
     m_waitsSince = monotonicNow();
+    // A caller that takes a long answer is not idle.
+    setTimeouts(Duration::zero());
     bufferevent_setwatermark(m_buffer, EV_READ, 0, 0);
-    setReadTimeout(m_buffer, m_server->m_options.idleTimeout);
     readOn();
 }
 
 void ServerConnection::refuse(int status)
 {
-    writeReply(bufferevent_get_output(m_buffer), { status, {}, "the request can't be read\n" }, true, false);
+    HttpReply reply { status, {}, "the request can't be read\n" };
+    if (status == requestTimeout)
+        reply.body = "the request came too slowly\n";
+    log(LogLevel::Info, "request-unread",
+        { { "status", status }, { "peer", m_peer }, { "why", reply.body } });
+    m_parser.drop();
+    auto* in = bufferevent_get_input(m_buffer);
+    evbuffer_drain(in, evbuffer_get_length(in));
+    writeReply(bufferevent_get_output(m_buffer), reply, true, false);
     close();
 }
 
 void ServerConnection::close()
 {
     m_phase = Phase::Closing;
+    event_del(m_timer);
     // A caller that says nothing while a long answer goes out is not idle; one that takes nothing of it is.
-    const auto tv = toTimeval(m_server->m_options.idleTimeout);
-    bufferevent_set_timeouts(m_buffer, nullptr, &tv);
+    setTimeouts(Duration::zero());
     bufferevent_setwatermark(m_buffer, EV_READ, 0, 0);
 }
 
 void ServerConnection::written(bufferevent* buffer, void* self)
 {
     auto& connection = *static_cast<ServerConnection*>(self);
-    if (connection.m_phase != Phase::Closing)
+    switch (connection.m_phase) {
+    case Phase::Reading:
+        if (!connection.m_parser.hasStarted())
+            connection.setTimeouts(connection.m_server->m_options.idleTimeout);
         return;
-    shutdown(bufferevent_getfd(buffer), SHUT_WR);
-    setReadTimeout(buffer, lingering);
+    case Phase::Answering:
+        return;
+    case Phase::Closing:
+        shutdown(bufferevent_getfd(buffer), SHUT_WR);
+        connection.setTimeouts(lingering);
+        connection.limitTime(longestLingering);
+    }
 }
 
 void ServerConnection::eventCame(bufferevent*, short, void* self)
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -4,6 +4,7 @@
 #include "Http/internal/HttpParser.h"
 
 #include <event2/bufferevent.h>
+#include <optional>
 #include <string>
 
 namespace robinrun::internal {
@@ -45,6 +46,13 @@
     static void written(bufferevent*, void* self);
     static void eventCame(bufferevent*, short what, void* self);
     void readOn();
+    /// \brief Ends the connection when nothing comes for \a read, or the caller takes nothing of its answers
+    /// for the idle time; zero: never.
+    void setTimeouts(Duration read);
+    /// \brief Calls timeIsUp() after \a delay.
+    void limitTime(Duration delay);
+    /// \brief The request is not whole, or the caller has not closed the connection, in its time.
+    void timeIsUp();
     void handOn();
     void refuse(int status);
     void close();
@@ -54,6 +62,9 @@
     bufferevent* m_buffer;
     std::string m_peer;
     RequestParser m_parser;
+    event* m_timer; ///< for what must not take longer, whatever comes
+    std::optional<std::size_t>
+        m_bodyBytesBefore; ///< when the timer ran last; unset before the header is done
     Instant m_waitsSince;
     Phase m_phase = Phase::Reading;
     HttpExchange* m_exchange = nullptr;
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -201,6 +201,21 @@
     REQUIRE(rawAnswer(fixture, emptyLines).substr(0, 10) == "HTTP/1.1 4");
 }
 
+// The time for a header began anew with each of its bytes.
+TEST_CASE("A header that comes too slowly is refused", "[http]")
+{
+    Fixture f;
+    f.server->setLimits(1000, 1000, 200ms, 10s);
+    support::RawCaller caller(f.base.get(), f.address);
+    caller.write("GET / HTTP/1.1\r\n");
+    int sent = 0;
+    const auto trickle = Timer::repeating(f.base.get(), 80ms, [&] {
+        if (++sent < 4)
+            caller.write("X");
+    });
+    REQUIRE(caller.readAll().substr(0, 12) == "HTTP/1.1 408");
+}
+
 TEST_CASE("A connection beyond the bound takes the place of the one that waits longest", "[http]")
 {
     const auto base = makeLoop();
