A caller that does not read its answers is not read either

What callers saw: a client that sent requests ahead and read no answer made the node keep them all (132 MB resident on a host of 64 MB).

Cause: the next request was read as soon as an answer was in the buffer. Change: none is read while more than 256 KiB of answers wait for the caller.

Evidence: "Answers that a caller does not read are not piled up" failed before (132,096 KiB of 62,500) and passes (17,020).

--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -21,6 +21,8 @@
     constexpr Duration lingering = 1s;
     /// A caller that goes on sending meanwhile has no longer than this.
     constexpr Duration longestLingering = 3s;
+    /// Bytes of answers that a caller has not taken, beyond which its next request is not read.
+    constexpr std::size_t maxUntaken = 256U << 10U;
 
 } // namespace
 
@@ -111,7 +113,7 @@
         return;
     m_isReading = true;
     auto* in = bufferevent_get_input(m_buffer);
-    while (m_phase == Phase::Reading && evbuffer_get_length(in) > 0) {
+    while (m_phase == Phase::Reading && evbuffer_get_length(in) > 0 && !isPiledUp()) {
         const bool isFirst = !m_parser.hasStarted();
         const auto result = m_parser.feed(in);
         if (!result) {
@@ -135,6 +137,11 @@
         ended();
 }
 
+bool ServerConnection::isPiledUp() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_buffer)) > maxUntaken;
+}
+
 void ServerConnection::handOn()
 {
     m_phase = Phase::Answering;
@@ -163,7 +170,8 @@
     m_waitsSince = monotonicNow();
     // A caller that takes a long answer is not idle.
     setTimeouts(Duration::zero());
-    bufferevent_setwatermark(m_buffer, EV_READ, 0, 0);
+    if (!isPiledUp())
+        bufferevent_setwatermark(m_buffer, EV_READ, 0, 0);
     readOn();
 }
 
@@ -197,7 +205,8 @@
     case Phase::Reading:
         if (!connection.m_parser.hasStarted())
             connection.setTimeouts(connection.m_server->m_options.idleTimeout);
-        return;
+        bufferevent_setwatermark(buffer, EV_READ, 0, 0);
+        return connection.readOn();
     case Phase::Answering:
         return;
     case Phase::Closing:
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -46,6 +46,8 @@
     static void written(bufferevent*, void* self);
     static void eventCame(bufferevent*, short what, void* self);
     void readOn();
+    /// \returns whether so much of the answers waits for the caller that no other request is read.
+    bool isPiledUp() const;
     /// \brief Ends the connection when nothing comes for \a read, or the caller takes nothing of its answers
     /// for the idle time; zero: never.
     void setTimeouts(Duration read);
