--- a/src/Core/Hash.cpp
+++ b/src/Core/Hash.cpp
@@ -1,6 +1,7 @@
 #include "Core/Hash.h"
 
 #include <array>
+#include <memory>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <stdexcept>
@@ -21,9 +22,18 @@
 
 std::string sha256Hex(std::string_view data)
 {
+    return sha256Hex(std::span(&data, 1));
+}
+
+std::string sha256Hex(std::span<const std::string_view> parts)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
     unsigned n = 0;
-    if (EVP_Digest(data.data(), data.size(), digest.data(), &n, EVP_sha256(), nullptr) != 1)
+    bool isDone = context && EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) == 1;
+    for (const auto it : parts)
+        isDone = isDone && EVP_DigestUpdate(context.get(), it.data(), it.size()) == 1;
+    if (!isDone || EVP_DigestFinal_ex(context.get(), digest.data(), &n) != 1)
         throw std::runtime_error("sha256 failed");
     static constexpr std::string_view digits = "0123456789abcdef";
     std::string hex;
--- a/src/Core/Hash.h
+++ b/src/Core/Hash.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,10 @@
 /// \throws std::runtime_error if the crypto library fails.
 std::string sha256Hex(std::string_view data);
 
+/// \returns the SHA-256 of \a parts one after another, in lower-case hex, without joining them.
+/// \throws std::runtime_error if the crypto library fails.
+std::string sha256Hex(std::span<const std::string_view> parts);
+
 /// \returns whether the strings are equal, in a time that does not depend on where they differ.
 bool equalInConstantTime(std::string_view a, std::string_view b);
 
--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -50,6 +50,14 @@
         LogEventInfo { "connections-full", "address connections accepted",
             "a port has as many connections as it may; accepted: another one was closed for the new one" },
         LogEventInfo { "request-unread", "status peer why", "a request was refused before it was whole" },
+        LogEventInfo { "body-given-up", "from request reason bytes of",
+            "an owner no longer awaits the body of a call, of which so many bytes had come" },
+        LogEventInfo { "body-part-odd", "from number offset expected bytes",
+            "a part of a body is not what was asked for: the call is refused" },
+        LogEventInfo {
+            "body-part-unknown", "from bytes", "an owner asks for bytes beyond the end of a body" },
+        LogEventInfo { "body-part-unsent", "peer result",
+            "a part of a body did not go out; its owner will give the call up" },
         LogEventInfo {
             "lines-dropped", "lines over_bound", "lines that were not written since the last such" },
         // What the node believes.
--- a/src/Crashes/CallContent.cpp
+++ b/src/Crashes/CallContent.cpp
@@ -2,7 +2,9 @@
 
 #include "Core/Hash.h"
 
+#include <array>
 #include <string>
+#include <string_view>
 
 namespace robinrun {
 namespace {
@@ -10,25 +12,23 @@
     constexpr std::size_t contentIdHexDigits = 16;
     constexpr int hexBase = 16;
 
-    /// \returns the fields in sequence, each prefixed by its length, so that different contents never have
-    /// the same encoding.
-    std::string encodeFields(const CallContent& content)
-    {
-        std::string out;
-        for (const auto field :
-            { content.group, content.method, content.host, content.target, content.body }) {
-            out += std::to_string(field.size());
-            out += ':';
-            out += field;
-        }
-        return out;
-    }
+    constexpr std::size_t fieldCount = 5;
 
 } // namespace
 
 ContentId contentIdOf(const CallContent& content)
 {
-    const auto hexDigits = sha256Hex(encodeFields(content)).substr(0, contentIdHexDigits);
+    // Each field is prefixed by its length, so that different contents never have the same encoding.
+    const std::array<std::string_view, fieldCount> fields { content.group, content.method, content.host,
+        content.target, content.body };
+    std::array<std::string, fieldCount> lengths;
+    std::array<std::string_view, 2 * fieldCount> parts;
+    for (std::size_t i = 0; i < fieldCount; ++i) {
+        lengths[i] = std::to_string(fields[i].size()) + ':';
+        parts[2 * i] = lengths[i];
+        parts[2 * i + 1] = fields[i];
+    }
+    const auto hexDigits = sha256Hex(parts).substr(0, contentIdHexDigits);
     return std::stoull(hexDigits, nullptr, hexBase) >> 1U;
 }
 
--- a/src/Http/HttpPool.cpp
+++ b/src/Http/HttpPool.cpp
@@ -106,8 +106,9 @@
     m_exchanges.emplace(raw->number, std::move(exchange));
     const auto host = findHeader(raw->request.headers, "Host");
     raw->connection->send(raw->number, raw->request, host ? *host : std::string_view(m_options.address),
-        std::move(raw->options.isOurs));
+        std::move(raw->options.isOurs), raw->options.body);
     raw->request = {};
+    raw->options.body = nullptr;
 }
 
 void HttpPool::finished(
--- a/src/Http/HttpPool.h
+++ b/src/Http/HttpPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/MemoryBudget.h"
 #include "Core/Result.h"
 #include "Core/Time.h"
 #include "Http/HttpTypes.h"
@@ -37,6 +38,8 @@
         Duration connectTimeout = 5s;
         /// A server's host that says nothing for so long is taken for dead (TCP keep-alive); 0: never.
         Duration deadAfter {};
+        /// For the replies on their way together. One that finds no room in it is `TooLarge`.
+        MemoryBudget replies {};
     };
 
     /// \brief How one request is sent.
@@ -50,6 +53,7 @@
         Duration longestRest = 1h;
         /// Whether a reply belongs to the request. Others are dropped and the next one is awaited.
         std::function<bool(const HttpReply&)> isOurs = nullptr;
+        SharedBytes body = nullptr; ///< in place of the request's own; it is not copied
     };
 
     HttpPool(event_base* base, Options options);
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -30,10 +30,12 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(internal::ServerConnection& connection, HttpRequest request, std::string peer)
+HttpExchange::HttpExchange(
+    internal::ServerConnection& connection, HttpRequest request, std::string peer, MemoryBudget::Share room)
     : m_connection(&connection)
     , m_request(std::move(request))
     , m_peer(std::move(peer))
+    , m_room(std::move(room))
 {
 }
 
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Core/MemoryBudget.h"
 #include "Core/Result.h"
 #include "Core/Time.h"
+#include "Http/HeldBody.h"
 #include "Http/HttpTypes.h"
 
 #include <cstdint>
@@ -10,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 struct evconnlistener;
 
@@ -31,6 +34,9 @@
     const HttpRequest& request() const { return m_request; }
     const std::string& peer() const { return m_peer; }
 
+    /// \brief Takes the body out of request(), with its share of the server's memory for bodies.
+    HeldBody takeBody() { return { std::exchange(m_request.body, {}), std::move(m_room) }; }
+
     /// \brief Runs \a f once if the caller hangs up before reply(). The exchange may be destroyed in it.
     void onHangUp(std::function<void()> f) { m_onHangUp = std::move(f); }
 
@@ -39,21 +45,25 @@
 
 private:
     friend class internal::ServerConnection;
-    HttpExchange(internal::ServerConnection& connection, HttpRequest request, std::string peer);
+    HttpExchange(internal::ServerConnection& connection, HttpRequest request, std::string peer,
+        MemoryBudget::Share room);
     void hungUp();
 
     internal::ServerConnection* m_connection; ///< null once it was answered or the caller is gone
     HttpRequest m_request;
     std::string m_peer;
+    MemoryBudget::Share m_room;
     std::function<void()> m_onHangUp;
 };
 
 /// \brief An HTTP/1.1 server on the loop: libevent's bufferevents, Boost.Beast's parser.
 ///
-/// Malformed requests are answered with 400, headers over the limit with 431, bodies over the limit with 413;
-/// the connection then ends. Requests that come while one is answered wait in the connection.
-/// Beyond `maxConnections` a new connection takes the place of the one that has waited longest for a whole
-/// request. Cost: an idle connection about 1 KB; accepting one beyond `maxConnections` O(connections).
+/// Malformed requests are answered with 400, headers and trailers over the limit with 431, bodies over the
+/// limit with 413, those that are too slow with 408 and those for which there is no memory with 503; the
+/// connection then ends. Requests that come while one is answered, or while the caller does not read its
+/// answers, wait in the connection. Beyond `maxConnections` a new connection takes the place of the one that
+/// has waited longest for a whole request. Cost: an idle connection about 1 KB; accepting one beyond
+/// `maxConnections` O(connections).
 class HttpServer {
 public:
     using Handler = std::function<void(std::unique_ptr<HttpExchange>)>;
@@ -65,10 +75,11 @@
         Duration idleTimeout = 60s; ///< between two requests
         Duration headerTimeout = 10s; ///< from a request's first byte to the end of its header; between two
                                       ///< pieces of its body
+        MemoryBudget bodies {}; ///< for the bodies of more than `smallBody` of all requests together
         std::size_t maxConnections = SIZE_MAX;
     };
 
-    /// Bodies up to this size, in bytes, need not keep to a rate.
+    /// Bodies up to this size, in bytes, take no room.
     static constexpr std::size_t smallBody = 64U << 10U;
     /// Bytes a second that a body which takes room has to come with, on average over the header time.
     static constexpr std::size_t leastBodyRate = 4U << 10U;
--- a/src/Http/HttpTypes.h
+++ b/src/Http/HttpTypes.h
@@ -3,6 +3,7 @@
 #include "Core/EnumNames.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,6 +31,9 @@
 /// \brief Splits `ip:port`. \returns false if it is none.
 bool splitAddress(const std::string& address, std::string& ip, std::uint16_t& port);
 
+/// \brief Bytes that several holders read.
+using SharedBytes = std::shared_ptr<const std::string>;
+
 struct HttpRequest {
     std::string method;
     std::string target; ///< path and query
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -3,6 +3,7 @@
 #include "Core/internal/Timeval.h"
 #include "Http/internal/KeepAlive.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
@@ -14,6 +15,8 @@
 
     /// Replies to other requests that are passed over while one is awaited.
     constexpr unsigned maxSurplusReplies = 64;
+    /// Replies up to this size take no room, others in steps of as much.
+    constexpr std::size_t roomStep = 64U << 10U;
 
     /// \brief Lets the connection end when the other host is silent for \a deadAfter, also while nothing is
     /// sent.
@@ -35,6 +38,7 @@
 ClientConnection::ClientConnection(HttpPool& pool, const std::string& ip, std::uint16_t port)
     : m_pool(&pool)
     , m_buffer(bufferevent_socket_new(pool.m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+    , m_room(pool.m_options.replies.share())
 {
     bufferevent_setcb(m_buffer, &readable, nullptr, &eventCame, this);
     sockaddr_in at {};
@@ -58,7 +62,7 @@
 }
 
 void ClientConnection::send(std::uint64_t number, const HttpRequest& request, std::string_view host,
-    std::function<bool(const HttpReply&)> isOurs)
+    std::function<bool(const HttpReply&)> isOurs, const SharedBytes& body)
 {
     m_number = number;
     m_isOurs = std::move(isOurs);
@@ -66,7 +70,7 @@
     m_parser.emplace(m_pool->m_options.maxReply, request.method == "HEAD");
     if (m_isConnected)
         bufferevent_set_timeouts(m_buffer, nullptr, nullptr);
-    writeRequest(bufferevent_get_output(m_buffer), request, host);
+    writeRequest(bufferevent_get_output(m_buffer), request, host, body);
 }
 
 void ClientConnection::rest(Duration longest, Instant now)
@@ -93,8 +97,11 @@
         const auto result = m_parser->feed(in);
         if (!result)
             return fail(result.error());
+        if (!hasRoom())
+            return fail(HttpErrorKind::TooLarge);
         if (!m_parser->isDone())
             return;
+        (void)m_room.resize(0);
         const bool isKeptAlive = m_parser->isKeptAlive();
         auto reply = m_parser->take();
         if (m_isOurs && !m_isOurs(reply)) {
@@ -110,6 +117,12 @@
     }
 }
 
+bool ClientConnection::hasRoom()
+{
+    const auto bytes = m_parser->bodyBytes();
+    return bytes <= std::max(roomStep, m_room.bytes()) || m_room.resize(bytes + roomStep);
+}
+
 void ClientConnection::eventCame(bufferevent*, short what, void* self)
 {
     auto& connection = *static_cast<ClientConnection*>(self);
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -19,7 +19,7 @@
 
     /// \brief Sends a request; the pool's finished() tells how it ended.
     void send(std::uint64_t number, const HttpRequest& request, std::string_view host,
-        std::function<bool(const HttpReply&)> isOurs);
+        std::function<bool(const HttpReply&)> isOurs, const SharedBytes& body);
 
     /// \brief Rests in the pool, for \a longest at most.
     void rest(Duration longest, Instant now);
@@ -30,6 +30,8 @@
     static void readable(bufferevent*, void* self);
     static void eventCame(bufferevent*, short what, void* self);
     void readOn();
+    /// \returns whether the pool has room for what the reply has so far.
+    bool hasRoom();
     void fail(HttpErrorKind kind, bool isRefused = false);
 
     HttpPool* m_pool;
@@ -39,6 +41,7 @@
     std::uint64_t m_number = 0;
     bool m_isConnected = false;
     unsigned m_surplus = 0; ///< replies to other requests that came during this one
+    MemoryBudget::Share m_room; ///< for the reply
     Instant m_restingSince {};
 };
 
--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -21,6 +21,9 @@
     constexpr int firstFinalStatus = 200;
     /// Interim replies to one request; a server that goes on and on with them never answers.
     constexpr unsigned maxInterimReplies = 64;
+    /// A body in chunks that is longer gets room for the longest one: pages that are not written cost
+    /// nothing, while a buffer that grows is there twice each time.
+    constexpr std::size_t reserveFrom = 1U << 20U;
     constexpr unsigned firstVersionWithHost = 11; // as the parser counts: HTTP/1.1
     constexpr int noContent = 204;
     constexpr int notModified = 304;
@@ -67,6 +70,16 @@
         evbuffer_add(out, s.data(), s.size());
     }
 
+    /// \brief Adds \a bytes without a copy; they live until they went out or \a out is freed.
+    void addShared(evbuffer* out, const SharedBytes& bytes)
+    {
+        const auto release
+            = [](const void*, std::size_t, void* held) { delete static_cast<SharedBytes*>(held); };
+        auto held = std::make_unique<SharedBytes>(bytes);
+        if (evbuffer_add_reference(out, bytes->data(), bytes->size(), release, held.get()) == 0)
+            held.release(); // NOLINT(bugprone-unused-return-value): the buffer owns it now
+    }
+
     void writeFields(evbuffer* out, const HttpHeaders& headers)
     {
         for (const auto& [name, value] : headers) {
@@ -114,6 +127,9 @@
     // The parser takes trailers, and the line of a chunk's size, only whole.
     if (!isDone() && evbuffer_get_length(in) > m_maxHeaders)
         return failure(headersTooLarge);
+    auto& body = m_state->parser.get().body();
+    if (m_state->parser.chunked() && body.size() > reserveFrom && body.capacity() < m_maxBody)
+        body.reserve(m_maxBody);
     return boost::outcome_v2::success();
 }
 
@@ -153,6 +169,14 @@
     return m_state ? m_state->parser.get().body().size() : 0;
 }
 
+std::optional<std::uint64_t> RequestParser::announcedBytes() const
+{
+    if (!isHeaderDone())
+        return std::nullopt;
+    const auto n = m_state->parser.content_length();
+    return n ? std::optional<std::uint64_t>(*n) : std::nullopt;
+}
+
 bool RequestParser::isDone() const
 {
     return m_state && m_state->parser.is_done();
@@ -238,6 +262,11 @@
     return boost::outcome_v2::success();
 }
 
+std::size_t ReplyParser::bodyBytes() const
+{
+    return m_state->parser.get().body().size();
+}
+
 void ReplyParser::end()
 {
     boost::beast::error_code ec;
@@ -268,8 +297,9 @@
     return http::string_to_verb({ name.data(), name.size() }) != http::verb::unknown;
 }
 
-void writeRequest(evbuffer* out, const HttpRequest& request, std::string_view host)
+void writeRequest(evbuffer* out, const HttpRequest& request, std::string_view host, const SharedBytes& body)
 {
+    const auto& bytes = body ? *body : request.body;
     add(out, request.method);
     add(out, " ");
     add(out, request.target);
@@ -278,10 +308,13 @@
     add(out, "\r\n");
     writeFields(out, request.headers);
     const bool mayHaveBody = request.method != "GET" && request.method != "HEAD";
-    if (mayHaveBody || !request.body.empty())
-        add(out, "Content-Length: " + std::to_string(request.body.size()) + "\r\n");
+    if (mayHaveBody || !bytes.empty())
+        add(out, "Content-Length: " + std::to_string(bytes.size()) + "\r\n");
     add(out, "\r\n");
-    add(out, request.body);
+    if (body && !body->empty())
+        addShared(out, body);
+    else
+        add(out, bytes);
 }
 
 void writeReply(evbuffer* out, const HttpReply& reply, bool isLast, bool hasNoBody)
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -35,6 +35,9 @@
 
     /// \returns the bytes of the body so far.
     std::size_t bodyBytes() const;
+    /// \returns the length of the body if the header names it.
+    std::optional<std::uint64_t> announcedBytes() const;
+
     /// \returns whether the sender waits for a word before it sends the body; true once only.
     bool takesContinue();
 
@@ -77,6 +80,9 @@
     bool isDone() const;
     bool hasStarted() const { return m_hasStarted; }
 
+    /// \returns the bytes of the body so far.
+    std::size_t bodyBytes() const;
+
     /// \returns whether the connection may carry another request. Needs isDone().
     bool isKeptAlive() const;
 
@@ -98,7 +104,8 @@
 bool isMethod(std::string_view name);
 
 /// \brief Writes a request or a reply, with the length of its body. Fields of one connection are left out.
-void writeRequest(evbuffer* out, const HttpRequest& request, std::string_view host);
+/// \param body in place of the request's own, if it is set; it is not copied.
+void writeRequest(evbuffer* out, const HttpRequest& request, std::string_view host, const SharedBytes& body);
 void writeReply(evbuffer* out, const HttpReply& reply, bool isLast, bool hasNoBody);
 
 } // namespace robinrun::internal
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -23,6 +23,10 @@
     constexpr Duration longestLingering = 3s;
     /// Bytes of answers that a caller has not taken, beyond which its next request is not read.
     constexpr std::size_t maxUntaken = 256U << 10U;
+    /// Room is taken for a body of unknown length in such steps, in bytes.
+    constexpr std::size_t roomStep = 1U << 20U;
+    /// A refused caller is told to come back after so many seconds.
+    constexpr auto noRoomRetry = "1";
 
 } // namespace
 
@@ -31,6 +35,7 @@
     , m_buffer(bufferevent_socket_new(server.m_base, fd, BEV_OPT_CLOSE_ON_FREE))
     , m_peer(std::move(peer))
     , m_parser(server.m_options.maxHeaders, server.m_options.maxBody)
+    , m_room(server.m_options.bodies.share())
     , m_timer(event_new(
           server.m_base, -1, 0,
           [](evutil_socket_t, short, void* self) { static_cast<ServerConnection*>(self)->timeIsUp(); }, this))
@@ -73,7 +78,7 @@
     const auto interval = m_server->m_options.headerTimeout;
     const auto bytes = m_parser.bodyBytes();
     const auto least = static_cast<std::size_t>(HttpServer::leastBodyRate * toSeconds(interval));
-    const bool isSlow = m_bodyBytesBefore && bytes > HttpServer::smallBody && bytes < *m_bodyBytesBefore + least;
+    const bool isSlow = m_bodyBytesBefore && m_room.bytes() > 0 && bytes < *m_bodyBytesBefore + least;
     if (!m_parser.isHeaderDone() || isSlow)
         return refuse(requestTimeout);
     m_bodyBytesBefore = bytes;
@@ -120,6 +125,10 @@
             refuse(result.error());
             break;
         }
+        if (!takeRoom()) {
+            refuse(unavailable);
+            break;
+        }
         if (m_parser.isDone()) {
             handOn();
         } else {
@@ -137,6 +146,17 @@
         ended();
 }
 
+bool ServerConnection::takeRoom()
+{
+    const auto read = m_parser.bodyBytes();
+    // Room for a part of a step is taken as for all of it: a body in chunks grows by many small pieces.
+    const auto inSteps = (read + roomStep - 1) / roomStep * roomStep;
+    const auto needed = m_parser.announcedBytes().value_or(inSteps);
+    if (needed <= HttpServer::smallBody || read <= HttpServer::smallBody)
+        return true;
+    return needed <= m_room.bytes() || m_room.resize(needed);
+}
+
 bool ServerConnection::isPiledUp() const
 {
     return evbuffer_get_length(bufferevent_get_output(m_buffer)) > maxUntaken;
@@ -152,7 +172,9 @@
     m_isHead = request.method == "HEAD";
     setTimeouts(Duration::zero());
     bufferevent_setwatermark(m_buffer, EV_READ, 0, pipelinedBytes);
-    std::unique_ptr<HttpExchange> exchange(new HttpExchange(*this, std::move(request), m_peer));
+    std::unique_ptr<HttpExchange> exchange(
+        new HttpExchange(*this, std::move(request), m_peer, std::move(m_room)));
+    m_room = m_server->m_options.bodies.share();
     m_exchange = exchange.get();
     m_server->m_handler(std::move(exchange));
 }
@@ -178,10 +200,13 @@
 void ServerConnection::refuse(int status)
 {
     HttpReply reply { status, {}, "the request can't be read\n" };
+    if (status == unavailable)
+        reply = { status, { { "Retry-After", noRoomRetry } }, "there is no memory for the body now\n" };
     if (status == requestTimeout)
         reply.body = "the request came too slowly\n";
     log(LogLevel::Info, "request-unread",
         { { "status", status }, { "peer", m_peer }, { "why", reply.body } });
+    m_room = {};
     m_parser.drop();
     auto* in = bufferevent_get_input(m_buffer);
     evbuffer_drain(in, evbuffer_get_length(in));
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -46,6 +46,8 @@
     static void written(bufferevent*, void* self);
     static void eventCame(bufferevent*, short what, void* self);
     void readOn();
+    /// \brief Takes room for the body that comes in. \returns false if there is none.
+    bool takeRoom();
     /// \returns whether so much of the answers waits for the caller that no other request is read.
     bool isPiledUp() const;
     /// \brief Ends the connection when nothing comes for \a read, or the caller takes nothing of its answers
@@ -64,6 +66,7 @@
     bufferevent* m_buffer;
     std::string m_peer;
     RequestParser m_parser;
+    MemoryBudget::Share m_room; ///< for the body that comes in
     event* m_timer; ///< for what must not take longer, whatever comes
     std::optional<std::size_t>
         m_bodyBytesBefore; ///< when the timer ran last; unset before the header is done
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -191,6 +191,7 @@
         HttpServer::Options options { it.address, adminBody, adminHeaders, adminIdle };
         options.maxConnections = adminConnections;
         if (it.server == &m_callers) {
+            options.bodies = m_context.bodies;
             options.maxConnections = m_context.settings.callerConnections();
         }
         auto server = HttpServer::listen(m_context.base, options, it.handler);
--- a/src/Node/CallMessages.cpp
+++ b/src/Node/CallMessages.cpp
@@ -30,6 +30,9 @@
     case proto::PeerMessage::kCall:
         handToOwner(owner, peers, sender, message.call(), now);
         return true;
+    case proto::PeerMessage::kBodyPart:
+        owner.takeBodyPart(sender, message.body_part(), now);
+        return true;
     case proto::PeerMessage::kAnswer:
         ingress.takeAnswer(sender.node, *message.mutable_answer(), now);
         return true;
@@ -65,9 +68,10 @@
     return message;
 }
 
-CallContent contentOf(const proto::Call& call)
+CallContent contentOf(const proto::Call& call, const SharedBody& body)
 {
-    CallContent out { call.group(), call.method(), call.service(), call.target(), call.body() };
+    const std::string_view bytes = body ? body->bytes : call.body();
+    CallContent out { call.group(), call.method(), call.service(), call.target(), bytes };
     if (!call.has_terms())
         return out;
     // Of a call by route, the host is part of what was asked for; its service is the route's choice.
--- a/src/Node/CallMessages.h
+++ b/src/Node/CallMessages.h
@@ -26,6 +26,6 @@
 proto::PeerMessage lastWord(std::uint64_t incarnation, const PeerSocket::Sender& to, std::uint64_t highest);
 
 /// \returns what \a call asks for; holds as long as \a call does.
-CallContent contentOf(const proto::Call& call);
+CallContent contentOf(const proto::Call& call, const SharedBody& body = nullptr);
 
 } // namespace robinrun
--- a/src/Node/Ingress.cpp
+++ b/src/Node/Ingress.cpp
@@ -105,6 +105,7 @@
         call.isLastNested = isLastNested(call.request);
     }
     call.exchange = std::move(exchange);
+    call.body = std::make_shared<const HeldBody>(call.exchange->takeBody());
     call.state = m_context->charts.call.initial();
     call.configVersion = m_context->configVersion;
     call.arrived = now;
@@ -205,19 +206,9 @@
     case CrashTracker::Verdict::Held:
         return finishHeld(id, call, now);
     }
+    if (call.ticket && !call.isMinting)
+        return sendToTicketOwner(id, call, now);
     auto& router = *m_routers.at(call.request.service);
-    if (call.ticket && !call.isMinting) {
-        // A ticket is good at one owner only.
-        if (!upstreamOf(call.request.service, call.ticket->upstream))
-            return finishUnknown(id, call, Reason::TicketUnknown, now);
-        const auto result = sendTo(id, call, call.ticket->upstream, now);
-        if (result == SendResult::Connecting)
-            return tryAgainSoon(id, call);
-        // An earlier request with this ticket may have run there, so "not run" would mislead.
-        if (result == SendResult::Unreachable)
-            finishUnknown(id, call, Reason::OwnerLost, now);
-        return;
-    }
     // Links that don't stand after a moment are passed over while another one does.
     std::vector<std::string> connecting;
     while (const auto upstream = pickFor(call, connecting, now)) {
@@ -249,6 +240,18 @@
     finishNotRun(id, call, call.lastReason == Reason::None ? Reason::NoUpstream : call.lastReason, now);
 }
 
+void Ingress::sendToTicketOwner(CallId id, Call& call, Instant now)
+{
+    if (!upstreamOf(call.request.service, call.ticket->upstream))
+        return finishUnknown(id, call, Reason::TicketUnknown, now);
+    const auto result = sendTo(id, call, call.ticket->upstream, now);
+    if (result == SendResult::Connecting)
+        return tryAgainSoon(id, call);
+    // An earlier request with this ticket may have run there, so "not run" would mislead.
+    if (result == SendResult::Unreachable)
+        finishUnknown(id, call, Reason::OwnerLost, now);
+}
+
 std::optional<std::string> Ingress::pickFor(
     Call& call, const std::vector<std::string>& connecting, Instant now)
 {
@@ -427,7 +430,8 @@
         const auto& node = m_context->settings.name;
         m_owner->take(
             message.call(), selfAsSender(),
-            [this, node](proto::Answer answer) { takeAnswer(node, answer, monotonicNow()); }, now);
+            [this, node](proto::Answer answer) { takeAnswer(node, answer, monotonicNow()); }, now,
+            call.isMinting ? nullptr : call.body);
         return SendResult::Sent;
     }
     const auto result = m_send(info->config.node_address(), message, now);
--- a/src/Node/Ingress.h
+++ b/src/Node/Ingress.h
@@ -2,6 +2,7 @@
 
 #include "Chart/Charts.h"
 #include "Control/Membership.h"
+#include "Http/HeldBody.h"
 #include "Http/HttpServer.h"
 #include "Node/BackendNotices.h"
 #include "Node/CallRequest.h"
@@ -121,6 +122,7 @@
     };
     struct Call {
         std::unique_ptr<HttpExchange> exchange;
+        SharedBody body;
         CallState state {};
         CallRequest request;
         std::uint64_t configVersion = 0; ///< by which its credential was looked up last
@@ -201,6 +203,8 @@
     void addTerms(const Call& call, proto::Call& out, Instant now) const;
     void watchAttempt(CallId id, Call& call, std::uint64_t number);
     void proceed(CallId id, Instant now);
+    /// \brief Sends a call with a ticket to the one owner that the ticket is good at.
+    void sendToTicketOwner(CallId id, Call& call, Instant now);
     SendResult sendTo(CallId id, Call& call, const std::string& upstream, Instant now);
     /// \returns this node as the owner beside it knows it.
     Owner::Sender selfAsSender() const;
@@ -227,6 +231,8 @@
     void finishHeld(CallId id, Call& call, Instant now);
     proto::Call envelope(
         const Call& call, const UpstreamInfo& upstream, Duration elsewhere, Instant now) const;
+    /// \brief Adds the body to \a out, or its length if the owner is to ask for it.
+    void addBody(const Call& call, proto::Call& out) const;
     /// \returns whether the budgets allow one more attempt, which is then paid for: at the service, and at
     /// those that its backend servers call for it.
     bool mayTryAgain(Call& call, Instant now);
@@ -261,6 +267,8 @@
     /// and another attempt may succeed.
     void answered(CallId id, Call& call, proto::Answer& answer, Instant now);
     void attemptLost(CallId id, Call& call, Reason reason, Instant now);
+    /// \brief Sends the owner of \a attempt the part of the body that it has asked for.
+    void sendBodyPart(const Call& call, const Attempt& attempt, const proto::Answer& asked, Instant now);
     /// \returns whether the owner that \a attempt was sent to has said that it doesn't run it.
     bool wasNeverRun(const Call& call, const Attempt& attempt) const;
     CallProfile needsOf(const Call& call, Instant now) const;
--- a/src/Node/IngressAnswers.cpp
+++ b/src/Node/IngressAnswers.cpp
@@ -14,6 +14,8 @@
 
     using namespace httpStatus;
     constexpr double permille = 1000;
+    /// Owners ask for less.
+    constexpr std::size_t longestBodyPart = 1U << 20U;
     /// Owners asked beyond the first one while none has asked its backend server; each costs a round trip.
     constexpr std::uint32_t maxFreeRefusals = 2;
 
@@ -96,7 +98,7 @@
         router.onLoadReport(attempt.upstream, report, now);
     if (answer.outcome() == proto::ANSWERED && answer.status() < firstError) {
         const auto& callClass = call.request.callClass.name;
-        m_callBytes.addCall(callClass, call.exchange->request().body.size() + answer.body().size());
+        m_callBytes.addCall(callClass, call.body->bytes.size() + answer.body().size());
         router.recordSlotTime(callClass, held, attempt.slowdown);
         router.recordResponseTime(callClass, now - attempt.sent, attempt.expected);
         // Time in the owner's queue was no work.
@@ -108,7 +110,8 @@
             nested[it.service()] = it.calls();
         m_nestedCalls.addRun(callClass, nested);
     }
-    if (answer.outcome() == proto::ANSWERED) {
+    // The way of a body that was asked for part by part is no round trip.
+    if (answer.outcome() == proto::ANSWERED && call.body->bytes.size() <= Owner::longestInlineBody) {
         const auto network = (now - attempt.sent) - held - Duration(answer.queued_us());
         router.recordRoundTrip(attempt.upstream, std::max(network, Duration::zero()));
     }
@@ -130,6 +133,8 @@
         m_context->metrics.count("robinrun_foreign_answers_total");
         return;
     }
+    if (answer.wanted_bytes())
+        return sendBodyPart(call, *it, answer, now);
     Attempt attempt = std::move(*it);
     call.out.erase(it);
     m_callByNumber.erase(found);
@@ -159,6 +164,25 @@
     attemptLost(id, call, answer.outcome() == proto::ANSWERED ? Reason::Damaged : reasonOf(answer), now);
 }
 
+void Ingress::sendBodyPart(const Call& call, const Attempt& attempt, const proto::Answer& asked, Instant now)
+{
+    const std::string_view bytes = call.body->bytes;
+    const auto n = std::min<std::size_t>(asked.wanted_bytes(), longestBodyPart);
+    if (asked.wanted_from() >= bytes.size())
+        return log(LogLevel::Warning, "body-part-unknown",
+            { { "from", asked.wanted_from() }, { "bytes", std::uint64_t { bytes.size() } } });
+    proto::PeerMessage message;
+    auto& part = *message.mutable_body_part();
+    part.set_number(attempt.number);
+    part.set_from(asked.wanted_from());
+    part.set_bytes(std::string(bytes.substr(asked.wanted_from(), n)));
+    // The owner gives the call up if the part doesn't come.
+    const auto result = m_send(attempt.address, message, now);
+    if (result != SendResult::Sent)
+        log(LogLevel::Warning, "body-part-unsent",
+            { { "peer", attempt.address }, { "result", nameOf(result) } });
+}
+
 void Ingress::answered(CallId id, Call& call, proto::Answer& answer, Instant now)
 {
     const bool isGood = answer.status() < firstServerError;
--- a/src/Node/IngressCrashes.cpp
+++ b/src/Node/IngressCrashes.cpp
@@ -16,7 +16,7 @@
     if (!call.content) {
         const auto& request = call.exchange->request();
         CallContent content { call.request.group, request.method, call.request.service, call.request.target,
-            request.body };
+            call.body->bytes };
         if (call.request.isByRoute)
             content.host = findHeader(request.headers, "Host").value_or("");
         if (!ledger.mayBeHeld(quickHashOf(content)))
--- a/src/Node/IngressEnvelope.cpp
+++ b/src/Node/IngressEnvelope.cpp
@@ -51,8 +51,7 @@
         header.set_name(name);
         header.set_value(value);
     }
-    out.set_body(request.body);
-    out.set_body_hash(hash64(request.body));
+    addBody(call, out);
     if (call.ticket)
         encode(*call.ticket, *out.mutable_ticket());
     if (call.request.isByRoute)
@@ -60,6 +59,18 @@
     return out;
 }
 
+void Ingress::addBody(const Call& call, proto::Call& out) const
+{
+    const auto& bytes = call.body->bytes;
+    out.set_body_hash(hash64(bytes));
+    if (out.upstream() == m_owner->upstream())
+        return; // the owner beside this ingress shares it
+    if (bytes.size() > Owner::longestInlineBody)
+        out.set_body_length(bytes.size());
+    else
+        out.set_body(bytes);
+}
+
 void Ingress::addTerms(const Call& call, proto::Call& out, Instant now) const
 {
     const auto& callClass = call.request.callClass;
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -81,6 +81,7 @@
 
     HttpServer::Options callers { settings.listen.callers, settings.limits.body, settings.limits.headers,
         60s };
+    callers.bodies = m_context.bodies;
     callers.maxConnections = settings.callerConnections();
     auto server = HttpServer::listen(base, callers, [this](std::unique_ptr<HttpExchange> exchange) {
         m_ingress->take(std::move(exchange), monotonicNow());
--- a/src/Node/NodeContext.h
+++ b/src/Node/NodeContext.h
@@ -4,6 +4,7 @@
 #include "Core/Hash.h"
 #include "Core/Log.h"
 #include "Core/Loop.h"
+#include "Core/MemoryBudget.h"
 #include "Core/Random.h"
 #include "Core/StandstillWatch.h"
 #include "Core/SuspensionWatch.h"
@@ -43,6 +44,8 @@
     CrashTracker crashes {}; ///< of backend servers anywhere, as far as this node has heard
     RolloutTable rollouts {};
     std::string backendVersion {}; ///< of the backend server beside this node; "": not known
+    MemoryBudget bodies {}; ///< for bodies of requests on their way through this node
+    MemoryBudget replies {}; ///< for replies that come in from the backend server
 
     /// \brief A regular tick: notices standstills, and brings timers forward that stood still with their
     /// host.
@@ -61,8 +64,12 @@
         std::uint64_t incarnation, CallHeaders headers = {})
     {
         const auto seed = hash64(settings.name, incarnation);
-        return { std::move(settings), std::move(charts), base, incarnation, {}, {}, Random(seed),
+        const auto half = settings.bodyMemory() / 2;
+        NodeContext out { std::move(settings), std::move(charts), base, incarnation, {}, {}, Random(seed),
             monotonicNow, wallClockMs, std::move(headers) };
+        out.bodies = MemoryBudget(half);
+        out.replies = MemoryBudget(half);
+        return out;
     }
 };
 
--- a/src/Node/Owner.cpp
+++ b/src/Node/Owner.cpp
@@ -37,9 +37,11 @@
         return 1 + group * mostPriorities + route;
     }
 
-    Hash128 fingerprintOf(const proto::Call& call)
+    Hash128 fingerprintOf(const proto::Call& call, const SharedBody& body)
     {
-        return hash128(call.group() + '\n' + call.method() + '\n' + call.target() + '\n' + call.body());
+        const auto ofBody = hash128(body ? body->bytes : call.body());
+        return hash128(call.group() + '\n' + call.method() + '\n' + call.target() + '\n'
+            + std::to_string(ofBody.high) + '\n' + std::to_string(ofBody.low));
     }
 
 } // namespace
@@ -124,6 +126,7 @@
             lifeChanged(*state, now);
     }
     refuseGivenUp(now);
+    giveUpSilentBodies(now);
     onWarmUpChanged(now);
     m_seen.forgetSilent(now);
     std::erase_if(m_ingresses, [&](const auto& it) { return now - it.second.lastCall > ingressMemory; });
@@ -135,7 +138,7 @@
         probeBackend(now);
 }
 
-Reason Owner::faultOf(const proto::Call& call, const Sender& sender, Instant now)
+Reason Owner::faultOf(const proto::Call& call, const Sender& sender, bool isBodyShared, Instant now)
 {
     if (!isMeantBy(call.upstream()) || !m_pool)
         return Reason::WrongOwner;
@@ -149,7 +152,8 @@
         return Reason::VersionWithheld;
     if (m_isDown)
         return Reason::BackendUnreachable;
-    if (hash64(call.body()) != call.body_hash())
+    const bool isWhole = call.body_length() == 0 && !isBodyShared;
+    if (isWhole && hash64(call.body()) != call.body_hash())
         return Reason::Damaged;
     const Instant deadline { Duration(static_cast<std::int64_t>(call.owner_deadline_us())) };
     if (call.owner_deadline_us() && now >= deadline)
@@ -167,13 +171,14 @@
     return std::min(out, Instant(Duration(static_cast<std::int64_t>(call.owner_deadline_us()))));
 }
 
-void Owner::take(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
+void Owner::take(
+    const proto::Call& call, const Sender& sender, Reply reply, Instant now, const SharedBody& body)
 {
     m_ingresses[sender.node] = { sender, now, call.group() };
     takeReportedLimit(call, now);
     if (m_isEnding)
         sendLastWord(sender);
-    const auto fault = faultOf(call, sender, now);
+    const auto fault = faultOf(call, sender, body != nullptr, now);
     if (fault == Reason::Duplicate) {
         // The first delivery is answered under the same number; an answer to the double could overtake it.
         log(LogLevel::Warning, "call-doubled", { { "from", sender.node }, { "number", call.number() } });
@@ -186,11 +191,20 @@
         return refuseAtOnce(call, sender, reply, Reason::Leaving, true, now);
     if (call.mint_ticket())
         return mint(call, sender, reply, now);
-    if (call.has_ticket())
-        return takeTicket(call, sender, std::move(reply), now);
-    if (call.terms().only_at_once() && !isReadyAtOnce(now) && !goesNext(call, now))
+    const bool isAtOnce = call.terms().only_at_once() && !call.has_ticket();
+    if (isAtOnce && !isReadyAtOnce(now) && !goesNext(call, now))
         return refuseAtOnce(call, sender, reply, Reason::Busy, true, now);
-    admit(call, sender, std::move(reply), now);
+    if (call.body_length() > 0)
+        return awaitBody(call, sender, std::move(reply), now);
+    takeWhole(call, sender, std::move(reply), body, now);
+}
+
+void Owner::takeWhole(
+    const proto::Call& call, const Sender& sender, Reply reply, const SharedBody& body, Instant now)
+{
+    if (call.has_ticket())
+        return takeTicket(call, sender, std::move(reply), body, now);
+    admit(call, sender, std::move(reply), body, now);
 }
 
 bool Owner::isReadyAtOnce(Instant now) const
@@ -230,12 +244,14 @@
     reply(std::move(answer));
 }
 
-void Owner::takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
+void Owner::takeTicket(
+    const proto::Call& call, const Sender& sender, Reply reply, const SharedBody& body, Instant now)
 {
-    const auto begin = m_tickets.beginCall(decode(call.ticket()), fingerprintOf(call), m_lastId + 1, now);
+    const auto begin
+        = m_tickets.beginCall(decode(call.ticket()), fingerprintOf(call, body), m_lastId + 1, now);
     switch (begin.action) {
     case TicketAction::Run:
-        return admit(call, sender, std::move(reply), now);
+        return admit(call, sender, std::move(reply), body, now);
     case TicketAction::Refuse:
         return refuseAtOnce(call, sender, reply, begin.reason, begin.isNotRun, now);
     case TicketAction::Join: {
@@ -270,15 +286,17 @@
     reply(std::move(answer));
 }
 
-void Owner::admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now)
+void Owner::admit(
+    const proto::Call& call, const Sender& sender, Reply reply, const SharedBody& body, Instant now)
 {
-    if (const auto length = heldBack(call, now)) {
+    if (const auto length = heldBack(call, body, now)) {
         if (call.has_ticket())
             m_tickets.releaseTicket(decode(call.ticket()).nonce);
         return refuseAtOnce(call, sender, reply, Reason::CrashesServers, true, now, *length);
     }
     const auto id = ++m_lastId;
     auto record = recordOf(call, sender, std::move(reply), now);
+    record.body = body;
     const auto offer = offerOf(id, record, now);
     noteQueued(record, offer, now);
     m_calls.emplace(id, std::move(record));
--- a/src/Node/Owner.h
+++ b/src/Node/Owner.h
@@ -4,6 +4,7 @@
 #include "Core/BackendLife.h"
 #include "Crashes/CrashDetector.h"
 #include "Crashes/RecentSuccesses.h"
+#include "Http/HeldBody.h"
 #include "Http/HttpPool.h"
 #include "Node/BackendReply.h"
 #include "Node/NodeContext.h"
@@ -78,8 +79,17 @@
     /// with such a content.
     void onCrashesChanged(Instant now);
 
-    /// \brief Handles a call. \a reply is called exactly once, possibly before this returns.
-    void take(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+    /// Longer bodies are not part of the message: the owner asks for them once it has room.
+    static constexpr std::size_t longestInlineBody = 64U << 10U;
+
+    /// \brief Handles a call. \a reply is called with exactly one answer, possibly before this returns;
+    /// before that it may be called to ask for parts of the body (`wanted_bytes`).
+    /// \param body where the message has none because the ingress is beside this owner.
+    void take(const proto::Call& call, const Sender& sender, Reply reply, Instant now,
+        const SharedBody& body = nullptr);
+
+    /// \brief Handles a part of a call's body.
+    void takeBodyPart(const Sender& sender, const proto::BodyPart& part, Instant now);
 
     /// \brief Handles the cancellation of a call: frees its place in the queue, and its slot if the run may
     /// be cut off.
@@ -155,6 +165,7 @@
 
     struct CallRecord {
         proto::Call call;
+        SharedBody body; ///< null if the call has it
         Sender sender;
         std::vector<std::pair<Sender, Reply>> replies; ///< more than one where a ticket was repeated
         std::vector<std::uint64_t> numbers; ///< the call number each reply answers
@@ -177,7 +188,8 @@
     /// \brief Switches to another address or another life of the backend server and discards what was learnt
     /// of the former one.
     void turnTo(const UpstreamInfo& info, Instant now);
-    Reason faultOf(const proto::Call& call, const Sender& sender, Instant now);
+    /// \param isBodyShared whether the body was handed over beside the message.
+    Reason faultOf(const proto::Call& call, const Sender& sender, bool isBodyShared, Instant now);
     /// \returns whether a roll-out of the service withholds this server's version from \a call.
     bool isVersionWithheld(const proto::Call& call, Instant now) const;
     void reportRunEnd(const CallRecord& record, bool isAnswered, bool isFailure, Instant now) const;
@@ -207,7 +219,7 @@
     void reportCrash(const std::string& life, const std::vector<CrashSuspect>& suspects, Instant now);
     /// \returns how long \a call is held back for crashes of servers that ran the same; nothing if it may run
     /// here.
-    std::optional<Duration> heldBack(const proto::Call& call, Instant now) const;
+    std::optional<Duration> heldBack(const proto::Call& call, const SharedBody& body, Instant now) const;
     /// \returns whether this owner is the one that tries \a content, and does not yet.
     bool mayTry(ContentId content) const;
     /// \brief Ends the calls that run at a former life of the server as unknown.
@@ -224,12 +236,36 @@
         std::uint32_t priority = 0;
     };
     Place placeOf(const proto::RouteTerms& terms) const;
+    /// A call whose body is on its way.
+    struct AwaitedBody {
+        proto::Call call;
+        Sender sender;
+        Reply reply;
+        Instant deadline {};
+        Instant asked {}; ///< for its next part
+        HeldBody body;
+    };
+    /// \brief Takes room for the body of \a call and asks for it.
+    void awaitBody(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+    static void askForPart(AwaitedBody& awaited, Instant now, std::uint64_t incarnation);
+    /// \brief Refuses a call whose body is awaited.
+    void giveUpBody(const CallKey& key, Reason reason, Instant now);
+    void giveUpBodies(Reason reason, Instant now);
+    /// \brief Gives up the bodies of which no part has come in time.
+    void giveUpSilentBodies(Instant now);
+    /// \returns why a call whose body has come is not run now.
+    Reason faultOf(const AwaitedBody& awaited, Instant now) const;
+    /// \brief Handles a call that is there whole and without fault.
+    void takeWhole(
+        const proto::Call& call, const Sender& sender, Reply reply, const SharedBody& body, Instant now);
     void mint(const proto::Call& call, const Sender& sender, const Reply& reply, Instant now);
-    void takeTicket(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+    void takeTicket(
+        const proto::Call& call, const Sender& sender, Reply reply, const SharedBody& body, Instant now);
     /// \brief Answers a repeated ticket with the recorded answer of its call.
     void replay(const proto::Call& call, const Sender& sender, const Reply& reply,
         const RecordedAnswer& recorded, Instant now);
-    void admit(const proto::Call& call, const Sender& sender, Reply reply, Instant now);
+    void admit(
+        const proto::Call& call, const Sender& sender, Reply reply, const SharedBody& body, Instant now);
     CallRecord recordOf(const proto::Call& call, const Sender& sender, Reply reply, Instant now) const;
     void noteQueued(CallRecord& record, const OfferedCall& offer, Instant now) const;
     void act(const AdmissionResult& dispatch, Instant now);
@@ -280,7 +316,7 @@
     void refuse(const Refusal& refusal, Instant now);
     void refuseAtOnce(const proto::Call& call, const Sender& sender, const Reply& reply, Reason reason,
         bool isNotRun, Instant now, Duration retryAfter = {});
-    void answerAll(CallRecord& record, const proto::Answer& answer, Instant now);
+    void answerAll(CallRecord& record, proto::Answer answer, Instant now);
     /// \returns the load report for the node incarnation \a senderLife and its calls of \a group.
     proto::Load makeLoad(std::uint64_t senderLife, const std::string& group, Instant now) const;
     void addLoad(proto::Answer& answer, const Sender& sender, const std::string& group, Instant now) const;
@@ -330,6 +366,7 @@
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, CallRecord> m_calls;
     std::map<CallKey, std::uint64_t> m_idByKey;
+    std::map<CallKey, AwaitedBody> m_awaitedBodies;
     std::map<std::pair<std::uint64_t, std::string>, std::uint32_t>
         m_bySender; ///< calls in hand, by sender and group
     struct Ingress {
--- a/src/Node/OwnerAnswers.cpp
+++ b/src/Node/OwnerAnswers.cpp
@@ -90,10 +90,10 @@
     answer.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(refusal.retryAfter)));
     answer.set_queued_us(static_cast<std::uint32_t>((now - record.arrived).count()));
     recordTicket(record, answer);
-    answerAll(record, answer, now);
+    answerAll(record, std::move(answer), now);
 }
 
-void Owner::answerAll(CallRecord& record, const proto::Answer& answer, Instant now)
+void Owner::answerAll(CallRecord& record, proto::Answer answer, Instant now)
 {
     const auto key = CallKey { record.sender.life(), record.call.number() };
     const auto replies = std::move(record.replies);
@@ -111,11 +111,15 @@
     m_calls.erase(id->second);
     m_idByKey.erase(id);
     for (std::size_t i = 0; i < replies.size(); ++i) {
-        // Each gets a copy of its own: whoever is first may take it apart.
-        auto copy = answer;
-        copy.set_number(numbers[i]);
-        addLoad(copy, replies[i].first, group, now);
-        replies[i].second(std::move(copy));
+        // Each gets one of its own: whoever is first may take it apart.
+        proto::Answer own;
+        if (i + 1 < replies.size())
+            own = answer;
+        else
+            own.Swap(&answer);
+        own.set_number(numbers[i]);
+        addLoad(own, replies[i].first, group, now);
+        replies[i].second(std::move(own));
     }
 }
 
@@ -140,7 +144,8 @@
             { "queued", load.waitingCalls }, { "retry_after_ms", answer.retry_after_ms() },
             { "not_run", answer.outcome() == proto::NOT_RUN } } };
     if (event == RequestEvent::BackendFailed)
-        entry.numbers.emplace_back("content", static_cast<std::int64_t>(contentIdOf(contentOf(record.call))));
+        entry.numbers.emplace_back(
+            "content", static_cast<std::int64_t>(contentIdOf(contentOf(record.call, record.body))));
     record.trail.add(std::move(entry));
     record.trail.write(
         record.call.request_id(), record.sender.node, m_context->settings.log.sampleOneIn, now);
--- a/src/Node/OwnerCrashes.cpp
+++ b/src/Node/OwnerCrashes.cpp
@@ -25,7 +25,7 @@
 
 CrashSuspect Owner::suspectOf(const CallRecord& record, Instant now) const
 {
-    const auto content = contentOf(record.call);
+    const auto content = contentOf(record.call, record.body);
     const auto hash = quickHashOf(content);
     return { contentIdOf(content), now - record.started, m_goodEnds.contains(hash, now), hash };
 }
@@ -76,7 +76,7 @@
 
 void Owner::onRunSucceeded(const CallRecord& record, Instant now)
 {
-    const auto content = contentOf(record.call);
+    const auto content = contentOf(record.call, record.body);
     const auto hash = quickHashOf(content);
     m_goodEnds.recordSuccess(hash, now);
     if (!m_context->crashes.mayHaveStrikes(hash))
@@ -136,12 +136,12 @@
     refuseHeld(now);
 }
 
-std::optional<Duration> Owner::heldBack(const proto::Call& call, Instant now) const
+std::optional<Duration> Owner::heldBack(const proto::Call& call, const SharedBody& body, Instant now) const
 {
     const auto& ledger = m_context->crashes;
-    if (!ledger.hasHolds() || !ledger.mayBeHeld(quickHashOf(contentOf(call))))
+    if (!ledger.hasHolds() || !ledger.mayBeHeld(quickHashOf(contentOf(call, body))))
         return std::nullopt;
-    const auto content = contentIdOf(contentOf(call));
+    const auto content = contentIdOf(contentOf(call, body));
     const auto verdict = ledger.verdictOf(content, now);
     const bool isFree = verdict == CrashTracker::Verdict::Free
         || (verdict == CrashTracker::Verdict::Trial && mayTry(content));
@@ -153,7 +153,7 @@
     if (m_context->directory.trialUpstream(m_serviceId, content) != upstream())
         return false;
     return std::none_of(m_calls.begin(), m_calls.end(),
-        [&](const auto& it) { return contentIdOf(contentOf(it.second.call)) == content; });
+        [&](const auto& it) { return contentIdOf(contentOf(it.second.call, it.second.body)) == content; });
 }
 
 void Owner::refuseHeld(Instant now)
@@ -163,9 +163,9 @@
         return;
     std::vector<std::pair<std::uint64_t, Duration>> held;
     for (const auto& [id, record] : m_calls) {
-        if (record.isRunning || !ledger.mayBeHeld(quickHashOf(contentOf(record.call))))
+        if (record.isRunning || !ledger.mayBeHeld(quickHashOf(contentOf(record.call, record.body))))
             continue;
-        const auto content = contentIdOf(contentOf(record.call));
+        const auto content = contentIdOf(contentOf(record.call, record.body));
         if (ledger.verdictOf(content, now) == CrashTracker::Verdict::Held)
             held.emplace_back(id, ledger.timeUntilTrial(content, now));
     }
--- a/src/Node/OwnerLife.cpp
+++ b/src/Node/OwnerLife.cpp
@@ -46,6 +46,7 @@
     options.address = m_backendAddress;
     options.maxConnections = info.config.connections();
     options.connectTimeout = connectTimeout;
+    options.replies = m_context->replies;
     options.maxReply = longestReply;
     // Calls that run at a former address end there.
     if (m_pool)
@@ -78,6 +79,7 @@
 {
     setSign(LeavingSign::NodeStop, true, now);
     m_isEnding = true;
+    giveUpBodies(Reason::Leaving, now);
     for (const auto& [node, ingress] : m_ingresses)
         sendLastWord(ingress.sender);
 }
--- a/src/Node/OwnerRun.cpp
+++ b/src/Node/OwnerRun.cpp
@@ -214,7 +214,8 @@
         request.headers.emplace_back(headers::attempts, std::to_string(record.call.attempts_left()));
         request.headers.emplace_back(headers::group, record.call.group());
     }
-    request.body = record.call.body();
+    if (!record.body)
+        request.body = record.call.body();
     return request;
 }
 
@@ -239,6 +240,7 @@
     HttpPool::SendOptions options;
     options.timeout = record.deadline - now + replySlack;
     options.longestRest = record.isRepeatable ? anyRest : longestRest;
+    options.body = bytesOf(record.body);
     if (!record.call.request_id().empty()) {
         options.isOurs
             = [name = m_context->headers.requestId, own = record.call.request_id()](const HttpReply& reply) {
@@ -317,12 +319,13 @@
         nested.set_calls(n);
     }
     recordTicket(record, answer);
-    answerAll(record, answer, now);
+    answerAll(record, std::move(answer), now);
     act(next, now);
 }
 
 void Owner::cancel(const Sender& sender, std::uint64_t number, Instant now)
 {
+    giveUpBody({ sender.life(), number }, Reason::Cancelled, now);
     const auto found = m_idByKey.find({ sender.life(), number });
     if (found == m_idByKey.end())
         return;
@@ -348,12 +351,13 @@
     answer.set_outcome(proto::UNKNOWN);
     answer.set_reason(static_cast<std::uint32_t>(reason));
     recordTicket(record, answer);
-    answerAll(record, answer, now);
+    answerAll(record, std::move(answer), now);
     act(next, now);
 }
 
 void Owner::endCalls(Instant now)
 {
+    giveUpBodies(Reason::Leaving, now);
     std::vector<std::uint64_t> ids;
     for (const auto& [id, record] : m_calls)
         ids.push_back(id);
--- a/src/Queueing/Refusal.h
+++ b/src/Queueing/Refusal.h
@@ -47,16 +47,18 @@
     VersionWithheld, ///< a roll-out does not send the call to this version of the backend server
     RateUnknown, ///< no lender of the group's rate has answered, so whether the group is below it is not
                  ///< known
+    NoMemory, ///< the owner has no memory for the body of the call now
+    BodyMissing, ///< the ingress did not send the body that the owner asked for
 };
 
 template <> struct EnumNames<Reason> {
-    static constexpr std::array<std::string_view, 35> names { "none", "queue-full", "over-share",
+    static constexpr std::array<std::string_view, 37> names { "none", "queue-full", "over-share",
         "would-miss-deadline", "deadline-passed", "stood-too-long", "leaving", "cancelled", "wrong-owner",
         "wrong-incarnation", "duplicate", "backend-unreachable", "no-upstream", "attempts-spent",
         "claim-undecided", "key-too-old", "ticket-unknown", "ticket-mismatch", "owner-lost", "backend-failed",
         "damaged", "too-many-tickets", "would-be-late", "backend-refused", "not-ready", "busy",
         "given-up-meanwhile", "crashes-servers", "warming-up", "entry-withheld", "credential-unproven",
-        "over-rate", "server-limit", "version-withheld", "rate-unknown" };
+        "over-rate", "server-limit", "version-withheld", "rate-unknown", "no-memory", "body-missing" };
 };
 
 /// \brief A call that the owner refuses before it was sent to the backend server.
--- a/src/Settings/NodeSettings.cpp
+++ b/src/Settings/NodeSettings.cpp
@@ -9,6 +9,10 @@
     constexpr std::size_t sha256HexLength = 64;
     constexpr std::uint64_t kibi = 1024;
     constexpr std::uint64_t mebi = 1024 * kibi;
+    constexpr double bytesPerMegabyte = 1e6;
+    /// What a node needs for all but the bodies of requests.
+    constexpr double otherMegabytes = 40;
+    constexpr double unknownBodyMegabytes = 256;
     /// Of the descriptors, for connections of callers.
     constexpr double callersShare = 0.75;
 
@@ -176,6 +180,13 @@
 
 } // namespace
 
+std::size_t NodeSettings::bodyMemory() const
+{
+    const auto megabytes
+        = memoryMegabytes > 0 ? std::max(memoryMegabytes - otherMegabytes, 0.0) : unknownBodyMegabytes;
+    return static_cast<std::size_t>(megabytes * bytesPerMegabyte);
+}
+
 std::size_t NodeSettings::callerConnections() const
 {
     rlimit allowed {};
@@ -198,6 +209,7 @@
     out.service = reader.text("service", "");
     out.backend = reader.address("backend", "");
     out.capacity = reader.number("capacity", 0, 1e4, 0);
+    out.memoryMegabytes = reader.number("memory_megabytes", 0, 1e7, 0);
     out.linkMegabits = reader.number("link_megabits", 0, 1e6, 0);
     out.chartsFolder = reader.text("charts", "charts");
     out.drainTimeout = reader.duration("drain_timeout", 0us, 1h, 30s);
--- a/src/Settings/NodeSettings.h
+++ b/src/Settings/NodeSettings.h
@@ -24,6 +24,7 @@
     std::string upstream; ///< id of the upstream this node owns; "" for a node that owns none
     std::string service; ///< of that upstream, where it is known beforehand; ""
     double capacity = 0; ///< cores that the node may use; 0: not known
+    double memoryMegabytes = 0; ///< that the process may have; 0: not known
     double linkMegabits = 0; ///< that the host's network link carries in a second; 0: not known
     std::string chartsFolder;
 
@@ -149,6 +150,9 @@
     Duration drainTimeout {};
     Duration lameDuck {}; ///< after a stop is asked for, calls are still taken: callers learn of it late
 
+    /// \returns the bytes that the bodies of requests and of replies may take, one half each.
+    std::size_t bodyMemory() const;
+
     /// \returns how many connections of callers may be open. The rest of the descriptors is for peers, the
     /// backend server and the store.
     std::size_t callerConnections() const;
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -216,6 +216,35 @@
     REQUIRE(caller.readAll().substr(0, 12) == "HTTP/1.1 408");
 }
 
+TEST_CASE("Bodies share the memory of their server; small ones take none", "[http]")
+{
+    const auto base = makeLoop();
+    HttpServer::Options options;
+    options.address = freeAddress();
+    options.bodies = MemoryBudget(300000);
+    const auto server = std::move(HttpServer::listen(base.get(), options, [](auto exchange) {
+        exchange->reply({ 200, {}, std::to_string(exchange->takeBody().bytes.size()) });
+    }).value());
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: ";
+    const auto send = [&](std::size_t n) {
+        support::RawCaller caller(base.get(), options.address);
+        caller.write(head + std::to_string(n) + "\r\n\r\n" + std::string(n, 'x'));
+        return caller.readAll();
+    };
+    auto stalled = std::make_unique<support::RawCaller>(base.get(), options.address);
+    stalled->write(head + "200000\r\n\r\n" + std::string(100000, 'x'));
+    REQUIRE(support::runUntil(base.get(), [&] { return options.bodies.used() == 200000; }));
+    const auto refused = send(150000);
+    REQUIRE(refused.substr(0, 12) == "HTTP/1.1 503");
+    REQUIRE(refused.find("Retry-After: 1") != std::string::npos);
+    REQUIRE(send(60000).substr(0, 12) == "HTTP/1.1 200");
+    stalled.reset();
+    REQUIRE(support::runUntil(base.get(), [&] { return options.bodies.used() == 0; }));
+    REQUIRE(send(150000).substr(0, 12) == "HTTP/1.1 200");
+    REQUIRE(send(900000).substr(0, 12) == "HTTP/1.1 200"); // alone
+    REQUIRE(options.bodies.used() == 0);
+}
+
 TEST_CASE("A connection beyond the bound takes the place of the one that waits longest", "[http]")
 {
     const auto base = makeLoop();
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -412,3 +412,93 @@
     f.waitAnswers(4);
     REQUIRE_FALSE(f.owner.serverLimit());
 }
+
+TEST_CASE("An owner asks for a long body part by part, and runs the call once it is whole", "[node]")
+{
+    OwnerFixture f;
+    const std::string body(300000, 'b');
+    auto it = f.call(1);
+    it.set_method("POST");
+    it.set_body_hash(hash64(body));
+    it.set_body_length(body.size());
+    const auto answerParts = [&](std::size_t most) {
+        for (std::size_t i = 0; i < f.answers.size() && i < most; ++i) {
+            if (!f.answers[i].wanted_bytes())
+                return;
+            proto::BodyPart part;
+            part.set_number(1);
+            part.set_from(f.answers[i].wanted_from());
+            part.set_bytes(body.substr(f.answers[i].wanted_from(), f.answers[i].wanted_bytes()));
+            f.owner.takeBodyPart(OwnerFixture::ingress(), part, monotonicNow());
+        }
+    };
+    SECTION("whole")
+    {
+        f.server.reset();
+        f.server = std::move(
+            HttpServer::listen(f.base.get(), { f.backend, 1U << 20U, 10000, 10s }, [&](auto exchange) {
+                f.running.push_back(std::move(exchange));
+            }).value());
+        f.take(it);
+        REQUIRE(f.context.bodies.used() == body.size());
+        answerParts(100);
+        f.waitRunning(1);
+        REQUIRE(f.running[0]->request().body == body);
+        f.running[0]->reply({ 200, {}, "done" });
+        REQUIRE(runUntil(f.base.get(), [&] {
+            return f.answers.back().outcome() == proto::ANSWERED && f.answers.back().status() == 200;
+        }));
+        f.running.clear();
+        REQUIRE(runUntil(f.base.get(), [&] { return f.context.bodies.used() == 0; }));
+    }
+    SECTION("damaged")
+    {
+        it.set_body_hash(hash64("other"));
+        f.take(it);
+        answerParts(100);
+        REQUIRE(f.reason(f.answers.size() - 1) == Reason::Damaged);
+    }
+    SECTION("a part out of order")
+    {
+        f.take(it);
+        proto::BodyPart part;
+        part.set_number(1);
+        part.set_from(7);
+        part.set_bytes("x");
+        f.owner.takeBodyPart(OwnerFixture::ingress(), part, monotonicNow());
+        REQUIRE(f.reason(1) == Reason::Damaged);
+    }
+    SECTION("nothing comes")
+    {
+        f.take(it);
+        f.owner.tick(monotonicNow() + 2500ms);
+        REQUIRE(f.reason(1) == Reason::BodyMissing);
+        REQUIRE(f.answers[1].outcome() == proto::NOT_RUN);
+    }
+    SECTION("the node ends")
+    {
+        f.take(it);
+        answerParts(1);
+        f.owner.beginEnd(monotonicNow());
+        REQUIRE(f.reason(f.answers.size() - 1) == Reason::Leaving);
+    }
+    SECTION("the ingress gives it up")
+    {
+        f.take(it);
+        f.owner.cancel(OwnerFixture::ingress(), 1, monotonicNow());
+        REQUIRE(f.reason(1) == Reason::Cancelled);
+    }
+    SECTION("no room")
+    {
+        f.context.bodies = MemoryBudget(400000);
+        auto other = f.context.bodies.share();
+        REQUIRE(other.resize(200000));
+        f.take(it);
+        REQUIRE(f.reason(0) == Reason::NoMemory);
+        REQUIRE(f.answers[0].outcome() == proto::NOT_RUN);
+        REQUIRE(f.answers[0].retry_after_ms() > 0);
+        return;
+    }
+    REQUIRE(f.context.bodies.used() == 0);
+    REQUIRE(f.owner.isIdle());
+}
--- a/tools/CommandLine.h
+++ b/tools/CommandLine.h
@@ -17,6 +17,7 @@
 #include <getopt.h>
 #include <google/protobuf/stubs/logging.h>
 #include <iostream>
+#include <malloc.h>
 #include <memory>
 #include <string>
 #include <system_error>
@@ -100,6 +101,16 @@
     return { settings.log.level, settings.log.format, settings.name, settings.log.linesPerSecond, true };
 }
 
+/// \brief Lets the allocator give large blocks back to the system as soon as they are freed. By itself it
+/// comes to keep those of up to 32 MiB, and bodies of requests are as large.
+inline void keepLargeBlocksApart()
+{
+    constexpr int largeBlock = 1 << 20; // bytes
+    constexpr int keptFree = 4 << 20; // bytes at the end of the heap
+    mallopt(M_MMAP_THRESHOLD, largeBlock);
+    mallopt(M_TRIM_THRESHOLD, keptFree);
+}
+
 /// \brief Starts a node from settings and charts that are good, and runs it to its end.
 /// \param file of the settings, to read them again. \returns the exit status.
 using RunNode = std::function<int(const std::string& file, NodeSettings settings, Charts charts)>;
@@ -126,6 +137,7 @@
         std::cout << "settings and charts are good\n";
         return EXIT_SUCCESS;
     }
+    keepLargeBlocksApart();
     return run(line.settings, std::move(settings.value()), std::move(charts.value()));
 }
 
