Review: an acknowledged leave is forgotten when all processes are killed

review/8: with the store down, an upstream leaves (DELETE, and serves on); all processes are killed right after the acknowledgement and started again. A heartbeat from before the leave arrives late. From 6 s after the acknowledgement on, three times drain_ms, with all machines in touch and the store back, the nodes send requests to the upstream as to any other (DRAIN).

The stand-ins keep the case reloads at 14 machines.

--- a/review/standins-2/Record.h
+++ b/review/standins-2/Record.h
@@ -4,7 +4,7 @@
 
 #include <fstream>
 #include <iostream>
-#include <set>
+#include <map>
 #include <string>
 
 namespace review {
@@ -31,16 +31,22 @@
     void ran(const std::string& request, const std::string& upstream)
     {
         line("run " + request + " at " + upstream);
-        m_ran.insert(request);
+        m_ran[request] = upstream;
     }
     bool hasRun(const std::string& request) const { return m_ran.contains(request); }
+    /// \returns the upstream that ran \a request last; "" if none did.
+    std::string ranAt(const std::string& request) const
+    {
+        const auto it = m_ran.find(request);
+        return it == m_ran.end() ? "" : it->second;
+    }
 
 private:
     double seconds() const { return robinrun::toSeconds(robinrun::monotonicNow() - m_start); }
 
     std::ofstream m_out;
     robinrun::Instant m_start;
-    std::set<std::string> m_ran;
+    std::map<std::string, std::string> m_ran; ///< the upstream, by request
 };
 
 } // namespace review
--- a/review/standins-2/Site.cpp
+++ b/review/standins-2/Site.cpp
@@ -354,6 +354,23 @@
     m_record->note("request " + id + " was run; its connection to " + host.name + " ended with no answer");
 }
 
+void Site::setStoreDown(bool isDown)
+{
+    m_store.mode = isDown ? support::FakeStore::Mode::Refusing : support::FakeStore::Mode::Up;
+    m_record->note(isDown ? "the store is down" : "the store is back");
+}
+
+std::size_t Site::runsAt(const std::string& id, Duration length)
+{
+    const auto first = m_lastRequest + 1;
+    pass(length);
+    const auto last = m_lastRequest;
+    std::size_t out = 0;
+    for (auto i = first; i <= last; ++i)
+        out += m_record->ranAt("q" + std::to_string(i)) == id ? 1 : 0;
+    return out;
+}
+
 void Site::pass(Duration length) const
 {
     const auto end = Timer::once(m_base, length, [this] { event_base_loopbreak(m_base); });
--- a/review/standins-2/Site.h
+++ b/review/standins-2/Site.h
@@ -113,6 +113,12 @@
     /// s after a SIGHUP of their machine.
     std::uint64_t cutAfterReload() const { return m_cutAfterReload; }
 
+    /// \brief The platform's store is down: it answers 503 and does nothing.
+    void setStoreDown(bool isDown);
+
+    /// \returns how many of the requests that are sent in the next \a length the upstream \a id runs.
+    std::size_t runsAt(const std::string& id, Duration length);
+
     void pass(Duration length) const;
 
 private:
--- a/review/standins-2/Upstream.h
+++ b/review/standins-2/Upstream.h
@@ -7,6 +7,7 @@
 #include "Record.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -77,6 +78,25 @@
         m_held.reset();
     }
 
+    /// \brief Says that it leaves, with the last word of its incarnation, and serves on. Its health path then
+    /// says that it leaves. \a onAcknowledged runs with the 2xx.
+    void leave(std::function<void()> onAcknowledged)
+    {
+        m_record->note("upstream " + m_id + " says that it leaves");
+        m_heartbeat = Timer();
+        m_toNode->send({ "DELETE", "/instances/" + m_id, {}, "" }, 1s,
+            [this, onAcknowledged = std::move(onAcknowledged)](const Result<HttpReply, HttpError>& reply) {
+                if (!reply || reply.value().status / 100 != 2)
+                    return m_record->note("  it gets no acknowledgement");
+                m_record->note("  it gets " + std::to_string(reply.value().status));
+                m_isLeaving = true;
+                m_server->setClosing(true); // its answers end their connections
+                onAcknowledged();
+            });
+    }
+    bool isLeaving() const { return m_isLeaving; }
+    bool holdsBeat() const { return m_held.has_value(); }
+
     /// \brief Whether its health check is false: it says ill, while the upstream is well.
     void setFalselyIll(bool isFalselyIll) { m_isFalselyIll = isFalselyIll; }
 
@@ -125,8 +145,9 @@
         const auto& request = exchange->request();
         auto headers = headersFor(request);
         if (request.target == "/healthz") {
-            m_record->line("health of " + m_id + ": " + (m_isFalselyIll ? "503, falsely" : "200"));
-            return exchange->reply({ m_isFalselyIll ? 503 : 200, headers, "" });
+            const int status = m_isFalselyIll || m_isLeaving ? 503 : 200;
+            m_record->line("health of " + m_id + ": " + std::to_string(status));
+            return exchange->reply({ status, headers, "" });
         }
         const auto target = findHeader(request.headers, "X-Robinrun-Target-Instance");
         if (target && *target != m_id) {
@@ -166,6 +187,7 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_runs = 0;
     bool m_isFalselyIll = false;
+    bool m_isLeaving = false;
     bool m_isCut = false;
     std::optional<HttpRequest> m_held; ///< the first heartbeat since the cut
     std::map<std::uint64_t, Timer> m_work;
--- a/review/standins-2/site-main.cpp
+++ b/review/standins-2/site-main.cpp
@@ -102,11 +102,11 @@
     return judgeRecovery(site);
 }
 
-/// \brief The settings files of four machines of 13 change, in series.
+/// \brief The settings files of four machines of 14 change, in series.
 int playReloads(const Play& play)
 {
     Site site(play.base,
-        { play.root, play.folder, { { "shop", 3, 1 }, { "cards", 5, 1 }, { "streaks", 5, 1 } }, 45, 120ms },
+        { play.root, play.folder, { { "shop", 3, 1 }, { "cards", 5, 1 }, { "streaks", 6, 1 } }, 45, 120ms },
         play.record);
     if (!site.startToServe())
         return notPlayed;
@@ -151,6 +151,40 @@
     return judgeRecovery(site);
 }
 
+/// \brief All processes are killed right after an upstream's leave was acknowledged, while the store is down;
+/// a heartbeat from before the leave arrives late.
+int playForgottenLeave(const Play& play)
+{
+    constexpr Duration drain = 2s; // `drain_ms`
+    constexpr Duration contact = 3s; // `contact_ms`
+    Site site(play.base, shopOptions(play), play.record);
+    if (!site.startToServe())
+        return notPlayed;
+    auto& leaving = *site.hostsOf("shop").front()->upstream;
+    if (play.hasTrouble)
+        site.setStoreDown(true);
+    leaving.setCut(play.hasTrouble); // its next heartbeat is late
+    site.pass(1600ms);
+    leaving.leave([&] {
+        if (play.hasTrouble)
+            site.kill(site.present());
+    });
+    site.pass(2s);
+    if (!leaving.isLeaving())
+        return notPlayed;
+    if (play.hasTrouble) {
+        site.setStoreDown(false);
+        site.pass(1s);
+        leaving.deliverHeldBeat();
+    }
+    site.pass(contact); // from here on all machines are in touch, longer than drain after the acknowledgement
+    static_assert(contact > drain);
+    const auto runs = site.runsAt(leaving.id(), 4s);
+    play.record.note(
+        "requests sent 6 s and more after the acknowledgement that it runs: " + std::to_string(runs));
+    return runs ? broken : held;
+}
+
 int playCase(const std::string& name, const Play& play)
 {
     if (name == "false-ill")
@@ -159,6 +193,8 @@
         return playLateBeat(play);
     if (name == "reused-addresses")
         return playReusedAddresses(play);
+    if (name == "forgotten-leave")
+        return playForgottenLeave(play);
     if (name == "reloads")
         return playReloads(play);
     std::cerr << "no such case: " << name << '\n';
