Review: case 6 is dropped, since review/2 shows the same fault

The provisional leaving of a health answer that says ill is written into the node's record and binds its next life: review/2 shows that with kills in series, the dropped case showed it with one herd_kill and the final fault. The stand-ins lose what only this case used.

--- a/review/standins-2/Upstream.h
+++ b/review/standins-2/Upstream.h
@@ -95,10 +95,6 @@
             });
     }
     bool isLeaving() const { return m_isLeaving; }
-    bool holdsBeat() const { return m_held.has_value(); }
-
-    /// \brief Whether its health check is false: it says ill, while the upstream is well.
-    void setFalselyIll(bool isFalselyIll) { m_isFalselyIll = isFalselyIll; }
 
     const std::string& id() const { return m_id; }
 
@@ -145,7 +141,7 @@
         const auto& request = exchange->request();
         auto headers = headersFor(request);
         if (request.target == "/healthz") {
-            const int status = m_isFalselyIll || m_isLeaving ? 503 : 200;
+            const int status = m_isLeaving ? 503 : 200;
             m_record->line("health of " + m_id + ": " + std::to_string(status));
             return exchange->reply({ status, headers, "" });
         }
@@ -186,7 +182,6 @@
     std::uint64_t m_starts = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_runs = 0;
-    bool m_isFalselyIll = false;
     bool m_isLeaving = false;
     bool m_isCut = false;
     std::optional<HttpRequest> m_held; ///< the first heartbeat since the cut
--- a/review/standins-2/site-main.cpp
+++ b/review/standins-2/site-main.cpp
@@ -47,30 +47,6 @@
     return wasServing && site.servedShare(8s) < leastServed ? broken : held;
 }
 
-/// \brief The health checks of two upstreams are false for two seconds, in which many nodes are killed, and
-/// then all.
-int playFalseIll(const Play& play)
-{
-    Site site(play.base, shopOptions(play), play.record);
-    if (!site.startToServe())
-        return notPlayed;
-    if (!play.hasTrouble)
-        return judgeRecovery(site);
-    const auto shop = site.hostsOf("shop");
-    for (auto* it : shop)
-        it->upstream->setFalselyIll(true);
-    auto many = site.present();
-    many.resize(8);
-    site.kill(many);
-    site.pass(800ms);
-    site.kill(site.present());
-    site.pass(1200ms);
-    for (auto* it : shop)
-        it->upstream->setFalselyIll(false);
-    play.record.note("the health checks are true again");
-    return judgeRecovery(site);
-}
-
 /// \brief Two upstreams crash behind a cut from the control addresses and start again; all nodes are killed;
 /// a heartbeat from before the crash arrives after the new incarnation has registered.
 int playLateBeat(const Play& play)
@@ -187,8 +163,6 @@
 
 int playCase(const std::string& name, const Play& play)
 {
-    if (name == "false-ill")
-        return playFalseIll(play);
     if (name == "late-beat")
         return playLateBeat(play);
     if (name == "reused-addresses")
