Tests: the raw server is a support header and ends connections in four ways

The stand-in that answers with fixed bytes was local to HttpTest and could reset or close only. Tests of broken answers need it in other files, with uploads that it leaves unread, an end that is delayed, and an orderly end of its own direction. Each connection has its own thread, so that one that waits holds up no other.

--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -4,6 +4,7 @@
 #include "Platform/HttpPlatform.h"
 #include "support/Loopback.h"
 #include "support/RawCaller.h"
+#include "support/RawServer.h"
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
@@ -14,7 +15,10 @@
 #include <unistd.h>
 
 using namespace robinrun;
+using support::ask;
+using support::Ending;
 using support::freeAddress;
+using support::RawServer;
 
 namespace {
 
@@ -88,78 +92,6 @@
     return out;
 }
 
-/// \brief A server of the test's own on a socket: answers each connection with fixed bytes.
-class RawServer {
-public:
-    explicit RawServer(std::string answer)
-        : m_answer(std::move(answer))
-    {
-        std::string ip;
-        std::uint16_t port = 0;
-        splitAddress(address, ip, port);
-        m_listener = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in at {};
-        at.sin_family = AF_INET;
-        at.sin_port = htons(port);
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(bind(m_listener, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0);
-        REQUIRE(listen(m_listener, 5) == 0);
-        m_thread = std::thread([this] { serve(); });
-    }
-    ~RawServer()
-    {
-        shutdown(m_listener, SHUT_RDWR);
-        m_thread.join();
-        for (const auto fd : m_open)
-            close(fd);
-        close(m_listener);
-    }
-    RawServer(const RawServer&) = delete;
-    RawServer& operator=(const RawServer&) = delete;
-
-    std::string address = freeAddress();
-    bool resets = false;
-    bool closes = false;
-
-private:
-    void serve()
-    {
-        for (int fd = accept(m_listener, nullptr, nullptr); fd >= 0;
-             fd = accept(m_listener, nullptr, nullptr)) {
-            char buf[4096];
-            (void)!read(fd, buf, sizeof(buf));
-            (void)!write(fd, m_answer.data(), m_answer.size());
-            const linger hard { 1, 0 };
-            if (resets) {
-                usleep(50000);
-                setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
-            }
-            if (resets || closes)
-                close(fd);
-            else
-                m_open.push_back(fd);
-        }
-    }
-
-    std::string m_answer;
-    int m_listener = -1;
-    std::vector<int> m_open;
-    std::thread m_thread;
-};
-
-/// \brief Asks \a server once. \returns the result, and whether its connection may be used again.
-std::pair<Result<HttpReply, HttpError>, bool> ask(RawServer& server, HttpPool::SendOptions how = { 2s })
-{
-    const auto base = makeLoop();
-    HttpPool::Options options;
-    options.address = server.address;
-    HttpPool pool(base.get(), options);
-    std::optional<Result<HttpReply, HttpError>> out;
-    pool.send({ "GET", "/", {}, {} }, std::move(how), [&](auto result) { out.emplace(std::move(result)); });
-    REQUIRE(support::runUntil(base.get(), [&] { return out.has_value(); }));
-    return { std::move(*out), pool.connections() > 0 };
-}
-
 } // namespace
 
 TEST_CASE("Requests that can be read in two ways are refused, and end their connection", "[http]")
@@ -287,12 +219,10 @@
 
 TEST_CASE("A reply without a length ends with its connection, but not by a reset", "[http]")
 {
-    RawServer whole("HTTP/1.1 200 OK\r\n\r\nall of it");
-    whole.closes = true;
-    REQUIRE(ask(whole).first.value().body == "all of it");
-    RawServer reset("HTTP/1.1 200 OK\r\n\r\nall of it");
-    reset.resets = true;
-    REQUIRE(ask(reset).first.error().kind == HttpErrorKind::Broken);
+    const RawServer whole({ "HTTP/1.1 200 OK\r\n\r\nall of it", Ending::Closes });
+    REQUIRE(ask(whole).result.value().body == "all of it");
+    const RawServer reset({ "HTTP/1.1 200 OK\r\n\r\nall of it", Ending::Resets, 50ms });
+    REQUIRE(ask(reset).result.error().kind == HttpErrorKind::Broken);
 }
 
 // A connection that was to end cut its last answer off one second after it was given.
@@ -316,8 +246,8 @@
 
 TEST_CASE("Bytes after a whole reply belong to no request", "[http]")
 {
-    RawServer server(
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+    const RawServer server(
+        { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb" });
     const auto [result, isKept] = ask(server);
     REQUIRE(result.value().body == "a");
     REQUIRE_FALSE(isKept);
@@ -325,8 +255,8 @@
 
 TEST_CASE("A reply to another request is dropped and the right one awaited", "[http]")
 {
-    RawServer server("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nId: "
-                     "mine\r\nContent-Length: 1\r\n\r\nb");
+    const RawServer server({ "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nId: "
+                             "mine\r\nContent-Length: 1\r\n\r\nb" });
     HttpPool::SendOptions options { 2s };
     options.isOurs = [](const HttpReply& reply) { return findHeader(reply.headers, "Id") == "mine"; };
     const auto [result, isKept] = ask(server, options);
@@ -336,20 +266,20 @@
 
 TEST_CASE("Interim replies are passed over; what is no reply is an error", "[http]")
 {
-    RawServer interim("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
-    REQUIRE(ask(interim).first.value().body == "a");
-    RawServer noise("\x16\x03 what is this\r\n\r\n");
-    REQUIRE(ask(noise).first.error().kind == HttpErrorKind::Broken);
+    const RawServer interim({ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" });
+    REQUIRE(ask(interim).result.value().body == "a");
+    const RawServer noise({ "\x16\x03 what is this\r\n\r\n" });
+    REQUIRE(ask(noise).result.error().kind == HttpErrorKind::Broken);
 }
 
 // Interim replies, and replies to other requests, were passed over for as long as they came.
 TEST_CASE("A server that never comes to its reply is given up before the time is over", "[http]")
 {
     const auto errorOf = [](const std::string& bytes) {
-        RawServer server(bytes);
+        const RawServer server({ bytes });
         HttpPool::SendOptions options { 5s };
         options.isOurs = [](const HttpReply& reply) { return findHeader(reply.headers, "Id") == "mine"; };
-        return ask(server, options).first.error().kind;
+        return ask(server, options).result.error().kind;
     };
     const auto repeated = [](const std::string& text, std::size_t times) {
         std::string out;
@@ -374,14 +304,14 @@
         { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n" }) {
         CAPTURE(head);
-        RawServer server(head + piece);
-        REQUIRE(ask(server, { 5s }).first.error().kind == HttpErrorKind::TooLarge);
+        const RawServer server({ head + piece });
+        REQUIRE(ask(server, { 5s }).result.error().kind == HttpErrorKind::TooLarge);
     }
 }
 
 TEST_CASE("A reply that comes before the request was read ends the connection", "[http]")
 {
-    RawServer server("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
+    const RawServer server({ "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n" });
     const auto base = makeLoop();
     HttpPool::Options options;
     options.address = server.address;
