A reply without a length that is reset during an upload is broken

Callers saw: a server answered a long upload with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written; the caller got the part as a whole answer.

Cause: a write that fails takes the pending error of the socket (ECONNRESET), so that the read after it returns 0. Callbacks are deferred, and both events come as one: a trace of eventCame shows 0x33 (reading, writing, end of file, error; errno 104) in each run that went wrong, and the end-of-file bit alone decided.

Why it works: an end of file counts as an orderly end only if no write has failed. An orderly end is read before any write fails; where both are told at once it can't be known which came first, and the reply is not taken for whole. The exchange ends at once as broken (may have run).

--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -133,7 +133,9 @@
     }
     if (!connection.m_parser)
         return connection.m_pool->restEnded(&connection);
-    if ((what & BEV_EVENT_EOF) && connection.m_isConnected) {
+    // A write that fails takes the socket's error, and the next read then returns 0 after a reset, too.
+    const bool isOrderlyEnd = (what & BEV_EVENT_EOF) && !(what & BEV_EVENT_WRITING);
+    if (isOrderlyEnd && connection.m_isConnected) {
         connection.m_parser->end();
         if (connection.m_parser->isDone()) {
             auto reply = connection.m_parser->take();
