A reply that came whole together with a reset is delivered

Callers saw: a server answered a long upload early with a whole reply of known length, over 16 KiB, and closed; the caller got 504 instead of it, as soon as the reset was there before the reply had been read.

Cause: a write that fails ended the exchange at once, with the rest of the reply still in the socket (libevent reads 16 KiB a turn).

Why it works: after a failed write the connection is only read on; the end that a read tells settles the exchange, and the connection keeps in mind that no end of file is an orderly one any more. A dead socket is readable to its end, so nothing waits; the time of the request bounds it in any case.

--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -133,8 +133,13 @@
     }
     if (!connection.m_parser)
         return connection.m_pool->restEnded(&connection);
+    if (what & BEV_EVENT_WRITING)
+        connection.m_hasWriteFailed = true;
+    // What came before the connection failed is still to be read; the end of that is told by a read.
+    if (connection.m_isConnected && !(what & BEV_EVENT_READING))
+        return;
     // A write that fails takes the socket's error, and the next read then returns 0 after a reset, too.
-    const bool isOrderlyEnd = (what & BEV_EVENT_EOF) && !(what & BEV_EVENT_WRITING);
+    const bool isOrderlyEnd = (what & BEV_EVENT_EOF) && !connection.m_hasWriteFailed;
     if (isOrderlyEnd && connection.m_isConnected) {
         connection.m_parser->end();
         if (connection.m_parser->isDone()) {
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -40,6 +40,7 @@
     std::function<bool(const HttpReply&)> m_isOurs;
     std::uint64_t m_number = 0;
     bool m_isConnected = false;
+    bool m_hasWriteFailed = false; ///< for good: such a connection is never used again
     unsigned m_surplus = 0; ///< replies to other requests that came during this one
     MemoryBudget::Share m_room; ///< for the reply
     Instant m_restingSince {};
--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -72,3 +72,21 @@
         }
     }
 }
+
+// A request that could no longer be written ended the exchange, whatever had come and was not read yet.
+TEST_CASE("A reply of known length that came whole together with a reset is delivered", "[http]")
+{
+    constexpr int repeats = 20;
+    for (const auto ending : { Ending::Resets, Ending::Closes }) {
+        for (const std::size_t n : { 0, 1000, 40000 }) {
+            CAPTURE(static_cast<int>(ending), n);
+            int whole = 0;
+            for (int i = 0; i < repeats; ++i) {
+                const RawServer server({ withLength(413, n), ending });
+                const auto result = upload(server);
+                whole += result.has_value() && result.value().body.size() == n ? 1 : 0;
+            }
+            CHECK(whole == repeats);
+        }
+    }
+}
