A reply whose status is none is refused at once

Callers saw (other systems of the users): a server in trouble answered with status 000, and the client got that as an answer. Here 000 to 099 were passed over as interim replies: the call ended 504 at its deadline, and a 200 behind a 000 was taken for the answer; 600 to 999 were passed on.

Cause: the parser takes any three digits; ReplyParser asked only whether the status is below 200. 101 was passed over as well, though no request sent asks for another protocol, and what comes behind it is none of HTTP.

Statuses of two or four digits, with a sign, a blank or none were refused before; their checks are kept.

Why it works: the status is checked once the header is whole, before a body is awaited, for interim replies, too (RFC 9110, 15). The call ends at once as one that may have run, so that an idempotent one still has time for another server.

--- a/src/Http/HttpTypes.h
+++ b/src/Http/HttpTypes.h
@@ -51,7 +51,7 @@
 enum class HttpErrorKind {
     NotConnected, ///< no byte of the request can have reached the server
     TimedOut,
-    Broken, ///< the connection ended before the whole reply
+    Broken, ///< the connection ended before the whole reply, or what came is no HTTP/1.1 reply
     TooLarge,
     BadRequest, ///< it can't be sent at all, as with an unknown method
 };
--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -18,6 +18,9 @@
 
     /// Replies carry few fields; what is longer is no reply.
     constexpr std::uint32_t maxReplyHeaders = 64U << 10U;
+    constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599;
+    constexpr int switchingProtocols = 101;
     constexpr int firstFinalStatus = 200;
     /// Interim replies to one request; a server that goes on and on with them never answers.
     constexpr unsigned maxInterimReplies = 64;
@@ -212,6 +215,7 @@
 
 struct ReplyParser::State {
     http::response_parser<http::string_body> parser;
+    bool isHeaderChecked = false;
 };
 
 ReplyParser::ReplyParser(std::size_t maxBody, bool hasNoBody)
@@ -244,6 +248,8 @@
             return failure(HttpErrorKind::TooLarge);
         if (ec && ec != http::error::need_more)
             return failure(HttpErrorKind::Broken);
+        if (m_state->parser.is_header_done() && !std::exchange(m_state->isHeaderChecked, true) && !isProper())
+            return failure(HttpErrorKind::Broken);
         // The parser bounds bodies in chunks and those that end with the connection, not announced ones.
         if (!isDone() && m_state->parser.is_header_done()
             && m_state->parser.content_length().value_or(0) > m_maxBody)
@@ -262,6 +268,12 @@
     return boost::outcome_v2::success();
 }
 
+bool ReplyParser::isProper() const
+{
+    const auto status = static_cast<int>(m_state->parser.get().result_int());
+    return status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+}
+
 std::size_t ReplyParser::bodyBytes() const
 {
     return m_state->parser.get().body().size();
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -63,6 +63,9 @@
 };
 
 /// \brief Reads HTTP/1.1 replies off a connection; interim (1xx) replies are passed over.
+///
+/// Beyond the parser's own checks it refuses statuses outside 100 to 599 (RFC 9110, 15), and 101, since no
+/// request asks for another protocol.
 class ReplyParser {
 public:
     /// \param hasNoBody of a reply to HEAD.
@@ -92,6 +95,8 @@
 private:
     struct State;
     void restart();
+    /// \returns whether the header is one of a reply. Needs the whole header.
+    bool isProper() const;
 
     std::size_t m_maxBody;
     bool m_hasNoBody;
--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -4,11 +4,13 @@
 #include "support/RawServer.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 
 using namespace robinrun;
 using support::ask;
 using support::Ending;
+using support::RawReply;
 using support::RawServer;
 
 namespace {
@@ -27,6 +29,17 @@
         + std::string(n, 'b');
 }
 
+/// The rest of a reply, behind its status line.
+const std::string shortBody = "Content-Length: 1\r\n\r\na";
+
+/// \returns how a request that is answered with \a reply fails; nothing if it does not.
+std::optional<HttpErrorKind> errorOf(const RawReply& reply)
+{
+    const RawServer server(reply);
+    const auto result = ask(server).result;
+    return result ? std::nullopt : std::optional(result.error().kind);
+}
+
 } // namespace
 
 // The write that failed took the error of the socket, and the end that was read after it looked like an
@@ -90,3 +103,23 @@
         }
     }
 }
+
+// 000 to 099 were passed over as interim replies, until the time of the request was over; 600 and above
+// passed on.
+TEST_CASE("A status outside 100 to 599, or 101, is refused at once", "[reply]")
+{
+    for (const std::string status : { "000", "001", "099", "101", "600", "999" }) {
+        CAPTURE(status);
+        const auto bytes = "HTTP/1.1 " + status + " X\r\n" + shortBody;
+        CHECK(errorOf({ bytes }) == HttpErrorKind::Broken);
+        CHECK(errorOf({ bytes + withLength(200, 1) }) == HttpErrorKind::Broken);
+        CHECK(errorOf({ "HTTP/1.1 " + status + " X\r\n\r\n" + withLength(200, 1) }) == HttpErrorKind::Broken);
+    }
+    for (const std::string status : { "20", "2000", "+20", "2 0", "-20", "0x1", "" }) {
+        CAPTURE(status);
+        CHECK(errorOf({ "HTTP/1.1 " + status + " X\r\n" + shortBody }) == HttpErrorKind::Broken);
+    }
+    for (const int status : { 200, 299, 599 })
+        CHECK_FALSE(errorOf({ withLength(status, 1) }));
+    CHECK_FALSE(errorOf({ "HTTP/1.1 103 X\r\n\r\n" + withLength(200, 1) }));
+}
