A body that begins with a blank is not taken for a folded field

Callers saw: a sound request whose body begins with a blank or a tab got 400 if the last byte of its header came in one piece with the body.

Cause: the parser consumes whole lines; what is left then begins with the empty line that ends the header, and hasFoldedField looked for a second one, in the body.

Why it works: a head that begins with the empty line has no further field.

--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -57,10 +57,11 @@
         return ec == http::error::body_limit ? bodyTooLarge : badRequest;
     }
 
-    /// \returns whether one of the header lines at the start of \a head goes on in the next line.
+    /// \returns whether one of the header lines at the start of \a head, which may be the empty line that
+    /// ends the header, goes on in the next line.
     bool hasFoldedField(std::string_view head)
     {
-        const auto end = head.find("\r\n\r\n");
+        const auto end = head.starts_with("\r\n") ? 0 : head.find("\r\n\r\n");
         for (auto at = head.find("\r\n"); at < end; at = head.find("\r\n", at + 2)) {
             if (at + 2 < head.size() && (head[at + 2] == ' ' || head[at + 2] == '\t'))
                 return true;
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -1,5 +1,6 @@
 #include "Http/HttpPool.h"
 #include "Http/HttpServer.h"
+#include "Http/internal/HttpParser.h"
 #include "Node/Timer.h"
 #include "Platform/HttpPlatform.h"
 #include "support/Loopback.h"
@@ -8,6 +9,8 @@
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <event2/buffer.h>
+#include <memory>
 #include <netinet/in.h>
 #include <rapidcheck/catch.h>
 #include <sys/socket.h>
@@ -116,6 +119,24 @@
     REQUIRE(status("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(40000, 'x')) == "HTTP/1.1 431");
 }
 
+// A body that begins with a blank looked like a folded field if it came with the last byte of the header.
+TEST_CASE("A body that begins with a blank is no part of the header, wherever the request is cut", "[http]")
+{
+    const std::string body = " a\r\n b";
+    const auto bytes
+        = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (std::size_t at = 0; at <= bytes.size(); ++at) {
+        CAPTURE(at);
+        internal::RequestParser parser(1000, 1000);
+        const std::unique_ptr<evbuffer, void (*)(evbuffer*)> in(evbuffer_new(), &evbuffer_free);
+        evbuffer_add(in.get(), bytes.data(), at);
+        CHECK(parser.feed(in.get()));
+        evbuffer_add(in.get(), bytes.data() + at, bytes.size() - at);
+        CHECK(parser.feed(in.get()));
+        CHECK((parser.isDone() && parser.take().body == body));
+    }
+}
+
 // Trailers and the lines of chunks were read on for as long as they came.
 TEST_CASE("Trailers and the lines of chunks have the bound of the header", "[http]")
 {
