A folded header field makes a reply broken

Callers saw (other systems of the users): an answer in whose head the name of a field held a blank reached the client, with that line passed on or with a body that was not the upstream's. Here a line that begins with a blank or a tab was joined to the value before it: a signature `a.b` became `a.b X-Y: 1`, and a Content-Length written so was not one, so that the body went on to the end of the connection.

Cause: RequestParser refuses folded fields, ReplyParser left them to the parser, which joins them.

Why it works: a proxy refuses or replaces such a field (RFC 9112, 5.2), and refusing is what requests have already. The parser takes header lines whole and a folded field only with all its lines, so each fold stands in the bytes that it took at one time; they are looked at once.

--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -242,8 +242,12 @@
     while (evbuffer_get_length(in) > 0 && !isDone()) {
         m_hasStarted = true;
         const auto bytes = contents(in);
+        const bool isInHeader = !m_state->parser.is_header_done();
         boost::beast::error_code ec;
         const auto used = m_state->parser.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+        // The parser takes whole lines, and a folded field only with all of its lines.
+        if (isInHeader && hasFoldedField(bytes.substr(0, used)))
+            return failure(HttpErrorKind::Broken);
         evbuffer_drain(in, used);
         if (ec == http::error::body_limit || ec == http::error::header_limit)
             return failure(HttpErrorKind::TooLarge);
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -64,8 +64,8 @@
 
 /// \brief Reads HTTP/1.1 replies off a connection; interim (1xx) replies are passed over.
 ///
-/// Beyond the parser's own checks it refuses statuses outside 100 to 599 (RFC 9110, 15), and 101, since no
-/// request asks for another protocol.
+/// Beyond the parser's own checks it refuses statuses outside 100 to 599 (RFC 9110, 15), 101, since no
+/// request asks for another protocol, and folded header fields (RFC 9112, 5.2).
 class ReplyParser {
 public:
     /// \param hasNoBody of a reply to HEAD.
--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -1,11 +1,15 @@
 /// \file Answers that are cut short or are no HTTP/1.1 replies, from a server that writes them byte by byte.
 
 #include "Http/HttpPool.h"
+#include "Http/internal/HttpParser.h"
 #include "support/RawServer.h"
 
 #include <catch2/catch.hpp>
+#include <event2/buffer.h>
+#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 using namespace robinrun;
 using support::ask;
@@ -17,6 +21,7 @@
 
 /// More than the sockets hold, so that a part of the request is still to be written when the reply comes.
 constexpr std::size_t uploadBytes = 8U << 20U;
+constexpr std::size_t longestReply = 1U << 20U;
 
 Result<HttpReply, HttpError> upload(const RawServer& server)
 {
@@ -40,6 +45,22 @@
     return result ? std::nullopt : std::optional(result.error().kind);
 }
 
+/// \returns the reply that a parser reads from \a bytes, which come in two pieces cut at \a at and with an
+/// orderly end of the connection; nothing if they are none.
+std::optional<HttpReply> parsed(std::string_view bytes, std::size_t at)
+{
+    internal::ReplyParser parser(longestReply, false);
+    const std::unique_ptr<evbuffer, void (*)(evbuffer*)> in(evbuffer_new(), &evbuffer_free);
+    for (const auto piece : { bytes.substr(0, at), bytes.substr(at) }) {
+        evbuffer_add(in.get(), piece.data(), piece.size());
+        if (!parser.feed(in.get()))
+            return std::nullopt;
+    }
+    if (!parser.isDone())
+        parser.end();
+    return parser.isDone() ? std::optional(parser.take()) : std::nullopt;
+}
+
 } // namespace
 
 // The write that failed took the error of the socket, and the end that was read after it looked like an
@@ -123,3 +144,26 @@
         CHECK_FALSE(errorOf({ withLength(status, 1) }));
     CHECK_FALSE(errorOf({ "HTTP/1.1 103 X\r\n\r\n" + withLength(200, 1) }));
 }
+
+// A line that begins with a blank was joined to the value before it, also one that named the length of the
+// body.
+TEST_CASE("A folded header field is refused, wherever the header is cut into pieces", "[reply]")
+{
+    const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+    for (const std::string field : { "X: a\r\n b", "X: a\r\n\tb", "X:\r\n b", "X: a\r\n \r\nY: b",
+             "X: a\r\n Y: b", "X: a\r\n Content-Length: 7" }) {
+        for (const auto& bytes : { statusLine + field + "\r\n" + shortBody,
+                 "HTTP/1.1 103 X\r\n" + field + "\r\n\r\n" + statusLine + shortBody }) {
+            CAPTURE(bytes);
+            CHECK(errorOf({ bytes }) == HttpErrorKind::Broken);
+            for (std::size_t at = 0; at <= bytes.size(); ++at)
+                CHECK_FALSE(parsed(bytes, at));
+        }
+    }
+    const std::string body = "\r\n a\r\n\tb: c\r\n\r\n d";
+    const auto sound = statusLine + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (std::size_t at = 0; at <= sound.size(); ++at) {
+        const auto reply = parsed(sound, at);
+        CHECK((reply && reply->body == body));
+    }
+}
