A reply with a transfer coding other than chunked alone is broken

Callers saw: a 200 whose body was what the socket gave, with chunk sizes within where chunked is named but isn't the last coding; with `gzip, chunked` a body in a coding that no field named any more, since Transfer-Encoding belongs to one connection and is left out.

Cause: the parser takes a reply for chunked if the last coding of the last line says so, and else reads up to the Content-Length or the end of the connection; ReplyParser did not look at the coding.

Chunked alone in any case of letters and with empty list items is read as before, and replies that have no body (HEAD, 204, 304) may name any coding. A length beside chunked was refused before; the check is kept.

Why it works: no request sent allows a coding (there is no TE field), so chunked alone is all that can be decoded (RFC 9112, 6.1 and 6.3); what can't be decoded ends at once as broken. A coding in HTTP/1.0 is faulty framing by the same section. hasToken(), which nothing used, gives way to listItems().

--- a/src/Http/HttpTypes.cpp
+++ b/src/Http/HttpTypes.cpp
@@ -38,20 +38,18 @@
         hopByHop.begin(), hopByHop.end(), [&](auto it) { return equalIgnoringCase(it, name); });
 }
 
-bool hasToken(std::string_view list, std::string_view token)
+std::vector<std::string_view> listItems(std::string_view list)
 {
+    std::vector<std::string_view> items;
     while (!list.empty()) {
-        const auto comma = list.find(',');
-        auto item = list.substr(0, comma);
+        const auto comma = std::min(list.find(','), list.size());
+        const auto item = list.substr(0, comma);
         const auto first = item.find_first_not_of(" \t");
-        const auto last = item.find_last_not_of(" \t");
-        if (first != std::string_view::npos && equalIgnoringCase(item.substr(first, last - first + 1), token))
-            return true;
-        if (comma == std::string_view::npos)
-            return false;
-        list.remove_prefix(comma + 1);
+        if (first != std::string_view::npos)
+            items.push_back(item.substr(first, item.find_last_not_of(" \t") - first + 1));
+        list.remove_prefix(std::min(comma + 1, list.size()));
     }
-    return false;
+    return items;
 }
 
 bool splitAddress(const std::string& address, std::string& ip, std::uint16_t& port)
--- a/src/Http/HttpTypes.h
+++ b/src/Http/HttpTypes.h
@@ -25,8 +25,8 @@
 /// \returns whether \a a and \a b are equal but for the case of ASCII letters.
 bool equalIgnoringCase(std::string_view a, std::string_view b);
 
-/// \returns whether \a list, a comma-separated field value, has the token \a token in any case of letters.
-bool hasToken(std::string_view list, std::string_view token);
+/// \returns the items of \a list, a comma-separated field value, without the empty ones (RFC 9110, 5.6.1).
+std::vector<std::string_view> listItems(std::string_view list);
 
 /// \brief Splits `ip:port`. \returns false if it is none.
 bool splitAddress(const std::string& address, std::string& ip, std::uint16_t& port);
--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -28,6 +28,7 @@
     /// nothing, while a buffer that grows is there twice each time.
     constexpr std::size_t reserveFrom = 1U << 20U;
     constexpr unsigned firstVersionWithHost = 11; // as the parser counts: HTTP/1.1
+    constexpr unsigned firstVersionWithCodings = 11;
     constexpr int noContent = 204;
     constexpr int notModified = 304;
 
@@ -69,6 +70,22 @@
         return false;
     }
 
+    /// \returns whether \a fields name `chunked` as the only transfer coding, once.
+    bool isChunkedAlone(const http::fields& fields)
+    {
+        std::size_t codings = 0;
+        bool isChunked = false;
+        const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+        for (auto it = first; it != last; ++it) {
+            const auto value = it->value();
+            for (const auto coding : listItems({ value.data(), value.size() })) {
+                ++codings;
+                isChunked = equalIgnoringCase(coding, "chunked");
+            }
+        }
+        return codings == 1 && isChunked;
+    }
+
     void add(evbuffer* out, std::string_view s)
     {
         evbuffer_add(out, s.data(), s.size());
@@ -275,8 +292,15 @@
 
 bool ReplyParser::isProper() const
 {
-    const auto status = static_cast<int>(m_state->parser.get().result_int());
-    return status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+    const auto& message = m_state->parser.get();
+    const auto status = static_cast<int>(message.result_int());
+    const bool isStatus = status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+    const bool isBodyless
+        = m_hasNoBody || status < firstFinalStatus || status == noContent || status == notModified;
+    const bool isCoded = message.count(http::field::transfer_encoding) > 0;
+    const bool hasFraming
+        = !isCoded || (message.version() >= firstVersionWithCodings && isChunkedAlone(message));
+    return isStatus && (isBodyless || hasFraming);
 }
 
 std::size_t ReplyParser::bodyBytes() const
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -65,7 +65,8 @@
 /// \brief Reads HTTP/1.1 replies off a connection; interim (1xx) replies are passed over.
 ///
 /// Beyond the parser's own checks it refuses statuses outside 100 to 599 (RFC 9110, 15), 101, since no
-/// request asks for another protocol, and folded header fields (RFC 9112, 5.2).
+/// request asks for another protocol, folded header fields (RFC 9112, 5.2), and bodies with a transfer coding
+/// other than `chunked` alone, or with one in HTTP/1.0 (RFC 9112, 6.1), whose end or content can't be told.
 class ReplyParser {
 public:
     /// \param hasNoBody of a reply to HEAD.
--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -167,3 +167,45 @@
         CHECK((reply && reply->body == body));
     }
 }
+
+// Such bodies were delivered as the socket gave them, with the sizes of the chunks within.
+TEST_CASE("A body with a transfer coding other than chunked alone is refused at once", "[reply]")
+{
+    const std::string chunks = "\r\n1\r\na\r\n0\r\n\r\n";
+    const auto coded = [&](const std::string& codings, const std::string& more = "") {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codings + "\r\n" + more + chunks;
+    };
+    for (const std::string codings : { "gzip", "gzip, chunked", "chunked, gzip", "identity", "x chunked",
+             "chunked;q=1", "chunked, chunked", "\"chunked\"" }) {
+        for (const std::string more : { "", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n" }) {
+            CAPTURE(codings, more);
+            CHECK(errorOf({ coded(codings, more) }) == HttpErrorKind::Broken);
+        }
+    }
+    for (const std::string codings : { "", "," }) {
+        CAPTURE(codings);
+        CHECK(errorOf({ coded(codings) }) == HttpErrorKind::Broken);
+        CHECK(errorOf({ coded(codings, "Content-Length: 5\r\n") }) == HttpErrorKind::Broken);
+        // An empty item of a list says nothing, so both lines together name chunked alone.
+        CHECK_FALSE(errorOf({ coded(codings, "Transfer-Encoding: chunked\r\n") }));
+    }
+    CHECK(errorOf({ coded("chunked", "Content-Length: 5\r\n") }) == HttpErrorKind::Broken);
+    CHECK(errorOf({ coded("chunked", "Transfer-Encoding: chunked\r\n") }) == HttpErrorKind::Broken);
+    CHECK(errorOf({ "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks }) == HttpErrorKind::Broken);
+    for (const std::string codings : { "chunked", "Chunked", ", chunked ," }) {
+        CAPTURE(codings);
+        const RawServer server({ coded(codings) });
+        CHECK(ask(server).result.value().body == "a");
+    }
+}
+
+TEST_CASE("A reply that has no body may name any transfer coding", "[reply]")
+{
+    const std::string coding = "Transfer-Encoding: gzip, chunked\r\n\r\n";
+    for (const int status : { 204, 304 }) {
+        const RawServer server({ "HTTP/1.1 " + std::to_string(status) + " X\r\n" + coding });
+        CHECK(ask(server).result.value().status == status);
+    }
+    const RawServer server({ "HTTP/1.1 200 OK\r\n" + coding });
+    CHECK(ask(server, { 2s }, { "HEAD", "/", {}, {} }).result.value().status == 200);
+}
