Trailers of a reply stay out of its header

Callers saw: a line that a server sent behind a body in chunks reached the client as a field of the header, a folded one joined to the value before it.

Cause: the parser adds the fields of a trailer to those of the header, and the header was read when the reply was whole.

A trailer that is none, or that names a length or a coding, was refused before; a test is kept.

Why it works: the parser stops behind the header, which is checked and read there, before a byte of the body.

--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -233,7 +233,7 @@
 
 struct ReplyParser::State {
     http::response_parser<http::string_body> parser;
-    bool isHeaderChecked = false;
+    std::optional<HttpHeaders> headers; ///< once the header is whole and was checked
 };
 
 ReplyParser::ReplyParser(std::size_t maxBody, bool hasNoBody)
@@ -248,7 +248,6 @@
 void ReplyParser::restart()
 {
     m_state = std::make_unique<State>();
-    m_state->parser.eager(true);
     m_state->parser.header_limit(maxReplyHeaders);
     m_state->parser.body_limit(m_maxBody);
     m_state->parser.skip(m_hasNoBody);
@@ -270,8 +269,13 @@
             return failure(HttpErrorKind::TooLarge);
         if (ec && ec != http::error::need_more)
             return failure(HttpErrorKind::Broken);
-        if (m_state->parser.is_header_done() && !std::exchange(m_state->isHeaderChecked, true) && !isProper())
-            return failure(HttpErrorKind::Broken);
+        if (m_state->parser.is_header_done() && !m_state->headers) {
+            if (!isProper())
+                return failure(HttpErrorKind::Broken);
+            // The parser adds the fields of a trailer to those of the header.
+            m_state->headers = readHeaders(m_state->parser.get());
+            m_state->parser.eager(true);
+        }
         // The parser bounds bodies in chunks and those that end with the connection, not announced ones.
         if (!isDone() && m_state->parser.is_header_done()
             && m_state->parser.content_length().value_or(0) > m_maxBody)
@@ -328,9 +332,10 @@
 HttpReply ReplyParser::take()
 {
     auto message = m_state->parser.release();
+    auto headers = std::move(*m_state->headers);
     restart();
     m_hasStarted = false;
-    return { static_cast<int>(message.result_int()), readHeaders(message), std::move(message.body()) };
+    return { static_cast<int>(message.result_int()), std::move(headers), std::move(message.body()) };
 }
 
 bool isMethod(std::string_view name)
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -67,6 +67,7 @@
 /// Beyond the parser's own checks it refuses statuses outside 100 to 599 (RFC 9110, 15), 101, since no
 /// request asks for another protocol, folded header fields (RFC 9112, 5.2), and bodies with a transfer coding
 /// other than `chunked` alone, or with one in HTTP/1.0 (RFC 9112, 6.1), whose end or content can't be told.
+/// Trailers are dropped (RFC 9110, 6.5.1).
 class ReplyParser {
 public:
     /// \param hasNoBody of a reply to HEAD.
--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -209,3 +209,31 @@
     const RawServer server({ "HTTP/1.1 200 OK\r\n" + coding });
     CHECK(ask(server, { 2s }, { "HEAD", "/", {}, {} }).result.value().status == 200);
 }
+
+// The parser joined them to the header, folded lines with the value before them.
+TEST_CASE("Fields of a trailer are not those of the header", "[reply]")
+{
+    for (const std::string trailer : { "X: y", "X: y\r\n z", "X: y\r\n\tZ: 1" }) {
+        const auto bytes = "HTTP/1.1 200 OK\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+            + trailer + "\r\n\r\n";
+        for (std::size_t at = 0; at <= bytes.size(); ++at) {
+            CAPTURE(trailer, at);
+            const auto reply = parsed(bytes, at);
+            REQUIRE(reply);
+            CHECK(reply->body == "a");
+            CHECK(findHeader(reply->headers, "A") == "b");
+            CHECK_FALSE(findHeader(reply->headers, "X"));
+        }
+    }
+}
+
+TEST_CASE("A trailer that is none, or that names a framing, makes a reply broken", "[reply]")
+{
+    for (const std::string trailer : { "X : y", " X: y", "X\x01Y: z", "none", ": y", "Content-Length: 1",
+             "Transfer-Encoding: chunked", "Transfer-Encoding: gzip" }) {
+        CAPTURE(trailer);
+        CHECK(errorOf({ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" + trailer
+                  + "\r\n\r\n" })
+            == HttpErrorKind::Broken);
+    }
+}
