--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -1,19 +1,20 @@
 /// \file Answers that are cut short or are no HTTP/1.1 replies, from a server that writes them byte by byte.
 
 #include "Http/HttpPool.h"
-#include "Http/internal/HttpParser.h"
+#include "support/ParsedReply.h"
 #include "support/RawServer.h"
 
 #include <catch2/catch.hpp>
-#include <event2/buffer.h>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 using namespace robinrun;
 using support::ask;
 using support::Ending;
+using support::parsed;
 using support::RawReply;
 using support::RawServer;
 
@@ -21,7 +22,6 @@
 
 /// More than the sockets hold, so that a part of the request is still to be written when the reply comes.
 constexpr std::size_t uploadBytes = 8U << 20U;
-constexpr std::size_t longestReply = 1U << 20U;
 
 Result<HttpReply, HttpError> upload(const RawServer& server)
 {
@@ -45,22 +45,6 @@
     return result ? std::nullopt : std::optional(result.error().kind);
 }
 
-/// \returns the reply that a parser reads from \a bytes, which come in two pieces cut at \a at and with an
-/// orderly end of the connection; nothing if they are none.
-std::optional<HttpReply> parsed(std::string_view bytes, std::size_t at)
-{
-    internal::ReplyParser parser(longestReply, false);
-    const std::unique_ptr<evbuffer, void (*)(evbuffer*)> in(evbuffer_new(), &evbuffer_free);
-    for (const auto piece : { bytes.substr(0, at), bytes.substr(at) }) {
-        evbuffer_add(in.get(), piece.data(), piece.size());
-        if (!parser.feed(in.get()))
-            return std::nullopt;
-    }
-    if (!parser.isDone())
-        parser.end();
-    return parser.isDone() ? std::optional(parser.take()) : std::nullopt;
-}
-
 } // namespace
 
 // The write that failed took the error of the socket, and the end that was read after it looked like an
@@ -237,3 +221,90 @@
             == HttpErrorKind::Broken);
     }
 }
+
+TEST_CASE("A malformed header is refused at once", "[reply]")
+{
+    const std::string nul(1, '\0');
+    for (const std::string& field :
+        { std::string("X : y"), std::string("X\t: y"), std::string("X Y: z"), std::string("X\x01Y: z"),
+            std::string("\x01X: y"), std::string("X\x7fY: z"), "X" + nul + "Y: z", std::string(" X: y"),
+            std::string("\tX: y"), std::string("X(: y"), std::string("X\xc3Y: z"), std::string(": y"),
+            std::string("none"), std::string("X: a\x01z"), "X: a" + nul + "b", std::string("X: a\rb"),
+            std::string("X: a\nb"), std::string("X: a\nY: b"), std::string("X: a\x7fz") }) {
+        CAPTURE(field);
+        CHECK(errorOf({ "HTTP/1.1 200 OK\r\n" + field + "\r\n" + shortBody }) == HttpErrorKind::Broken);
+        CHECK(errorOf({ "HTTP/1.1 103 X\r\n" + field + "\r\n\r\n" + withLength(200, 1) })
+            == HttpErrorKind::Broken);
+    }
+    for (const std::string& statusLine : { std::string("HTTP/1.2 200 X"), std::string("HTTP/2.0 200 X"),
+             std::string("HTTP/0.9 200 X"), std::string("HTTP/11 200 X"), std::string("http/1.1 200 X"),
+             std::string(" HTTP/1.1 200 X"), std::string("\r\nHTTP/1.1 200 X"),
+             std::string("HTTP/1.1  200 X"), std::string("HTTP/1.1 200 \x01"),
+             std::string("HTTP/1.1 200 a\rb"), std::string("HTTP/1.1 200 a\nb"), "HTTP/1.1 200 " + nul }) {
+        CAPTURE(statusLine);
+        CHECK(errorOf({ statusLine + "\r\n" + shortBody }) == HttpErrorKind::Broken);
+    }
+}
+
+TEST_CASE("A malformed or contradicting length, or chunk, makes a reply broken", "[reply]")
+{
+    for (const std::string length : { "+1", "-1", "1 1", "0x1", "1, 2", "", "1.0", "1;", "\"1\"",
+             "99999999999999999999999", "18446744073709551617", "1\r\nContent-Length: 2" }) {
+        CAPTURE(length);
+        CHECK(errorOf({ "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\na", Ending::Closes })
+            == HttpErrorKind::Broken);
+    }
+    for (const std::string chunks : { "1\r\nab\r\n0\r\n\r\n", "2\r\na\r\n0\r\n\r\n", "1\na\n0\n\n",
+             "-1\r\na\r\n0\r\n\r\n", "+1\r\na\r\n0\r\n\r\n", "0x1\r\na\r\n0\r\n\r\n", " 1\r\na\r\n0\r\n\r\n",
+             "10000000000000001\r\na\r\n0\r\n\r\n", "g\r\na\r\n0\r\n\r\n", "\r\na\r\n0\r\n\r\n",
+             "1;x\x01=y\r\na\r\n0\r\n\r\n", "1\r\na0\r\n\r\n" }) {
+        CAPTURE(chunks);
+        CHECK(errorOf({ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, Ending::Closes })
+            == HttpErrorKind::Broken);
+    }
+}
+
+TEST_CASE("A reply that is cut anywhere is never taken for whole", "[reply]")
+{
+    const std::string interim = "HTTP/1.1 103 X\r\nA: b\r\n\r\n";
+    const auto known = interim + "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello";
+    const auto chunked = interim
+        + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n5;x=y\r\nhello\r\n0\r\nC: d\r\n\r\n";
+    for (const auto& bytes : { known, chunked }) {
+        for (std::size_t n = 0; n < bytes.size(); ++n) {
+            CAPTURE(bytes.substr(0, n));
+            CHECK_FALSE(parsed(std::string_view(bytes).substr(0, n), n / 2));
+        }
+        CHECK(parsed(bytes, bytes.size() / 2));
+    }
+    const std::string head = "HTTP/1.1 200 OK\r\nA: b\r\n\r\n";
+    for (std::size_t n = 0; n < head.size(); ++n) {
+        for (const auto ending : { Ending::Closes, Ending::Resets }) {
+            CAPTURE(n, static_cast<int>(ending));
+            CHECK(errorOf({ head.substr(0, n), ending }) == HttpErrorKind::Broken);
+        }
+    }
+}
+
+TEST_CASE("Bytes without end are given up at a bound, wherever they stand", "[reply]")
+{
+    constexpr std::size_t muchLonger = 8U << 20U;
+    const auto many = [](std::string_view text) {
+        std::string out;
+        while (out.size() < muchLonger)
+            out += text;
+        return out;
+    };
+    const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = statusLine + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto& [begin, piece] : std::vector<std::pair<std::string, std::string>> { { "", "x" },
+             { "", "\r\n" }, { "", std::string(1, '\0') }, { "HTTP/1.1 200 ", "x" },
+             { statusLine, "X: y\r\n" }, { statusLine + "X", "x" }, { statusLine + "X: ", "x" },
+             { "", "HTTP/1.1 103 X\r\n\r\n" }, { chunked, "0" }, { chunked + "1;", "x" },
+             { chunked, "10\r\n0123456789abcdef\r\n" }, { chunked + "0\r\n", "X: y\r\n" },
+             { statusLine + "\r\n", "x" }, { statusLine + "Content-Length: 99999999\r\n\r\n", "x" } }) {
+        CAPTURE(begin, piece);
+        const auto error = errorOf({ begin + many(piece) });
+        CHECK((error == HttpErrorKind::Broken || error == HttpErrorKind::TooLarge));
+    }
+}
