Tests: nodes as processes are a support fixture

MemoryTest started its nodes as processes with the settings of the deploy folder by itself; the tests of broken replies need the same. The class moves to support/MeshProcesses.h with the limits of the hosts as a parameter.

--- a/test/MemoryTest.cpp
+++ b/test/MemoryTest.cpp
@@ -1,12 +1,9 @@
-#include "support/ChildProcess.h"
 #include "support/Crowd.h"
-#include "support/MeshFixture.h"
-#include "support/SettingsTemplate.h"
+#include "support/MeshProcesses.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <filesystem>
-#include <fstream>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -17,7 +14,7 @@
 
 using namespace robinrun;
 using support::CrowdMember;
-using support::MeshFixture;
+using support::MeshProcesses;
 
 namespace {
 
@@ -49,26 +46,18 @@
 
 /// \brief Three nodes as processes: node 0 is of the service `other`, nodes 1 and 2 are beside the backend
 /// servers of `shop`. The crowd comes to node 0.
-class SmallHosts : public MeshFixture {
+class SmallHosts : public MeshProcesses {
 public:
     SmallHosts()
-        : m_folder(std::filesystem::temp_directory_path() / ("robinrun-memory-" + std::to_string(getpid())))
+        : MeshProcesses("memory", { memoryMegabytes, descriptors })
     {
-        std::filesystem::create_directories(m_folder);
-        store.put("keyed.op", "config", withLongBodies(configuration(5)));
+        store.put("keyed.op", "config", configurationWithBodies(5, longestBody));
         for (const auto* service : { "other", "shop", "shop" })
             addProcess(service);
         untilServed(0);
         untilServed(1);
         untilServed(2);
     }
-    ~SmallHosts()
-    {
-        m_nodes.clear();
-        std::filesystem::remove_all(m_folder);
-    }
-    SmallHosts(const SmallHosts&) = delete;
-    SmallHosts& operator=(const SmallHosts&) = delete;
 
     /// \brief Adds \a n members to the crowd at node \a place.
     void come(std::size_t n, const CrowdMember::Script& script, std::size_t place = 0)
@@ -124,11 +113,11 @@
     void checkNodes()
     {
         CHECK(call(0, "GET", "/read/x").status == 200);
-        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
             CAPTURE(i);
-            REQUIRE(m_nodes[i]->isRunning());
-            CHECK(peakKilobytes(m_nodes[i]->pid()) <= memoryKilobytes);
-            CHECK(openDescriptors(m_nodes[i]->pid()) <= descriptors);
+            REQUIRE(nodes[i]->isRunning());
+            CHECK(peakKilobytes(nodes[i]->pid()) <= memoryKilobytes);
+            CHECK(openDescriptors(nodes[i]->pid()) <= descriptors);
         }
     }
 
@@ -144,13 +133,6 @@
     }
 
 private:
-    static std::string withLongBodies(std::string text)
-    {
-        const std::string former = R"("max_body_bytes":65536)";
-        return text.replace(
-            text.find(former), former.size(), R"("max_body_bytes":)" + std::to_string(longestBody));
-    }
-
     void addProcess(const std::string& service)
     {
         auto place = newPlace(service);
@@ -158,32 +140,9 @@
         backend.stop();
         backend.longestBody = longestBody;
         backend.start();
-        const auto& s = place.settings;
-        const auto file = m_folder / (s.name + ".yaml");
-        auto text = support::fillTemplate(support::readFile(std::string(SOURCE_FOLDER) + "/deploy/node.yaml"),
-            { { "node", s.name }, { "zone", s.dataHall }, { "region", s.region }, { "service", service },
-                { "app_addr", s.backend }, { "ip", "127.0.0.1" },
-                { "port_range.0", support::portOf(s.listen.peers) },
-                { "port_range.1", support::portOf(s.listen.metrics) },
-                { "listen.outbound", s.listen.callers }, { "listen.readiness", s.listen.readiness },
-                { "listen.control", s.listen.announcements }, { "provider.address", store.address },
-                { "provider.writes_per_s", "400" }, { "provider.reads_per_s", "2000" },
-                { "limits.cpu_share", "1.0" }, { "limits.link_mbps", "1000.0" },
-                { "limits.memory_mb", std::to_string(memoryMegabytes) },
-                { "limits.max_fds", std::to_string(descriptors) }, { "bounds.retry_budget_ratio", "0.2" },
-                { "bounds.budget_slack", "58" } });
-        const std::string folder = "charts: charts";
-        text.replace(text.find(folder), folder.size(), "charts: " + std::string(SOURCE_FOLDER) + "/charts");
-        std::ofstream(file) << text;
-        m_nodes.push_back(std::make_unique<support::ChildProcess>(
-            std::vector<std::string> {
-                std::string(PROGRAM_FOLDER) + "/robinrun-mesh", "--settings", file.string() },
-            m_folder / (s.name + ".log")));
-        places.push_back(std::move(place));
+        startProcess(std::move(place));
     }
 
-    std::filesystem::path m_folder;
-    std::vector<std::unique_ptr<support::ChildProcess>> m_nodes;
     std::vector<std::unique_ptr<CrowdMember>> m_crowd;
 };
 
