Test: replies of a server without end are not kept by its node

Other operators saw a machine that kept such replies until it ran out of memory. The raw server goes on until its client closes, so that the other tests of such replies mean it, too.

--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -17,6 +17,7 @@
 using support::parsed;
 using support::RawReply;
 using support::RawServer;
+using support::withoutEnd;
 
 namespace {
 
@@ -288,13 +289,6 @@
 
 TEST_CASE("Bytes without end are given up at a bound, wherever they stand", "[reply]")
 {
-    constexpr std::size_t muchLonger = 8U << 20U;
-    const auto many = [](std::string_view text) {
-        std::string out;
-        while (out.size() < muchLonger)
-            out += text;
-        return out;
-    };
     const std::string statusLine = "HTTP/1.1 200 OK\r\n";
     const std::string chunked = statusLine + "Transfer-Encoding: chunked\r\n\r\n";
     for (const auto& [begin, piece] : std::vector<std::pair<std::string, std::string>> { { "", "x" },
@@ -304,7 +298,7 @@
              { chunked, "10\r\n0123456789abcdef\r\n" }, { chunked + "0\r\n", "X: y\r\n" },
              { statusLine + "\r\n", "x" }, { statusLine + "Content-Length: 99999999\r\n\r\n", "x" } }) {
         CAPTURE(begin, piece);
-        const auto error = errorOf({ begin + many(piece) });
+        const auto error = errorOf(withoutEnd(begin, piece));
         CHECK((error == HttpErrorKind::Broken || error == HttpErrorKind::TooLarge));
     }
 }
--- a/test/BrokenServerTest.cpp
+++ b/test/BrokenServerTest.cpp
@@ -1,22 +1,19 @@
 /// \file Real nodes as processes beside a backend server whose replies to calls are broken: what callers see.
 
+#include "support/BrokenServer.h"
 #include "support/MeshProcesses.h"
-#include "support/RawServer.h"
 
-#include <atomic>
 #include <catch2/catch.hpp>
-#include <functional>
-#include <mutex>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
 using namespace robinrun;
+using support::BrokenServer;
 using support::Ending;
 using support::MeshProcesses;
 using support::RawReply;
-using support::RawServer;
+using support::withoutEnd;
 
 namespace {
 
@@ -24,60 +21,8 @@
 /// More than the sockets hold.
 constexpr std::size_t uploadBytes = 8U << 20U;
 
-/// \brief The reply to a call, made of the fields by which a server's own replies are known.
-using Reply = std::function<RawReply(const std::string& fields)>;
-
-/// \brief A backend server that is well, and answers calls as it is told.
-class BrokenServer {
-public:
-    BrokenServer()
-        : m_server([this](std::string_view request) { return answer(request); })
-    {
-    }
-
-    void replyWith(Reply reply)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_reply = std::move(reply);
-    }
-    const std::string& address() const { return m_server.address; }
-    int calls() const { return m_calls; }
-
-private:
-    RawReply answer(std::string_view request)
-    {
-        if (request.empty())
-            return { "", Ending::Closes };
-        if (request.starts_with("GET /healthz "))
-            return {
-                "HTTP/1.1 200 OK\r\nX-Robinrun-Instance-Id: i-broken\r\nX-Robinrun-Server-Load: 0,0,4,100\r\n"
-                "Content-Length: 0\r\nConnection: close\r\n\r\n",
-                Ending::Closes
-            };
-        ++m_calls;
-        const std::string_view name = "X-Robinrun-Request-Id: ";
-        const auto at = request.find(name);
-        const auto id = at == std::string_view::npos ? "" : request.substr(at, request.find("\r\n", at) - at);
-        const std::lock_guard lock(m_mutex);
-        return m_reply(std::string(id) + "\r\nX-Robinrun-Server-Signature: sig.i-broken\r\n");
-    }
-
-    std::atomic<int> m_calls = 0;
-    std::mutex m_mutex;
-    Reply m_reply;
-    RawServer m_server; ///< the last member: its threads use the others
-};
-
-Reply sound()
-{
-    return [](const std::string& fields) {
-        return RawReply { "HTTP/1.1 200 X\r\n" + fields + "Connection: close\r\nContent-Length: 1\r\n\r\na",
-            Ending::Closes };
-    };
-}
-
 /// \brief Replies that are none, by what is wrong with them.
-std::vector<std::pair<std::string, Reply>> brokenReplies()
+std::vector<std::pair<std::string, BrokenServer::Reply>> brokenReplies()
 {
     const auto with = [](std::string begin, std::string end, Ending ending = Ending::StaysOpen,
                           Duration pause = {}) {
@@ -98,7 +43,10 @@
         { "transfer coding",
             with(ok, "Transfer-Encoding: chunked, gzip\r\n\r\n1\r\na\r\n0\r\n\r\n", Ending::Closes) },
         { "cut header", with(ok, "X", Ending::Closes) },
-        { "header without end", with(ok, "X: " + std::string(uploadBytes, 'x')) },
+        { "header without end",
+            [=](const std::string& fields) { return withoutEnd(ok + fields + "X: ", "x"); } },
+        { "body without end",
+            [=](const std::string& fields) { return withoutEnd(ok + fields + "\r\n", "x"); } },
     };
 }
 
@@ -108,7 +56,7 @@
         : MeshProcesses("broken-server", {})
     {
         store.put("keyed.op", "config", configurationWithBodies(5, longestBody));
-        server.replyWith(sound());
+        server.replyWith(BrokenServer::sound());
         startProcess(newPlace("other"));
         auto place = newPlace("shop");
         place.backend->stop();
@@ -162,7 +110,7 @@
             // Not at the deadline.
             CHECK(findHeader(result.headers, "Robinrun-Reason") == "backend-failed");
         }
-        f.server.replyWith(sound());
+        f.server.replyWith(BrokenServer::sound());
         CHECK(f.upload(from).status == 200);
     }
 }
--- a/test/MemoryTest.cpp
+++ b/test/MemoryTest.cpp
@@ -1,3 +1,4 @@
+#include "support/BrokenServer.h"
 #include "support/Crowd.h"
 #include "support/MeshProcesses.h"
 
@@ -21,9 +22,10 @@
 /// The hosts have 64 MB and 256 descriptors, and bodies may have 16 MiB: in proportion to what a node needs
 /// for itself that is a host of 160 MB with bodies of 64 MiB.
 constexpr std::uint64_t memoryMegabytes = 64;
-constexpr std::uint64_t memoryKilobytes = memoryMegabytes * 1000 * 1000 / 1024;
 constexpr std::size_t descriptors = 256;
 constexpr std::size_t longestBody = 16U << 20U;
+/// The bound of replies is the same on every host; this is the smallest one that it is meant for.
+constexpr support::HostLimits hostsOfLongReplies { 160, descriptors };
 constexpr std::uint64_t farOver = 8 * std::uint64_t { longestBody };
 constexpr Duration patience = 60s; ///< ends a run that hangs
 
@@ -48,8 +50,9 @@
 /// servers of `shop`. The crowd comes to node 0.
 class SmallHosts : public MeshProcesses {
 public:
-    SmallHosts()
-        : MeshProcesses("memory", { memoryMegabytes, descriptors })
+    explicit SmallHosts(support::HostLimits limits = { memoryMegabytes, descriptors })
+        : MeshProcesses("memory", limits)
+        , m_limits(limits)
     {
         store.put("keyed.op", "config", configurationWithBodies(5, longestBody));
         for (const auto* service : { "other", "shop", "shop" })
@@ -116,8 +119,8 @@
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             CAPTURE(i);
             REQUIRE(nodes[i]->isRunning());
-            CHECK(peakKilobytes(nodes[i]->pid()) <= memoryKilobytes);
-            CHECK(openDescriptors(nodes[i]->pid()) <= descriptors);
+            CHECK(peakKilobytes(nodes[i]->pid()) <= m_limits.memoryMegabytes * 1000 * 1000 / 1024);
+            CHECK(openDescriptors(nodes[i]->pid()) <= m_limits.descriptors);
         }
     }
 
@@ -132,6 +135,16 @@
         return caller.received().substr(0, begin.size() + 3);
     }
 
+    /// \brief Adds a node of `shop` beside \a server.
+    void addBeside(const support::BrokenServer& server)
+    {
+        auto place = newPlace("shop");
+        place.backend->stop();
+        place.settings.backend = server.address();
+        startProcess(std::move(place));
+        untilServed(places.size() - 1);
+    }
+
 private:
     void addProcess(const std::string& service)
     {
@@ -143,6 +156,7 @@
         startProcess(std::move(place));
     }
 
+    support::HostLimits m_limits;
     std::vector<std::unique_ptr<CrowdMember>> m_crowd;
 };
 
@@ -274,3 +288,31 @@
     f.untilAllSent();
     f.checkNodes();
 }
+
+TEST_CASE("Replies of a server without end are not kept", "[memory]")
+{
+    constexpr int callers = 48;
+    static_assert(callers > support::BrokenServer::slots);
+    const std::string codingField = chunked + "\r\n";
+    for (const auto& [rest, text] : std::vector<std::pair<std::string, std::string>> { { "X: ", "x" },
+             { "", "X: y\r\n" }, { "\r\n", "x" }, { "Content-Length: 99999999\r\n\r\n", "x" },
+             { codingField + "1;", "x" }, { codingField, "400\r\n" + std::string(0x400, 'x') + "\r\n" },
+             { codingField + "0\r\n", "X: y\r\n" } }) {
+        CAPTURE(rest, text.substr(0, 10));
+        support::BrokenServer server;
+        SmallHosts f(hostsOfLongReplies);
+        f.addBeside(server);
+        server.replyWith([rest = rest, text = text](const std::string& fields) {
+            return support::withoutEnd("HTTP/1.1 200 X\r\n" + fields + rest, text);
+        });
+        const auto before = server.calls();
+        for (int i = 0; i < callers; ++i)
+            f.come(1,
+                { "GET /read/x HTTP/1.1\r\nHost: a.example\r\nX-Robinrun-Request-Id: p" + std::to_string(i)
+                    + "\r\nX-Robinrun-Deadline-Ms: 6000\r\n\r\n" },
+                3);
+        f.untilAllAnswered();
+        CHECK(server.calls() - before >= support::BrokenServer::slots / 4);
+        f.checkNodes();
+    }
+}
--- a/test/ReplyReadersTest.cpp
+++ b/test/ReplyReadersTest.cpp
@@ -33,7 +33,6 @@
 std::vector<std::pair<std::string, RawReply>> brokenReplies()
 {
     const std::string begin = "HTTP/1.1 200 X\r\n" + fields;
-    constexpr std::size_t beyondAllBounds = 70U << 20U;
     return {
         { "status 000", { "HTTP/1.1 000 X\r\n" + fields + noBody } },
         { "status 600", { "HTTP/1.1 600 X\r\n" + fields + noBody } },
@@ -43,8 +42,8 @@
         { "cut header", { begin, Ending::Closes } },
         { "cut body", { begin + "Content-Length: 9\r\n\r\n", Ending::Closes } },
         { "reset body", { begin + "\r\n", Ending::Resets, 50ms } },
-        { "header without end", { begin + std::string(beyondAllBounds, 'x') } },
-        { "body without end", { begin + "\r\n" + std::string(beyondAllBounds, 'x') } },
+        { "header without end", support::withoutEnd(begin, "x") },
+        { "body without end", support::withoutEnd(begin + "\r\n", "x") },
     };
 }
 
--- a/test/support/RawServer.h
+++ b/test/support/RawServer.h
@@ -31,8 +31,19 @@
     std::string bytes;
     Ending ending = Ending::StaysOpen;
     Duration pause {}; ///< between the bytes and the ending
+    std::string endless {}; ///< sent again and again behind the bytes until the client closes, if set
 };
 
+/// \returns a reply that begins with \a bytes and goes on with \a text for as long as it is read.
+inline RawReply withoutEnd(std::string bytes, std::string_view text)
+{
+    constexpr std::size_t bytesAtATime = 64U << 10U;
+    RawReply reply { std::move(bytes) };
+    while (reply.endless.size() < bytesAtATime)
+        reply.endless += text;
+    return reply;
+}
+
 /// \brief A server that answers the first bytes of each connection with any bytes. It reads at most 4 KiB of
 /// a request. Each connection has a thread of its own.
 class RawServer {
@@ -93,7 +104,9 @@
         keep(fd);
         const auto n = recv(fd, buf.data(), buf.size(), 0);
         const auto reply = m_answerer({ buf.data(), static_cast<std::size_t>(n > 0 ? n : 0) });
-        sendAll(fd, reply.bytes);
+        bool isOpen = sendAll(fd, reply.bytes);
+        while (isOpen && !reply.endless.empty())
+            isOpen = sendAll(fd, reply.endless);
         std::this_thread::sleep_for(reply.pause);
         const linger hard { 1, 0 };
         switch (reply.ending) {
@@ -112,14 +125,16 @@
         drop(fd);
     }
 
-    static void sendAll(int fd, std::string_view bytes)
+    /// \returns whether the connection is still open.
+    static bool sendAll(int fd, std::string_view bytes)
     {
         while (!bytes.empty()) {
             const auto n = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
             if (n <= 0)
-                return;
+                return false;
             bytes.remove_prefix(static_cast<std::size_t>(n));
         }
+        return true;
     }
 
     /// \brief Lets no thread wait for the rest of a request.
