A connection on which anything came while it rested is not used again

Callers would see: a server sends more behind a whole reply, or a 408 as it closes an idle connection; what lies in the socket when the next request is sent was read as the reply to that one. An end that lay there cut the next request off with 504, as one that may have run.

Cause: the pool learns what comes on a resting connection by the loop alone, and a request that is sent in the same turn came first. Seen in a test only, while looking for bytes that are no reply of the request's; a reply that names another request was dropped by its id before.

Evidence: the new test (a late 200, a late 408 and a close, a close, a reset; the loop not run meanwhile) got the late reply twice and `broken` twice before; now each second request goes over a connection of its own and gets its reply.

Why it works: a resting connection is looked at (a peek, one system call) before a request is written to it, and given up if it has anything to read or has ended. What comes later is behind the request, where it can't be told from an early reply.

--- a/src/Http/HttpPool.cpp
+++ b/src/Http/HttpPool.cpp
@@ -83,10 +83,14 @@
 {
     // The last used connection has rested least: if it is too old, all are.
     const auto now = monotonicNow();
-    if (!m_idle.empty() && m_idle.back()->rested(now) <= exchange.options.longestRest) {
-        exchange.connection = std::move(m_idle.back());
+    while (!m_idle.empty() && m_idle.back()->rested(now) <= exchange.options.longestRest) {
+        auto connection = std::move(m_idle.back());
         m_idle.pop_back();
-        return true;
+        if (connection->isQuiet()) {
+            exchange.connection = std::move(connection);
+            return true;
+        }
+        discard(std::move(connection));
     }
     if (m_connections >= m_options.maxConnections && !m_idle.empty()) {
         discard(std::move(m_idle.front()));
--- a/src/Http/HttpPool.h
+++ b/src/Http/HttpPool.h
@@ -25,7 +25,8 @@
 ///
 /// A request gets a connection of its own while it runs; the caller bounds how many run at once (at an owner:
 /// the slots). Requests beyond the bound wait for a connection. Nothing is ever sent twice. A connection is
-/// used again only after a whole request and a whole reply that allows it, with nothing left over.
+/// used again only after a whole request and a whole reply that allows it, with nothing left over and nothing
+/// that came since.
 class HttpPool {
 public:
     using Done = std::function<void(Result<HttpReply, HttpError>)>;
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -82,6 +83,14 @@
     bufferevent_set_timeouts(m_buffer, &tv, nullptr);
 }
 
+bool ClientConnection::isQuiet() const
+{
+    char byte = 0;
+    return evbuffer_get_length(bufferevent_get_input(m_buffer)) == 0
+        && recv(bufferevent_getfd(m_buffer), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0
+        && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void ClientConnection::readable(bufferevent*, void* self)
 {
     static_cast<ClientConnection*>(self)->readOn();
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -23,6 +23,9 @@
 
     /// \brief Rests in the pool, for \a longest at most.
     void rest(Duration longest, Instant now);
+    /// \returns whether nothing has come while it rested: neither bytes, which belong to no request, nor its
+    /// end. Cost: a system call.
+    bool isQuiet() const;
     /// \returns how long it has rested.
     Duration rested(Instant now) const { return now - m_restingSince; }
 
--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -302,3 +302,33 @@
         CHECK((error == HttpErrorKind::Broken || error == HttpErrorKind::TooLarge));
     }
 }
+
+// What had come for no request was read as the reply to the next one, and an end of the connection cut that
+// one off.
+TEST_CASE("A connection on which anything has come since its last reply carries no other request", "[reply]")
+{
+    const auto sound = withLength(200, 1);
+    for (const auto& reply : { RawReply { sound, Ending::StaysOpen, 20ms, withLength(200, 5) },
+             RawReply { sound, Ending::Closes, 20ms, withLength(408, 0) },
+             RawReply { sound, Ending::Closes, 20ms }, RawReply { sound, Ending::Resets, 20ms } }) {
+        CAPTURE(reply.late, static_cast<int>(reply.ending));
+        const RawServer server(reply);
+        const auto base = makeLoop();
+        HttpPool::Options options;
+        options.address = server.address;
+        HttpPool pool(base.get(), options);
+        const auto bodyOfNext = [&] {
+            std::optional<std::string> body;
+            pool.send({ "GET", "/", {}, {} }, 2s, [&](auto result) {
+                body = result ? result.value().body : std::string(nameOf(result.error().kind));
+            });
+            REQUIRE(support::runUntil(base.get(), [&] { return body.has_value(); }));
+            return *body;
+        };
+        CHECK(bodyOfNext() == "b");
+        // The loop does not run meanwhile, so the pool is not told what comes.
+        std::this_thread::sleep_for(100ms);
+        CHECK(bodyOfNext() == "b");
+        CHECK(pool.opened() == 2);
+    }
+}
--- a/test/support/RawServer.h
+++ b/test/support/RawServer.h
@@ -31,6 +31,7 @@
     std::string bytes;
     Ending ending = Ending::StaysOpen;
     Duration pause {}; ///< between the bytes and the ending
+    std::string late {}; ///< sent after the pause
     std::string endless {}; ///< sent again and again behind the bytes until the client closes, if set
 };
 
@@ -108,6 +109,7 @@
         while (isOpen && !reply.endless.empty())
             isOpen = sendAll(fd, reply.endless);
         std::this_thread::sleep_for(reply.pause);
+        sendAll(fd, reply.late);
         const linger hard { 1, 0 };
         switch (reply.ending) {
         case Ending::StaysOpen:
