--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -140,28 +140,30 @@
         bufferevent_set_timeouts(connection.m_buffer, nullptr, nullptr);
         return;
     }
-    if (!connection.m_parser)
-        return connection.m_pool->restEnded(&connection);
+    connection.ended(what);
+}
+
+void ClientConnection::ended(short what)
+{
+    if (!m_parser)
+        return m_pool->restEnded(this);
+    if (!m_isConnected)
+        return fail(HttpErrorKind::NotConnected, !(what & BEV_EVENT_TIMEOUT));
     if (what & BEV_EVENT_WRITING)
-        connection.m_hasWriteFailed = true;
-    // What came before the connection failed is still to be read; the end of that is told by a read.
-    if (connection.m_isConnected && !(what & BEV_EVENT_READING))
+        m_hasWriteFailed = true;
+    // What came before a write failed is still to be read; the read that meets its end decides.
+    if (!(what & BEV_EVENT_READING))
         return;
     // A write that fails takes the socket's error, and the next read then returns 0 after a reset, too.
-    const bool isOrderlyEnd = (what & BEV_EVENT_EOF) && !connection.m_hasWriteFailed;
-    if (isOrderlyEnd && connection.m_isConnected) {
-        connection.m_parser->end();
-        if (connection.m_parser->isDone()) {
-            auto reply = connection.m_parser->take();
-            if (!connection.m_isOurs || connection.m_isOurs(reply))
-                return connection.m_pool->finished(
-                    connection.m_number, std::move(reply), false, Duration::zero());
-        }
-    }
-    if (connection.m_isConnected)
-        return connection.fail(HttpErrorKind::Broken);
-    const bool isRefused = !(what & BEV_EVENT_TIMEOUT);
-    connection.fail(HttpErrorKind::NotConnected, isRefused);
+    const bool isOrderly = (what & BEV_EVENT_EOF) && !m_hasWriteFailed;
+    if (isOrderly)
+        m_parser->end();
+    if (!isOrderly || !m_parser->isDone())
+        return fail(HttpErrorKind::Broken);
+    auto reply = m_parser->take();
+    if (m_isOurs && !m_isOurs(reply))
+        return fail(HttpErrorKind::Broken);
+    m_pool->finished(m_number, std::move(reply), false, Duration::zero());
 }
 
 void ClientConnection::fail(HttpErrorKind kind, bool isRefused)
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -33,6 +33,8 @@
     static void readable(bufferevent*, void* self);
     static void eventCame(bufferevent*, short what, void* self);
     void readOn();
+    /// \brief The connection, or one direction of it, has failed or ended, as the bits of libevent say.
+    void ended(short what);
     /// \returns whether the pool has room for what the reply has so far.
     bool hasRoom();
     void fail(HttpErrorKind kind, bool isRefused = false);
--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -233,7 +233,7 @@
 
 struct ReplyParser::State {
     http::response_parser<http::string_body> parser;
-    std::optional<HttpHeaders> headers; ///< once the header is whole and was checked
+    HttpHeaders headers; ///< once the header is whole
 };
 
 ReplyParser::ReplyParser(std::size_t maxBody, bool hasNoBody)
@@ -269,13 +269,8 @@
             return failure(HttpErrorKind::TooLarge);
         if (ec && ec != http::error::need_more)
             return failure(HttpErrorKind::Broken);
-        if (m_state->parser.is_header_done() && !m_state->headers) {
-            if (!isProper())
-                return failure(HttpErrorKind::Broken);
-            // The parser adds the fields of a trailer to those of the header.
-            m_state->headers = readHeaders(m_state->parser.get());
-            m_state->parser.eager(true);
-        }
+        if (isInHeader && m_state->parser.is_header_done() && !takeHeader())
+            return failure(HttpErrorKind::Broken);
         // The parser bounds bodies in chunks and those that end with the connection, not announced ones.
         if (!isDone() && m_state->parser.is_header_done()
             && m_state->parser.content_length().value_or(0) > m_maxBody)
@@ -294,17 +289,22 @@
     return boost::outcome_v2::success();
 }
 
-bool ReplyParser::isProper() const
+bool ReplyParser::takeHeader()
 {
     const auto& message = m_state->parser.get();
     const auto status = static_cast<int>(message.result_int());
-    const bool isStatus = status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+    if (status < firstStatus || status > lastStatus || status == switchingProtocols)
+        return false;
     const bool isBodyless
         = m_hasNoBody || status < firstFinalStatus || status == noContent || status == notModified;
     const bool isCoded = message.count(http::field::transfer_encoding) > 0;
-    const bool hasFraming
-        = !isCoded || (message.version() >= firstVersionWithCodings && isChunkedAlone(message));
-    return isStatus && (isBodyless || hasFraming);
+    const bool mayBeCoded = message.version() >= firstVersionWithCodings && isChunkedAlone(message);
+    if (!isBodyless && isCoded && !mayBeCoded)
+        return false;
+    // Read before the body: the parser adds the fields of a trailer to those of the header.
+    m_state->headers = readHeaders(message);
+    m_state->parser.eager(true);
+    return true;
 }
 
 std::size_t ReplyParser::bodyBytes() const
@@ -332,7 +332,7 @@
 HttpReply ReplyParser::take()
 {
     auto message = m_state->parser.release();
-    auto headers = std::move(*m_state->headers);
+    auto headers = std::move(m_state->headers);
     restart();
     m_hasStarted = false;
     return { static_cast<int>(message.result_int()), std::move(headers), std::move(message.body()) };
--- a/src/Http/internal/HttpParser.h
+++ b/src/Http/internal/HttpParser.h
@@ -97,8 +97,8 @@
 private:
     struct State;
     void restart();
-    /// \returns whether the header is one of a reply. Needs the whole header.
-    bool isProper() const;
+    /// \brief Checks and reads the header, which is whole. \returns whether it is one of a reply.
+    bool takeHeader();
 
     std::size_t m_maxBody;
     bool m_hasNoBody;
