--- a/src/Http/internal/HttpParser.cpp
+++ b/src/Http/internal/HttpParser.cpp
@@ -261,7 +261,7 @@
         const bool isInHeader = !m_state->parser.is_header_done();
         boost::beast::error_code ec;
         const auto used = m_state->parser.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
-        // The parser takes whole lines, and a folded field only with all of its lines.
+        // Only whole fields are taken, so a folded one stands whole in the bytes that were.
         if (isInHeader && hasFoldedField(bytes.substr(0, used)))
             return failure(HttpErrorKind::Broken);
         evbuffer_drain(in, used);
--- a/test/ReplyReadersTest.cpp
+++ b/test/ReplyReadersTest.cpp
@@ -47,22 +47,14 @@
     };
 }
 
-/// \brief Waits for a result that is told to a callback.
-template <class T> class Waiter {
-public:
-    auto callback()
-    {
-        return [this](T result) { m_result.emplace(std::move(result)); };
-    }
-    T await(event_base* base)
-    {
-        REQUIRE(support::runUntil(base, [&] { return m_result.has_value(); }));
-        return std::move(*m_result);
-    }
-
-private:
-    std::optional<T> m_result;
-};
+/// \returns the result of type T that \a start hands to the callback it is given, on \a base.
+template <class T, class Start> T awaited(const LoopPtr& base, Start start)
+{
+    std::optional<T> result;
+    start([&](T it) { result.emplace(std::move(it)); });
+    REQUIRE(support::runUntil(base.get(), [&] { return result.has_value(); }));
+    return std::move(*result);
+}
 
 /// \returns whether an exchange with the platform ended as it has to after a broken reply: it may have taken
 /// effect, and that was told before its time was over.
@@ -72,6 +64,26 @@
         && result.error().message != nameOf(HttpErrorKind::TimedOut);
 }
 
+/// \returns what a probe of \a server shows.
+ProbeNews probed(const RawServer& server)
+{
+    const auto base = makeLoop();
+    Prober prober({}, monotonicNow());
+    HttpPool::Options options;
+    options.address = server.address;
+    HttpPool pool(base.get(), options);
+    std::optional<ProbeNews> news;
+    REQUIRE(prober.probe(pool, monotonicNow(), [&](ProbeNews it, Duration) { news = std::move(it); }));
+    REQUIRE(support::runUntil(base.get(), [&] { return news.has_value(); }));
+    return *news;
+}
+
+using Appended = Result<std::uint64_t, PlatformError>;
+using Fetched = Result<HostPage, PlatformError>;
+using LogRead = Result<LogPage, PlatformError>;
+using StoreRead = Result<KeyedPage, PlatformError>;
+using Written = Result<void, PlatformError>;
+
 } // namespace
 
 TEST_CASE("A broken reply of the store tells nothing but that the call may have taken effect", "[reply]")
@@ -81,15 +93,11 @@
         const RawServer server(reply);
         const auto base = makeLoop();
         platform::StoreClient store(base.get(), server.address, timeout);
-        Waiter<Result<void, PlatformError>> written;
-        store.write("topic", "key", "value", written.callback());
-        CHECK(isUncertainAtOnce(written.await(base.get())));
-        Waiter<Result<KeyedPage, PlatformError>> read;
-        store.newest("topic", read.callback());
-        CHECK(isUncertainAtOnce(read.await(base.get())));
-        Waiter<Result<KeyedPage, PlatformError>> followed;
-        store.follow("topic", {}, timeout, followed.callback());
-        CHECK(isUncertainAtOnce(followed.await(base.get())));
+        CHECK(isUncertainAtOnce(
+            awaited<Written>(base, [&](auto done) { store.write("topic", "key", "value", done); })));
+        CHECK(isUncertainAtOnce(awaited<StoreRead>(base, [&](auto done) { store.newest("topic", done); })));
+        CHECK(isUncertainAtOnce(
+            awaited<StoreRead>(base, [&](auto done) { store.follow("topic", {}, timeout, done); })));
     }
 }
 
@@ -100,16 +108,12 @@
         const RawServer server(reply);
         const auto base = makeLoop();
         HttpAppendLog log(base.get(), server.address, timeout);
-        Waiter<Result<std::uint64_t, PlatformError>> appended;
-        log.append("stream", "record", appended.callback());
-        CHECK(isUncertainAtOnce(appended.await(base.get())));
-        Waiter<Result<LogPage, PlatformError>> read;
-        log.read("stream", 0, 1, timeout, read.callback());
-        CHECK(isUncertainAtOnce(read.await(base.get())));
+        CHECK(isUncertainAtOnce(
+            awaited<Appended>(base, [&](auto done) { log.append("stream", "record", done); })));
+        CHECK(isUncertainAtOnce(
+            awaited<LogRead>(base, [&](auto done) { log.read("stream", 0, 1, timeout, done); })));
         HttpHostList hosts(base.get(), server.address, timeout);
-        Waiter<Result<HostPage, PlatformError>> fetched;
-        hosts.fetch(0, fetched.callback());
-        CHECK(isUncertainAtOnce(fetched.await(base.get())));
+        CHECK(isUncertainAtOnce(awaited<Fetched>(base, [&](auto done) { hosts.fetch(0, done); })));
     }
 }
 
@@ -118,22 +122,16 @@
     for (const auto& [name, reply] : brokenReplies()) {
         CAPTURE(name);
         const RawServer server(reply);
+        const auto news = probed(server);
+        CHECK_FALSE(news.isReachable);
+        CHECK_FALSE(news.isWell);
+        CHECK(news.upstream.empty());
         const auto base = makeLoop();
-        Prober prober({}, monotonicNow());
-        HttpPool::Options options;
-        options.address = server.address;
-        HttpPool pool(base.get(), options);
-        std::optional<ProbeNews> news;
-        REQUIRE(prober.probe(pool, monotonicNow(), [&](ProbeNews it, Duration) { news = std::move(it); }));
-        REQUIRE(support::runUntil(base.get(), [&] { return news.has_value(); }));
-        CHECK_FALSE(news->isReachable);
-        CHECK_FALSE(news->isWell);
-        CHECK(news->upstream.empty());
         bool isFound = false;
         bool isOver = false;
         BackendDiscovery discovery(base.get(), server.address, [&](const Announcement&) { isFound = true; });
         discovery.start("/health", {});
-        const auto rounds = Timer::once(base.get(), 200ms, [&] { isOver = true; });
+        const auto end = Timer::once(base.get(), 200ms, [&] { isOver = true; });
         REQUIRE(support::runUntil(base.get(), [&] { return isFound || isOver; }));
         CHECK_FALSE(isFound);
     }
@@ -155,23 +153,13 @@
 TEST_CASE("The readers take a sound reply", "[reply]")
 {
     const RawServer server({ "HTTP/1.1 200 X\r\n" + fields + noBody });
-    const auto base = makeLoop();
-    Prober prober({}, monotonicNow());
-    HttpPool::Options options;
-    options.address = server.address;
-    HttpPool pool(base.get(), options);
-    std::optional<ProbeNews> news;
-    REQUIRE(prober.probe(pool, monotonicNow(), [&](ProbeNews it, Duration) { news = std::move(it); }));
-    REQUIRE(support::runUntil(base.get(), [&] { return news.has_value(); }));
-    CHECK(news->isWell);
-    CHECK(news->upstream == "b1");
+    const auto news = probed(server);
+    CHECK(news.isWell);
+    CHECK(news.upstream == "b1");
     CHECK(OperatorClient(server.address, "token").ask("GET", "/services/x").value().status == 200);
+    const auto base = makeLoop();
     platform::StoreClient store(base.get(), server.address, timeout);
-    Waiter<Result<void, PlatformError>> written;
-    store.write("topic", "key", "value", written.callback());
-    CHECK(written.await(base.get()));
+    CHECK(awaited<Written>(base, [&](auto done) { store.write("topic", "key", "value", done); }));
     HttpAppendLog log(base.get(), server.address, timeout);
-    Waiter<Result<LogPage, PlatformError>> read;
-    log.read("stream", 0, 1, timeout, read.callback());
-    CHECK(read.await(base.get()));
+    CHECK(awaited<LogRead>(base, [&](auto done) { log.read("stream", 0, 1, timeout, done); }));
 }
