Tests: what a raw server has said is awaited, not slept for

Two tests slept 100 ms for bytes and ends that the server sends 20 to 50 ms after the request; on a busy machine they could come later, and the connection would rightly be used. The server now counts the connections on which all was said, and the tests wait for that, at most 5 s.

--- a/test/BrokenReplyTest.cpp
+++ b/test/BrokenReplyTest.cpp
@@ -52,7 +52,7 @@
         [&](auto result) { out.emplace(std::move(result)); });
     const auto look = Timer::repeating(base.get(), 1ms, [] {});
     REQUIRE(support::runUntil(base.get(), [&] { return hasCome.load(); }));
-    std::this_thread::sleep_for(100ms);
+    support::awaitServed(server, 1);
     REQUIRE(support::runUntil(base.get(), [&] { return out.has_value(); }));
     return std::move(*out);
 }
@@ -355,7 +355,7 @@
         };
         CHECK(bodyOfNext() == "b");
         // The loop does not run meanwhile, so the pool is not told what comes.
-        std::this_thread::sleep_for(100ms);
+        support::awaitServed(server, 1);
         CHECK(bodyOfNext() == "b");
         CHECK(pool.opened() == 2);
     }
--- a/test/support/RawServer.h
+++ b/test/support/RawServer.h
@@ -87,6 +87,9 @@
     RawServer(const RawServer&) = delete;
     RawServer& operator=(const RawServer&) = delete;
 
+    /// \returns the connections on which all was said, their ending included.
+    int served() const { return m_served; }
+
     const std::string address = freeAddress();
 
 private:
@@ -96,7 +99,10 @@
     {
         // No node that a test starts meanwhile may hold a connection open.
         for (int fd = acceptOne(); fd >= 0; fd = acceptOne())
-            m_handlers.emplace_back([this, fd] { handle(fd); });
+            m_handlers.emplace_back([this, fd] {
+                handle(fd);
+                ++m_served;
+            });
     }
 
     int acceptOne() const { return accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC); }
@@ -166,6 +172,7 @@
     Answerer m_answerer;
     int m_listener = -1;
     std::atomic<bool> m_isEnding = false;
+    std::atomic<int> m_served = 0;
     std::thread m_thread;
     std::vector<std::thread> m_handlers; ///< touched by the accepting thread until it has ended
     std::mutex m_mutex;
@@ -178,6 +185,14 @@
     bool isKept = false;
 };
 
+/// \brief Waits until \a server has said all on \a n connections; no loop runs meanwhile.
+inline void awaitServed(const RawServer& server, int n)
+{
+    for (int i = 0; i < 5000 && server.served() < n; ++i)
+        std::this_thread::sleep_for(1ms);
+    REQUIRE(server.served() >= n);
+}
+
 /// \brief Sends one request to \a server over a pool of its own.
 inline Asked ask(const RawServer& server, HttpPool::SendOptions how = { 2s },
     const HttpRequest& request = { "GET", "/", {}, {} })
