A late announcement no longer undoes a leave that a former process acknowledged

Cause: the only holders of the leave were processes. The next process of the node believed the first announcement of "ready" that came, however old, and a health answer that said well. A "ready" is believed now only with a proof that no former process can have acknowledged a leave since: peers that were there before know the records; the store knows them if its first read succeeds, and the health answer has to agree; otherwise announcements have to go on for longer than one can be late (5 s). Contacts tell for how long they know of leaves, so that a kill of some nodes costs nothing. A health answer that says ill no longer makes a server count as leaving: it shows nothing.

Evidence: five cases in AcknowledgedLeaveTest; on the code before, three of them fail (4 checks: 14 of 20 reads ran at the server that had left, for DELETE and for "draining"; with a health answer that says well; with a store that is back before the nodes), and the two for servers that are well pass.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -72,6 +72,10 @@
         LogEventInfo { "configuration-refused", "source error in_force", "can't be read; the old one stays" },
         LogEventInfo {
             "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
+        LogEventInfo { "former-leaves-known", "source",
+            "the node knows which leaves were acknowledged before it started" },
+        LogEventInfo { "upstream-ready-unproven", "upstream sequence leaves_known_from",
+            "an announcement from before the node started, as far as it can tell: not believed yet" },
         LogEventInfo { "foreign-entry", "kind entry fault",
             "an announcement or a record that no part of this deployment can have written; passed over" },
         LogEventInfo { "store-entries-unreadable", "topic entries next", "passed over; the others hold" },
--- a/src/Mesh/BackendDiscovery.cpp
+++ b/src/Mesh/BackendDiscovery.cpp
@@ -39,6 +39,12 @@
     m_retryTimer = Timer();
 }
 
+void BackendDiscovery::askAgain()
+{
+    m_isRunning = true;
+    m_retryTimer = Timer::once(m_base, retryInterval, [this] { sendProbe(); });
+}
+
 void BackendDiscovery::sendProbe()
 {
     m_prober.probe(m_pool, monotonicNow(), [this](const ProbeNews& answer, Duration) { onProbed(answer); });
@@ -48,10 +54,8 @@
 {
     if (!m_isRunning)
         return;
-    if (answer.upstream.empty()) {
-        m_retryTimer = Timer::once(m_base, retryInterval, [this] { sendProbe(); });
-        return;
-    }
+    if (answer.upstream.empty())
+        return askAgain();
     stop();
     Announcement announcement;
     announcement.life = BackendLife(answer.upstream); // the health answer holds no start time
--- a/src/Mesh/BackendDiscovery.h
+++ b/src/Mesh/BackendDiscovery.h
@@ -18,7 +18,7 @@
     using FoundHandler = std::function<void(const Announcement&)>;
 
     /// \param address ip:port of the backend server.
-    /// \param onFound is called on the event loop, at most once for each start().
+    /// \param onFound is called on the event loop, once for each start() and each askAgain().
     BackendDiscovery(event_base* base, const std::string& address, FoundHandler onFound);
 
     /// \brief Sends a health request at once and repeats it 0.4 s after each failure, until the server is
@@ -27,6 +27,10 @@
     /// \param headers names of the header fields in which the server reports its id and state.
     void start(const std::string& healthPath, const CallHeaders& headers);
     void stop();
+
+    /// \brief Sends another health request after 0.4 s, because what was found is not enough. To be called
+    /// from the handler.
+    void askAgain();
     bool isRunning() const { return m_isRunning; }
 
 private:
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -1,7 +1,6 @@
 #include "Mesh/MeshNode.h"
 
 #include "Core/Log.h"
-#include "Http/HttpStatus.h"
 #include "Node/CallMessages.h"
 
 #include <algorithm>
@@ -10,7 +9,6 @@
 namespace robinrun {
 namespace {
 
-    using namespace httpStatus;
     constexpr Duration tickEvery = 50ms;
     constexpr double bytesPerMegabit = 125'000;
     /// Each link costs heartbeats; one that is needed again stands anew within a millisecond.
@@ -40,6 +38,7 @@
     , m_share(m_context.settings.listen.peers, { m_context.settings.peers.followers })
     , m_watch({ m_context.settings.peers.followers, m_context.settings.peers.contacts })
     , m_group(m_context.settings.listen.peers, {})
+    , m_formerLeaves(m_started)
     , m_reach(m_context.settings.peers.forgetAfter)
     , m_reachEstimate(farReachLifetime)
     , m_unreached(m_context.settings.peers.unreachableAfter)
@@ -126,18 +125,7 @@
         });
     m_owner->onRunEnded([this](const Owner::EndedRun& run) { m_rolloutReports.recordRun(run); });
     m_finder = std::make_unique<BackendDiscovery>(
-        base, m_context.settings.backend, [this](const Announcement& found) {
-            const auto now = monotonicNow();
-            if (m_announced.applyHealthAnswer(found))
-                onUpstreamChanged(now);
-            // Unlike ill health, this holds whatever the server announces.
-            if (found.saysLeaving && m_announced.markLeaving(found.life))
-                onUpstreamChanged(now);
-            if (found.remainingColdTime && found.life.key() == m_owner->upstream())
-                m_owner->onHealthAnswerWarmUp(*found.remainingColdTime, now, now);
-            if (found.rateLimit && found.life.key() == m_owner->upstream())
-                m_owner->onHealthAnswerRateLimit(*found.rateLimit, now);
-        });
+        base, m_context.settings.backend, [this](const Announcement& found) { onHealthAnswer(found); });
 }
 
 Result<void, std::string> MeshNode::bindPeers()
@@ -202,65 +190,4 @@
     return boost::outcome_v2::success();
 }
 
-Result<Announcement, std::string> MeshNode::readAnnouncement(const HttpRequest& request) const
-{
-    auto out = m_formats.readAnnouncement(request);
-    const auto& own = m_context.settings.service;
-    const bool isOther = out && out.value().state != AnnouncedState::Gone && out.value().service != own;
-    if (isOther)
-        return failure("service: '" + out.value().service + "' is not that of this host, '" + own + "'");
-    return out;
-}
-
-void MeshNode::onAnnouncement(HttpExchange& exchange)
-{
-    const auto now = monotonicNow();
-    const auto read = readAnnouncement(exchange.request());
-    if (!read) {
-        logForeignEntry("announcement", exchange.request().target, read.error());
-        return exchange.reply({ badRequest, {}, read.error() + "\n" });
-    }
-    m_finder->stop();
-    if (m_announced.applyAnnouncement(read.value()))
-        onUpstreamChanged(now);
-    const auto& told = read.value();
-    if (told.life.key() == m_owner->upstream()) {
-        m_owner->onSignOfLife(now);
-        const bool isLatest = told.sequence == m_announced.current()->sequence;
-        if (told.remainingColdTime && isLatest)
-            m_owner->onAnnouncedWarmUp(*told.remainingColdTime, now);
-    }
-    // Only now: from here on nothing new goes to a server that has said it leaves.
-    exchange.reply({ ok, { { "Content-Type", "application/json" } }, "{}" });
-}
-
-void MeshNode::onUpstreamChanged(Instant now)
-{
-    const auto& current = *m_announced.current();
-    log(LogLevel::Info, "upstream-announced",
-        { { "upstream", current.life.key() }, { "state", nameOf(current.state) }, { "slots", current.slots },
-            { "sequence", current.sequence } });
-    const bool isNew = m_context.settings.upstream != current.life.key();
-    m_context.settings.upstream = current.life.key();
-    m_record.set_upstream(current.life.id());
-    m_record.set_born(current.life.born());
-    m_record.set_slots(current.slots);
-    if (isNew || !current.version.empty())
-        setBackendVersion(current.version);
-    if (const auto* former = m_registry.find(m_context.settings.name); isNew && former)
-        adoptFormerVersion(*former, now);
-    const auto* rollout = m_context.rollouts.find(m_context.settings.service);
-    m_rolloutReports.follow(
-        rollout && !isFinal(rollout->phase) ? rollout : nullptr, m_context.settings.upstream);
-    m_record.set_leaving(m_announced.isLeaving());
-    // The announcement that follows completes the record: one write of the store serves both.
-    if (m_announced.isProvisional() && !m_announced.isLeaving() && knowsManyNodes())
-        publishProvisional(now);
-    else
-        publish(now);
-    if (isNew)
-        rebuildUpstreams();
-    m_owner->setSign(LeavingSign::BackendServer, m_announced.isLeaving(), now);
-}
-
 } // namespace robinrun
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -12,11 +12,13 @@
 #include "Mesh/CrashRecords.h"
 #include "Mesh/EmptiedHalls.h"
 #include "Mesh/FollowerSelection.h"
+#include "Mesh/FormerLeaves.h"
 #include "Mesh/Gossip.h"
 #include "Mesh/LenderSuccession.h"
 #include "Mesh/MeshFormats.h"
 #include "Mesh/NodeRegistry.h"
 #include "Mesh/ReachEstimate.h"
+#include "Mesh/ReadyProof.h"
 #include "Mesh/RecordWriter.h"
 #include "Mesh/RolloutReports.h"
 #include "Mesh/RolloutStatusWriter.h"
@@ -157,6 +159,13 @@
     /// \returns an announcement of the backend server beside this node. The error names the field.
     Result<Announcement, std::string> readAnnouncement(const HttpRequest& request) const;
     void onAnnouncement(HttpExchange& exchange);
+    /// \brief Applies an announcement that is believed.
+    void applyAnnouncement(const Announcement& told, Instant now);
+    /// \brief Applies the health answer \a found of the backend server, or asks again later if it can't be
+    /// believed yet.
+    void onHealthAnswer(const Announcement& found);
+    /// \brief Applies the announcement that waits for what peers know of former leaves.
+    void onFormerLeavesKnown(Instant now);
     void onUpstreamChanged(Instant now);
 
     void offerConfiguration(std::string_view text, std::string_view source, Instant now);
@@ -176,6 +185,10 @@
     }
     /// \brief Handles a contact's report of when its configuration was confirmed.
     void onConfirmation(const proto::NodeContact& contact, Instant now);
+    /// \brief Handles a contact's report of since when it knows which leaves were acknowledged.
+    void noteKnownLeaves(const PeerSocket::Sender& sender, const proto::NodeContact& contact, Instant now);
+    /// \brief This node has all records that the node \a peer has.
+    void onRecordsCompared(const std::string& peer, Instant now);
     /// \brief Sends \a contact to the other members of the watch group that are no contacts.
     void sendToWatchGroup(const proto::NodeContact& contact, Instant now);
     /// \brief Ends the standby from following the configuration if too few other nodes follow it.
@@ -297,6 +310,8 @@
     ConfigPartAssembler m_fetch;
     ConfigPartServer m_copies;
     AnnouncedUpstream m_announced;
+    FormerLeaves m_formerLeaves;
+    ReadyProof m_readyProof;
     proto::NodeRecord m_record; ///< of this node, as last published
     bool m_isRebuildPending = false;
     bool m_isRelayPending = false;
--- a/src/Mesh/MeshNodeMetrics.cpp
+++ b/src/Mesh/MeshNodeMetrics.cpp
@@ -33,6 +33,8 @@
     metrics.gauge("robinrun_backend_slowdown", [this] { return m_owner->load(monotonicNow()).slowdown; });
     metrics.gauge("robinrun_server_limit_per_second",
         [this] { return m_owner->serverLimit().value_or(Owner::noServerLimit); });
+    metrics.gauge(
+        "robinrun_upstream_ready_unproven", [this] { return m_readyProof.isWithholding() ? 1.0 : 0.0; });
     metrics.gauge("robinrun_backend_down", [this] { return m_owner->isBackendDown() ? 1.0 : 0.0; });
     metrics.gauge(
         "robinrun_backend_connections_total", [this] { return double(m_owner->connectionsOpened()); });
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -2,6 +2,7 @@
 #include "Mesh/MeshNode.h"
 #include "Node/CallMessages.h"
 
+#include <algorithm>
 #include <utility>
 
 /// \file What a mesh node hears from its peers and the store, and tells them.
@@ -22,6 +23,8 @@
     /// What other writers send is logged up to so many bytes of a text.
     constexpr std::size_t loggedBytes = 128;
     constexpr double permille = 1000;
+    /// The field that says for how long a node knows of leaves has 32 bits.
+    constexpr Duration longestToldKnowledge = 24h;
     /// Of the nodes; fewer are the smaller side of a network partition.
     constexpr double majority = 0.5;
 
@@ -87,6 +90,8 @@
     m_halls.addToContact(contact);
     contact.set_rollout_digest(m_context.rollouts.digest());
     contact.set_store_era(m_store->era().era());
+    const auto leavesKnownFor = std::min(now - m_formerLeaves.knownSince(), longestToldKnowledge);
+    contact.set_leaves_known_ms(1 + static_cast<std::uint32_t>(toMilliseconds(leavesKnownFor)));
     if (const auto far = ownFarReach())
         contact.set_far_reach_permille(1 + static_cast<std::uint32_t>(*far * permille));
     m_isContactOpening = false;
@@ -254,6 +259,7 @@
         m_reachEstimate.onBridgeReport(sender.node, (contact.far_reach_permille() - 1) / permille, now);
     m_share.onPeerStatus(sender.address, contact.follows_configuration(), now);
     onConfirmation(contact, now);
+    noteKnownLeaves(sender, contact, now);
     m_gossip.onDigest(
         contact.registry_digest(), isNewLife(sender.node, sender.incarnation), replyTo(sender, now), now);
     if (contact.config_version() <= m_config.version())
@@ -289,7 +295,8 @@
     }
     m_gossip.sendMissingRecords(records, replyTo(sender, now));
     relaySoon();
-    m_hasComparedRecords = m_hasComparedRecords || records.whole_buckets_size() > 0 || m_isComparing;
+    if (records.whole_buckets_size() > 0 || m_isComparing)
+        onRecordsCompared(sender.node, now);
     onCrashRecordsChanged(now);
 }
 
@@ -298,7 +305,8 @@
 {
     // Records that were requested come in the next messages of the peer.
     m_isComparing = m_gossip.onSummaries(summaries, replyTo(sender, now)) > 0;
-    m_hasComparedRecords = m_hasComparedRecords || !m_isComparing;
+    if (!m_isComparing)
+        onRecordsCompared(sender.node, now);
     onCrashRecordsChanged(now);
 }
 
--- /dev/null
+++ b/test/AcknowledgedLeaveTest.cpp
@@ -0,0 +1,151 @@
+#include "support/ShopFixture.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+/// \file Leaves that were acknowledged, through whole nodes that are killed. \sa docs/design/leaving.md
+
+using namespace robinrun;
+using support::FakeBackend;
+using support::FakeStore;
+using support::ShopFixture;
+
+namespace {
+
+constexpr std::size_t nodeCount = 3;
+constexpr Duration announcementInterval = 500ms;
+/// What a series of announcements takes to be believed, with slack for a busy machine.
+constexpr Duration seriesLength = 7s;
+
+struct LeaveFixture : ShopFixture {
+    FakeBackend& shop(std::size_t i) { return *places[i].backend; }
+
+    /// \brief Kills all nodes at once, as they hold nothing on disk.
+    void killAll()
+    {
+        for (auto& it : places)
+            it.node.reset();
+    }
+
+    void startAll()
+    {
+        for (std::size_t i = 0; i < places.size(); ++i)
+            startNode(i);
+    }
+
+    /// \brief Lets the servers beside \a nodes announce "ready" for \a length.
+    void announceReady(const std::set<std::size_t>& nodes, Duration length)
+    {
+        const auto end = monotonicNow() + length;
+        while (monotonicNow() < end) {
+            ++m_sequence;
+            for (const auto i : nodes)
+                REQUIRE(announce(i, "ready", m_sequence) == 200);
+            pass(announcementInterval);
+        }
+    }
+
+    /// \returns how many of 20 reads the server beside node \a i runs.
+    std::size_t runsAt(std::size_t i)
+    {
+        const auto before = shop(i).requests.size();
+        for (int n = 0; n < 20; ++n)
+            REQUIRE(call(n % nodeCount, "GET", "/read/x").status == 200);
+        return shop(i).requests.size() - before;
+    }
+
+private:
+    int m_sequence = 100;
+};
+
+} // namespace
+
+// review/8: the announcement from before the leave brought the server back into service.
+TEST_CASE("A leave that was acknowledged while the store was down survives a kill of all nodes",
+    "[acknowledged-leave]")
+{
+    for (const bool isDrained : { false, true }) {
+        CAPTURE(isDrained);
+        LeaveFixture f;
+        f.store.mode = FakeStore::Mode::Refusing;
+        REQUIRE((isDrained ? f.announce(1, "draining", 50) : f.sayGone(1)) == 200);
+        f.killAll();
+        f.shop(1).isWell = false;
+        f.startAll();
+        f.pass(300ms);
+        f.store.mode = FakeStore::Mode::Up;
+        f.announceReady({ 2 }, 1500ms);
+        for (int sequence : { 7, 8, 9 }) { // sent before the leave, late
+            REQUIRE(f.announce(1, "ready", sequence) == 200);
+            f.announceReady({ 2 }, 1500ms);
+        }
+        f.announceReady({ 2 }, 1s);
+        CHECK(f.runsAt(1) == 0);
+    }
+}
+
+// The health path may say well of a server that has left.
+TEST_CASE("A health answer does not undo a leave that was acknowledged while the store was down",
+    "[acknowledged-leave]")
+{
+    LeaveFixture f;
+    f.store.mode = FakeStore::Mode::Refusing;
+    REQUIRE(f.sayGone(1) == 200);
+    f.killAll();
+    f.startAll();
+    f.pass(300ms);
+    f.store.mode = FakeStore::Mode::Up;
+    REQUIRE(f.announce(1, "ready", 7) == 200);
+    f.announceReady({ 2 }, seriesLength);
+    CHECK(f.runsAt(1) == 0);
+}
+
+// The store was back before the nodes: its record is older than the leave.
+TEST_CASE("A late announcement is not believed against a health answer that says ill", "[acknowledged-leave]")
+{
+    LeaveFixture f;
+    f.store.mode = FakeStore::Mode::Refusing;
+    REQUIRE(f.sayGone(1) == 200);
+    f.killAll();
+    f.store.mode = FakeStore::Mode::Up;
+    f.shop(1).isWell = false;
+    f.startAll();
+    REQUIRE(f.announce(1, "ready", 7) == 200); // before the first health answer
+    f.untilServed(0);
+    REQUIRE(f.announce(1, "ready", 8) == 200);
+    f.pass(300ms);
+    CHECK(f.runsAt(1) == 0);
+}
+
+TEST_CASE("A well server whose health answers say ill is served again after a kill of all nodes",
+    "[acknowledged-leave]")
+{
+    for (const auto mode : { FakeStore::Mode::Up, FakeStore::Mode::Refusing }) {
+        LeaveFixture f;
+        f.store.mode = mode;
+        f.pass(300ms);
+        f.killAll();
+        f.shop(1).isWell = false;
+        f.shop(2).isWell = false;
+        f.startAll();
+        f.pass(300ms);
+        f.store.mode = FakeStore::Mode::Up;
+        f.announceReady({ 1, 2 }, seriesLength);
+        CHECK(f.runsAt(1) > 0);
+        CHECK(f.runsAt(2) > 0);
+    }
+}
+
+TEST_CASE(
+    "Peers that were there before make a restarted node believe its server at once", "[acknowledged-leave]")
+{
+    LeaveFixture f;
+    f.pass(FormerLeaves::startSpread + 200ms);
+    f.store.mode = FakeStore::Mode::Refusing;
+    f.places[1].node.reset();
+    f.shop(1).isWell = false;
+    f.startNode(1);
+    REQUIRE(f.announce(1, "ready", 200) == 200);
+    const auto before = f.shop(1).requests.size();
+    f.until([&] { return f.call(0, "GET", "/read/x").status == 200 && f.shop(1).requests.size() > before; });
+}
