A leave is acknowledged once the store has it, or after 0.6 s

What callers could see: requests at a server that had left. Cause: the 2xx went out when the record of the leave was queued, not when anything that outlives the process had it, so that a kill at that moment could lose it; with a health answer that says well nothing sets that right. The 2xx now waits until the store has the record. New work stops with the announcement, as before.

With a store that refuses, is silent or loses its answers the acknowledgement comes within a second.

--- a/src/Core/LogEvents.cpp
+++ b/src/Core/LogEvents.cpp
@@ -72,6 +72,8 @@
         LogEventInfo { "configuration-refused", "source error in_force", "can't be read; the old one stays" },
         LogEventInfo {
             "upstream-announced", "upstream state slots sequence", "of the backend server beside" },
+        LogEventInfo { "leave-acknowledged-unwritten", "upstream acknowledgements",
+            "the store did not take the record of a leave in time: a kill of all nodes may lose it" },
         LogEventInfo { "former-leaves-known", "source",
             "the node knows which leaves were acknowledged before it started" },
         LogEventInfo { "upstream-ready-unproven", "upstream sequence leaves_known_from",
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -170,7 +170,8 @@
         { listen.callers, &m_callers,
             [this](auto exchange) { m_ingress->take(std::move(exchange), monotonicNow()); } },
         { listen.readiness, &m_readiness, [this](auto exchange) { answerReadiness(*exchange); } },
-        { listen.announcements, &m_announcements, [this](auto exchange) { onAnnouncement(*exchange); } },
+        { listen.announcements, &m_announcements,
+            [this](auto exchange) { onAnnouncement(std::move(exchange)); } },
         { listen.metrics, &m_metrics, [this](auto exchange) { answerMetrics(*exchange); } },
     };
     for (const auto& it : listeners) {
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -17,6 +17,7 @@
 #include "Mesh/LenderSuccession.h"
 #include "Mesh/MeshFormats.h"
 #include "Mesh/NodeRegistry.h"
+#include "Mesh/PendingAcknowledgements.h"
 #include "Mesh/ReachEstimate.h"
 #include "Mesh/ReadyProof.h"
 #include "Mesh/RecordWriter.h"
@@ -158,7 +159,13 @@
     void answerMetrics(HttpExchange& exchange) const;
     /// \returns an announcement of the backend server beside this node. The error names the field.
     Result<Announcement, std::string> readAnnouncement(const HttpRequest& request) const;
-    void onAnnouncement(HttpExchange& exchange);
+    void onAnnouncement(std::unique_ptr<HttpExchange> exchange);
+    /// \returns whether the acknowledgement of \a told waits until the store has the node's record.
+    bool awaitsStore(const Announcement& told) const;
+    /// \returns whether the store has the node's record as it is now.
+    bool isRecordStored() const;
+    /// \brief Acknowledges leaves that have waited too long for the store.
+    void acknowledgeOverdue(Instant now);
     /// \brief Applies an announcement that is believed.
     void applyAnnouncement(const Announcement& told, Instant now);
     /// \brief Applies the health answer \a found of the backend server, or asks again later if it can't be
@@ -285,6 +292,7 @@
     std::unique_ptr<LeavingNews> m_news;
     std::unique_ptr<Owner> m_owner;
     std::unique_ptr<Ingress> m_ingress;
+    PendingAcknowledgements m_acknowledgements; ///< outlives the server whose requests it holds
     std::unique_ptr<HttpServer> m_callers;
     std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_announcements;
--- a/src/Mesh/MeshNodeAnnouncements.cpp
+++ b/src/Mesh/MeshNodeAnnouncements.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <utility>
 
 /// \file What the backend server beside a mesh node says of itself, and when it is believed.
 
@@ -24,20 +25,43 @@
     return out;
 }
 
-void MeshNode::onAnnouncement(HttpExchange& exchange)
+void MeshNode::onAnnouncement(std::unique_ptr<HttpExchange> exchange)
 {
     const auto now = monotonicNow();
-    const auto read = readAnnouncement(exchange.request());
+    const auto read = readAnnouncement(exchange->request());
     if (!read) {
-        logForeignEntry("announcement", exchange.request().target, read.error());
-        return exchange.reply({ badRequest, {}, read.error() + "\n" });
+        logForeignEntry("announcement", exchange->request().target, read.error());
+        return exchange->reply({ badRequest, {}, read.error() + "\n" });
     }
     const auto& told = read.value();
     if (told.state != AnnouncedState::Ready
         || m_readyProof.admitAnnouncement(told, m_formerLeaves.knowledge(), now))
         applyAnnouncement(told, now);
     // Only now: from here on nothing new goes to a server that has said it leaves.
-    exchange.reply({ ok, { { "Content-Type", "application/json" } }, "{}" });
+    if (awaitsStore(told))
+        return m_acknowledgements.add(std::move(exchange), now);
+    acknowledge(*exchange);
+}
+
+bool MeshNode::awaitsStore(const Announcement& told) const
+{
+    const bool isRecorded = m_record.leaving() && m_record.upstream() == told.life.id();
+    return told.state != AnnouncedState::Ready && isRecorded && !isRecordStored();
+}
+
+bool MeshNode::isRecordStored() const
+{
+    return !m_isWriteHeld && !m_provisionalTimer.isSet() && m_writer->isWritten();
+}
+
+void MeshNode::acknowledgeOverdue(Instant now)
+{
+    const auto n = m_acknowledgements.sendOverdue(now);
+    if (!n)
+        return;
+    log(LogLevel::Warning, "leave-acknowledged-unwritten",
+        { { "upstream", m_record.upstream() }, { "acknowledgements", std::uint64_t { n } } });
+    m_context.metrics.count("robinrun_leaves_acknowledged_unwritten_total", static_cast<double>(n));
 }
 
 void MeshNode::applyAnnouncement(const Announcement& told, Instant now)
--- a/src/Mesh/MeshNodeFeeds.cpp
+++ b/src/Mesh/MeshNodeFeeds.cpp
@@ -66,6 +66,8 @@
         },
         m_context.random);
     m_writer->onWritten([this] {
+        if (isRecordStored())
+            m_acknowledgements.sendAll();
         // Where so many others are known already, one of them tells this node what it lacks.
         if (knowsManyNodes())
             m_hasReadNodesSince = true;
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -209,6 +209,7 @@
     m_rates->tick(now);
     if (m_halls.expireFormerEras(m_store->era().era(), now))
         onHallsChanged(now);
+    acknowledgeOverdue(now);
     tickRollouts(now);
     m_peers->closeIdle(now);
     flushLog();
--- a/test/AcknowledgedLeaveTest.cpp
+++ b/test/AcknowledgedLeaveTest.cpp
@@ -45,6 +45,22 @@
         }
     }
 
+    /// \returns the record of node \a i in the store.
+    proto::NodeRecord stored(std::size_t i) const
+    {
+        proto::NodeRecord out;
+        REQUIRE(out.ParseFromString(store.newest("keyed.nodes", places[i].settings.name)));
+        return out;
+    }
+
+    /// \brief Kills node \a i and starts it again. Its server says that it is ill from now on.
+    void restart(std::size_t i)
+    {
+        places[i].node.reset();
+        shop(i).isWell = false;
+        startNode(i);
+    }
+
     /// \returns how many of 20 reads the server beside node \a i runs.
     std::size_t runsAt(std::size_t i)
     {
@@ -149,3 +165,33 @@
     const auto before = f.shop(1).requests.size();
     f.until([&] { return f.call(0, "GET", "/read/x").status == 200 && f.shop(1).requests.size() > before; });
 }
+
+// The leave was acknowledged when it was queued for the store, so that a kill could lose it.
+TEST_CASE("A leave is acknowledged once the store has it", "[acknowledged-leave]")
+{
+    LeaveFixture f;
+    f.store.mode = FakeStore::Mode::Refusing;
+    f.start(f.places[1].settings.listen.announcements, { "DELETE", "/instances/i-n1", {}, "" });
+    f.pass(100ms);
+    CHECK_FALSE(f.reply);
+    CHECK(f.announce(2, "ready", 50) == 200); // nothing to wait for
+    f.start(f.places[1].settings.listen.announcements, { "DELETE", "/instances/i-n1", {}, "" });
+    f.store.mode = FakeStore::Mode::Up;
+    f.until([&] { return f.reply.has_value(); });
+    CHECK(f.reply->status == 200);
+    CHECK(f.stored(1).leaving());
+}
+
+TEST_CASE("A store that is down doesn't take the acknowledgement of a leave away", "[acknowledged-leave]")
+{
+    for (const auto mode : { FakeStore::Mode::Refusing, FakeStore::Mode::Silent, FakeStore::Mode::Losing }) {
+        LeaveFixture f;
+        f.store.mode = mode;
+        const auto began = monotonicNow();
+        REQUIRE(f.announce(1, "draining", 50) == 200);
+        CHECK(monotonicNow() - began < 1s); // it counts no longer
+        CHECK(f.runsAt(1) == 0);
+        const auto metrics = f.send(f.places[1].settings.listen.metrics, { "GET", "/metrics", {}, {} }).body;
+        CHECK(metrics.find("robinrun_leaves_acknowledged_unwritten_total 1") != std::string::npos);
+    }
+}
