A process that starts repeats what the former one said of leaving

What callers could see: a server that had left, and whose node was killed twice, was sent requests again after a late announcement. Cause: the record of a process that knows no life of its server yet, as it is written where the clock has gone back or crash reports are taken over, replaced the record of the former process at the peers and in the store, and with it the word of leaving. The process keeps the leaving of the former one in its record until it knows another life.

Evidence: "A leave survives a restart whose record replaces that of the former process" failed before (2 checks: the record in the store names no server and no leaving), and passes.

--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -174,6 +174,9 @@
     /// \brief Applies the announcement that waits for what peers know of former leaves.
     void onFormerLeavesKnown(Instant now);
     void onUpstreamChanged(Instant now);
+    /// \brief Records that \a life leaves while no life of the server is known otherwise. The record of this
+    /// process replaces that of the former one, which may say so.
+    void recordLeaving(const BackendLife& life, std::uint32_t slots, Instant now);
 
     void offerConfiguration(std::string_view text, std::string_view source, Instant now);
     void takeStoredConfiguration(const KeyedPage& page, Instant now);
--- a/src/Mesh/MeshNodeAnnouncements.cpp
+++ b/src/Mesh/MeshNodeAnnouncements.cpp
@@ -121,6 +121,18 @@
         applyAnnouncement(*withheld, now);
 }
 
+void MeshNode::recordLeaving(const BackendLife& life, std::uint32_t slots, Instant now)
+{
+    const bool isRecorded = m_record.leaving() && backendLifeOf(m_record) == life;
+    if (m_announced.current() || isRecorded)
+        return;
+    m_record.set_upstream(life.id());
+    m_record.set_born(life.born());
+    m_record.set_slots(slots);
+    m_record.set_leaving(true);
+    publish(now);
+}
+
 void MeshNode::onUpstreamChanged(Instant now)
 {
     const auto& current = *m_announced.current();
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -376,8 +376,11 @@
         adoptFormerCrashes(record, now);
     if (isFormer)
         adoptFormerVersion(record, now);
-    if (isFormer && record.leaving() && m_announced.markLeaving(backendLifeOf(record)))
-        onUpstreamChanged(now);
+    if (isFormer && record.leaving()) {
+        if (m_announced.markLeaving(backendLifeOf(record)))
+            onUpstreamChanged(now);
+        recordLeaving(backendLifeOf(record), record.slots(), now);
+    }
     // Somebody took this node for gone.
     if (!isFormer && record.gone() && !m_record.gone())
         publish(now);
--- a/test/AcknowledgedLeaveTest.cpp
+++ b/test/AcknowledgedLeaveTest.cpp
@@ -195,3 +195,24 @@
         CHECK(metrics.find("robinrun_leaves_acknowledged_unwritten_total 1") != std::string::npos);
     }
 }
+
+// The record of a process that knew no life of the server replaced the one that said that it leaves.
+TEST_CASE(
+    "A leave survives a restart whose record replaces that of the former process", "[acknowledged-leave]")
+{
+    LeaveFixture f;
+    REQUIRE(f.announce(1, "draining", 50) == 200);
+    f.until([&] { return f.stored(1).leaving(); });
+    const auto former = f.stored(1).incarnation();
+    f.lastIncarnation = 0; // the clock is set back, so that the node writes its record at once
+    f.restart(1);
+    f.until([&] { return f.stored(1).incarnation() > former; });
+    f.pass(300ms);
+    CHECK(f.stored(1).leaving());
+    CHECK(f.stored(1).upstream() == "i-n1");
+    f.restart(1);
+    f.pass(300ms);
+    REQUIRE(f.announce(1, "ready", 7) == 200);
+    f.announceReady({ 2 }, 300ms);
+    CHECK(f.runsAt(1) == 0);
+}
