The last word of a server that its node has not heard of is recorded

What callers could see: a server that took itself out right after its node had started was sent requests once that node was started again and a late announcement came. Cause: the node answered 2xx to the last word of a life that it did not know, noted it in memory and recorded it nowhere. It is recorded as leaving, as long as no other life is known, and the health path is asked on.

--- a/src/Mesh/MeshNodeAnnouncements.cpp
+++ b/src/Mesh/MeshNodeAnnouncements.cpp
@@ -66,9 +66,12 @@
 
 void MeshNode::applyAnnouncement(const Announcement& told, Instant now)
 {
-    m_finder->stop();
     if (m_announced.applyAnnouncement(told))
         onUpstreamChanged(now);
+    if (told.state == AnnouncedState::Gone)
+        recordLeaving(told.life, told.slots, now);
+    if (m_announced.current())
+        m_finder->stop();
     if (told.life.key() != m_owner->upstream())
         return;
     m_owner->onSignOfLife(now);
--- a/test/AcknowledgedLeaveTest.cpp
+++ b/test/AcknowledgedLeaveTest.cpp
@@ -216,3 +216,24 @@
     f.announceReady({ 2 }, 300ms);
     CHECK(f.runsAt(1) == 0);
 }
+
+// A last word was acknowledged and nowhere recorded if the node had not heard of the server before.
+TEST_CASE(
+    "The last word of a server that its node has not heard of survives a restart", "[acknowledged-leave]")
+{
+    LeaveFixture f;
+    f.restart(1);
+    f.pass(300ms);
+    REQUIRE(f.sayGone(1) == 200);
+    CHECK(f.stored(1).leaving());
+    CHECK(f.stored(1).upstream() == "i-n1");
+    f.restart(1);
+    f.pass(300ms);
+    REQUIRE(f.announce(1, "ready", 7) == 200);
+    f.shop(1).isWell = true; // falsely
+    f.pass(1s);
+    CHECK(f.runsAt(1) == 0);
+    f.shop(1).id = "i-next";
+    REQUIRE(f.announce(1, "ready", 1) == 200);
+    f.until([&] { return f.runsAt(1) > 0; });
+}
