A health answer that agrees halves the series where nothing else is known

A health answer that says well, after announcements have come for 2.5 s, is proof enough: a server that has left, lies well, and has three announcements late in a row is what it takes to be wrong.

--- a/src/Mesh/MeshNodeAnnouncements.cpp
+++ b/src/Mesh/MeshNodeAnnouncements.cpp
@@ -85,7 +85,8 @@
     const auto now = monotonicNow();
     // A server that is well may say ill for as long as it likes.
     const bool isWell = found.state == AnnouncedState::Ready;
-    if (!found.saysLeaving && !(isWell && m_readyProof.admitHealthAnswer(m_formerLeaves.knowledge())))
+    if (!found.saysLeaving
+        && !(isWell && m_readyProof.admitHealthAnswer(found.life.id(), m_formerLeaves.knowledge())))
         return m_finder->askAgain();
     const auto withheld = m_readyProof.takeWithheld(found.life.id());
     if (withheld && !found.saysLeaving)
--- a/src/Mesh/ReadyProof.cpp
+++ b/src/Mesh/ReadyProof.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace robinrun {
@@ -29,9 +30,14 @@
     return false;
 }
 
-bool ReadyProof::admitHealthAnswer(LeaveKnowledge known)
+bool ReadyProof::admitHealthAnswer(const std::string& upstream, LeaveKnowledge known)
 {
-    if (!m_isProven && known == LeaveKnowledge::None)
+    const auto agrees = [&](const auto& it) {
+        const auto& [life, series] = it;
+        return BackendLife::fromKey(life).id() == upstream && series.last - series.began >= agreedSeries;
+    };
+    if (!m_isProven && known == LeaveKnowledge::None
+        && std::none_of(m_series.begin(), m_series.end(), agrees))
         return false;
     setProven();
     return true;
@@ -59,7 +65,7 @@
 
 bool ReadyProof::isProvenBySeries(const Announcement& ready, Instant now)
 {
-    const auto [it, isNew] = m_series.try_emplace(ready.life.key(), Series { now, ready.sequence });
+    const auto [it, isNew] = m_series.try_emplace(ready.life.key(), Series { now, now, ready.sequence });
     if (isNew) {
         if (m_series.size() > maxLives)
             m_series.clear(); // no server starts so often: the series begin anew
@@ -68,6 +74,7 @@
     if (ready.sequence <= it->second.sequence)
         return false;
     it->second.sequence = ready.sequence;
+    it->second.last = now;
     return now - it->second.began >= maxDelay;
 }
 
--- a/src/Mesh/ReadyProof.h
+++ b/src/Mesh/ReadyProof.h
@@ -23,14 +23,16 @@
 public:
     /// How late an announcement may arrive.
     static constexpr Duration maxDelay = 5s;
+    /// How long announcements have to go on if a health answer agrees and nothing is known of former leaves.
+    static constexpr Duration agreedSeries = maxDelay / 2;
 
     /// \brief Judges the announcement \a ready, and keeps it if it is not believed yet.
     /// \returns whether it may be applied.
     bool admitAnnouncement(const Announcement& ready, LeaveKnowledge known, Instant now);
 
-    /// \brief Judges a health answer by which the server is well.
+    /// \brief Judges a health answer by which the server with the id \a upstream is well.
     /// \returns whether it may be applied.
-    bool admitHealthAnswer(LeaveKnowledge known);
+    bool admitHealthAnswer(const std::string& upstream, LeaveKnowledge known);
 
     /// \brief Returns the last announcement that was not believed, if peers have told of the former leaves
     /// since. It is returned once.
@@ -46,6 +48,7 @@
 private:
     struct Series {
         Instant began {};
+        Instant last {};
         std::uint64_t sequence = 0; ///< of the last announcement
     };
 
