A node that does not believe an announcement yet asks for health answers

What callers would have seen: the server that follows one that has left got no calls for 5 s where a node had started beside the leaving one. Cause: a fault of this series, found in reading: health answers were asked for only while no life of the server was known, so nothing could prove the announcement of the next one but a series. Evidence: "The server that follows one that has left is served after one announcement" runs into its 10 s without the call of startDiscovery() in onAnnouncement(), and passes with it.

--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -168,6 +168,8 @@
     void acknowledgeOverdue(Instant now);
     /// \brief Applies an announcement that is believed.
     void applyAnnouncement(const Announcement& told, Instant now);
+    /// \brief Asks the health path of the backend server until an answer is believed.
+    void startDiscovery();
     /// \brief Applies the health answer \a found of the backend server, or asks again later if it can't be
     /// believed yet.
     void onHealthAnswer(const Announcement& found);
--- a/src/Mesh/MeshNodeAnnouncements.cpp
+++ b/src/Mesh/MeshNodeAnnouncements.cpp
@@ -34,9 +34,11 @@
         return exchange->reply({ badRequest, {}, read.error() + "\n" });
     }
     const auto& told = read.value();
-    if (told.state != AnnouncedState::Ready
-        || m_readyProof.admitAnnouncement(told, m_formerLeaves.knowledge(), now))
+    const bool isReady = told.state == AnnouncedState::Ready;
+    if (!isReady || m_readyProof.admitAnnouncement(told, m_formerLeaves.knowledge(), now))
         applyAnnouncement(told, now);
+    else
+        startDiscovery(); // a health answer may agree
     // Only now: from here on nothing new goes to a server that has said it leaves.
     if (awaitsStore(told))
         return m_acknowledgements.add(std::move(exchange), now);
@@ -80,6 +82,16 @@
         m_owner->onAnnouncedWarmUp(*told.remainingColdTime, now);
 }
 
+void MeshNode::startDiscovery()
+{
+    const auto& settings = m_context.settings;
+    const bool mayStart = m_config.hasConfiguration() && !settings.backend.empty() && !m_isStopping;
+    if (!mayStart || m_finder->isRunning())
+        return;
+    const auto* own = m_context.directory.service(settings.service);
+    m_finder->start(own ? own->config.health_path() : "", m_context.headers);
+}
+
 void MeshNode::onHealthAnswer(const Announcement& found)
 {
     const auto now = monotonicNow();
--- a/src/Mesh/MeshNodeLife.cpp
+++ b/src/Mesh/MeshNodeLife.cpp
@@ -162,10 +162,8 @@
     m_ingress->configure(now);
     m_owner->configure(now);
     setLenders();
-    const auto& settings = m_context.settings;
-    const auto* own = m_context.directory.service(settings.service);
-    if (!m_announced.current() && !m_finder->isRunning() && !settings.backend.empty() && !m_isStopping)
-        m_finder->start(own ? own->config.health_path() : "", m_context.headers);
+    if (!m_announced.current())
+        startDiscovery();
 }
 
 double MeshNode::retryBurst() const
--- a/src/Mesh/ReadyProof.h
+++ b/src/Mesh/ReadyProof.h
@@ -17,8 +17,9 @@
 /// A former process of the node may have acknowledged that the server leaves, and an announcement from before
 /// may still be on its way. So the first "ready" needs a proof: knowledge of the former leaves
 /// (FormerLeaves), a health answer that agrees, or a series of announcements that lasts longer than one can
-/// be late. After one proof, whatever comes was sent in the time of this process. Does no I/O. Cost: O(log
-/// lives) per announcement until there is a proof; 8 lives are kept. \sa docs/design/leaving.md
+/// be late. After one proof all announcements are believed: a leave since then is known to this process. Does
+/// no I/O. Cost: O(log lives) per announcement until there is a proof; 8 lives are kept.
+/// \sa docs/design/leaving.md
 class ReadyProof {
 public:
     /// How late an announcement may arrive.
--- a/test/AcknowledgedLeaveTest.cpp
+++ b/test/AcknowledgedLeaveTest.cpp
@@ -237,3 +237,18 @@
     REQUIRE(f.announce(1, "ready", 1) == 200);
     f.until([&] { return f.runsAt(1) > 0; });
 }
+
+// Once a server was known to leave, health answers were not asked for, and the next life of it waited for a
+// series of announcements.
+TEST_CASE(
+    "The server that follows one that has left is served after one announcement", "[acknowledged-leave]")
+{
+    LeaveFixture f;
+    f.restart(1);
+    f.untilServed(0);
+    REQUIRE(f.announce(1, "draining", 50) == 200);
+    f.shop(1).id = "i-next";
+    f.shop(1).isWell = true;
+    REQUIRE(f.announce(1, "ready", 1) == 200);
+    f.until([&] { return f.runsAt(1) > 0; });
+}
