A record from before a leave that reaches the store late is replaced

What callers could see: after a kill of all nodes, requests at a server that had left and whose health path says well. Cause: a write whose answer was lost may take effect seconds after a later one. The record of the leave was written and acknowledged, and the older record then stayed in the store until the next change. The node now looks at its own newest record with each read of the records, and writes it once more if it is older and lacks the leaving.

Beside it: the bound of what a contact tells of its knowledge stands in FormerLeaves; a comment of AnnouncedUpstream follows the code.

--- a/src/Mesh/AnnouncedUpstream.h
+++ b/src/Mesh/AnnouncedUpstream.h
@@ -24,7 +24,7 @@
     bool applyAnnouncement(const Announcement& announcement);
 
     /// \brief Applies the server's health answer, which names the server's id before the first announcement
-    /// arrives. If the server is unhealthy, it counts as leaving until the next announcement.
+    /// arrives. An answer that says that the server leaves holds until the next announcement.
     /// \returns whether the state has changed.
     bool applyHealthAnswer(const Announcement& probed);
 
--- a/src/Mesh/FormerLeaves.h
+++ b/src/Mesh/FormerLeaves.h
@@ -3,6 +3,7 @@
 #include "Core/EnumNames.h"
 #include "Core/Time.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <string>
@@ -52,8 +53,9 @@
 
     LeaveKnowledge knowledge() const { return m_knowledge; }
 
-    /// \returns since when this node knows the acknowledged leaves of all nodes, as far as contacts can tell.
-    Instant knownSince() const { return m_knownSince; }
+    /// \returns for how long this node has known the acknowledged leaves of all nodes, as far as contacts can
+    /// tell; a day at most, which fits in the message that tells it.
+    Duration knownFor(Instant now) const { return std::min<Duration>(now - m_knownSince, 24h); }
 
 private:
     Instant m_started;
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -103,6 +103,8 @@
     void adoptCopy(const std::string& source, Instant now);
     proto::PeerMessage partRequest() const;
     void applyStoredNode(const KeyedRecord& stored, Instant now);
+    /// \brief Writes the own record once more if the newest one in \a page is older and lacks the leaving.
+    void rewriteIfOlder(const KeyedPage& page);
     /// \returns the node's record that a record of the store holds; nothing if it is malformed or already
     /// known.
     std::optional<proto::NodeRecord> readStoredNode(const KeyedRecord& stored);
--- a/src/Mesh/MeshNodeFeeds.cpp
+++ b/src/Mesh/MeshNodeFeeds.cpp
@@ -60,6 +60,7 @@
         [this](const KeyedPage& page) {
             for (const auto& it : page.records)
                 applyStoredNode(it, monotonicNow());
+            rewriteIfOlder(page);
             m_formerLeaves.onStoreRead(m_nodesFeed->failures() == 0);
             onCrashRecordsChanged(monotonicNow());
             startConfigFeed(monotonicNow());
--- a/src/Mesh/MeshNodePeers.cpp
+++ b/src/Mesh/MeshNodePeers.cpp
@@ -23,8 +23,6 @@
     /// What other writers send is logged up to so many bytes of a text.
     constexpr std::size_t loggedBytes = 128;
     constexpr double permille = 1000;
-    /// The field that says for how long a node knows of leaves has 32 bits.
-    constexpr Duration longestToldKnowledge = 24h;
     /// Of the nodes; fewer are the smaller side of a network partition.
     constexpr double majority = 0.5;
 
@@ -90,8 +88,7 @@
     m_halls.addToContact(contact);
     contact.set_rollout_digest(m_context.rollouts.digest());
     contact.set_store_era(m_store->era().era());
-    const auto leavesKnownFor = std::min(now - m_formerLeaves.knownSince(), longestToldKnowledge);
-    contact.set_leaves_known_ms(1 + static_cast<std::uint32_t>(toMilliseconds(leavesKnownFor)));
+    contact.set_leaves_known_ms(1 + static_cast<std::uint32_t>(toMilliseconds(m_formerLeaves.knownFor(now))));
     if (const auto far = ownFarReach())
         contact.set_far_reach_permille(1 + static_cast<std::uint32_t>(*far * permille));
     m_isContactOpening = false;
@@ -406,4 +403,18 @@
         publish(now); // another writer has put something in the place of this node's record
 }
 
+void MeshNode::rewriteIfOlder(const KeyedPage& page)
+{
+    const auto isOwn = [this](const auto& it) { return it.key == m_context.settings.name; };
+    const auto newest = std::find_if(page.records.rbegin(), page.records.rend(), isOwn);
+    proto::NodeRecord stored;
+    if (newest == page.records.rend() || newest->value.empty() || !stored.ParseFromString(newest->value))
+        return;
+    // A write that had lost its answer took effect after that of the leave.
+    const bool isOlder = stored.incarnation() == m_record.incarnation()
+        && stored.sequence() < m_record.sequence() && m_record.leaving() && !stored.leaving();
+    if (isOlder && isRecordStored())
+        m_writer->rewriteAfter(Duration::zero());
+}
+
 } // namespace robinrun
--- a/test/AcknowledgedLeaveTest.cpp
+++ b/test/AcknowledgedLeaveTest.cpp
@@ -1,7 +1,9 @@
 #include "support/ShopFixture.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <set>
+#include <vector>
 
 /// \file Leaves that were acknowledged, through whole nodes that are killed. \sa docs/design/leaving.md
 
@@ -252,3 +254,43 @@
     REQUIRE(f.announce(1, "ready", 1) == 200);
     f.until([&] { return f.runsAt(1) > 0; });
 }
+
+// A write that had lost its answer took effect after that of the leave, and its record stayed.
+TEST_CASE("A record from before a leave that reaches the store late is replaced", "[acknowledged-leave]")
+{
+    LeaveFixture f;
+    f.until([&] { return !f.store.newest("keyed.nodes", "n1").empty(); });
+    const auto former = f.store.newest("keyed.nodes", "n1");
+    REQUIRE(f.announce(1, "draining", 50) == 200);
+    REQUIRE(f.stored(1).leaving());
+    f.store.put("keyed.nodes", "n1", former);
+    REQUIRE_FALSE(f.stored(1).leaving());
+    f.until([&] { return f.stored(1).leaving(); });
+    const int written = f.store.writes;
+    f.pass(5s); // each node reads the records again meanwhile
+    CHECK(f.store.writes == written);
+}
+
+TEST_CASE("Many leaves at once are each acknowledged within a second", "[acknowledged-leave]")
+{
+    for (const auto mode : { FakeStore::Mode::Up, FakeStore::Mode::Refusing, FakeStore::Mode::Silent }) {
+        LeaveFixture f;
+        for (int i = 0; i < 12; ++i)
+            f.add("shop");
+        for (std::size_t i = nodeCount; i < f.places.size(); ++i)
+            f.untilServed(i);
+        f.store.mode = mode;
+        const auto began = monotonicNow();
+        std::size_t acknowledged = 0;
+        std::vector<std::unique_ptr<HttpPool>> servers;
+        for (const auto& it : f.places) {
+            HttpPool::Options options;
+            options.address = it.settings.listen.announcements;
+            servers.push_back(std::make_unique<HttpPool>(f.base.get(), options));
+            servers.back()->send({ "DELETE", "/instances/" + it.backend->id, {}, "" }, 9s,
+                [&](const auto& reply) { acknowledged += reply && reply.value().status == 200 ? 1 : 0; });
+        }
+        f.until([&] { return acknowledged == f.places.size(); });
+        CHECK(monotonicNow() - began < 1s);
+    }
+}
--- a/test/ReadyProofTest.cpp
+++ b/test/ReadyProofTest.cpp
@@ -114,7 +114,7 @@
     FormerLeaves second(started);
     second.onStoreRead(true);
     CHECK(second.knowledge() == LeaveKnowledge::Store);
-    CHECK(second.knownSince() == started);
+    CHECK(second.knownFor(started + 1s) == 1s);
 }
 
 TEST_CASE(
@@ -133,7 +133,7 @@
     CHECK(leaves.knowledge() == LeaveKnowledge::None);
     leaves.onRecordsCompared("p");
     CHECK(leaves.knowledge() == LeaveKnowledge::Peers);
-    CHECK(leaves.knownSince() == before); // which it tells in its turn
+    CHECK(leaves.knownFor(started) == FormerLeaves::startSpread); // which it tells in its turn
     leaves.onStoreRead(true);
     CHECK(leaves.knowledge() == LeaveKnowledge::Peers);
 }
